--- /dev/null
+++ b/Makefile
@@ -0,0 +1,58 @@
+# Every target sets up what it needs from a bare Python 3.11.
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := schema runtime consensus control router agent daemon emulator tools
+PACKAGE_FOLDERS := $(addprefix packages/heronladder-,$(PACKAGES))
+SCHEMA := $(wildcard schema/heronladder_schema/v1/*.proto)
+GENERATED := packages/heronladder-schema/src
+ifeq ($(shell command -v $(PYTHON) 2>/dev/null),)
+PYTHON := python3
+endif
+
+.PHONY: setup demo test lint unit bench soak generate format
+
+setup: $(VENV)/ready
+
+$(VENV)/ready: requirements.txt pyproject.toml $(addsuffix /pyproject.toml,$(PACKAGE_FOLDERS))
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check --require-hashes -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation $(addprefix -e ./,$(PACKAGE_FOLDERS))
+	touch $@
+
+demo: setup
+	$(BIN)/heronladder demo $(ARGS)
+
+test: setup lint unit
+
+lint: setup
+	$(BIN)/ruff format --check packages tests
+	$(BIN)/ruff check packages tests
+	$(BIN)/mypy --strict $(addsuffix /src,$(PACKAGE_FOLDERS))
+	$(BIN)/lint-imports
+
+unit: setup
+	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t tests
+
+bench: setup
+	$(BIN)/heronladder bench $(ARGS)
+
+soak: setup
+	$(BIN)/heronladder soak $(ARGS)
+
+format: setup
+	$(BIN)/ruff format packages tests
+	$(BIN)/ruff check --fix packages tests
+
+$(VENV)/generate-ready: requirements-generate.txt
+	$(PYTHON) -m venv $(VENV)-generate
+	$(VENV)-generate/bin/pip install --quiet --disable-pip-version-check --require-hashes -r requirements-generate.txt
+	mkdir -p $(VENV) && touch $@
+
+generate: $(VENV)/generate-ready
+	rm -f $(GENERATED)/heronladder_schema/v1/*_pb2*
+	PATH="$(abspath $(VENV)-generate/bin):$$PATH" $(VENV)-generate/bin/python -m grpc_tools.protoc -Ischema \
+	  --python_out=$(GENERATED) --mypy_out=quiet:$(GENERATED) $(SCHEMA)
+	PATH="$(abspath $(VENV)-generate/bin):$$PATH" $(VENV)-generate/bin/python -m grpc_tools.protoc -Ischema \
+	  --grpc_python_out=$(GENERATED) --mypy_grpc_out=quiet:$(GENERATED) \
+	  schema/heronladder_schema/v1/consensus.proto schema/heronladder_schema/v1/control.proto
--- /dev/null
+++ b/packages/heronladder-agent/src/heronladder_agent/__init__.py
@@ -0,0 +1,1 @@
+"""Agent role: the gate before one back end."""
--- /dev/null
+++ b/packages/heronladder-agent/src/heronladder_agent/http_adapter.py
@@ -0,0 +1,84 @@
+"""Back ends reached over HTTP: OpenAI-compatible engines and plain services."""
+
+from collections.abc import AsyncIterator
+
+import aiohttp
+from heronladder_runtime.answers import BackendAnswer, BackendCall
+
+from heronladder_agent.adapters import BackendAdapter
+from heronladder_agent.errors import BackendError, BackendUnreachableError
+
+FENCE_HEADER = "Heronladder-Fence"
+PRIORITY_HEADER = "X-Priority"
+REQUEST_ID_HEADER = "X-Request-Id"
+_CONNECT_TIMEOUT_S = 2.0
+_CHUNK_BYTES = 65_536
+
+
+class HttpAdapter(BackendAdapter):
+    """A back end at one HTTP address.
+
+    Args:
+        address: IP:port of the back end.
+        checks_fences: Whether it refuses calls that carry an old fence token.
+    """
+
+    def __init__(self, address: str, checks_fences: bool) -> None:
+        self._address = address
+        self._checks_fences = checks_fences
+        self._session: aiohttp.ClientSession | None = None
+
+    def _client(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
+            connector = aiohttp.TCPConnector(limit=0)
+            self._session = aiohttp.ClientSession(
+                timeout=timeout, connector=connector, auto_decompress=False
+            )
+        return self._session
+
+    async def open(self, call: BackendCall) -> BackendAnswer:
+        """Send a call and return its answer as it comes."""
+        dispatch = call.dispatch
+        headers = {
+            REQUEST_ID_HEADER: dispatch.request_id,
+            PRIORITY_HEADER: str(dispatch.priority),
+        }
+        if dispatch.content_type:
+            headers["Content-Type"] = dispatch.content_type
+        if self._checks_fences and dispatch.claim_revision:
+            headers[FENCE_HEADER] = str(dispatch.claim_revision)
+        try:
+            response = await self._client().request(
+                dispatch.method or "POST",
+                f"http://{self._address}{dispatch.path}",
+                data=call.body,
+                headers=headers,
+                allow_redirects=False,
+            )
+        except aiohttp.ClientConnectorError as error:
+            raise BackendUnreachableError(str(error), step="connect", peer=self._address) from error
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise BackendError(repr(error), step="call_backend", peer=self._address) from error
+        echoed = response.headers.get(REQUEST_ID_HEADER, dispatch.request_id)
+        if echoed != dispatch.request_id:
+            response.close()
+            raise BackendError(
+                f"the back end answered request {echoed}", step="match", peer=self._address
+            )
+        content_type = response.headers.get("Content-Type", "application/octet-stream")
+        return BackendAnswer(response.status, content_type, self._chunks(response))
+
+    async def _chunks(self, response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+        try:
+            async for chunk in response.content.iter_any():
+                yield chunk
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+            raise BackendError(repr(error), step="read_answer", peer=self._address) from error
+        finally:
+            response.close()
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
--- /dev/null
+++ b/packages/heronladder-agent/src/heronladder_agent/server.py
@@ -0,0 +1,83 @@
+"""The agent's HTTP listener for routers."""
+
+import binascii
+
+from aiohttp import web
+from google.protobuf.message import DecodeError
+from heronladder_runtime import wire
+from heronladder_runtime.answers import EVENT_STREAM, AgentAnswer
+from heronladder_schema.v1 import agent_pb2
+
+from heronladder_agent.gate import Gate
+
+_MAXIMUM_BODY_BYTES = 256 * 1024 * 1024
+_HEAD_STATUS_REFUSED = 409
+
+
+class AgentServer:
+    """Takes dispatches over HTTP.
+
+    Args:
+        gate: The gate that carries them out.
+    """
+
+    def __init__(self, gate: Gate) -> None:
+        self._gate = gate
+
+    def application(self) -> web.Application:
+        """Return the application that serves dispatches."""
+        application = web.Application(client_max_size=_MAXIMUM_BODY_BYTES)
+        application.router.add_post(wire.DISPATCH_PATH, self._dispatch)
+        application.router.add_post(wire.CANCEL_PATH, self._cancel)
+        return application
+
+    async def _cancel(self, request: web.Request) -> web.Response:
+        query = request.query
+        if not query.get("attempt", "").isdigit():
+            raise web.HTTPBadRequest(text="give request_id and attempt (a whole number)")
+        self._gate.cancel((query.get("request_id", ""), int(query["attempt"])))
+        return web.Response(status=204)
+
+    async def _dispatch(self, request: web.Request) -> web.StreamResponse:
+        try:
+            text = request.headers.get(wire.DISPATCH_HEADER, "")
+            dispatch = wire.decode(agent_pb2.Dispatch, text)
+        except (binascii.Error, ValueError, DecodeError):
+            raise web.HTTPBadRequest(
+                text=f"header {wire.DISPATCH_HEADER} is missing or malformed"
+            ) from None
+        answer = await self._gate.dispatch(dispatch, await request.read())
+        headers = {wire.HEAD_HEADER: wire.encode(answer.head)}
+        if answer.refused or answer.chunks is None:
+            return web.Response(status=_HEAD_STATUS_REFUSED, headers=headers)
+        if answer.content_type.startswith(EVENT_STREAM):
+            return await self._stream(request, answer, headers)
+        return await self._whole(answer, headers)
+
+    @staticmethod
+    async def _whole(answer: AgentAnswer, headers: dict[str, str]) -> web.Response:
+        assert answer.chunks is not None
+        body = b"".join([chunk async for chunk in answer.chunks])
+        if answer.end is not None:
+            headers[wire.END_HEADER] = wire.encode(answer.end)
+        headers["Content-Type"] = answer.content_type or "application/octet-stream"
+        return web.Response(status=answer.status, body=body, headers=headers)
+
+    @staticmethod
+    async def _stream(
+        request: web.Request, answer: AgentAnswer, headers: dict[str, str]
+    ) -> web.StreamResponse:
+        assert answer.chunks is not None
+        response = web.StreamResponse(status=answer.status, headers=headers)
+        response.content_type = EVENT_STREAM
+        await response.prepare(request)
+        try:
+            async for chunk in answer.chunks:
+                await response.write(chunk)
+            if answer.end is not None:
+                await response.write(wire.end_line(answer.end))
+        except ConnectionResetError:
+            pass  # the router is gone; the run goes on if its answer is kept
+        finally:
+            await answer.chunks.aclose()  # type: ignore[attr-defined]
+        return response
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated log of heronladder."""
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
@@ -0,0 +1,106 @@
+"""How a member with a new data folder comes to count.
+
+A new folder may belong to a new group or to a member that lost its disk. In
+the second case the member has forgotten what it voted for and which entries it
+had acknowledged, so it must not count until the group has taken it in again.
+The rule: a new folder counts at once only if every other first member is new
+too, or already knows this very folder. Otherwise the leader demotes the member
+to a learner, and promotes it once it has caught up.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from heronladder_runtime.errors import RPC_ERRORS
+from heronladder_schema.v1 import consensus_pb2
+
+if TYPE_CHECKING:
+    from heronladder_consensus.node import ConsensusNode
+
+_PAUSE_S = 0.2
+
+
+class Bootstrap:
+    """Forms a new group from its first members.
+
+    Args:
+        node: The member.
+        initial_members: The first members; empty when joining a running group.
+    """
+
+    def __init__(
+        self, node: ConsensusNode[Any], initial_members: list[consensus_pb2.Member]
+    ) -> None:
+        self._node = node
+        self._initial = initial_members
+
+    async def run(self) -> None:
+        """Ask the other first members until it is clear whether the group is new."""
+        node = self._node
+        if node.hard_state.voting_allowed or not self._initial:
+            return
+        incarnations = {node.name: node.hard_state.incarnation}
+        while len(incarnations) < len(self._initial):
+            if node.log.last_index > 0 or node.hard_state.voting_allowed:
+                return  # a leader has taken this member in
+            for member in self._initial:
+                if member.name in incarnations:
+                    continue
+                reply = await self._ask(member)
+                if reply is None:
+                    continue
+                if self._knows_another_folder(reply):
+                    node.event_log.warning(
+                        "folder_is_new_in_a_running_group",
+                        step="bootstrap",
+                        peer=member.name,
+                        advice="this member counts again once it has caught up",
+                    )
+                    return
+                incarnations[member.name] = reply.incarnation
+            await asyncio.sleep(_PAUSE_S)
+        await self._form_group(incarnations)
+
+    async def _ask(self, member: consensus_pb2.Member) -> consensus_pb2.HelloReply | None:
+        node = self._node
+        try:
+            stub = node.stubs.consensus(member.address)
+            request = consensus_pb2.HelloRequest(**{"from": node.name})
+            reply: consensus_pb2.HelloReply = await stub.Hello(
+                request, timeout=node.timing.call_timeout_s
+            )
+        except RPC_ERRORS:
+            return None
+        return reply
+
+    def _knows_another_folder(self, reply: consensus_pb2.HelloReply) -> bool:
+        if not reply.voting_allowed:
+            return False
+        known = [member for member in reply.membership.members if member.name == self._node.name]
+        return not known or known[0].incarnation != self._node.hard_state.incarnation
+
+    async def _form_group(self, incarnations: dict[str, str]) -> None:
+        node = self._node
+        hard_state = node.hard_state
+        if hard_state.voting_allowed or node.log.last_index > 0:
+            return
+        for member in self._initial:
+            added = hard_state.bootstrap.members.add()
+            added.CopyFrom(member)
+            added.voter = True
+            added.incarnation = incarnations[member.name]
+        hard_state.voting_allowed = True
+        await node.save_hard_state()
+        node.event_log.info("group_formed", step="bootstrap", members=len(incarnations))
+
+    def answer(self) -> consensus_pb2.HelloReply:
+        """Say who this member is and whether its folder is new."""
+        node = self._node
+        return consensus_pb2.HelloReply(
+            name=node.name,
+            incarnation=node.hard_state.incarnation,
+            voting_allowed=node.hard_state.voting_allowed,
+            membership=node.membership(),
+        )
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -0,0 +1,145 @@
+"""Elections: a pre-vote, then a vote; and the answers to other candidates."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from heronladder_runtime.errors import RPC_ERRORS
+from heronladder_schema.v1 import consensus_pb2
+
+from heronladder_consensus.membership import find_member, voters
+
+if TYPE_CHECKING:
+    from heronladder_consensus.node import ConsensusNode
+
+
+class Election:
+    """Makes a member stand for election when it hears of no leader.
+
+    Args:
+        node: The member.
+    """
+
+    def __init__(self, node: ConsensusNode[Any]) -> None:
+        self._node = node
+        self._lock = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Stand whenever no leader was heard of for an election timeout."""
+        node = self._node
+        while node.failure is None:
+            timeout_s = node.timing.election_timeout_s * (1 + node.environment.random.random())
+            await asyncio.sleep(timeout_s)
+            silent_s = node.environment.monotonic() - node.last_heard_s
+            if node.is_leader or not node.may_vote() or silent_s < timeout_s:
+                continue
+            node.leader = ""
+            if await self._collect(pre_vote=True) and await self._collect(pre_vote=False):
+                node.become_leader()
+
+    async def _collect(self, *, pre_vote: bool) -> bool:
+        """Ask all voters; return whether a majority agreed and nothing changed meanwhile.
+
+        The pre-vote asks without a new term, so that a member that was cut off
+        does not disturb a leader that others still hear.
+        """
+        node = self._node
+        if not pre_vote:
+            async with self._lock:
+                await node.enter_term(node.term + 1, voted_for=node.name)
+        term = node.term
+        request = consensus_pb2.VoteRequest(
+            term=term + 1 if pre_vote else term,
+            candidate=node.name,
+            incarnation=node.hard_state.incarnation,
+            last_index=node.log.last_index,
+            last_term=node.log.last_term,
+            pre_vote=pre_vote,
+        )
+        others = [member for member in voters(node.membership()) if member.name != node.name]
+        replies = await asyncio.gather(*(self._ask(member, request) for member in others))
+        granted = 1
+        for member, reply in zip(others, replies, strict=True):
+            if reply is None:
+                continue
+            if reply.term > node.term and not reply.granted:
+                async with self._lock:
+                    if reply.term > node.term:
+                        await node.enter_term(reply.term)
+                return False
+            if reply.granted and reply.incarnation == member.incarnation:
+                granted += 1
+        unchanged = node.term == term and not node.is_leader and node.failure is None
+        if not pre_vote:
+            unchanged = unchanged and node.hard_state.voted_for == node.name
+        return unchanged and granted >= node.quorum()
+
+    async def _ask(
+        self, member: consensus_pb2.Member, request: consensus_pb2.VoteRequest
+    ) -> consensus_pb2.VoteReply | None:
+        node = self._node
+        try:
+            stub = node.stubs.consensus(member.address)
+            reply: consensus_pb2.VoteReply = await stub.RequestVote(
+                request, timeout=node.timing.call_timeout_s
+            )
+        except RPC_ERRORS:
+            return None
+        return reply
+
+    async def answer(self, request: consensus_pb2.VoteRequest) -> consensus_pb2.VoteReply:
+        """Grant or refuse a vote."""
+        node = self._node
+        async with self._lock:
+            granted = await self._decide(request)
+            return consensus_pb2.VoteReply(
+                term=node.term, granted=granted, incarnation=node.hard_state.incarnation
+            )
+
+    async def _decide(self, request: consensus_pb2.VoteRequest) -> bool:
+        node = self._node
+        if node.failure is not None or not node.may_vote() or request.term < node.term:
+            return False
+        if self._hears_leader():
+            return False
+        candidate = find_member(node.membership(), request.candidate)
+        if candidate is not None and candidate.incarnation not in ("", request.incarnation):
+            return False
+        if request.pre_vote:
+            return request.term > node.term and self._up_to_date(request)
+        if request.term > node.term:
+            await node.enter_term(request.term)
+        if node.hard_state.voted_for not in ("", request.candidate):
+            return False
+        if not self._up_to_date(request):
+            return False
+        node.last_heard_s = node.environment.monotonic()
+        await node.enter_term(node.term, voted_for=request.candidate)
+        return True
+
+    def _hears_leader(self) -> bool:
+        node = self._node
+        if node.is_leader:
+            return True
+        silent_s = node.environment.monotonic() - node.last_heard_s
+        return bool(node.leader) and silent_s < node.timing.election_timeout_s
+
+    def _up_to_date(self, request: consensus_pb2.VoteRequest) -> bool:
+        own = (self._node.log.last_term, self._node.log.last_index)
+        return (request.last_term, request.last_index) >= own
+
+    async def observe_leader(self, term: int, leader: str) -> bool:
+        """Follow a leader that sent a message; return False if its term is old."""
+        node = self._node
+        if term < node.term or node.failure is not None:
+            return False
+        if term > node.term:
+            async with self._lock:
+                if term > node.term:
+                    await node.enter_term(term)
+        if term != node.term:
+            return False
+        node.leader = leader
+        node.last_heard_s = node.environment.monotonic()
+        return True
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/log.py
@@ -0,0 +1,116 @@
+"""The log in memory: entries after the newest snapshot."""
+
+from heronladder_runtime.invariants import invariant
+from heronladder_schema.v1 import consensus_pb2
+
+
+class MemoryLog:
+    """Entries by index, and how far they are synced to disk.
+
+    Args:
+        member: Name of the member, for errors.
+        meta: Place of the snapshot the log begins after; index 0 when there is none.
+        entries: Entries after it, all synced.
+    """
+
+    def __init__(
+        self,
+        member: str,
+        meta: consensus_pb2.SnapshotMeta,
+        entries: list[consensus_pb2.LogEntry],
+    ) -> None:
+        self._member = member
+        self._base = meta
+        self._entries = entries
+        self.synced_index = meta.index + len(entries)
+
+    @property
+    def base_index(self) -> int:
+        """Index of the last entry that is only in the snapshot."""
+        return self._base.index
+
+    @property
+    def last_index(self) -> int:
+        """Index of the last entry."""
+        return self._base.index + len(self._entries)
+
+    @property
+    def last_term(self) -> int:
+        """Term of the last entry."""
+        return self._entries[-1].term if self._entries else self._base.term
+
+    def term_at(self, index: int) -> int | None:
+        """Return the term of an entry, or None if the log does not hold it."""
+        if index == self._base.index:
+            return self._base.term
+        if self._base.index < index <= self.last_index:
+            return self._entries[index - self._base.index - 1].term
+        return None
+
+    def entry(self, index: int) -> consensus_pb2.LogEntry:
+        """Return the entry at an index that the log holds."""
+        return self._entries[index - self._base.index - 1]
+
+    def slice(self, first: int, maximum_bytes: int) -> list[consensus_pb2.LogEntry]:
+        """Return entries from ``first`` on, at least one, up to a size in bytes."""
+        position = first - self._base.index - 1
+        chosen: list[consensus_pb2.LogEntry] = []
+        size = 0
+        while position < len(self._entries):
+            entry = self._entries[position]
+            size += len(entry.command)
+            if chosen and size > maximum_bytes:
+                break
+            chosen.append(entry)
+            position += 1
+        return chosen
+
+    def unsynced(self) -> list[consensus_pb2.LogEntry]:
+        """Return the entries that are not on disk yet."""
+        return self._entries[self.synced_index - self._base.index :]
+
+    def append(self, entry: consensus_pb2.LogEntry) -> None:
+        """Add the next entry, not yet synced."""
+        invariant(
+            entry.index == self.last_index + 1,
+            "log_is_dense",
+            step="append",
+            peer=self._member,
+            detail=f"entry {entry.index} after {self.last_index}",
+        )
+        self._entries.append(entry)
+
+    def truncate_from(self, index: int, commit_index: int) -> None:
+        """Drop all entries from ``index`` on; committed ones must not be among them."""
+        invariant(
+            index > commit_index,
+            "committed_entries_are_kept",
+            step="truncate",
+            peer=self._member,
+            detail=f"truncation from {index}, committed up to {commit_index}",
+        )
+        del self._entries[index - self._base.index - 1 :]
+        self.synced_index = min(self.synced_index, index - 1)
+
+    def compact(self, meta: consensus_pb2.SnapshotMeta) -> None:
+        """Drop the entries up to ``meta.index``, which a snapshot covers."""
+        del self._entries[: meta.index - self._base.index]
+        self._base = meta
+
+    def reset(self, meta: consensus_pb2.SnapshotMeta) -> None:
+        """Begin anew after a snapshot from the leader."""
+        self._base = meta
+        self._entries = []
+        self.synced_index = meta.index
+
+    def membership(self, up_to: int | None = None) -> consensus_pb2.Membership:
+        """Return the newest membership in the log, or in the snapshot below it.
+
+        Args:
+            up_to: Look only at entries up to this index.
+        """
+        last = self.last_index if up_to is None else up_to
+        for entry in reversed(self._entries[: last - self._base.index]):
+            if entry.HasField("membership"):
+                return entry.membership
+        return self._base.membership
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -0,0 +1,166 @@
+"""Members of the group: single changes, learners, and repair of lost folders."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from heronladder_schema.v1 import consensus_pb2
+
+from heronladder_consensus.errors import MembershipChangeError, NotLeaderError
+
+if TYPE_CHECKING:
+    from heronladder_consensus.node import ConsensusNode
+
+
+def find_member(membership: consensus_pb2.Membership, name: str) -> consensus_pb2.Member | None:
+    """Return the member of a name, or None."""
+    for member in membership.members:
+        if member.name == name:
+            return member
+    return None
+
+
+def voters(membership: consensus_pb2.Membership) -> list[consensus_pb2.Member]:
+    """Return the members that count towards a quorum."""
+    return [member for member in membership.members if member.voter]
+
+
+class MembershipKeeper:
+    """Carries out changes of members, one at a time, while this member leads.
+
+    Args:
+        node: The member.
+    """
+
+    def __init__(self, node: ConsensusNode[Any]) -> None:
+        self._node = node
+        self._change_index = 0
+
+    def start_leading(self) -> None:
+        """Begin to tend members; changes wait for the first entry of the term."""
+        self._change_index = self._node.log.last_index
+        self._node.tasks.start("membership", self._tend(self._node.term))
+
+    async def _tend(self, term: int) -> None:
+        node = self._node
+        while node.is_leader and node.term == term:
+            if node.commit_index >= self._change_index:
+                self._repair_one()
+            await node.changed.wait(node.timing.heartbeat_s)
+
+    def _repair_one(self) -> None:
+        """Make the one change that is due: demote a lost folder, promote a learner."""
+        node = self._node
+        for member in node.membership().members:
+            incarnation = node.replication.seen_incarnation(member.name)
+            if member.name == node.name or not incarnation:
+                continue
+            if incarnation != member.incarnation:
+                self._change_member(member, incarnation=incarnation, voter=False)
+                return
+            if not member.voter and node.replication.caught_up(member.name):
+                self._change_member(member, incarnation=incarnation, voter=True)
+                return
+
+    def _change_member(
+        self, member: consensus_pb2.Member, *, incarnation: str, voter: bool
+    ) -> None:
+        changed = consensus_pb2.Membership()
+        changed.CopyFrom(self._node.membership())
+        entry = find_member(changed, member.name)
+        if entry is None:
+            return
+        entry.incarnation = incarnation
+        entry.voter = voter
+        self._append(changed)
+        self._node.event_log.info(
+            "member_changed", step="membership", peer=member.name, voter=voter
+        )
+
+    def _append(self, membership: consensus_pb2.Membership) -> None:
+        self._change_index = self._node.append_as_leader(membership=membership)
+        self._node.replication.follow_membership()
+
+    async def add(self, member: consensus_pb2.Member) -> None:
+        """Add a learner; it votes once it has caught up.
+
+        Raises:
+            MembershipChangeError: If another change is under way, or the name is taken.
+            NotLeaderError: If this member does not lead.
+        """
+        self._require_no_change("members_add")
+        if find_member(self._node.membership(), member.name) is not None:
+            raise MembershipChangeError(
+                f"member {member.name} exists already", step="members_add", peer=member.name
+            )
+        changed = consensus_pb2.Membership()
+        changed.CopyFrom(self._node.membership())
+        added = changed.members.add()
+        added.CopyFrom(member)
+        added.voter = False
+        added.incarnation = ""
+        await self._commit(changed)
+
+    async def remove(self, name: str) -> None:
+        """Remove a member.
+
+        Raises:
+            MembershipChangeError: If another change is under way, there is no
+                such member, or the others are too few to be sure of a quorum.
+            NotLeaderError: If this member does not lead.
+        """
+        self._require_no_change("members_remove")
+        current = self._node.membership()
+        if find_member(current, name) is None:
+            raise MembershipChangeError(
+                f"there is no member {name}", step="members_remove", peer=name
+            )
+        changed = consensus_pb2.Membership(
+            members=[member for member in current.members if member.name != name]
+        )
+        reachable = [
+            member
+            for member in voters(changed)
+            if member.name == self._node.name or self._node.replication.reachable(member.name)
+        ]
+        if len(reachable) < len(voters(changed)) // 2 + 1:
+            raise MembershipChangeError(
+                "too few of the remaining members can be reached to go on without this one",
+                step="members_remove",
+                peer=name,
+            )
+        await self._commit(changed)
+
+    def _require_no_change(self, step: str) -> None:
+        self._node.require_leader(step)
+        if self._node.commit_index < self._change_index:
+            raise MembershipChangeError(
+                "another change of members is under way; try again", step=step
+            )
+
+    async def _commit(self, membership: consensus_pb2.Membership) -> None:
+        node = self._node
+        self._append(membership)
+        index = self._change_index
+        term = node.term
+        while node.commit_index < index:
+            if not node.is_leader or node.term != term:
+                raise NotLeaderError("leadership ended", step="members", peer=node.leader)
+            await node.changed.wait()
+
+    def membership_committed(self, entry: consensus_pb2.LogEntry) -> None:
+        """Act on a committed membership: count again, or stop leading once removed."""
+        node = self._node
+        member = find_member(entry.membership, node.name)
+        if member is None:
+            if node.is_leader:
+                node.step_down("removed")
+            return
+        known = member.incarnation == node.hard_state.incarnation
+        if member.voter and known and not node.hard_state.voting_allowed:
+            node.tasks.start("allow_voting", self._allow_voting())
+
+    async def _allow_voting(self) -> None:
+        self._node.hard_state.voting_allowed = True
+        await self._node.save_hard_state()
+        self._node.event_log.info("member_counts_again", step="membership")
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
@@ -0,0 +1,30 @@
+"""What the replicated log drives."""
+
+from abc import ABC, abstractmethod
+from typing import Generic, TypeVar
+
+Result = TypeVar("Result")
+
+
+class StateMachine(ABC, Generic[Result]):
+    """A state that depends on nothing but the commands applied, in their order."""
+
+    @abstractmethod
+    def apply(self, index: int, command: bytes) -> Result:
+        """Carry out a committed command.
+
+        Args:
+            index: Its place in the log.
+            command: Its serialised form.
+
+        Returns:
+            What the proposer is told.
+        """
+
+    @abstractmethod
+    def snapshot(self) -> bytes:
+        """Return the whole state in serialised form."""
+
+    @abstractmethod
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's."""
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/storage.py
@@ -0,0 +1,182 @@
+"""Durable state of one member: hard state, log segments and the newest snapshot.
+
+Files of the data folder:
+    hard-state: one record, a HardState.
+    segment-NNN: records, each a LogBatch, in the order they were synced. A
+        batch replaces all entries from its first index on.
+    snapshot-INDEX: two records, a SnapshotMeta and the state's bytes.
+"""
+
+from dataclasses import dataclass, field
+
+from heronladder_runtime.disk import Disk
+from heronladder_runtime.errors import CorruptFileError
+from heronladder_runtime.records import frame_record, scan_records
+from heronladder_schema.v1 import consensus_pb2
+
+_HARD_STATE_FILE = "hard-state"
+_SEGMENT_PREFIX = "segment-"
+_SNAPSHOT_PREFIX = "snapshot-"
+_NUMBER_DIGITS = 20
+_SEGMENT_BYTES = 8 * 1024 * 1024
+_SNAPSHOT_RECORDS = 2
+
+
+@dataclass
+class StoredSnapshot:
+    """A snapshot of the state machine and the place in the log it stands for."""
+
+    meta: consensus_pb2.SnapshotMeta
+    data: bytes
+
+
+@dataclass
+class LoadedState:
+    """What a data folder held at the start."""
+
+    hard_state: consensus_pb2.HardState
+    snapshot: StoredSnapshot | None = None
+    entries: list[consensus_pb2.LogEntry] = field(default_factory=list)
+    dropped_bytes: int = 0
+
+    @property
+    def empty(self) -> bool:
+        """Whether the folder had never been used."""
+        return not self.hard_state.incarnation
+
+
+@dataclass
+class _Segment:
+    name: str
+    size: int
+    last_index: int
+
+
+def _numbered(prefix: str, number: int) -> str:
+    return f"{prefix}{number:0{_NUMBER_DIGITS}d}"
+
+
+class LogStorage:
+    """Reads and writes the files of one member.
+
+    Args:
+        disk: The data folder.
+    """
+
+    def __init__(self, disk: Disk) -> None:
+        self._disk = disk
+        self._segments: list[_Segment] = []
+        self._last_segment_number = 0
+
+    # ---- start ------------------------------------------------------------
+
+    def load(self) -> LoadedState:
+        """Read all that was synced.
+
+        Raises:
+            CorruptFileError: If synced bytes are damaged.
+            StorageError: If a file cannot be read.
+        """
+        names = self._disk.names()
+        state = LoadedState(self._load_hard_state(names))
+        state.snapshot = self._load_snapshot(names)
+        self._load_segments(names, state)
+        return state
+
+    def _load_hard_state(self, names: list[str]) -> consensus_pb2.HardState:
+        if _HARD_STATE_FILE not in names:
+            return consensus_pb2.HardState()
+        data = self._disk.read(_HARD_STATE_FILE)
+        payloads = scan_records(data, _HARD_STATE_FILE, last_file=False).payloads
+        return consensus_pb2.HardState.FromString(payloads[0])
+
+    def _load_snapshot(self, names: list[str]) -> StoredSnapshot | None:
+        snapshots = [
+            name for name in names if name.startswith(_SNAPSHOT_PREFIX) and name[-1].isdigit()
+        ]
+        if not snapshots:
+            return None
+        name = snapshots[-1]
+        payloads = scan_records(self._disk.read(name), name, last_file=False).payloads
+        if len(payloads) != _SNAPSHOT_RECORDS:
+            raise CorruptFileError(f"file {name} is cut short", step="load", peer=f"{name}:0")
+        meta = consensus_pb2.SnapshotMeta.FromString(payloads[0])
+        return StoredSnapshot(meta, payloads[1])
+
+    def _load_segments(self, names: list[str], state: LoadedState) -> None:
+        segment_names = [name for name in names if name.startswith(_SEGMENT_PREFIX)]
+        first_kept = state.snapshot.meta.index + 1 if state.snapshot else 1
+        by_index: dict[int, consensus_pb2.LogEntry] = {}
+        last_index = 0
+        for position, name in enumerate(segment_names):
+            data = self._disk.read(name)
+            last_file = position == len(segment_names) - 1
+            scan = scan_records(data, name, last_file=last_file)
+            if scan.good_size < len(data):
+                state.dropped_bytes = len(data) - scan.good_size
+                self._disk.truncate(name, scan.good_size)
+            for payload in scan.payloads:
+                batch = consensus_pb2.LogBatch.FromString(payload)
+                for entry in batch.entries:
+                    by_index[entry.index] = entry
+                    last_index = entry.index
+            self._segments.append(_Segment(name, scan.good_size, last_index))
+            self._last_segment_number = int(name.removeprefix(_SEGMENT_PREFIX))
+        for index in range(first_kept, last_index + 1):
+            if index not in by_index:
+                raise CorruptFileError(
+                    f"the log has no entry {index} between its snapshot and its end",
+                    step="load",
+                    peer=segment_names[0],
+                )
+            state.entries.append(by_index[index])
+
+    # ---- writing ----------------------------------------------------------
+
+    async def save_hard_state(self, hard_state: consensus_pb2.HardState) -> None:
+        """Write term, vote and identity; they last when this returns."""
+        await self._disk.replace(_HARD_STATE_FILE, frame_record(hard_state.SerializeToString()))
+
+    async def append(self, entries: list[consensus_pb2.LogEntry]) -> None:
+        """Write and sync a batch of entries; they last when this returns."""
+        segment = self._current_segment()
+        batch = consensus_pb2.LogBatch(entries=entries)
+        record = frame_record(batch.SerializeToString())
+        self._disk.append(segment.name, record)
+        segment.size += len(record)
+        segment.last_index = entries[-1].index
+        await self._disk.sync(segment.name)
+
+    def _current_segment(self) -> _Segment:
+        if not self._segments or self._segments[-1].size >= _SEGMENT_BYTES:
+            self._last_segment_number += 1
+            name = _numbered(_SEGMENT_PREFIX, self._last_segment_number)
+            self._segments.append(_Segment(name, 0, 0))
+        return self._segments[-1]
+
+    async def save_snapshot(self, snapshot: StoredSnapshot, *, drop_log: bool) -> None:
+        """Write a snapshot, then drop older snapshots and the segments it covers.
+
+        Args:
+            snapshot: The snapshot to keep from now on.
+            drop_log: Whether all log segments are dropped: the snapshot came
+                from the leader and the log does not go on from it.
+        """
+        name = _numbered(_SNAPSHOT_PREFIX, snapshot.meta.index)
+        records = frame_record(snapshot.meta.SerializeToString()) + frame_record(snapshot.data)
+        await self._disk.replace(name, records)
+        for other in self._disk.names():
+            if other.startswith(_SNAPSHOT_PREFIX) and other != name:
+                self._disk.delete(other)
+        kept = []
+        for position, segment in enumerate(self._segments):
+            is_last = position == len(self._segments) - 1
+            if drop_log or (not is_last and segment.last_index <= snapshot.meta.index):
+                self._disk.delete(segment.name)
+            else:
+                kept.append(segment)
+        self._segments = kept
+
+    def close(self) -> None:
+        """Close all files."""
+        self._disk.close()
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/__init__.py
@@ -0,0 +1,1 @@
+"""Control role: resources, ledger, claims, membership."""
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/allotments.py
@@ -0,0 +1,94 @@
+"""Allotments: a region that runs short of a budget asks the others for tokens."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heronladder_runtime.errors import RPC_ERRORS, HeronladderError
+from heronladder_runtime.rpc import StubFactory
+from heronladder_schema.v1 import control_pb2, ledger_pb2
+
+if TYPE_CHECKING:
+    from heronladder_control.member import ControlMember
+
+_ASK_TIMEOUT_S = 2.0
+_ASK_FACTOR = 4  # tokens asked for, as a multiple of what a holder lacked
+_LOW_SHARE = 8  # an account is low under 1/8 of what it was ever allotted
+
+
+class AllotmentKeeper:
+    """Moves tokens from other regions' accounts into this region's.
+
+    Args:
+        member: The control member; it acts only while it leads.
+        stubs: Makes stubs to members of other regions.
+    """
+
+    def __init__(self, member: ControlMember, stubs: StubFactory) -> None:
+        self._member = member
+        self._stubs = stubs
+        self._under_way: set[str] = set()
+
+    def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
+        """Ask other regions once a budget runs short here."""
+        if command.WhichOneof("body") != "grant_lease":
+            return
+        if not self._member.options.region_addresses:
+            return
+        ask = command.grant_lease
+        account = self._member.state.ledger.account(ask.budget)
+        if account is not None and account.available * _LOW_SHARE > account.allotted:
+            return
+        if ask.budget in self._under_way:
+            return
+        self._under_way.add(ask.budget)
+        self._member.tasks.start("allotment", self._ask_regions(ask.budget, ask.wanted))
+
+    async def _ask_regions(self, budget: str, wanted: int) -> None:
+        try:
+            for region in sorted(self._member.options.region_addresses):
+                if await self._ask(region, budget, wanted * _ASK_FACTOR):
+                    return
+        except HeronladderError as error:
+            self._member.log.info("allotment_failed", step=error.step, reason=error.message)
+        finally:
+            self._under_way.discard(budget)
+
+    async def _ask(self, region: str, budget: str, tokens: int) -> bool:
+        """Ask one region; return whether it gave anything."""
+        start = control_pb2.Command()
+        start.start_transfer.transfer.CopyFrom(
+            ledger_pb2.Transfer(
+                budget=budget,
+                from_region=region,
+                to_region=self._member.options.region,
+                tokens=tokens,
+            )
+        )
+        pending = (await self._member.propose(start)).transfer
+        given = await self._call(region, pending)
+        if given is None:
+            return False
+        credit = control_pb2.Command()
+        credit.credit_transfer.transfer.CopyFrom(given)
+        await self._member.propose(credit)
+        self._member.log.info(
+            "allotment_received", step="allotment", peer=region, budget=budget, tokens=given.tokens
+        )
+        return given.tokens > 0
+
+    async def _call(self, region: str, pending: ledger_pb2.Transfer) -> ledger_pb2.Transfer | None:
+        request = control_pb2.AllotmentRequest(transfer=pending)
+        for address in self._member.options.region_addresses[region]:
+            try:
+                stub = self._stubs.control(address)
+                reply: control_pb2.AllotmentReply = await stub.Allot(
+                    request, timeout=_ASK_TIMEOUT_S
+                )
+            except RPC_ERRORS:
+                continue
+            if reply.HasField("transfer"):
+                return reply.transfer
+            if not reply.not_leader:
+                return None
+        return None
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/daemons.py
@@ -0,0 +1,122 @@
+"""Daemons known to control, and the collection of what a lost router held."""
+
+from heronladder_schema.v1 import control_pb2, ledger_pb2
+
+from heronladder_control.ledger import Ledger
+from heronladder_control.results import failure, success
+
+ROLE_ROUTER = "router"
+ROLE_AGENT = "agent"
+_PREVIOUS_KEPT = 16
+
+
+class DaemonTable:
+    """Routers and agents of a region, by name.
+
+    Args:
+        ledger: Holds the leases of routers.
+    """
+
+    def __init__(self, ledger: Ledger) -> None:
+        self._ledger = ledger
+        self.daemons: dict[str, ledger_pb2.DaemonRecord] = {}
+        self.collections: dict[tuple[str, str], ledger_pb2.Collection] = {}
+
+    def register(self, index: int, wanted: ledger_pb2.DaemonRecord) -> control_pb2.CommandResult:
+        """Take in a new incarnation of a daemon; an earlier one may not come back."""
+        known = self.daemons.get(wanted.name)
+        record = ledger_pb2.DaemonRecord()
+        record.CopyFrom(wanted)
+        del record.previous[:]
+        record.gone = False
+        record.revision = index
+        if known is not None:
+            if wanted.incarnation in known.previous:
+                return failure(
+                    control_pb2.RESULT_CODE_STALE, "a later incarnation has taken the name"
+                )
+            if wanted.incarnation == known.incarnation:
+                if known.gone:
+                    return failure(
+                        control_pb2.RESULT_CODE_STALE, "this incarnation was declared gone"
+                    )
+                return success()
+            if not known.gone:
+                self._retire(known)
+            record.previous.extend([*known.previous, known.incarnation][-_PREVIOUS_KEPT:])
+        self.daemons[wanted.name] = record
+        return success()
+
+    def declare_gone(self, order: control_pb2.DeclareGone) -> control_pb2.CommandResult:
+        """Take the right to act from an incarnation, for good."""
+        known = self.daemons.get(order.name)
+        if known is None or known.incarnation != order.incarnation:
+            return failure(control_pb2.RESULT_CODE_STALE, "no such incarnation")
+        if not known.gone:
+            known.gone = True
+            self._retire(known)
+        return success()
+
+    def forget_agent(self, name: str) -> None:
+        """Wait no more for an agent whose back end the operator deleted."""
+        if self.daemons.pop(name, None) is None:
+            return
+        for key in sorted(self.collections):
+            collection = self.collections[key]
+            if name in collection.awaited_agents:
+                collection.awaited_agents.remove(name)
+                collection.records_lost = True
+                self._close_if_collected(collection)
+
+    def _retire(self, record: ledger_pb2.DaemonRecord) -> None:
+        """Fence a router's leases and begin to collect what agents ran under them."""
+        if record.role != ROLE_ROUTER:
+            return
+        remaining = self._ledger.fence(record.name, record.incarnation)
+        collection = ledger_pb2.Collection(
+            router=record.name,
+            router_incarnation=record.incarnation,
+            router_revision=record.revision,
+        )
+        if remaining:
+            collection.awaited_agents.extend(
+                name for name in sorted(self.daemons) if self.daemons[name].role == ROLE_AGENT
+            )
+        self.collections[record.name, record.incarnation] = collection
+        self._close_if_collected(collection)
+
+    def collected(self, order: control_pb2.CollectedRouter) -> control_pb2.CommandResult:
+        """Note that an agent owes nothing more for a router that is gone."""
+        collection = self.collections.get((order.router, order.router_incarnation))
+        agent = self.daemons.get(order.agent)
+        if collection is None or order.agent not in collection.awaited_agents:
+            return success()
+        if agent is None or agent.incarnation != order.agent_incarnation:
+            return failure(control_pb2.RESULT_CODE_STALE, "no such incarnation of the agent")
+        # An agent that restarted after the router registered may have run
+        # requests of that router and forgotten them.
+        if agent.revision > collection.router_revision and agent.previous and not agent.journal:
+            collection.records_lost = True
+        collection.awaited_agents.remove(order.agent)
+        self._close_if_collected(collection)
+        return success()
+
+    def _close_if_collected(self, collection: ledger_pb2.Collection) -> None:
+        if collection.awaited_agents:
+            return
+        key = (collection.router, collection.router_incarnation)
+        self._ledger.close(*key, records_lost=collection.records_lost)
+        self.collections.pop(key, None)
+
+    def save(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Write all into a snapshot."""
+        snapshot.daemons.extend(self.daemons[name] for name in sorted(self.daemons))
+        snapshot.collections.extend(self.collections[key] for key in sorted(self.collections))
+
+    def load(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Take all from a snapshot."""
+        self.daemons = {record.name: record for record in snapshot.daemons}
+        self.collections = {
+            (collection.router, collection.router_incarnation): collection
+            for collection in snapshot.collections
+        }
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -0,0 +1,350 @@
+"""The budget ledger: accounts, leases and settlements of one region.
+
+Tokens move account -> lease -> bill. Each move takes from one side before it
+adds to the other, is numbered, and does nothing the second time. For each
+account, at every step:
+
+    allotted = available + leased + billed + withheld + moved_out
+"""
+
+from collections.abc import Callable, Iterator
+
+from heronladder_runtime.invariants import invariant
+from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
+
+from heronladder_control.results import failure, success
+
+_SHARE_OF_HOLDERS = 2  # a grant takes at most 1/(2 x holders) of what is left
+
+AccountKey = tuple[str, int]  # budget, period
+SettledListener = Callable[[ledger_pb2.Settlement, ledger_pb2.Lease], None]
+
+
+def outstanding(lease: ledger_pb2.Lease) -> int:
+    """Return the tokens a lease's holder may still spend."""
+    return lease.granted - lease.returned - lease.billed - lease.withheld
+
+
+def is_settled(lease: ledger_pb2.Lease, sequence: int) -> bool:
+    """Return whether a reservation of a lease has been settled already."""
+    return sequence <= lease.watermark or sequence in lease.settled_above
+
+
+class Ledger:
+    """Accounts and leases of one region.
+
+    Args:
+        region: Name of the region.
+    """
+
+    def __init__(self, region: str) -> None:
+        self.region = region
+        self.accounts: dict[AccountKey, ledger_pb2.Account] = {}
+        self.leases: dict[int, ledger_pb2.Lease] = {}
+        self.bills: dict[tuple[str, str, int], ledger_pb2.TenantBill] = {}
+        self.last_lease_id = 0
+        self.settled_listeners: list[SettledListener] = []
+        self._periods: dict[str, int] = {}
+        self._leased: dict[AccountKey, int] = {}
+        self._open: dict[tuple[str, int], dict[tuple[str, str], ledger_pb2.Lease]] = {}
+        self._by_holder: dict[tuple[str, str], dict[int, ledger_pb2.Lease]] = {}
+
+    # ---- accounts ---------------------------------------------------------
+
+    def account(self, budget: str) -> ledger_pb2.Account | None:
+        """Return the account of a budget's current period."""
+        period = self._periods.get(budget)
+        return None if period is None else self.accounts[budget, period]
+
+    def ensure_account(self, budget: str, period: int) -> ledger_pb2.Account:
+        """Return the account of a budget's period, opening it where there is none."""
+        account = self.accounts.get((budget, period))
+        if account is None:
+            account = ledger_pb2.Account(budget=budget, region=self.region, period=period)
+            self.accounts[budget, period] = account
+            self._leased[budget, period] = 0
+        if period >= self._periods.get(budget, 0):
+            self._periods[budget] = period
+        return account
+
+    def check_budget(self, name: str, spec: resources_pb2.Budget) -> str | None:
+        """Return why a budget may not be set so, or None."""
+        current = self.account(name)
+        if current is None:
+            return None
+        if spec.period < current.period:
+            return f"period {spec.period} is over; the current one is {current.period}"
+        if spec.period == current.period:
+            lowered = current.allotted - spec.tokens
+            if lowered > current.available:
+                floor = current.allotted - current.available
+                return f"{floor} tokens are spent, leased or moved already; set at least that"
+        return None
+
+    def set_budget(self, name: str, spec: resources_pb2.Budget) -> None:
+        """Open a period, or move the difference of a budget's size into its account."""
+        account = self.ensure_account(name, spec.period)
+        if spec.tokens >= account.allotted:
+            account.available += spec.tokens - account.allotted
+        else:
+            account.available -= account.allotted - spec.tokens
+        account.allotted = spec.tokens
+        self.check_conservation(account)
+        self._forget_settled_periods(name)
+
+    def _forget_settled_periods(self, budget: str) -> None:
+        current = self._periods[budget]
+        old = [
+            key
+            for key in self.accounts
+            if key[0] == budget and key[1] < current - 1 and not self._leased[key]
+        ]
+        for key in old:
+            del self.accounts[key]
+            del self._leased[key]
+
+    def check_conservation(self, account: ledger_pb2.Account) -> None:
+        """Assert that no token of an account came from nowhere or was lost."""
+        leased = self._leased[account.budget, account.period]
+        held = account.available + leased + account.billed + account.withheld + account.moved_out
+        invariant(
+            held == account.allotted,
+            "ledger_conserves_tokens",
+            step="apply",
+            peer=account.budget,
+            detail=f"allotted {account.allotted}, found {held}",
+        )
+
+    def check_all(self) -> None:
+        """Assert conservation of all accounts from the leases themselves."""
+        sums = dict.fromkeys(self.accounts, 0)
+        for lease in self.leases.values():
+            sums[lease.budget, lease.period] += outstanding(lease)
+        for key, account in self.accounts.items():
+            invariant(
+                sums[key] == self._leased[key],
+                "leases_add_up",
+                step="check_all",
+                peer=key[0],
+                detail=f"leases hold {sums[key]}, account says {self._leased[key]}",
+            )
+            self.check_conservation(account)
+
+    # ---- leases -----------------------------------------------------------
+
+    def grant(self, ask: control_pb2.GrantLease) -> control_pb2.CommandResult:
+        """Move tokens from a budget's account into the holder's lease."""
+        account = self.account(ask.budget)
+        if account is None:
+            return failure(control_pb2.RESULT_CODE_NOT_FOUND, f"there is no budget {ask.budget}")
+        lease = self._lease_of(account, ask.holder, ask.incarnation)
+        if ask.number > lease.last_grant_number:
+            lease.last_grant_number = ask.number
+            amount = self._grant_size(account, ask)
+            account.available -= amount
+            lease.granted += amount
+            self._add_leased(lease, amount)
+            if amount == 0 and ask.minimum > 0:
+                result = failure(
+                    control_pb2.RESULT_CODE_EXHAUSTED,
+                    f"budget {ask.budget} has {account.available} tokens left to lease",
+                )
+                result.lease.CopyFrom(lease)
+                result.available = account.available
+                result.recallable = self._held_by_others(lease)
+                return result
+        return success(lease=lease, available=account.available)
+
+    def _held_by_others(self, own: ledger_pb2.Lease) -> int:
+        opened = self._open.get((own.budget, own.period), {})
+        return sum(outstanding(lease) for lease in opened.values() if lease is not own)
+
+    def _grant_size(self, account: ledger_pb2.Account, ask: control_pb2.GrantLease) -> int:
+        if account.available < ask.minimum:
+            return 0
+        holders = max(1, len(self._open.get((account.budget, account.period), {})))
+        share = account.available // (_SHARE_OF_HOLDERS * holders)
+        return min(ask.wanted, max(share, ask.minimum))
+
+    def _lease_of(
+        self, account: ledger_pb2.Account, holder: str, incarnation: str
+    ) -> ledger_pb2.Lease:
+        opened = self._open.setdefault((account.budget, account.period), {})
+        lease = opened.get((holder, incarnation))
+        if lease is None:
+            self.last_lease_id += 1
+            lease = ledger_pb2.Lease(
+                lease_id=self.last_lease_id,
+                budget=account.budget,
+                region=self.region,
+                holder=holder,
+                holder_incarnation=incarnation,
+                period=account.period,
+                state=ledger_pb2.LEASE_STATE_OPEN,
+            )
+            self._index_lease(lease)
+        return lease
+
+    def _index_lease(self, lease: ledger_pb2.Lease) -> None:
+        self.leases[lease.lease_id] = lease
+        holder = (lease.holder, lease.holder_incarnation)
+        self._by_holder.setdefault(holder, {})[lease.lease_id] = lease
+        if lease.state == ledger_pb2.LEASE_STATE_OPEN:
+            self._open.setdefault((lease.budget, lease.period), {})[holder] = lease
+
+    def _add_leased(self, lease: ledger_pb2.Lease, tokens: int) -> None:
+        key = (lease.budget, lease.period)
+        self._leased[key] += tokens
+        self.check_conservation(self.accounts[key])
+
+    def give_back(self, order: control_pb2.ReturnLease) -> control_pb2.CommandResult:
+        """Move unspent tokens from a lease back into its account."""
+        lease = self.leases.get(order.lease_id)
+        if lease is None or lease.state != ledger_pb2.LEASE_STATE_OPEN:
+            return failure(control_pb2.RESULT_CODE_STALE, "the lease is not open")
+        account = self.accounts[lease.budget, lease.period]
+        if order.number > lease.last_return_number:
+            lease.last_return_number = order.number
+            invariant(
+                order.tokens <= outstanding(lease),
+                "return_within_lease",
+                step="give_back",
+                peer=lease.holder,
+                detail=f"returns {order.tokens} of {outstanding(lease)}",
+            )
+            lease.returned += order.tokens
+            account.available += order.tokens
+            self._add_leased(lease, -order.tokens)
+        return success(lease=lease, available=account.available)
+
+    def open_leases(self, budget: str) -> list[ledger_pb2.Lease]:
+        """Return the open leases of a budget's current period."""
+        period = self._periods.get(budget, 0)
+        return list(self._open.get((budget, period), {}).values())
+
+    def leases_of(self, holder: str, incarnation: str) -> list[ledger_pb2.Lease]:
+        """Return the leases of one incarnation of a holder that are not closed."""
+        return list(self._by_holder.get((holder, incarnation), {}).values())
+
+    def fence(self, holder: str, incarnation: str) -> int:
+        """Fence all leases of a holder that is gone; return the tokens still in them."""
+        total = 0
+        for lease in self.leases_of(holder, incarnation):
+            lease.state = ledger_pb2.LEASE_STATE_FENCED
+            self._open.get((lease.budget, lease.period), {}).pop((holder, incarnation), None)
+            total += outstanding(lease)
+        return total
+
+    def close(self, holder: str, incarnation: str, *, records_lost: bool) -> None:
+        """Close a holder's fenced leases: what is left is free again.
+
+        Args:
+            holder: The holder that is gone.
+            incarnation: Its incarnation.
+            records_lost: An agent may have run requests under the leases and
+                forgotten them: what is left stays charged.
+        """
+        for lease in self.leases_of(holder, incarnation):
+            rest = outstanding(lease)
+            account = self.accounts[lease.budget, lease.period]
+            if records_lost:
+                lease.withheld += rest
+                account.withheld += rest
+            else:
+                lease.returned += rest
+                account.available += rest
+            self._add_leased(lease, -rest)
+            del self.leases[lease.lease_id]
+        self._by_holder.pop((holder, incarnation), None)
+
+    # ---- settlements ------------------------------------------------------
+
+    def settle(self, settlement: ledger_pb2.Settlement) -> bool:
+        """Bill one reservation, once.
+
+        Returns:
+            False when it had been settled before, or its lease is closed.
+        """
+        lease = self.leases.get(settlement.lease_id)
+        if lease is None or is_settled(lease, settlement.sequence):
+            return False
+        billed = settlement.prompt_tokens + settlement.completion_tokens
+        tokens = billed + settlement.withheld_tokens
+        invariant(
+            tokens <= outstanding(lease),
+            "settlement_within_lease",
+            step="settle",
+            peer=lease.holder,
+            detail=f"{settlement.request_id} takes {tokens} of {outstanding(lease)}",
+        )
+        self._mark_settled(lease, settlement.sequence)
+        account = self.accounts[lease.budget, lease.period]
+        lease.billed += billed
+        lease.withheld += settlement.withheld_tokens
+        account.billed += billed
+        account.withheld += settlement.withheld_tokens
+        self._add_leased(lease, -tokens)
+        if settlement.outcome == ledger_pb2.OUTCOME_RAN:
+            account.bills += 1
+            self._add_to_bill(lease, settlement)
+        for listener in self.settled_listeners:
+            listener(settlement, lease)
+        return True
+
+    @staticmethod
+    def _mark_settled(lease: ledger_pb2.Lease, sequence: int) -> None:
+        if sequence != lease.watermark + 1:
+            lease.settled_above.append(sequence)
+            return
+        lease.watermark = sequence
+        above = set(lease.settled_above)
+        while lease.watermark + 1 in above:
+            lease.watermark += 1
+            above.discard(lease.watermark)
+        if len(above) != len(lease.settled_above):
+            lease.settled_above[:] = sorted(above)
+
+    def _add_to_bill(self, lease: ledger_pb2.Lease, settlement: ledger_pb2.Settlement) -> None:
+        key = (settlement.tenant, lease.budget, lease.period)
+        bill = self.bills.get(key)
+        if bill is None:
+            bill = ledger_pb2.TenantBill(
+                tenant=settlement.tenant, budget=lease.budget, period=lease.period
+            )
+            self.bills[key] = bill
+        bill.requests += 1
+        bill.prompt_tokens += settlement.prompt_tokens
+        bill.completion_tokens += settlement.completion_tokens
+
+    # ---- snapshot ---------------------------------------------------------
+
+    def save(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Write all accounts, leases and bills into a snapshot."""
+        snapshot.last_lease_id = self.last_lease_id
+        snapshot.accounts.extend(self._in_order(self.accounts))
+        snapshot.leases.extend(self._in_order(self.leases))
+        snapshot.bills.extend(self._in_order(self.bills))
+
+    @staticmethod
+    def _in_order(table: dict) -> Iterator:  # type: ignore[type-arg]
+        return (table[key] for key in sorted(table))
+
+    def load(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Take all from a snapshot."""
+        listeners = self.settled_listeners
+        self.__init__(self.region)  # type: ignore[misc]
+        self.settled_listeners = listeners
+        self.last_lease_id = snapshot.last_lease_id
+        for account in snapshot.accounts:
+            key = (account.budget, account.period)
+            self.accounts[key] = account
+            self._leased[key] = 0
+            self._periods[account.budget] = max(
+                account.period, self._periods.get(account.budget, 0)
+            )
+        for lease in snapshot.leases:
+            self._index_lease(lease)
+            self._leased[lease.budget, lease.period] += outstanding(lease)
+        for bill in snapshot.bills:
+            self.bills[bill.tenant, bill.budget, bill.period] = bill
+        self.check_all()
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -0,0 +1,207 @@
+"""One control member: replicated state, streams of daemons, and the leader's chores."""
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from heronladder_consensus.membership import find_member
+from heronladder_consensus.node import ConsensusNode
+from heronladder_consensus.service import ConsensusService
+from heronladder_consensus.storage import LogStorage
+from heronladder_consensus.timing import ConsensusTiming
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.disk import Disk
+from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.pulse import Pulse
+from heronladder_runtime.rpc import StubFactory
+from heronladder_runtime.tasks import TaskGroupOwner
+from heronladder_schema.v1 import consensus_pb2, control_pb2, ledger_pb2
+
+from heronladder_control.allotments import AllotmentKeeper
+from heronladder_control.daemons import ROLE_ROUTER
+from heronladder_control.in_force import InForceTracker
+from heronladder_control.sessions import ControlService
+from heronladder_control.state import ControlState
+
+_CHORE_INTERVAL_S = 0.5
+_CLAIM_AGE_MS = 24 * 3600 * 1000
+_CLAIM_DROP_INTERVAL_S = 600.0
+
+
+@dataclass(frozen=True)
+class ControlOptions:
+    """Settings of a control member.
+
+    Attributes:
+        name: Name of the member.
+        region: Its region.
+        initial_members: First members of a new group; empty when joining one.
+        timing: Times of the replicated log.
+        freshness_s: Length of a daemon's freshness lease, in seconds.
+        gone_after_s: Silence after which a router is declared gone, in seconds.
+        region_addresses: gRPC addresses of the control members of other regions.
+    """
+
+    name: str
+    region: str
+    initial_members: list[consensus_pb2.Member]
+    timing: ConsensusTiming = field(default_factory=ConsensusTiming)
+    freshness_s: float = 8.0
+    gone_after_s: float = 15.0
+    region_addresses: dict[str, list[str]] = field(default_factory=dict)
+
+
+class ControlMember:
+    """A member of a region's control group.
+
+    Args:
+        options: Its settings.
+        disk: Its data folder.
+        stubs: Makes stubs to other members.
+        environment: Time and randomness.
+        on_failure: Called when the member can no longer go on.
+    """
+
+    def __init__(
+        self,
+        options: ControlOptions,
+        disk: Disk,
+        stubs: StubFactory,
+        environment: Environment,
+        on_failure: Callable[[HeronladderError], None],
+    ) -> None:
+        self.options = options
+        self.environment = environment
+        self.metrics = Metrics()
+        self.log = EventLog("control", options.name)
+        self.tasks = TaskGroupOwner(self.log)
+        self.state = ControlState(options.region)
+        self.node = ConsensusNode(
+            options.name,
+            LogStorage(disk),
+            self.state,
+            stubs,
+            options.initial_members,
+            options.timing,
+            environment,
+            on_failure,
+        )
+        self.in_force = InForceTracker(environment, options.freshness_s)
+        self.progress = Pulse()  # a daemon applied a configuration
+        self.in_force_changed = Pulse()
+        self.service = ControlService(self)
+        self.consensus_service = ConsensusService(self.node)
+        self.allotments = AllotmentKeeper(self, stubs)
+        self.state.listeners.append(self._applied)
+        self._tending = False
+
+    @property
+    def freshness_s(self) -> float:
+        """Length of a daemon's freshness lease, in seconds."""
+        return self.options.freshness_s
+
+    async def start(self) -> None:
+        """Start the member's tasks."""
+        await self.node.start()
+        self.tasks.start("leader_chores", self._tend_leadership())
+
+    async def stop(self) -> None:
+        """Stop all tasks and close the data folder."""
+        for session in list(self.service.sessions.values()):
+            session.close()
+        await self.tasks.stop()
+        await self.node.stop()
+
+    def leader_address(self) -> str:
+        """Return the gRPC address of the leader, or "" while none is known."""
+        member = self.leader()
+        return member.address if member is not None else ""
+
+    def leader(self) -> consensus_pb2.Member | None:
+        """Return the leader's entry in the membership, if one is known."""
+        return find_member(self.node.membership(), self.node.leader)
+
+    async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
+        """Replicate a command and return its result.
+
+        Raises:
+            NotLeaderError: If this member does not lead.
+            LeadershipLostError: If the command's fate is unknown.
+        """
+        started_s = self.environment.monotonic()
+        result = await self.node.propose(command.SerializeToString())
+        body = command.WhichOneof("body") or ""
+        self.metrics.observe("command", self.environment.monotonic() - started_s, body)
+        return result
+
+    def _applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
+        body = command.WhichOneof("body")
+        if body == "set_in_force":
+            self.in_force_changed.give()
+        if not self.node.is_leader:
+            return
+        if body in ("put_resource", "delete_resource"):
+            self.progress.give()
+        self.service.applied(command, result)
+        self.allotments.applied(command, result)
+
+    # ---- the leader's chores ----------------------------------------------
+
+    async def _tend_leadership(self) -> None:
+        while True:
+            if not self.node.is_leader:
+                await self.node.changed.wait()
+                continue
+            try:
+                await self.node.read_barrier()
+                await self._lead()
+            except HeronladderError as error:
+                self.log.info("leader_chores_ended", step=error.step, reason=error.message)
+
+    async def _lead(self) -> None:
+        self.in_force.begin(
+            sorted(name for name, record in self.state.daemons.daemons.items() if not record.gone),
+            earlier_leader_s=2 * self.options.timing.election_timeout_s,
+        )
+        for name in self.service.sessions:
+            self.in_force.connected(name)
+        next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
+        while self.node.is_leader:
+            await self._put_in_force()
+            await self._declare_silent_gone()
+            if self.environment.monotonic() >= next_drop_s:
+                next_drop_s += _CLAIM_DROP_INTERVAL_S
+                await self._drop_old_claims()
+            await self.progress.wait(_CHORE_INTERVAL_S)
+
+    async def _put_in_force(self) -> None:
+        committed = self.state.resources.revision
+        reached = self.in_force.reached(committed, self.state.in_force_revision)
+        if reached > self.state.in_force_revision:
+            command = control_pb2.Command()
+            command.set_in_force.revision = reached
+            await self.propose(command)
+
+    async def _declare_silent_gone(self) -> None:
+        oldest = self.environment.monotonic() - self.options.gone_after_s
+        for name in sorted(self.in_force.daemons):
+            progress = self.in_force.daemons[name]
+            record = self.state.daemons.daemons.get(name)
+            if record is None or record.gone or record.role != ROLE_ROUTER:
+                continue
+            if progress.last_heard_s < oldest:
+                self.log.warning("router_gone", step="declare_gone", peer=name)
+                await self.declare_gone(record)
+
+    async def declare_gone(self, record: ledger_pb2.DaemonRecord) -> None:
+        """Take the right to act from a daemon's incarnation; collect a router's leases."""
+        command = control_pb2.Command()
+        command.declare_gone.name = record.name
+        command.declare_gone.incarnation = record.incarnation
+        await self.propose(command)
+
+    async def _drop_old_claims(self) -> None:
+        command = control_pb2.Command()
+        command.drop_claims.older_than_ms = max(0, self.environment.wall_ms() - _CLAIM_AGE_MS)
+        await self.propose(command)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/resources.py
@@ -0,0 +1,208 @@
+"""Declared resources: compare-and-set, change ids, references, and their history."""
+
+from collections import OrderedDict, deque
+
+from heronladder_runtime.configuration import KINDS
+from heronladder_runtime.manifests import FIELD_KINDS, kind_of
+from heronladder_runtime.validation import validate
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_control.results import failure
+
+_EVENTS_KEPT = 4_000
+_CHANGES_KEPT = 4_000
+
+
+class ResourceTable:
+    """All resources of a region and their newest changes.
+
+    Args:
+        region: Name of the region.
+    """
+
+    def __init__(self, region: str) -> None:
+        self._region = region
+        self.resources: dict[str, dict[str, resources_pb2.Resource]] = {kind: {} for kind in KINDS}
+        self.events: deque[control_pb2.ConfigEvent] = deque()
+        self.compacted_revision = 0
+        self.revision = 0
+        self._changes: OrderedDict[str, control_pb2.CommandResult] = OrderedDict()
+
+    def get(self, kind: str, name: str) -> resources_pb2.Resource | None:
+        """Return a resource, or None."""
+        return self.resources[kind].get(name)
+
+    # ---- changes ----------------------------------------------------------
+
+    def first_outcome(self, change_id: str) -> control_pb2.CommandResult | None:
+        """Return what a change id came to the first time it was sent."""
+        return self._changes.get(change_id) if change_id else None
+
+    def remember(self, change_id: str, result: control_pb2.CommandResult) -> None:
+        """Keep the outcome of a change for resends of it."""
+        if not change_id:
+            return
+        self._changes[change_id] = result
+        while len(self._changes) > _CHANGES_KEPT:
+            self._changes.popitem(last=False)
+
+    def check_put(self, order: control_pb2.PutResource) -> control_pb2.CommandResult | None:
+        """Return why a resource may not be written so, or None."""
+        name = order.resource.metadata.name
+        known = self.get(order.kind, name)
+        version = known.metadata.version if known is not None else 0
+        if not order.any_version and order.expected_version != version:
+            return self._conflict(order.expected_version, version)
+        errors = validate(order.resource)
+        if kind_of(order.resource) != order.kind:
+            errors.append(
+                control_pb2.FieldError(field="kind", message=f"the path says {order.kind}")
+            )
+        errors.extend(self._missing_references(order.resource))
+        if errors:
+            result = failure(control_pb2.RESULT_CODE_INVALID, "the resource is not valid")
+            result.errors.extend(errors)
+            return result
+        return None
+
+    @staticmethod
+    def _conflict(expected: int, current: int) -> control_pb2.CommandResult:
+        result = failure(
+            control_pb2.RESULT_CODE_VERSION_CONFLICT,
+            f"the change was made for version {expected}; the current version is {current}",
+        )
+        result.current_version = current
+        return result
+
+    def put(self, index: int, order: control_pb2.PutResource) -> control_pb2.CommandResult:
+        """Write a resource that was checked; return it with its new version."""
+        resource = resources_pb2.Resource()
+        resource.CopyFrom(order.resource)
+        known = self.get(order.kind, resource.metadata.name)
+        resource.metadata.version = known.metadata.version + 1 if known is not None else 1
+        resource.metadata.revision = index
+        if not resource.metadata.region:
+            resource.metadata.region = self._region
+        self.resources[order.kind][resource.metadata.name] = resource
+        self._record(index, order.kind, resource.metadata.name, resource)
+        result = control_pb2.CommandResult(
+            code=control_pb2.RESULT_CODE_OK,
+            revision=index,
+            current_version=resource.metadata.version,
+        )
+        result.resource.CopyFrom(resource)
+        return result
+
+    def delete(self, index: int, order: control_pb2.DeleteResource) -> control_pb2.CommandResult:
+        """Remove a resource that nothing refers to."""
+        known = self.get(order.kind, order.name)
+        if known is None:
+            return failure(
+                control_pb2.RESULT_CODE_NOT_FOUND, f"there is no {order.kind} {order.name}"
+            )
+        if not order.any_version and order.expected_version != known.metadata.version:
+            return self._conflict(order.expected_version, known.metadata.version)
+        users = self._referring(order.kind, order.name)
+        if users:
+            return failure(
+                control_pb2.RESULT_CODE_REFERENCED,
+                f"{order.kind} {order.name} is used by {', '.join(users[:5])}",
+            )
+        del self.resources[order.kind][order.name]
+        self._record(index, order.kind, order.name, None)
+        result = control_pb2.CommandResult(code=control_pb2.RESULT_CODE_OK, revision=index)
+        result.resource.CopyFrom(known)
+        return result
+
+    def _record(
+        self, index: int, kind: str, name: str, resource: resources_pb2.Resource | None
+    ) -> None:
+        event = control_pb2.ConfigEvent(revision=index, kind=kind, name=name)
+        if resource is not None:
+            event.resource.CopyFrom(resource)
+        self.events.append(event)
+        self.revision = index
+        while len(self.events) > _EVENTS_KEPT:
+            self.compacted_revision = self.events.popleft().revision
+
+    # ---- references -------------------------------------------------------
+
+    @staticmethod
+    def _references(resource: resources_pb2.Resource) -> list[tuple[str, str, str]]:
+        """Return (field, kind, name) of each resource that another one names."""
+        kind = kind_of(resource)
+        found = []
+        if kind == "tenant":
+            found.append(("spec.budget", "budget", resource.tenant.budget))
+            for position, service in enumerate(resource.tenant.services):
+                found.append((f"spec.services[{position}]", "service", service))
+        elif kind == "service" and resource.service.routing_policy:
+            policy = resource.service.routing_policy
+            found.append(("spec.routingPolicy", "routing_policy", policy))
+        elif kind == "backend":
+            found.append(("spec.service", "service", resource.backend.service))
+        return found
+
+    def _missing_references(self, resource: resources_pb2.Resource) -> list[control_pb2.FieldError]:
+        return [
+            control_pb2.FieldError(
+                field=field,
+                message=f"there is no {FIELD_KINDS[kind]} {name!r}; declare it first",
+            )
+            for field, kind, name in self._references(resource)
+            if name and self.get(kind, name) is None
+        ]
+
+    def _referring(self, kind: str, name: str) -> list[str]:
+        users = []
+        for other_kind in KINDS:
+            for other in self.resources[other_kind].values():
+                for _, referred_kind, referred in self._references(other):
+                    if (referred_kind, referred) == (kind, name):
+                        users.append(f"{other_kind} {other.metadata.name}")
+        return users
+
+    # ---- reading ----------------------------------------------------------
+
+    def events_after(self, revision: int) -> list[control_pb2.ConfigEvent] | None:
+        """Return the changes after a revision, or None if some are compacted away."""
+        if revision < self.compacted_revision:
+            return None
+        return [event for event in self.events if event.revision > revision]
+
+    def all_as_events(self) -> list[control_pb2.ConfigEvent]:
+        """Return every resource as if it had just been written."""
+        return [
+            control_pb2.ConfigEvent(
+                revision=resource.metadata.revision,
+                kind=kind,
+                name=name,
+                resource=resource,
+            )
+            for kind in KINDS
+            for name, resource in sorted(self.resources[kind].items())
+        ]
+
+    def save(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Write all into a snapshot."""
+        for kind in KINDS:
+            snapshot.resources.extend(
+                self.resources[kind][name] for name in sorted(self.resources[kind])
+            )
+        for change_id, result in self._changes.items():
+            snapshot.changes.add(change_id=change_id, result=result)
+        snapshot.events.extend(self.events)
+        snapshot.compacted_revision = self.compacted_revision
+
+    def load(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Take all from a snapshot."""
+        for kind in KINDS:
+            self.resources[kind].clear()
+        for resource in snapshot.resources:
+            self.resources[kind_of(resource)][resource.metadata.name] = resource
+        self._changes = OrderedDict(
+            (change.change_id, change.result) for change in snapshot.changes
+        )
+        self.events = deque(snapshot.events)
+        self.compacted_revision = snapshot.compacted_revision
+        self.revision = self.events[-1].revision if self.events else self.compacted_revision
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -0,0 +1,284 @@
+"""Streams of daemons: configuration and orders out, heartbeats and commands in."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from typing import TYPE_CHECKING, Any
+
+from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.errors import RPC_ERRORS, HeronladderError
+from heronladder_runtime.pulse import Pulse
+from heronladder_schema.v1 import control_pb2, ledger_pb2
+from heronladder_schema.v1.control_pb2_grpc import ControlServicer
+
+from heronladder_control.daemons import ROLE_AGENT, ROLE_ROUTER
+
+if TYPE_CHECKING:
+    from heronladder_control.member import ControlMember
+
+_IDLE_CHECK_S = 1.0
+_ROUTER_KINDS = frozenset({"tenant", "service", "backend", "routing_policy"})
+
+
+class DaemonSession:
+    """One daemon's stream: what is to be sent on it.
+
+    Args:
+        record: The daemon.
+        applied_revision: Configuration it already holds; 0 for none.
+    """
+
+    def __init__(self, record: ledger_pb2.DaemonRecord, applied_revision: int) -> None:
+        self.record = record
+        self.config_sent = applied_revision
+        self.wake = Pulse()
+        self.closed = False
+        self.answers: list[control_pb2.DaemonAnswer] = []
+        self.notices: dict[str, control_pb2.DaemonNotice] = {}
+        self.recalls: dict[int, int] = {}
+        self.heartbeat_ack = 0
+
+    def wants(self, event: control_pb2.ConfigEvent) -> bool:
+        """Whether the daemon acts on this kind of resource."""
+        if self.record.role == ROLE_ROUTER:
+            return event.kind in _ROUTER_KINDS
+        if event.kind == "backend":
+            return not event.HasField("resource") or (
+                event.resource.backend.agent == self.record.name
+            )
+        return event.kind == "service"
+
+    def close(self) -> None:
+        """End the stream."""
+        self.closed = True
+        self.wake.give()
+
+
+class ControlService(ControlServicer):
+    """The Control service of one member.
+
+    Args:
+        member: The member.
+    """
+
+    def __init__(self, member: ControlMember) -> None:
+        self._member = member
+        self.sessions: dict[str, DaemonSession] = {}
+
+    # ---- one stream -------------------------------------------------------
+
+    async def Session(  # noqa: D102 - generated name
+        self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
+    ) -> AsyncIterator[control_pb2.ControlFrame]:
+        first = await anext(request_iterator)
+        refusal = await self._register(first.hello.daemon)
+        if refusal is not None:
+            yield refusal
+            return
+        session = self._open(first.hello)
+        reader = self._member.tasks.start(
+            f"session-{session.record.name}", self._read(session, request_iterator)
+        )
+        try:
+            while not session.closed and self._member.node.is_leader:
+                frame = self._next_frame(session)
+                if frame is None:
+                    await session.wake.wait(_IDLE_CHECK_S)
+                    continue
+                yield frame
+            if not session.closed:
+                yield self._not_leader()
+        finally:
+            reader.cancel()
+            self._close(session)
+
+    def _not_leader(self) -> control_pb2.ControlFrame:
+        return control_pb2.ControlFrame(
+            not_leader=True, leader_address=self._member.leader_address()
+        )
+
+    async def _register(self, record: ledger_pb2.DaemonRecord) -> control_pb2.ControlFrame | None:
+        """Make the daemon's incarnation known; return a frame that refuses it, or None."""
+        try:
+            await self._member.node.read_barrier()
+            known = self._member.state.daemons.daemons.get(record.name)
+            if known is None or known.gone or known.incarnation != record.incarnation:
+                command = control_pb2.Command()
+                command.register_daemon.daemon.CopyFrom(record)
+                result = await self._member.propose(command)
+                if result.code != control_pb2.RESULT_CODE_OK:
+                    return control_pb2.ControlFrame(rejected=result.message)
+        except (NotLeaderError, LeadershipLostError):
+            return self._not_leader()
+        return None
+
+    def _open(self, hello: control_pb2.Hello) -> DaemonSession:
+        name = hello.daemon.name
+        earlier = self.sessions.get(name)
+        if earlier is not None:
+            earlier.close()
+        session = DaemonSession(hello.daemon, hello.applied_revision)
+        self.sessions[name] = session
+        self._member.in_force.connected(name)
+        other_role = ROLE_ROUTER if hello.daemon.role == ROLE_AGENT else ROLE_AGENT
+        for record in self._member.state.daemons.daemons.values():
+            if record.role == other_role:
+                self._notice(session, record.name, record.incarnation, record.gone)
+        if hello.daemon.role == ROLE_AGENT:
+            for collection in self._member.state.daemons.collections.values():
+                if name in collection.awaited_agents:
+                    self._notice(session, collection.router, collection.router_incarnation, True)
+        return session
+
+    @staticmethod
+    def _notice(session: DaemonSession, name: str, incarnation: str, gone: bool) -> None:
+        session.notices[f"{name}/{incarnation}"] = control_pb2.DaemonNotice(
+            name=name, incarnation=incarnation, gone=gone
+        )
+
+    def _close(self, session: DaemonSession) -> None:
+        session.closed = True
+        if self.sessions.get(session.record.name) is session:
+            del self.sessions[session.record.name]
+            self._member.in_force.disconnected(session.record.name)
+
+    def _next_frame(self, session: DaemonSession) -> control_pb2.ControlFrame | None:
+        frame = control_pb2.ControlFrame()
+        self._add_config(session, frame)
+        if session.heartbeat_ack:
+            frame.heartbeat_ack = session.heartbeat_ack
+            frame.freshness_ms = int(self._member.freshness_s * MILLISECONDS_PER_SECOND)
+            session.heartbeat_ack = 0
+        if session.answers:
+            frame.answers.extend(session.answers)
+            session.answers.clear()
+        for lease_id, keep in session.recalls.items():
+            frame.recalls.add(lease_id=lease_id, keep=keep)
+        session.recalls.clear()
+        frame.daemons.extend(session.notices.values())
+        session.notices.clear()
+        return frame if frame.ByteSize() else None
+
+    def _add_config(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
+        resources = self._member.state.resources
+        if session.config_sent >= resources.revision:
+            return
+        events = resources.events_after(session.config_sent) if session.config_sent else None
+        if events is None:
+            frame.config.snapshot = True
+            events = resources.all_as_events()
+        frame.config.events.extend(event for event in events if session.wants(event))
+        frame.config.revision = resources.revision
+        session.config_sent = resources.revision
+
+    # ---- frames from the daemon -------------------------------------------
+
+    async def _read(
+        self, session: DaemonSession, frames: AsyncIterator[control_pb2.DaemonFrame]
+    ) -> None:
+        try:
+            async for frame in frames:
+                if frame.HasField("heartbeat"):
+                    self._heartbeat(session, frame.heartbeat)
+                for call in frame.calls:
+                    self._member.tasks.start("daemon_call", self._carry_out(session, call))
+                if frame.leaving:
+                    await self._leave(session)
+                    break
+        except RPC_ERRORS:
+            pass
+        finally:
+            session.close()
+
+    def _heartbeat(self, session: DaemonSession, heartbeat: control_pb2.Heartbeat) -> None:
+        committed = self._member.state.resources.revision
+        name = session.record.name
+        if self.sessions.get(name) is not session or not self._member.node.is_leader:
+            return
+        in_force = self._member.state.in_force_revision
+        applied = heartbeat.applied_revision
+        if self._member.in_force.heartbeat(name, applied, committed, in_force):
+            session.heartbeat_ack = heartbeat.number
+            session.wake.give()
+        self._member.progress.give()
+
+    async def _carry_out(self, session: DaemonSession, call: control_pb2.DaemonCall) -> None:
+        try:
+            result = await self._member.propose(call.command)
+        except HeronladderError:
+            session.close()  # the daemon finds the new leader and sends it again
+            return
+        session.answers.append(control_pb2.DaemonAnswer(call_id=call.call_id, result=result))
+        session.wake.give()
+
+    async def _leave(self, session: DaemonSession) -> None:
+        self._member.in_force.forget(session.record.name)
+        try:
+            await self._member.declare_gone(session.record)
+        except HeronladderError:
+            pass  # the next leader notices the silence
+
+    # ---- what state changes mean for streams ------------------------------
+
+    def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
+        """Tell daemons what a command that was just applied means for them."""
+        body = command.WhichOneof("body")
+        if body in ("put_resource", "delete_resource"):
+            self._wake_all()
+        elif body == "register_daemon" and result.code == control_pb2.RESULT_CODE_OK:
+            record = command.register_daemon.daemon
+            self._tell_others(record.role, record.name, record.incarnation, gone=False)
+        elif body == "declare_gone" and result.code == control_pb2.RESULT_CODE_OK:
+            order = command.declare_gone
+            role = self._member.state.daemons.daemons[order.name].role
+            self._tell_others(role, order.name, order.incarnation, gone=True)
+        elif body == "grant_lease" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
+            self._recall(command.grant_lease, result)
+
+    def _wake_all(self) -> None:
+        for session in self.sessions.values():
+            session.wake.give()
+
+    def _tell_others(self, role: str, name: str, incarnation: str, *, gone: bool) -> None:
+        for session in self.sessions.values():
+            if session.record.role == role:
+                continue
+            self._notice(session, name, incarnation, gone)
+            if role == ROLE_ROUTER and not gone:
+                previous = self._member.state.daemons.daemons[name].previous
+                if previous:
+                    self._notice(session, name, previous[-1], True)
+            session.wake.give()
+
+    def _recall(self, ask: control_pb2.GrantLease, result: control_pb2.CommandResult) -> None:
+        """Ask the other holders of an empty budget to give back all but a fair share."""
+        leases = self._member.state.ledger.open_leases(ask.budget)
+        held = sum(
+            lease.granted - lease.returned - lease.billed - lease.withheld for lease in leases
+        )
+        keep = (held + result.available) // (2 * max(1, len(leases)))
+        for lease in leases:
+            session = self.sessions.get(lease.holder)
+            if session is None or lease.holder == ask.holder:
+                continue
+            session.recalls[lease.lease_id] = keep
+            session.wake.give()
+
+    # ---- other regions ----------------------------------------------------
+
+    async def Allot(  # noqa: D102 - generated name
+        self, request: control_pb2.AllotmentRequest, context: Any
+    ) -> control_pb2.AllotmentReply:
+        command = control_pb2.Command()
+        command.debit_transfer.transfer.CopyFrom(request.transfer)
+        try:
+            result = await self._member.propose(command)
+        except HeronladderError:
+            return control_pb2.AllotmentReply(
+                not_leader=True, leader_address=self._member.leader_address()
+            )
+        reply = control_pb2.AllotmentReply()
+        if result.code == control_pb2.RESULT_CODE_OK:
+            reply.transfer.CopyFrom(result.transfer)
+        return reply
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -0,0 +1,170 @@
+"""The replicated state of a region's control group."""
+
+from collections.abc import Callable
+
+from heronladder_consensus.state_machine import StateMachine
+from heronladder_runtime.invariants import invariant
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_control.claims import ClaimTable
+from heronladder_control.daemons import DaemonTable
+from heronladder_control.ledger import Ledger
+from heronladder_control.resources import ResourceTable
+from heronladder_control.results import success
+from heronladder_control.transfers import TransferTable
+
+_AppliedListener = Callable[[control_pb2.Command, control_pb2.CommandResult], None]
+
+
+class ControlState(StateMachine[control_pb2.CommandResult]):
+    """Applies commands to resources, ledger, claims and daemons.
+
+    It depends on nothing but the commands: no clock, no randomness.
+
+    Args:
+        region: Name of the region.
+    """
+
+    def __init__(self, region: str) -> None:
+        self.region = region
+        self.resources = ResourceTable(region)
+        self.ledger = Ledger(region)
+        self.claims = ClaimTable(self.ledger)
+        self.daemons = DaemonTable(self.ledger)
+        self.transfers = TransferTable(self.ledger)
+        self.in_force_revision = 0
+        self.applied_index = 0
+        self.listeners: list[_AppliedListener] = []
+
+    def apply(self, index: int, command: bytes) -> control_pb2.CommandResult:
+        """Carry out one committed command."""
+        order = control_pb2.Command.FromString(command)
+        self.applied_index = index
+        result = self._dispatch(index, order)
+        for listener in self.listeners:
+            listener(order, result)
+        return result
+
+    def _dispatch(self, index: int, order: control_pb2.Command) -> control_pb2.CommandResult:
+        body = order.WhichOneof("body")
+        match body:
+            case "put_resource":
+                return self._put(index, order.put_resource)
+            case "delete_resource":
+                return self._delete(index, order.delete_resource)
+            case "register_daemon":
+                return self.daemons.register(index, order.register_daemon.daemon)
+            case "declare_gone":
+                return self.daemons.declare_gone(order.declare_gone)
+            case "grant_lease":
+                return self._grant(order.grant_lease)
+            case "return_lease":
+                return self.ledger.give_back(order.return_lease)
+            case "settle":
+                return self._settle(order.settle)
+            case "claim":
+                return self.claims.take(index, order.claim.claim)
+            case "release_claim":
+                return self.claims.release(index, order.release_claim)
+            case "read_claim":
+                return self.claims.read(order.read_claim)
+            case "collected_router":
+                return self.daemons.collected(order.collected_router)
+            case "set_in_force":
+                return self._set_in_force(order.set_in_force.revision)
+            case "drop_claims":
+                self.claims.drop(order.drop_claims.older_than_ms)
+                return success()
+            case "start_transfer":
+                return self.transfers.start(order.start_transfer.transfer)
+            case "debit_transfer":
+                return self.transfers.debit(order.debit_transfer.transfer)
+            case "credit_transfer":
+                return self.transfers.credit(order.credit_transfer.transfer)
+        invariant(False, "commands_are_known", step="apply", detail=f"{body} at {index}")
+        return success()
+
+    def _put(self, index: int, order: control_pb2.PutResource) -> control_pb2.CommandResult:
+        first = self.resources.first_outcome(order.change_id)
+        if first is not None:
+            return first
+        refusal = self.resources.check_put(order)
+        if refusal is None and order.kind == "budget":
+            refusal = self._check_budget(order)
+        if refusal is not None:
+            self.resources.remember(order.change_id, refusal)
+            return refusal
+        if order.kind == "budget":
+            name = order.resource.metadata.name
+            self.ledger.set_budget(name, order.resource.budget)
+        result = self.resources.put(index, order)
+        self.resources.remember(order.change_id, result)
+        return result
+
+    def _check_budget(self, order: control_pb2.PutResource) -> control_pb2.CommandResult | None:
+        problem = self.ledger.check_budget(order.resource.metadata.name, order.resource.budget)
+        if problem is None:
+            return None
+        result = control_pb2.CommandResult(
+            code=control_pb2.RESULT_CODE_INVALID, message="the budget may not be set so"
+        )
+        result.errors.add(field="spec.tokens", message=problem)
+        return result
+
+    def _delete(self, index: int, order: control_pb2.DeleteResource) -> control_pb2.CommandResult:
+        first = self.resources.first_outcome(order.change_id)
+        if first is not None:
+            return first
+        result = self.resources.delete(index, order)
+        if result.code == control_pb2.RESULT_CODE_OK and order.kind == "backend":
+            self.daemons.forget_agent(result.resource.backend.agent)
+        self.resources.remember(order.change_id, result)
+        return result
+
+    def _grant(self, ask: control_pb2.GrantLease) -> control_pb2.CommandResult:
+        holder = self.daemons.daemons.get(ask.holder)
+        if holder is None or holder.gone or holder.incarnation != ask.incarnation:
+            return control_pb2.CommandResult(
+                code=control_pb2.RESULT_CODE_STALE, message="no such incarnation of the holder"
+            )
+        return self.ledger.grant(ask)
+
+    def _settle(self, order: control_pb2.Settle) -> control_pb2.CommandResult:
+        for settlement in order.settlements:
+            settled = self.ledger.settle(settlement)
+            if settled and settlement.request_id:
+                self.claims.mark_ran_if(settlement)
+        return success()
+
+    def _set_in_force(self, revision: int) -> control_pb2.CommandResult:
+        invariant(
+            revision <= self.resources.revision,
+            "in_force_only_what_was_committed",
+            step="set_in_force",
+            detail=f"{revision} of {self.resources.revision}",
+        )
+        self.in_force_revision = max(self.in_force_revision, revision)
+        return success()
+
+    def snapshot(self) -> bytes:
+        """Return the whole state; the same state always gives the same bytes."""
+        snapshot = control_pb2.StateSnapshot(
+            applied_index=self.applied_index, in_force_revision=self.in_force_revision
+        )
+        self.resources.save(snapshot)
+        self.ledger.save(snapshot)
+        self.claims.save(snapshot)
+        self.daemons.save(snapshot)
+        self.transfers.save(snapshot)
+        return snapshot.SerializeToString(deterministic=True)
+
+    def restore(self, data: bytes) -> None:
+        """Replace the whole state by a snapshot's."""
+        snapshot = control_pb2.StateSnapshot.FromString(data)
+        self.applied_index = snapshot.applied_index
+        self.in_force_revision = snapshot.in_force_revision
+        self.resources.load(snapshot)
+        self.ledger.load(snapshot)
+        self.claims.load(snapshot)
+        self.daemons.load(snapshot)
+        self.transfers.load(snapshot)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/status.py
@@ -0,0 +1,68 @@
+"""What an operator sees of a control group and its daemons."""
+
+from typing import Any
+
+from heronladder_control.member import ControlMember
+
+
+def status_document(member: ControlMember) -> dict[str, Any]:
+    """Return the state of the group as the leader knows it."""
+    node = member.node
+    state = member.state
+    committed = state.resources.revision
+    return {
+        "region": member.options.region,
+        "leader": node.leader,
+        "term": node.term,
+        "commitIndex": node.commit_index,
+        "committedRevision": committed,
+        "inForceRevision": state.in_force_revision,
+        "heldUpBy": member.in_force.holding_up(committed),
+        "members": [
+            {
+                "name": entry.name,
+                "address": entry.address,
+                "zone": entry.zone,
+                "voter": entry.voter,
+                "lag": node.log.last_index - _match_index(member, entry.name),
+                "reachable": entry.name == node.name or node.replication.reachable(entry.name),
+            }
+            for entry in node.membership().members
+        ],
+        "daemons": _daemons(member),
+        "collections": [
+            {
+                "router": collection.router,
+                "incarnation": collection.router_incarnation,
+                "awaitedAgents": list(collection.awaited_agents),
+            }
+            for collection in state.daemons.collections.values()
+        ],
+    }
+
+
+def _match_index(member: ControlMember, name: str) -> int:
+    node = member.node
+    return node.log.last_index if name == node.name else node.replication.match_index(name)
+
+
+def _daemons(member: ControlMember) -> list[dict[str, Any]]:
+    now = member.environment.monotonic()
+    committed = member.state.resources.revision
+    documents = []
+    for name, record in sorted(member.state.daemons.daemons.items()):
+        progress = member.in_force.daemons.get(name)
+        documents.append(
+            {
+                "name": name,
+                "role": record.role,
+                "zone": record.zone,
+                "incarnation": record.incarnation,
+                "gone": record.gone,
+                "connected": progress is not None and progress.connected,
+                "fresh": progress is not None and progress.fresh_until_s > now,
+                "appliedRevision": progress.applied_revision if progress is not None else 0,
+                "behind": progress is None or progress.applied_revision < committed,
+            }
+        )
+    return documents
--- /dev/null
+++ b/packages/heronladder-daemon/src/heronladder_daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The heronladder daemon."""
--- /dev/null
+++ b/packages/heronladder-daemon/src/heronladder_daemon/main.py
@@ -0,0 +1,86 @@
+"""Command line of the daemon, ``heronladderd``."""
+
+import asyncio
+import signal
+import sys
+
+import typer
+from heronladder_runtime.errors import HeronladderError, SettingsError
+from heronladder_runtime.logs import EventLog, configure_logging
+from heronladder_runtime.settings import DaemonSettings, build, resolve, with_setting_options
+
+from heronladder_daemon.daemon import Daemon
+
+_EXIT_FAILED = 1
+_EXIT_BAD_SETTINGS = 2
+
+application = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
+
+
+@application.callback()
+def _root() -> None:
+    """The heronladder daemon."""
+
+
+def _load(flags: dict[str, str | None]) -> DaemonSettings:
+    try:
+        return build(resolve(flags))
+    except SettingsError as error:
+        for problem in error.problems:
+            print(problem, file=sys.stderr)
+        raise typer.Exit(_EXIT_BAD_SETTINGS) from error
+
+
+def run(flags: dict[str, str | None]) -> None:
+    """Run a daemon with the roles its settings name."""
+    settings = _load(flags)
+    configure_logging(settings.common.log_level)
+    raise typer.Exit(asyncio.run(_run(settings)))
+
+
+async def _run(settings: DaemonSettings) -> int:
+    daemon = Daemon(settings)
+    log = EventLog("main", settings.common.name)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    try:
+        await daemon.start()
+    except HeronladderError as error:
+        log.error("start_failed", step=error.step, peer=error.peer, why=error.message)
+        return _EXIT_FAILED
+    assert daemon.failed is not None
+    stop_wait = loop.create_task(stopping.wait())
+    await asyncio.wait([stop_wait, daemon.failed], return_when=asyncio.FIRST_COMPLETED)
+    if daemon.failed.done():
+        error = daemon.failed.result()
+        log.error("daemon_failed", step=error.step, peer=error.peer, why=error.message)
+        await daemon.abort()
+        return _EXIT_FAILED
+    await daemon.stop()
+    return 0
+
+
+def settings(flags: dict[str, str | None]) -> None:
+    """Print all settings: value, source, unit, default and bounds."""
+    values = resolve(flags)
+    for value in values:
+        declaration = value.declaration
+        options = declaration.options
+        shown = "(secret)" if options.secret and value.text else value.text or '""'
+        print(f"{declaration.name} = {shown}")
+        print(f"    source {value.source}; flag {declaration.flag}; {declaration.variable}")
+        unit = options.unit or "none"
+        print(f"    unit {unit}; default {options.default_value or 'none'}; {declaration.bounds}")
+        print(f"    {options.help}")
+    _load(flags)
+
+
+application.command("run")(with_setting_options(run))
+application.command("settings")(with_setting_options(settings))
+
+
+def main() -> None:
+    """Run the command line."""
+    application()
--- /dev/null
+++ b/packages/heronladder-emulator/src/heronladder_emulator/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for what heronladder talks to."""
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/__init__.py
@@ -0,0 +1,1 @@
+"""Router role: callers, admission, balancing, forwarding."""
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -0,0 +1,160 @@
+"""Errors of a router; each knows how it is told to the caller."""
+
+from heronladder_runtime.errors import HeronladderError
+from heronladder_schema.v1 import ledger_pb2
+
+OUTCOME_WORDS = {
+    ledger_pb2.OUTCOME_RAN: "ran",
+    ledger_pb2.OUTCOME_NOT_RUN: "not-run",
+    ledger_pb2.OUTCOME_UNKNOWN: "unknown",
+}
+
+
+class CallerError(HeronladderError):
+    """A request ends without an answer.
+
+    Attributes:
+        status: HTTP status.
+        code: Stable code of the error, for programs.
+        outcome: Whether the request ran.
+        retry_after_s: When the caller may come back, in seconds; None: it need not.
+    """
+
+    status = 500
+    code = "internal_error"
+    outcome: ledger_pb2.Outcome.ValueType = ledger_pb2.OUTCOME_NOT_RUN
+    retry_after_s: int | None = None
+
+    def __init__(self, message: str, *, step: str, peer: str = "") -> None:
+        super().__init__(message, step=step, peer=peer)
+
+
+class InvalidRequestError(CallerError):
+    """The request is malformed."""
+
+    status = 400
+    code = "invalid_request"
+
+
+class BodyTooLargeError(CallerError):
+    """The body is over the limit."""
+
+    status = 413
+    code = "body_too_large"
+
+
+class InvalidKeyError(CallerError):
+    """The tenant's key is missing or unknown."""
+
+    status = 401
+    code = "invalid_api_key"
+
+
+class ForbiddenServiceError(CallerError):
+    """The tenant may not call this service."""
+
+    status = 403
+    code = "service_not_allowed"
+
+
+class UnknownServiceError(CallerError):
+    """There is no such model or service."""
+
+    status = 404
+    code = "model_not_found"
+
+
+class BudgetExhaustedError(CallerError):
+    """The prepaid budget has too few tokens left for this request."""
+
+    status = 429
+    code = "budget_exhausted"
+
+
+class BudgetUnavailableError(CallerError):
+    """The budget's tokens could not be got hold of in time."""
+
+    status = 503
+    code = "budget_unavailable"
+    retry_after_s = 1
+
+
+class OverloadedError(CallerError):
+    """No back end would answer in time."""
+
+    status = 503
+    code = "overloaded"
+    retry_after_s = 1
+
+
+class NoBackendError(CallerError):
+    """No back end of the service can be reached."""
+
+    status = 503
+    code = "no_backend"
+    retry_after_s = 2
+
+
+class StaleError(CallerError):
+    """This router cannot confirm its configuration; another one may."""
+
+    status = 503
+    code = "configuration_stale"
+    retry_after_s = 1
+
+
+class DrainingError(CallerError):
+    """This router is stopping; another one serves."""
+
+    status = 503
+    code = "router_stopping"
+    retry_after_s = 1
+
+
+class ControlUnavailableError(CallerError):
+    """A claim could not be confirmed by control; nothing was dispatched."""
+
+    status = 503
+    code = "control_unavailable"
+    retry_after_s = 1
+
+
+class KeyConflictError(CallerError):
+    """The idempotency key was used before with another body."""
+
+    status = 422
+    code = "idempotency_key_conflict"
+
+
+class BackendLostError(CallerError):
+    """The back end was lost before its answer was whole; the request may be sent again."""
+
+    status = 502
+    code = "backend_lost"
+    outcome = ledger_pb2.OUTCOME_UNKNOWN
+    retry_after_s = 1
+
+
+class OutcomeUnknownError(CallerError):
+    """It is not known whether the request ran; ask for its outcome later."""
+
+    status = 504
+    code = "outcome_unknown"
+    outcome = ledger_pb2.OUTCOME_UNKNOWN
+    retry_after_s = 2
+
+
+class AlreadyRanError(CallerError):
+    """The request ran before, and its answer is not kept any more."""
+
+    status = 409
+    code = "already_ran"
+    outcome = ledger_pb2.OUTCOME_RAN
+
+
+class ChannelNotSentError(HeronladderError):
+    """Nothing reached the agent."""
+
+
+class ChannelLostError(HeronladderError):
+    """The agent was lost after something may have reached it."""
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/intake.py
@@ -0,0 +1,192 @@
+"""From what came over HTTP to an admitted request: tenant, service, bounds."""
+
+import json
+from dataclasses import dataclass
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.configuration import ConfigurationStore
+from heronladder_schema.v1 import resources_pb2
+
+from heronladder_router.errors import (
+    ForbiddenServiceError,
+    InvalidRequestError,
+    UnknownServiceError,
+)
+from heronladder_router.requests import CallerRequest, parse_model_call
+from heronladder_router.tenants import TenantDirectory
+
+CHAT_PATH = "/v1/chat/completions"
+COMPLETIONS_PATH = "/v1/completions"
+_SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+_LONGEST_KEY = 256
+
+
+@dataclass(frozen=True)
+class RawCall:
+    """What a caller sent.
+
+    Attributes:
+        authorization: The Authorization header.
+        key: The Idempotency-Key header; empty when there was none.
+        method: HTTP method.
+        path: Path and query at the back end.
+        content_type: Content type of the body.
+        body: The body.
+    """
+
+    authorization: str
+    key: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+
+
+class Intake:
+    """Makes requests of what callers send.
+
+    Args:
+        region: Name of the region; every request id carries it.
+        configuration: The router's configuration.
+        environment: Time and randomness.
+        timeout_s: Time for a whole answer, in seconds.
+    """
+
+    def __init__(
+        self,
+        region: str,
+        configuration: ConfigurationStore,
+        environment: Environment,
+        timeout_s: float,
+    ) -> None:
+        self._region = region
+        self._configuration = configuration
+        self._environment = environment
+        self._timeout_s = timeout_s
+        self._tenants = TenantDirectory(configuration)
+        self._service_of_model: dict[str, resources_pb2.Resource] = {}
+        configuration.listen(self._rebuild)
+
+    def _rebuild(self) -> None:
+        self._service_of_model = {
+            model: resource
+            for resource in self._configuration.services().values()
+            for model in resource.service.models
+        }
+
+    def new_request_id(self) -> str:
+        """Return a new identifier of a request."""
+        return self._environment.new_id(self._region)
+
+    def models(self, authorization: str) -> list[str]:
+        """Return the models a tenant may call.
+
+        Raises:
+            InvalidKeyError: If the key is not known.
+        """
+        tenant = self._tenants.authenticate(authorization)
+        allowed = set(tenant.tenant.services)
+        return sorted(
+            model
+            for model, service in self._service_of_model.items()
+            if not allowed or service.metadata.name in allowed
+        )
+
+    def tenant_name(self, authorization: str) -> str:
+        """Return the name of the tenant that calls.
+
+        Raises:
+            InvalidKeyError: If the key is not known.
+        """
+        return self._tenants.authenticate(authorization).metadata.name
+
+    def model_request(self, call: RawCall, request_id: str, *, chat: bool) -> CallerRequest:
+        """Return the request for a model.
+
+        Raises:
+            CallerError: If it is malformed or not allowed.
+        """
+        tenant = self._tenants.authenticate(call.authorization)
+        parsed = parse_model_call(call.body, chat=chat)
+        service = self._service_of_model.get(parsed.model)
+        if service is None:
+            raise UnknownServiceError(
+                f"there is no model {parsed.model!r}", step="intake", peer=parsed.model
+            )
+        spec = service.service
+        completion_bound = parsed.completion_bound or spec.default_max_tokens
+        request = self._request(call, request_id, tenant, service)
+        request.body = parsed.engine_body(completion_bound)
+        request.path = CHAT_PATH if chat else COMPLETIONS_PATH
+        request.content_type = "application/json"
+        request.stream = parsed.stream
+        request.include_usage = parsed.include_usage
+        # A token stands for at least one byte, so that bytes bound tokens.
+        request.prompt_bound = parsed.prompt_bytes + spec.template_allowance
+        request.completion_bound = completion_bound
+        request.prefix = parsed.prefix
+        request.repeatable = True
+        return request
+
+    def service_request(self, call: RawCall, request_id: str, name: str) -> CallerRequest:
+        """Return the request for a plain service.
+
+        Raises:
+            CallerError: If it is malformed or not allowed.
+        """
+        tenant = self._tenants.authenticate(call.authorization)
+        service = self._configuration.services().get(name)
+        plain = resources_pb2.SERVICE_KIND_PLAIN
+        if service is None or service.service.kind != plain:
+            raise UnknownServiceError(
+                f"there is no plain service {name!r}", step="intake", peer=name
+            )
+        request = self._request(call, request_id, tenant, service)
+        request.prompt_bound = service.service.call_tokens
+        request.repeatable = self._repeatable(service.service, call.method, call.path)
+        request.prefix = call.path.encode()
+        return request
+
+    def _request(
+        self,
+        call: RawCall,
+        request_id: str,
+        tenant: resources_pb2.Resource,
+        service: resources_pb2.Resource,
+    ) -> CallerRequest:
+        name = service.metadata.name
+        allowed = tenant.tenant.services
+        if allowed and name not in allowed:
+            raise ForbiddenServiceError(
+                f"tenant {tenant.metadata.name} may not call {name}", step="intake", peer=name
+            )
+        if len(call.key) > _LONGEST_KEY:
+            raise InvalidRequestError(
+                f"Idempotency-Key: at most {_LONGEST_KEY} characters", step="intake"
+            )
+        return CallerRequest(
+            request_id=request_id,
+            tenant=tenant.metadata.name,
+            tenant_spec=tenant.tenant,
+            service=name,
+            service_spec=service.service,
+            method=call.method,
+            path=call.path,
+            content_type=call.content_type,
+            body=call.body,
+            key=call.key,
+            deadline_s=self._environment.monotonic() + self._timeout_s,
+        )
+
+    @staticmethod
+    def _repeatable(service: resources_pb2.Service, method: str, path: str) -> bool:
+        for route in service.routes:
+            if route.method in ("*", method) and path.startswith(route.path_prefix):
+                return route.repeatable
+        return method in _SAFE_METHODS
+
+
+def error_document(message: str, code: str) -> bytes:
+    """Return the body of an error, in the form OpenAI clients know."""
+    error = {"message": message, "type": code, "param": None, "code": code}
+    return json.dumps({"error": error}).encode()
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/retry_budget.py
@@ -0,0 +1,24 @@
+"""A bound on retries: a share of the requests, so that retries cannot pile up."""
+
+_DEFAULT_PERCENT = 20
+_PERCENT = 100
+_BURST = 10.0
+
+
+class RetryBudget:
+    """Counts what may still be retried: each request adds a part of a retry."""
+
+    def __init__(self) -> None:
+        self._balance = _BURST
+
+    def request(self, percent: int) -> None:
+        """Count a request; ``percent`` is the share of retries, 0 for the default."""
+        share = (percent or _DEFAULT_PERCENT) / _PERCENT
+        self._balance = min(_BURST, self._balance + share)
+
+    def spend(self) -> bool:
+        """Take one retry out of the budget; return whether there was one."""
+        if self._balance < 1:
+            return False
+        self._balance -= 1
+        return True
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -0,0 +1,246 @@
+"""The router role: intake, leases, forwarding, bills, put together."""
+
+import asyncio
+from dataclasses import dataclass
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.rpc import StubFactory
+from heronladder_runtime.tasks import TaskGroupOwner
+from heronladder_schema.v1 import agent_pb2, ledger_pb2
+
+from heronladder_router.admission import AdmissionQueue
+from heronladder_router.agent_channel import AgentChannel
+from heronladder_router.attempt import Bookkeeper
+from heronladder_router.caller_answer import CallerAnswer
+from heronladder_router.claims import ClaimClient
+from heronladder_router.errors import (
+    ChannelLostError,
+    ChannelNotSentError,
+    UnknownServiceError,
+)
+from heronladder_router.forwarding import Forwarder, ForwardingOptions, ForwardingParts
+from heronladder_router.intake import Intake
+from heronladder_router.leases import LeaseManager
+from heronladder_router.limbo import Limbo
+from heronladder_router.replicas import ReplicaDirectory
+from heronladder_router.requests import CallerRequest
+from heronladder_router.selection import ReplicaSelector
+from heronladder_router.settler import Settler
+
+_STOP_POLL_S = 0.05
+_LAST_RETURN_S = 10.0
+
+
+@dataclass(frozen=True)
+class RouterOptions:
+    """Settings of a router; times in seconds.
+
+    Attributes:
+        name: Name of the daemon.
+        region: Its region.
+        zone: Its zone.
+        control_addresses: gRPC addresses of the control members.
+        heartbeat_s: Time between heartbeats.
+        request_timeout_s: Time for a whole answer.
+        admission_wait_s: Longest wait for budget or a free back end.
+        settle_wait_s: Longest time an answer's end waits for its durable bill.
+        settle_interval_s: Time over which settlements are batched.
+        lease_horizon_s: Spending that a lease is sized to cover.
+    """
+
+    name: str
+    region: str
+    zone: str
+    control_addresses: list[str]
+    heartbeat_s: float = 2.0
+    request_timeout_s: float = 120.0
+    admission_wait_s: float = 2.0
+    settle_wait_s: float = 1.5
+    settle_interval_s: float = 0.02
+    lease_horizon_s: float = 10.0
+
+
+class RouterRole:
+    """One router.
+
+    Args:
+        options: Settings.
+        channel: Reaches agents.
+        stubs: Makes stubs to control.
+        environment: Time and randomness.
+    """
+
+    def __init__(
+        self,
+        options: RouterOptions,
+        channel: AgentChannel,
+        stubs: StubFactory,
+        environment: Environment,
+    ) -> None:
+        self.options = options
+        self.environment = environment
+        self.metrics = Metrics()
+        self.log = EventLog("router", options.name)
+        self._tasks = TaskGroupOwner(self.log)
+        self._channel = channel
+        record = ledger_pb2.DaemonRecord(
+            name=options.name,
+            role="router",
+            incarnation=environment.new_id(options.name),
+            zone=options.zone,
+            region=options.region,
+        )
+        handlers = LinkHandlers(rejected=self._begin_new_incarnation)
+        self.link = ControlLink(
+            record, options.control_addresses, stubs, options.heartbeat_s, handlers, environment
+        )
+        configuration = self.link.configuration
+        self.directory = ReplicaDirectory(configuration, environment)
+        self.leases = LeaseManager(self.link, environment, options.lease_horizon_s, self.log)
+        handlers.daemon_notice = self.directory.notice
+        handlers.recall = self.leases.recall
+        self.settler = Settler(self.link, options.settle_interval_s, self.log)
+        self.intake = Intake(options.region, configuration, environment, options.request_timeout_s)
+        self.claims = ClaimClient(self.link, environment)
+        self.limbo = Limbo(
+            channel, self.directory, self.leases, self.settler, environment, self.log
+        )
+        self.forwarder = self._make_forwarder()
+
+    def _make_forwarder(self) -> Forwarder:
+        options = self.options
+        parts = ForwardingParts(
+            link=self.link,
+            channel=self._channel,
+            directory=self.directory,
+            selector=ReplicaSelector(
+                options.name,
+                options.zone,
+                self.link.configuration,
+                self.directory,
+                self.environment,
+            ),
+            admission=AdmissionQueue(self.environment),
+            leases=self.leases,
+            settler=self.settler,
+            bookkeeper=Bookkeeper(self.leases, self.settler, options.settle_wait_s),
+            claims=self.claims,
+            limbo=self.limbo,
+        )
+        forwarding_options = ForwardingOptions(options.name, options.admission_wait_s)
+        return Forwarder(forwarding_options, parts, self.environment, self.metrics, self.log)
+
+    def _begin_new_incarnation(self) -> str:
+        """Go on under a new incarnation: the old one's leases are fenced."""
+        self.leases.drop_all()
+        return self.environment.new_id(self.options.name)
+
+    # ---- life -------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Connect to control and begin to serve."""
+        self.link.start()
+        self.leases.start()
+        self.settler.start()
+
+    def ready(self) -> bool:
+        """Whether requests can be served."""
+        return self.link.fresh
+
+    async def drain(self, grace_s: float) -> None:
+        """Wait until no request is in flight.
+
+        Args:
+            grace_s: Longest time to wait, in seconds.
+        """
+        deadline_s = self.environment.monotonic() + grace_s
+        while self.forwarder.in_flight and self.environment.monotonic() < deadline_s:
+            await asyncio.sleep(_STOP_POLL_S)
+
+    async def stop(self) -> None:
+        """Give leases back, send the last bills, say goodbye, and end."""
+        try:
+            async with asyncio.timeout(_LAST_RETURN_S):
+                await self.settler.flush()
+                await self.leases.return_all()
+        except TimeoutError:
+            self.log.warning("stopped_without_control", step="stop")
+        await self._end_tasks()
+        await self.link.stop()
+
+    async def abort(self) -> None:
+        """End at once, as a crash would."""
+        await self._end_tasks()
+        await self.link.abort()
+
+    async def _end_tasks(self) -> None:
+        await self._tasks.stop()
+        await self.forwarder.stop()
+        await self.limbo.stop()
+        await self.leases.stop()
+        await self.settler.stop()
+        await self._channel.close()
+
+    # ---- serving ----------------------------------------------------------
+
+    async def forward(self, request: CallerRequest) -> CallerAnswer:
+        """Return the answer to a request; its accounts are kept even if nobody waits.
+
+        Raises:
+            CallerError: If there is no answer; says whether the request ran.
+        """
+        work = self._tasks.start("forward", self.forwarder.forward(request))
+        try:
+            return await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if not work.done() or not work.cancelled():
+                work.add_done_callback(self._close_unread)
+            raise
+
+    def _close_unread(self, work: "asyncio.Task[CallerAnswer]") -> None:
+        if work.cancelled() or work.exception() is not None:
+            return
+        self._tasks.start("close_unread", work.result().close())
+
+    async def outcome(self, tenant: str, key: str) -> ledger_pb2.Outcome.ValueType:
+        """Return what became of the request with a key.
+
+        Raises:
+            UnknownServiceError: If there is no request with this key.
+            ControlUnavailableError: If control cannot be asked.
+        """
+        claim = await self.claims.read(tenant, key)
+        if claim is None:
+            raise UnknownServiceError("there is no request with this key", step="outcome")
+        if claim.state == ledger_pb2.CLAIM_STATE_DONE:
+            return ledger_pb2.OUTCOME_RAN
+        if claim.state == ledger_pb2.CLAIM_STATE_RELEASED:
+            return ledger_pb2.OUTCOME_NOT_RUN
+        return await self._ask_agent(claim)
+
+    async def _ask_agent(self, claim: ledger_pb2.Claim) -> ledger_pb2.Outcome.ValueType:
+        question = agent_pb2.Dispatch(
+            request_id=claim.request_id,
+            attempt=claim.attempt,
+            tenant=claim.tenant,
+            backend=claim.backend,
+            agent_incarnation=claim.agent_incarnation,
+            attach=True,
+        )
+        try:
+            answer = await self._channel.dispatch(claim.agent_address, question, b"")
+        except (ChannelNotSentError, ChannelLostError):
+            return ledger_pb2.OUTCOME_UNKNOWN
+        if answer.chunks is not None:
+            await answer.chunks.aclose()  # type: ignore[attr-defined]
+            return ledger_pb2.OUTCOME_RAN
+        match answer.head.refusal:
+            case agent_pb2.REFUSAL_CODE_UNKNOWN_REQUEST:
+                await self.claims.release(claim, agent_lost=False)
+                return ledger_pb2.OUTCOME_NOT_RUN
+            case agent_pb2.REFUSAL_CODE_ANSWER_GONE:
+                return ledger_pb2.OUTCOME_RAN
+        return ledger_pb2.OUTCOME_UNKNOWN
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/__init__.py
@@ -0,0 +1,1 @@
+"""What all heronladder daemons share."""
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
@@ -0,0 +1,70 @@
+"""The configuration a daemon holds: declared resources up to one revision."""
+
+from collections.abc import Callable
+
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_runtime.invariants import invariant
+
+KINDS = ("tenant", "budget", "service", "backend", "routing_policy")
+Listener = Callable[[], None]
+
+
+class ConfigurationStore:
+    """Resources by kind and name, brought up to date by control.
+
+    Args:
+        daemon: Name of the daemon that holds it, for errors.
+    """
+
+    def __init__(self, daemon: str) -> None:
+        self._daemon = daemon
+        self._resources: dict[str, dict[str, resources_pb2.Resource]] = {kind: {} for kind in KINDS}
+        self._listeners: list[Listener] = []
+        self.revision = 0
+
+    def listen(self, listener: Listener) -> None:
+        """Call ``listener`` after each update."""
+        self._listeners.append(listener)
+
+    def apply(self, update: control_pb2.ConfigUpdate) -> None:
+        """Take in an update from control.
+
+        Raises:
+            InvariantViolationError: If the update would take the revision back.
+        """
+        invariant(
+            update.revision >= self.revision,
+            "configuration_never_reverts",
+            step="apply_configuration",
+            peer=self._daemon,
+            detail=f"at {self.revision}, update to {update.revision}",
+        )
+        if update.snapshot:
+            for resources in self._resources.values():
+                resources.clear()
+        for event in update.events:
+            if event.HasField("resource"):
+                self._resources[event.kind][event.name] = event.resource
+            else:
+                self._resources[event.kind].pop(event.name, None)
+        self.revision = update.revision
+        for listener in self._listeners:
+            listener()
+
+    def tenants(self) -> dict[str, resources_pb2.Resource]:
+        """Return all tenants by name."""
+        return self._resources["tenant"]
+
+    def services(self) -> dict[str, resources_pb2.Resource]:
+        """Return all services by name."""
+        return self._resources["service"]
+
+    def backends(self) -> dict[str, resources_pb2.Resource]:
+        """Return all back ends by name."""
+        return self._resources["backend"]
+
+    def policy(self, name: str) -> resources_pb2.RoutingPolicy | None:
+        """Return a routing policy, or None when there is none of that name."""
+        resource = self._resources["routing_policy"].get(name)
+        return resource.routing_policy if resource is not None else None
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -0,0 +1,303 @@
+"""A daemon's link to control: one long stream to the leader of its region.
+
+The link registers the daemon, keeps its freshness lease, takes in the
+configuration and carries commands. A command stays pending until it is
+answered and is sent again on each new stream; all commands are idempotent.
+"""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from dataclasses import dataclass, field
+
+from heronladder_schema.v1 import control_pb2, ledger_pb2
+
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.configuration import ConfigurationStore
+from heronladder_runtime.errors import (
+    RPC_ERRORS,
+    HeronladderError,
+    PeerUnavailableError,
+    StaleConfigurationError,
+)
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.rpc import StubFactory
+from heronladder_runtime.tasks import TaskGroupOwner
+
+_RECONNECT_PAUSE_S = 0.1
+_SESSION_SILENCE_HEARTBEATS = 3
+
+RecallHandler = Callable[[int, int], None]
+DaemonNoticeHandler = Callable[[control_pb2.DaemonNotice], None]
+RejectionHandler = Callable[[], str]
+
+
+class SessionRejectedError(HeronladderError):
+    """Control refused the daemon for good: another incarnation took its name."""
+
+
+@dataclass
+class LinkHandlers:
+    """What a daemon does on orders from control; each may be left out.
+
+    Attributes:
+        recall: Give back tokens of a lease: its id, and the tokens it may keep.
+        daemon_notice: A daemon of the other role registered, or is gone.
+        rejected: This incarnation was declared gone; returns a new incarnation
+            to go on with. Without it the link stays closed.
+    """
+
+    recall: RecallHandler | None = None
+    daemon_notice: DaemonNoticeHandler | None = None
+    rejected: RejectionHandler | None = None
+
+
+@dataclass
+class _PendingCall:
+    command: control_pb2.Command
+    answer: asyncio.Future[control_pb2.CommandResult]
+
+
+@dataclass
+class _Session:
+    """One stream: frames to send, and the heartbeats sent on it."""
+
+    wake: asyncio.Event = field(default_factory=asyncio.Event)
+    sent_calls: set[int] = field(default_factory=set)
+    heartbeat_times: dict[int, float] = field(default_factory=dict)
+    last_received: float = 0.0
+    heartbeat_due: bool = False
+    closed: bool = False
+
+
+class ControlLink:
+    """Keeps a daemon connected to its region's control leader.
+
+    Args:
+        record: Who the daemon is.
+        addresses: gRPC addresses of the control members.
+        stubs: Makes stubs to them.
+        heartbeat_interval_s: Time between heartbeats, in seconds.
+        handlers: What to do on orders from control.
+        environment: Time and randomness.
+    """
+
+    def __init__(
+        self,
+        record: ledger_pb2.DaemonRecord,
+        addresses: list[str],
+        stubs: StubFactory,
+        heartbeat_interval_s: float,
+        handlers: LinkHandlers,
+        environment: Environment,
+    ) -> None:
+        self.record = record
+        self.configuration = ConfigurationStore(record.name)
+        self.rejected: SessionRejectedError | None = None
+        self._addresses = addresses
+        self._stubs = stubs
+        self._heartbeat_interval_s = heartbeat_interval_s
+        self._handlers = handlers
+        self._environment = environment
+        self._log = EventLog("control_link", record.name)
+        self._tasks = TaskGroupOwner(self._log)
+        self._pending: dict[int, _PendingCall] = {}
+        self._last_call_id = 0
+        self._heartbeat_number = 0
+        self._fresh_until = 0.0
+        self._session: _Session | None = None
+        self._hint = ""
+        self._leaving = False
+        self._became_fresh = asyncio.Event()
+
+    def start(self) -> None:
+        """Connect, and stay connected until ``stop``."""
+        self._tasks.start("control_link", self._run())
+
+    async def stop(self) -> None:
+        """Say that the daemon leaves, then close the stream."""
+        self._leaving = True
+        session = self._session
+        if session is not None:
+            session.wake.set()
+            await asyncio.sleep(_RECONNECT_PAUSE_S)
+        await self.abort()
+
+    async def abort(self) -> None:
+        """Close the stream at once, saying nothing."""
+        await self._tasks.stop()
+        for call in self._pending.values():
+            call.answer.cancel()
+
+    @property
+    def fresh(self) -> bool:
+        """Whether the daemon may act on the configuration it holds."""
+        return self._environment.monotonic() < self._fresh_until and self.rejected is None
+
+    def require_fresh(self) -> None:
+        """Check the freshness lease.
+
+        Raises:
+            StaleConfigurationError: If it has run out.
+        """
+        if not self.fresh:
+            raise StaleConfigurationError(
+                "the configuration could not be confirmed with control in time",
+                step="check_freshness",
+                peer=self.record.name,
+            )
+
+    async def wait_fresh(self) -> None:
+        """Wait until the daemon first holds a freshness lease."""
+        await self._became_fresh.wait()
+
+    async def call(
+        self, command: control_pb2.Command, timeout_s: float | None = None
+    ) -> control_pb2.CommandResult:
+        """Have a command carried out by control, across changes of leader.
+
+        Args:
+            command: The command; it must be idempotent.
+            timeout_s: Seconds to wait; None waits for ever.
+
+        Raises:
+            PeerUnavailableError: If no answer came in time. The command may
+                still be carried out.
+        """
+        self._last_call_id += 1
+        call_id = self._last_call_id
+        answer: asyncio.Future[control_pb2.CommandResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._pending[call_id] = _PendingCall(command, answer)
+        if self._session is not None:
+            self._session.wake.set()
+        try:
+            return await asyncio.wait_for(answer, timeout_s)
+        except TimeoutError as error:
+            raise PeerUnavailableError(
+                "control did not answer in time",
+                step=command.WhichOneof("body") or "call",
+                peer=self._hint,
+            ) from error
+        finally:
+            self._pending.pop(call_id, None)
+
+    # ---- the stream -------------------------------------------------------
+
+    async def _run(self) -> None:
+        attempt = 0
+        while self.rejected is None:
+            address = self._hint or self._addresses[attempt % len(self._addresses)]
+            self._hint = ""
+            attempt += 1
+            try:
+                await self._run_session(address)
+            except RPC_ERRORS as error:
+                self._log.debug("session_lost", step="session", peer=address, error=repr(error))
+            if not self._hint:
+                await asyncio.sleep(self._environment.jitter(_RECONNECT_PAUSE_S))
+
+    async def _run_session(self, address: str) -> None:
+        session = _Session(last_received=self._environment.monotonic())
+        self._session = session
+        stream = self._stubs.control(address).Session(self._frames(session))
+        watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
+        try:
+            async for frame in stream:
+                session.last_received = self._environment.monotonic()
+                if frame.not_leader:
+                    self._hint = frame.leader_address
+                    return
+                if frame.rejected:
+                    self._reject(frame.rejected, address)
+                    return
+                self._take(session, frame)
+        finally:
+            watchdog.cancel()
+            session.closed = True
+            session.wake.set()
+            self._session = None
+            stream.cancel()
+
+    def _reject(self, why: str, address: str) -> None:
+        self._log.warning("session_rejected", step="session", peer=address, reason=why)
+        self._fresh_until = 0.0
+        self._became_fresh.clear()
+        if self._handlers.rejected is None:
+            self.rejected = SessionRejectedError(why, step="session", peer=address)
+            return
+        self.record.incarnation = self._handlers.rejected()
+
+    async def _watch_silence(self, session: _Session, stream: object) -> None:
+        """Beat at each interval; give the stream up once control has gone silent."""
+        limit = self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS
+        while True:
+            await asyncio.sleep(self._heartbeat_interval_s)
+            if self._environment.monotonic() - session.last_received > limit:
+                stream.cancel()  # type: ignore[attr-defined]
+                return
+            session.heartbeat_due = True
+            session.wake.set()
+
+    async def _frames(self, session: _Session) -> AsyncIterator[control_pb2.DaemonFrame]:
+        hello = control_pb2.Hello(daemon=self.record, applied_revision=self.configuration.revision)
+        yield control_pb2.DaemonFrame(hello=hello)
+        while not session.closed:
+            frame = self._next_frame(session)
+            if frame is not None:
+                yield frame
+                if frame.leaving:
+                    return
+                continue
+            session.wake.clear()
+            await session.wake.wait()
+
+    def _next_frame(self, session: _Session) -> control_pb2.DaemonFrame | None:
+        frame = control_pb2.DaemonFrame()
+        for call_id, call in self._pending.items():
+            if call_id not in session.sent_calls:
+                session.sent_calls.add(call_id)
+                frame.calls.add(call_id=call_id, command=call.command)
+        if session.heartbeat_due:
+            session.heartbeat_due = False
+            self._heartbeat_number += 1
+            session.heartbeat_times[self._heartbeat_number] = self._environment.monotonic()
+            frame.heartbeat.number = self._heartbeat_number
+            frame.heartbeat.applied_revision = self.configuration.revision
+        if self._leaving and not self._pending:
+            frame.leaving = True
+        return frame if frame.ByteSize() else None
+
+    # ---- frames from control ----------------------------------------------
+
+    def _take(self, session: _Session, frame: control_pb2.ControlFrame) -> None:
+        if frame.HasField("config"):
+            self.configuration.apply(frame.config)
+            session.heartbeat_due = True  # tells control at once that it is applied
+            session.wake.set()
+        if frame.heartbeat_ack:
+            self._renew_freshness(session, frame)
+        for answer in frame.answers:
+            session.sent_calls.discard(answer.call_id)
+            call = self._pending.get(answer.call_id)
+            if call is not None and not call.answer.done():
+                call.answer.set_result(answer.result)
+        self._take_orders(frame)
+
+    def _renew_freshness(self, session: _Session, frame: control_pb2.ControlFrame) -> None:
+        # The lease counts from when the heartbeat was sent, which is earlier
+        # than control's own reckoning: the daemon stops first.
+        sent = session.heartbeat_times.pop(frame.heartbeat_ack, None)
+        if sent is None:
+            return
+        until = sent + frame.freshness_ms / MILLISECONDS_PER_SECOND
+        self._fresh_until = max(self._fresh_until, until)
+        self._became_fresh.set()
+
+    def _take_orders(self, frame: control_pb2.ControlFrame) -> None:
+        if self._handlers.recall is not None:
+            for recall in frame.recalls:
+                self._handlers.recall(recall.lease_id, recall.keep)
+        if self._handlers.daemon_notice is not None:
+            for notice in frame.daemons:
+                self._handlers.daemon_notice(notice)
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -0,0 +1,155 @@
+"""Files of one data folder: nothing counts until it is synced."""
+
+import asyncio
+import os
+from abc import ABC, abstractmethod
+from pathlib import Path
+
+from heronladder_runtime.errors import StorageError
+
+
+class Disk(ABC):
+    """The files of one data folder, by plain name."""
+
+    @abstractmethod
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+
+    @abstractmethod
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file.
+
+        Raises:
+            StorageError: If it cannot be read.
+        """
+
+    @abstractmethod
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes at the end of a file, which is made when absent; not yet synced."""
+
+    @abstractmethod
+    async def sync(self, name: str) -> None:
+        """Make all bytes appended to a file, and its name, outlive a crash.
+
+        Raises:
+            StorageError: If the sync fails; the file must not be used any more.
+        """
+
+    @abstractmethod
+    async def replace(self, name: str, data: bytes) -> None:
+        """Write a whole file so that a crash leaves the old or the new one, synced."""
+
+    @abstractmethod
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file to ``size`` bytes and sync it."""
+
+    @abstractmethod
+    def delete(self, name: str) -> None:
+        """Remove a file if it exists."""
+
+    def close(self) -> None:  # noqa: B027 - only some disks hold anything open
+        """Release what is held open."""
+
+
+class FolderDisk(Disk):
+    """A folder of the machine's file system.
+
+    Args:
+        folder: The data folder; made when absent.
+        sync_enabled: False only in benchmarks that weigh what syncing costs.
+    """
+
+    def __init__(self, folder: Path, sync_enabled: bool = True) -> None:
+        self._folder = folder
+        self._sync_enabled = sync_enabled
+        self._open: dict[str, int] = {}
+        self._named: set[str] = set()
+        folder.mkdir(parents=True, exist_ok=True)
+
+    def names(self) -> list[str]:
+        """Return the names of all files, sorted."""
+        return sorted(entry.name for entry in self._folder.iterdir() if entry.is_file())
+
+    def read(self, name: str) -> bytes:
+        """Return the whole content of a file."""
+        try:
+            return (self._folder / name).read_bytes()
+        except OSError as error:
+            raise StorageError(str(error), step="read", peer=name) from error
+
+    def _descriptor(self, name: str) -> int:
+        descriptor = self._open.get(name)
+        if descriptor is None:
+            flags = os.O_WRONLY | os.O_CREAT | os.O_APPEND
+            descriptor = os.open(self._folder / name, flags, 0o600)
+            self._open[name] = descriptor
+        return descriptor
+
+    def append(self, name: str, data: bytes) -> None:
+        """Add bytes at the end of a file."""
+        try:
+            descriptor = self._descriptor(name)
+            view = memoryview(data)
+            while view:
+                view = view[os.write(descriptor, view) :]
+        except OSError as error:
+            raise StorageError(str(error), step="append", peer=name) from error
+
+    async def sync(self, name: str) -> None:
+        """Sync a file, and at its first sync the folder that names it."""
+        if not self._sync_enabled:
+            return
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.run_in_executor(None, os.fdatasync, self._descriptor(name))
+            if name not in self._named:
+                self._named.add(name)
+                await loop.run_in_executor(None, self._sync_folder)
+        except OSError as error:
+            raise StorageError(str(error), step="sync", peer=name) from error
+
+    def _sync_folder(self) -> None:
+        descriptor = os.open(self._folder, os.O_RDONLY)
+        try:
+            os.fsync(descriptor)
+        finally:
+            os.close(descriptor)
+
+    async def replace(self, name: str, data: bytes) -> None:
+        """Write beside, sync, rename over, sync the folder."""
+        await asyncio.get_running_loop().run_in_executor(None, self._replace, name, data)
+
+    def _replace(self, name: str, data: bytes) -> None:
+        beside = self._folder / f"{name}.new"
+        try:
+            with beside.open("wb") as file:
+                file.write(data)
+                file.flush()
+                os.fsync(file.fileno())
+            beside.replace(self._folder / name)
+            self._sync_folder()
+        except OSError as error:
+            raise StorageError(str(error), step="replace", peer=name) from error
+
+    def truncate(self, name: str, size: int) -> None:
+        """Cut a file and sync it."""
+        self._forget(name)
+        with (self._folder / name).open("r+b") as file:
+            file.truncate(size)
+            os.fsync(file.fileno())
+
+    def delete(self, name: str) -> None:
+        """Remove a file if it exists."""
+        self._forget(name)
+        (self._folder / name).unlink(missing_ok=True)
+
+    def _forget(self, name: str) -> None:
+        descriptor = self._open.pop(name, None)
+        self._named.discard(name)
+        if descriptor is not None:
+            os.close(descriptor)
+
+    def close(self) -> None:
+        """Close all open files."""
+        for name in list(self._open):
+            self._forget(name)
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/invariants.py
@@ -0,0 +1,47 @@
+"""Invariants asserted inside the running program, always on and counted."""
+
+from collections import Counter
+
+from heronladder_runtime.errors import InvariantViolationError
+
+
+class InvariantBook:
+    """Counts checks and violations of each invariant of a process."""
+
+    def __init__(self) -> None:
+        self.checks: Counter[str] = Counter()
+        self.violations: Counter[str] = Counter()
+        self.messages: list[str] = []
+
+    def clear(self) -> None:
+        """Forget all counts, as at the start of a run."""
+        self.checks.clear()
+        self.violations.clear()
+        self.messages.clear()
+
+
+BOOK = InvariantBook()
+_KEPT_MESSAGES = 100
+
+
+def invariant(condition: bool, name: str, *, step: str, peer: str = "", detail: str = "") -> None:
+    """Assert ``condition``.
+
+    Args:
+        condition: What must hold.
+        name: Name of the invariant, in words with underscores.
+        step: The step at which it is checked.
+        peer: The daemon, budget or request it concerns.
+        detail: Facts that help to find the cause.
+
+    Raises:
+        InvariantViolationError: If the condition does not hold.
+    """
+    BOOK.checks[name] += 1
+    if condition:
+        return
+    BOOK.violations[name] += 1
+    message = f"invariant {name} violated: {detail}"
+    if len(BOOK.messages) < _KEPT_MESSAGES:
+        BOOK.messages.append(f"{message} step={step} peer={peer}")
+    raise InvariantViolationError(message, step=step, peer=peer)
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
@@ -0,0 +1,85 @@
+"""Stubs of the project's own services, over gRPC or over an in-memory network.
+
+Callers use only the methods of the generated interfaces, so that the same code
+runs over both.
+"""
+
+from typing import Any, Protocol, cast
+
+import grpc
+import grpc.aio
+from heronladder_schema.v1.consensus_pb2_grpc import ConsensusStub
+from heronladder_schema.v1.control_pb2_grpc import ControlStub
+
+_MAXIMUM_MESSAGE_BYTES = 64 * 1024 * 1024
+_CHANNEL_OPTIONS = (
+    ("grpc.max_receive_message_length", _MAXIMUM_MESSAGE_BYTES),
+    ("grpc.max_send_message_length", _MAXIMUM_MESSAGE_BYTES),
+    ("grpc.keepalive_time_ms", 10_000),
+    ("grpc.keepalive_timeout_ms", 5_000),
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.initial_reconnect_backoff_ms", 100),
+    ("grpc.max_reconnect_backoff_ms", 1_000),
+)
+
+
+class StubFactory(Protocol):
+    """Makes stubs of the project's services for an address (IP:port)."""
+
+    def consensus(self, address: str) -> Any:
+        """Return a stub with the methods of ``ConsensusStub``."""
+
+    def control(self, address: str) -> Any:
+        """Return a stub with the methods of ``ControlStub``."""
+
+    async def close(self) -> None:
+        """Close all connections."""
+
+
+class GrpcStubs:
+    """Stubs over gRPC, one channel for each address.
+
+    Args:
+        credentials: Channel credentials for TLS; None speaks in the clear.
+    """
+
+    def __init__(self, credentials: grpc.ChannelCredentials | None = None) -> None:
+        self._credentials = credentials
+        self._channels: dict[str, grpc.aio.Channel] = {}
+
+    def _channel(self, address: str) -> grpc.aio.Channel:
+        channel = self._channels.get(address)
+        if channel is None:
+            channel = self._open(address)
+            self._channels[address] = channel
+        return channel
+
+    def _open(self, address: str) -> grpc.aio.Channel:
+        if self._credentials is None:
+            return grpc.aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
+        return grpc.aio.secure_channel(address, self._credentials, options=_CHANNEL_OPTIONS)
+
+    def consensus(self, address: str) -> Any:
+        """Return a stub of the Consensus service at ``address``."""
+        return ConsensusStub(self._channel(address))
+
+    def control(self, address: str) -> Any:
+        """Return a stub of the Control service at ``address``."""
+        return ControlStub(self._channel(address))
+
+    async def close(self) -> None:
+        """Close all channels."""
+        channels, self._channels = self._channels, {}
+        for channel in channels.values():
+            await channel.close()
+
+
+def make_server() -> grpc.aio.Server:
+    """Return a gRPC server that takes messages up to the size of a snapshot chunk."""
+    options = (
+        *_CHANNEL_OPTIONS[:2],
+        ("grpc.so_reuseport", 0),
+        ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+        ("grpc.keepalive_permit_without_calls", 1),
+    )
+    return cast(grpc.aio.Server, grpc.aio.server(options=options))
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/settings.py
@@ -0,0 +1,228 @@
+"""Settings read from flags and environment variables, as the schema declares them.
+
+Each field of a settings message carries its default, unit, bounds and help in
+its options, so a setting is declared once.
+"""
+
+import inspect
+import os
+import re
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from typing import Any
+
+import typer
+from google.protobuf.descriptor import FieldDescriptor
+from google.protobuf.message import Message
+from heronladder_schema.v1 import settings_pb2
+
+from heronladder_runtime.errors import SettingsError
+
+ENVIRONMENT_PREFIX = "HERONLADDER_"
+_INTEGER_TYPES = (FieldDescriptor.TYPE_UINT32, FieldDescriptor.TYPE_UINT64)
+
+
+@dataclass(frozen=True)
+class SettingDeclaration:
+    """One setting, as the schema declares it.
+
+    Attributes:
+        message: Name of the settings message it belongs to.
+        name: Name of the field, with underscores.
+        integer: Whether its value is a whole number (otherwise text).
+        options: Default, unit, bounds, pattern and help.
+    """
+
+    message: str
+    name: str
+    integer: bool
+    options: settings_pb2.Setting
+
+    @property
+    def flag(self) -> str:
+        """The command-line flag, such as ``--router-listen``."""
+        return "--" + self.name.replace("_", "-")
+
+    @property
+    def variable(self) -> str:
+        """The environment variable, such as ``HERONLADDER_ROUTER_LISTEN``."""
+        return ENVIRONMENT_PREFIX + self.name.upper()
+
+    @property
+    def bounds(self) -> str:
+        """The values allowed, in words."""
+        if self.options.minimum < self.options.maximum:
+            return f"{self.options.minimum:.0f} to {self.options.maximum:.0f}"
+        return f"text matching {self.options.pattern}" if self.options.pattern else "any text"
+
+
+@dataclass(frozen=True)
+class SettingValue:
+    """A setting's value in force, as text, and where it came from."""
+
+    declaration: SettingDeclaration
+    text: str
+    source: str
+
+
+@dataclass
+class DaemonSettings:
+    """All settings of a daemon, typed."""
+
+    common: settings_pb2.CommonSettings
+    router: settings_pb2.RouterSettings
+    agent: settings_pb2.AgentSettings
+    control: settings_pb2.ControlSettings
+
+    @property
+    def roles(self) -> list[str]:
+        """The roles of the process."""
+        return self.common.roles.split(",")
+
+
+_MESSAGES: tuple[type[Message], ...] = (
+    settings_pb2.CommonSettings,
+    settings_pb2.RouterSettings,
+    settings_pb2.AgentSettings,
+    settings_pb2.ControlSettings,
+)
+
+
+def declarations() -> list[SettingDeclaration]:
+    """Return all settings of the schema, in its order."""
+    found = []
+    for message in _MESSAGES:
+        for field in message.DESCRIPTOR.fields:
+            options = field.GetOptions().Extensions[settings_pb2.setting]
+            integer = field.type in _INTEGER_TYPES
+            found.append(SettingDeclaration(message.DESCRIPTOR.name, field.name, integer, options))
+    return found
+
+
+def _problem(value: SettingValue, why: str) -> str:
+    shown = "(secret)" if value.declaration.options.secret else repr(value.text)
+    return (
+        f"setting {value.declaration.name} = {shown} from {value.source}: {why}; "
+        f"allowed: {value.declaration.bounds}"
+    )
+
+
+def check_value(value: SettingValue) -> str | None:
+    """Return what is wrong with a value, naming setting, value, source and range."""
+    declaration = value.declaration
+    options = declaration.options
+    if options.required and not value.text:
+        return (
+            f"setting {declaration.name} is not set: give {declaration.flag} or "
+            f"{declaration.variable}; allowed: {declaration.bounds}"
+        )
+    if declaration.integer:
+        if not re.fullmatch(r"[0-9]+", value.text):
+            return _problem(value, "not a whole number")
+        number = int(value.text)
+        if options.minimum < options.maximum and not options.minimum <= number <= options.maximum:
+            return _problem(value, "out of range")
+        return None
+    if options.pattern and not re.fullmatch(options.pattern, value.text):
+        return _problem(value, "malformed")
+    return None
+
+
+def resolve(
+    flags: Mapping[str, str | None], environment: Mapping[str, str] | None = None
+) -> list[SettingValue]:
+    """Return every setting's value: the flag's, else the variable's, else the default.
+
+    Args:
+        flags: Values given as flags by field name; None where not given.
+        environment: Environment variables; the process's own when None.
+    """
+    variables = os.environ if environment is None else environment
+    values = []
+    for declaration in declarations():
+        given = flags.get(declaration.name)
+        if given is not None:
+            values.append(SettingValue(declaration, given, f"flag {declaration.flag}"))
+        elif declaration.variable in variables:
+            source = f"variable {declaration.variable}"
+            values.append(SettingValue(declaration, variables[declaration.variable], source))
+        else:
+            values.append(SettingValue(declaration, declaration.options.default_value, "default"))
+    return values
+
+
+def build(values: list[SettingValue]) -> DaemonSettings:
+    """Return typed settings.
+
+    Raises:
+        SettingsError: With a line for each wrong value, all of them at once.
+    """
+    problems = [problem for problem in map(check_value, values) if problem is not None]
+    if problems:
+        raise SettingsError(problems)
+    messages: dict[str, Message] = {kind.DESCRIPTOR.name: kind() for kind in _MESSAGES}
+    for value in values:
+        declaration = value.declaration
+        typed: str | int = int(value.text) if declaration.integer else value.text
+        setattr(messages[declaration.message], declaration.name, typed)
+    settings = DaemonSettings(*messages.values())  # type: ignore[arg-type]
+    _check_together(settings)
+    return settings
+
+
+def _check_together(settings: DaemonSettings) -> None:
+    problems = []
+    if "control" in settings.roles and not settings.common.data_folder:
+        problems.append(
+            "setting data_folder is not set: the control role keeps durable state; "
+            "give --data-folder or HERONLADDER_DATA_FOLDER"
+        )
+    if "agent" in settings.roles and not settings.agent.backend_name:
+        problems.append(
+            "setting backend_name is not set: the agent role stands before one Backend; "
+            "give --backend-name or HERONLADDER_BACKEND_NAME"
+        )
+    if problems:
+        raise SettingsError(problems)
+
+
+def load(
+    flags: Mapping[str, str | None], environment: Mapping[str, str] | None = None
+) -> DaemonSettings:
+    """Resolve and build all settings.
+
+    Raises:
+        SettingsError: With a line for each wrong value.
+    """
+    return build(resolve(flags, environment))
+
+
+def with_setting_options(function: Callable[[dict[str, str | None]], None]) -> Callable[..., None]:
+    """Return a command for ``typer`` that takes every setting as an option.
+
+    Args:
+        function: Called with the values given as flags, by field name.
+    """
+
+    def command(**flags: Any) -> None:
+        function(flags)
+
+    parameters = [_option(declaration) for declaration in declarations()]
+    command.__signature__ = inspect.Signature(parameters)  # type: ignore[attr-defined]
+    command.__annotations__ = {parameter.name: parameter.annotation for parameter in parameters}
+    command.__doc__ = function.__doc__
+    command.__name__ = function.__name__
+    return command
+
+
+def _option(declaration: SettingDeclaration) -> inspect.Parameter:
+    options = declaration.options
+    unit = f" [{options.unit}]" if options.unit else ""
+    default = f" (default: {options.default_value})" if options.default_value else ""
+    option = typer.Option(None, declaration.flag, help=f"{options.help}{unit}{default}")
+    return inspect.Parameter(
+        declaration.name,
+        inspect.Parameter.KEYWORD_ONLY,
+        default=option,
+        annotation=str | None,
+    )
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
@@ -0,0 +1,49 @@
+"""Background tasks of a daemon: started by name, stopped together."""
+
+import asyncio
+from collections.abc import Coroutine
+from typing import Any
+
+from heronladder_runtime.logs import EventLog
+
+
+class TaskGroupOwner:
+    """Keeps the background tasks of one component and logs those that fail.
+
+    Args:
+        log: Where failures of tasks are reported.
+    """
+
+    def __init__(self, log: EventLog) -> None:
+        self._log = log
+        self._tasks: set[asyncio.Task[Any]] = set()
+
+    def start(self, name: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
+        """Run ``work`` in the background until it ends or ``stop`` is called."""
+        task = asyncio.get_running_loop().create_task(work, name=name)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task: asyncio.Task[Any]) -> None:
+        self._tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self._log.error("task_failed", step=task.get_name(), error=repr(task.exception()))
+
+    async def stop(self) -> None:
+        """Cancel all tasks and wait for them to end."""
+        current = asyncio.current_task()
+        tasks = sorted((task for task in self._tasks if task is not current), key=_task_name)
+        for task in tasks:
+            task.cancel()
+        for task in tasks:
+            try:
+                await task
+            except asyncio.CancelledError:
+                pass
+            except Exception:
+                pass  # already logged by _finished
+
+
+def _task_name(task: asyncio.Task[Any]) -> str:
+    return task.get_name()
--- /dev/null
+++ b/packages/heronladder-schema/src/heronladder_schema/__init__.py
@@ -0,0 +1,1 @@
+"""Generated messages of heronladder."""
--- /dev/null
+++ b/packages/heronladder-schema/src/heronladder_schema/v1/__init__.py
@@ -0,0 +1,1 @@
+"""Version 1 of the schema."""
--- /dev/null
+++ b/packages/heronladder-tools/src/heronladder_tools/__init__.py
@@ -0,0 +1,1 @@
+"""Command line of heronladder operators."""
--- /dev/null
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -0,0 +1,66 @@
+"""Command line of operators, ``heronladder``."""
+
+import asyncio
+from pathlib import Path
+from typing import Annotated
+
+import typer
+from heronladder_runtime.logs import configure_logging
+
+from heronladder_tools import demo as demo_module
+from heronladder_tools.profiles import PROFILES, Profile
+
+application = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
+
+
+@application.callback()
+def _root() -> None:
+    """Operate, check, plan, prove and measure heronladder."""
+
+
+def profile_of(name: str) -> Profile:
+    """Return a profile by name.
+
+    Raises:
+        typer.BadParameter: If there is none; names those there are.
+    """
+    if name not in PROFILES:
+        raise typer.BadParameter(f"--profile {name}: choose one of {', '.join(PROFILES)}")
+    return PROFILES[name]
+
+
+ProfileOption = Annotated[str, typer.Option(help="whose fleet: comedores or tidewater")]
+
+
+@application.command()
+def demo(
+    profile: ProfileOption = "comedores",
+    seconds: Annotated[float, typer.Option(min=1, max=3600, help="time of the load")] = 20.0,
+    rate: Annotated[float, typer.Option(min=0.1, max=1000, help="calls a second")] = 25.0,
+    seed: int = 1,
+    kill: Annotated[bool, typer.Option(help="kill a router and an agent half way")] = True,
+    kill_leader: Annotated[bool, typer.Option(help="kill the control leader half way")] = False,
+    report: Annotated[Path | None, typer.Option(help="write the report as JSON")] = None,
+    serve: Annotated[bool, typer.Option(help="stay up and print how to use it")] = False,
+    log_level: str = "error",
+) -> None:
+    """Run a whole fleet on this machine under load, with failures, and judge it."""
+    configure_logging(log_level)
+    chosen = profile_of(profile)
+    if serve:
+        try:
+            asyncio.run(demo_module.serve(chosen))
+        except KeyboardInterrupt:
+            return
+    options = demo_module.DemoOptions(chosen, seconds, rate, seed, kill, kill_leader)
+    verdict, timing = asyncio.run(demo_module.run_demo(options))
+    print(demo_module.report_text(verdict, timing))
+    if report is not None:
+        demo_module.write_report(report, verdict, timing)
+    if not verdict.promises_kept():
+        raise typer.Exit(1)
+
+
+def main() -> None:
+    """Run the command line."""
+    application()
