--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -3,6 +3,7 @@
 import asyncio
 from pathlib import Path
 
+import grpc.aio
 from heronladder_agent.http_adapter import HttpAdapter
 from heronladder_agent.role import AgentOptions, AgentRole
 from heronladder_agent.server import AgentServer
@@ -46,7 +47,7 @@
         self._environment = environment or Environment()
         self._log = EventLog("daemon", settings.common.name)
         self._stubs = GrpcStubs()
-        self._grpc_server = None
+        self._grpc_server: grpc.aio.Server | None = None
         self._listeners: list[HttpListener] = []
         self.control: ControlMember | None = None
         self.router: RouterRole | None = None
--- a/packages/heronladder-daemon/src/heronladder_daemon/main.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/main.py
@@ -51,11 +51,11 @@
         log.error("start_failed", step=error.step, peer=error.peer, why=error.message)
         return _EXIT_FAILED
     assert daemon.failed is not None
-    stop_wait = loop.create_task(stopping.wait())
-    await asyncio.wait([stop_wait, daemon.failed], return_when=asyncio.FIRST_COMPLETED)
+    daemon.failed.add_done_callback(lambda _: stopping.set())
+    await stopping.wait()
     if daemon.failed.done():
-        error = daemon.failed.result()
-        log.error("daemon_failed", step=error.step, peer=error.peer, why=error.message)
+        failure = daemon.failed.result()
+        log.error("daemon_failed", step=failure.step, peer=failure.peer, why=failure.message)
         await daemon.abort()
         return _EXIT_FAILED
     await daemon.stop()
--- /dev/null
+++ b/packages/heronladder-emulator/src/heronladder_emulator/network.py
@@ -0,0 +1,363 @@
+"""A network in memory between simulated processes, with faults.
+
+Processes are named; each has a place. Links may be cut one way or both, slow,
+lossy, and deliver calls twice or out of order. Streams are ordered as TCP's
+are: a cut holds their parts back, and breaks them when it lasts.
+"""
+
+import asyncio
+import random
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import grpc
+from heronladder_runtime.pulse import Pulse
+
+BREAK_AFTER_S = 15.0
+_HELD_PARTS = 64
+_LOCAL_DELAY_S = 0.0001
+
+
+class NetworkError(grpc.RpcError):
+    """A call or stream failed on the network."""
+
+
+class RefusedError(NetworkError):
+    """Nobody listens at the address; nothing was delivered."""
+
+
+@dataclass
+class Place:
+    """Where a process stands.
+
+    Attributes:
+        zone: Its zone.
+        region: Its region.
+    """
+
+    zone: str
+    region: str
+
+
+@dataclass
+class Cut:
+    """A cut of the links from some processes to others.
+
+    Attributes:
+        sources: Names of the processes whose messages are lost.
+        targets: Names of the processes they are lost on the way to.
+    """
+
+    sources: frozenset[str]
+    targets: frozenset[str]
+
+
+@dataclass
+class Weather:
+    """How the network behaves where it is not cut.
+
+    Attributes:
+        zone_delay_s: One-way delay between zones.
+        region_delay_s: One-way delay between regions.
+        extra_delay_s: Largest further delay of a message, drawn evenly.
+        loss: Share of calls that are lost on the way.
+        duplicates: Share of calls that are delivered twice.
+    """
+
+    zone_delay_s: float = 0.0009
+    region_delay_s: float = 0.03
+    extra_delay_s: float = 0.0002
+    loss: float = 0.0
+    duplicates: float = 0.0
+
+
+@dataclass
+class Endpoint:
+    """A process on the network.
+
+    Attributes:
+        name: Its name.
+        place: Where it stands.
+        start: Counts its starts; messages to an earlier one are lost.
+        alive: Whether it runs.
+        servers: What it serves, by kind.
+        tasks: Work it does for others.
+    """
+
+    name: str
+    place: Place
+    start: int = 0
+    alive: bool = False
+    servers: dict[str, Any] = field(default_factory=dict)
+    tasks: dict[asyncio.Task[Any], None] = field(default_factory=dict)
+
+
+class MemoryNetwork:
+    """All links.
+
+    Args:
+        source: Source of random choices.
+        weather: How it behaves where it is not cut.
+    """
+
+    def __init__(self, source: random.Random, weather: Weather) -> None:
+        self.random = source
+        self.weather = weather
+        self.endpoints: dict[str, Endpoint] = {}
+        self.names: dict[str, str] = {}  # process by IP number
+        self._cuts: list[Cut] = []
+        self.changed = Pulse()
+        self._pipes: dict[Pipe, None] = {}
+
+    # ---- processes --------------------------------------------------------
+
+    def start(self, name: str, place: Place, servers: dict[str, Any]) -> Endpoint:
+        """Put a process on the network, or a new start of one."""
+        endpoint = self.endpoints.setdefault(name, Endpoint(name, place))
+        endpoint.start += 1
+        endpoint.alive = True
+        endpoint.servers = servers
+        return endpoint
+
+    def kill(self, name: str) -> None:
+        """Take a process off the network: its work ends, its streams break."""
+        endpoint = self.endpoints[name]
+        endpoint.alive = False
+        endpoint.servers = {}
+        for task in list(endpoint.tasks):
+            task.cancel()
+        for pipe in list(self._pipes):
+            if name in (pipe.source, pipe.target):
+                pipe.break_off()
+
+    def run_at(self, name: str, work: Any) -> asyncio.Task[Any]:
+        """Run work of a process that ends when the process is killed."""
+        endpoint = self.endpoints[name]
+        task = asyncio.get_running_loop().create_task(work)
+        endpoint.tasks[task] = None
+        task.add_done_callback(lambda done: endpoint.tasks.pop(done, None))
+        return task
+
+    def alive(self, name: str) -> bool:
+        """Whether a process runs."""
+        return name in self.endpoints and self.endpoints[name].alive
+
+    def resolve(self, address: str) -> str:
+        """Return the name of the process at an address (IP or name, then port)."""
+        host = address.split(":")[0]
+        return self.names.get(host, host)
+
+    # ---- links ------------------------------------------------------------
+
+    def cut(self, cut: Cut) -> None:
+        """Cut links."""
+        self._cuts.append(cut)
+
+    def heal(self, cut: Cut) -> None:
+        """End a cut."""
+        self._cuts.remove(cut)
+        for pipe in list(self._pipes):
+            pipe.flush()
+        self.changed.give()
+
+    def open(self, source: str, target: str) -> bool:
+        """Whether messages get from one process to another."""
+        return not any(source in cut.sources and target in cut.targets for cut in self._cuts)
+
+    def delay(self, source: str, target: str) -> float:
+        """Return the delay of one message, in seconds."""
+        from_place = self.endpoints[source].place
+        to_place = self.endpoints[target].place
+        if from_place.region != to_place.region:
+            base = self.weather.region_delay_s
+        elif from_place.zone != to_place.zone:
+            base = self.weather.zone_delay_s
+        else:
+            base = _LOCAL_DELAY_S
+        return base + self.random.random() * self.weather.extra_delay_s
+
+    async def carry(self, source: str, target: str) -> bool:
+        """Take the time of one message; return whether it arrives."""
+        lost = self.random.random() < self.weather.loss
+        await asyncio.sleep(self.delay(source, target))
+        return not lost and self.open(source, target)
+
+    async def call(
+        self,
+        source: str,
+        target: str,
+        handle: Callable[[Endpoint], Any],
+        timeout_s: float,
+    ) -> Any:
+        """Make one call; the target's handler runs once, or twice if duplicated.
+
+        Args:
+            source: Name of the calling process.
+            target: Name of the process that is called.
+            handle: Given the target, returns the handler's coroutine.
+            timeout_s: Time for the whole call, in seconds.
+
+        Raises:
+            NetworkError: If no answer came.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                return await self._call(source, target, handle)
+        except TimeoutError as error:
+            raise NetworkError(f"{source} to {target}: deadline exceeded") from error
+
+    async def _call(self, source: str, target: str, handle: Callable[[Endpoint], Any]) -> Any:
+        if not await self.carry(source, target):
+            await asyncio.Event().wait()  # until the caller's deadline
+        if not self.alive(target):
+            await self._carry_back(target, source)
+            raise RefusedError(f"{source} to {target}: connection refused")
+        endpoint = self.endpoints[target]
+        if self.random.random() < self.weather.duplicates:
+            self.run_at(target, self._run_copy(endpoint, handle))
+        work = self.run_at(target, handle(endpoint))
+        try:
+            result = await asyncio.shield(work)
+        except asyncio.CancelledError:
+            if work.cancelled():
+                await self._carry_back(target, source)
+                raise NetworkError(f"{source} to {target}: connection reset") from None
+            raise
+        except NetworkError:
+            raise
+        except Exception as error:
+            await self._carry_back(target, source)
+            raise NetworkError(f"{source} to {target}: {error!r}") from error
+        await self._carry_back(target, source)
+        return result
+
+    async def _run_copy(self, endpoint: Endpoint, handle: Callable[[Endpoint], Any]) -> None:
+        await asyncio.sleep(self.random.random() * 0.5)
+        try:
+            await handle(endpoint)
+        except Exception:
+            return  # nobody hears of it
+
+    async def _carry_back(self, source: str, target: str) -> None:
+        if not await self.carry(source, target):
+            await asyncio.Event().wait()
+
+    # ---- streams ----------------------------------------------------------
+
+    def pipe(self, source: str, target: str) -> "Pipe":
+        """Return a new ordered stream of parts from one process to another."""
+        pipe = Pipe(self, source, target)
+        self._pipes[pipe] = None
+        return pipe
+
+    def forget(self, pipe: "Pipe") -> None:
+        """Forget a stream that is over."""
+        self._pipes.pop(pipe, None)
+
+
+class Pipe:
+    """An ordered stream of parts in one direction.
+
+    Args:
+        network: The network.
+        source: Name of the sending process.
+        target: Name of the receiving process.
+    """
+
+    def __init__(self, network: MemoryNetwork, source: str, target: str) -> None:
+        self.source = source
+        self.target = target
+        self._network = network
+        self._arrived: deque[Any] = deque()
+        self._held: deque[Any] = deque()
+        self._last_arrival_s = 0.0
+        self._changed = Pulse()
+        self._break_timer: asyncio.TimerHandle | None = None
+        self._ended = False
+        self.broken = False
+
+    @property
+    def closed(self) -> bool:
+        """Whether nothing more can be sent."""
+        return self.broken or self._ended
+
+    def send(self, part: Any) -> None:
+        """Send a part.
+
+        Raises:
+            NetworkError: If the stream is broken.
+        """
+        if self.broken:
+            raise NetworkError(f"stream {self.source} to {self.target} is broken")
+        if self._held or not self._network.open(self.source, self.target):
+            self._hold(part)
+            return
+        loop = asyncio.get_running_loop()
+        arrival_s = loop.time() + self._network.delay(self.source, self.target)
+        self._last_arrival_s = max(self._last_arrival_s, arrival_s)
+        loop.call_at(self._last_arrival_s, self._arrive, part)
+
+    def _hold(self, part: Any) -> None:
+        self._held.append(part)
+        if self._break_timer is None:
+            loop = asyncio.get_running_loop()
+            self._break_timer = loop.call_later(BREAK_AFTER_S, self._break)
+
+    def flush(self) -> None:
+        """Send what was held back by a cut that is over."""
+        if self.broken or not self._network.open(self.source, self.target):
+            return
+        if self._break_timer is not None:
+            self._break_timer.cancel()
+            self._break_timer = None
+        held, self._held = self._held, deque()
+        for part in held:
+            self.send(part)
+
+    def _arrive(self, part: Any) -> None:
+        if self.broken:
+            return
+        self._arrived.append(part)
+        self._changed.give()
+
+    async def writable(self) -> None:
+        """Wait while the receiver lags behind."""
+        while len(self._arrived) + len(self._held) > _HELD_PARTS and not self.broken:
+            await self._changed.wait()
+
+    async def receive(self) -> Any:
+        """Return the next part.
+
+        Raises:
+            NetworkError: If the stream broke.
+        """
+        while not self._arrived:
+            if self.broken:
+                raise NetworkError(f"stream {self.source} to {self.target} broke")
+            await self._changed.wait()
+        part = self._arrived.popleft()
+        self._changed.give()
+        return part
+
+    def break_off(self) -> None:
+        """Break the stream; the other side notices when the network lets it."""
+        loop = asyncio.get_running_loop()
+        if self._network.open(self.source, self.target) and self._network.open(
+            self.target, self.source
+        ):
+            delay_s = self._network.delay(self.source, self.target)
+            loop.call_at(max(loop.time() + delay_s, self._last_arrival_s), self._break)
+        elif self._break_timer is None:
+            self._break_timer = loop.call_later(BREAK_AFTER_S, self._break)
+
+    def _break(self) -> None:
+        self.broken = True
+        self._network.forget(self)
+        self._changed.give()
+
+    def close(self) -> None:
+        """Forget the stream."""
+        self._ended = True
+        self._break()
--- a/packages/heronladder-emulator/src/heronladder_emulator/prefix_cache.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/prefix_cache.py
@@ -51,8 +51,8 @@
 
     def add(self, hashes: list[int]) -> tuple[list[int], list[int]]:
         """Hold blocks; return those that came in and those that had to go."""
-        added = []
-        removed = []
+        added: list[int] = []
+        removed: list[int] = []
         if self._capacity == 0:
             return added, removed
         for block in hashes:
--- a/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
@@ -4,7 +4,7 @@
 runs over both.
 """
 
-from typing import Any, Protocol, cast
+from typing import Any, Protocol
 
 import grpc
 import grpc.aio
@@ -82,4 +82,4 @@
         ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
         ("grpc.keepalive_permit_without_calls", 1),
     )
-    return cast(grpc.aio.Server, grpc.aio.server(options=options))
+    return grpc.aio.server(options=options)
--- a/packages/heronladder-tools/src/heronladder_tools/callers.py
+++ b/packages/heronladder-tools/src/heronladder_tools/callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 from abc import ABC, abstractmethod
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -76,11 +77,13 @@
         call: The call.
         reply: What the caller was told.
         moment_s: When, on the loop's clock.
+        false: Whether budget and capacity were there at that moment.
     """
 
     call: CallerCall
     reply: CallerReply
     moment_s: float
+    false: bool = False
 
 
 @dataclass
@@ -108,11 +111,18 @@
     Args:
         transport: How routers are reached.
         environment: Time and randomness.
+        judge_refusal: Says whether a refusal of this moment is a false one.
     """
 
-    def __init__(self, transport: CallerTransport, environment: Environment) -> None:
+    def __init__(
+        self,
+        transport: CallerTransport,
+        environment: Environment,
+        judge_refusal: Callable[[Refusal], bool],
+    ) -> None:
         self._transport = transport
         self._environment = environment
+        self._judge_refusal = judge_refusal
         self.timing = Timing()
         self.results: list[CallResult] = []
         self.refusals: list[Refusal] = []
@@ -145,7 +155,9 @@
             result.answered_ids.append(reply.request_id)
             return True
         if reply.code:
-            self.refusals.append(Refusal(call, reply, self._environment.monotonic()))
+            refusal = Refusal(call, reply, self._environment.monotonic())
+            refusal.false = self._judge_refusal(refusal)
+            self.refusals.append(refusal)
         result.refused = reply.outcome == "not-run"
         return reply.code in ("budget_exhausted", "already_ran")
 
--- a/packages/heronladder-tools/src/heronladder_tools/demo.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo.py
@@ -63,7 +63,9 @@
 async def _run_load(fleet: DemoFleet, options: DemoOptions) -> tuple[Verdict, Timing]:
     environment = Environment(random.Random(options.seed))
     transport = HttpCallers(fleet.router_addresses, environment)
-    callers = Callers(transport, environment)
+    callers = Callers(
+        transport, environment, lambda refusal: _refusal_was_false(refusal, fleet)
+    )
     workload = Workload(options.profile, environment.random)
     loop = asyncio.get_running_loop()
     started_s = loop.time()
@@ -135,11 +137,10 @@
         refusals=callers.refusals,
         budget_of_tenant=budgets,
         budget_tokens=dict.fromkeys(budgets.values(), options.budget_tokens),
-        refusal_was_false=lambda refusal: _refusal_was_false(refusal, fleet, options),
     )
 
 
-def _refusal_was_false(refusal: Refusal, fleet: DemoFleet, options: DemoOptions) -> bool:
+def _refusal_was_false(refusal: Refusal, fleet: DemoFleet) -> bool:
     """Whether budget was left for a refused call; capacity always is in the demo."""
     if refusal.reply.code != "budget_exhausted":
         return True
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -9,8 +9,12 @@
 
 from heronladder_tools import demo as demo_module
 from heronladder_tools.profiles import PROFILES, Profile
+from heronladder_tools.simulation.faults import FAULTS
+from heronladder_tools.simulation.run import SimulationOptions, SimulationResult
+from heronladder_tools.simulation.run import simulate as run_simulation
 
-application = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
+application = typer.Typer(no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, help=__doc__
+)
 
 
 @application.callback()
@@ -61,6 +65,51 @@
         raise typer.Exit(1)
 
 
+@application.command()
+def simulate(
+    seed: int = 1,
+    profile: ProfileOption = "comedores",
+    seconds: Annotated[float, typer.Option(min=1, max=86400, help="virtual seconds")] = 60.0,
+    rate: Annotated[float, typer.Option(min=0.1, max=200, help="calls a second")] = 4.0,
+    faults: Annotated[str, typer.Option(help="all, none, or names with commas")] = "all",
+    budget: Annotated[int, typer.Option(min=1, help="prepaid tokens of each tenant")] = 60_000,
+    report: Annotated[Path | None, typer.Option(help="write the report as JSON")] = None,
+    log: Annotated[Path | None, typer.Option(help="write the log of events")] = None,
+) -> None:
+    """Run the whole fleet in virtual time under failures; the seed decides everything."""
+    options = SimulationOptions(
+        profile_of(profile), seed, seconds, rate, fault_names(faults), budget, log
+    )
+    result = run_simulation(options)
+    print(simulation_text(options, result))
+    if report is not None:
+        demo_module.write_report(report, result.verdict, result.timing)
+    if not result.verdict.promises_kept():
+        raise typer.Exit(1)
+
+
+def fault_names(text: str) -> tuple[str, ...]:
+    """Return the faults that an option names.
+
+    Raises:
+        typer.BadParameter: If there is no fault of a name; lists those there are.
+    """
+    if text == "all":
+        return tuple(FAULTS)
+    names = tuple(filter(None, text.split(","))) if text != "none" else ()
+    unknown = [name for name in names if name not in FAULTS]
+    if unknown:
+        raise typer.BadParameter(f"--faults {unknown[0]}: choose of {', '.join(FAULTS)}")
+    return names
+
+
+def simulation_text(options: SimulationOptions, result: SimulationResult) -> str:
+    """Return a simulation's report for people."""
+    caused = " ".join(f"{name}={count}" for name, count in result.caused.items())
+    head = f"seed {options.seed}  virtual seconds {result.virtual_seconds:.0f}\nfaults {caused}"
+    return head + "\n" + demo_module.report_text(result.verdict, result.timing)
+
+
 def main() -> None:
     """Run the command line."""
     application()
--- a/packages/heronladder-tools/src/heronladder_tools/oracle.py
+++ b/packages/heronladder-tools/src/heronladder_tools/oracle.py
@@ -1,7 +1,6 @@
 """The judge of a run: heronladder's bills against the stand-ins' own books."""
 
 from collections import Counter, defaultdict
-from collections.abc import Callable
 from dataclasses import asdict, dataclass, field
 from typing import Any
 
@@ -117,8 +116,6 @@
         refusals: Sendings that were refused.
         budget_of_tenant: Budget by tenant.
         budget_tokens: Prepaid tokens by budget, over all regions.
-        refusal_was_false: Says whether budget and capacity were there.
-        tenant_of_request: Tenant by request id, from all settlements.
     """
 
     books: Books
@@ -127,7 +124,6 @@
     refusals: list[Refusal]
     budget_of_tenant: dict[str, str]
     budget_tokens: dict[str, int]
-    refusal_was_false: Callable[[Refusal], bool]
 
 
 def judge(evidence: Evidence) -> Verdict:
@@ -202,7 +198,7 @@
         if reply.request_id and evidence.books.ran(reply.request_id):
             verdict.untrue_refusals += 1
             verdict.notes.append(f"{reply.request_id} was said not to have run")
-        elif evidence.refusal_was_false(refusal):
+        elif refusal.false:
             false_codes[reply.code] += 1
     verdict.false_refusals = sum(false_codes.values())
     verdict.refused_by_code = dict(sorted(codes.items()))
--- /dev/null
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/__init__.py
@@ -0,0 +1,1 @@
+"""The whole fleet in one process, in virtual time, under failures."""
