Give silent peers up, and do not call a lost attempt not-run when control is away

Cause: a call over a cut link hung to its deadline; a claim that could not be freed after its agent was lost ended as not-run; a bill for a closed lease was taken for unbilled. Change: keep-alive on agent connections; unknown outcomes go to limbo when control is away; settlements say when their lease is closed; a stale router says so before it looks for the tenant; simulated callers go on until calm.

--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -132,7 +132,9 @@
     def _settle(self, order: control_pb2.Settle) -> control_pb2.CommandResult:
         result = success()
         for position, settlement in enumerate(order.settlements):
-            if self.ledger.billed_before(settlement):
+            if settlement.lease_id not in self.ledger.leases:
+                result.lease_closed.append(position)
+            elif self.ledger.billed_before(settlement):
                 result.billed_before.append(position)
             elif self.ledger.settle(settlement) and settlement.request_id:
                 self.claims.mark_ran_if(settlement)
--- a/packages/heronladder-emulator/src/heronladder_emulator/network.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/network.py
@@ -17,7 +17,8 @@
 
 Result = TypeVar("Result")
 
-BREAK_AFTER_S = 15.0
+BREAK_AFTER_S = 5.0  # keep-alive probes give a silent peer up
+_PROBE_S = 1.0
 _HELD_PARTS = 64
 _LOCAL_DELAY_S = 0.0001
 
@@ -230,7 +231,7 @@
             self.run_at(target, self._run_copy(endpoint, handle))
         work = self.run_at(target, handle(endpoint))
         try:
-            result = await asyncio.shield(work)
+            result = await self._await_result(source, target, work)
         except asyncio.CancelledError:
             if work.cancelled():
                 await self._carry_back(target, source)
@@ -244,6 +245,17 @@
         await self._carry_back(target, source)
         return result
 
+    async def _await_result(self, source: str, target: str, work: asyncio.Task[Result]) -> Result:
+        """Wait for a handler, while the connection's keep-alive probes get through."""
+        silent_s = 0.0
+        while not work.done():
+            await asyncio.wait([work], timeout=_PROBE_S)
+            both = self.open(source, target) and self.open(target, source)
+            silent_s = 0.0 if both else silent_s + _PROBE_S
+            if silent_s >= BREAK_AFTER_S and not work.done():
+                raise NetworkError(f"{source} to {target}: no keep-alive")
+        return await work
+
     async def _run_copy(
         self, endpoint: Endpoint, handle: Callable[[Endpoint], Coroutine[Any, Any, Result]]
     ) -> None:
@@ -349,10 +361,18 @@
         Raises:
             NetworkError: If the stream broke.
         """
+        silent_s = 0.0
         while not self._arrived:
             if self.broken:
                 raise NetworkError(f"stream {self.source} to {self.target} broke")
-            await self._changed.wait()
+            if await self._changed.wait(_PROBE_S):
+                continue
+            both = self._network.open(self.source, self.target) and self._network.open(
+                self.target, self.source
+            )
+            silent_s = 0.0 if both else silent_s + _PROBE_S
+            if silent_s >= BREAK_AFTER_S:
+                self._break()
         part = self._arrived.popleft()
         self._changed.give()
         return part
--- a/packages/heronladder-router/src/heronladder_router/agent_channel.py
+++ b/packages/heronladder-router/src/heronladder_router/agent_channel.py
@@ -1,5 +1,6 @@
 """How a router reaches agents: an interface, and its implementation over HTTP."""
 
+import socket
 from abc import ABC, abstractmethod
 from collections.abc import AsyncIterator
 
@@ -11,6 +12,22 @@
 from heronladder_router.errors import ChannelLostError, ChannelNotSentError
 
 _CONNECT_TIMEOUT_S = 1.0
+_KEEPALIVE_IDLE_S = 2
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 3
+_UNACKNOWLEDGED_MS = 5_000
+
+
+def _keepalive_socket(address: aiohttp.AddrInfoType) -> socket.socket:
+    """Return a socket that gives a silent peer up after a few seconds."""
+    family, kind, protocol, _, _ = address
+    made = socket.socket(family=family, type=kind, proto=protocol)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _UNACKNOWLEDGED_MS)
+    return made
 
 
 class AgentChannel(ABC):
@@ -52,7 +69,7 @@
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
             self._session = aiohttp.ClientSession(
                 timeout=timeout,
-                connector=aiohttp.TCPConnector(limit=0),
+                connector=aiohttp.TCPConnector(limit=0, socket_factory=_keepalive_socket),
                 auto_decompress=False,
             )
         return self._session
--- a/packages/heronladder-router/src/heronladder_router/attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt.py
@@ -9,6 +9,7 @@
 
 from heronladder_router.bookkeeping import Bookkeeper
 from heronladder_router.leases import Reservation
+from heronladder_router.settler import Standing
 
 
 @dataclass
@@ -58,12 +59,12 @@
         """Settle the attempt as proved not to have run."""
         self._settle(bookkeeper, not_run_settlement(self.dispatch))
 
-    def settle_lost(self, bookkeeper: Bookkeeper) -> asyncio.Future[bool]:
+    def settle_lost(self, bookkeeper: Bookkeeper) -> asyncio.Future[Standing]:
         """Settle the attempt as lost: charged, not billed."""
         return self._settle(bookkeeper, lost_settlement(self.dispatch))
 
     def _settle(
         self, bookkeeper: Bookkeeper, settlement: ledger_pb2.Settlement
-    ) -> asyncio.Future[bool]:
+    ) -> asyncio.Future[Standing]:
         self.settled = True
         return bookkeeper.close(self.reservation, settlement, self.agent)
--- a/packages/heronladder-router/src/heronladder_router/bookkeeping.py
+++ b/packages/heronladder-router/src/heronladder_router/bookkeeping.py
@@ -5,7 +5,7 @@
 from heronladder_schema.v1 import ledger_pb2
 
 from heronladder_router.leases import LeaseManager, Reservation
-from heronladder_router.settler import Settler
+from heronladder_router.settler import Settler, Standing
 from heronladder_router.witnesses import Witnesses
 
 
@@ -33,7 +33,7 @@
 
     def close(
         self, reservation: Reservation, settlement: ledger_pb2.Settlement, agent: str
-    ) -> asyncio.Future[bool]:
+    ) -> asyncio.Future[Standing]:
         """Settle a reservation; the future is done once its bill is durable."""
         used = settlement.prompt_tokens + settlement.completion_tokens + settlement.withheld_tokens
         self._leases.settle(reservation, used)
@@ -45,7 +45,7 @@
         await self.wait_durable(durable, settlement, agent)
 
     async def wait_durable(
-        self, durable: asyncio.Future[bool], settlement: ledger_pb2.Settlement, agent: str
+        self, durable: asyncio.Future[Standing], settlement: ledger_pb2.Settlement, agent: str
     ) -> None:
         """Wait until a bill is durable, for a bounded time.
 
@@ -56,7 +56,9 @@
         if not done:
             await self._witnesses.give(settlement, agent)
 
-    async def billed_before(self, durable: asyncio.Future[bool]) -> bool | None:
+    async def billed_before(self, durable: asyncio.Future[Standing]) -> bool | None:
         """Return whether another bill went before one just settled; None if unknown."""
         done, _ = await asyncio.wait([durable], timeout=self._settle_wait_s)
-        return durable.result() if done else None
+        if not done or durable.result() is Standing.LEASE_CLOSED:
+            return None
+        return durable.result() is Standing.BILLED_BEFORE
--- a/packages/heronladder-router/src/heronladder_router/forwarding.py
+++ b/packages/heronladder-router/src/heronladder_router/forwarding.py
@@ -15,6 +15,7 @@
     CallerError,
     ChannelLostError,
     ChannelNotSentError,
+    ControlUnavailableError,
     NoBackendError,
     OutcomeUnknownError,
     OverloadedError,
@@ -285,6 +286,15 @@
                 "an earlier copy of the attempt ran", step="refused", peer=attempt.agent
             )
 
+    async def _release_lost(self, attempt: Attempt) -> None:
+        assert attempt.claim is not None
+        try:
+            await self._parts.claims.release(attempt.claim, agent_lost=True)
+        except ControlUnavailableError as error:
+            # The attempt may have run: only its agent can tell.
+            self._parts.await_outcome(attempt)
+            raise BackendLostError(error.message, step=error.step, peer=attempt.agent) from error
+
     async def _free_claim(self, attempt: Attempt) -> None:
         if attempt.claim is not None:
             await self._parts.claims.release(attempt.claim, agent_lost=False)
@@ -311,7 +321,7 @@
                 peer=attempt.agent,
             ) from error
         if attempt.claim is not None:
-            await self._parts.claims.release(attempt.claim, agent_lost=True)
+            await self._release_lost(attempt)
         durable = attempt.settle_lost(self._parts.bookkeeper)
         if self._parts.left_s(request) > 0 and self._retries.spend():
             # The agent may have billed the attempt already; then the next one is not.
--- a/packages/heronladder-router/src/heronladder_router/intake.py
+++ b/packages/heronladder-router/src/heronladder_router/intake.py
@@ -1,6 +1,7 @@
 """From what came over HTTP to an admitted request: tenant, service, bounds."""
 
 import json
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from heronladder_runtime.clock import Environment
@@ -10,6 +11,7 @@
 from heronladder_router.errors import (
     ForbiddenServiceError,
     InvalidRequestError,
+    StaleError,
     UnknownServiceError,
 )
 from heronladder_router.requests import CallerRequest, parse_model_call
@@ -50,6 +52,7 @@
         configuration: The router's configuration.
         environment: Time and randomness.
         timeout_s: Time for a whole answer, in seconds.
+        fresh: Whether the configuration may be acted upon.
     """
 
     def __init__(
@@ -58,11 +61,13 @@
         configuration: ConfigurationStore,
         environment: Environment,
         timeout_s: float,
+        fresh: Callable[[], bool],
     ) -> None:
         self._region = region
         self._configuration = configuration
         self._environment = environment
         self._timeout_s = timeout_s
+        self._fresh = fresh
         self._tenants = TenantDirectory(configuration)
         self._service_of_model: dict[str, resources_pb2.Resource] = {}
         configuration.listen(self._rebuild)
@@ -78,13 +83,19 @@
         """Return a new identifier of a request."""
         return self._environment.new_id(self._region)
 
+    def _authenticate(self, authorization: str) -> resources_pb2.Resource:
+        # A stale router might not know the tenant yet: it must not say so.
+        if not self._fresh():
+            raise StaleError("this router's configuration is stale", step="intake")
+        return self._tenants.authenticate(authorization)
+
     def models(self, authorization: str) -> list[str]:
         """Return the models a tenant may call.
 
         Raises:
             InvalidKeyError: If the key is not known.
         """
-        tenant = self._tenants.authenticate(authorization)
+        tenant = self._authenticate(authorization)
         allowed = set(tenant.tenant.services)
         return sorted(
             model
@@ -98,7 +109,7 @@
         Raises:
             InvalidKeyError: If the key is not known.
         """
-        return self._tenants.authenticate(authorization).metadata.name
+        return self._authenticate(authorization).metadata.name
 
     def model_request(self, call: RawCall, request_id: str, *, chat: bool) -> CallerRequest:
         """Return the request for a model.
@@ -106,7 +117,7 @@
         Raises:
             CallerError: If it is malformed or not allowed.
         """
-        tenant = self._tenants.authenticate(call.authorization)
+        tenant = self._authenticate(call.authorization)
         parsed = parse_model_call(call.body, chat=chat)
         service = self._service_of_model.get(parsed.model)
         if service is None:
@@ -134,7 +145,7 @@
         Raises:
             CallerError: If it is malformed or not allowed.
         """
-        tenant = self._tenants.authenticate(call.authorization)
+        tenant = self._authenticate(call.authorization)
         service = self._configuration.services().get(name)
         plain = resources_pb2.SERVICE_KIND_PLAIN
         if service is None or service.service.kind != plain:
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -106,7 +106,9 @@
         handlers.daemon_notice = self.directory.notice
         handlers.recall = self.leases.recall
         self.settler = Settler(self.link, options.settle_interval_s, self.log)
-        self.intake = Intake(options.region, configuration, environment, options.request_timeout_s)
+        self.intake = Intake(
+            options.region, configuration, environment, options.request_timeout_s, self.ready
+        )
         self.claims = ClaimClient(self.link, environment)
         self.limbo = Limbo(
             channel, self.directory, self.leases, self.settler, environment, self.log
--- a/packages/heronladder-router/src/heronladder_router/settler.py
+++ b/packages/heronladder-router/src/heronladder_router/settler.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import defaultdict
 from dataclasses import dataclass
+from enum import Enum
 
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.logs import EventLog
@@ -14,13 +15,27 @@
 _ACKNOWLEDGED_KEPT = 1_000
 
 
+class Standing(Enum):
+    """How a settlement stands to others of its reservation."""
+
+    FIRST = "first"
+    BILLED_BEFORE = "billed before"
+    LEASE_CLOSED = "lease closed"
+
+
+def _standing(result: control_pb2.CommandResult, position: int) -> Standing:
+    if position in result.billed_before:
+        return Standing.BILLED_BEFORE
+    return Standing.LEASE_CLOSED if position in result.lease_closed else Standing.FIRST
+
+
 @dataclass
 class _Waiting:
     """A settlement that is not durable yet, and who waits for it."""
 
     settlement: ledger_pb2.Settlement
     agent: str
-    durable: asyncio.Future[bool]
+    durable: asyncio.Future[Standing]
 
 
 class Settler:
@@ -50,16 +65,14 @@
         """End at once."""
         await self._tasks.stop()
 
-    def settle(self, settlement: ledger_pb2.Settlement, agent: str) -> asyncio.Future[bool]:
+    def settle(self, settlement: ledger_pb2.Settlement, agent: str) -> asyncio.Future[Standing]:
         """Send a settlement; the future is done once it is durable.
 
-        Its value says whether another bill of the reservation had gone before.
-
         Args:
             settlement: The bill.
             agent: Agent that holds a copy and may forget it then; "" for none.
         """
-        durable: asyncio.Future[bool] = asyncio.get_running_loop().create_future()
+        durable: asyncio.Future[Standing] = asyncio.get_running_loop().create_future()
         self._waiting.append(_Waiting(settlement, agent, durable))
         self._unconfirmed += 1
         self._pulse.give()
@@ -86,10 +99,9 @@
         command = control_pb2.Command()
         command.settle.settlements.extend(waiting.settlement for waiting in batch)
         result = await self._link.call(command)
-        billed_before = set(result.billed_before)
         for position, waiting in enumerate(batch):
             if not waiting.durable.done():
-                waiting.durable.set_result(position in billed_before)
+                waiting.durable.set_result(_standing(result, position))
             self._unconfirmed -= 1
             if waiting.agent:
                 self._acknowledge(waiting.settlement, waiting.agent)
--- a/packages/heronladder-tools/src/heronladder_tools/callers.py
+++ b/packages/heronladder-tools/src/heronladder_tools/callers.py
@@ -14,7 +14,9 @@
 
 from heronladder_tools.profiles import CallerCall
 
-_TRIES = 12
+_TRIES = 150
+_UNKNOWN_TRIES = 8
+_PATIENCE_S = 600.0
 _PAUSE_S = 0.4
 _LONGEST_PAUSE_S = 4.0
 
@@ -95,6 +97,7 @@
         answer: The whole answer, if it came.
         refused: Whether its last sending was refused as not run.
         told_unknown: Whether its last sending was told that its outcome is unknown.
+        unknowns: How many sendings were told so.
         sendings: How often it was sent.
         answered_ids: Request ids of whole answers.
     """
@@ -103,6 +106,7 @@
     answer: CallerReply | None = None
     refused: bool = False
     told_unknown: bool = False
+    unknowns: int = 0
     sendings: int = 0
     answered_ids: list[str] = field(default_factory=list)
 
@@ -134,12 +138,13 @@
         result = CallResult(call)
         self.results.append(result)
         pause_s = _PAUSE_S
-        while result.sendings < _TRIES:
-            result.sendings += 1
-            result.refused = False
-            result.told_unknown = False
+        until_s = self._environment.monotonic() + _PATIENCE_S
+        while result.sendings < _TRIES and self._environment.monotonic() < until_s:
             routers = self._transport.routers()
             if routers:
+                result.sendings += 1
+                result.refused = False
+                result.told_unknown = False
                 router = self._environment.random.choice(routers)
                 if await self._send_once(router, result):
                     return
@@ -163,6 +168,9 @@
             self.refusals.append(refusal)
         result.refused = reply.outcome == "not-run"
         result.told_unknown = reply.outcome == "unknown" or reply.code == "already_ran"
+        result.unknowns += reply.code == "outcome_unknown"
+        if result.unknowns >= _UNKNOWN_TRIES:
+            return True
         return reply.code in ("budget_exhausted", "already_ran")
 
 
