Let witnesses of a cut-off zone stand in it, and carry calls as connections do

Cause: a router in a cut-off zone found no witness, since it asked other zones only; the simulated network lost calls that TCP would have sent again. Change: witnesses are asked in groups, the own zone included, and say whether they hold the bill; simulated calls resend, connect and time out as TCP does.

--- a/packages/heronladder-agent/src/heronladder_agent/gate.py
+++ b/packages/heronladder-agent/src/heronladder_agent/gate.py
@@ -227,10 +227,17 @@
             run.abandoned = True
             run.changed.give()
 
-    def hold(self, settlement: ledger_pb2.Settlement, router: RouterKey) -> None:
-        """Hold a copy of a bill that its router cannot make durable now."""
-        if self._routers.get(router[0]) == router[1]:
+    def hold(self, settlement: ledger_pb2.Settlement, router: RouterKey) -> bool:
+        """Hold a copy of a bill that its router cannot make durable now.
+
+        Returns:
+            False when the router is not known here, so that its leases may be
+            collected without waiting for this agent.
+        """
+        known = self._routers.get(router[0]) == router[1]
+        if known:
             self._records.hold(settlement, router)
+        return known
 
     # ---- runs -------------------------------------------------------------
 
--- a/packages/heronladder-agent/src/heronladder_agent/server.py
+++ b/packages/heronladder-agent/src/heronladder_agent/server.py
@@ -37,8 +37,8 @@
             bill = agent_pb2.HeldBill.FromString(await request.read())
         except DecodeError:
             raise web.HTTPBadRequest(text="the body is not a HeldBill") from None
-        self._gate.hold(bill.settlement, (bill.router, bill.router_incarnation))
-        return web.Response(status=204)
+        held = self._gate.hold(bill.settlement, (bill.router, bill.router_incarnation))
+        return web.Response(status=204 if held else _HEAD_STATUS_REFUSED)
 
     async def _cancel(self, request: web.Request) -> web.Response:
         query = request.query
--- a/packages/heronladder-emulator/src/heronladder_emulator/memory_stubs.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/memory_stubs.py
@@ -90,9 +90,8 @@
 
     async def _receive(self) -> AsyncIterator[Any]:
         network = self._network
-        if not await network.carry(self._source, self._target):
-            await asyncio.sleep(_DEFAULT_TIMEOUT_S)
-            raise NetworkError("no connection")
+        await network.connect(self._source, self._target)
+        await network.carry(self._source, self._target)
         if not network.alive(self._target):
             raise RefusedError(f"{self._target} refused the connection")
         self._up = network.pipe(self._source, self._target)
--- a/packages/heronladder-emulator/src/heronladder_emulator/network.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/network.py
@@ -19,6 +19,8 @@
 
 BREAK_AFTER_S = 5.0  # keep-alive probes give a silent peer up
 _PROBE_S = 1.0
+_RESEND_S = 0.2
+_CONNECT_S = 1.0
 _HELD_PARTS = 64
 _LOCAL_DELAY_S = 0.0001
 
@@ -181,11 +183,36 @@
             base = _LOCAL_DELAY_S
         return base + self.random.random() * self.weather.extra_delay_s
 
-    async def carry(self, source: str, target: str) -> bool:
-        """Take the time of one message; return whether it arrives."""
-        lost = self.random.random() < self.weather.loss
+    async def carry(self, source: str, target: str) -> None:
+        """Take the time of one message on a connection, which sends lost ones again.
+
+        Raises:
+            NetworkError: If the link stays cut for so long that the connection breaks.
+        """
         await asyncio.sleep(self.delay(source, target))
-        return not lost and self.open(source, target)
+        while self.random.random() < self.weather.loss:
+            await asyncio.sleep(_RESEND_S)
+        silent_s = 0.0
+        while not self.open(source, target):
+            await asyncio.sleep(_RESEND_S)
+            silent_s += _RESEND_S
+            if silent_s >= BREAK_AFTER_S:
+                raise NetworkError(f"{source} to {target}: connection timed out")
+
+    async def connect(self, source: str, target: str) -> None:
+        """Take the time of opening a connection; half of all calls find one open.
+
+        Raises:
+            RefusedError: If none could be opened, so that nothing was sent.
+        """
+        if self.random.random() < 0.5:
+            return
+        waited_s = 0.0
+        while not (self.open(source, target) and self.open(target, source)):
+            await asyncio.sleep(_RESEND_S)
+            waited_s += _RESEND_S
+            if waited_s >= _CONNECT_S:
+                raise RefusedError(f"{source} to {target}: no connection")
 
     async def call(
         self,
@@ -221,10 +248,10 @@
         handle: Callable[[Endpoint], Coroutine[Any, Any, Result]],
         may_duplicate: bool,
     ) -> Result:
-        if not await self.carry(source, target):
-            await asyncio.Event().wait()  # until the caller's deadline
+        await self.connect(source, target)
+        await self.carry(source, target)
         if not self.alive(target):
-            await self._carry_back(target, source)
+            await self.carry(target, source)
             raise RefusedError(f"{source} to {target}: connection refused")
         endpoint = self.endpoints[target]
         if may_duplicate and self.random.random() < self.weather.duplicates:
@@ -234,15 +261,15 @@
             result = await self._await_result(source, target, work)
         except asyncio.CancelledError:
             if work.cancelled():
-                await self._carry_back(target, source)
+                await self.carry(target, source)
                 raise NetworkError(f"{source} to {target}: connection reset") from None
             raise
         except NetworkError:
             raise
         except Exception as error:
-            await self._carry_back(target, source)
+            await self.carry(target, source)
             raise NetworkError(f"{source} to {target}: {error!r}") from error
-        await self._carry_back(target, source)
+        await self.carry(target, source)
         return result
 
     async def _await_result(self, source: str, target: str, work: asyncio.Task[Result]) -> Result:
@@ -265,10 +292,6 @@
         except Exception:
             return  # nobody hears of it
 
-    async def _carry_back(self, source: str, target: str) -> None:
-        if not await self.carry(source, target):
-            await asyncio.Event().wait()
-
     # ---- streams ----------------------------------------------------------
 
     def pipe(self, source: str, target: str) -> "Pipe":
--- a/packages/heronladder-router/src/heronladder_router/witnesses.py
+++ b/packages/heronladder-router/src/heronladder_router/witnesses.py
@@ -14,7 +14,6 @@
 from heronladder_router.replicas import Replica, ReplicaDirectory
 
 _COPIES = 2
-_CANDIDATES = 6
 
 
 class Witnesses:
@@ -42,16 +41,23 @@
             router=self._link.record.name,
             router_incarnation=self._link.record.incarnation,
         )
-        candidates = self._candidates(settlement, agent)
         given = 0
-        while candidates and given < _COPIES:
-            chosen = [candidates.pop(0) for _ in range(min(_COPIES - given, len(candidates)))]
+        for group in self._candidate_groups(settlement, agent):
+            wanted = group[: _COPIES - given]
+            if not wanted:
+                return
             held = await asyncio.gather(
-                *(self._channel.hold(replica.spec.agent_address, bill) for replica in chosen)
+                *(self._channel.hold(replica.spec.agent_address, bill) for replica in wanted)
             )
             given += sum(held)
 
-    def _candidates(self, settlement: ledger_pb2.Settlement, agent: str) -> list[Replica]:
+    def _candidate_groups(
+        self, settlement: ledger_pb2.Settlement, agent: str
+    ) -> list[list[Replica]]:
+        """Return agents to ask, a group at a time: other zones, the own one, others again.
+
+        A zone that is cut off can only be helped by its own agents.
+        """
         usable = [
             replica for replica in self._directory.all_usable() if replica.spec.agent != agent
         ]
@@ -59,7 +65,6 @@
             return []
         start = settlement.sequence % len(usable)
         turned = usable[start:] + usable[:start]
-        return sorted(turned, key=self._in_own_zone)[:_CANDIDATES]
-
-    def _in_own_zone(self, replica: Replica) -> bool:
-        return replica.spec.zone == self._zone
+        own = [replica for replica in turned if replica.spec.zone == self._zone]
+        others = [replica for replica in turned if replica.spec.zone != self._zone]
+        return [others[:_COPIES], own[:_COPIES], others[_COPIES:], own[_COPIES:]]
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/channels.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/channels.py
@@ -108,15 +108,14 @@
         """Give an agent a copy of a bill."""
         target = self._network.resolve(address)
 
-        async def handle(endpoint: Endpoint) -> None:
+        async def handle(endpoint: Endpoint) -> bool:
             role: AgentRole = endpoint.servers["agent"]
-            role.gate.hold(bill.settlement, (bill.router, bill.router_incarnation))
+            return role.gate.hold(bill.settlement, (bill.router, bill.router_incarnation))
 
         try:
-            await self._network.call(self._name, target, handle, 1.0)
+            return await self._network.call(self._name, target, handle, 1.0)
         except NetworkError:
             return False
-        return True
 
 
 async def send_chunks(answer: Any, pipe: Pipe) -> None:
