Free a reservation only once its settlement is durable, and refuse before harm

Change: unused tokens return to the lease when the settlement is durable, and count as used whole if another went before; invariants checked before a change refuse the command, others stop the member; a leaving daemon acts no more; what a lost attempt did not use is freed when its agent says so.

--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -311,7 +311,11 @@
             if self.applied_index >= self.commit_index:
                 await self.changed.wait()
                 continue
-            self._apply_committed()
+            try:
+                self._apply_committed()
+            except HeronladderError as error:
+                self.fail(error)
+                return
             self.changed.give()
             if self.applied_index - self.log.base_index >= self.timing.snapshot_entries:
                 async with self._write_lock:
--- a/packages/heronladder-control/src/heronladder_control/ledger.py
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -30,6 +30,13 @@
     return sequence <= lease.watermark or sequence in lease.settled_above
 
 
+def _lost(lease: ledger_pb2.Lease, sequence: int) -> ledger_pb2.LostReservation | None:
+    for lost in lease.lost:
+        if lost.sequence == sequence:
+            return lost
+    return None
+
+
 class Ledger:
     """Accounts and leases of one region.
 
@@ -204,14 +211,15 @@
             return failure(control_pb2.RESULT_CODE_STALE, "the lease is not open")
         account = self.accounts[lease.budget, lease.period]
         if order.number > lease.last_return_number:
-            lease.last_return_number = order.number
             invariant(
                 order.tokens <= outstanding(lease),
                 "return_within_lease",
                 step="give_back",
                 peer=lease.holder,
                 detail=f"returns {order.tokens} of {outstanding(lease)}",
+                refuses=True,
             )
+            lease.last_return_number = order.number
             lease.returned += order.tokens
             account.available += order.tokens
             self._add_leased(lease, -order.tokens)
@@ -265,7 +273,7 @@
         if lease is None:
             return False
         settled = is_settled(lease, settlement.sequence)
-        return settled and settlement.sequence not in lease.lost_sequences
+        return settled and _lost(lease, settlement.sequence) is None
 
     def settle(self, settlement: ledger_pb2.Settlement) -> bool:
         """Bill one reservation, once.
@@ -274,7 +282,10 @@
             False when it had been settled before, or its lease is closed.
         """
         lease = self.leases.get(settlement.lease_id)
-        if lease is None or is_settled(lease, settlement.sequence):
+        if lease is None:
+            return False
+        if is_settled(lease, settlement.sequence):
+            self._correct_lost(lease, settlement)
             return False
         billed = settlement.prompt_tokens + settlement.completion_tokens
         tokens = billed + settlement.withheld_tokens
@@ -284,10 +295,11 @@
             step="settle",
             peer=lease.holder,
             detail=f"{settlement.request_id} takes {tokens} of {outstanding(lease)}",
+            refuses=True,
         )
         self._mark_settled(lease, settlement.sequence)
         if settlement.outcome == ledger_pb2.OUTCOME_UNKNOWN:
-            lease.lost_sequences.append(settlement.sequence)
+            lease.lost.add(sequence=settlement.sequence, withheld=settlement.withheld_tokens)
         account = self.accounts[lease.budget, lease.period]
         lease.billed += billed
         lease.withheld += settlement.withheld_tokens
@@ -301,6 +313,24 @@
             listener(settlement, lease)
         return True
 
+    def _correct_lost(self, lease: ledger_pb2.Lease, settlement: ledger_pb2.Settlement) -> None:
+        """Free what an attempt settled as lost did not use, now that its agent says so."""
+        lost = _lost(lease, settlement.sequence)
+        if lost is None or settlement.outcome == ledger_pb2.OUTCOME_UNKNOWN:
+            return
+        used = settlement.prompt_tokens + settlement.completion_tokens
+        unused = lost.withheld - used
+        if unused <= 0:
+            return
+        account = self.accounts[lease.budget, lease.period]
+        lost.withheld = used
+        lease.withheld -= unused
+        account.withheld -= unused
+        # The holder took the whole reservation for spent, so it goes to the account.
+        lease.returned += unused
+        account.available += unused
+        self.check_conservation(account)
+
     @staticmethod
     def _mark_settled(lease: ledger_pb2.Lease, sequence: int) -> None:
         if sequence != lease.watermark + 1:
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -3,14 +3,15 @@
 from collections.abc import Callable
 
 from heronladder_consensus.state_machine import StateMachine
+from heronladder_runtime.errors import RefusedByInvariantError
 from heronladder_runtime.invariants import invariant
-from heronladder_schema.v1 import control_pb2
+from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.claims import ClaimTable
 from heronladder_control.daemons import DaemonTable
 from heronladder_control.ledger import Ledger
 from heronladder_control.resources import ResourceTable
-from heronladder_control.results import success
+from heronladder_control.results import failure, success
 from heronladder_control.transfers import TransferTable
 
 _AppliedListener = Callable[[control_pb2.Command, control_pb2.CommandResult], None]
@@ -40,7 +41,11 @@
         """Carry out one committed command."""
         order = control_pb2.Command.FromString(command)
         self.applied_index = index
-        result = self._dispatch(index, order)
+        try:
+            result = self._dispatch(index, order)
+        except RefusedByInvariantError as error:
+            # Every member refuses it alike, and nothing was changed.
+            result = failure(control_pb2.RESULT_CODE_INVALID, error.message)
         for listener in self.listeners:
             listener(order, result)
         return result
@@ -136,10 +141,16 @@
                 result.lease_closed.append(position)
             elif self.ledger.billed_before(settlement):
                 result.billed_before.append(position)
-            elif self.ledger.settle(settlement) and settlement.request_id:
+            elif self._settle_one(settlement) and settlement.request_id:
                 self.claims.mark_ran_if(settlement)
         return result
 
+    def _settle_one(self, settlement: ledger_pb2.Settlement) -> bool:
+        try:
+            return self.ledger.settle(settlement)
+        except RefusedByInvariantError:
+            return False  # counted; the others of the batch are settled all the same
+
     def _set_in_force(self, revision: int) -> control_pb2.CommandResult:
         invariant(
             revision <= self.resources.revision,
--- a/packages/heronladder-router/src/heronladder_router/attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt.py
@@ -61,7 +61,9 @@
 
     def settle_lost(self, bookkeeper: Bookkeeper) -> asyncio.Future[Standing]:
         """Settle the attempt as lost: charged, not billed."""
-        return self._settle(bookkeeper, lost_settlement(self.dispatch))
+        self.settled = True
+        # Its agent, if it lives, keeps its own bill: that tells what was really used.
+        return bookkeeper.close(self.reservation, lost_settlement(self.dispatch), "")
 
     def _settle(
         self, bookkeeper: Bookkeeper, settlement: ledger_pb2.Settlement
--- a/packages/heronladder-router/src/heronladder_router/bookkeeping.py
+++ b/packages/heronladder-router/src/heronladder_router/bookkeeping.py
@@ -34,10 +34,23 @@
     def close(
         self, reservation: Reservation, settlement: ledger_pb2.Settlement, agent: str
     ) -> asyncio.Future[Standing]:
-        """Settle a reservation; the future is done once its bill is durable."""
+        """Settle a reservation; the future is done once its bill is durable.
+
+        Unused tokens go back to the lease only then: another settlement of the
+        reservation may have gone before, and taken more.
+        """
         used = settlement.prompt_tokens + settlement.completion_tokens + settlement.withheld_tokens
-        self._leases.settle(reservation, used)
-        return self._settler.settle(settlement, agent)
+        durable = self._settler.settle(settlement, agent)
+        durable.add_done_callback(lambda done: self._release(reservation, used, done))
+        return durable
+
+    def _release(
+        self, reservation: Reservation, used: int, durable: asyncio.Future[Standing]
+    ) -> None:
+        if durable.cancelled():
+            return
+        first = durable.result() is Standing.FIRST
+        self._leases.settle(reservation, used if first else reservation.tokens)
 
     async def settle_durably(self, settlement: ledger_pb2.Settlement, agent: str) -> None:
         """Send a bill of another router's reservation and wait until it is durable."""
--- a/packages/heronladder-router/src/heronladder_router/leases.py
+++ b/packages/heronladder-router/src/heronladder_router/leases.py
@@ -248,6 +248,20 @@
             if earlier is not None:  # a new period began
                 self._tasks.start("return_old", self._give_back(earlier, earlier.available))
         held.granted = max(held.granted, lease.granted)
+        self._reconcile(held, lease)
+
+    @staticmethod
+    def _reconcile(held: HeldLease, lease: ledger_pb2.Lease) -> None:
+        """Take over the ledger's reckoning when nothing is under way on either side.
+
+        Here a reservation that another settlement went before counts as used
+        whole; the ledger knows what it really came to.
+        """
+        quiet = held.reserved == 0 and not held.return_lock.locked()
+        if quiet and lease.watermark == held.last_sequence:
+            # Unused tokens of lost attempts went from the lease to the account.
+            freed = lease.returned - held.returned
+            held.spent = lease.billed + lease.withheld + freed
 
     # ---- giving back ------------------------------------------------------
 
--- a/packages/heronladder-router/src/heronladder_router/limbo.py
+++ b/packages/heronladder-router/src/heronladder_router/limbo.py
@@ -14,10 +14,10 @@
 from heronladder_schema.v1 import agent_pb2, ledger_pb2
 
 from heronladder_router.agent_channel import AgentChannel
+from heronladder_router.bookkeeping import Bookkeeper
 from heronladder_router.errors import ChannelLostError, ChannelNotSentError
 from heronladder_router.leases import LeaseManager, Reservation
 from heronladder_router.replicas import ReplicaDirectory
-from heronladder_router.settler import Settler
 
 _PAUSE_S = 1.0
 _LONGEST_PAUSE_S = 30.0
@@ -48,8 +48,8 @@
     Args:
         channel: Reaches agents.
         directory: Knows the agents' incarnations.
-        leases: Gets unused tokens back.
-        settler: Sends bills.
+        leases: The router's leases.
+        bookkeeper: Closes reservations.
         environment: Time and randomness.
         log: Where events are reported.
     """
@@ -59,14 +59,14 @@
         channel: AgentChannel,
         directory: ReplicaDirectory,
         leases: LeaseManager,
-        settler: Settler,
+        bookkeeper: Bookkeeper,
         environment: Environment,
         log: EventLog,
     ) -> None:
         self._channel = channel
         self._directory = directory
         self._leases = leases
-        self._settler = settler
+        self._bookkeeper = bookkeeper
         self._environment = environment
         self._log = log
         self._tasks = TaskGroupOwner(log)
@@ -100,9 +100,7 @@
             # The agent billed it; how much is not known here any more.
             self._leases.settle(attempt.reservation, attempt.reservation.tokens)
             return
-        used = settlement.prompt_tokens + settlement.completion_tokens + settlement.withheld_tokens
-        self._leases.settle(attempt.reservation, used)
-        self._settler.settle(settlement, attempt.agent)
+        self._bookkeeper.close(attempt.reservation, settlement, attempt.agent)
 
     async def _ask(self, attempt: UnresolvedAttempt) -> ledger_pb2.Settlement | None:
         dispatch = attempt.dispatch
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -110,8 +110,9 @@
             options.region, configuration, environment, options.request_timeout_s, self.ready
         )
         self.claims = ClaimClient(self.link, environment)
+        self.bookkeeper = self._make_bookkeeper()
         self.limbo = Limbo(
-            channel, self.directory, self.leases, self.settler, environment, self.log
+            channel, self.directory, self.leases, self.bookkeeper, environment, self.log
         )
         self.forwarder = self._make_forwarder()
 
@@ -131,7 +132,7 @@
             admission=AdmissionQueue(self.environment),
             leases=self.leases,
             settler=self.settler,
-            bookkeeper=self._make_bookkeeper(),
+            bookkeeper=self.bookkeeper,
             claims=self.claims,
             limbo=self.limbo,
             environment=self.environment,
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -116,6 +116,7 @@
     async def stop(self) -> None:
         """Say that the daemon leaves, then close the stream."""
         self._leaving = True
+        self._fresh_until = 0.0  # control counts on a leaving daemon no more
         session = self._session
         if session is not None:
             session.wake.set()
@@ -290,6 +291,8 @@
         sent = session.heartbeat_times.pop(frame.heartbeat_ack, None)
         if sent is None:
             return
+        if self._leaving:
+            return
         until = sent + frame.freshness_ms / MILLISECONDS_PER_SECOND
         self._fresh_until = max(self._fresh_until, until)
         self._became_fresh.set()
--- a/packages/heronladder-runtime/src/heronladder_runtime/errors.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/errors.py
@@ -48,7 +48,11 @@
 
 
 class InvariantViolationError(HeronladderError):
-    """A promise of the product would be broken; the step was refused."""
+    """A promise of the product would be broken, or is."""
+
+
+class RefusedByInvariantError(InvariantViolationError):
+    """A promise would be broken; the step was refused before it changed anything."""
 
 
 #: What a call through a generated stub may raise when the peer fails.
--- a/packages/heronladder-tools/src/heronladder_tools/callers.py
+++ b/packages/heronladder-tools/src/heronladder_tools/callers.py
@@ -118,6 +118,7 @@
         transport: How routers are reached.
         environment: Time and randomness.
         judge_refusal: Says whether a refusal of this moment is a false one.
+        patience_s: Time after which a call is given up, in seconds.
     """
 
     def __init__(
@@ -125,10 +126,12 @@
         transport: CallerTransport,
         environment: Environment,
         judge_refusal: Callable[[Refusal], bool],
+        patience_s: float = _PATIENCE_S,
     ) -> None:
         self._transport = transport
         self._environment = environment
         self._judge_refusal = judge_refusal
+        self._patience_s = patience_s
         self.timing = Timing()
         self.results: list[CallResult] = []
         self.refusals: list[Refusal] = []
@@ -138,7 +141,7 @@
         result = CallResult(call)
         self.results.append(result)
         pause_s = _PAUSE_S
-        until_s = self._environment.monotonic() + _PATIENCE_S
+        until_s = self._environment.monotonic() + self._patience_s
         while result.sendings < _TRIES and self._environment.monotonic() < until_s:
             routers = self._transport.routers()
             if routers:
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -79,7 +79,7 @@
 ) -> None:
     """Run the whole fleet in virtual time under failures; the seed decides everything."""
     options = SimulationOptions(
-        profile_of(profile), seed, seconds, rate, fault_names(faults), budget, log
+        profile_of(profile), seed, seconds, rate, fault_names(faults), budget, log=log
     )
     result = run_simulation(options)
     print(simulation_text(options, result))
