Add the operators' command line, replay, and tests over real sockets

Change: get, apply, delete, watch, status, members and replay; results of settlements say when a reservation had been settled as lost; a lease is reconciled only when no return is under way; tests with the openai client.

--- a/packages/heronladder-control/src/heronladder_control/ledger.py
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable, Iterator
+from enum import Enum
 
 from heronladder_runtime.invariants import invariant
 from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
@@ -30,6 +31,15 @@
     return sequence <= lease.watermark or sequence in lease.settled_above
 
 
+class Standing(Enum):
+    """How a settlement stands to an earlier one of its reservation."""
+
+    FIRST = "first"
+    BILLED_BEFORE = "billed before"
+    LOST_BEFORE = "lost before"
+    LEASE_CLOSED = "lease closed"
+
+
 def _lost(lease: ledger_pb2.Lease, sequence: int) -> ledger_pb2.LostReservation | None:
     for lost in lease.lost:
         if lost.sequence == sequence:
@@ -267,13 +277,15 @@
 
     # ---- settlements ------------------------------------------------------
 
-    def billed_before(self, settlement: ledger_pb2.Settlement) -> bool:
-        """Whether a reservation was billed already, and not merely settled as lost."""
+    def standing(self, settlement: ledger_pb2.Settlement) -> Standing:
+        """Return how a settlement stands to what its reservation came to before."""
         lease = self.leases.get(settlement.lease_id)
         if lease is None:
-            return False
-        settled = is_settled(lease, settlement.sequence)
-        return settled and _lost(lease, settlement.sequence) is None
+            return Standing.LEASE_CLOSED
+        if not is_settled(lease, settlement.sequence):
+            return Standing.FIRST
+        lost = _lost(lease, settlement.sequence) is not None
+        return Standing.LOST_BEFORE if lost else Standing.BILLED_BEFORE
 
     def settle(self, settlement: ledger_pb2.Settlement) -> bool:
         """Bill one reservation, once.
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -9,7 +9,7 @@
 
 from heronladder_control.claims import ClaimTable
 from heronladder_control.daemons import DaemonTable
-from heronladder_control.ledger import Ledger
+from heronladder_control.ledger import Ledger, Standing
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
 from heronladder_control.transfers import TransferTable
@@ -137,11 +137,14 @@
     def _settle(self, order: control_pb2.Settle) -> control_pb2.CommandResult:
         result = success()
         for position, settlement in enumerate(order.settlements):
-            if settlement.lease_id not in self.ledger.leases:
+            standing = self.ledger.standing(settlement)
+            if standing is Standing.LEASE_CLOSED:
                 result.lease_closed.append(position)
-            elif self.ledger.billed_before(settlement):
+            elif standing is Standing.BILLED_BEFORE:
                 result.billed_before.append(position)
-            elif self._settle_one(settlement) and settlement.request_id:
+            elif standing is Standing.LOST_BEFORE:
+                result.lost_before.append(position)
+            if self._settle_one(settlement) and settlement.request_id:
                 self.claims.mark_ran_if(settlement)
         return result
 
--- a/packages/heronladder-router/src/heronladder_router/leases.py
+++ b/packages/heronladder-router/src/heronladder_router/leases.py
@@ -257,7 +257,8 @@
         Here a reservation that another settlement went before counts as used
         whole; the ledger knows what it really came to.
         """
-        quiet = held.reserved == 0 and not held.return_lock.locked()
+        returned_all = lease.last_return_number == held.last_return_number
+        quiet = held.reserved == 0 and returned_all
         if quiet and lease.watermark == held.last_sequence:
             # Unused tokens of lost attempts went from the lease to the account.
             freed = lease.returned - held.returned
--- a/packages/heronladder-router/src/heronladder_router/settler.py
+++ b/packages/heronladder-router/src/heronladder_router/settler.py
@@ -20,12 +20,15 @@
 
     FIRST = "first"
     BILLED_BEFORE = "billed before"
+    LOST_BEFORE = "lost before"
     LEASE_CLOSED = "lease closed"
 
 
 def _standing(result: control_pb2.CommandResult, position: int) -> Standing:
     if position in result.billed_before:
         return Standing.BILLED_BEFORE
+    if position in result.lost_before:
+        return Standing.LOST_BEFORE
     return Standing.LEASE_CLOSED if position in result.lease_closed else Standing.FIRST
 
 
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -5,10 +5,14 @@
 from typing import Annotated
 
 import typer
+from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.logs import configure_logging
 
 from heronladder_tools import demo as demo_module
+from heronladder_tools import operator_commands
 from heronladder_tools.profiles import PROFILES, Profile
+from heronladder_tools.replay import bill_text, summary_text
+from heronladder_tools.replay import replay as replay_folder
 from heronladder_tools.simulation.faults import FAULTS
 from heronladder_tools.simulation.run import SimulationOptions, SimulationResult
 from heronladder_tools.simulation.run import simulate as run_simulation
@@ -111,6 +115,36 @@
     return head + "\n" + demo_module.report_text(result.verdict, result.timing)
 
 
+@application.command()
+def replay(
+    folder: Annotated[Path, typer.Argument(help="data folder of a control member")],
+    until: Annotated[int, typer.Option(min=0, help="last revision to apply; 0: all")] = 0,
+    tenant: Annotated[str, typer.Option(help="print this tenant's bill, line by line")] = "",
+    request: Annotated[str, typer.Option(help="explain this request id")] = "",
+) -> None:
+    """Rebuild a control member's state offline, check it, and explain bills."""
+    inner = folder / "control"
+    try:
+        replayed = replay_folder(inner if inner.is_dir() else folder, until, request)
+    except HeronladderError as error:
+        typer.echo(str(error), err=True)
+        raise typer.Exit(1) from error
+    if tenant:
+        typer.echo(bill_text(replayed, tenant))
+    elif request:
+        typer.echo("\n".join(replayed.story) or f"nothing of {request} in the log")
+    else:
+        typer.echo(summary_text(replayed))
+
+
+application.command()(operator_commands.get)
+application.command()(operator_commands.apply)
+application.command()(operator_commands.delete)
+application.command()(operator_commands.watch)
+application.command()(operator_commands.status)
+application.add_typer(operator_commands.members_application, name="members")
+
+
 def main() -> None:
     """Run the command line."""
     application()
--- /dev/null
+++ b/tests/test_http.py
@@ -0,0 +1,193 @@
+"""The whole path over loopback sockets: callers, operators, planned stops, replay."""
+
+import asyncio
+import io
+import json
+import logging
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+import openai
+from heronladder_emulator.engine import EngineFaults, whole_answer
+from heronladder_runtime.invariants import BOOK
+from heronladder_tools.demo_fleet import OPERATOR_TOKEN, DemoFleet
+from heronladder_tools.operator_client import ApiError, OperatorClient
+from heronladder_tools.profiles import PROFILES, tenant_key
+from heronladder_tools.replay import bill_text, replay
+from test_resources import _policy
+
+PROFILE = PROFILES["comedores"]
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        logging.getLogger("heronladder").setLevel(logging.CRITICAL)
+        asyncio.get_running_loop().set_debug(False)
+        BOOK.clear()
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.fleet = DemoFleet(PROFILE, self.folder, 100_000)
+        await self.fleet.start()
+        self.addAsyncCleanup(self.fleet.stop)
+        self.router = next(iter(self.fleet.router_addresses.values()))
+        self.operator = OperatorClient(self.fleet.api_addresses, OPERATOR_TOKEN)
+
+    async def asyncTearDown(self) -> None:
+        self.assertEqual(BOOK.messages, [])
+
+    def _openai(self, key: str = "") -> openai.AsyncOpenAI:
+        client = openai.AsyncOpenAI(
+            base_url=f"http://{self.router}/v1",
+            api_key=key or tenant_key(PROFILE, 0),
+            max_retries=0,
+        )
+        self.addAsyncCleanup(client.close)
+        return client
+
+    async def _post(
+        self, path: str, body: object, key: str = "", **headers: str
+    ) -> tuple[aiohttp.ClientResponse, bytes]:
+        sent = {"Authorization": f"Bearer {key or tenant_key(PROFILE, 0)}", **headers}
+        data = io.BytesIO(json.dumps(body).encode())
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(f"http://{self.router}{path}", data=data, headers=sent) as answer,
+        ):
+            return answer, await answer.read()
+
+    async def test_the_openai_client_works_unmodified(self) -> None:
+        client = self._openai()
+        models = await client.models.list()
+        self.assertEqual([model.id for model in models.data], ["menu-1"])
+        messages = [{"role": "user", "content": "Which dishes have nuts?"}]
+        expected = whole_answer(b"user: Which dishes have nuts?", 20)
+        whole = await client.chat.completions.create(
+            model="menu-1", messages=messages, max_tokens=20
+        )
+        self.assertEqual(whole.choices[0].message.content, expected)
+        assert whole.usage is not None
+        stream = await client.chat.completions.create(
+            model="menu-1",
+            messages=messages,
+            max_tokens=20,
+            stream=True,
+            stream_options={"include_usage": True},
+        )
+        text, usage = "", None
+        async for chunk in stream:
+            text += "".join(choice.delta.content or "" for choice in chunk.choices)
+            usage = chunk.usage or usage
+        self.assertEqual(text, expected)
+        assert usage is not None
+        self.assertEqual(usage.completion_tokens, whole.usage.completion_tokens)
+        plain = await client.completions.create(model="menu-1", prompt="Soup", max_tokens=9)
+        self.assertEqual(plain.choices[0].text, whole_answer(b"Soup", 9))
+        with self.assertRaises(openai.AuthenticationError):
+            await self._openai("wrong").models.list()
+        with self.assertRaises(openai.NotFoundError) as missing:
+            await client.completions.create(model="none", prompt="Soup", max_tokens=9)
+        self.assertEqual(missing.exception.code, "model_not_found")
+        with self.assertRaises(openai.RateLimitError) as refused:
+            await client.completions.create(model="menu-1", prompt="x", max_tokens=200_000)
+        self.assertEqual(refused.exception.code, "budget_exhausted")
+        self.assertEqual(refused.exception.response.headers["Heronladder-Outcome"], "not-run")
+
+    async def test_orders_run_once_and_errors_say_what_happened(self) -> None:
+        path = "/services/pre-orders/orders"
+        key = {"Idempotency-Key": "order-1"}
+        first, body = await self._post(path, {"order_id": "o1"}, **key)
+        again, same_body = await self._post(path, {"order_id": "o1"}, **key)
+        self.assertEqual((first.status, again.status, body), (200, 200, same_body))
+        self.assertEqual(self.fleet.books.executions["o1"], 1)
+        self.assertEqual(first.headers["Heronladder-Outcome"], "ran")
+        other, _ = await self._post(path, {"order_id": "o2"}, **key)
+        self.assertEqual(other.status, 422)
+        async with aiohttp.ClientSession() as session:
+            url = f"http://{self.router}/v1/outcomes/order-1"
+            headers = {"Authorization": f"Bearer {tenant_key(PROFILE, 0)}"}
+            async with session.get(url, headers=headers) as answer:
+                self.assertEqual((await answer.json())["outcome"], "ran")
+        unknown, body = await self._post("/services/none/x", {})
+        self.assertEqual(unknown.status, 404)
+        self.assertEqual(json.loads(body)["error"]["code"], "model_not_found")
+        large, body = await self._post(path, {"order_id": "x" * 5_000_000})
+        self.assertEqual((large.status, json.loads(body)["error"]["code"]), (413, "body_too_large"))
+
+    async def test_a_caller_that_disconnects_stops_the_engine(self) -> None:
+        for engine in self.fleet.engines.values():
+            engine.set_faults(EngineFaults(slow_factor=20.0))
+        async with aiohttp.ClientSession() as session:
+            body = {"model": "menu-1", "prompt": "a" * 31, "max_tokens": 64, "stream": True}
+            headers = {"Authorization": f"Bearer {tenant_key(PROFILE, 0)}"}
+            url = f"http://{self.router}/v1/completions"
+            async with session.post(url, json=body, headers=headers) as answer:
+                await answer.content.readline()
+        running = 1
+        for _ in range(200):
+            running = sum(len(engine._running) for engine in self.fleet.engines.values())
+            if not running:
+                break
+            await asyncio.sleep(0.05)
+        self.assertEqual(running, 0)
+        (run,) = next(iter(self.fleet.books.engine_runs.values()))
+        self.assertFalse(run.finished)
+
+    async def test_operators_declare_race_watch_and_see_status(self) -> None:
+        found = await self.operator.get("tenant", "tenant-0")
+        assert found is not None
+        self.assertTrue(found["status"]["inForce"])
+        created = await self.operator.put(_policy("p"), 0, 20.0)
+        self.assertTrue(created["status"]["inForce"])
+        with self.assertRaises(ApiError) as raced:
+            await self.operator.put(_policy("p", "power_of_two"), 0, 0)
+        self.assertEqual(raced.exception.status, 409)
+        self.assertEqual(raced.exception.document["currentVersion"], 1)
+        stranger = OperatorClient(self.fleet.api_addresses, tenant_key(PROFILE, 0))
+        with self.assertRaises(ApiError) as closed:
+            await stranger.list("tenant")
+        self.assertEqual(closed.exception.status, 401)
+        with self.assertRaises(ApiError) as referred:
+            await self.operator.call("DELETE", "/v1/Budget/budget-0")
+        self.assertEqual(referred.exception.status, 409)
+        document = await self.operator.call("GET", "/v1/status")
+        self.assertEqual(document["heldUpBy"], [])
+        self.assertEqual(len(document["daemons"]), 15)
+        seen = []
+        async for event in self.operator.watch(0, "RoutingPolicy"):
+            if event["type"] == "bookmark":
+                break
+            seen.append(event["resource"]["metadata"]["name"])
+        self.assertEqual(seen, ["default", "p"])
+
+    async def test_a_planned_stop_cuts_nothing_and_gives_leases_back(self) -> None:
+        body = {"model": "menu-1", "prompt": "a" * 31, "max_tokens": 64, "stream": True}
+        call = asyncio.ensure_future(self._post("/v1/completions", body))
+        await asyncio.sleep(0.05)
+        name = next(iter(self.fleet.routers))
+        daemon = self.fleet.routers.pop(name)
+        await daemon.stop()
+        _, answer = await call
+        self.assertTrue(answer.endswith(b"data: [DONE]\n\n"))
+        leader = self.fleet.leader()
+        assert leader is not None and leader.control is not None
+        account = leader.control.state.ledger.account("budget-0")
+        assert account is not None
+        self.assertEqual(account.available + account.billed, account.allotted)
+        self.assertGreater(account.billed, 0)
+
+    async def test_replay_explains_a_bill_from_the_data_folder(self) -> None:
+        answer, _ = await self._post(
+            "/services/pre-orders/orders", {"order_id": "o1"}, **{"Idempotency-Key": "k"}
+        )
+        request_id = answer.headers["Heronladder-Request-Id"]
+        leader = self.fleet.leader()
+        assert leader is not None
+        name = leader.settings.common.name
+        replayed = replay(self.folder / name / "control", request_id=request_id)
+        self.assertIn(request_id, bill_text(replayed, "tenant-0"))
+        story = "\n".join(replayed.story)
+        self.assertIn("claimed under key k", story)
+        self.assertIn("outcome ran", story)
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -115,6 +115,7 @@
         )
         result = self.driver.apply(settle=control_pb2.Settle(settlements=[lost, lost]))
         self.assertEqual(list(result.billed_before), [])
+        self.assertEqual(list(result.lost_before), [1])
         for _ in range(2):
             self.driver.settle(lease.lease_id, 1, 90)
         account = self.driver.account()
