Collect a lost router's bills even when its leases are empty

Change: every agent is asked before a lost router's leases are closed. Measured: the new test fails on the old code (0 bills) and passes (1 bill). Conclusion: closing waits for agents, never for token counts.

--- a/packages/heronladder-control/src/heronladder_control/daemons.py
+++ b/packages/heronladder-control/src/heronladder_control/daemons.py
@@ -72,16 +72,16 @@
         """Fence a router's leases and begin to collect what agents ran under them."""
         if record.role != ROLE_ROUTER:
             return
-        remaining = self._ledger.fence(record.name, record.incarnation)
+        self._ledger.fence(record.name, record.incarnation)
         collection = ledger_pb2.Collection(
             router=record.name,
             router_incarnation=record.incarnation,
             router_revision=record.revision,
         )
-        if remaining:
-            collection.awaited_agents.extend(
-                name for name in sorted(self.daemons) if self.daemons[name].role == ROLE_AGENT
-            )
+        # Also when no tokens are left: an agent may still hold bills of the router.
+        collection.awaited_agents.extend(
+            name for name in sorted(self.daemons) if self.daemons[name].role == ROLE_AGENT
+        )
         self.collections[record.name, record.incarnation] = collection
         self._close_if_collected(collection)
 
--- a/packages/heronladder-control/src/heronladder_control/ledger.py
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -244,14 +244,11 @@
         """Return the leases of one incarnation of a holder that are not closed."""
         return list(self._by_holder.get((holder, incarnation), {}).values())
 
-    def fence(self, holder: str, incarnation: str) -> int:
-        """Fence all leases of a holder that is gone; return the tokens still in them."""
-        total = 0
+    def fence(self, holder: str, incarnation: str) -> None:
+        """Fence all leases of a holder that is gone."""
         for lease in self.leases_of(holder, incarnation):
             lease.state = ledger_pb2.LEASE_STATE_FENCED
             self._open.get((lease.budget, lease.period), {}).pop((holder, incarnation), None)
-            total += outstanding(lease)
-        return total
 
     def close(self, holder: str, incarnation: str, *, records_lost: bool) -> None:
         """Close a holder's fenced leases: what is left is free again.
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -145,6 +145,13 @@
         self.assertEqual(self.driver.account().available, BUDGET_TOKENS - 150)
         self.assertEqual(self.driver.account().billed, 150)
 
+    def test_bills_without_tokens_are_collected_too(self) -> None:
+        lease = self.driver.grant("router", "i1", 1, 0, minimum=0).lease
+        self.driver.register("router", "router", "i2")
+        self._collect("agent-1", "a1")
+        self.driver.settle(lease.lease_id, 1, 0)  # an order that costs no tokens
+        self.assertEqual(self.driver.account().bills, 1)
+
     def test_a_router_lost_twice_in_a_row_is_collected_twice(self) -> None:
         first = self.driver.grant("router", "i1", 1, 1000).lease
         self.driver.register("router", "router", "i2")
