Measure state, log, data path and scale; apply budgets in constant time

Cause: no slope was known. Change: heronladder bench, scale-members and scale; periods are kept by budget. Conclusion: the cost of declaring a budget does not grow with their number.

--- a/packages/heronladder-control/src/heronladder_control/ledger.py
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -61,7 +61,8 @@
         self.bills: dict[tuple[str, str, int], ledger_pb2.TenantBill] = {}
         self.last_lease_id = 0
         self.settled_listeners: list[SettledListener] = []
-        self._periods: dict[str, int] = {}
+        self._periods: dict[str, int] = {}  # current one of each budget
+        self._all_periods: dict[str, list[int]] = {}
         self._leased: dict[AccountKey, int] = {}
         self._open: dict[tuple[str, int], dict[tuple[str, str], ledger_pb2.Lease]] = {}
         self._by_holder: dict[tuple[str, str], dict[int, ledger_pb2.Lease]] = {}
@@ -80,6 +81,7 @@
             account = ledger_pb2.Account(budget=budget, region=self.region, period=period)
             self.accounts[budget, period] = account
             self._leased[budget, period] = 0
+            self._all_periods.setdefault(budget, []).append(period)
         if period >= self._periods.get(budget, 0):
             self._periods[budget] = period
         return account
@@ -110,15 +112,17 @@
         self._forget_settled_periods(name)
 
     def _forget_settled_periods(self, budget: str) -> None:
+        """Drop accounts of periods before the last one, once nothing is leased in them."""
         current = self._periods[budget]
-        old = [
-            key
-            for key in self.accounts
-            if key[0] == budget and key[1] < current - 1 and not self._leased[key]
-        ]
-        for key in old:
-            del self.accounts[key]
-            del self._leased[key]
+        kept = []
+        for period in self._all_periods[budget]:
+            key = (budget, period)
+            if period < current - 1 and not self._leased[key]:
+                del self.accounts[key]
+                del self._leased[key]
+            else:
+                kept.append(period)
+        self._all_periods[budget] = kept
 
     def check_conservation(self, account: ledger_pb2.Account) -> None:
         """Assert that no token of an account came from nowhere or was lost."""
@@ -388,6 +392,7 @@
             key = (account.budget, account.period)
             self.accounts[key] = account
             self._leased[key] = 0
+            self._all_periods.setdefault(account.budget, []).append(account.period)
             self._periods[account.budget] = max(
                 account.period, self._periods.get(account.budget, 0)
             )
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -10,9 +10,12 @@
 
 from heronladder_tools import demo as demo_module
 from heronladder_tools import operator_commands
+from heronladder_tools.bench import bench_log, bench_path, bench_state
 from heronladder_tools.profiles import PROFILES, Profile
 from heronladder_tools.replay import bill_text, summary_text
 from heronladder_tools.replay import replay as replay_folder
+from heronladder_tools.scale import ScaleOptions, run_scale, scale_text
+from heronladder_tools.scale_members import run_members
 from heronladder_tools.simulation.faults import FAULTS
 from heronladder_tools.simulation.run import SimulationOptions, SimulationResult
 from heronladder_tools.simulation.run import simulate as run_simulation
@@ -137,6 +140,47 @@
         typer.echo(summary_text(replayed))
 
 
+@application.command("scale-members")
+def scale_members_command(
+    folder: Path,
+    members: Annotated[int, typer.Option(min=1, max=7)] = 3,
+    seconds: Annotated[float, typer.Option(min=1, max=7200)] = 600.0,
+) -> None:
+    """Run control members for 'heronladder scale', in this process."""
+    configure_logging("error")
+    asyncio.run(run_members(folder, members, seconds))
+
+
+@application.command()
+def scale(
+    folder: Annotated[Path, typer.Argument(help="folder given to scale-members")],
+    daemons: Annotated[str, typer.Option(help="numbers of hollow daemons")] = "50,100,200,400",
+    rate: Annotated[float, typer.Option(help="requests a second a router; 0: agents")] = 0.0,
+    seconds: Annotated[float, typer.Option(min=1, max=600)] = 10.0,
+) -> None:
+    """Measure the control plane's slopes with hollow daemons in this process."""
+    configure_logging("error")
+    steps = tuple(int(step) for step in daemons.split(","))
+    options = ScaleOptions(folder, steps, rate, seconds)
+    print(scale_text(asyncio.run(run_scale(options))))
+
+
+@application.command()
+def bench(
+    what: Annotated[str, typer.Argument(help="log, state, path or all")] = "all",
+    seconds: Annotated[float, typer.Option(min=1, max=600)] = 9.0,
+) -> None:
+    """Measure throughput and latency on this machine; speeds are no part of the tests."""
+    configure_logging("error")
+    if what in ("log", "all"):
+        print(asyncio.run(bench_log(seconds)))
+    if what in ("state", "all"):
+        print(bench_state(47_000, 960))
+    if what in ("path", "all"):
+        for streams in (1, 32, 256):
+            print(asyncio.run(bench_path(streams, seconds)))
+
+
 application.command()(operator_commands.get)
 application.command()(operator_commands.apply)
 application.command()(operator_commands.delete)
