--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -68,13 +68,18 @@
                     if reply.term > node.term:
                         await node.enter_term(reply.term)
                 return False
-            if reply.granted and reply.incarnation == member.incarnation:
+            if self._counts(member, reply):
                 granted += 1
         unchanged = node.term == term and not node.is_leader and node.failure is None
         if not pre_vote:
             unchanged = unchanged and node.hard_state.voted_for == node.name
         return unchanged and granted >= node.quorum()
 
+    @staticmethod
+    def _counts(member: consensus_pb2.Member, reply: consensus_pb2.VoteReply) -> bool:
+        """Whether a vote counts: it is from the data folder that the group knows."""
+        return reply.granted and reply.incarnation == member.incarnation
+
     async def _ask(
         self, member: consensus_pb2.Member, request: consensus_pb2.VoteRequest
     ) -> consensus_pb2.VoteReply | None:
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -9,9 +9,8 @@
 from heronladder_runtime.logs import configure_logging
 
 from heronladder_tools import demo as demo_module
-from heronladder_tools import operator_commands
+from heronladder_tools import operator_commands, toolbox_commands
 from heronladder_tools.bench import bench_log, bench_path, bench_state
-from heronladder_tools.profiles import PROFILES, Profile
 from heronladder_tools.replay import bill_text, summary_text
 from heronladder_tools.replay import replay as replay_folder
 from heronladder_tools.scale import ScaleOptions, run_scale, scale_text
@@ -19,6 +18,7 @@
 from heronladder_tools.simulation.faults import FAULTS
 from heronladder_tools.simulation.run import SimulationOptions, SimulationResult
 from heronladder_tools.simulation.run import simulate as run_simulation
+from heronladder_tools.toolbox_commands import ProfileOption, profile_of
 
 application = typer.Typer(
     no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, help=__doc__
@@ -30,20 +30,6 @@
     """Operate, check, plan, prove and measure heronladder."""
 
 
-def profile_of(name: str) -> Profile:
-    """Return a profile by name.
-
-    Raises:
-        typer.BadParameter: If there is none; names those there are.
-    """
-    if name not in PROFILES:
-        raise typer.BadParameter(f"--profile {name}: choose one of {', '.join(PROFILES)}")
-    return PROFILES[name]
-
-
-ProfileOption = Annotated[str, typer.Option(help="whose fleet: comedores or tidewater")]
-
-
 @application.command()
 def demo(
     profile: ProfileOption = "comedores",
@@ -187,6 +173,16 @@
 application.command()(operator_commands.watch)
 application.command()(operator_commands.status)
 application.add_typer(operator_commands.members_application, name="members")
+for _command in (
+    toolbox_commands.check,
+    toolbox_commands.plan,
+    toolbox_commands.burn,
+    toolbox_commands.load,
+    toolbox_commands.emulate,
+    toolbox_commands.soak,
+):
+    application.command()(_command)
+application.add_typer(toolbox_commands.experiment_application, name="experiment")
 
 
 def main() -> None:
--- a/packages/heronladder-tools/src/heronladder_tools/profiles.py
+++ b/packages/heronladder-tools/src/heronladder_tools/profiles.py
@@ -152,11 +152,13 @@
     Args:
         profile: Whose.
         source: Source of random choices.
+        prompt_scale: How many times as long the shared part of prompts is.
     """
 
-    def __init__(self, profile: Profile, source: random.Random) -> None:
+    def __init__(self, profile: Profile, source: random.Random, prompt_scale: int = 1) -> None:
         self._profile = profile
         self._random = source
+        self._prompt_scale = prompt_scale
         self._number = 0
 
     def next_call(self) -> CallerCall:
@@ -176,7 +178,8 @@
             return self._call(kind, tenant, path, body, key, b"", order_id)
         school = self._random.randrange(12)
         filler = _PROMPT_FILLER * (2 + school % 3)
-        content = f"{kind.instruction}{filler}Place {school}. Case {self._number}."
+        shared = f"{kind.instruction}Place {school}. {filler * self._prompt_scale}"
+        content = f"{shared}Case {self._number}."
         document = {
             "model": profile.model,
             "messages": [{"role": "user", "content": content}],
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
@@ -60,10 +60,12 @@
     Args:
         profile: The user whose fleet it is.
         source: Source of all random choices.
+        cache_blocks: Blocks of each engine's prefix cache.
     """
 
-    def __init__(self, profile: Profile, source: random.Random) -> None:
+    def __init__(self, profile: Profile, source: random.Random, cache_blocks: int = 4_096) -> None:
         self.profile = profile
+        self._cache_blocks = cache_blocks
         self.environment = Environment(source, virtual=True)
         self.network = MemoryNetwork(source, Weather(zone_delay_s=profile.zone_delay_s))
         self.books = Books()
@@ -123,7 +125,9 @@
 
     def _start_backend(self, place: BackendPlace) -> None:
         if place.service == self.profile.model_service:
-            options = EngineOptions(place.name, step_s=_ENGINE_STEP_S)
+            options = EngineOptions(
+                place.name, step_s=_ENGINE_STEP_S, cache_blocks=self._cache_blocks
+            )
             engine = EmulatedEngine(options, self.books, self.environment)
             engine.start()
             self.engines[place.name] = engine
