Find the newest membership without walking the log

Cause: the leader looked through the whole log for its membership at each commit; control members used over 100% of a core for 500 settlements a second. Change: entries that change members are kept aside; followers learn of commits with the next entries; a link counts its bytes; a disk is only replaced in the simulation while all members count. Conclusion: cost of a commit no longer grows with the log.

--- a/packages/heronladder-consensus/src/heronladder_consensus/log.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/log.py
@@ -22,6 +22,8 @@
         self._member = member
         self._base = meta
         self._entries = entries
+        # Entries that change members, in order; the log is long and they are few.
+        self._changes = [entry for entry in entries if entry.HasField("membership")]
         self.synced_index = meta.index + len(entries)
 
     @property
@@ -79,6 +81,8 @@
             detail=f"entry {entry.index} after {self.last_index}",
         )
         self._entries.append(entry)
+        if entry.HasField("membership"):
+            self._changes.append(entry)
 
     def truncate_from(self, index: int, commit_index: int) -> None:
         """Drop all entries from ``index`` on; committed ones must not be among them."""
@@ -90,17 +94,20 @@
             detail=f"truncation from {index}, committed up to {commit_index}",
         )
         del self._entries[index - self._base.index - 1 :]
+        self._changes = [entry for entry in self._changes if entry.index < index]
         self.synced_index = min(self.synced_index, index - 1)
 
     def compact(self, meta: consensus_pb2.SnapshotMeta) -> None:
         """Drop the entries up to ``meta.index``, which a snapshot covers."""
         del self._entries[: meta.index - self._base.index]
+        self._changes = [entry for entry in self._changes if entry.index > meta.index]
         self._base = meta
 
     def reset(self, meta: consensus_pb2.SnapshotMeta) -> None:
         """Begin anew after a snapshot from the leader."""
         self._base = meta
         self._entries = []
+        self._changes = []
         self.synced_index = meta.index
 
     def membership(self, up_to: int | None = None) -> consensus_pb2.Membership:
@@ -110,7 +117,7 @@
             up_to: Look only at entries up to this index.
         """
         last = self.last_index if up_to is None else up_to
-        for entry in reversed(self._entries[: last - self._base.index]):
-            if entry.HasField("membership"):
+        for entry in reversed(self._changes):
+            if entry.index <= last:
                 return entry.membership
         return self._base.membership
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -212,9 +212,9 @@
         matches.sort(reverse=True)
         index = matches[node.quorum() - 1]
         if index > node.commit_index and node.log.term_at(index) == node.term:
+            # Followers learn with the next entries or heartbeat: all reads and
+            # watches are served by the leader.
             node.set_commit_index(index)
-            # Followers learn at once, so that their readers need not wait.
-            node.appended.give()
 
     # ---- facts about peers ------------------------------------------------
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -93,6 +93,8 @@
         self.record = record
         self.configuration = ConfigurationStore(record.name)
         self.rejected: SessionRejectedError | None = None
+        self.bytes_sent = 0  # messages without the transport's headers
+        self.bytes_received = 0
         self._addresses = addresses
         self._stubs = stubs
         self._heartbeat_interval_s = heartbeat_interval_s
@@ -206,6 +208,7 @@
         try:
             async for frame in stream:
                 session.last_received = self._environment.monotonic()
+                self.bytes_received += frame.ByteSize()
                 if frame.not_leader:
                     self._hint = frame.leader_address
                     return
@@ -246,6 +249,7 @@
         while not session.closed:
             frame = self._next_frame(session)
             if frame is not None:
+                self.bytes_sent += frame.ByteSize()
                 yield frame
                 if frame.leaving:
                     return
--- a/packages/heronladder-tools/src/heronladder_tools/scale.py
+++ b/packages/heronladder-tools/src/heronladder_tools/scale.py
@@ -60,7 +60,9 @@
         daemons: Number of hollow daemons.
         daemon_cpu_percent: Processor time in percent of a core.
         daemon_memory_kb: Resident memory in KiB over the process without daemons.
-        bytes_per_second: Bytes over loopback, headers and replication included.
+        message_bytes_per_second: Bytes of messages between it and control, both ways.
+        loopback_bytes_per_second: Bytes over loopback, headers and the members'
+            replication included.
         members_cpu_percent: Processor time of all members together.
         members_memory_mb: Resident memory of all members together.
         in_force_p50_ms: Time from a change to its being in force everywhere.
@@ -71,7 +73,8 @@
     daemons: int
     daemon_cpu_percent: float
     daemon_memory_kb: float
-    bytes_per_second: float
+    message_bytes_per_second: float
+    loopback_bytes_per_second: float
     members_cpu_percent: float
     members_memory_mb: float
     in_force_p50_ms: float
@@ -241,12 +244,17 @@
     return result
 
 
+def _message_bytes(daemons: list[HollowDaemon]) -> int:
+    return sum(daemon.link.bytes_sent + daemon.link.bytes_received for daemon in daemons)
+
+
 async def _measure(
     options: ScaleOptions, daemons: list[HollowDaemon], members_pid: int, memory_before: float
 ) -> ScalePoint:
     await asyncio.sleep(options.heartbeat_s)
     own, members, bytes_before = usage(), usage(members_pid), loopback_bytes()
     settled = sum(daemon.settled for daemon in daemons)
+    messages_before = _message_bytes(daemons)
     await asyncio.sleep(options.seconds)
     own_after, members_after = usage(), usage(members_pid)
     count = len(daemons)
@@ -255,7 +263,10 @@
         daemons=count,
         daemon_cpu_percent=(own_after.cpu_s - own.cpu_s) * share / count,
         daemon_memory_kb=(own_after.resident_mb - memory_before) * 1024 / count,
-        bytes_per_second=(loopback_bytes() - bytes_before) / options.seconds / count,
+        message_bytes_per_second=(_message_bytes(daemons) - messages_before)
+        / options.seconds
+        / count,
+        loopback_bytes_per_second=(loopback_bytes() - bytes_before) / options.seconds / count,
         members_cpu_percent=(members_after.cpu_s - members.cpu_s) * share,
         members_memory_mb=members_after.resident_mb,
         in_force_p50_ms=0.0,
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/faults.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/faults.py
@@ -4,12 +4,13 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
+from heronladder_consensus.membership import voters
 from heronladder_emulator.engine import EngineFaults
 from heronladder_emulator.network import Cut
 from heronladder_emulator.service import ServiceFaults
 from heronladder_runtime.errors import HeronladderError
 
-from heronladder_tools.simulation.fleet import CALLERS, SimulatedFleet
+from heronladder_tools.simulation.fleet import CALLERS, CONTROL_MEMBERS, SimulatedFleet
 from heronladder_tools.simulation.operators import Operators
 
 _RESTART_S = 4.0
@@ -203,8 +204,21 @@
             return
         async with self._repairing:
             first, second = self._random.sample(self.fleet.control_names(), 2)
-            await self._replace_disk(first)
-            await self._replace_disk(second)
+            # Two of three disks lost before a repair are more than a quorum of
+            # three can bear, so each loss waits until all members count.
+            for name in (first, second):
+                if not self._all_count():
+                    return
+                await self._replace_disk(name)
+
+    def _all_count(self) -> bool:
+        leader = self.fleet.leader()
+        if leader is None or len(voters(leader.node.membership())) < CONTROL_MEMBERS:
+            return False
+        return all(
+            name in self.fleet.controls and self.fleet.controls[name].node.may_vote()
+            for name in self.fleet.control_names()
+        )
 
     async def _replace_disk(self, name: str) -> None:
         await self.fleet.crash_control(name, wipe=True)
