--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -182,6 +182,7 @@
     toolbox_commands.soak,
 ):
     application.command()(_command)
+application.command("settings-reference")(toolbox_commands.settings_reference)
 application.add_typer(toolbox_commands.experiment_application, name="experiment")
 
 
--- a/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
@@ -36,6 +36,7 @@
 from heronladder_tools.operator_commands import DEFAULT_API, Api, Token, read_files, run_command
 from heronladder_tools.planner import PlannedLoad, plan_text
 from heronladder_tools.profiles import PROFILES, Profile
+from heronladder_tools.settings_reference import settings_page
 from heronladder_tools.simulation.run import SimulationOptions, simulate
 
 _EXIT_FOUND = 1
@@ -200,6 +201,11 @@
     run_command(run())
 
 
+def settings_reference() -> None:
+    """Print the settings page of the documents."""
+    print(settings_page(), end="")
+
+
 experiment_application = typer.Typer(no_args_is_help=True, help="Comparisons on the emulator.")
 
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,11 +1,13 @@
 """Settings: declared once, checked all at once; logs; metrics; the command lines."""
 
 import unittest
+from pathlib import Path
 
 from heronladder_runtime.errors import SettingsError
 from heronladder_runtime.logs import format_event
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.settings import declarations, load
+from heronladder_tools.settings_reference import settings_page
 from typer.testing import CliRunner
 
 GOOD = {"name": "a", "data_folder": "/d", "backend_name": "b"}
@@ -49,6 +51,10 @@
         self.assertEqual(len(lines), 2)
         self.assertIn("roles = 'cook' from flag --roles", result.stderr)
 
+    def test_the_settings_page_is_made_from_the_schema(self) -> None:
+        page = Path(__file__).parent.parent / "docs" / "operators" / "settings.md"
+        self.assertEqual(page.read_text(), settings_page())
+
 
 class LogsTest(unittest.TestCase):
     def test_an_event_is_one_line_of_pairs(self) -> None:
