--- a/packages/heronladder-control/src/heronladder_control/allotments.py
+++ b/packages/heronladder-control/src/heronladder_control/allotments.py
@@ -13,6 +13,7 @@
 
 _ASK_TIMEOUT_S = 2.0
 _ASK_FACTOR = 4  # tokens asked for, as a multiple of what a holder lacked
+_IN_VAIN_MEMORY_S = 5.0
 _LOW_SHARE = 8  # an account is low under 1/8 of what it was ever allotted
 
 
@@ -28,12 +29,13 @@
         self._member = member
         self._stubs = stubs
         self._under_way: set[str] = set()
+        self._in_vain_s: dict[str, float] = {}  # when all regions last had nothing
 
     def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
         """Ask other regions once a budget runs short here."""
         if command.WhichOneof("body") != "grant_lease":
             return
-        if not self._member.options.region_addresses:
+        if not self._regions():
             return
         ask = command.grant_lease
         account = self._member.state.ledger.account(ask.budget)
@@ -44,11 +46,24 @@
         self._under_way.add(ask.budget)
         self._member.tasks.start("allotment", self._ask_regions(ask.budget, ask.wanted))
 
+    def annotate(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
+        """Tell a refused holder whether tokens may still come from another region."""
+        if command.WhichOneof("body") != "grant_lease" or not self._regions():
+            return
+        if result.code != control_pb2.RESULT_CODE_OK:
+            now = self._member.environment.monotonic()
+            in_vain_s = self._in_vain_s.get(command.grant_lease.budget, float("-inf"))
+            result.allotment_pending = now - in_vain_s > _IN_VAIN_MEMORY_S
+
+    def _regions(self) -> list[str]:
+        return sorted(self._member.options.region_addresses)
+
     async def _ask_regions(self, budget: str, wanted: int) -> None:
         try:
-            for region in sorted(self._member.options.region_addresses):
+            for region in self._regions():
                 if await self._ask(region, budget, wanted * _ASK_FACTOR):
                     return
+            self._in_vain_s[budget] = self._member.environment.monotonic()
         except HeronladderError as error:
             self._member.log.info("allotment_failed", step=error.step, reason=error.message)
         finally:
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -209,6 +209,7 @@
         except HeronladderError:
             session.close()  # the daemon finds the new leader and sends it again
             return
+        self._member.allotments.annotate(call.command, result)
         session.answers.append(control_pb2.DaemonAnswer(call_id=call.call_id, result=result))
         session.wake.give()
 
--- a/packages/heronladder-router/src/heronladder_router/leases.py
+++ b/packages/heronladder-router/src/heronladder_router/leases.py
@@ -148,7 +148,7 @@
 
     def _check_refusal(self, state: _BudgetState, tokens: int) -> None:
         refusal = state.refusal
-        if refusal is None:
+        if refusal is None or refusal.allotment_pending:
             return
         if refusal.code == control_pb2.RESULT_CODE_NOT_FOUND:
             raise BudgetUnavailableError(refusal.message, step="reserve", peer=state.name)
