Free a lost router's rest when it had settled after an agent's restart

Change: a router settles what it had at a restarted agent and confirms it; the rest stays charged only without that word.

--- a/packages/heronladder-control/src/heronladder_control/daemons.py
+++ b/packages/heronladder-control/src/heronladder_control/daemons.py
@@ -28,6 +28,7 @@
         record = ledger_pb2.DaemonRecord()
         record.CopyFrom(wanted)
         del record.previous[:]
+        record.confirmed.clear()
         record.gone = False
         record.revision = index
         if known is not None:
@@ -57,6 +58,14 @@
             self._retire(known)
         return success()
 
+    def confirm(self, order: control_pb2.ConfirmAgent) -> control_pb2.CommandResult:
+        """Note that a router has settled all it had at earlier incarnations of an agent."""
+        known = self.daemons.get(order.router)
+        if known is None or known.incarnation != order.router_incarnation or known.gone:
+            return failure(control_pb2.RESULT_CODE_STALE, "no such incarnation of the router")
+        known.confirmed[order.agent] = order.agent_incarnation
+        return success()
+
     def forget_agent(self, name: str) -> None:
         """Wait no more for an agent whose back end the operator deleted."""
         if self.daemons.pop(name, None) is None:
@@ -77,6 +86,7 @@
             router=record.name,
             router_incarnation=record.incarnation,
             router_revision=record.revision,
+            confirmed=record.confirmed,
         )
         # Also when no tokens are left: an agent may still hold bills of the router.
         collection.awaited_agents.extend(
@@ -94,8 +104,11 @@
         if agent is None or agent.incarnation != order.agent_incarnation:
             return failure(control_pb2.RESULT_CODE_STALE, "no such incarnation of the agent")
         # An agent that restarted after the router registered may have run
-        # requests of that router and forgotten them.
-        if agent.revision > collection.router_revision and agent.previous and not agent.journal:
+        # requests of that router and forgotten them, unless the router said
+        # after the restart that it had settled all.
+        restarted = agent.revision > collection.router_revision and bool(agent.previous)
+        confirmed = collection.confirmed.get(agent.name, "") == agent.incarnation
+        if restarted and not confirmed and not agent.journal:
             collection.records_lost = True
         collection.awaited_agents.remove(order.agent)
         self._close_if_collected(collection)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -71,6 +71,8 @@
                 return self.claims.take(index, order.claim.claim)
             case "release_claim":
                 return self.claims.release(index, order.release_claim)
+            case "confirm_agent":
+                return self.daemons.confirm(order.confirm_agent)
             case "read_claim":
                 return self.claims.read(order.read_claim)
             case "collected_router":
--- a/packages/heronladder-router/src/heronladder_router/bookkeeping.py
+++ b/packages/heronladder-router/src/heronladder_router/bookkeeping.py
@@ -4,6 +4,7 @@
 
 from heronladder_schema.v1 import ledger_pb2
 
+from heronladder_router.confirmations import OpenAttempts
 from heronladder_router.leases import LeaseManager, Reservation
 from heronladder_router.settler import Settler, Standing
 from heronladder_router.witnesses import Witnesses
@@ -16,6 +17,7 @@
         leases: The router's leases.
         settler: Sends bills.
         witnesses: Gives copies of bills to other agents.
+        attempts: Reservations under which something may have run.
         settle_wait_s: Longest time to wait until a bill is durable, in seconds.
     """
 
@@ -24,11 +26,13 @@
         leases: LeaseManager,
         settler: Settler,
         witnesses: Witnesses,
+        attempts: OpenAttempts,
         settle_wait_s: float,
     ) -> None:
         self._leases = leases
         self._settler = settler
         self._witnesses = witnesses
+        self.attempts = attempts
         self._settle_wait_s = settle_wait_s
 
     def close(
@@ -49,6 +53,7 @@
     ) -> None:
         if durable.cancelled():
             return
+        self.attempts.close(reservation)
         first = durable.result() is Standing.FIRST
         self._leases.settle(reservation, used if first else reservation.tokens)
 
--- a/packages/heronladder-router/src/heronladder_router/forwarding.py
+++ b/packages/heronladder-router/src/heronladder_router/forwarding.py
@@ -235,6 +235,9 @@
             attempt.dispatch.claim_revision = claim.revision
         directory = self._parts.directory
         directory.sent(replica)
+        self._parts.bookkeeper.attempts.open(
+            attempt.reservation, attempt.agent, attempt.dispatch.agent_incarnation
+        )
         try:
             answer = await self._parts.channel.dispatch(
                 attempt.address, attempt.dispatch, request.body
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -9,13 +9,14 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.rpc import StubFactory
 from heronladder_runtime.tasks import TaskGroupOwner
-from heronladder_schema.v1 import agent_pb2, ledger_pb2
+from heronladder_schema.v1 import agent_pb2, control_pb2, ledger_pb2
 
 from heronladder_router.admission import AdmissionQueue
 from heronladder_router.agent_channel import AgentChannel
 from heronladder_router.bookkeeping import Bookkeeper
 from heronladder_router.caller_answer import CallerAnswer
 from heronladder_router.claims import ClaimClient
+from heronladder_router.confirmations import ConfirmationKeeper, OpenAttempts
 from heronladder_router.errors import (
     CallerError,
     ChannelLostError,
@@ -103,7 +104,9 @@
         configuration = self.link.configuration
         self.directory = ReplicaDirectory(configuration, environment)
         self.leases = LeaseManager(self.link, environment, options.lease_horizon_s, self.log)
-        handlers.daemon_notice = self.directory.notice
+        self.attempts = OpenAttempts()
+        self.confirmations = ConfirmationKeeper(self.link, self.attempts, self.log)
+        handlers.daemon_notice = self._agent_notice
         handlers.recall = self.leases.recall
         self.settler = Settler(self.link, options.settle_interval_s, self.log)
         self.intake = Intake(
@@ -144,7 +147,13 @@
 
     def _make_bookkeeper(self) -> Bookkeeper:
         witnesses = Witnesses(self.link, self._channel, self.directory, self.options.zone)
-        return Bookkeeper(self.leases, self.settler, witnesses, self.options.settle_wait_s)
+        return Bookkeeper(
+            self.leases, self.settler, witnesses, self.attempts, self.options.settle_wait_s
+        )
+
+    def _agent_notice(self, notice: control_pb2.DaemonNotice) -> None:
+        self.directory.notice(notice)
+        self.confirmations.notice(notice)
 
     def _begin_new_incarnation(self) -> str:
         """Go on under a new incarnation: the old one's leases are fenced."""
@@ -193,6 +202,7 @@
         await self._tasks.stop()
         await self.forwarder.stop()
         await self.limbo.stop()
+        await self.confirmations.stop()
         await self.leases.stop()
         await self.settler.stop()
         await self._channel.close()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -175,6 +175,30 @@
         self.assertEqual(account.available, BUDGET_TOKENS - lease.granted)
         self.assertEqual(account.withheld, lease.granted)
 
+    def test_nothing_stays_charged_if_the_router_had_settled_after_the_restart(self) -> None:
+        self.driver.grant("router", "i1", 1, 1000)
+        self.driver.register("agent-1", "agent", "a1-restarted")
+        for incarnation in ("i0", "i1"):
+            order = control_pb2.ConfirmAgent(
+                router="router",
+                router_incarnation=incarnation,
+                agent="agent-1",
+                agent_incarnation="a1-restarted",
+            )
+            result = self.driver.apply(confirm_agent=order)
+        self.assertEqual(result.code, control_pb2.RESULT_CODE_OK)
+        self.driver.register("router", "router", "i2")
+        self._collect("agent-1", "a1-restarted")
+        self._collect("agent-2", "a2")
+        self.assertEqual(self.driver.account().available, BUDGET_TOKENS)
+        # Another restart after that word was not confirmed.
+        self.driver.grant("router", "i2", 1, 1000)
+        self.driver.register("agent-1", "agent", "a1-again")
+        self.driver.register("router", "router", "i3")
+        self._collect("agent-1", "a1-again", "i2")
+        self._collect("agent-2", "a2", "i2")
+        self.assertGreater(self.driver.account().withheld, 0)
+
     def test_an_earlier_incarnation_may_not_come_back(self) -> None:
         self.driver.register("router", "router", "i2")
         result = self.driver.register("router", "router", "i1")
