Close a router's leases at once when it says that it has settled all

Cause: a router that was cut off for 15 s is declared gone; when it came back it knew that all was settled, but what was left in its leases stayed charged. Change: it confirms its ended incarnation, also at a planned stop; what had stayed charged is freed.

--- a/packages/heronladder-control/src/heronladder_control/daemons.py
+++ b/packages/heronladder-control/src/heronladder_control/daemons.py
@@ -29,6 +29,7 @@
         record.CopyFrom(wanted)
         del record.previous[:]
         record.confirmed.clear()
+        record.settled = False
         record.gone = False
         record.revision = index
         if known is not None:
@@ -66,6 +67,22 @@
         known.confirmed[order.agent] = order.agent_incarnation
         return success()
 
+    def confirm_settled(self, order: control_pb2.ConfirmSettled) -> control_pb2.CommandResult:
+        """Note that a router's incarnation has settled all it ever reserved.
+
+        Nothing can have been forgotten then: its leases are closed at once, and
+        what stayed charged on its account is freed.
+        """
+        key = (order.router, order.router_incarnation)
+        known = self.daemons.get(order.router)
+        if known is not None and known.incarnation == order.router_incarnation:
+            known.settled = True
+        collection = self.collections.pop(key, None)
+        if collection is not None:
+            self._ledger.close(*key, records_lost=False)
+        self._ledger.free_kept(*key)
+        return success()
+
     def forget_agent(self, name: str) -> None:
         """Wait no more for an agent whose back end the operator deleted."""
         if self.daemons.pop(name, None) is None:
@@ -88,6 +105,9 @@
             router_revision=record.revision,
             confirmed=record.confirmed,
         )
+        if record.settled:
+            self._ledger.close(record.name, record.incarnation, records_lost=False)
+            return
         # Also when no tokens are left: an agent may still hold bills of the router.
         collection.awaited_agents.extend(
             name for name in sorted(self.daemons) if self.daemons[name].role == ROLE_AGENT
--- a/packages/heronladder-control/src/heronladder_control/ledger.py
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -15,6 +15,7 @@
 
 from heronladder_control.results import failure, success
 
+_KEPT_CHARGES = 10_000
 _SHARE_OF_HOLDERS = 2  # a grant takes at most 1/(2 x holders) of what is left
 
 AccountKey = tuple[str, int]  # budget, period
@@ -61,6 +62,7 @@
         self.bills: dict[tuple[str, str, int], ledger_pb2.TenantBill] = {}
         self.last_lease_id = 0
         self.settled_listeners: list[SettledListener] = []
+        self.kept_charges: list[ledger_pb2.KeptCharge] = []
         self._periods: dict[str, int] = {}  # current one of each budget
         self._all_periods: dict[str, list[int]] = {}
         self._leased: dict[AccountKey, int] = {}
@@ -269,6 +271,7 @@
             if records_lost:
                 lease.withheld += rest
                 account.withheld += rest
+                self._keep_charge(lease, rest)
             else:
                 lease.returned += rest
                 account.available += rest
@@ -276,6 +279,30 @@
             del self.leases[lease.lease_id]
         self._by_holder.pop((holder, incarnation), None)
 
+    def _keep_charge(self, lease: ledger_pb2.Lease, tokens: int) -> None:
+        charge = ledger_pb2.KeptCharge(
+            router=lease.holder,
+            router_incarnation=lease.holder_incarnation,
+            budget=lease.budget,
+            period=lease.period,
+            tokens=tokens,
+        )
+        self.kept_charges.append(charge)
+        del self.kept_charges[:-_KEPT_CHARGES]
+
+    def free_kept(self, holder: str, incarnation: str) -> None:
+        """Free what stayed charged for a holder that turns out to have settled all."""
+        kept = []
+        for charge in self.kept_charges:
+            account = self.accounts.get((charge.budget, charge.period))
+            if (charge.router, charge.router_incarnation) != (holder, incarnation):
+                kept.append(charge)
+            elif account is not None:
+                account.withheld -= charge.tokens
+                account.available += charge.tokens
+                self.check_conservation(account)
+        self.kept_charges = kept
+
     # ---- settlements ------------------------------------------------------
 
     def standing(self, settlement: ledger_pb2.Settlement) -> Standing:
@@ -377,6 +404,7 @@
         snapshot.accounts.extend(self._in_order(self.accounts))
         snapshot.leases.extend(self._in_order(self.leases))
         snapshot.bills.extend(self._in_order(self.bills))
+        snapshot.kept_charges.extend(self.kept_charges)
 
     @staticmethod
     def _in_order(table: dict) -> Iterator:  # type: ignore[type-arg]
@@ -399,6 +427,7 @@
         for lease in snapshot.leases:
             self._index_lease(lease)
             self._leased[lease.budget, lease.period] += outstanding(lease)
+        self.kept_charges = list(snapshot.kept_charges)
         for bill in snapshot.bills:
             self.bills[bill.tenant, bill.budget, bill.period] = bill
         self.check_all()
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -73,6 +73,8 @@
                 return self.claims.release(index, order.release_claim)
             case "confirm_agent":
                 return self.daemons.confirm(order.confirm_agent)
+            case "confirm_settled":
+                return self.daemons.confirm_settled(order.confirm_settled)
             case "read_claim":
                 return self.claims.read(order.read_claim)
             case "collected_router":
--- a/packages/heronladder-router/src/heronladder_router/confirmations.py
+++ b/packages/heronladder-router/src/heronladder_router/confirmations.py
@@ -38,6 +38,15 @@
         if self._agents.pop((reservation.lease_id, reservation.sequence), None) is not None:
             self.closed.give()
 
+    async def wait_all_closed(self, opened: list[ReservationKey]) -> None:
+        """Wait until all of some reservations are settled."""
+        while any(key in self._agents for key in opened):
+            await self.closed.wait()
+
+    def all_open(self) -> list[ReservationKey]:
+        """Return the reservations that are not settled."""
+        return list(self._agents)
+
     def any_earlier(self, agent: str, incarnation: str) -> bool:
         """Whether an attempt at another incarnation of an agent is not settled."""
         return any(name == agent and known != incarnation for name, known in self._agents.values())
@@ -84,6 +93,26 @@
             except PeerUnavailableError:
                 continue
 
+    def incarnation_ended(self, incarnation: str) -> None:
+        """Confirm an earlier incarnation of this router once all it had is settled."""
+        opened = self._attempts.all_open()
+        self._tasks.start("confirm_settled", self._confirm_settled(incarnation, opened))
+
+    async def _confirm_settled(self, incarnation: str, opened: list[ReservationKey]) -> None:
+        await self._attempts.wait_all_closed(opened)
+        await self._link.call(self._settled_command(incarnation))
+
+    def _settled_command(self, incarnation: str) -> control_pb2.Command:
+        command = control_pb2.Command()
+        command.confirm_settled.router = self._link.record.name
+        command.confirm_settled.router_incarnation = incarnation
+        return command
+
+    async def confirm_stop(self) -> None:
+        """Confirm this incarnation at its planned stop, if nothing is left open."""
+        if not self._attempts.all_open():
+            await self._link.call(self._settled_command(self._link.record.incarnation))
+
     async def stop(self) -> None:
         """End all tasks."""
         await self._tasks.stop()
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -158,6 +158,7 @@
     def _begin_new_incarnation(self) -> str:
         """Go on under a new incarnation: the old one's leases are fenced."""
         self.leases.drop_all()
+        self.confirmations.incarnation_ended(self.link.record.incarnation)
         return self.environment.new_id(self.options.name)
 
     # ---- life -------------------------------------------------------------
@@ -188,6 +189,7 @@
             async with asyncio.timeout(_LAST_RETURN_S):
                 await self.settler.flush()
                 await self.leases.return_all()
+                await self.confirmations.confirm_stop()
         except TimeoutError:
             self.log.warning("stopped_without_control", step="stop")
         await self._end_tasks()
@@ -195,8 +197,8 @@
 
     async def abort(self) -> None:
         """End at once, as a crash would."""
-        await self._end_tasks()
         await self.link.abort()
+        await self._end_tasks()
 
     async def _end_tasks(self) -> None:
         await self._tasks.stop()
--- a/tests/test_ledger.py
+++ b/tests/test_ledger.py
@@ -199,6 +199,32 @@
         self._collect("agent-2", "a2", "i2")
         self.assertGreater(self.driver.account().withheld, 0)
 
+    def test_what_stayed_charged_is_freed_if_the_router_comes_back_and_has_settled(self) -> None:
+        self.driver.grant("router", "i1", 1, 1000)
+        self.driver.register("agent-1", "agent", "a1-restarted")
+        gone = control_pb2.DeclareGone(name="router", incarnation="i1")
+        self.driver.apply(declare_gone=gone)
+        self._collect("agent-1", "a1-restarted")
+        self._collect("agent-2", "a2")
+        self.assertGreater(self.driver.account().withheld, 0)
+        data = self.driver.state.snapshot()
+        self.driver.state = ControlState("r")
+        self.driver.state.restore(data)
+        settled = control_pb2.ConfirmSettled(router="router", router_incarnation="i1")
+        for _ in range(2):
+            self.driver.apply(confirm_settled=settled)
+        self.assertEqual(self.driver.account().withheld, 0)
+        self.assertEqual(self.driver.account().available, BUDGET_TOKENS)
+
+    def test_a_router_that_settled_all_is_closed_without_its_agents(self) -> None:
+        self.driver.grant("router", "i1", 1, 1000)
+        settled = control_pb2.ConfirmSettled(router="router", router_incarnation="i1")
+        self.driver.apply(confirm_settled=settled)
+        gone = control_pb2.DeclareGone(name="router", incarnation="i1")
+        self.driver.apply(declare_gone=gone)
+        self.assertEqual(self.driver.account().available, BUDGET_TOKENS)
+        self.assertEqual(len(self.driver.state.daemons.collections), 0)
+
     def test_an_earlier_incarnation_may_not_come_back(self) -> None:
         self.driver.register("router", "router", "i2")
         result = self.driver.register("router", "router", "i1")
