Measure the data path with a process for each role

Cause: the benchmark ran client, engines and all roles in one process, so it measured that process. Change: scripts/bench-path starts engine, agent, router and control apart and drives engine alone and the whole path in turns.

--- a/Makefile
+++ b/Makefile
@@ -35,7 +35,9 @@
 	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning -m unittest discover -s tests -t tests
 
 bench: setup
-	$(BIN)/heronladder bench $(ARGS)
+	$(BIN)/heronladder bench log $(ARGS)
+	$(BIN)/heronladder bench state
+	scripts/bench-path
 
 soak: setup
 	$(BIN)/heronladder soak $(ARGS)
--- a/packages/heronladder-tools/src/heronladder_tools/bench.py
+++ b/packages/heronladder-tools/src/heronladder_tools/bench.py
@@ -14,8 +14,6 @@
 from heronladder_consensus.storage import LogStorage
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_control.state import ControlState
-from heronladder_daemon.http_listener import HttpListener
-from heronladder_emulator.http import EngineFront
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.disk import FolderDisk
 from heronladder_runtime.metrics import LatencyHistogram
@@ -23,9 +21,8 @@
 from heronladder_schema.v1 import consensus_pb2, control_pb2, ledger_pb2, resources_pb2
 from heronladder_schema.v1.consensus_pb2_grpc import add_ConsensusServicer_to_server
 
-from heronladder_tools.demo_fleet import DemoFleet, free_addresses
+from heronladder_tools.demo_fleet import free_addresses
 from heronladder_tools.process_usage import usage
-from heronladder_tools.profiles import PROFILES, tenant_key
 from heronladder_tools.tables import format_table
 
 _LEASE_TOKENS = 1 << 40
@@ -266,43 +263,47 @@
     timing.requests += 1
 
 
-async def bench_path(streams: int, seconds: float) -> str:
+@dataclass(frozen=True)
+class PathTarget:
+    """The two ways that are compared.
+
+    Attributes:
+        direct: Address of the engine.
+        router: Address of a router before the same engine.
+        key: A tenant's key.
+    """
+
+    direct: str
+    router: str
+    key: str
+
+
+async def bench_path(target: PathTarget, streams: int, seconds: float) -> str:
     """Return time to first token and between tokens: engine alone against the whole path.
 
-    Both are driven in turns within one run, by the same client in this process.
+    Both are driven in turns within one run, by the same client.
     """
-    profile = PROFILES["comedores"]
-    with tempfile.TemporaryDirectory() as folder:
-        fleet = DemoFleet(profile, Path(folder), 10**12)
-        await fleet.start()
-        engine = next(iter(fleet.engines.values()))
-        front = HttpListener(EngineFront(engine).application(), "127.0.0.1:0")
-        await front.start()
-        router = next(iter(fleet.router_addresses.values()))
-        timings = {
-            name: _PathTiming(LatencyHistogram(), LatencyHistogram())
-            for name in ("engine alone", "router and agent")
-        }
-        elapsed = dict.fromkeys(timings, 0.0)
-        async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
-            for round_number in range(2 * _ROUNDS):
-                direct = round_number % 2 == 0
-                name = "engine alone" if direct else "router and agent"
-                address = front.address if direct else router
-                started_s = time.perf_counter()
-                await _drive(
-                    session, address, direct, streams, seconds / (2 * _ROUNDS), timings[name]
-                )
-                elapsed[name] += time.perf_counter() - started_s
-        await front.stop()
-        await fleet.stop()
+    timings = {
+        name: _PathTiming(LatencyHistogram(), LatencyHistogram())
+        for name in ("engine alone", "router and agent")
+    }
+    elapsed = dict.fromkeys(timings, 0.0)
+    async with aiohttp.ClientSession(connector=aiohttp.TCPConnector(limit=0)) as session:
+        for round_number in range(2 * _ROUNDS):
+            direct = round_number % 2 == 0
+            name = "engine alone" if direct else "router and agent"
+            address = target.direct if direct else target.router
+            started_s = time.perf_counter()
+            share_s = seconds / (2 * _ROUNDS)
+            await _drive(session, address, target.key, streams, share_s, timings[name])
+            elapsed[name] += time.perf_counter() - started_s
     return _path_text(streams, timings, elapsed)
 
 
 async def _drive(
     session: aiohttp.ClientSession,
     address: str,
-    direct: bool,
+    key: str,
     streams: int,
     seconds: float,
     timing: _PathTiming,
@@ -319,10 +320,9 @@
             ).encode()
             headers = {
                 "Content-Type": "application/json",
-                "Authorization": f"Bearer {tenant_key(PROFILES['comedores'], number % 10)}",
+                "Authorization": f"Bearer {key}",
+                REQUEST_ID_HEADER: f"bench-{source.random()}",
             }
-            if direct:
-                headers[REQUEST_ID_HEADER] = f"direct-{source.random()}"
             url = f"http://{address}/v1/chat/completions"
             await _stream_once(session, url, headers, body, timing)
 
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -10,7 +10,7 @@
 
 from heronladder_tools import demo as demo_module
 from heronladder_tools import operator_commands, toolbox_commands
-from heronladder_tools.bench import bench_log, bench_path, bench_state
+from heronladder_tools.bench import PathTarget, bench_log, bench_path, bench_state
 from heronladder_tools.replay import bill_text, summary_text
 from heronladder_tools.replay import replay as replay_folder
 from heronladder_tools.scale import ScaleOptions, run_scale, scale_text
@@ -153,18 +153,25 @@
 
 @application.command()
 def bench(
-    what: Annotated[str, typer.Argument(help="log, state, path or all")] = "all",
+    what: Annotated[str, typer.Argument(help="log, state or path")] = "log",
     seconds: Annotated[float, typer.Option(min=1, max=600)] = 9.0,
+    direct: Annotated[str, typer.Option(help="path: address of the engine")] = "",
+    router: Annotated[str, typer.Option(help="path: address of the router")] = "",
+    key: Annotated[str, typer.Option(help="path: a tenant's key")] = "",
+    streams: Annotated[str, typer.Option(help="path: numbers of streams")] = "1,32,256",
 ) -> None:
     """Measure throughput and latency on this machine; speeds are no part of the tests."""
     configure_logging("error")
-    if what in ("log", "all"):
+    if what == "log":
         print(asyncio.run(bench_log(seconds)))
-    if what in ("state", "all"):
+    if what == "state":
         print(bench_state(47_000, 960))
-    if what in ("path", "all"):
-        for streams in (1, 32, 256):
-            print(asyncio.run(bench_path(streams, seconds)))
+    if what == "path":
+        if not (direct and router and key):
+            raise typer.BadParameter("give --direct, --router and --key; see scripts/bench-path")
+        target = PathTarget(direct, router, key)
+        for count in streams.split(","):
+            print(asyncio.run(bench_path(target, int(count), seconds)))
 
 
 application.command()(operator_commands.get)
