Order engines as declared, read their load, and read the platform's list

Cause: agents gave engines no orders and knew only their own load; routers did not read the platform's list of leaving machines. Change: a Backend declares models, adapters and role, which its agent sends as orders fenced by the revision; load reports go back with answers; the strictest of the three words on leaving counts; violations name their time. Conclusion: declared state reaches engines; cache events stay unused.

--- a/packages/heronladder-agent/src/heronladder_agent/gate.py
+++ b/packages/heronladder-agent/src/heronladder_agent/gate.py
@@ -15,6 +15,7 @@
 from heronladder_schema.v1 import agent_pb2, ledger_pb2
 
 from heronladder_agent.adapters import BackendAdapter
+from heronladder_agent.engine_control import EngineKeeper, EngineLoad
 from heronladder_agent.errors import BackendError, BackendUnreachableError, RefusalError
 from heronladder_agent.metering import StreamMeter, end_of_whole_answer
 from heronladder_agent.records import RecordKeeper, RouterKey
@@ -84,6 +85,7 @@
         self.runs = RunTable(environment, options.keep_s, options.keep_bytes)
         self.run_ended = Pulse()
         self.draining = False
+        self.engine: EngineKeeper | None = None
 
     # ---- who may send -----------------------------------------------------
 
@@ -125,13 +127,14 @@
         return answer
 
     def _head(self, dispatch: agent_pb2.Dispatch) -> agent_pb2.AnswerHead:
+        load = self.engine.load if self.engine is not None else EngineLoad()
         return agent_pb2.AnswerHead(
             request_id=dispatch.request_id,
             agent=self._options.agent,
             agent_incarnation=self._options.incarnation,
-            running=self._slots.running,
-            queued=self._slots.queued,
-            leaving=self.draining,
+            running=max(self._slots.running, load.running),
+            queued=self._slots.queued + load.waiting,
+            leaving=self.draining or self._backend_drains(),
         )
 
     def _refused(self, dispatch: agent_pb2.Dispatch, error: RefusalError) -> AgentAnswer:
--- a/packages/heronladder-agent/src/heronladder_agent/role.py
+++ b/packages/heronladder-agent/src/heronladder_agent/role.py
@@ -13,6 +13,7 @@
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_agent.adapters import BackendAdapter
+from heronladder_agent.engine_control import EngineControl, EngineKeeper
 from heronladder_agent.gate import Gate, GateOptions
 from heronladder_agent.records import RecordKeeper, RouterKey
 
@@ -59,6 +60,7 @@
         adapter: Calls the back end.
         stubs: Makes stubs to control.
         environment: Time and randomness.
+        engine_control: The engine's management interface; None for plain services.
     """
 
     def __init__(
@@ -67,6 +69,7 @@
         adapter: BackendAdapter,
         stubs: StubFactory,
         environment: Environment,
+        engine_control: EngineControl | None = None,
     ) -> None:
         self.options = options
         self.metrics = Metrics()
@@ -96,12 +99,18 @@
         )
         self.gate = Gate(gate_options, adapter, self.link, self.records, environment, self.metrics)
         self._collecting: set[RouterKey] = set()
+        self.engine: EngineKeeper | None = None
+        if engine_control is not None:
+            self.engine = EngineKeeper(options.backend, engine_control, self.link, self._log)
+            self.gate.engine = self.engine
 
     async def start(self) -> None:
         """Connect to control and begin to take work."""
         self.link.start()
         self._tasks.start("send_records", self.records.run(self.link))
         self._tasks.start("expire_answers", self._expire())
+        if self.engine is not None:
+            self.engine.start()
 
     async def drain(self, grace_s: float) -> None:
         """Refuse new work, finish what runs, and send all bills.
@@ -113,16 +122,21 @@
 
     async def stop(self) -> None:
         """Leave: say so to control, and end."""
-        await self._tasks.stop()
+        await self._stop_tasks()
         await self.gate.stop()
         await self.link.stop()
 
     async def abort(self) -> None:
         """End at once, as a crash would."""
-        await self._tasks.stop()
+        await self._stop_tasks()
         await self.gate.stop()
         await self.link.abort()
 
+    async def _stop_tasks(self) -> None:
+        await self._tasks.stop()
+        if self.engine is not None:
+            await self.engine.stop()
+
     async def _expire(self) -> None:
         while True:
             await asyncio.sleep(_EXPIRY_INTERVAL_S)
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import grpc.aio
+from heronladder_agent.engine_control import HttpEngineControl
 from heronladder_agent.http_adapter import HttpAdapter
 from heronladder_agent.role import AgentOptions, AgentRole
 from heronladder_agent.server import AgentServer
@@ -129,7 +130,9 @@
             settle_grace_s=_seconds(settings.settle_grace_ms),
         )
         adapter = HttpAdapter(settings.backend_address, bool(settings.backend_checks_fences))
-        self.agent = AgentRole(options, adapter, self._stubs, self._environment)
+        engine = settings.backend_kind == "engine"
+        engine_control = HttpEngineControl(settings.backend_address) if engine else None
+        self.agent = AgentRole(options, adapter, self._stubs, self._environment, engine_control)
         server = AgentServer(self.agent.gate)
         await self._listen(HttpListener(server.application(), settings.agent_listen))
         await self.agent.start()
@@ -147,6 +150,7 @@
             settle_wait_s=_seconds(settings.settle_wait_ms),
             settle_interval_s=_seconds(settings.settle_interval_ms),
             lease_horizon_s=_seconds(settings.lease_horizon_ms),
+            platform_address=settings.platform_address,
         )
         router = RouterRole(options, HttpAgentChannel(), self._stubs, self._environment)
         self.router = router
--- a/packages/heronladder-router/src/heronladder_router/replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/replicas.py
@@ -31,6 +31,7 @@
         ejections: Ejections in a row; each lasts twice as long as the one before.
         ejected_until_s: When it may be tried again.
         leaving_until_s: It said that it leaves; believed until then.
+        platform_leaving: The platform's list says that its machine leaves.
         started_s: When it came, or came back; its load is raised slowly from then.
     """
 
@@ -45,12 +46,14 @@
     ejected_until_s: float = 0.0
     leaving_until_s: float = 0.0
     started_s: float = 0.0
+    platform_leaving: bool = False
 
     def usable(self, now_s: float) -> bool:
         """Whether new work may be sent to it."""
         return (
             bool(self.incarnation)
             and not self.spec.draining
+            and not self.platform_leaving
             and now_s >= self.ejected_until_s
             and now_s >= self.leaving_until_s
         )
@@ -79,6 +82,7 @@
         self._replicas: dict[str, Replica] = {}
         self._by_service: dict[str, list[Replica]] = {}
         self._incarnations: dict[str, str] = {}
+        self._platform_leaving: set[str] = set()
         self.changed = Pulse()
         configuration.listen(self._rebuild)
 
@@ -90,6 +94,7 @@
             replica = self._replicas.get(name) or Replica(name, spec)
             replica.spec = spec
             replica.incarnation = self._incarnations.get(spec.agent, "")
+            replica.platform_leaving = spec.agent in self._platform_leaving
             replicas[name] = replica
             by_service.setdefault(spec.service, []).append(replica)
         self._replicas = replicas
@@ -121,6 +126,12 @@
         replica.reported_queued = 0
         replica.started_s = self._environment.monotonic()
 
+    def platform_says(self, leaving: set[str]) -> None:
+        """Take in the platform's word: the agents whose machines are leaving."""
+        self._platform_leaving = leaving
+        for replica in self._replicas.values():
+            replica.platform_leaving = replica.spec.agent in leaving
+
     # ---- reading ----------------------------------------------------------
 
     def get(self, name: str) -> Replica | None:
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -28,6 +28,7 @@
 from heronladder_router.leases import LeaseManager
 from heronladder_router.limbo import Limbo
 from heronladder_router.parts import ForwardingOptions, ForwardingParts
+from heronladder_router.platform_watch import PlatformWatch
 from heronladder_router.replicas import ReplicaDirectory
 from heronladder_router.requests import CallerRequest
 from heronladder_router.selection import ReplicaSelector
@@ -53,6 +54,7 @@
         settle_wait_s: Longest time an answer's end waits for its durable bill.
         settle_interval_s: Time over which settlements are batched.
         lease_horizon_s: Spending that a lease is sized to cover.
+        platform_address: IP:port of the platform that lists machines; empty for none.
     """
 
     name: str
@@ -65,6 +67,7 @@
     settle_wait_s: float = 1.5
     settle_interval_s: float = 0.02
     lease_horizon_s: float = 10.0
+    platform_address: str = ""
 
 
 class RouterRole:
@@ -118,6 +121,9 @@
             channel, self.directory, self.leases, self.bookkeeper, environment, self.log
         )
         self.forwarder = self._make_forwarder()
+        self.platform: PlatformWatch | None = None
+        if options.platform_address:
+            self.platform = PlatformWatch(options.platform_address, self.directory, self.log)
 
     def _make_forwarder(self) -> Forwarder:
         options = self.options
@@ -168,6 +174,8 @@
         self.link.start()
         self.leases.start()
         self.settler.start()
+        if self.platform is not None:
+            self.platform.start()
 
     def ready(self) -> bool:
         """Whether requests can be served."""
@@ -202,6 +210,8 @@
 
     async def _end_tasks(self) -> None:
         await self._tasks.stop()
+        if self.platform is not None:
+            await self.platform.stop()
         await self.forwarder.stop()
         await self.limbo.stop()
         await self.confirmations.stop()
--- a/packages/heronladder-runtime/src/heronladder_runtime/invariants.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/invariants.py
@@ -1,5 +1,6 @@
 """Invariants asserted inside the running program, always on and counted."""
 
+import asyncio
 from collections import Counter
 
 from heronladder_runtime.errors import InvariantViolationError, RefusedByInvariantError
@@ -52,6 +53,10 @@
         return
     BOOK.violations[name] += 1
     message = f"invariant {name} violated: {detail}"
+    try:
+        message += f" time={asyncio.get_running_loop().time():.3f}"
+    except RuntimeError:
+        pass  # outside of any loop, as in replay
     if len(BOOK.messages) < _KEPT_MESSAGES:
         BOOK.messages.append(f"{message} step={step} peer={peer}")
     kind = RefusedByInvariantError if refuses else InvariantViolationError
--- a/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
@@ -156,6 +156,7 @@
         flags["backend_name"] = name
         flags["backend_address"] = self._backend_addresses[name]
         flags["agent_concurrency"] = "32"
+        flags["backend_kind"] = "engine" if name in self.engines else "service"
         daemon = Daemon(load(flags, {}))
         await daemon.start()
         self.agents[name] = daemon
