--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -316,6 +316,10 @@
             except HeronladderError as error:
                 self.fail(error)
                 return
+            except Exception as error:
+                # A member that cannot apply must not go on as if it had.
+                self.fail(HeronladderError(repr(error), step="apply", peer=self.name))
+                return
             self.changed.give()
             if self.applied_index - self.log.base_index >= self.timing.snapshot_entries:
                 async with self._write_lock:
--- a/packages/heronladder-control/src/heronladder_control/ledger.py
+++ b/packages/heronladder-control/src/heronladder_control/ledger.py
@@ -8,11 +8,17 @@
 """
 
 from collections.abc import Callable, Iterator
-from enum import Enum
 
 from heronladder_runtime.invariants import invariant
 from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
 
+from heronladder_control.lease_rules import (
+    Standing,
+    is_settled,
+    lost_reservation,
+    mark_settled,
+    outstanding,
+)
 from heronladder_control.results import failure, success
 
 _KEPT_CHARGES = 10_000
@@ -22,32 +28,6 @@
 SettledListener = Callable[[ledger_pb2.Settlement, ledger_pb2.Lease], None]
 
 
-def outstanding(lease: ledger_pb2.Lease) -> int:
-    """Return the tokens a lease's holder may still spend."""
-    return lease.granted - lease.returned - lease.billed - lease.withheld
-
-
-def is_settled(lease: ledger_pb2.Lease, sequence: int) -> bool:
-    """Return whether a reservation of a lease has been settled already."""
-    return sequence <= lease.watermark or sequence in lease.settled_above
-
-
-class Standing(Enum):
-    """How a settlement stands to an earlier one of its reservation."""
-
-    FIRST = "first"
-    BILLED_BEFORE = "billed before"
-    LOST_BEFORE = "lost before"
-    LEASE_CLOSED = "lease closed"
-
-
-def _lost(lease: ledger_pb2.Lease, sequence: int) -> ledger_pb2.LostReservation | None:
-    for lost in lease.lost:
-        if lost.sequence == sequence:
-            return lost
-    return None
-
-
 class Ledger:
     """Accounts and leases of one region.
 
@@ -312,7 +292,7 @@
             return Standing.LEASE_CLOSED
         if not is_settled(lease, settlement.sequence):
             return Standing.FIRST
-        lost = _lost(lease, settlement.sequence) is not None
+        lost = lost_reservation(lease, settlement.sequence) is not None
         return Standing.LOST_BEFORE if lost else Standing.BILLED_BEFORE
 
     def settle(self, settlement: ledger_pb2.Settlement) -> bool:
@@ -337,7 +317,7 @@
             detail=f"{settlement.request_id} takes {tokens} of {outstanding(lease)}",
             refuses=True,
         )
-        self._mark_settled(lease, settlement.sequence)
+        mark_settled(lease, settlement.sequence)
         if settlement.outcome == ledger_pb2.OUTCOME_UNKNOWN:
             lease.lost.add(sequence=settlement.sequence, withheld=settlement.withheld_tokens)
         account = self.accounts[lease.budget, lease.period]
@@ -355,7 +335,7 @@
 
     def _correct_lost(self, lease: ledger_pb2.Lease, settlement: ledger_pb2.Settlement) -> None:
         """Free what an attempt settled as lost did not use, now that its agent says so."""
-        lost = _lost(lease, settlement.sequence)
+        lost = lost_reservation(lease, settlement.sequence)
         if lost is None or settlement.outcome == ledger_pb2.OUTCOME_UNKNOWN:
             return
         used = settlement.prompt_tokens + settlement.completion_tokens
@@ -371,19 +351,6 @@
         account.available += unused
         self.check_conservation(account)
 
-    @staticmethod
-    def _mark_settled(lease: ledger_pb2.Lease, sequence: int) -> None:
-        if sequence != lease.watermark + 1:
-            lease.settled_above.append(sequence)
-            return
-        lease.watermark = sequence
-        above = set(lease.settled_above)
-        while lease.watermark + 1 in above:
-            lease.watermark += 1
-            above.discard(lease.watermark)
-        if len(above) != len(lease.settled_above):
-            lease.settled_above[:] = sorted(above)
-
     def _add_to_bill(self, lease: ledger_pb2.Lease, settlement: ledger_pb2.Settlement) -> None:
         key = (settlement.tenant, lease.budget, lease.period)
         bill = self.bills.get(key)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -9,7 +9,8 @@
 
 from heronladder_control.claims import ClaimTable
 from heronladder_control.daemons import DaemonTable
-from heronladder_control.ledger import Ledger, Standing
+from heronladder_control.lease_rules import Standing
+from heronladder_control.ledger import Ledger
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
 from heronladder_control.transfers import TransferTable
--- a/packages/heronladder-emulator/src/heronladder_emulator/memory_stubs.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/memory_stubs.py
@@ -6,7 +6,9 @@
 
 from google.protobuf.message import Message
 
-from heronladder_emulator.network import Endpoint, MemoryNetwork, NetworkError, Pipe, RefusedError
+from heronladder_emulator.network import Endpoint, MemoryNetwork
+from heronladder_emulator.network_errors import NetworkError, RefusedError
+from heronladder_emulator.pipe import Pipe
 
 _DEFAULT_TIMEOUT_S = 10.0
 _END = object()
--- a/packages/heronladder-emulator/src/heronladder_emulator/network.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/network.py
@@ -7,33 +7,23 @@
 
 import asyncio
 import random
-from collections import deque
 from collections.abc import Callable, Coroutine
 from dataclasses import dataclass, field
 from typing import Any, TypeVar
 
-import grpc
 from heronladder_runtime.pulse import Pulse
 
+from heronladder_emulator.network_errors import NetworkError, RefusedError
+from heronladder_emulator.pipe import BREAK_AFTER_S, PROBE_S, Pipe
+
 Result = TypeVar("Result")
 
-BREAK_AFTER_S = 5.0  # keep-alive probes give a silent peer up
-_PROBE_S = 1.0
 _RESEND_S = 0.2
 _CONNECT_S = 1.0
 _OPEN_SHARE = 0.5
-_HELD_PARTS = 64
 _LOCAL_DELAY_S = 0.0001
 
 
-class NetworkError(grpc.RpcError):
-    """A call or stream failed on the network."""
-
-
-class RefusedError(NetworkError):
-    """Nobody listens at the address; nothing was delivered."""
-
-
 @dataclass
 class Place:
     """Where a process stands.
@@ -279,9 +269,9 @@
         """Wait for a handler, while the connection's keep-alive probes get through."""
         silent_s = 0.0
         while not work.done():
-            await asyncio.wait([work], timeout=_PROBE_S)
+            await asyncio.wait([work], timeout=PROBE_S)
             both = self.open(source, target) and self.open(target, source)
-            silent_s = 0.0 if both else silent_s + _PROBE_S
+            silent_s = 0.0 if both else silent_s + PROBE_S
             if silent_s >= BREAK_AFTER_S and not work.done():
                 raise NetworkError(f"{source} to {target}: no keep-alive")
         return await work
@@ -297,129 +287,12 @@
 
     # ---- streams ----------------------------------------------------------
 
-    def pipe(self, source: str, target: str) -> "Pipe":
+    def pipe(self, source: str, target: str) -> Pipe:
         """Return a new ordered stream of parts from one process to another."""
         pipe = Pipe(self, source, target)
         self._pipes[pipe] = None
         return pipe
 
-    def forget(self, pipe: "Pipe") -> None:
+    def forget(self, pipe: Pipe) -> None:
         """Forget a stream that is over."""
         self._pipes.pop(pipe, None)
-
-
-class Pipe:
-    """An ordered stream of parts in one direction.
-
-    Args:
-        network: The network.
-        source: Name of the sending process.
-        target: Name of the receiving process.
-    """
-
-    def __init__(self, network: MemoryNetwork, source: str, target: str) -> None:
-        self.source = source
-        self.target = target
-        self._network = network
-        self._arrived: deque[Any] = deque()
-        self._held: deque[Any] = deque()
-        self._in_flight: deque[Any] = deque()
-        self._last_arrival_s = 0.0
-        self._changed = Pulse()
-        self._break_timer: asyncio.TimerHandle | None = None
-        self._ended = False
-        self.broken = False
-
-    @property
-    def closed(self) -> bool:
-        """Whether nothing more can be sent."""
-        return self.broken or self._ended
-
-    def send(self, part: Any) -> None:
-        """Send a part.
-
-        Raises:
-            NetworkError: If the stream is broken.
-        """
-        if self.broken:
-            raise NetworkError(f"stream {self.source} to {self.target} is broken")
-        if self._held or not self._network.open(self.source, self.target):
-            self._hold(part)
-            return
-        loop = asyncio.get_running_loop()
-        arrival_s = loop.time() + self._network.delay(self.source, self.target)
-        self._last_arrival_s = max(self._last_arrival_s, arrival_s)
-        self._in_flight.append(part)
-        loop.call_at(self._last_arrival_s, self._arrive)
-
-    def _hold(self, part: Any) -> None:
-        self._held.append(part)
-        if self._break_timer is None:
-            loop = asyncio.get_running_loop()
-            self._break_timer = loop.call_later(BREAK_AFTER_S, self._break)
-
-    def flush(self) -> None:
-        """Send what was held back by a cut that is over."""
-        if self.broken or not self._network.open(self.source, self.target):
-            return
-        if self._break_timer is not None:
-            self._break_timer.cancel()
-            self._break_timer = None
-        held, self._held = self._held, deque()
-        for part in held:
-            self.send(part)
-
-    def _arrive(self) -> None:
-        # Timers of one moment fire in any order; parts keep theirs.
-        if self.broken:
-            return
-        self._arrived.append(self._in_flight.popleft())
-        self._changed.give()
-
-    async def writable(self) -> None:
-        """Wait while the receiver lags behind."""
-        while len(self._arrived) + len(self._held) > _HELD_PARTS and not self.broken:
-            await self._changed.wait()
-
-    async def receive(self) -> Any:
-        """Return the next part.
-
-        Raises:
-            NetworkError: If the stream broke.
-        """
-        silent_s = 0.0
-        while not self._arrived:
-            if self.broken:
-                raise NetworkError(f"stream {self.source} to {self.target} broke")
-            if await self._changed.wait(_PROBE_S):
-                continue
-            both = self._network.open(self.source, self.target) and self._network.open(
-                self.target, self.source
-            )
-            silent_s = 0.0 if both else silent_s + _PROBE_S
-            if silent_s >= BREAK_AFTER_S:
-                self._break()
-        part = self._arrived.popleft()
-        self._changed.give()
-        return part
-
-    def break_off(self) -> None:
-        """Break the stream; the other side notices when the network lets it."""
-        loop = asyncio.get_running_loop()
-        if self._network.open(self.source, self.target) and self._network.open(
-            self.target, self.source
-        ):
-            delay_s = self._network.delay(self.source, self.target)
-            loop.call_at(max(loop.time() + delay_s, self._last_arrival_s), self._break)
-        elif self._break_timer is None:
-            self._break_timer = loop.call_later(BREAK_AFTER_S, self._break)
-
-    def _break(self) -> None:
-        self.broken = True
-        self._network.forget(self)
-        self._changed.give()
-
-    def close(self) -> None:
-        """Forget the stream."""
-        self._ended = True
-        self._break()
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/callers.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/callers.py
@@ -3,7 +3,9 @@
 import asyncio
 from collections.abc import AsyncIterator
 
-from heronladder_emulator.network import Endpoint, NetworkError, Pipe
+from heronladder_emulator.network import Endpoint
+from heronladder_emulator.network_errors import NetworkError
+from heronladder_emulator.pipe import Pipe
 from heronladder_router.caller_answer import CallerAnswer
 from heronladder_router.errors import OUTCOME_WORDS, CallerError
 from heronladder_router.intake import CHAT_PATH, RawCall
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/channels.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/channels.py
@@ -9,13 +9,9 @@
 from heronladder_agent.role import AgentRole
 from heronladder_emulator.engine import EmulatedEngine, EngineCrashedError
 from heronladder_emulator.engine_protocol import complete
-from heronladder_emulator.network import (
-    Endpoint,
-    MemoryNetwork,
-    NetworkError,
-    Pipe,
-    RefusedError,
-)
+from heronladder_emulator.network import Endpoint, MemoryNetwork
+from heronladder_emulator.network_errors import NetworkError, RefusedError
+from heronladder_emulator.pipe import Pipe
 from heronladder_emulator.service import EmulatedService, ServiceDownError
 from heronladder_router.agent_channel import AgentChannel
 from heronladder_router.errors import ChannelLostError, ChannelNotSentError
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -135,6 +135,26 @@
         run_virtual(scenario())
 
 
+class ApplyTest(unittest.TestCase):
+    def test_a_member_that_cannot_apply_stops(self) -> None:
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+
+            def broken(index: int, command: bytes) -> int:
+                raise KeyError(index)
+
+            group.machines[leader.name].apply = broken  # type: ignore[method-assign]
+            with self.assertRaises(LeadershipLostError):
+                await leader.propose(b"x")
+            self.assertEqual(group.failures[leader.name].step, "apply")
+            new = await group.leader([name for name in group.names if name != leader.name])
+            self.assertEqual(group.machines[new.name].commands, [b"x"])
+            await group.stop()
+
+        run_virtual(scenario())
+
+
 class RepairTest(unittest.TestCase):
     def test_a_second_member_lost_after_a_repair_costs_nothing_accepted(self) -> None:
         async def scenario() -> None:
