Measure a token as a gRPC message against a passed chunk

Cause: the choice of HTTP between agent and router rested on an estimate; tasks begun after a stop were left pending. Change: heronladder bench transport; a stopped owner of tasks begins none; the demo prints the metrics' addresses for the burn report.

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -54,6 +54,7 @@
         self.router: RouterRole | None = None
         self.router_server: RouterServer | None = None
         self.agent: AgentRole | None = None
+        self.admin_address = ""
         self.failed: asyncio.Future[HeronladderError] | None = None
 
     # ---- start ------------------------------------------------------------
@@ -173,6 +174,7 @@
         server = AdminServer(metrics, self.ready)
         listener = HttpListener(server.application(), self.settings.common.admin_listen)
         await self._listen(listener)
+        self.admin_address = listener.address
 
     def ready(self) -> bool:
         """Whether all roles can do their work."""
--- a/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
@@ -17,12 +17,18 @@
     def __init__(self, log: EventLog) -> None:
         self._log = log
         self._tasks: set[asyncio.Task[Any]] = set()
+        self._stopped = False
 
     def start(self, name: str, work: Coroutine[Any, Any, Any]) -> asyncio.Task[Any]:
-        """Run ``work`` in the background until it ends or ``stop`` is called."""
+        """Run ``work`` in the background until it ends or ``stop`` is called.
+
+        After ``stop`` nothing is begun any more: the task is cancelled at once.
+        """
         task = asyncio.get_running_loop().create_task(work, name=name)
         self._tasks.add(task)
         task.add_done_callback(self._finished)
+        if self._stopped:
+            task.cancel()
         return task
 
     def _finished(self, task: asyncio.Task[Any]) -> None:
@@ -32,6 +38,7 @@
 
     async def stop(self) -> None:
         """Cancel all tasks and wait for them to end."""
+        self._stopped = True
         current = asyncio.current_task()
         tasks = sorted((task for task in self._tasks if task is not current), key=_task_name)
         for task in tasks:
--- a/packages/heronladder-tools/src/heronladder_tools/demo.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo.py
@@ -205,6 +205,8 @@
             address = next(iter(fleet.router_addresses.values()))
             key = tenant_key(profile, 0)
             print(f"routers       {' '.join(fleet.router_addresses.values())}")
+            admins = ",".join(daemon.admin_address for daemon in fleet.routers.values())
+            print(f"metrics       {admins}")
             print(f"resource API  {' '.join(fleet.api_addresses)}  token {OPERATOR_TOKEN}")
             print(f"tenant key    {key}")
             print(
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -19,6 +19,7 @@
 from heronladder_tools.simulation.run import SimulationOptions, SimulationResult
 from heronladder_tools.simulation.run import simulate as run_simulation
 from heronladder_tools.toolbox_commands import ProfileOption, profile_of
+from heronladder_tools.transport_bench import bench_transport
 
 application = typer.Typer(
     no_args_is_help=True, add_completion=False, pretty_exceptions_enable=False, help=__doc__
@@ -153,7 +154,7 @@
 
 @application.command()
 def bench(
-    what: Annotated[str, typer.Argument(help="log, state or path")] = "log",
+    what: Annotated[str, typer.Argument(help="log, state, transport or path")] = "log",
     seconds: Annotated[float, typer.Option(min=1, max=600)] = 9.0,
     direct: Annotated[str, typer.Option(help="path: address of the engine")] = "",
     router: Annotated[str, typer.Option(help="path: address of the router")] = "",
@@ -166,6 +167,8 @@
         print(asyncio.run(bench_log(seconds)))
     if what == "state":
         print(bench_state(47_000, 960))
+    if what == "transport":
+        print(asyncio.run(bench_transport(20_000)))
     if what == "path":
         if not (direct and router and key):
             raise typer.BadParameter("give --direct, --router and --key; see scripts/bench-path")
--- a/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
@@ -52,7 +52,8 @@
         return asyncio.run(work)
     except ManifestError as error:
         for field in error.errors:
-            print(f"{error.peer}: {field.field}: {field.message}", file=sys.stderr)
+            place = f"{error.peer}: " if error.peer else ""
+            print(f"{place}{field.field}: {field.message}", file=sys.stderr)
         raise typer.Exit(_EXIT_BAD_INPUT) from error
     except ApiError as error:
         print(f"refused ({error.status}): {error.message}", file=sys.stderr)
@@ -242,14 +243,13 @@
         [
             member["name"],
             member["address"],
-            member["zone"],
             "voter" if member["voter"] else "learner",
             str(member["lag"]),
             "yes" if member["reachable"] else "NO",
         ]
         for member in document["members"]
     ]
-    print(format_table(["member", "address", "zone", "role", "lag", "reachable"], members))
+    print(format_table(["member", "address", "role", "lag", "reachable"], members))
     daemons = [
         [
             daemon["name"],
