--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -18,6 +18,7 @@
     from heronladder_control.member import ControlMember
 
 _IDLE_CHECK_S = 1.0
+_SCARCE_ASKS = 4
 _ROUTER_KINDS = frozenset({"tenant", "service", "backend", "routing_policy"})
 
 
@@ -258,7 +259,10 @@
         held = sum(
             lease.granted - lease.returned - lease.billed - lease.withheld for lease in leases
         )
-        keep = (held + result.available) // (2 * max(1, len(leases)))
+        total = held + result.available
+        # Near the end a fair share for each would leave too little for anyone.
+        scarce = total < _SCARCE_ASKS * ask.minimum
+        keep = 0 if scarce else total // (2 * max(1, len(leases)))
         for lease in leases:
             session = self.sessions.get(lease.holder)
             if session is None or lease.holder == ask.holder:
