Prove that leaving back ends get no new work and planned stops cut nothing

Cause: both promises held by construction only; nothing in the simulation would have noticed a breach. Change: a fault in which an operator drains a back end and the engine's own books must show no new run 3 s after it is in force; planned stops count what they cut, and the simulation asserts that it is nothing; a breakage that gives leaving back ends work is caught. Conclusion: both are checked from outside now.

--- a/packages/heronladder-agent/src/heronladder_agent/gate.py
+++ b/packages/heronladder-agent/src/heronladder_agent/gate.py
@@ -381,6 +381,10 @@
         deadline_s = self._environment.monotonic() + grace_s
         while self.runs.active() and self._environment.monotonic() < deadline_s:
             await asyncio.sleep(_STOP_POLL_S)
+        cut = len(self.runs.active())
+        if cut:
+            self._metrics.add("planned_stop_cuts", amount=cut)
+            self._log.error("planned_stop_cuts_runs", step="drain", runs=cut, grace_s=grace_s)
 
     async def stop(self) -> None:
         """End all runs."""
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -190,6 +190,10 @@
         deadline_s = self.environment.monotonic() + grace_s
         while self.forwarder.in_flight and self.environment.monotonic() < deadline_s:
             await asyncio.sleep(_STOP_POLL_S)
+        cut = self.forwarder.in_flight
+        if cut:
+            self.metrics.add("planned_stop_cuts", amount=cut)
+            self.log.error("planned_stop_cuts_requests", step="drain", requests=cut)
 
     async def stop(self) -> None:
         """Give leases back, send the last bills, say goodbye, and end."""
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/faults.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/faults.py
@@ -9,11 +9,14 @@
 from heronladder_emulator.network import Cut
 from heronladder_emulator.service import ServiceFaults
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.invariants import invariant
 
 from heronladder_tools.simulation.fleet import CALLERS, CONTROL_MEMBERS, SimulatedFleet
 from heronladder_tools.simulation.operators import Operators
 
 _RESTART_S = 4.0
+_LEAVING_S = 3.0
+_IN_FORCE_TRIES = 60
 _REPAIR_TIMEOUT_S = 60.0
 
 
@@ -181,6 +184,35 @@
             if name not in self.fleet.agents:
                 await self.fleet.start_agent(name)
 
+    async def operator_drain(self) -> None:
+        """An operator lets a back end leave: once in force it gets no new work."""
+        name = self._random.choice(sorted(self.fleet.engines))
+        revision = await self.operators.set_draining(name, True)
+        if not revision:
+            return
+        for _ in range(_IN_FORCE_TRIES):
+            leader = self.fleet.leader()
+            if leader is not None and leader.state.in_force_revision >= revision:
+                await asyncio.sleep(_LEAVING_S)
+                before = self._started_at(name)
+                await asyncio.sleep(_LEAVING_S)
+                started = self._started_at(name) - before
+                invariant(
+                    started == 0,
+                    "leaving_back_ends_get_no_new_work",
+                    step="operator_drain",
+                    peer=name,
+                    detail=f"{started} runs started",
+                )
+                break
+            await asyncio.sleep(1.0)
+        while not await self.operators.set_draining(name, False):
+            await asyncio.sleep(1.0)
+
+    def _started_at(self, engine: str) -> int:
+        runs = self.fleet.books.engine_runs.values()
+        return sum(run.engine == engine for group in runs for run in group)
+
     # ---- control ----------------------------------------------------------
 
     async def leader_crash(self) -> None:
@@ -283,6 +315,7 @@
         FaultKind("engine-fault", 40, FaultInjector.engine_fault),
         FaultKind("service-fault", 50, FaultInjector.service_fault),
         FaultKind("planned-stop", 60, FaultInjector.planned_stop),
+        FaultKind("operator-drain", 60, FaultInjector.operator_drain),
         FaultKind("leader-crash", 90, FaultInjector.leader_crash),
         FaultKind("lost-after-repair", 200, FaultInjector.lost_after_repair),
         FaultKind("power-loss", 300, FaultInjector.power_loss),
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
@@ -18,7 +18,9 @@
 from heronladder_router.role import RouterOptions, RouterRole
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.invariants import invariant
 from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_tools.oracle import BillBook
@@ -32,7 +34,7 @@
 CONTROL_MEMBERS = 3
 ROUTERS = 3
 _SNAPSHOT_ENTRIES = 400
-_DRAIN_GRACE_S = 60.0
+_DRAIN_GRACE_S = 130.0  # over a request's whole time
 _HEALTH_CHECK_S = 1.0
 _HEALTH_CHECKS = 2
 _BALANCER_LAG_S = 4.0
@@ -54,6 +56,18 @@
     differing: int = 0
 
 
+def _assert_nothing_cut(name: str, metrics: Metrics, alive: bool) -> None:
+    """A planned stop cuts nothing, unless the process crashed while it drained."""
+    cut = metrics.counters["planned_stop_cuts", ""]
+    invariant(
+        not alive or cut == 0,
+        "planned_stops_cut_nothing",
+        step="planned_stop",
+        peer=name,
+        detail=f"{cut} cut",
+    )
+
+
 class SimulatedFleet:
     """All processes of one profile on the network in memory.
 
@@ -260,6 +274,7 @@
         self.leaving[name] = True
         await asyncio.sleep(_BALANCER_LAG_S)
         await role.drain(_DRAIN_GRACE_S)
+        _assert_nothing_cut(name, role.metrics, self.routers.get(name) is role)
         await role.stop()
         del self.leaving[name]
         if self.routers.get(name) is role:
@@ -270,6 +285,7 @@
         """Make a planned stop of an agent."""
         role = self.agents[name]
         await role.drain(_DRAIN_GRACE_S)
+        _assert_nothing_cut(name, role.metrics, self.agents.get(name) is role)
         await role.stop()
         if self.agents.get(name) is role:
             del self.agents[name]
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/operators.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/operators.py
@@ -144,6 +144,18 @@
         changed.routing_policy.load_bound_percent = percent
         return await self.put("routing_policy", changed, known.metadata.version)
 
+    async def set_draining(self, name: str, draining: bool) -> int:
+        """Mark a back end as leaving or not; return the revision, or 0 if it was refused."""
+        leader = self._fleet.leader()
+        known = leader.state.resources.get("backend", name) if leader is not None else None
+        if known is None:
+            return 0
+        changed = resources_pb2.Resource()
+        changed.CopyFrom(known)
+        changed.backend.draining = draining
+        result = await self.put("backend", changed, known.metadata.version)
+        return result.revision if result.code == control_pb2.RESULT_CODE_OK else 0
+
     async def change_many(self, count: int) -> None:
         """Make many changes one after the other."""
         for _ in range(count):
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -12,6 +12,7 @@
 from heronladder_control.claims import ClaimTable
 from heronladder_control.in_force import InForceTracker
 from heronladder_control.ledger import Ledger
+from heronladder_router.replicas import Replica
 from heronladder_runtime.invariants import BOOK
 from heronladder_tools.profiles import PROFILES
 from heronladder_tools.simulation.faults import FAULTS, FaultInjector, FaultKind
@@ -203,6 +204,19 @@
             faults=("router-crash", "router-cut", "zone-cut"),
         )
 
+    def test_a_leaving_back_end_that_is_still_given_work(self) -> None:
+        often = {"operator-drain": FaultKind("operator-drain", 2, FaultInjector.operator_drain)}
+        usable = mock.patch.object(Replica, "usable", lambda self, now_s: bool(self.incarnation))
+        with mock.patch.dict(FAULTS, often), usable:
+            self._assert_caught(
+                Gate,
+                "_backend_drains",
+                lambda self: False,
+                "invariant_violations",
+                seeds=(1, 2),
+                faults=("operator-drain",),
+            )
+
     def test_an_agent_that_admits_although_it_is_stale(self) -> None:
         from heronladder_runtime.control_link import ControlLink
 
