Beat as soon as a stream to control is open

Cause: a daemon that had just connected waited a whole heartbeat interval before it could hold a freshness lease, also after each change of leader. Change: the first heartbeat goes out with the stream. Conclusion: kept for the start; its effect on false refusals is not shown.

--- a/packages/heronladder-router/src/heronladder_router/claims.py
+++ b/packages/heronladder-router/src/heronladder_router/claims.py
@@ -2,7 +2,7 @@
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
-from heronladder_runtime.errors import PeerUnavailableError
+from heronladder_runtime.errors import HeronladderError, PeerUnavailableError
 from heronladder_schema.v1 import agent_pb2, control_pb2, ledger_pb2
 
 from heronladder_router.errors import ControlUnavailableError, KeyConflictError
@@ -12,7 +12,7 @@
 _TIMEOUT_S = 5.0
 
 
-class ClaimHeldError(Exception):
+class ClaimHeldError(HeronladderError):
     """Another attempt holds the claim.
 
     Attributes:
@@ -20,7 +20,11 @@
     """
 
     def __init__(self, claim: ledger_pb2.Claim) -> None:
-        super().__init__(claim.request_id)
+        super().__init__(
+            f"attempt {claim.attempt} of request {claim.request_id} holds the claim",
+            step="claim",
+            peer=claim.agent,
+        )
         self.claim = claim
 
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -65,7 +65,7 @@
     sent_calls: set[int] = field(default_factory=set)
     heartbeat_times: dict[int, float] = field(default_factory=dict)
     last_received: float = 0.0
-    heartbeat_due: bool = False
+    heartbeat_due: bool = True  # at once: a new leader does not know how far we are
     closed: bool = False
 
 
