Tell a broken promise with its time and last events

Cause: a violation named step and peer, but not when, nor what had gone before; a watch over a compacted revision had no test. Change: simulations keep the newest events and print those of what a broken promise concerns; a watch that comes too late is told to begin anew, as a test.

--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -102,7 +102,8 @@
     """Return a simulation's report for people."""
     caused = " ".join(f"{name}={count}" for name, count in result.caused.items())
     head = f"seed {options.seed}  virtual seconds {result.virtual_seconds:.0f}\nfaults {caused}"
-    return head + "\n" + demo_module.report_text(result.verdict, result.timing)
+    report = demo_module.report_text(result.verdict, result.timing)
+    return "\n".join([head, report, *(f"  {event}" for event in result.story)])
 
 
 @application.command()
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/run.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/run.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 import random
+from collections import deque
 from collections.abc import Callable
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -21,6 +22,8 @@
 _READY_TIMEOUT_S = 60.0
 _CALM_TIMEOUT_S = 300.0
 _MILLION = 1_000_000
+_EVENTS_KEPT = 20_000
+_EVENTS_TOLD = 30
 
 
 @dataclass(frozen=True)
@@ -70,6 +73,7 @@
         cache_lookups: Prompt blocks that engines looked for.
         prefilled_tokens: Prompt tokens that engines read.
         engine_tokens: Tokens that each engine generated.
+        story: When a promise broke: the last events of what it concerns.
     """
 
     verdict: Verdict
@@ -80,6 +84,30 @@
     cache_lookups: int = 0
     prefilled_tokens: int = 0
     engine_tokens: list[float] = field(default_factory=list)
+    story: list[str] = field(default_factory=list)
+
+
+class _RecentEvents(logging.Handler):
+    """Keeps the newest events, so that a broken promise can be told with its story.
+
+    Args:
+        loop: The loop whose virtual time events get.
+    """
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(logging.INFO)
+        self._loop = loop
+        self._events: deque[str] = deque(maxlen=_EVENTS_KEPT)
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Keep one event."""
+        self._events.append(f"time={self._loop.time():.6f} {record.getMessage()}")
+
+    def story(self, notes: list[str]) -> list[str]:
+        """Return the last events that name a request or daemon of the notes."""
+        names = {word.strip("(),") for note in notes for word in note.split() if "-" in word}
+        told = [event for event in self._events if any(name in event for name in names)]
+        return told[-_EVENTS_TOLD:]
 
 
 class _VirtualTimeHandler(logging.Handler):
@@ -106,18 +134,25 @@
     BOOK.clear()
     loop = async_solipsism.EventLoop()
     handler = _VirtualTimeHandler(options.log, loop) if options.log is not None else None
+    recent = _RecentEvents(loop)
     logger = logging.getLogger("heronladder")
+    level, propagate = logger.level, logger.propagate
+    logger.addHandler(recent)
+    logger.setLevel(logging.INFO)
+    logger.propagate = False
     if handler is not None:
         logger.addHandler(handler)
-        logger.setLevel(logging.INFO)
-        logger.propagate = False
     try:
         result: SimulationResult = loop.run_until_complete(_Simulation(options).run())
+        if not result.verdict.promises_kept():
+            result.story = recent.story(result.verdict.notes)
         return result
     finally:
+        logger.removeHandler(recent)
+        logger.setLevel(level)
+        logger.propagate = propagate
         if handler is not None:
             logger.removeHandler(handler)
-            logger.propagate = True
             handler.close()
         loop.close()
 
--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -162,6 +162,26 @@
             seen.append(event["resource"]["metadata"]["name"])
         self.assertEqual(seen, ["default", "p"])
 
+    async def test_a_watch_of_what_was_compacted_away_is_told_to_begin_anew(self) -> None:
+        leader = self.fleet.leader()
+        assert leader is not None and leader.control is not None
+        table = leader.control.state.resources
+        while len(table.events) > 3:
+            table.compacted_revision = table.events.popleft().revision
+        kinds = []
+        async for event in self.operator.watch(1, ""):
+            if event["type"] == "bookmark":
+                break
+            kinds.append(event["type"])
+        self.assertEqual(kinds[0], "resync")
+        self.assertEqual(kinds.count("put"), 35)  # all resources of the profile
+        later = []
+        async for event in self.operator.watch(table.compacted_revision, ""):
+            if event["type"] == "bookmark":
+                break
+            later.append(event["type"])
+        self.assertEqual(later, ["put"] * 3)
+
     async def test_a_planned_stop_cuts_nothing_and_gives_leases_back(self) -> None:
         body = {"model": "menu-1", "prompt": "a" * 31, "max_tokens": 64, "stream": True}
         call = asyncio.ensure_future(self._post("/v1/completions", body))
--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -68,6 +68,23 @@
         self.assertIn(b"event=fault", first)
 
 
+class StoryTest(unittest.TestCase):
+    def test_a_broken_promise_is_told_with_time_and_last_events(self) -> None:
+        self.addCleanup(BOOK.clear)
+        original = Gate._head
+
+        def head(self, dispatch):  # type: ignore[no-untyped-def]
+            answer = original(self, dispatch)
+            answer.request_id = "another"
+            return answer
+
+        with mock.patch.object(Gate, "_head", head):
+            result = _simulate(1, 5.0, patience_s=5.0, rate=1.0, faults=())
+        note = result.verdict.notes[0]
+        self.assertRegex(note, r"answers_are_their_callers_own violated: .* time=\d+\.\d+ step=")
+        self.assertTrue(any(event.startswith("time=") for event in result.story))
+
+
 class MutationTest(unittest.TestCase):
     """Deliberate breakages, each caught by a named seed (docs/design/proof.md)."""
 
