Cancel a stopping task again when it lost its cancellation

Half stopped, it still led for 660 s, while no daemon reached it. Ruled out: the log, the quorum and the membership, which were sound in a dump at 300 s. Change: a stop tells tasks again until they end; a killed process of the simulation sends nothing.

--- a/packages/heronladder-emulator/src/heronladder_emulator/network.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/network.py
@@ -241,6 +241,8 @@
         handle: Callable[[Endpoint], Coroutine[Any, Any, Result]],
         may_duplicate: bool,
     ) -> Result:
+        if source in self.endpoints and not self.alive(source):
+            raise NetworkError(f"{source} is dead and sends nothing")
         await self.connect(source, target)
         await self.carry(source, target)
         if not self.alive(target):
--- a/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
@@ -6,6 +6,8 @@
 
 from heronladder_runtime.logs import EventLog
 
+_CANCEL_AGAIN_S = 0.5
+
 
 class TaskGroupOwner:
     """Keeps the background tasks of one component and logs those that fail.
@@ -44,12 +46,11 @@
         for task in tasks:
             task.cancel()
         for task in tasks:
-            try:
-                await task
-            except asyncio.CancelledError:
-                pass
-            except Exception:
-                pass  # already logged by _finished
+            # asyncio.wait_for may lose a cancellation that comes just as what it
+            # waits for is done; such a task has to be told again.
+            while not task.done():
+                await asyncio.wait([task], timeout=_CANCEL_AGAIN_S)
+                task.cancel()
 
 
 def _task_name(task: asyncio.Task[Any]) -> str:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -1,13 +1,16 @@
 """Settings: declared once, checked all at once; logs; metrics; the command lines."""
 
+import asyncio
 import unittest
 from pathlib import Path
 
 from heronladder_runtime.errors import SettingsError
-from heronladder_runtime.logs import format_event
+from heronladder_runtime.logs import EventLog, format_event
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.settings import declarations, load
+from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_tools.settings_reference import settings_page
+from support import run_virtual
 from typer.testing import CliRunner
 
 GOOD = {"name": "a", "data_folder": "/d", "backend_name": "b"}
@@ -56,6 +59,30 @@
         self.assertEqual(page.read_text(), settings_page())
 
 
+class TasksTest(unittest.TestCase):
+    def test_a_task_that_loses_a_cancellation_is_told_again(self) -> None:
+        async def scenario() -> int:
+            owner = TaskGroupOwner(EventLog("test", "a"))
+            cancelled = 0
+
+            async def deaf_once() -> None:
+                nonlocal cancelled
+                while True:
+                    try:
+                        await asyncio.sleep(1000)
+                    except asyncio.CancelledError:
+                        cancelled += 1
+                        if cancelled > 1:
+                            raise
+
+            owner.start("deaf", deaf_once())
+            await asyncio.sleep(0)
+            await owner.stop()
+            return cancelled
+
+        self.assertEqual(run_virtual(scenario()), 2)
+
+
 class LogsTest(unittest.TestCase):
     def test_an_event_is_one_line_of_pairs(self) -> None:
         line = format_event("lost", {"step": "dispatch", "why": 'a "b"\nc', "n": 3, "ok": True})
