Keep ports found free from outgoing connections

Cause: a run of the tests failed, as an outgoing connection had taken a port between its being found free and its being listened on (address in use). Change: such listeners stand on 127.0.0.2, outgoing connections on 127.0.0.1. Measured: two fleets over loopback pass; the whole run was not made again. Conclusion: the race with outgoing connections is closed.

--- a/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
@@ -23,6 +23,9 @@
 
 OPERATOR_TOKEN = "demo-operator"
 _LOOPBACK = "127.0.0.1"
+# Outgoing connections leave from 127.0.0.1 and would take a port that is free for
+# a moment; listeners that need their port beforehand stand on another number.
+_LISTENERS = "127.0.0.2"
 _CONTROL_MEMBERS = 3
 _ROUTERS = 3
 _READY_TIMEOUT_S = 30.0
@@ -34,9 +37,9 @@
     sockets = []
     for _ in range(count):
         holder = socket.socket()
-        holder.bind((_LOOPBACK, 0))
+        holder.bind((_LISTENERS, 0))
         sockets.append(holder)
-    addresses = [f"{_LOOPBACK}:{holder.getsockname()[1]}" for holder in sockets]
+    addresses = [f"{_LISTENERS}:{holder.getsockname()[1]}" for holder in sockets]
     for holder in sockets:
         holder.close()
     return addresses
