--- a/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
@@ -35,9 +35,16 @@
     ) -> None:
         self._node = node
         self._initial = initial_members
+        self.forming = bool(initial_members)  # it is not clear yet whether the group is new
 
     async def run(self) -> None:
         """Ask the other first members until it is clear whether the group is new."""
+        try:
+            await self._find_out()
+        finally:
+            self.forming = False
+
+    async def _find_out(self) -> None:
         node = self._node
         if node.hard_state.voting_allowed or not self._initial:
             return
--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import TYPE_CHECKING, Any
 
-from heronladder_runtime.errors import RPC_ERRORS
+from heronladder_runtime.errors import RPC_ERRORS, StorageError
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_consensus.membership import find_member, voters
@@ -35,8 +35,11 @@
             if node.is_leader or not node.may_vote() or silent_s < timeout_s:
                 continue
             node.leader = ""
-            if await self._collect(pre_vote=True) and await self._collect(pre_vote=False):
-                node.become_leader()
+            try:
+                if await self._collect(pre_vote=True) and await self._collect(pre_vote=False):
+                    node.become_leader()
+            except StorageError:
+                continue  # the disk refuses: others may stand
 
     async def _collect(self, *, pre_vote: bool) -> bool:
         """Ask all voters; return whether a majority agreed and nothing changed meanwhile.
--- /dev/null
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -0,0 +1,104 @@
+"""How a machine that is no member gets into a running group.
+
+A member that the group does not list asks any machine it knows to be taken in.
+The leader adds it as a learner; it votes once it has caught up. A member that
+was removed while it was cut off finds out in the same way and comes back as a
+learner.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+from heronladder_runtime.errors import RPC_ERRORS
+from heronladder_schema.v1 import consensus_pb2
+
+from heronladder_consensus.errors import MembershipChangeError, NotLeaderError
+from heronladder_consensus.membership import find_member
+
+if TYPE_CHECKING:
+    from heronladder_consensus.node import ConsensusNode
+
+_PAUSE_S = 0.3
+_SILENCE_S = 2.0  # without a leader's word, before a listed member asks again
+
+
+class Joiner:
+    """Asks to be taken into the group for as long as the group does not list this member.
+
+    Args:
+        node: The member.
+        me: This member's own entry; None for a member that is only ever added
+            by an operator.
+        contacts: gRPC addresses to ask when none is known from the log.
+    """
+
+    def __init__(
+        self,
+        node: ConsensusNode[Any],
+        me: consensus_pb2.Member | None,
+        contacts: list[str],
+    ) -> None:
+        self._node = node
+        self._me = me
+        self.contacts = contacts
+
+    async def run(self) -> None:
+        """Ask whenever no leader has been heard of for a while."""
+        if self._me is None:
+            return
+        while self._node.failure is None:
+            await asyncio.sleep(self._node.environment.jitter(_PAUSE_S))
+            if self._needs_to_ask():
+                await self._ask_all(self._me)
+
+    def _needs_to_ask(self) -> bool:
+        node = self._node
+        if node.is_leader or node.bootstrap.forming:
+            return False
+        return node.environment.monotonic() - node.last_heard_s > _SILENCE_S
+
+    async def _ask_all(self, me: consensus_pb2.Member) -> None:
+        listed = [member.address for member in self._node.membership().members]
+        addresses = list(dict.fromkeys([*self.contacts, *listed]))
+        hinted = ""
+        for address in addresses:
+            if address == me.address or self._node.failure is not None:
+                continue
+            reply = await self._ask(address, me)
+            if reply is None:
+                continue
+            if reply.accepted:
+                return
+            hinted = hinted or reply.leader_address
+        if hinted:
+            await self._ask(hinted, me)
+
+    async def _ask(
+        self, address: str, me: consensus_pb2.Member
+    ) -> consensus_pb2.JoinReply | None:
+        try:
+            stub = self._node.stubs.consensus(address)
+            reply: consensus_pb2.JoinReply = await stub.Join(
+                consensus_pb2.JoinRequest(member=me), timeout=self._node.timing.call_timeout_s
+            )
+        except RPC_ERRORS:
+            return None
+        return reply
+
+    async def answer(self, request: consensus_pb2.JoinRequest) -> consensus_pb2.JoinReply:
+        """Add the machine that asks as a learner, if this member leads."""
+        node = self._node
+        known = find_member(node.membership(), request.member.name)
+        if node.is_leader and known is not None:
+            return consensus_pb2.JoinReply(accepted=True)
+        try:
+            await node.membership_keeper.add(request.member)
+        except (MembershipChangeError, NotLeaderError):
+            return consensus_pb2.JoinReply(leader_address=self._leader_address())
+        return consensus_pb2.JoinReply(accepted=True)
+
+    def _leader_address(self) -> str:
+        leader = find_member(self._node.membership(), self._node.leader)
+        return leader.address if leader is not None else ""
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -11,6 +11,8 @@
 if TYPE_CHECKING:
     from heronladder_consensus.node import ConsensusNode
 
+_REPLACED_AFTER_S = 2.0  # silence of a voter whose place others have taken
+
 
 def find_member(membership: consensus_pb2.Membership, name: str) -> consensus_pb2.Member | None:
     """Return the member of a name, or None."""
@@ -25,6 +27,13 @@
     return [member for member in membership.members if member.voter]
 
 
+def without(membership: consensus_pb2.Membership, name: str) -> consensus_pb2.Membership:
+    """Return a membership without the member of a name."""
+    return consensus_pb2.Membership(
+        members=[member for member in membership.members if member.name != name]
+    )
+
+
 class MembershipKeeper:
     """Carries out changes of members, one at a time, while this member leads.
 
@@ -35,10 +44,12 @@
     def __init__(self, node: ConsensusNode[Any]) -> None:
         self._node = node
         self._change_index = 0
+        self._leading_since_s = 0.0
 
     def start_leading(self) -> None:
         """Begin to tend members; changes wait for the first entry of the term."""
         self._change_index = self._node.log.last_index
+        self._leading_since_s = self._node.environment.monotonic()
         self._node.tasks.start("membership", self._tend(self._node.term))
 
     async def _tend(self, term: int) -> None:
@@ -61,6 +72,30 @@
             if not member.voter and node.replication.caught_up(member.name):
                 self._change_member(member, incarnation=incarnation, voter=True)
                 return
+        self._remove_replaced()
+
+    def _remove_replaced(self) -> None:
+        """Remove a silent voter once others have taken its place.
+
+        Without this, members that never return would pile up until the living
+        ones are no quorum any more. One that was only cut off asks to come back.
+        """
+        node = self._node
+        size = node.timing.group_size
+        now = node.environment.monotonic()
+        if not size or now - self._leading_since_s < _REPLACED_AFTER_S:
+            return
+        if len(voters(node.membership())) <= size:
+            return
+        for member in voters(node.membership()):
+            if member.name == node.name:
+                continue
+            if now - node.replication.last_answer_s(member.name) > _REPLACED_AFTER_S:
+                self._append(without(node.membership(), member.name))
+                node.event_log.warning(
+                    "member_removed", step="membership", peer=member.name, reason="replaced"
+                )
+                return
 
     def _change_member(
         self, member: consensus_pb2.Member, *, incarnation: str, voter: bool
@@ -115,9 +150,7 @@
             raise MembershipChangeError(
                 f"there is no member {name}", step="members_remove", peer=name
             )
-        changed = consensus_pb2.Membership(
-            members=[member for member in current.members if member.name != name]
-        )
+        changed = without(current, name)
         reachable = [
             member
             for member in voters(changed)
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -17,6 +17,7 @@
 from heronladder_consensus.bootstrap import Bootstrap
 from heronladder_consensus.election import Election
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
+from heronladder_consensus.joining import Joiner
 from heronladder_consensus.log import MemoryLog
 from heronladder_consensus.membership import MembershipKeeper, find_member, voters
 from heronladder_consensus.replication import Replication
@@ -47,6 +48,8 @@
         timing: Times and sizes.
         environment: Time and randomness.
         on_failure: Called once when the member can no longer go on.
+        me: This member's entry, when it may ask to be taken into a group.
+        contacts: gRPC addresses it may ask.
     """
 
     def __init__(
@@ -59,6 +62,8 @@
         timing: ConsensusTiming,
         environment: Environment,
         on_failure: Callable[[HeronladderError], None],
+        me: consensus_pb2.Member | None = None,
+        contacts: list[str] | None = None,
     ) -> None:
         self.name = name
         self.storage = storage
@@ -93,6 +98,7 @@
         self._term_first_index = 0
 
         self.bootstrap = Bootstrap(self, initial_members)
+        self.joiner = Joiner(self, me, contacts or [])
         self.election = Election(self)
         self.replication = Replication(self)
         self.membership_keeper = MembershipKeeper(self)
@@ -105,6 +111,7 @@
             self.hard_state.incarnation = self.environment.new_id("member")
             await self.storage.save_hard_state(self.hard_state)
         self.tasks.start("bootstrap", self.bootstrap.run())
+        self.tasks.start("joining", self.joiner.run())
         self.tasks.start("election", self.election.run())
         self.tasks.start("flush", self._flush_when_appended())
         self.tasks.start("apply", self._apply_when_committed())
@@ -229,16 +236,28 @@
             detail=f"{self.hard_state.term} to {term}",
         )
         self.step_down("newer term")
+        earlier = (self.hard_state.term, self.hard_state.voted_for)
         self.hard_state.term = term
         self.hard_state.voted_for = voted_for
-        await self.save_hard_state()
+        try:
+            await self.save_hard_state()
+        except StorageError:
+            # Nobody may be told of a vote that a restart would forget.
+            self.hard_state.term, self.hard_state.voted_for = earlier
+            raise
 
     async def save_hard_state(self) -> None:
-        """Write the hard state; a failure ends this member."""
+        """Write the hard state.
+
+        Raises:
+            StorageError: If the disk refuses; nothing may be said that rests on it.
+        """
         try:
             await self.storage.save_hard_state(self.hard_state)
         except StorageError as error:
-            self.fail(error)
+            self.event_log.warning(
+                "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
+            )
             raise
 
     def become_leader(self) -> None:
@@ -279,10 +298,18 @@
                 async with self._write_lock:
                     await self.flush_locked()
             except StorageError as error:
-                self.fail(error)
-                return
+                await self._wait_for_disk(error)
+                continue
             self.replication.advance_commit()
 
+    async def _wait_for_disk(self, error: StorageError) -> None:
+        """Leave leading to others while this member's disk takes no writes."""
+        self.event_log.warning(
+            "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
+        )
+        self.step_down("the disk refuses writes")
+        await asyncio.sleep(self.timing.election_timeout_s)
+
     async def flush_locked(self) -> None:
         """Write and sync all entries that are not; the write lock must be held.
 
@@ -348,8 +375,10 @@
         try:
             await self.storage.save_snapshot(snapshot, drop_log=False)
         except StorageError as error:
-            self.fail(error)
-            raise
+            self.event_log.warning(
+                "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
+            )
+            return  # the log goes on; the next entries try again
         self.snapshot = snapshot
         kept_from = max(self.log.base_index, index - self.timing.trailing_entries)
         if kept_from > self.log.base_index:
@@ -369,11 +398,7 @@
         async with self._write_lock:
             if snapshot.meta.index <= self.commit_index:
                 return
-            try:
-                await self.storage.save_snapshot(snapshot, drop_log=True)
-            except StorageError as error:
-                self.fail(error)
-                raise
+            await self.storage.save_snapshot(snapshot, drop_log=True)
             self.snapshot = snapshot
             self.log.reset(snapshot.meta)
             self.machine.restore(snapshot.data)
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
-from heronladder_runtime.errors import RPC_ERRORS, StorageError
+from heronladder_runtime.errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_consensus.membership import find_member, voters
@@ -210,12 +210,22 @@
             counts = progress is not None and progress.incarnation == member.incarnation
             matches.append(progress.match_index if progress is not None and counts else 0)
         matches.sort(reverse=True)
-        index = matches[node.quorum() - 1]
+        copies = max(node.quorum(), self._copies_needed(len(matches)))
+        index = matches[copies - 1]
         if index > node.commit_index and node.log.term_at(index) == node.term:
             # Followers learn with the next entries or heartbeat: all reads and
             # watches are served by the leader.
             node.set_commit_index(index)
 
+    def _copies_needed(self, voting: int) -> int:
+        """Return how many synced copies an entry needs besides a quorum.
+
+        A group that is still growing commits nothing but members, so that what
+        is acknowledged outlives the losses that are to be borne.
+        """
+        node = self._node
+        return min(voting, node.timing.losses + 1)
+
     # ---- facts about peers ------------------------------------------------
 
     def begin_round(self) -> int:
@@ -254,6 +264,12 @@
             self.match_index(name) > 0
         )
 
+    def last_answer_s(self, name: str) -> float:
+        """Return when a peer last answered; the start of leading when it never did."""
+        progress = self._peers.get(name)
+        answered = progress.last_answer_s if progress is not None else float("-inf")
+        return max(answered, self._leading_since_s)
+
     def reachable(self, name: str) -> bool:
         """Whether a peer answered within an election timeout."""
         node = self._node
@@ -297,11 +313,7 @@
                 known = None
             if known is None:
                 log.append(entry)
-        try:
-            await node.flush_locked()
-        except StorageError as error:
-            node.fail(error)
-            raise
+        await node.flush_locked()
         reply.success = True
         reply.match_index = previous + len(request.entries)
         node.last_heard_s = node.environment.monotonic()
--- a/packages/heronladder-consensus/src/heronladder_consensus/service.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/service.py
@@ -23,6 +23,11 @@
     ) -> consensus_pb2.HelloReply:
         return self._node.bootstrap.answer()
 
+    async def Join(  # noqa: D102
+        self, request: consensus_pb2.JoinRequest, context: Any
+    ) -> consensus_pb2.JoinReply:
+        return await self._node.joiner.answer(request)
+
     async def RequestVote(  # noqa: D102
         self, request: consensus_pb2.VoteRequest, context: Any
     ) -> consensus_pb2.VoteReply:
--- a/packages/heronladder-consensus/src/heronladder_consensus/storage.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/storage.py
@@ -143,9 +143,9 @@
         batch = consensus_pb2.LogBatch(entries=entries)
         record = frame_record(batch.SerializeToString())
         self._disk.append(segment.name, record)
+        await self._disk.sync(segment.name)
         segment.size += len(record)
         segment.last_index = entries[-1].index
-        await self._disk.sync(segment.name)
 
     def _current_segment(self) -> _Segment:
         if not self._segments or self._segments[-1].size >= _SEGMENT_BYTES:
--- a/packages/heronladder-consensus/src/heronladder_consensus/timing.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/timing.py
@@ -10,10 +10,19 @@
     Attributes:
         election_timeout_s: Silence after which a member stands for election.
         snapshot_entries: Applied entries between two snapshots.
+        losses: Members with their disks that may be lost at once. An entry is
+            committed once one copy more than that is synced, and the group is
+            kept at twice as many members and one.
     """
 
     election_timeout_s: float = 1.0
     snapshot_entries: int = 20_000
+    losses: int = 0
+
+    @property
+    def group_size(self) -> int:
+        """Voters that bear the losses; 0 when no number of losses is set."""
+        return 2 * self.losses + 1 if self.losses else 0
 
     @property
     def quorum_timeout_s(self) -> float:
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -0,0 +1,126 @@
+"""The fleet's whole configuration and its replicas, as the log carries them."""
+
+from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME, REPLICA_KIND
+from heronladder_runtime.fleet_validation import validate_fleet
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_control.prepaid import PrepaidTable
+from heronladder_control.resources import ResourceTable
+from heronladder_control.results import failure, success
+
+_GONE_KEPT = 256  # replicas whose end is remembered, so that a late heartbeat revives none
+
+
+class FleetTable:
+    """Applies whole configurations and registrations of replicas.
+
+    Args:
+        resources: Where they are kept.
+        prepaid: Takes the tenants' limits.
+    """
+
+    def __init__(self, resources: ResourceTable, prepaid: PrepaidTable) -> None:
+        self._resources = resources
+        self._prepaid = prepaid
+
+    # ---- configuration ----------------------------------------------------
+
+    def configuration(self) -> resources_pb2.FleetConfiguration | None:
+        """Return the configuration held, or None before the first."""
+        resource = self._resources.get(FLEET_KIND, FLEET_NAME)
+        return resource.fleet_configuration if resource is not None else None
+
+    def apply(
+        self, index: int, wanted: resources_pb2.FleetConfiguration
+    ) -> control_pb2.CommandResult:
+        """Take a configuration if its version is above the one held.
+
+        One that is not above is taken note of and changes nothing, but for the
+        version held with another content, which is refused.
+        """
+        errors = validate_fleet(wanted)
+        if errors:
+            result = failure(control_pb2.RESULT_CODE_INVALID, "the configuration is not valid")
+            result.errors.extend(errors)
+            return result
+        held = self.configuration()
+        if held is not None and wanted.version == held.version and wanted.source != held.source:
+            result = failure(
+                control_pb2.RESULT_CODE_VERSION_CONFLICT,
+                f"version {held.version} is held with another content",
+            )
+            result.current_version = held.version
+            return result
+        if held is None or wanted.version > held.version:
+            resource = resources_pb2.Resource()
+            resource.fleet_configuration.CopyFrom(wanted)
+            self._resources.write(index, FLEET_KIND, FLEET_NAME, resource)
+            self._prepaid.set_limits(list(wanted.tenants))
+            held = wanted
+        result = success()
+        result.revision = self._resources.resources[FLEET_KIND][FLEET_NAME].metadata.revision
+        result.current_version = held.version
+        return result
+
+    # ---- replicas ---------------------------------------------------------
+
+    def replica(self, identity: str) -> resources_pb2.Replica | None:
+        """Return what is known of a replica, or None."""
+        resource = self._resources.get(REPLICA_KIND, identity)
+        return resource.replica if resource is not None else None
+
+    def settled(self, told: resources_pb2.Replica) -> bool:
+        """Whether what a replica tells is known already, or is late."""
+        known = self.replica(told.id)
+        if known is None:
+            return False
+        return self._merged(known, told) == known
+
+    @staticmethod
+    def _merged(
+        known: resources_pb2.Replica, told: resources_pb2.Replica
+    ) -> resources_pb2.Replica:
+        """Return the newer state: a replica never comes back from draining or gone."""
+        merged = resources_pb2.Replica()
+        merged.CopyFrom(known if told.gone else told)
+        merged.draining = known.draining or told.draining or told.gone
+        merged.gone = known.gone or told.gone
+        return merged
+
+    def register(self, index: int, told: resources_pb2.Replica) -> control_pb2.CommandResult:
+        """Take what a replica tells of itself; an address has one replica only."""
+        known = self.replica(told.id)
+        if known is None and told.gone and not told.service:
+            return success()  # it left before it ever registered
+        state = told if known is None else self._merged(known, told)
+        if known is None or state != known:
+            self._drop_others_at(index, state)
+            resource = resources_pb2.Resource()
+            resource.replica.CopyFrom(state)
+            self._resources.write(index, REPLICA_KIND, told.id, resource)
+            self._forget_old_ends(index)
+        result = success()
+        result.revision = self._resources.resources[REPLICA_KIND][told.id].metadata.revision
+        return result
+
+    def _drop_others_at(self, index: int, state: resources_pb2.Replica) -> None:
+        if state.gone:
+            return
+        replaced = [
+            name
+            for name, resource in self._resources.resources[REPLICA_KIND].items()
+            if resource.replica.address == state.address
+            and name != state.id
+            and not resource.replica.gone
+        ]
+        for name in replaced:
+            self._resources.erase(index, REPLICA_KIND, name)
+
+    def _forget_old_ends(self, index: int) -> None:
+        ended = [
+            (resource.metadata.revision, name)
+            for name, resource in self._resources.resources[REPLICA_KIND].items()
+            if resource.replica.gone
+        ]
+        for _, name in sorted(ended)[:-_GONE_KEPT]:
+            self._resources.erase(index, REPLICA_KIND, name)
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -20,10 +20,15 @@
 
 from heronladder_control.allotments import AllotmentKeeper
 from heronladder_control.daemons import ROLE_ROUTER
+from heronladder_control.fleet_service import FleetService
 from heronladder_control.in_force import InForceTracker
+from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_control.sessions import ControlService
 from heronladder_control.state import ControlState
 
+_CONFIGURATION_COMMANDS = frozenset(
+    {"put_resource", "delete_resource", "apply_configuration", "register_replica"}
+)
 _CHORE_INTERVAL_S = 0.5
 _CLAIM_AGE_MS = 24 * 3600 * 1000
 _CLAIM_DROP_INTERVAL_S = 600.0
@@ -41,6 +46,8 @@
         freshness_s: Length of a daemon's freshness lease, in seconds.
         gone_after_s: Silence after which a router is declared gone, in seconds.
         region_addresses: gRPC addresses of the control members of other regions.
+        me: This member's entry, when it may ask to be taken into a running group.
+        contacts: gRPC addresses that it may ask.
     """
 
     name: str
@@ -50,6 +57,8 @@
     freshness_s: float = 8.0
     gone_after_s: float = 15.0
     region_addresses: dict[str, list[str]] = field(default_factory=dict)
+    me: consensus_pb2.Member | None = None
+    contacts: list[str] = field(default_factory=list)
 
 
 class ControlMember:
@@ -86,11 +95,16 @@
             options.timing,
             environment,
             on_failure,
+            options.me,
+            options.contacts,
         )
+        self.prepaid_watch = PrepaidWatch(environment)
         self.in_force = InForceTracker(environment, options.freshness_s)
         self.progress = Pulse()  # a daemon applied a configuration
         self.in_force_changed = Pulse()
         self.service = ControlService(self)
+        self.stubs = stubs
+        self.fleet_service = FleetService(self)
         self.consensus_service = ConsensusService(self.node)
         self.allotments = AllotmentKeeper(self, stubs)
         self.state.listeners.append(self._applied)
@@ -141,7 +155,7 @@
             self.in_force_changed.give()
         if not self.node.is_leader:
             return
-        if body in ("put_resource", "delete_resource"):
+        if body in _CONFIGURATION_COMMANDS:
             self.progress.give()
         self.service.applied(command, result)
         self.allotments.applied(command, result)
@@ -170,6 +184,7 @@
         while self.node.is_leader:
             await self._put_in_force()
             await self._declare_silent_gone()
+            await self._close_prepaid_holders()
             if self.environment.monotonic() >= next_drop_s:
                 next_drop_s += _CLAIM_DROP_INTERVAL_S
                 await self._drop_old_claims()
@@ -201,6 +216,32 @@
         command.declare_gone.incarnation = record.incarnation
         await self.propose(command)
 
+    async def _close_prepaid_holders(self) -> None:
+        """Charge routers that were replaced or declared gone, and free the rest."""
+        table = self.state.prepaid
+        holders = {
+            (holder.holder, holder.incarnation)
+            for account in table.accounts.values()
+            for holder in account.holders
+        }
+        for holder in sorted(holders):
+            record = self.state.daemons.daemons.get(holder[0])
+            if record is not None and record.incarnation == holder[1] and not record.gone:
+                continue
+            command = control_pb2.Command()
+            command.close_prepaid_holder.CopyFrom(
+                self.prepaid_watch.charges(holder, table, self.node.term)
+            )
+            await self.propose(command)
+            self.prepaid_watch.forget(holder)
+            self.log.info(
+                "prepaid_holder_closed",
+                step="close_prepaid_holder",
+                peer=holder[0],
+                incarnation=holder[1],
+                by_window=bool(command.close_prepaid_holder.charges),
+            )
+
     async def _drop_old_claims(self) -> None:
         command = control_pb2.Command()
         command.drop_claims.older_than_ms = max(0, self.environment.wall_ms() - _CLAIM_AGE_MS)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -0,0 +1,186 @@
+"""Prepaid tokens of tenants, held out to routers.
+
+Tokens go account -> holder -> used. A holder is one incarnation of a router; it
+tells only sums that rise, so a draw that is sent again changes nothing. For each
+account with a limit:
+
+    charged = closed_charge + sum(granted - returned)
+
+and nothing is granted that would take ``charged`` over the limit. A holder that
+is gone is charged with all it held, or with the most it can have used.
+"""
+
+from heronladder_runtime.invariants import invariant
+from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
+
+from heronladder_control.results import failure, success
+
+_SHARE_OF_HOLDERS = 2  # a draw takes at most 1/(2 x holders) of what is left
+_SURE_PERCENT = 97  # of the limit; beyond it the rest may be held by requests under way
+_PERCENT = 100
+
+
+class PrepaidTable:
+    """Accounts of prepaid tenants, by the tenant's name."""
+
+    def __init__(self) -> None:
+        self.accounts: dict[str, ledger_pb2.PrepaidAccount] = {}
+
+    # ---- limits -----------------------------------------------------------
+
+    def set_limits(self, tenants: list[resources_pb2.PrepaidTenant]) -> None:
+        """Take the limits of a configuration; accounts of absent tenants are kept."""
+        for tenant in tenants:
+            account = self.accounts.get(tenant.name)
+            if account is None:
+                account = ledger_pb2.PrepaidAccount(tenant=tenant.name)
+                self.accounts[tenant.name] = account
+            account.limit = tenant.prepaid_tokens
+            account.limited = tenant.limited
+
+    @staticmethod
+    def charged(account: ledger_pb2.PrepaidAccount) -> int:
+        """Return the tokens that are used or that a holder may still use."""
+        held = sum(holder.granted - holder.returned for holder in account.holders)
+        return account.closed_charge + held
+
+    def available(self, account: ledger_pb2.PrepaidAccount) -> int:
+        """Return the tokens that can be granted; 0 when the limit was lowered below."""
+        return max(0, account.limit - self.charged(account))
+
+    # ---- draws ------------------------------------------------------------
+
+    def draw(self, order: control_pb2.DrawTokens) -> control_pb2.CommandResult:
+        """Take what a holder tells and give it what it asks for, as far as there is."""
+        account = self.accounts.get(order.tenant)
+        if account is None:
+            return failure(
+                control_pb2.RESULT_CODE_NOT_FOUND, f"there is no tenant {order.tenant}"
+            )
+        holder = self._holder(account, order.holder, order.incarnation)
+        amount = 0
+        if order.number > holder.last_number:
+            holder.last_number = order.number
+            self._take_report(holder, order)
+            amount = self._grant(account, order)
+            holder.granted += amount
+        result = success(available=self.available(account))
+        if order.minimum and not amount:
+            result.code = control_pb2.RESULT_CODE_EXHAUSTED
+        result.granted = holder.granted
+        result.recallable = self._unspent_of_others(account, holder)
+        result.surely_exhausted = self._surely_exhausted(account, order)
+        return result
+
+    @staticmethod
+    def _take_report(holder: ledger_pb2.PrepaidHolder, order: control_pb2.DrawTokens) -> None:
+        used = order.returned + order.spent + order.reserved
+        invariant(
+            used <= holder.granted,
+            "prepaid_holder_within_grant",
+            step="draw",
+            peer=order.holder,
+            detail=f"{order.tenant}: tells {used} of {holder.granted}",
+            refuses=True,
+        )
+        holder.returned = max(holder.returned, order.returned)
+        holder.spent = max(holder.spent, order.spent)
+        holder.reserved = order.reserved
+
+    def _grant(
+        self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens
+    ) -> int:
+        amount = self._grant_size(account, order)
+        invariant(
+            amount == 0 or not account.limited or amount <= self.available(account),
+            "prepaid_within_limit",
+            step="draw",
+            peer=order.tenant,
+            detail=f"{amount} of {self.available(account)}",
+        )
+        return amount
+
+    def _grant_size(
+        self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens
+    ) -> int:
+        if not account.limited:
+            return order.wanted
+        available = self.available(account)
+        if available < order.minimum:
+            return 0
+        share = available // (_SHARE_OF_HOLDERS * max(1, len(account.holders)))
+        return min(order.wanted, available, max(share, order.minimum))
+
+    @staticmethod
+    def _holder(
+        account: ledger_pb2.PrepaidAccount, name: str, incarnation: str
+    ) -> ledger_pb2.PrepaidHolder:
+        for holder in account.holders:
+            if (holder.holder, holder.incarnation) == (name, incarnation):
+                return holder
+        added = account.holders.add()
+        added.holder = name
+        added.incarnation = incarnation
+        return added
+
+    @staticmethod
+    def _unspent_of_others(
+        account: ledger_pb2.PrepaidAccount, own: ledger_pb2.PrepaidHolder
+    ) -> int:
+        return sum(
+            holder.granted - holder.returned - holder.spent - holder.reserved
+            for holder in account.holders
+            if holder is not own
+        )
+
+    @staticmethod
+    def _surely_exhausted(
+        account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens
+    ) -> bool:
+        """Whether what is known to be used leaves no room for the tokens asked for."""
+        if not account.limited or order.minimum == 0:
+            return False
+        known = account.closed_spent
+        known += sum(holder.spent + holder.reserved for holder in account.holders)
+        return (known + order.minimum) * _PERCENT > account.limit * _SURE_PERCENT
+
+    # ---- holders that are gone --------------------------------------------
+
+    def close(self, order: control_pb2.ClosePrepaidHolder) -> None:
+        """Charge a holder that is gone, in all accounts, and forget it."""
+        for account in self.accounts.values():
+            self._close_in(account, order)
+
+    @staticmethod
+    def _close_in(
+        account: ledger_pb2.PrepaidAccount, order: control_pb2.ClosePrepaidHolder
+    ) -> None:
+        for position, holder in enumerate(account.holders):
+            if (holder.holder, holder.incarnation) != (order.holder, order.incarnation):
+                continue
+            held = holder.granted - holder.returned
+            told = order.charges.get(account.tenant)
+            charge = held if told is None else min(held, max(told, holder.spent))
+            account.closed_charge += charge
+            account.closed_spent += holder.spent
+            del account.holders[position]
+            return
+
+    def incarnations_of(self, holder: str) -> set[str]:
+        """Return the incarnations of a router that hold an account open."""
+        return {
+            entry.incarnation
+            for account in self.accounts.values()
+            for entry in account.holders
+            if entry.holder == holder
+        }
+
+    # ---- snapshot ---------------------------------------------------------
+
+    def save(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Write all accounts into a snapshot."""
+        snapshot.prepaid.extend(self.accounts[name] for name in sorted(self.accounts))
+
+    def load(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Take all accounts from a snapshot."""
+        self.accounts = {account.tenant: account for account in snapshot.prepaid}
--- a/packages/heronladder-control/src/heronladder_control/resources.py
+++ b/packages/heronladder-control/src/heronladder_control/resources.py
@@ -114,6 +114,27 @@
         result.resource.CopyFrom(known)
         return result
 
+    def write(self, index: int, kind: str, name: str, resource: resources_pb2.Resource) -> None:
+        """Write a resource that replaces its earlier state; only its newest event is kept."""
+        known = self.get(kind, name)
+        resource.metadata.name = name
+        resource.metadata.region = self._region
+        resource.metadata.version = known.metadata.version + 1 if known is not None else 1
+        resource.metadata.revision = index
+        self.resources[kind][name] = resource
+        self._forget_events(kind, name)
+        self._record(index, kind, name, resource)
+
+    def erase(self, index: int, kind: str, name: str) -> None:
+        """Remove a resource written by ``write``."""
+        if self.resources[kind].pop(name, None) is not None:
+            self._forget_events(kind, name)
+            self._record(index, kind, name, None)
+
+    def _forget_events(self, kind: str, name: str) -> None:
+        kept = (event for event in self.events if (event.kind, event.name) != (kind, name))
+        self.events = deque(kept)
+
     def _record(
         self, index: int, kind: str, name: str, resource: resources_pb2.Resource | None
     ) -> None:
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -7,6 +7,7 @@
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.configuration import FLEET_KIND, REPLICA_KIND
 from heronladder_runtime.errors import RPC_ERRORS, HeronladderError
 from heronladder_runtime.pulse import Pulse
 from heronladder_schema.v1 import control_pb2, ledger_pb2
@@ -19,7 +20,9 @@
 
 _IDLE_CHECK_S = 1.0
 _SCARCE_ASKS = 4
-_ROUTER_KINDS = frozenset({"tenant", "service", "backend", "routing_policy"})
+_ROUTER_KINDS = frozenset(
+    {"tenant", "service", "backend", "routing_policy", FLEET_KIND, REPLICA_KIND}
+)
 
 
 class DaemonSession:
@@ -39,6 +42,9 @@
         self.notices: dict[str, control_pb2.DaemonNotice] = {}
         self.recalls: dict[int, int] = {}
         self.heartbeat_ack = 0
+        self.prepaid_recalls: set[str] = set()
+        self.told_addresses: list[str] = []
+        self.told_routers = 0
 
     def wants(self, event: control_pb2.ConfigEvent) -> bool:
         """Whether the daemon acts on this kind of resource."""
@@ -122,6 +128,9 @@
         session = DaemonSession(hello.daemon, hello.applied_revision)
         self.sessions[name] = session
         self._member.in_force.connected(name)
+        self._member.prepaid_watch.opened(
+            (name, hello.daemon.incarnation), self._member.node.term
+        )
         other_role = ROLE_ROUTER if hello.daemon.role == ROLE_AGENT else ROLE_AGENT
         for record in self._member.state.daemons.daemons.values():
             if record.role == other_role:
@@ -150,6 +159,7 @@
         if session.heartbeat_ack:
             frame.heartbeat_ack = session.heartbeat_ack
             frame.freshness_ms = int(self._member.freshness_s * MILLISECONDS_PER_SECOND)
+            frame.control_time_ms = self._now_ms()
             session.heartbeat_ack = 0
         if session.answers:
             frame.answers.extend(session.answers)
@@ -159,8 +169,26 @@
         session.recalls.clear()
         frame.daemons.extend(session.notices.values())
         session.notices.clear()
+        frame.prepaid_recalls.extend(sorted(session.prepaid_recalls))
+        session.prepaid_recalls.clear()
+        self._add_group(session, frame)
         return frame if frame.ByteSize() else None
 
+    def _now_ms(self) -> int:
+        return int(self._member.environment.monotonic() * MILLISECONDS_PER_SECOND)
+
+    def _add_group(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
+        """Tell which members there are, and how many routers share what is shared."""
+        members = self._member.node.membership().members
+        addresses = sorted(member.address for member in members)
+        if addresses != session.told_addresses:
+            session.told_addresses = addresses
+            frame.control_addresses.extend(addresses)
+        routers = sum(1 for other in self.sessions.values() if other.record.role == ROLE_ROUTER)
+        if routers != session.told_routers:
+            session.told_routers = routers
+            frame.routers = routers
+
     def _add_config(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
         resources = self._member.state.resources
         if session.config_sent >= resources.revision:
@@ -197,6 +225,8 @@
         name = session.record.name
         if self.sessions.get(name) is not session or not self._member.node.is_leader:
             return
+        holder = (name, session.record.incarnation)
+        self._member.prepaid_watch.heartbeat(holder, heartbeat)
         in_force = self._member.state.in_force_revision
         applied = heartbeat.applied_revision
         if self._member.in_force.heartbeat(name, applied, committed, in_force):
@@ -230,11 +260,16 @@
             self._wake_all()
         elif body == "register_daemon" and result.code == control_pb2.RESULT_CODE_OK:
             record = command.register_daemon.daemon
+            self._member.prepaid_watch.replaced(record.name, record.incarnation)
             self._tell_others(record.role, record.name, record.incarnation, gone=False)
         elif body == "declare_gone" and result.code == control_pb2.RESULT_CODE_OK:
             order = command.declare_gone
             role = self._member.state.daemons.daemons[order.name].role
             self._tell_others(role, order.name, order.incarnation, gone=True)
+        elif body in ("apply_configuration", "register_replica"):
+            self._wake_all()
+        elif body == "draw_tokens" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
+            self._recall_prepaid(command.draw_tokens, result)
         elif body == "grant_lease" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
             self._recall(command.grant_lease, result)
 
@@ -270,7 +305,23 @@
             session.recalls[lease.lease_id] = keep
             session.wake.give()
 
-    # ---- other regions ----------------------------------------------------
+    def _recall_prepaid(
+        self, order: control_pb2.DrawTokens, result: control_pb2.CommandResult
+    ) -> None:
+        """Ask the other routers to give back what they have not used of a tenant."""
+        if not result.recallable:
+            return
+        for session in self.sessions.values():
+            if session.record.role == ROLE_ROUTER and session.record.name != order.holder:
+                session.prepaid_recalls.add(order.tenant)
+                session.wake.give()
+
+    # ---- members and other regions ----------------------------------------------------
+
+    async def Carry(  # noqa: D102 - generated name
+        self, request: control_pb2.CarryRequest, context: Any
+    ) -> control_pb2.CarryReply:
+        return await self._member.fleet_service.carry(request)
 
     async def Allot(  # noqa: D102 - generated name
         self, request: control_pb2.AllotmentRequest, context: Any
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -3,14 +3,17 @@
 from collections.abc import Callable
 
 from heronladder_consensus.state_machine import StateMachine
+from heronladder_runtime.configuration import FLEET_KIND
 from heronladder_runtime.errors import RefusedByInvariantError
 from heronladder_runtime.invariants import invariant
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.claims import ClaimTable
 from heronladder_control.daemons import DaemonTable
+from heronladder_control.fleet import FleetTable
 from heronladder_control.lease_rules import Standing
 from heronladder_control.ledger import Ledger
+from heronladder_control.prepaid import PrepaidTable
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
 from heronladder_control.transfers import TransferTable
@@ -34,6 +37,8 @@
         self.claims = ClaimTable(self.ledger)
         self.daemons = DaemonTable(self.ledger)
         self.transfers = TransferTable(self.ledger)
+        self.prepaid = PrepaidTable()
+        self.fleet = FleetTable(self.resources, self.prepaid)
         self.in_force_revision = 0
         self.applied_index = 0
         self.listeners: list[_AppliedListener] = []
@@ -91,6 +96,15 @@
                 return self.transfers.debit(order.debit_transfer.transfer)
             case "credit_transfer":
                 return self.transfers.credit(order.credit_transfer.transfer)
+            case "apply_configuration":
+                return self.fleet.apply(index, order.apply_configuration.configuration)
+            case "register_replica":
+                return self.fleet.register(index, order.register_replica.replica)
+            case "draw_tokens":
+                return self._draw(order.draw_tokens)
+            case "close_prepaid_holder":
+                self.prepaid.close(order.close_prepaid_holder)
+                return success()
         invariant(False, "commands_are_known", step="apply", detail=f"{body} at {index}")
         return success()
 
@@ -104,6 +118,10 @@
         if refusal is not None:
             self.resources.remember(order.change_id, refusal)
             return refusal
+        if order.kind == FLEET_KIND:
+            result = self.fleet.apply(index, order.resource.fleet_configuration)
+            self.resources.remember(order.change_id, result)
+            return result
         if order.kind == "budget":
             name = order.resource.metadata.name
             self.ledger.set_budget(name, order.resource.budget)
@@ -131,12 +149,18 @@
         self.resources.remember(order.change_id, result)
         return result
 
+    def _draw(self, order: control_pb2.DrawTokens) -> control_pb2.CommandResult:
+        if not self._is_current(order.holder, order.incarnation):
+            return failure(control_pb2.RESULT_CODE_STALE, "no such incarnation of the holder")
+        return self.prepaid.draw(order)
+
+    def _is_current(self, name: str, incarnation: str) -> bool:
+        known = self.daemons.daemons.get(name)
+        return known is not None and not known.gone and known.incarnation == incarnation
+
     def _grant(self, ask: control_pb2.GrantLease) -> control_pb2.CommandResult:
-        holder = self.daemons.daemons.get(ask.holder)
-        if holder is None or holder.gone or holder.incarnation != ask.incarnation:
-            return control_pb2.CommandResult(
-                code=control_pb2.RESULT_CODE_STALE, message="no such incarnation of the holder"
-            )
+        if not self._is_current(ask.holder, ask.incarnation):
+            return failure(control_pb2.RESULT_CODE_STALE, "no such incarnation of the holder")
         return self.ledger.grant(ask)
 
     def _settle(self, order: control_pb2.Settle) -> control_pb2.CommandResult:
@@ -179,6 +203,7 @@
         self.claims.save(snapshot)
         self.daemons.save(snapshot)
         self.transfers.save(snapshot)
+        self.prepaid.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -191,3 +216,4 @@
         self.claims.load(snapshot)
         self.daemons.load(snapshot)
         self.transfers.load(snapshot)
+        self.prepaid.load(snapshot)
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import grpc.aio
+from aiohttp import web
 from heronladder_agent.engine_control import HttpEngineControl
 from heronladder_agent.http_adapter import HttpAdapter
 from heronladder_agent.role import AgentOptions, AgentRole
@@ -11,6 +12,8 @@
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_control.api import ResourceApi, parse_operators
 from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_router.gateway_names import GatewayNames
+from heronladder_router.gateway_role import GatewayOptions, GatewayRole
 from heronladder_router.agent_channel import HttpAgentChannel
 from heronladder_router.role import RouterOptions, RouterRole
 from heronladder_router.server import RouterServer
@@ -21,6 +24,7 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.rpc import GrpcStubs, make_server
 from heronladder_runtime.settings import DaemonSettings
+from heronladder_schema.v1 import consensus_pb2
 from heronladder_schema.v1.consensus_pb2_grpc import add_ConsensusServicer_to_server
 from heronladder_schema.v1.control_pb2_grpc import add_ControlServicer_to_server
 
@@ -29,6 +33,11 @@
 from heronladder_daemon.members import parse_members, parse_regions
 
 _GRPC_STOP_GRACE_S = 0.5
+_PERCENT = 100
+_CALLER_IDLE_S = 75.0
+_HEADER_BYTES = 65_536
+_GATEWAY_LAST_WORDS_S = 1.5  # of the grace, kept for giving tokens back
+_BALANCER_NOTICE_S = 2.5
 
 
 def _seconds(milliseconds: int) -> float:
@@ -41,9 +50,15 @@
     Args:
         settings: All settings.
         environment: Time and randomness.
+        gateway_names: Header names of a gateway's callers and replicas.
     """
 
-    def __init__(self, settings: DaemonSettings, environment: Environment | None = None) -> None:
+    def __init__(
+        self,
+        settings: DaemonSettings,
+        environment: Environment | None = None,
+        gateway_names: GatewayNames | None = None,
+    ) -> None:
         self.settings = settings
         self._environment = environment or Environment()
         self._log = EventLog("daemon", settings.common.name)
@@ -54,6 +69,8 @@
         self.router: RouterRole | None = None
         self.router_server: RouterServer | None = None
         self.agent: AgentRole | None = None
+        self.gateway: GatewayRole | None = None
+        self._gateway_names = gateway_names or GatewayNames()
         self.admin_address = ""
         self.failed: asyncio.Future[HeronladderError] | None = None
 
@@ -73,12 +90,17 @@
             await self._start_agent()
         if "router" in roles:
             await self._start_router()
-        metrics = [
-            role.metrics for role in (self.control, self.agent, self.router) if role is not None
-        ]
+        if "gateway" in roles:
+            await self._start_gateway()
+        every = (self.control, self.agent, self.router, self.gateway)
+        metrics = [role.metrics for role in every if role is not None]
         await self._start_admin(metrics)
         self._log.info("daemon_started", step="start", roles=self.settings.common.roles)
 
+    async def listen(self, application: web.Application, address: str) -> None:
+        """Serve one more application for as long as the daemon runs."""
+        await self._listen(HttpListener(application, address))
+
     async def _listen(self, listener: HttpListener) -> None:
         await listener.start()
         self._listeners.append(listener)
@@ -90,11 +112,15 @@
             region=common.region,
             initial_members=parse_members(settings.initial_members),
             timing=ConsensusTiming(
-                _seconds(settings.election_timeout_ms), settings.snapshot_entries
+                _seconds(settings.election_timeout_ms),
+                settings.snapshot_entries,
+                settings.tolerated_losses,
             ),
             freshness_s=_seconds(settings.freshness_ms),
             gone_after_s=_seconds(settings.gone_after_ms),
             region_addresses=parse_regions(settings.region_addresses),
+            me=self._own_entry(),
+            contacts=[entry for entry in settings.join_contacts.split(",") if entry],
         )
         disk = FolderDisk(Path(common.data_folder) / "control")
         self.control = ControlMember(
@@ -111,6 +137,18 @@
         api = ResourceApi(self.control, parse_operators(settings.operator_tokens))
         await self._listen(HttpListener(api.application(), settings.api_listen))
 
+    def _own_entry(self) -> consensus_pb2.Member | None:
+        """Return this member's entry, if it may ask to be taken into a group."""
+        common, settings = self.settings.common, self.settings.control
+        if not settings.join_contacts:
+            return None
+        return consensus_pb2.Member(
+            name=common.name,
+            address=settings.control_listen,
+            zone=common.zone,
+            api_address=settings.member_api_address or settings.api_listen,
+        )
+
     def _control_failed(self, error: HeronladderError) -> None:
         if self.failed is not None and not self.failed.done():
             self.failed.set_result(error)
@@ -170,6 +208,33 @@
         await self._listen(listener)
         await router.start()
 
+    async def _start_gateway(self) -> None:
+        common, settings = self.settings.common, self.settings.gateway
+        options = GatewayOptions(
+            name=common.name,
+            region=common.region,
+            zone=common.zone,
+            control_addresses=common.control_addresses.split(","),
+            heartbeat_s=_seconds(common.heartbeat_interval_ms),
+            retry_ratio=settings.retry_percent / _PERCENT,
+            retry_slack=settings.retry_slack,
+            retry_window_s=_seconds(settings.retry_window_ms),
+            stale_limit_s=_seconds(settings.stale_limit_ms),
+            names=self._gateway_names,
+        )
+        self.gateway = GatewayRole(options, self._stubs, self._environment)
+        server = web.Server(
+            self.gateway.server.handle,
+            handler_cancellation=True,
+            access_log=None,
+            keepalive_timeout=_CALLER_IDLE_S,
+            max_line_size=_HEADER_BYTES,
+            max_field_size=_HEADER_BYTES,
+            auto_decompress=False,
+        )
+        await self._listen(HttpListener(server, settings.gateway_listen))
+        await self.gateway.start()
+
     async def _start_admin(self, metrics: list[Metrics]) -> None:
         server = AdminServer(metrics, self.ready)
         listener = HttpListener(server.application(), self.settings.common.admin_listen)
@@ -181,7 +246,16 @@
         control_ready = self.control is None or bool(self.control.node.leader)
         agent_ready = self.agent is None or self.agent.link.fresh
         router_ready = self.router is None or self.router.ready()
-        return control_ready and agent_ready and router_ready
+        gateway_ready = self.gateway is None or self.gateway.ready()
+        return control_ready and agent_ready and router_ready and gateway_ready
+
+    def reload(self, settings: DaemonSettings) -> None:
+        """Take over what may change while the daemon runs: where control is found."""
+        self.settings = settings
+        if self.gateway is not None:
+            self.gateway.link.add_addresses(settings.common.control_addresses.split(","))
+        if self.control is not None and settings.control.join_contacts:
+            self.control.node.joiner.contacts = settings.control.join_contacts.split(",")
 
     # ---- stop -------------------------------------------------------------
 
@@ -197,14 +271,17 @@
             await self.router.drain(grace_s)
         if self.agent is not None:
             await self.agent.drain(grace_s)
-        for role in (self.router, self.agent):
+        if self.gateway is not None:
+            grace_s = _seconds(self.settings.gateway.gateway_grace_ms) - _GATEWAY_LAST_WORDS_S
+            await self.gateway.drain(grace_s, _BALANCER_NOTICE_S)
+        for role in (self.router, self.agent, self.gateway):
             if role is not None:
                 await role.stop()
         await self._close()
 
     async def abort(self) -> None:
         """End at once, as a crash would, but within this process."""
-        for role in (self.router, self.agent):
+        for role in (self.router, self.agent, self.gateway):
             if role is not None:
                 await role.abort()
         await self._close()
--- a/packages/heronladder-daemon/src/heronladder_daemon/main.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/main.py
@@ -1,17 +1,16 @@
 """Command line of the daemon, ``heronladderd``."""
 
 import asyncio
-import signal
 import sys
 
 import typer
-from heronladder_runtime.errors import HeronladderError, SettingsError
-from heronladder_runtime.logs import EventLog, configure_logging
+from heronladder_runtime.errors import SettingsError
+from heronladder_runtime.logs import configure_logging
 from heronladder_runtime.settings import DaemonSettings, build, resolve, with_setting_options
 
 from heronladder_daemon.daemon import Daemon
+from heronladder_daemon.runner import run_daemon
 
-_EXIT_FAILED = 1
 _EXIT_BAD_SETTINGS = 2
 
 application = typer.Typer(no_args_is_help=True, add_completion=False, help=__doc__)
@@ -35,31 +34,7 @@
     """Run a daemon with the roles its settings name."""
     settings = _load(flags)
     configure_logging(settings.common.log_level)
-    raise typer.Exit(asyncio.run(_run(settings)))
-
-
-async def _run(settings: DaemonSettings) -> int:
-    daemon = Daemon(settings)
-    log = EventLog("main", settings.common.name)
-    stopping = asyncio.Event()
-    loop = asyncio.get_running_loop()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
-    try:
-        await daemon.start()
-    except HeronladderError as error:
-        log.error("start_failed", step=error.step, peer=error.peer, why=error.message)
-        return _EXIT_FAILED
-    assert daemon.failed is not None
-    daemon.failed.add_done_callback(lambda _: stopping.set())
-    await stopping.wait()
-    if daemon.failed.done():
-        failure = daemon.failed.result()
-        log.error("daemon_failed", step=failure.step, peer=failure.peer, why=failure.message)
-        await daemon.abort()
-        return _EXIT_FAILED
-    await daemon.stop()
-    return 0
+    raise typer.Exit(asyncio.run(run_daemon(Daemon(settings), lambda: build(resolve(flags)))))
 
 
 def settings(flags: dict[str, str | None]) -> None:
--- /dev/null
+++ b/packages/heronladder-daemon/src/heronladder_daemon/runner.py
@@ -0,0 +1,104 @@
+"""Runs a daemon until it is told to stop: signals, and settings read again."""
+
+import asyncio
+import signal
+from collections.abc import Callable
+from pathlib import Path
+
+from heronladder_runtime.errors import HeronladderError, SettingsError
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.settings import DaemonSettings
+
+from heronladder_daemon.daemon import Daemon
+
+EXIT_FAILED = 1
+_FILE_POLL_S = 2.0
+
+SettingsLoader = Callable[[], DaemonSettings]
+
+
+class SettingsReloader:
+    """Reads settings again when told to, or when their file has changed.
+
+    Args:
+        daemon: The daemon they are for.
+        load: Reads and checks them.
+        file: The file they come from; None when there is none to watch.
+        log: Where events are reported.
+    """
+
+    def __init__(
+        self, daemon: Daemon, load: SettingsLoader, file: Path | None, log: EventLog
+    ) -> None:
+        self._daemon = daemon
+        self._load = load
+        self._file = file
+        self._log = log
+        self._seen = self._stamp()
+
+    def _stamp(self) -> tuple[int, int]:
+        if self._file is None:
+            return (0, 0)
+        try:
+            status = self._file.stat()
+        except OSError:
+            return (0, 0)
+        return (status.st_mtime_ns, status.st_size)
+
+    def reload(self) -> None:
+        """Take the settings as they are now; keep the old ones if the new are wrong."""
+        self._seen = self._stamp()
+        try:
+            settings = self._load()
+        except (SettingsError, OSError, ValueError) as error:
+            self._log.error("settings_not_reloaded", step="reload", why=str(error))
+            return
+        self._daemon.reload(settings)
+        self._log.info("settings_reloaded", step="reload")
+
+    async def watch(self) -> None:
+        """Reload whenever the file has changed without a word."""
+        while self._file is not None:
+            await asyncio.sleep(_FILE_POLL_S)
+            if self._stamp() != self._seen:
+                self.reload()
+
+
+async def run_daemon(
+    daemon: Daemon, load: SettingsLoader, file: Path | None = None
+) -> int:
+    """Run a daemon until SIGTERM or SIGINT, or until it fails.
+
+    Args:
+        daemon: The daemon, not started yet.
+        load: Reads its settings again.
+        file: File the settings come from, to be watched.
+
+    Returns:
+        The exit code of the process.
+    """
+    log = EventLog("main", daemon.settings.common.name)
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    reloader = SettingsReloader(daemon, load, file, log)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, reloader.reload)
+    try:
+        await daemon.start()
+    except HeronladderError as error:
+        log.error("start_failed", step=error.step, peer=error.peer, why=error.message)
+        return EXIT_FAILED
+    watching = asyncio.create_task(reloader.watch())
+    assert daemon.failed is not None
+    daemon.failed.add_done_callback(lambda _: stopping.set())
+    await stopping.wait()
+    watching.cancel()
+    if daemon.failed.done():
+        failure = daemon.failed.result()
+        log.error("daemon_failed", step=failure.step, peer=failure.peer, why=failure.message)
+        await daemon.abort()
+        return EXIT_FAILED
+    log.info("daemon_stopping", step="stop")
+    await daemon.stop()
+    return 0
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -23,7 +23,7 @@
     status = 500
     code = "internal_error"
     outcome: ledger_pb2.Outcome.ValueType = ledger_pb2.OUTCOME_NOT_RUN
-    retry_after_s: int | None = None
+    retry_after_s: float | None = None
 
     def __init__(self, message: str, *, step: str, peer: str = "") -> None:
         super().__init__(message, step=step, peer=peer)
@@ -79,6 +79,53 @@
     retry_after_s = 1
 
 
+class PrepaidExhaustedError(CallerError):
+    """What is left of the tenant's prepaid tokens cannot hold the request."""
+
+    status = 402
+    code = "prepaid_exhausted"
+
+
+class PrepaidUnavailableError(CallerError):
+    """Prepaid tokens may be left, but none could be got hold of in time."""
+
+    status = 503
+    code = "prepaid_unavailable"
+    retry_after_s = 0.5
+
+
+class NotReadyError(CallerError):
+    """This gateway knows no configuration yet that control has confirmed."""
+
+    status = 503
+    code = "not_ready"
+    retry_after_s = 0.5
+
+
+class RejectedEverywhereError(CallerError):
+    """No replica took the request; it has not run and will not."""
+
+    status = 503
+    code = "no_replica"
+    retry_after_s = 0.3
+
+
+class AnswerLostError(CallerError):
+    """A replica may have run the request, and its answer was lost or broken."""
+
+    status = 502
+    code = "answer_lost"
+    outcome = ledger_pb2.OUTCOME_UNKNOWN
+
+
+class TimeLimitError(CallerError):
+    """The time for the request ran out while a replica may have been at work."""
+
+    status = 504
+    code = "time_limit"
+    outcome = ledger_pb2.OUTCOME_UNKNOWN
+
+
 class OverloadedError(CallerError):
     """No back end would answer in time."""
 
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -0,0 +1,229 @@
+"""Replicas of a fleet as a gateway sees them, and the choice among them."""
+
+import hashlib
+from collections.abc import Collection
+from dataclasses import dataclass, field
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.configuration import ConfigurationStore
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.pulse import Pulse
+from heronladder_schema.v1 import resources_pb2
+
+from heronladder_router.kept_parts import KeptParts, PromptPart
+
+_FIRST_SUSPICION_S = 0.4
+_LONGEST_SUSPICION_S = 4.0
+_BUSY_S = 0.15
+_TOKENS_PER_MS = 50.0  # read by an engine, before any is measured
+_RUNNING_COST_MS = 3.0  # for each request that runs beside
+_OTHER_ZONE_COST_MS = 4.0
+_OWNER_SHARE = 0.5  # of a shared part, taken as kept at its owner
+_SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
+
+
+@dataclass
+class FleetReplica:
+    """One incarnation of a replica.
+
+    Attributes:
+        record: What it told of itself.
+        in_flight: Requests of this gateway that it holds.
+        unread_tokens: Prompt tokens sent to it whose first event has not come.
+        parts: What it is taken to keep of earlier prompts.
+        failures: Failures in a row.
+        suspect_until_s: Until when others are preferred.
+    """
+
+    record: resources_pb2.Replica
+    parts: KeptParts
+    in_flight: int = 0
+    unread_tokens: int = 0
+    failures: int = 0
+    suspect_until_s: float = 0.0
+
+    @property
+    def name(self) -> str:
+        """Identity of the incarnation."""
+        return self.record.id
+
+
+@dataclass(frozen=True)
+class Wish:
+    """What is asked of a replica.
+
+    Attributes:
+        service: Service it must be of.
+        parts: Parts of the prompt; empty for a plain request.
+        prompt_tokens: Tokens of the whole prompt.
+    """
+
+    service: str
+    parts: list[PromptPart] = field(default_factory=list)
+    prompt_tokens: int = 0
+
+
+class FleetReplicas:
+    """All replicas that are registered.
+
+    Args:
+        zone: Zone of the gateway.
+        configuration: The gateway's configuration.
+        environment: Time and randomness.
+        log: Where changes are reported.
+    """
+
+    def __init__(
+        self,
+        zone: str,
+        configuration: ConfigurationStore,
+        environment: Environment,
+        log: EventLog,
+    ) -> None:
+        self._zone = zone
+        self._configuration = configuration
+        self._environment = environment
+        self._log = log
+        self._replicas: dict[str, FleetReplica] = {}
+        self._of_service: dict[str, list[FleetReplica]] = {}
+        self.changed = Pulse()
+        configuration.listen(self._rebuild)
+
+    def _rebuild(self) -> None:
+        memory = self._engine_memory()
+        earlier = self._replicas
+        self._replicas = {}
+        self._of_service = {}
+        for record in self._configuration.replicas():
+            replica = earlier.get(record.id)
+            if replica is None:
+                replica = FleetReplica(record, KeptParts(memory.get(record.service, 0)))
+            self._report(replica, record, new=record.id not in earlier)
+            replica.record = record
+            self._replicas[record.id] = replica
+            if not (record.draining or record.gone):
+                self._of_service.setdefault(record.service, []).append(replica)
+        for name in earlier.keys() - self._replicas.keys():
+            self._log.info("replica_forgotten", step="replicas", peer=name)
+        self.changed.give()
+
+    def _engine_memory(self) -> dict[str, int]:
+        fleet = self._configuration.fleet()
+        if fleet is None:
+            return {}
+        return {service.name: service.engine.cache_tokens for service in fleet.services}
+
+    def _report(
+        self, replica: FleetReplica, record: resources_pb2.Replica, *, new: bool
+    ) -> None:
+        if not new and replica.record == record:
+            return
+        self._log.info(
+            "replica_known",
+            step="replicas",
+            peer=record.id,
+            address=record.address,
+            service=record.service,
+            zone=record.zone,
+            draining=record.draining,
+            gone=record.gone,
+            revision=self._configuration.revision,
+        )
+
+    # ---- choice -----------------------------------------------------------
+
+    def usable(self, service: str) -> list[FleetReplica]:
+        """Return the replicas of a service that are not leaving."""
+        return self._of_service.get(service, [])
+
+    def choose(self, wish: Wish, tried: Collection[str]) -> FleetReplica | None:
+        """Return the replica that would begin first, or None if none is left.
+
+        Suspected replicas come only after all others.
+        """
+        candidates = [
+            replica for replica in self.usable(wish.service) if replica.name not in tried
+        ]
+        now_s = self._environment.monotonic()
+        sound = [replica for replica in candidates if replica.suspect_until_s <= now_s]
+        pool = sound or candidates
+        if not pool:
+            return None
+        owner = self._owner(wish)
+        return min(pool, key=lambda replica: self._cost_ms(replica, wish, owner))
+
+    def _cost_ms(self, replica: FleetReplica, wish: Wish, owner: str) -> float:
+        """Estimate when a replica would begin the answer, in ms; with a random tie-break."""
+        cost = self._environment.random.random()
+        if replica.record.zone != self._zone:
+            cost += _OTHER_ZONE_COST_MS
+        if not wish.prompt_tokens:
+            return cost + replica.in_flight * _SLOT_COST_MS
+        kept = replica.parts.kept_tokens(wish.parts)
+        if not kept and replica.name == owner:
+            kept = int(_OWNER_SHARE * sum(part.tokens for part in wish.parts[:-1]))
+        unread = max(0, wish.prompt_tokens - kept) + replica.unread_tokens
+        return cost + unread / _TOKENS_PER_MS + replica.in_flight * _RUNNING_COST_MS
+
+    def _owner(self, wish: Wish) -> str:
+        """Return the replica at which all gateways expect a shared part to be kept."""
+        shared = wish.parts[:-1]
+        if not shared:
+            return ""
+        subject = shared[-1].identity.encode()
+        names = (replica.name for replica in self.usable(wish.service))
+        return max(names, key=lambda name: _rank(subject, name), default="")
+
+    # ---- what was seen of a replica ---------------------------------------
+
+    def sent(self, replica: FleetReplica, wish: Wish) -> int:
+        """Note that a request goes to a replica.
+
+        Returns:
+            Tokens that it has to read, to be given to ``began``.
+        """
+        unread = max(0, wish.prompt_tokens - replica.parts.kept_tokens(wish.parts))
+        replica.in_flight += 1
+        replica.unread_tokens += unread
+        replica.parts.note(wish.parts)
+        return unread
+
+    @staticmethod
+    def began(replica: FleetReplica, unread: int) -> None:
+        """Note that the first event of a request came, or that none will."""
+        replica.unread_tokens -= unread
+
+    @staticmethod
+    def ended(replica: FleetReplica) -> None:
+        """Note that a request at a replica ended."""
+        replica.in_flight -= 1
+
+    def succeeded(self, replica: FleetReplica) -> None:
+        """Note a whole answer."""
+        if replica.failures:
+            self._log.info("replica_trusted", step="replicas", peer=replica.name)
+        replica.failures = 0
+        replica.suspect_until_s = 0.0
+
+    def busy(self, replica: FleetReplica) -> None:
+        """Note that a replica had no room: others are preferred for a moment."""
+        until_s = self._environment.monotonic() + _BUSY_S
+        replica.suspect_until_s = max(replica.suspect_until_s, until_s)
+
+    def failed(self, replica: FleetReplica, why: str) -> None:
+        """Note a failure: others are preferred for a while, longer each time."""
+        replica.failures += 1
+        pause_s = min(_LONGEST_SUSPICION_S, _FIRST_SUSPICION_S * 2 ** (replica.failures - 1))
+        replica.suspect_until_s = self._environment.monotonic() + pause_s
+        self._log.info(
+            "replica_suspected",
+            step="replicas",
+            peer=replica.name,
+            failures=replica.failures,
+            for_s=pause_s,
+            why=why,
+        )
+
+
+def _rank(subject: bytes, name: str) -> bytes:
+    return hashlib.blake2b(subject, key=name.encode()[:64], digest_size=8).digest()
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -0,0 +1,253 @@
+"""From a matched request to its answer: tokens, replicas, further sends, the final word."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+
+from heronladder_router.errors import (
+    AnswerLostError,
+    CallerError,
+    NoBackendError,
+    RejectedEverywhereError,
+    TimeLimitError,
+)
+from heronladder_router.fleet_replicas import FleetReplica, FleetReplicas
+from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
+from heronladder_router.host_routes import HostRouteTable
+from heronladder_router.prepaid_tokens import PrepaidTokens, TokenReservation
+from heronladder_router.replica_attempt import (
+    AnswerProgress,
+    NotRunError,
+    ReplicaAttempts,
+    RunFailedError,
+    RunLostError,
+)
+from heronladder_router.sliding_allowance import SlidingAllowance
+
+_REJECTIONS = 3  # sends that were not run, over the route's attempts
+_LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
+_RESERVE_SHARE = 0.25  # of the objective, waited at most for tokens
+_SHORTEST_RESERVE_S = 0.3
+_REPLICA_WAIT_S = 0.2
+
+
+class StreamBrokenError(HeronladderError):
+    """A stream that had begun cannot go on; its connection must be cut."""
+
+
+@dataclass
+class _Sends:
+    """Sends of one request so far."""
+
+    tried: set[str] = field(default_factory=set)
+    rejected: int = 0
+    runs: int = 0
+    failure: ReplicaAnswer | None = None
+
+    @property
+    def count(self) -> int:
+        """All sends."""
+        return self.rejected + self.runs
+
+
+@dataclass
+class GatewayParts:
+    """What dispatching works with."""
+
+    link: ControlLink
+    routes: HostRouteTable
+    replicas: FleetReplicas
+    tokens: PrepaidTokens
+    attempts: ReplicaAttempts
+    allowance: SlidingAllowance
+    environment: Environment
+    metrics: Metrics
+    log: EventLog
+
+
+class GatewayDispatcher:
+    """Serves requests.
+
+    Args:
+        parts: What it works with.
+    """
+
+    def __init__(self, parts: GatewayParts) -> None:
+        self._parts = parts
+
+    async def serve(self, request: GatewayRequest, sink: AnswerSink) -> None:
+        """Pass the answer to a request on to its caller.
+
+        Raises:
+            CallerError: If there is none; nothing was sent to the caller.
+            StreamBrokenError: If a stream that had begun cannot go on.
+        """
+        self._parts.allowance.gateways = self._parts.link.routers
+        self._parts.allowance.request(request.wish.service)
+        reservation = await self._reserve(request)
+        progress = AnswerProgress()
+        try:
+            async with asyncio.timeout_at(request.deadline_s):
+                await self._send_until_answered(request, sink, progress)
+        except TimeoutError as error:
+            raise self._time_ran_out(request, sink, progress) from error
+        finally:
+            if reservation is not None:
+                used = self._used(request, progress)
+                self._parts.tokens.settle(reservation, used)
+
+    # ---- tokens -----------------------------------------------------------
+
+    async def _reserve(self, request: GatewayRequest) -> TokenReservation | None:
+        tenant = request.matched.tenant
+        if tenant is None or not tenant.limited or request.bounds is None:
+            return None
+        left_s = request.deadline_s - self._parts.environment.monotonic()
+        objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
+        wait_s = min(left_s, max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s))
+        return await self._parts.tokens.reserve(tenant, request.bounds.total, wait_s)
+
+    def _used(self, request: GatewayRequest, progress: AnswerProgress) -> int:
+        """Return the most tokens that replicas can have used."""
+        bounds = request.bounds
+        if bounds is None or not progress.ran:
+            return 0
+        service = self._parts.routes.services.get(request.wish.service)
+        per_event = service.engine.tokens_per_event if service is not None else 0
+        if not per_event:
+            return bounds.total
+        out = progress.cutter.events * per_event
+        if not progress.finished:
+            out += _LATE_TOKENS
+        return bounds.prompt + min(bounds.most_out, out)
+
+    # ---- sends ------------------------------------------------------------
+
+    async def _send_until_answered(
+        self, request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
+    ) -> None:
+        sends = _Sends()
+        while True:
+            replica = await self._next_replica(request, sends)
+            if replica is None:
+                break
+            self._log_send(request, replica, sends)
+            try:
+                await self._parts.attempts.make(request, replica, sink, progress)
+                return
+            except NotRunError as error:
+                sends.rejected += 1
+                self._note_failure(request, replica, error)
+                if sends.rejected > _REJECTIONS:
+                    break
+            except RunFailedError as error:
+                sends.runs += 1
+                sends.failure = error.answer
+                self._note_failure(request, replica, error)
+            except RunLostError as error:
+                sends.runs += 1
+                sends.failure = None
+                self._note_failure(request, replica, error)
+            sends.tried.add(replica.name)
+            if sends.runs and not self._may_run_again(request, sends):
+                break
+        await self._give_up(request, sink, progress, sends)
+
+    @staticmethod
+    def _may_run_again(request: GatewayRequest, sends: _Sends) -> bool:
+        route = request.matched.route
+        return request.matched.may_run_twice and sends.runs < max(1, route.attempts)
+
+    async def _next_replica(
+        self, request: GatewayRequest, sends: _Sends
+    ) -> FleetReplica | None:
+        replicas = self._parts.replicas
+        replica = replicas.choose(request.wish, sends.tried)
+        if replica is None and not sends.count:
+            await replicas.changed.wait(_REPLICA_WAIT_S)
+            replica = replicas.choose(request.wish, sends.tried)
+        if replica is None or not sends.count:
+            return replica
+        if not self._parts.allowance.try_repeat(request.wish.service):
+            self._parts.metrics.add("repeats_not_allowed", request.wish.service)
+            return None
+        return replica
+
+    def _log_send(self, request: GatewayRequest, replica: FleetReplica, sends: _Sends) -> None:
+        self._parts.log.debug(
+            "request_sent",
+            step="send",
+            peer=replica.name,
+            request_id=request.request_id,
+            send=sends.count + 1,
+            in_flight=replica.in_flight,
+            unread_tokens=replica.unread_tokens,
+        )
+
+    def _note_failure(
+        self, request: GatewayRequest, replica: FleetReplica, error: HeronladderError
+    ) -> None:
+        if error.step == "rejected":
+            self._parts.replicas.busy(replica)
+        else:
+            self._parts.replicas.failed(replica, error.message)
+        self._parts.metrics.add("sends_failed", type(error).__name__)
+        self._parts.log.info(
+            "send_failed",
+            step=error.step,
+            peer=replica.name,
+            request_id=request.request_id,
+            kind=type(error).__name__,
+            why=error.message,
+        )
+
+    # ---- the final word ---------------------------------------------------
+
+    async def _give_up(
+        self,
+        request: GatewayRequest,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+        sends: _Sends,
+    ) -> None:
+        if sink.started:
+            raise StreamBrokenError(
+                "the stream broke and cannot go on", step="give_up", peer=request.request_id
+            )
+        if sends.failure is not None:
+            progress.finished = True
+            await sink.whole(sends.failure)
+            return
+        raise self._no_answer(request, sends)
+
+    @staticmethod
+    def _no_answer(request: GatewayRequest, sends: _Sends) -> CallerError:
+        service = request.wish.service
+        if sends.runs:
+            return AnswerLostError("the answer was lost", step="give_up", peer=service)
+        if sends.rejected:
+            return RejectedEverywhereError(
+                "no replica took the request", step="give_up", peer=service
+            )
+        return NoBackendError("no replica is known", step="give_up", peer=service)
+
+    @staticmethod
+    def _time_ran_out(
+        request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
+    ) -> HeronladderError:
+        if sink.started:
+            return StreamBrokenError(
+                "the time for the request ran out", step="time_limit", peer=request.request_id
+            )
+        if progress.ran:
+            return TimeLimitError(
+                "the time for the request ran out", step="time_limit", peer=request.request_id
+            )
+        return RejectedEverywhereError(
+            "no replica took the request in its time", step="time_limit", peer=request.request_id
+        )
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -0,0 +1,193 @@
+"""The gateway role: a router by host and path that sends to replicas itself."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.rpc import StubFactory
+from heronladder_runtime.tasks import TaskGroupOwner
+from heronladder_schema.v1 import ledger_pb2
+
+from heronladder_router.fleet_replicas import FleetReplicas
+from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
+from heronladder_router.gateway_names import GatewayNames
+from heronladder_router.gateway_server import GatewayServer
+from heronladder_router.host_routes import HostRouteTable
+from heronladder_router.prepaid_tokens import PrepaidTokens
+from heronladder_router.replica_attempt import ReplicaAttempts
+from heronladder_router.replica_client import ReplicaClient
+from heronladder_router.sliding_allowance import SlidingAllowance
+
+_STOP_POLL_S = 0.02
+_LAST_RETURN_S = 0.8
+
+
+@dataclass(frozen=True)
+class GatewayOptions:
+    """Settings of a gateway; times in seconds.
+
+    Attributes:
+        name: Name of the daemon.
+        region: Its region.
+        zone: Its zone.
+        control_addresses: gRPC addresses of control members.
+        heartbeat_s: Time between heartbeats.
+        retry_ratio: Repeated sends as a share of a service's requests.
+        retry_slack: Repeated sends that all gateways may make besides.
+        retry_window_s: Window over which they are counted.
+        stale_limit_s: Longest time without control.
+        names: Header names.
+    """
+
+    name: str
+    region: str
+    zone: str
+    control_addresses: list[str]
+    heartbeat_s: float = 0.3
+    retry_ratio: float = 0.2
+    retry_slack: int = 50
+    retry_window_s: float = 10.0
+    stale_limit_s: float = 120.0
+    names: GatewayNames = field(default_factory=GatewayNames)
+
+
+class GatewayRole:
+    """One gateway.
+
+    Args:
+        options: Settings.
+        stubs: Makes stubs to control.
+        environment: Time and randomness.
+    """
+
+    def __init__(
+        self, options: GatewayOptions, stubs: StubFactory, environment: Environment
+    ) -> None:
+        self.options = options
+        self._environment = environment
+        self.metrics = Metrics()
+        self.log = EventLog("gateway", options.name)
+        self._tasks = TaskGroupOwner(self.log)
+        handlers = LinkHandlers(rejected=self._begin_new_incarnation)
+        self.link = ControlLink(
+            self._record(), options.control_addresses, stubs, options.heartbeat_s, handlers,
+            environment,
+        )
+        self.routes = HostRouteTable(self.link.configuration, options.names.key_scheme)
+        self.replicas = FleetReplicas(
+            options.zone, self.link.configuration, environment, self.log
+        )
+        self.tokens = PrepaidTokens(self.link, environment, self.log)
+        handlers.session_began = self.tokens.session_began
+        handlers.fill_heartbeat = self.tokens.fill_heartbeat
+        handlers.heartbeat_confirmed = self.tokens.confirmed
+        handlers.recall_prepaid = self.tokens.recall
+        self._client = ReplicaClient()
+        self.server = self._make_server()
+        self.link.configuration.listen(self._configuration_changed)
+
+    def _record(self) -> ledger_pb2.DaemonRecord:
+        options = self.options
+        return ledger_pb2.DaemonRecord(
+            name=options.name,
+            role="router",
+            incarnation=self._environment.new_id(options.name),
+            zone=options.zone,
+            region=options.region,
+        )
+
+    def _make_server(self) -> GatewayServer:
+        options = self.options
+        parts = GatewayParts(
+            link=self.link,
+            routes=self.routes,
+            replicas=self.replicas,
+            tokens=self.tokens,
+            attempts=ReplicaAttempts(
+                self._client, self.replicas, options.names, self._environment
+            ),
+            allowance=SlidingAllowance(
+                self._environment,
+                options.retry_ratio,
+                options.retry_slack,
+                options.retry_window_s,
+            ),
+            environment=self._environment,
+            metrics=self.metrics,
+            log=self.log,
+        )
+        return GatewayServer(
+            GatewayDispatcher(parts),
+            self.routes,
+            options.names,
+            self._environment,
+            self.metrics,
+            self.log,
+        )
+
+    def _begin_new_incarnation(self) -> str:
+        """Go on under a new incarnation: control charged the old one for all it held."""
+        self.tokens.drop_all()
+        return self._environment.new_id(self.options.name)
+
+    def _configuration_changed(self) -> None:
+        self.server.ready = self.routes.version > 0
+        self.log.info(
+            "configuration_in_use",
+            step="configuration",
+            version=self.routes.version,
+            revision=self.link.configuration.revision,
+        )
+
+    # ---- life -------------------------------------------------------------
+
+    async def start(self) -> None:
+        """Connect to control."""
+        self.link.start()
+        self.tokens.start()
+
+    def ready(self) -> bool:
+        """Whether new connections are wanted."""
+        silent_s = self._environment.monotonic() - self.link.last_heard_s
+        heard = silent_s < self.options.stale_limit_s
+        return self.server.ready and heard and not self.server.closing
+
+    async def drain(self, grace_s: float, notice_s: float) -> None:
+        """Refuse readiness, and wait until no request is in flight.
+
+        Args:
+            grace_s: Longest time to wait, in seconds.
+            notice_s: Time that callers' balancers need to notice, in seconds.
+        """
+        self.server.closing = True
+        began_s = self._environment.monotonic()
+        while True:
+            elapsed_s = self._environment.monotonic() - began_s
+            idle = not self.server.in_flight and elapsed_s >= notice_s
+            if idle or elapsed_s >= grace_s:
+                break
+            await asyncio.sleep(_STOP_POLL_S)
+        if self.server.in_flight:
+            self.log.error(
+                "planned_stop_cuts_requests", step="drain", requests=self.server.in_flight
+            )
+
+    async def stop(self) -> None:
+        """Give tokens back, say goodbye, and end."""
+        try:
+            async with asyncio.timeout(_LAST_RETURN_S):
+                await self.tokens.return_all()
+        except TimeoutError:
+            self.log.warning("stopped_without_control", step="stop")
+        await self.link.stop()
+        await self.abort()
+
+    async def abort(self) -> None:
+        """End at once, as a crash would."""
+        await self.link.abort()
+        await self.tokens.stop()
+        await self._tasks.stop()
+        await self._client.close()
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
@@ -0,0 +1,72 @@
+"""Prepaid tokens of one tenant, as one incarnation of a gateway holds them."""
+
+from dataclasses import dataclass
+
+_RATE_SMOOTHING = 0.3
+_RATE_INTERVAL_S = 1.0
+
+
+@dataclass
+class PrepaidPurse:
+    """Tokens of one tenant. The sums only rise.
+
+    Attributes:
+        tenant: Name of the tenant.
+        granted: Tokens that control gave.
+        returned: Tokens given back.
+        spent: Tokens used.
+        reserved: Tokens held for requests under way.
+        peak: Most that was ever spent and reserved, or is about to be.
+        confirmed_peak: The peak that control has for certain.
+        draws: Number of the last draw.
+        rate: Tokens reserved a second, smoothed.
+        refused_minimum: Tokens that were refused last; 0 when none were.
+        refused_until_s: How long that refusal is taken to hold.
+        next_draw_ahead_s: When tokens may next be asked for ahead of need.
+    """
+
+    tenant: str
+    granted: int = 0
+    returned: int = 0
+    spent: int = 0
+    reserved: int = 0
+    peak: int = 0
+    confirmed_peak: int = 0
+    draws: int = 0
+    rate: float = 0.0
+    refused_minimum: int = 0
+    refused_until_s: float = 0.0
+    next_draw_ahead_s: float = 0.0
+    _interval_began_s: float = 0.0
+    _interval_tokens: int = 0
+
+    @property
+    def free(self) -> int:
+        """Tokens that a request may reserve."""
+        return self.granted - self.returned - self.spent - self.reserved
+
+    @property
+    def used(self) -> int:
+        """Tokens spent or reserved."""
+        return self.spent + self.reserved
+
+    def take(self, tokens: int, now_s: float) -> None:
+        """Reserve tokens."""
+        self.reserved += tokens
+        self.peak = max(self.peak, self.used)
+        if now_s - self._interval_began_s >= _RATE_INTERVAL_S:
+            elapsed_s = min(10 * _RATE_INTERVAL_S, now_s - self._interval_began_s)
+            measured = self._interval_tokens / elapsed_s
+            self.rate += _RATE_SMOOTHING * (measured - self.rate)
+            self._interval_began_s = now_s
+            self._interval_tokens = 0
+        self._interval_tokens += tokens
+
+    def settle(self, reserved: int, used: int) -> None:
+        """Turn a reservation into what was used of it."""
+        self.reserved -= reserved
+        self.spent += min(used, reserved)
+
+    def give_back(self, tokens: int) -> None:
+        """Set free tokens aside for control; a draw tells it."""
+        self.returned += tokens
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -0,0 +1,289 @@
+"""Reservations of prepaid tokens, and the draws that keep them stocked.
+
+Tokens are reserved at their most before a request is sent. While control is in
+touch, no more than a window goes unreported: so a gateway that is killed costs
+its tenants one window and not all that it held (see ``prepaid_window``).
+"""
+
+import asyncio
+from dataclasses import dataclass
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.errors import PeerUnavailableError
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S, WINDOW_TOKENS
+from heronladder_runtime.pulse import Pulse
+from heronladder_runtime.tasks import TaskGroupOwner
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
+from heronladder_router.prepaid_purse import PrepaidPurse
+
+_HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
+_FIRST_SHARE = 4  # all gateways together hold one part in four before a rate is known
+_DRAW_TIMEOUT_S = 1.0
+_DRAW_AHEAD_PAUSE_S = 0.5
+_RECALL_PAUSE_S = 0.04
+_REFUSAL_HOLDS_S = 0.4
+_TRIM_INTERVAL_S = 1.0
+_STEP = "reserve_prepaid"
+
+
+@dataclass(frozen=True)
+class TokenReservation:
+    """Tokens set aside for one request."""
+
+    purse: PrepaidPurse
+    tokens: int
+
+
+class PrepaidTokens:
+    """Holds prepaid tokens of all tenants that call here.
+
+    Args:
+        link: The link to control.
+        environment: Time.
+        log: Where events are reported.
+    """
+
+    def __init__(self, link: ControlLink, environment: Environment, log: EventLog) -> None:
+        self._link = link
+        self._environment = environment
+        self._log = log
+        self._tasks = TaskGroupOwner(log)
+        self._purses: dict[str, PrepaidPurse] = {}
+        self._locks: dict[str, asyncio.Lock] = {}
+        self._limits: dict[str, int] = {}
+        self._confirmed = Pulse()
+        self._told: dict[int, dict[str, int]] = {}  # peaks told with each heartbeat
+        self._stopping = False
+        self._tell_all = True
+        link.configuration.listen(self._configuration_changed)
+
+    def start(self) -> None:
+        """Begin to give back what is held for nothing."""
+        self._tasks.start("trim_prepaid", self._trim())
+
+    async def stop(self) -> None:
+        """End all background work."""
+        await self._tasks.stop()
+
+    def drop_all(self) -> None:
+        """Forget all tokens: control charged this incarnation for them."""
+        self._purses.clear()
+        self._told.clear()
+
+    # ---- reservations -----------------------------------------------------
+
+    async def reserve(
+        self, tenant: resources_pb2.PrepaidTenant, tokens: int, wait_s: float
+    ) -> TokenReservation:
+        """Set tokens of a tenant aside.
+
+        Raises:
+            PrepaidExhaustedError: If no router can hold so many.
+            PrepaidUnavailableError: If they could not be got hold of in time.
+        """
+        now_s = self._environment.monotonic()
+        deadline_s = now_s + wait_s
+        while True:
+            purse = self._purse(tenant.name)
+            if purse.free >= tokens and await self._within_window(purse, tokens, deadline_s):
+                if purse.free < tokens or purse is not self._purses.get(tenant.name):
+                    continue  # another took them while this one waited
+                purse.take(tokens, self._environment.monotonic())
+                self._draw_ahead(tenant, purse)
+                return TokenReservation(purse, tokens)
+            self._refuse_known(purse, tokens)
+            await self._draw_for(tenant, tokens, deadline_s)
+
+    def settle(self, reservation: TokenReservation, used: int) -> None:
+        """Note what a request used of its reservation."""
+        reservation.purse.settle(reservation.tokens, used)
+
+    def _purse(self, tenant: str) -> PrepaidPurse:
+        return self._purses.setdefault(tenant, PrepaidPurse(tenant))
+
+    def _refuse_known(self, purse: PrepaidPurse, tokens: int) -> None:
+        held = self._environment.monotonic() < purse.refused_until_s
+        if held and purse.free < tokens and purse.refused_minimum <= tokens:
+            raise self._exhausted(purse.tenant, tokens)
+
+    @staticmethod
+    def _exhausted(tenant: str, tokens: int) -> PrepaidExhaustedError:
+        return PrepaidExhaustedError(
+            f"what is left cannot hold {tokens} tokens", step=_STEP, peer=tenant
+        )
+
+    @staticmethod
+    def _unavailable(tenant: str, why: str) -> PrepaidUnavailableError:
+        return PrepaidUnavailableError(why, step=_STEP, peer=tenant)
+
+    async def _within_window(
+        self, purse: PrepaidPurse, tokens: int, deadline_s: float
+    ) -> bool:
+        """Wait until the tokens may be used without control having heard of more."""
+        while not self._window_allows(purse, tokens):
+            # Control is told before they are used.
+            purse.peak = max(purse.peak, purse.used + tokens)
+            self._link.beat_now()
+            left_s = deadline_s - self._environment.monotonic()
+            if left_s <= 0 or not await self._confirmed.wait(left_s):
+                raise self._unavailable(purse.tenant, "control did not confirm in time")
+        return True
+
+    def _window_allows(self, purse: PrepaidPurse, tokens: int) -> bool:
+        silent_s = self._environment.monotonic() - self._link.last_heard_s
+        if silent_s > WINDOW_HOLDS_S:
+            return True
+        return purse.used + tokens <= purse.confirmed_peak + WINDOW_TOKENS
+
+    # ---- draws ------------------------------------------------------------
+
+    def _target(self, purse: PrepaidPurse) -> int:
+        limit = self._limits.get(purse.tenant, 0)
+        share = limit // (_FIRST_SHARE * max(1, self._link.routers))
+        return max(int(purse.rate * _HORIZON_S), share)
+
+    async def _draw_for(
+        self, tenant: resources_pb2.PrepaidTenant, tokens: int, deadline_s: float
+    ) -> None:
+        """Draw until the purse may hold so many tokens, or it is clear that it cannot."""
+        async with self._locks.setdefault(tenant.name, asyncio.Lock()):
+            purse = self._purse(tenant.name)
+            missing = tokens - purse.free
+            if missing <= 0:
+                return
+            wanted = max(missing, self._target(purse) - purse.free)
+            left_s = deadline_s - self._environment.monotonic()
+            if left_s <= 0:
+                raise self._unavailable(tenant.name, "no tokens came in time")
+            result = await self._draw(purse, wanted, missing, min(left_s, _DRAW_TIMEOUT_S))
+        if purse.free >= tokens:
+            return
+        if result.surely_exhausted:
+            purse.refused_minimum = tokens
+            purse.refused_until_s = self._environment.monotonic() + _REFUSAL_HOLDS_S
+            raise self._exhausted(tenant.name, tokens)
+        if not result.recallable:
+            raise self._unavailable(tenant.name, "what is left is charged for lost routers")
+        await asyncio.sleep(_RECALL_PAUSE_S)
+
+    async def _draw(
+        self, purse: PrepaidPurse, wanted: int, minimum: int, timeout_s: float
+    ) -> control_pb2.CommandResult:
+        purse.draws += 1
+        command = control_pb2.Command()
+        draw = command.draw_tokens
+        draw.tenant = purse.tenant
+        draw.holder = self._link.record.name
+        draw.incarnation = self._link.record.incarnation
+        draw.number = purse.draws
+        draw.wanted = wanted
+        draw.minimum = minimum
+        draw.returned = purse.returned
+        draw.spent = purse.spent
+        draw.reserved = purse.reserved
+        try:
+            result = await self._link.call(command, timeout_s)
+        except PeerUnavailableError as error:
+            raise self._unavailable(purse.tenant, error.message) from error
+        granted = result.granted - purse.granted
+        purse.granted = max(purse.granted, result.granted)
+        self._log.info(
+            "prepaid_drawn",
+            step="draw",
+            peer=purse.tenant,
+            wanted=wanted,
+            granted=granted,
+            free=purse.free,
+            left=result.available,
+            code=control_pb2.ResultCode.Name(result.code),
+        )
+        return result
+
+    def _draw_ahead(self, tenant: resources_pb2.PrepaidTenant, purse: PrepaidPurse) -> None:
+        target = self._target(purse)
+        now_s = self._environment.monotonic()
+        if purse.free * 2 > target or now_s < purse.next_draw_ahead_s or self._stopping:
+            return
+        purse.next_draw_ahead_s = now_s + _DRAW_AHEAD_PAUSE_S
+        self._tasks.start("draw_ahead", self._draw_quietly(purse, target - purse.free))
+
+    async def _draw_quietly(self, purse: PrepaidPurse, wanted: int) -> None:
+        async with self._locks.setdefault(purse.tenant, asyncio.Lock()):
+            if purse is not self._purses.get(purse.tenant):
+                return
+            try:
+                await self._draw(purse, wanted, 0, _DRAW_TIMEOUT_S)
+            except PrepaidUnavailableError:
+                pass  # asked again with the next request
+
+    # ---- giving back ------------------------------------------------------
+
+    def recall(self, tenant: str) -> None:
+        """Give back all that no request holds."""
+        purse = self._purses.get(tenant)
+        if purse is not None:
+            purse.give_back(purse.free)
+            self._tasks.start("return_prepaid", self._draw_quietly(purse, 0))
+
+    async def return_all(self) -> None:
+        """Give everything back before a planned stop; requests must have ended."""
+        self._stopping = True
+        for purse in list(self._purses.values()):
+            purse.give_back(purse.free)
+            await self._draw_quietly(purse, 0)
+
+    async def _trim(self) -> None:
+        while True:
+            await asyncio.sleep(_TRIM_INTERVAL_S)
+            for purse in list(self._purses.values()):
+                extra = purse.free - 2 * self._target(purse)
+                if extra > WINDOW_TOKENS:
+                    purse.give_back(extra)
+                    await self._draw_quietly(purse, 0)
+
+    def _configuration_changed(self) -> None:
+        """Give back what a lowered limit no longer covers; forget refusals of a raised one."""
+        fleet = self._link.configuration.fleet()
+        if fleet is None:
+            return
+        for tenant in fleet.tenants:
+            earlier = self._limits.get(tenant.name)
+            self._limits[tenant.name] = tenant.prepaid_tokens
+            purse = self._purses.get(tenant.name)
+            if purse is None or earlier == tenant.prepaid_tokens:
+                continue
+            purse.refused_until_s = 0.0
+            if earlier is not None and tenant.prepaid_tokens < earlier:
+                self.recall(tenant.name)
+
+    # ---- what control is told ---------------------------------------------
+
+    def session_began(self) -> None:
+        """Note that a new stream is open: its leader was told nothing."""
+        self._tell_all = True
+
+    def fill_heartbeat(self, heartbeat: control_pb2.Heartbeat) -> None:
+        """Tell the peaks that control does not have yet; all with the first of a stream."""
+        risen = {
+            purse.tenant: purse.peak
+            for purse in self._purses.values()
+            if self._tell_all or purse.peak > purse.confirmed_peak
+        }
+        self._tell_all = False
+        for tenant, peak in risen.items():
+            heartbeat.prepaid_spent[tenant] = peak
+        if risen:
+            self._told[heartbeat.number] = risen
+
+    def confirmed(self, number: int) -> None:
+        """Note that control has a heartbeat, and all before it on the same stream."""
+        for told in [key for key in self._told if key <= number]:
+            for tenant, peak in self._told.pop(told).items():
+                purse = self._purses.get(tenant)
+                if purse is not None:
+                    purse.confirmed_peak = max(purse.confirmed_peak, peak)
+        self._confirmed.give()
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -0,0 +1,268 @@
+"""One send of a request to one replica, and what its answer means."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+import aiohttp
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.errors import HeronladderError
+
+from heronladder_router.event_stream import EventCutter
+from heronladder_router.fleet_replicas import FleetReplica, FleetReplicas
+from heronladder_router.gateway_names import GatewayNames
+from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
+from heronladder_router.replica_client import (
+    ReplicaClient,
+    ReplicaLostError,
+    ReplicaNotReachedError,
+)
+
+_EVENT_STREAM = "text/event-stream"
+_MISDIRECTED = 421
+_FIRST_ERROR_STATUS = 400
+_FIRST_SERVER_ERROR = 500
+_FIRST_REDIRECT = 300
+_HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-connection",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+    }
+)
+_SLOWEST_FIRST_ANSWER = 3.0  # objectives; then one that may be repeated is taken for lost
+_SHORTEST_FIRST_ANSWER_S = 1.0
+_LONGEST_GAP_S = 2.0
+
+
+class NotRunError(HeronladderError):
+    """The replica did not run the request, and says so or never got it."""
+
+
+class RunLostError(HeronladderError):
+    """The replica may have run the request; its answer is lost or broken."""
+
+
+class RunFailedError(HeronladderError):
+    """The replica ran the request and failed; ``answer`` says how."""
+
+    def __init__(self, answer: ReplicaAnswer, *, step: str, peer: str) -> None:
+        super().__init__(f"status {answer.status}", step=step, peer=peer)
+        self.answer = answer
+
+
+def is_hop_header(name: str) -> bool:
+    """Whether a header concerns one connection only."""
+    return name.lower() in _HOP_HEADERS
+
+
+@dataclass
+class AnswerProgress:
+    """How far the answer to a request has come, over all its sends.
+
+    Attributes:
+        cutter: Events passed on.
+        ran: Whether a replica may have run it.
+        finished: Whether the whole answer was passed on.
+    """
+
+    cutter: EventCutter = field(default_factory=EventCutter)
+    ran: bool = False
+    finished: bool = False
+
+
+class ReplicaAttempts:
+    """Sends requests to replicas.
+
+    Args:
+        client: HTTP to replicas.
+        replicas: All replicas.
+        names: Header names.
+        environment: Time.
+    """
+
+    def __init__(
+        self,
+        client: ReplicaClient,
+        replicas: FleetReplicas,
+        names: GatewayNames,
+        environment: Environment,
+    ) -> None:
+        self._client = client
+        self._replicas = replicas
+        self._names = names
+        self._environment = environment
+
+    async def make(
+        self,
+        request: GatewayRequest,
+        replica: FleetReplica,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+    ) -> None:
+        """Send the request and pass the answer on.
+
+        Raises:
+            NotRunError: If it was not run.
+            RunLostError: If it may have been run and the answer is not whole.
+            RunFailedError: If the replica's answer is a failure that may be tried again.
+        """
+        unread = self._replicas.sent(replica, request.wish)
+        reading = _UnreadPrompt(self._replicas, replica, unread)
+        response: aiohttp.ClientResponse | None = None
+        ran_before = progress.ran
+        try:
+            response = await self._head(request, replica, progress)
+            await self._take(request, replica, response, sink, progress, reading)
+            self._replicas.succeeded(replica)
+        except NotRunError:
+            progress.ran = ran_before
+            raise
+        except (ReplicaLostError, aiohttp.ClientError, OSError) as error:
+            raise RunLostError(repr(error), step="read_answer", peer=replica.name) from error
+        finally:
+            reading.done()
+            self._replicas.ended(replica)
+            if response is not None:
+                response.close()  # a connection whose answer was whole is back in the pool
+
+    async def _head(
+        self, request: GatewayRequest, replica: FleetReplica, progress: AnswerProgress
+    ) -> aiohttp.ClientResponse:
+        send = self._client.send(
+            replica.record.address,
+            request.method,
+            request.target,
+            self._headers(request, replica, progress),
+            request.body,
+        )
+        progress.ran = True
+        try:
+            if not request.matched.may_run_twice or progress.cutter.events:
+                return await send
+            async with asyncio.timeout(self._patience_s(request)):
+                return await send
+        except TimeoutError as error:
+            raise RunLostError(
+                "no answer began in time", step="send", peer=replica.name
+            ) from error
+        except ReplicaNotReachedError as error:
+            raise NotRunError(error.message, step="connect", peer=replica.name) from error
+
+    @staticmethod
+    def _patience_s(request: GatewayRequest) -> float:
+        objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
+        return max(_SHORTEST_FIRST_ANSWER_S, _SLOWEST_FIRST_ANSWER * objective_s)
+
+    def _headers(
+        self, request: GatewayRequest, replica: FleetReplica, progress: AnswerProgress
+    ) -> list[tuple[str, str]]:
+        left_s = max(0.0, request.deadline_s - self._environment.monotonic())
+        headers = list(request.headers)
+        headers.append((self._names.deadline_ms, str(int(left_s * MILLISECONDS_PER_SECOND))))
+        headers.append((self._names.expect_replica, replica.name))
+        last_id = progress.cutter.last_id or request.last_event_id
+        if last_id:
+            headers.append((self._names.last_event_id, last_id))
+        return headers
+
+    # ---- answers ----------------------------------------------------------
+
+    async def _take(
+        self,
+        request: GatewayRequest,
+        replica: FleetReplica,
+        response: aiohttp.ClientResponse,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+        reading: "_UnreadPrompt",
+    ) -> None:
+        if response.status == _MISDIRECTED or self._names.not_run in response.headers:
+            await response.read()
+            raise NotRunError(
+                f"rejected with {response.status}",
+                step="misdirected" if response.status == _MISDIRECTED else "rejected",
+                peer=replica.name,
+            )
+        if response.headers.get(self._names.request_id) != request.request_id:
+            raise RunLostError("the answer is of another request", step="send", peer=replica.name)
+        success = response.status < _FIRST_REDIRECT
+        if success and self._names.signature not in response.headers:
+            raise RunLostError("the answer is not signed", step="send", peer=replica.name)
+        if success and response.content_type == _EVENT_STREAM:
+            await self._pass_stream(request, response, sink, progress, reading)
+            return
+        answer = ReplicaAnswer(response.status, _passed_headers(response), await response.read())
+        if sink.started:
+            raise RunLostError("the stream did not go on", step="resume", peer=replica.name)
+        if answer.status >= _FIRST_SERVER_ERROR:
+            raise RunFailedError(answer, step="send", peer=replica.name)
+        progress.finished = True
+        await sink.whole(answer)
+
+    async def _pass_stream(
+        self,
+        request: GatewayRequest,
+        response: aiohttp.ClientResponse,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+        reading: "_UnreadPrompt",
+    ) -> None:
+        cutter = progress.cutter
+        cutter.drop_rest()
+        content = response.content
+        while True:
+            patience_s = _LONGEST_GAP_S if cutter.events else self._patience_s(request)
+            resumable = request.matched.may_run_twice
+            try:
+                async with asyncio.timeout(patience_s if resumable else None):
+                    chunk = await content.readany()
+            except TimeoutError as error:
+                raise RunLostError("the stream stalled", step="read_stream") from error
+            if not chunk:
+                break
+            whole = cutter.feed(chunk)
+            if whole:
+                reading.done()
+                await self._write(response, sink, whole)
+        if not cutter.clean:
+            raise RunLostError("the stream ended within an event", step="read_stream")
+        if not sink.started:
+            await sink.start(ReplicaAnswer(response.status, _passed_headers(response)))
+        progress.finished = True
+        await sink.finish()
+
+    @staticmethod
+    async def _write(response: aiohttp.ClientResponse, sink: AnswerSink, whole: bytes) -> None:
+        if not sink.started:
+            await sink.start(ReplicaAnswer(response.status, _passed_headers(response)))
+        await sink.write(whole)
+
+
+class _UnreadPrompt:
+    """Takes a prompt off its replica's account once, when it has been read."""
+
+    def __init__(self, replicas: FleetReplicas, replica: FleetReplica, tokens: int) -> None:
+        self._replicas = replicas
+        self._replica = replica
+        self._tokens = tokens
+
+    def done(self) -> None:
+        """Note that the prompt is read, or will not be."""
+        tokens, self._tokens = self._tokens, 0
+        self._replicas.began(self._replica, tokens)
+
+
+def _passed_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
+    dropped = {name.strip().lower() for name in response.headers.get("Connection", "").split(",")}
+    return [
+        (name, value)
+        for name, value in response.headers.items()
+        if not is_hop_header(name) and name.lower() not in dropped
+    ]
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/replica_client.py
@@ -0,0 +1,143 @@
+"""HTTP calls to replicas, with bytes, path and query as they came.
+
+aiohttp's own handling is tightened in two places. Bytes that come while no
+request is under way belong to no request: their connection is closed. And an
+answer that ends with its connection is whole only if the connection ended well,
+not if it was reset.
+"""
+
+import asyncio
+import socket
+from functools import partial
+from typing import Any
+
+import aiohttp
+from aiohttp.client_exceptions import ClientPayloadError
+from aiohttp.client_proto import ResponseHandler
+from heronladder_runtime.errors import HeronladderError
+from yarl import URL
+
+_CONNECT_TIMEOUT_S = 0.6
+_IDLE_S = 3.0  # a connection at rest for longer may have been closed over there
+_USER_TIMEOUT_MS = 2_000
+_KEEPALIVE_IDLE_S = 1
+_KEEPALIVE_INTERVAL_S = 1
+_KEEPALIVE_PROBES = 2
+_MAX_HEADER_BYTES = 65_536
+_ADDED_BY_LIBRARY = ("User-Agent", "Accept", "Accept-Encoding", "Content-Type")
+
+
+class ReplicaNotReachedError(HeronladderError):
+    """No connection came about: nothing was sent."""
+
+
+class ReplicaLostError(HeronladderError):
+    """The connection failed after something may have been sent."""
+
+
+class _StrictResponseHandler(ResponseHandler):
+    """Connection to a replica that tells stray bytes and resets from answers."""
+
+    def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
+        super().__init__(loop)
+        self._awaiting_answer = False
+
+    def set_response_params(self, **parameters: Any) -> None:
+        self._awaiting_answer = True
+        super().set_response_params(**parameters)
+
+    def data_received(self, data: bytes) -> None:
+        if not self._awaiting_answer:
+            self.force_close()
+            self.abort()
+            return
+        super().data_received(data)
+        payload = self._payload
+        if payload is not None and payload.is_eof():
+            self._awaiting_answer = False
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        payload = self._payload
+        if exc is not None and payload is not None and not payload.is_eof():
+            payload.set_exception(ClientPayloadError("the connection was reset"))
+        super().connection_lost(exc)
+
+
+class _StrictConnector(aiohttp.TCPConnector):
+    def __init__(self) -> None:
+        super().__init__(
+            limit=0,
+            keepalive_timeout=_IDLE_S,
+            use_dns_cache=False,
+            socket_factory=_make_socket,
+        )
+        self._factory = partial(_StrictResponseHandler, loop=self._loop)
+
+
+def _make_socket(address_info: Any) -> socket.socket:
+    """Return a socket that notices a silent peer within a few seconds."""
+    family, kind, protocol, _, _ = address_info
+    made = socket.socket(family, kind, protocol)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    made.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, _KEEPALIVE_IDLE_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, _KEEPALIVE_INTERVAL_S)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, _KEEPALIVE_PROBES)
+    made.setsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, _USER_TIMEOUT_MS)
+    return made
+
+
+class ReplicaClient:
+    """Sends requests to replicas over kept connections."""
+
+    def __init__(self) -> None:
+        self._session: aiohttp.ClientSession | None = None
+
+    def _opened(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession(
+                connector=_StrictConnector(),
+                auto_decompress=False,
+                cookie_jar=aiohttp.DummyCookieJar(),
+                skip_auto_headers=_ADDED_BY_LIBRARY,
+                timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
+                max_line_size=_MAX_HEADER_BYTES,
+                max_field_size=_MAX_HEADER_BYTES,
+            )
+        return self._session
+
+    async def send(
+        self,
+        address: str,
+        method: str,
+        target: str,
+        headers: list[tuple[str, str]],
+        body: bytes,
+    ) -> aiohttp.ClientResponse:
+        """Send a request and return the head of its answer.
+
+        Args:
+            address: IP:port of the replica.
+            method: HTTP method.
+            target: Path and query, exactly as they are to be sent.
+            headers: All headers but those of the connection.
+            body: The whole body.
+
+        Raises:
+            ReplicaNotReachedError: If nothing was sent.
+            ReplicaLostError: If something may have been.
+        """
+        url = URL(f"http://{address}{target}", encoded=True)
+        try:
+            return await self._opened().request(
+                method, url, headers=headers, data=body or None, allow_redirects=False
+            )
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
+            raise ReplicaNotReachedError(repr(error), step="connect", peer=address) from error
+        except (aiohttp.ClientError, OSError) as error:
+            raise ReplicaLostError(repr(error), step="send", peer=address) from error
+
+    async def close(self) -> None:
+        """Close all connections."""
+        if self._session is not None:
+            await self._session.close()
--- a/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
@@ -6,7 +6,18 @@
 
 from heronladder_runtime.invariants import invariant
 
-KINDS = ("tenant", "budget", "service", "backend", "routing_policy")
+FLEET_KIND = "fleet_configuration"
+FLEET_NAME = "current"
+REPLICA_KIND = "replica"
+KINDS = (
+    "tenant",
+    "budget",
+    "service",
+    "backend",
+    "routing_policy",
+    FLEET_KIND,
+    REPLICA_KIND,
+)
 Listener = Callable[[], None]
 
 
@@ -64,6 +75,15 @@
         """Return all back ends by name."""
         return self._resources["backend"]
 
+    def fleet(self) -> resources_pb2.FleetConfiguration | None:
+        """Return the whole fleet configuration held, or None before the first."""
+        resource = self._resources[FLEET_KIND].get(FLEET_NAME)
+        return resource.fleet_configuration if resource is not None else None
+
+    def replicas(self) -> list[resources_pb2.Replica]:
+        """Return all replicas that registered."""
+        return [resource.replica for resource in self._resources[REPLICA_KIND].values()]
+
     def policy(self, name: str) -> resources_pb2.RoutingPolicy | None:
         """Return a routing policy, or None when there is none of that name."""
         resource = self._resources["routing_policy"].get(name)
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -44,11 +44,19 @@
         daemon_notice: A daemon of the other role registered, or is gone.
         rejected: This incarnation was declared gone; returns a new incarnation
             to go on with. Without it the link stays closed.
+        session_began: A new stream is being opened.
+        fill_heartbeat: Adds what the daemon tells to a heartbeat about to be sent.
+        heartbeat_confirmed: Control has the heartbeat of this number.
+        recall_prepaid: Give back what is not used of a tenant.
     """
 
     recall: RecallHandler | None = None
     daemon_notice: DaemonNoticeHandler | None = None
     rejected: RejectionHandler | None = None
+    session_began: Callable[[], None] | None = None
+    fill_heartbeat: Callable[[control_pb2.Heartbeat], None] | None = None
+    heartbeat_confirmed: Callable[[int], None] | None = None
+    recall_prepaid: Callable[[str], None] | None = None
 
 
 @dataclass
@@ -110,6 +118,13 @@
         self._hint = ""
         self._leaving = False
         self._became_fresh = asyncio.Event()
+        self._control_time_ms = 0
+        self.last_heard_s = float("-inf")  # newest frame from a leader
+        self.routers = 1  # routers that control counts, this one among them
+
+    def add_addresses(self, addresses: list[str]) -> None:
+        """Learn of further addresses of control members."""
+        self._addresses = list(dict.fromkeys([*addresses, *self._addresses]))
 
     def start(self) -> None:
         """Connect, and stay connected until ``stop``."""
@@ -203,6 +218,9 @@
     async def _run_session(self, address: str) -> None:
         session = _Session(last_received=self._environment.monotonic())
         self._session = session
+        if self._handlers.session_began is not None:
+            self._handlers.session_began()
+        self._control_time_ms = 0  # another leader's clock says nothing to this one
         stream = self._stubs.control(address).Session(self._frames(session))
         watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
         try:
@@ -269,13 +287,29 @@
             session.heartbeat_times[self._heartbeat_number] = self._environment.monotonic()
             frame.heartbeat.number = self._heartbeat_number
             frame.heartbeat.applied_revision = self.configuration.revision
+            frame.heartbeat.control_time_ms = self._control_time_ms
+            if self._handlers.fill_heartbeat is not None:
+                self._handlers.fill_heartbeat(frame.heartbeat)
         if self._leaving and not self._pending:
             frame.leaving = True
         return frame if frame.ByteSize() else None
 
     # ---- frames from control ----------------------------------------------
 
+    def beat_now(self) -> None:
+        """Send a heartbeat without waiting for the next interval."""
+        if self._session is not None:
+            self._session.heartbeat_due = True
+            self._session.wake.set()
+
     def _take(self, session: _Session, frame: control_pb2.ControlFrame) -> None:
+        if frame.control_addresses:
+            self._addresses = list(frame.control_addresses)
+        if frame.routers:
+            self.routers = frame.routers
+        if frame.control_time_ms:
+            self._control_time_ms = frame.control_time_ms
+            self.last_heard_s = self._environment.monotonic()
         if frame.HasField("config"):
             self.configuration.apply(frame.config)
             session.heartbeat_due = True  # tells control at once that it is applied
@@ -292,6 +326,8 @@
     def _renew_freshness(self, session: _Session, frame: control_pb2.ControlFrame) -> None:
         # The lease counts from when the heartbeat was sent, which is earlier
         # than control's own reckoning: the daemon stops first.
+        if self._handlers.heartbeat_confirmed is not None:
+            self._handlers.heartbeat_confirmed(frame.heartbeat_ack)
         sent = session.heartbeat_times.pop(frame.heartbeat_ack, None)
         if sent is None:
             return
@@ -305,6 +341,9 @@
         if self._handlers.recall is not None:
             for recall in frame.recalls:
                 self._handlers.recall(recall.lease_id, recall.keep)
+        if self._handlers.recall_prepaid is not None:
+            for tenant in frame.prepaid_recalls:
+                self._handlers.recall_prepaid(tenant)
         if self._handlers.daemon_notice is not None:
             for notice in frame.daemons:
                 self._handlers.daemon_notice(notice)
--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -62,6 +62,8 @@
     def __init__(self, folder: Path, sync_enabled: bool = True) -> None:
         self._folder = folder
         self._sync_enabled = sync_enabled
+        self._staged: dict[str, bytearray] = {}
+        self._damaged: dict[str, int] = {}  # size to cut a file back to before it is used
         self._open: dict[str, int] = {}
         self._named: set[str] = set()
         folder.mkdir(parents=True, exist_ok=True)
@@ -86,27 +88,48 @@
         return descriptor
 
     def append(self, name: str, data: bytes) -> None:
-        """Add bytes at the end of a file."""
+        """Stage bytes for the end of a file; ``sync`` writes them."""
+        self._staged.setdefault(name, bytearray()).extend(data)
+
+    async def sync(self, name: str) -> None:
+        """Write and sync what was staged, and at the first sync the folder that names it.
+
+        A slow disk holds up its own thread only. When the disk refuses, the file
+        is cut back to what it held before.
+        """
+        data = bytes(self._staged.pop(name, b""))
+        await asyncio.get_running_loop().run_in_executor(None, self._write_and_sync, name, data)
+
+    def _write_and_sync(self, name: str, data: bytes) -> None:
         try:
+            self._cut_back(name)
             descriptor = self._descriptor(name)
+            self._damaged[name] = os.fstat(descriptor).st_size
             view = memoryview(data)
             while view:
                 view = view[os.write(descriptor, view) :]
+            if self._sync_enabled:
+                os.fdatasync(descriptor)
+                if name not in self._named:
+                    self._sync_folder()
+                    self._named.add(name)
+            del self._damaged[name]
         except OSError as error:
-            raise StorageError(str(error), step="append", peer=name) from error
+            self._cut_back_quietly(name)
+            raise StorageError(str(error), step="sync", peer=name) from error
 
-    async def sync(self, name: str) -> None:
-        """Sync a file, and at its first sync the folder that names it."""
-        if not self._sync_enabled:
-            return
-        loop = asyncio.get_running_loop()
+    def _cut_back(self, name: str) -> None:
+        """Cut a file back after a write that failed: half a record must not stay."""
+        if name in self._damaged:
+            os.ftruncate(self._descriptor(name), self._damaged[name])
+            os.fdatasync(self._descriptor(name))
+            del self._damaged[name]
+
+    def _cut_back_quietly(self, name: str) -> None:
         try:
-            await loop.run_in_executor(None, os.fdatasync, self._descriptor(name))
-            if name not in self._named:
-                self._named.add(name)
-                await loop.run_in_executor(None, self._sync_folder)
-        except OSError as error:
-            raise StorageError(str(error), step="sync", peer=name) from error
+            self._cut_back(name)
+        except OSError:
+            pass  # the next write tries again first
 
     def _sync_folder(self) -> None:
         descriptor = os.open(self._folder, os.O_RDONLY)
--- a/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
@@ -19,6 +19,8 @@
     "Service": "service",
     "Backend": "backend",
     "RoutingPolicy": "routing_policy",
+    "FleetConfiguration": "fleet_configuration",
+    "Replica": "replica",
 }
 FIELD_KINDS = {field: kind for kind, field in KIND_FIELDS.items()}
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
@@ -15,11 +15,14 @@
 _CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", _MAXIMUM_MESSAGE_BYTES),
     ("grpc.max_send_message_length", _MAXIMUM_MESSAGE_BYTES),
-    ("grpc.keepalive_time_ms", 10_000),
-    ("grpc.keepalive_timeout_ms", 5_000),
+    # A cut must be noticed and its end too: pings each second, short pauses.
+    ("grpc.keepalive_time_ms", 1_000),
+    ("grpc.keepalive_timeout_ms", 1_000),
+    ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
-    ("grpc.initial_reconnect_backoff_ms", 100),
-    ("grpc.max_reconnect_backoff_ms", 1_000),
+    ("grpc.min_reconnect_backoff_ms", 400),
+    ("grpc.initial_reconnect_backoff_ms", 200),
+    ("grpc.max_reconnect_backoff_ms", 500),
 )
 
 
@@ -79,7 +82,9 @@
     options = (
         *_CHANNEL_OPTIONS[:2],
         ("grpc.so_reuseport", 0),
-        ("grpc.http2.min_ping_interval_without_data_ms", 5_000),
+        ("grpc.http2.min_ping_interval_without_data_ms", 500),
+        ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
+        ("grpc.http2.max_ping_strikes", 0),
         ("grpc.keepalive_permit_without_calls", 1),
     )
     return grpc.aio.server(options=options)
--- a/packages/heronladder-runtime/src/heronladder_runtime/settings.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/settings.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass
 from typing import Any
 
-import typer
 from google.protobuf.descriptor import FieldDescriptor
 from google.protobuf.message import Message
 from heronladder_schema.v1 import settings_pb2
@@ -73,6 +72,7 @@
     router: settings_pb2.RouterSettings
     agent: settings_pb2.AgentSettings
     control: settings_pb2.ControlSettings
+    gateway: settings_pb2.GatewaySettings
 
     @property
     def roles(self) -> list[str]:
@@ -85,6 +85,7 @@
     settings_pb2.RouterSettings,
     settings_pb2.AgentSettings,
     settings_pb2.ControlSettings,
+    settings_pb2.GatewaySettings,
 )
 
 
@@ -216,6 +217,8 @@
 
 
 def _option(declaration: SettingDeclaration) -> inspect.Parameter:
+    import typer  # only the command line needs it; a daemon's memory does without
+
     options = declaration.options
     unit = f" [{options.unit}]" if options.unit else ""
     default = f" (default: {options.default_value})" if options.default_value else ""
--- a/packages/heronladder-runtime/src/heronladder_runtime/validation.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/validation.py
@@ -4,6 +4,7 @@
 
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
+from heronladder_runtime.fleet_validation import validate_fleet
 from heronladder_runtime.manifests import NAME_PATTERN, kind_of
 
 BALANCERS = ("round_robin", "least_outstanding", "power_of_two", "prefix_affinity")
@@ -45,6 +46,10 @@
         _check_backend(resource.backend, errors)
     elif kind == "routing_policy":
         _check_policy(resource.routing_policy, errors)
+    elif kind == "fleet_configuration":
+        errors.found.extend(validate_fleet(resource.fleet_configuration))
+    elif kind == "replica":
+        errors.require(False, "kind", "replicas register themselves; they are not declared")
     else:
         errors.require(False, "spec", "the resource has no spec")
     return errors.found
