Open another stream when control falls silent

Cause: gRPC raises CancelledError in the reader of a stream that the watchdog cancelled; the link took it for its own cancellation and its task ended, so a router never came back after the first cut. Ruled out: channel back-off (the channel was never asked again). Change: a stream given up here is told from a cancelled task.

--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -75,6 +75,7 @@
     last_received: float = 0.0
     heartbeat_due: bool = True  # at once: a new leader does not know how far we are
     closed: bool = False
+    given_up: bool = False  # control was silent: the stream was cancelled here
 
 
 class ControlLink:
@@ -211,10 +212,21 @@
             try:
                 await self._run_session(address)
             except RPC_ERRORS as error:
-                self._log.debug("session_lost", step="session", peer=address, error=repr(error))
+                self._report_loss(address, error)
             if not self._hint:
                 await asyncio.sleep(self._environment.jitter(_RECONNECT_PAUSE_S))
 
+    def _report_loss(self, address: str, error: BaseException) -> None:
+        silent_s = self._environment.monotonic() - self.last_heard_s
+        self._log.info(
+            "control_lost",
+            step="session",
+            peer=address,
+            silent_s=silent_s,
+            revision=self.configuration.revision,
+            error=repr(error),
+        )
+
     async def _run_session(self, address: str) -> None:
         session = _Session(last_received=self._environment.monotonic())
         self._session = session
@@ -234,6 +246,12 @@
                     self._reject(frame.rejected, address)
                     return
                 self._take(session, frame)
+        except asyncio.CancelledError:
+            # gRPC raises this in the reader of a stream that was cancelled here,
+            # just as if this task itself were cancelled.
+            if not session.given_up:
+                raise
+            raise TimeoutError("control was silent") from None
         finally:
             watchdog.cancel()
             session.closed = True
@@ -256,6 +274,7 @@
         while True:
             await asyncio.sleep(self._heartbeat_interval_s)
             if self._environment.monotonic() - session.last_received > limit:
+                session.given_up = True
                 stream.cancel()  # type: ignore[attr-defined]
                 return
             session.heartbeat_due = True
@@ -309,7 +328,12 @@
             self.routers = frame.routers
         if frame.control_time_ms:
             self._control_time_ms = frame.control_time_ms
-            self.last_heard_s = self._environment.monotonic()
+            now_s = self._environment.monotonic()
+            if now_s - self.last_heard_s > self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS:
+                self._log.info(
+                    "control_regained", step="session", silent_s=now_s - self.last_heard_s
+                )
+            self.last_heard_s = now_s
         if frame.HasField("config"):
             self.configuration.apply(frame.config)
             session.heartbeat_due = True  # tells control at once that it is applied
--- /dev/null
+++ b/tests/test_control_link.py
@@ -0,0 +1,60 @@
+"""The link to control over real sockets, when control falls silent."""
+
+import asyncio
+import unittest
+from collections.abc import AsyncIterator
+from typing import Any
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.rpc import GrpcStubs, make_server
+from heronladder_schema.v1 import control_pb2, ledger_pb2
+from heronladder_schema.v1.control_pb2_grpc import ControlServicer, add_ControlServicer_to_server
+
+_HEARTBEAT_S = 0.1
+
+
+class _FallsSilent(ControlServicer):
+    """Acknowledges the first heartbeats of its first stream, then says nothing on it."""
+
+    def __init__(self) -> None:
+        self.streams = 0
+
+    async def Session(
+        self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
+    ) -> AsyncIterator[control_pb2.ControlFrame]:
+        self.streams += 1
+        silent = self.streams == 1
+        acknowledged = 0
+        async for frame in request_iterator:
+            if frame.HasField("heartbeat") and not (silent and acknowledged >= 2):
+                acknowledged += 1
+                yield control_pb2.ControlFrame(
+                    heartbeat_ack=frame.heartbeat.number, freshness_ms=1000, control_time_ms=1
+                )
+
+
+class ControlLinkTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_silent_stream_is_given_up_and_another_is_opened(self) -> None:
+        service = _FallsSilent()
+        server = make_server()
+        add_ControlServicer_to_server(service, server)
+        port = server.add_insecure_port("127.0.0.1:0")
+        await server.start()
+        stubs = GrpcStubs()
+        record = ledger_pb2.DaemonRecord(name="gateway-1", role="router", incarnation="a")
+        link = ControlLink(
+            record, [f"127.0.0.1:{port}"], stubs, _HEARTBEAT_S, LinkHandlers(), Environment()
+        )
+        link.start()
+        try:
+            async with asyncio.timeout(10):
+                while service.streams < 2:
+                    await asyncio.sleep(0.05)
+                link.last_heard_s = float("-inf")
+                while link.last_heard_s < 0:
+                    await asyncio.sleep(0.05)
+        finally:
+            await link.abort()
+            await stubs.close()
+            await server.stop(0)
