Keep a restarted leader from being removed by old memberships; refuse before ending; hold half

Now only the newest membership removes. Test: test_membership_growth (fails with the old condition). - LOST around SIGTERM: busy callers on kept connections held a stopping gateway in flight until its grace ran out. Now it serves for the balancer's notice, then refuses with Retry-After, closes the door and connections at rest, and waits for what runs. Now all holders together have half of what is not spent; refusals come at once when control is out of reach.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -14,6 +14,10 @@
     from heronladder_consensus.node import ConsensusNode
 
 
+_FIRST_PATIENCE = 0.4  # of the election timeout, besides a random share of it
+_PATIENCE = 1.0
+
+
 class Election:
     """Makes a member stand for election when it hears of no leader.
 
@@ -28,8 +32,11 @@
     async def run(self) -> None:
         """Stand whenever no leader was heard of for an election timeout."""
         node = self._node
+        patience = _FIRST_PATIENCE  # after a start, no leader has been heard of yet
         while node.failure is None:
-            timeout_s = node.timing.election_timeout_s * (1 + node.environment.random.random())
+            chance = node.environment.random.random()
+            timeout_s = node.timing.election_timeout_s * (patience + chance)
+            patience = _PATIENCE
             await asyncio.sleep(timeout_s)
             silent_s = node.environment.monotonic() - node.last_heard_s
             if node.is_leader or not node.may_vote() or silent_s < timeout_s:
--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -75,9 +75,7 @@
         if hinted:
             await self._ask(hinted, me)
 
-    async def _ask(
-        self, address: str, me: consensus_pb2.Member
-    ) -> consensus_pb2.JoinReply | None:
+    async def _ask(self, address: str, me: consensus_pb2.Member) -> consensus_pb2.JoinReply | None:
         try:
             stub = self._node.stubs.consensus(address)
             reply: consensus_pb2.JoinReply = await stub.Join(
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -186,7 +186,9 @@
         node = self._node
         member = find_member(entry.membership, node.name)
         if member is None:
-            if node.is_leader:
+            # After a restart, old memberships are committed anew: a member that
+            # came back later is not removed by them.
+            if node.is_leader and node.me() is None:
                 node.step_down("removed")
             return
         known = member.incarnation == node.hard_state.incarnation
--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -77,9 +77,7 @@
         return self._merged(known, told) == known
 
     @staticmethod
-    def _merged(
-        known: resources_pb2.Replica, told: resources_pb2.Replica
-    ) -> resources_pb2.Replica:
+    def _merged(known: resources_pb2.Replica, told: resources_pb2.Replica) -> resources_pb2.Replica:
         """Return the newer state: a replica never comes back from draining or gone."""
         merged = resources_pb2.Replica()
         merged.CopyFrom(known if told.gone else told)
--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -15,7 +15,7 @@
 
 from heronladder_control.results import failure, success
 
-_SHARE_OF_HOLDERS = 2  # a draw takes at most 1/(2 x holders) of what is left
+_SHARE_OF_HOLDERS = 2  # a holder has at most 1/(2 x holders) of what is not spent
 _SURE_PERCENT = 97  # of the limit; beyond it the rest may be held by requests under way
 _PERCENT = 100
 
@@ -54,9 +54,7 @@
         """Take what a holder tells and give it what it asks for, as far as there is."""
         account = self.accounts.get(order.tenant)
         if account is None:
-            return failure(
-                control_pb2.RESULT_CODE_NOT_FOUND, f"there is no tenant {order.tenant}"
-            )
+            return failure(control_pb2.RESULT_CODE_NOT_FOUND, f"there is no tenant {order.tenant}")
         holder = self._holder(account, order.holder, order.incarnation)
         amount = 0
         if order.number > holder.last_number:
@@ -87,9 +85,7 @@
         holder.spent = max(holder.spent, order.spent)
         holder.reserved = order.reserved
 
-    def _grant(
-        self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens
-    ) -> int:
+    def _grant(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
         amount = self._grant_size(account, order)
         invariant(
             amount == 0 or not account.limited or amount <= self.available(account),
@@ -100,16 +96,26 @@
         )
         return amount
 
-    def _grant_size(
-        self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens
-    ) -> int:
+    def _grant_size(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
         if not account.limited:
             return order.wanted
         available = self.available(account)
         if available < order.minimum:
             return 0
-        share = available // (_SHARE_OF_HOLDERS * max(1, len(account.holders)))
-        return min(order.wanted, available, max(share, order.minimum))
+        return min(order.wanted, available, max(self._fair_rest(account, order), order.minimum))
+
+    @staticmethod
+    def _fair_rest(account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
+        """Return what a holder may be given so that all together hold half of the rest.
+
+        What is held is lost if every holder is killed at once; the other half
+        goes on to serve then.
+        """
+        spent = account.closed_charge + sum(holder.spent for holder in account.holders)
+        rest = max(0, account.limit - spent)
+        fair = rest // (_SHARE_OF_HOLDERS * max(1, len(account.holders)))
+        holder = next(entry for entry in account.holders if entry.holder == order.holder)
+        return max(0, fair - (holder.granted - holder.returned - holder.spent))
 
     @staticmethod
     def _holder(
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -128,9 +128,7 @@
         session = DaemonSession(hello.daemon, hello.applied_revision)
         self.sessions[name] = session
         self._member.in_force.connected(name)
-        self._member.prepaid_watch.opened(
-            (name, hello.daemon.incarnation), self._member.node.term
-        )
+        self._member.prepaid_watch.opened((name, hello.daemon.incarnation), self._member.node.term)
         other_role = ROLE_ROUTER if hello.daemon.role == ROLE_AGENT else ROLE_AGENT
         for record in self._member.state.daemons.daemons.values():
             if record.role == other_role:
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -12,9 +12,9 @@
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_control.api import ResourceApi, parse_operators
 from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_router.agent_channel import HttpAgentChannel
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_role import GatewayOptions, GatewayRole
-from heronladder_router.agent_channel import HttpAgentChannel
 from heronladder_router.role import RouterOptions, RouterRole
 from heronladder_router.server import RouterServer
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -36,7 +36,8 @@
 _PERCENT = 100
 _CALLER_IDLE_S = 75.0
 _HEADER_BYTES = 65_536
-_GATEWAY_LAST_WORDS_S = 1.5  # of the grace, kept for giving tokens back
+_GATEWAY_LAST_WORDS_S = 0.8  # of the grace, kept for giving tokens back
+_GATEWAY_LAST_WAIT_S = 0.1
 _BALANCER_NOTICE_S = 2.5
 
 
@@ -70,6 +71,7 @@
         self.router_server: RouterServer | None = None
         self.agent: AgentRole | None = None
         self.gateway: GatewayRole | None = None
+        self._gateway_listener: HttpListener | None = None
         self._gateway_names = gateway_names or GatewayNames()
         self.admin_address = ""
         self.failed: asyncio.Future[HeronladderError] | None = None
@@ -232,7 +234,10 @@
             max_field_size=_HEADER_BYTES,
             auto_decompress=False,
         )
-        await self._listen(HttpListener(server, settings.gateway_listen))
+        self._gateway_listener = HttpListener(
+            server, settings.gateway_listen, last_wait_s=_GATEWAY_LAST_WAIT_S
+        )
+        await self._listen(self._gateway_listener)
         await self.gateway.start()
 
     async def _start_admin(self, metrics: list[Metrics]) -> None:
@@ -273,12 +278,18 @@
             await self.agent.drain(grace_s)
         if self.gateway is not None:
             grace_s = _seconds(self.settings.gateway.gateway_grace_ms) - _GATEWAY_LAST_WORDS_S
-            await self.gateway.drain(grace_s, _BALANCER_NOTICE_S)
+            await self.gateway.drain(grace_s, _BALANCER_NOTICE_S, self._stop_accepting)
+            if self._gateway_listener is not None:
+                await self._gateway_listener.stop()
         for role in (self.router, self.agent, self.gateway):
             if role is not None:
                 await role.stop()
         await self._close()
 
+    async def _stop_accepting(self) -> None:
+        if self._gateway_listener is not None:
+            await self._gateway_listener.stop_accepting()
+
     async def abort(self) -> None:
         """End at once, as a crash would, but within this process."""
         for role in (self.router, self.agent, self.gateway):
--- a/packages/heronladder-daemon/src/heronladder_daemon/http_listener.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/http_listener.py
@@ -16,16 +16,24 @@
         application: The application, or a server without routes of its own.
         address: IP:port; port 0 takes one from the kernel.
         cancel_handlers: Whether a handler is cancelled when its caller goes away.
+        last_wait_s: Time that handlers have to end once the listener stops.
     """
 
     def __init__(
-        self, application: web.Application | web.Server, address: str, *, cancel_handlers: bool = False
+        self,
+        application: web.Application | web.Server,
+        address: str,
+        *,
+        cancel_handlers: bool = False,
+        last_wait_s: float = 1.0,
     ) -> None:
         self._application = application
         self._host, _, port = address.rpartition(":")
         self._port = int(port)
         self._cancel_handlers = cancel_handlers
+        self._last_wait_s = last_wait_s
         self._runner: Any = None
+        self._site: web.SockSite | None = None
 
     @property
     def address(self) -> str:
@@ -50,14 +58,25 @@
                 f"cannot listen: {error}", step="listen", peer=self.address
             ) from error
         self._port = listener.getsockname()[1]
-        await web.SockSite(self._runner, listener, backlog=_BACKLOG, shutdown_timeout=1.0).start()
+        self._site = web.SockSite(self._runner, listener, backlog=_BACKLOG)
+        await self._site.start()
 
     def _make_runner(self) -> Any:
         if isinstance(self._application, web.Application):
             return web.AppRunner(
-                self._application, handler_cancellation=self._cancel_handlers, access_log=None
+                self._application,
+                handler_cancellation=self._cancel_handlers,
+                access_log=None,
+                shutdown_timeout=self._last_wait_s,
             )
-        return web.ServerRunner(self._application)
+        return web.ServerRunner(self._application, shutdown_timeout=self._last_wait_s)
+
+    async def stop_accepting(self) -> None:
+        """Take no new connections and close those at rest; requests under way go on."""
+        if self._site is not None and self._runner is not None:
+            await self._site.stop()
+            self._runner.server.pre_shutdown()
+            self._site = None
 
     async def stop(self) -> None:
         """Stop listening and end all handlers."""
--- a/packages/heronladder-daemon/src/heronladder_daemon/runner.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/runner.py
@@ -64,9 +64,7 @@
                 self.reload()
 
 
-async def run_daemon(
-    daemon: Daemon, load: SettingsLoader, file: Path | None = None
-) -> int:
+async def run_daemon(daemon: Daemon, load: SettingsLoader, file: Path | None = None) -> int:
     """Run a daemon until SIGTERM or SIGINT, or until it fails.
 
     Args:
--- a/packages/heronladder-emulator/src/heronladder_emulator/memory_disk.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/memory_disk.py
@@ -71,6 +71,8 @@
         if start != self._starts:
             return
         if self.fail_syncs:
+            # What could not be written is cut off again, as on a real folder.
+            self._current[name] = bytearray(self._durable.get(name, b""))
             raise StorageError("input/output error", step="sync", peer=name)
         if name in self._current:
             self._durable[name] = bytes(self._current[name][:size])
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -102,6 +102,14 @@
     retry_after_s = 0.5
 
 
+class StoppingError(CallerError):
+    """This gateway is about to end; others serve."""
+
+    status = 503
+    code = "stopping"
+    retry_after_s = 0.05
+
+
 class RejectedEverywhereError(CallerError):
     """No replica took the request; it has not run and will not."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -113,9 +113,7 @@
             return {}
         return {service.name: service.engine.cache_tokens for service in fleet.services}
 
-    def _report(
-        self, replica: FleetReplica, record: resources_pb2.Replica, *, new: bool
-    ) -> None:
+    def _report(self, replica: FleetReplica, record: resources_pb2.Replica, *, new: bool) -> None:
         if not new and replica.record == record:
             return
         self._log.info(
@@ -141,9 +139,7 @@
 
         Suspected replicas come only after all others.
         """
-        candidates = [
-            replica for replica in self.usable(wish.service) if replica.name not in tried
-        ]
+        candidates = [replica for replica in self.usable(wish.service) if replica.name not in tried]
         now_s = self._environment.monotonic()
         sound = [replica for replica in candidates if replica.suspect_until_s <= now_s]
         pool = sound or candidates
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -163,9 +163,7 @@
         route = request.matched.route
         return request.matched.may_run_twice and sends.runs < max(1, route.attempts)
 
-    async def _next_replica(
-        self, request: GatewayRequest, sends: _Sends
-    ) -> FleetReplica | None:
+    async def _next_replica(self, request: GatewayRequest, sends: _Sends) -> FleetReplica | None:
         replicas = self._parts.replicas
         replica = replicas.choose(request.wish, sends.tried)
         if replica is None and not sends.count:
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -1,6 +1,7 @@
 """The gateway role: a router by host and path that sends to replicas itself."""
 
 import asyncio
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import Environment
@@ -73,13 +74,15 @@
         self._tasks = TaskGroupOwner(self.log)
         handlers = LinkHandlers(rejected=self._begin_new_incarnation)
         self.link = ControlLink(
-            self._record(), options.control_addresses, stubs, options.heartbeat_s, handlers,
+            self._record(),
+            options.control_addresses,
+            stubs,
+            options.heartbeat_s,
+            handlers,
             environment,
         )
         self.routes = HostRouteTable(self.link.configuration, options.names.key_scheme)
-        self.replicas = FleetReplicas(
-            options.zone, self.link.configuration, environment, self.log
-        )
+        self.replicas = FleetReplicas(options.zone, self.link.configuration, environment, self.log)
         self.tokens = PrepaidTokens(self.link, environment, self.log)
         handlers.session_began = self.tokens.session_began
         handlers.fill_heartbeat = self.tokens.fill_heartbeat
@@ -106,9 +109,7 @@
             routes=self.routes,
             replicas=self.replicas,
             tokens=self.tokens,
-            attempts=ReplicaAttempts(
-                self._client, self.replicas, options.names, self._environment
-            ),
+            attempts=ReplicaAttempts(self._client, self.replicas, options.names, self._environment),
             allowance=SlidingAllowance(
                 self._environment,
                 options.retry_ratio,
@@ -155,20 +156,23 @@
         heard = silent_s < self.options.stale_limit_s
         return self.server.ready and heard and not self.server.closing
 
-    async def drain(self, grace_s: float, notice_s: float) -> None:
-        """Refuse readiness, and wait until no request is in flight.
+    async def drain(
+        self, grace_s: float, notice_s: float, stop_accepting: Callable[[], Awaitable[None]]
+    ) -> None:
+        """Serve until callers' balancers have noticed, then until nothing is in flight.
 
         Args:
-            grace_s: Longest time to wait, in seconds.
-            notice_s: Time that callers' balancers need to notice, in seconds.
+            grace_s: Longest time in all, in seconds.
+            notice_s: Time that balancers need to notice, in seconds.
+            stop_accepting: Closes the listener and connections at rest.
         """
-        self.server.closing = True
         began_s = self._environment.monotonic()
-        while True:
-            elapsed_s = self._environment.monotonic() - began_s
-            idle = not self.server.in_flight and elapsed_s >= notice_s
-            if idle or elapsed_s >= grace_s:
-                break
+        self.server.closing = True
+        await asyncio.sleep(notice_s)
+        # From now on, busy callers on kept connections must not hold this up.
+        self.server.refusing = True
+        await stop_accepting()
+        while self.server.in_flight and self._environment.monotonic() - began_s < grace_s:
             await asyncio.sleep(_STOP_POLL_S)
         if self.server.in_flight:
             self.log.error(
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -10,10 +10,12 @@
 from heronladder_schema.v1 import ledger_pb2
 
 from heronladder_router.errors import (
+    OUTCOME_WORDS,
     BodyTooLargeError,
     CallerError,
     InvalidRequestError,
     NotReadyError,
+    StoppingError,
 )
 from heronladder_router.fleet_replicas import Wish
 from heronladder_router.gateway_dispatch import GatewayDispatcher, StreamBrokenError
@@ -29,7 +31,6 @@
 from heronladder_router.kept_parts import parse_parts
 from heronladder_router.replica_attempt import is_hop_header
 from heronladder_router.server import OUTCOME_HEADER
-from heronladder_router.errors import OUTCOME_WORDS
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _STEP = "intake"
@@ -110,6 +111,7 @@
         self._log = log
         self.in_flight = 0
         self.closing = False  # answers ask callers to connect anew
+        self.refusing = False  # requests are refused: this gateway is about to end
         self.ready = False  # a configuration was confirmed by control
         own = (
             names.deadline_ms,
@@ -163,9 +165,9 @@
 
     # ---- intake -----------------------------------------------------------
 
-    async def _serve(
-        self, request: web.BaseRequest, sink: _CallerSink, arrived_s: float
-    ) -> None:
+    async def _serve(self, request: web.BaseRequest, sink: _CallerSink, arrived_s: float) -> None:
+        if self.refusing:
+            raise StoppingError("this gateway is stopping", step=_STEP)
         if not self.ready:
             raise NotReadyError("no configuration is known yet", step=_STEP)
         target = request.raw_path
@@ -233,9 +235,7 @@
                 ) from None
         return arrived_s + limit_ms / MILLISECONDS_PER_SECOND
 
-    def _passed_on(
-        self, request: web.BaseRequest, matched: MatchedRoute
-    ) -> list[tuple[str, str]]:
+    def _passed_on(self, request: web.BaseRequest, matched: MatchedRoute) -> list[tuple[str, str]]:
         named = {name.strip().lower() for name in request.headers.get("Connection", "").split(",")}
         passed = []
         for name, value in request.headers.items():
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -27,6 +27,7 @@
 _RECALL_PAUSE_S = 0.04
 _REFUSAL_HOLDS_S = 0.4
 _TRIM_INTERVAL_S = 1.0
+_OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain
 _STEP = "reserve_prepaid"
 
 
@@ -120,9 +121,7 @@
     def _unavailable(tenant: str, why: str) -> PrepaidUnavailableError:
         return PrepaidUnavailableError(why, step=_STEP, peer=tenant)
 
-    async def _within_window(
-        self, purse: PrepaidPurse, tokens: int, deadline_s: float
-    ) -> bool:
+    async def _within_window(self, purse: PrepaidPurse, tokens: int, deadline_s: float) -> bool:
         """Wait until the tokens may be used without control having heard of more."""
         while not self._window_allows(purse, tokens):
             # Control is told before they are used.
@@ -133,6 +132,10 @@
                 raise self._unavailable(purse.tenant, "control did not confirm in time")
         return True
 
+    def _out_of_touch(self) -> bool:
+        silent_s = self._environment.monotonic() - self._link.last_heard_s
+        return silent_s > _OUT_OF_TOUCH_S
+
     def _window_allows(self, purse: PrepaidPurse, tokens: int) -> bool:
         silent_s = self._environment.monotonic() - self._link.last_heard_s
         if silent_s > WINDOW_HOLDS_S:
@@ -155,6 +158,8 @@
             missing = tokens - purse.free
             if missing <= 0:
                 return
+            if self._out_of_touch():
+                raise self._unavailable(tenant.name, "control is out of reach")
             wanted = max(missing, self._target(purse) - purse.free)
             left_s = deadline_s - self._environment.monotonic()
             if left_s <= 0:
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -149,9 +149,7 @@
             async with asyncio.timeout(self._patience_s(request)):
                 return await send
         except TimeoutError as error:
-            raise RunLostError(
-                "no answer began in time", step="send", peer=replica.name
-            ) from error
+            raise RunLostError("no answer began in time", step="send", peer=replica.name) from error
         except ReplicaNotReachedError as error:
             raise NotRunError(error.message, step="connect", peer=replica.name) from error
 
--- a/packages/heronladder-router/src/heronladder_router/replica_client.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_client.py
@@ -71,7 +71,8 @@
             use_dns_cache=False,
             socket_factory=_make_socket,
         )
-        self._factory = partial(_StrictResponseHandler, loop=self._loop)
+        make_handler: Any = partial(_StrictResponseHandler, loop=self._loop)
+        self._factory = make_handler
 
 
 def _make_socket(address_info: Any) -> socket.socket:
--- a/packages/heronladder-router/src/heronladder_router/sliding_allowance.py
+++ b/packages/heronladder-router/src/heronladder_router/sliding_allowance.py
@@ -17,9 +17,7 @@
         window_s: Length of the window, in seconds.
     """
 
-    def __init__(
-        self, environment: Environment, ratio: float, slack: int, window_s: float
-    ) -> None:
+    def __init__(self, environment: Environment, ratio: float, slack: int, window_s: float) -> None:
         self._environment = environment
         self._ratio = ratio
         self._slack = slack
--- a/packages/heronladder-runtime/src/heronladder_runtime/fleet_validation.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/fleet_validation.py
@@ -47,9 +47,7 @@
         field = f"routes[{position}]"
         key = (route.host, route.path_prefix)
         if key in places:
-            errors.append(
-                _error(field, f"routes[{places[key]}] has the same host and path prefix")
-            )
+            errors.append(_error(field, f"routes[{places[key]}] has the same host and path prefix"))
         places.setdefault(key, position)
         errors.extend(_check_route(field, route, services))
     return errors
@@ -74,9 +72,7 @@
         if target.weight < 0:
             errors.append(_error(f"{field}.targets", "a weight may not be below 0"))
         if target.service not in services:
-            errors.append(
-                _error(f"{field}.targets", f"there is no service {target.service!r}")
-            )
+            errors.append(_error(f"{field}.targets", f"there is no service {target.service!r}"))
     return errors
 
 
--- a/packages/heronladder-tools/src/heronladder_tools/transport_bench.py
+++ b/packages/heronladder-tools/src/heronladder_tools/transport_bench.py
@@ -37,6 +37,11 @@
             yield control_pb2.ControlFrame(leader_address=text)
             await asyncio.sleep(0)
 
+    async def Carry(
+        self, request: control_pb2.CarryRequest, context: Any
+    ) -> control_pb2.CarryReply:
+        return control_pb2.CarryReply()
+
     async def Allot(
         self, request: control_pb2.AllotmentRequest, context: Any
     ) -> control_pb2.AllotmentReply:
--- a/tests/support.py
+++ b/tests/support.py
@@ -77,6 +77,8 @@
             self.timing,
             self.environment,
             lambda error: self.failures.__setitem__(name, error),
+            consensus_pb2.Member(name=name, address=f"{name}:1") if self.timing.losses else None,
+            [f"{member}:1" for member in self.names],
         )
         self.network.start(name, Place("z", "r"), {"consensus": ConsensusService(node)})
         self.nodes[name] = node
--- /dev/null
+++ b/tests/test_membership_growth.py
@@ -0,0 +1,149 @@
+"""Groups that grow from their first members, and members that replace lost ones."""
+
+import asyncio
+import unittest
+from unittest import mock
+
+from heronladder_consensus.election import Election
+from heronladder_consensus.errors import LeadershipLostError
+from heronladder_consensus.membership import find_member, voters
+from heronladder_consensus.node import ConsensusNode
+from heronladder_consensus.timing import ConsensusTiming
+from support import Group, run_virtual
+
+
+def _bearing_losses(group: Group) -> Group:
+    group.timing = ConsensusTiming(1.0, 1000, losses=2)
+    return group
+
+
+async def _grown(group: Group, extra: int) -> ConsensusNode[int]:
+    """Start the first members and further ones that ask to be taken in."""
+    leader = await group.start_all()
+    for number in range(extra):
+        await group.start(f"x{number}", joining=True)
+    for _ in range(100):
+        leader = await group.leader()
+        if len(voters(leader.membership())) == len(group.names) + extra:
+            return leader
+        await asyncio.sleep(0.1)
+    raise AssertionError(f"did not grow: {leader.membership()}")
+
+
+class GrowthTest(unittest.TestCase):
+    def test_machines_that_are_no_members_are_taken_in_and_vote(self) -> None:
+        async def scenario() -> None:
+            group = _bearing_losses(Group())
+            leader = await _grown(group, extra=2)
+            await leader.propose(b"one")
+            await asyncio.sleep(2)
+            for name in ("x0", "x1"):
+                self.assertTrue(group.nodes[name].may_vote())
+                self.assertEqual(group.machines[name].commands, [b"one"])
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_an_entry_is_committed_only_with_a_copy_more_than_may_be_lost(self) -> None:
+        async def scenario() -> None:
+            group = _bearing_losses(Group())
+            leader = await group.start_all()
+            await leader.propose(b"with all three")
+            other = next(name for name in group.names if name != leader.name)
+            await group.crash(other)
+            with self.assertRaises(TimeoutError):
+                async with asyncio.timeout(3):
+                    await leader.propose(b"two copies are too few")
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_replacement_takes_the_place_of_a_silent_member(self) -> None:
+        async def scenario() -> None:
+            group = _bearing_losses(Group())
+            await _grown(group, extra=2)
+            await group.crash("x0")
+            await group.start("new", joining=True)
+            for _ in range(150):
+                names = {member.name for member in voters((await group.leader()).membership())}
+                if "new" in names and "x0" not in names:
+                    break
+                await asyncio.sleep(0.1)
+            self.assertEqual(names, {*group.names, "x1", "new"})
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_member_removed_while_cut_off_comes_back(self) -> None:
+        async def scenario() -> None:
+            group = _bearing_losses(Group())
+            leader = await _grown(group, extra=2)
+            away = next(name for name in sorted(group.nodes) if name != leader.name)
+            cuts = group.cut_off([away])
+            await group.start("new", joining=True)
+            for _ in range(150):
+                if find_member((await group.leader()).membership(), away) is None:
+                    break
+                await asyncio.sleep(0.1)
+            self.assertIsNone(find_member((await group.leader()).membership(), away))
+            group.heal(cuts)
+            for _ in range(150):
+                leader = await group.leader()
+                if away in [member.name for member in voters(leader.membership())]:
+                    break
+                await asyncio.sleep(0.1)
+            self.assertIn(away, [member.name for member in voters(leader.membership())])
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_restarted_leader_is_not_removed_by_memberships_before_its_own(self) -> None:
+        """Old memberships in the log are committed anew after a restart of all."""
+
+        async def scenario() -> None:
+            group = _bearing_losses(Group())
+            await _grown(group, extra=1)
+            await asyncio.sleep(2)
+            names = sorted(group.nodes)
+            for name in names:
+                await group.crash(name)
+            stand = Election.run
+
+            async def only_the_newest_stands(election: Election) -> None:
+                if election._node.name == "x0":
+                    await stand(election)
+
+            with mock.patch.object(Election, "run", only_the_newest_stands):
+                for name in names:
+                    await group.start(name, joining=name == "x0")
+                leader = await group.leader()
+                await asyncio.sleep(2)
+                self.assertEqual(leader.name, "x0")
+                self.assertTrue(leader.is_leader)
+                self.assertEqual(leader.term, leader.hard_state.term)
+                first_term = leader.term
+                await leader.propose(b"go on")
+                self.assertEqual(leader.term, first_term)
+            await group.stop()
+
+        run_virtual(scenario())
+
+
+class RefusingDiskTest(unittest.TestCase):
+    def test_a_leader_whose_disk_refuses_leaves_leading_and_comes_back(self) -> None:
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+            group.disks[leader.name].fail_syncs = True
+            proposal = asyncio.ensure_future(leader.propose(b"while full"))
+            with self.assertRaises(LeadershipLostError):
+                await asyncio.wait_for(proposal, 5)
+            others = [name for name in group.names if name != leader.name]
+            await (await group.leader(others)).propose(b"meanwhile")
+            self.assertEqual(group.failures, {})
+            group.disks[leader.name].fail_syncs = False
+            await asyncio.sleep(3)
+            self.assertIn(b"meanwhile", group.machines[leader.name].commands)
+            await group.stop()
+
+        run_virtual(scenario())
