--- /dev/null
+++ b/tests/platform_stand_ins.py
@@ -0,0 +1,317 @@
+"""Stand-ins of the users' platform over loopback: a fleet of our daemons, replicas, callers."""
+
+import asyncio
+import json
+import socket
+import struct
+import tempfile
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import Any
+
+import aiohttp
+from heronladder_daemon.daemon import Daemon
+from heronladder_platform import names as platform_names
+from heronladder_platform import settings as platform_settings
+from heronladder_platform.control_api import ControlApi, ready_application
+from heronladder_tools.demo_fleet import free_addresses
+
+HOST = "canteen.example"
+KEY = "key-of-tenant-a"
+SERVICE = "app"
+_PATIENCE_S = 15.0
+_BEFORE_RESET_S = 0.05  # what was written arrives before the reset
+Script = Callable[["StandInReplica", "Received"], Awaitable[bytes]]
+
+
+@dataclass
+class Received:
+    """One request as a replica read it."""
+
+    method: str
+    target: str
+    headers: dict[str, str]
+    body: bytes
+
+
+def answer(received: Received, status: str = "200 OK", body: bytes = b"done", **more: str) -> bytes:
+    """Return a sound answer of a replica."""
+    lines = [
+        f"HTTP/1.1 {status}",
+        f"Request-Id: {received.headers['request-id']}",
+        "Server-Stamp: stamp-1",
+        f"Content-Length: {len(body)}",
+    ]
+    lines += [f"{name.replace('_', '-')}: {value}" for name, value in more.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
+
+
+def stream_head(received: Received) -> bytes:
+    """Return the head of an event stream without a length."""
+    return (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"Request-Id: {received.headers['request-id']}\r\nServer-Stamp: stamp-1\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n"
+    ).encode()
+
+
+def event(number: int) -> bytes:
+    """Return one event as a chunk."""
+    text = f"id: {number}\ndata: part {number}\n\n".encode()
+    return f"{len(text):x}\r\n".encode() + text + b"\r\n"
+
+
+END_OF_CHUNKS = b"0\r\n\r\n"
+
+
+class StandInReplica:
+    """A replica whose every byte a test decides.
+
+    Args:
+        identity: Its id.
+        script: Returns the bytes to answer with; empty closes the connection.
+    """
+
+    def __init__(self, identity: str, script: Script) -> None:
+        self.identity = identity
+        self.script = script
+        self.received: list[Received] = []
+        self.reset = False  # whether to reset, not close, after an answer
+        self.close_after = False
+        self.address = ""
+        self._server: asyncio.Server | None = None
+        self._serving: set[asyncio.Task[Any]] = set()
+
+    async def start(self) -> None:
+        """Listen on loopback."""
+        self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        port = self._server.sockets[0].getsockname()[1]
+        self.address = f"127.0.0.1:{port}"
+
+    async def stop(self) -> None:
+        """Stop listening, and drop all connections."""
+        if self._server is not None:
+            self._server.close()
+        for task in list(self._serving):
+            task.cancel()
+        await asyncio.gather(*self._serving, return_exceptions=True)
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        task = asyncio.current_task()
+        assert task is not None
+        self._serving.add(task)
+        try:
+            while True:
+                received = await self._read(reader)
+                self.received.append(received)
+                data = await self.script(self, received)
+                writer.write(data)
+                await writer.drain()
+                if self.reset or self.close_after or not data:
+                    break
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            self._serving.discard(task)
+            if self.reset:
+                await asyncio.sleep(_BEFORE_RESET_S)
+                linger = struct.pack("ii", 1, 0)  # closing sends a reset
+                raw = writer.get_extra_info("socket")
+                raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.close()
+
+    @staticmethod
+    async def _read(reader: asyncio.StreamReader) -> Received:
+        head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.strip().split("\r\n")
+        headers = {}
+        for line in lines:
+            name, _, value = line.partition(":")
+            headers[name.lower()] = value.strip()
+        body = await reader.readexactly(int(headers.get("content-length", 0)))
+        method, target, _ = first.split(" ")
+        return Received(method, target, headers, body)
+
+    def heartbeat(self, **changes: Any) -> dict[str, Any]:
+        """Return the body of its heartbeat."""
+        told = {
+            "service": SERVICE,
+            "address": self.address,
+            "zone": "z1",
+            "version": "v1",
+            "slots": 8,
+            "state": "ready",
+            "coldRemainingMs": 0,
+            "sequence": 1,
+        }
+        return {**told, **changes}
+
+
+def route(prefix: str, **changes: Any) -> dict[str, Any]:
+    """Return a route of the configuration."""
+    declared = {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "pathPrefix": prefix,
+        "kind": "safe",
+        "timeoutMs": 2000,
+        "targetLatencyMs": 400,
+        "priority": 1,
+        "service": SERVICE,
+        "maxAttempts": 2,
+        "allowAnonymous": False,
+    }
+    return {**declared, **changes}
+
+
+def configuration(version: int, *routes: dict[str, Any], **changes: Any) -> dict[str, Any]:
+    """Return a whole configuration."""
+    declared = {
+        "version": version,
+        "routes": list(routes) or [route("/safe/")],
+        "services": [{"name": SERVICE, "healthPath": "/healthz", "maxConnections": 100}],
+        "limits": {"maxHeaderBytes": 16384, "maxBodyBytes": 1000, "idleTimeoutMs": 15000},
+        "tenants": [{"name": "tenant-a", "apiKeys": [KEY], "priority": 1}],
+    }
+    return {**declared, **changes}
+
+
+@dataclass
+class Answer:
+    """What a caller got."""
+
+    status: int
+    headers: dict[str, str]
+    body: bytes
+
+
+@dataclass
+class Fleet:
+    """One control member and one gateway, as the platform would start them."""
+
+    control: Daemon
+    gateway: Daemon
+    control_address: str
+    gateway_address: str
+    ready_address: str
+    session: aiohttp.ClientSession
+    folder: "tempfile.TemporaryDirectory[str]"
+    replicas: list[StandInReplica] = field(default_factory=list)
+
+    async def call(self, address: str, method: str, path: str, body: Any = None) -> Answer:
+        """Make a call of the operator or of a replica."""
+        data = body if isinstance(body, bytes | None) else json.dumps(body)
+        async with self.session.request(method, f"http://{address}{path}", data=data) as got:
+            return Answer(got.status, dict(got.headers), await got.read())
+
+    async def replace(self, document: Any) -> Answer:
+        """Send a configuration."""
+        return await self.call(self.control_address, "POST", "/api/Config.Replace", document)
+
+    async def request(
+        self, path: str, *, method: str = "POST", body: bytes = b"", **headers: str
+    ) -> Answer:
+        """Make a caller's request."""
+        named = {
+            "Host": HOST,
+            "Request-Id": f"r-{len(headers)}-{path.strip('/')}",
+            "Authorization": f"Token {KEY}",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        url = f"http://{self.gateway_address}{path}"
+        async with self.session.request(method, url, headers=named, data=body) as got:
+            return Answer(got.status, dict(got.headers), await got.read())
+
+    async def add_replica(self, identity: str, script: Script, **changes: Any) -> StandInReplica:
+        """Start a replica and register it."""
+        replica = StandInReplica(identity, script)
+        await replica.start()
+        self.replicas.append(replica)
+        told = await self.call(
+            self.control_address,
+            "POST",
+            f"/api/Replicas.Heartbeat/{identity}",
+            replica.heartbeat(**changes),
+        )
+        if told.status != 200:
+            raise AssertionError(told)
+        assert self.gateway.gateway is not None
+        known = self.gateway.gateway.replicas
+        async with asyncio.timeout(_PATIENCE_S):
+            while identity not in known._replicas:
+                await asyncio.sleep(0.01)
+        return replica
+
+    async def stop(self) -> None:
+        """Stop everything."""
+        await self.session.close()
+        for replica in self.replicas:
+            await replica.stop()
+        await self.gateway.abort()
+        await self.control.stop()
+        self.folder.cleanup()
+
+
+def _document(role: str, data_folder: str | None, port: int, listen: dict[str, str]) -> Any:
+    return {
+        "nodeName": f"{role}-1",
+        "ip": "127.0.0.1",
+        "zone": "z1",
+        "region": "r1",
+        "listen": listen,
+        "internalPorts": [port, port + 15],
+        "seeds": [],
+        "bootstrap": True,
+        "dataDir": data_folder,
+        "faultTolerance": {"machines": 0},
+        "bounds": {"retryBudgetRatio": 0.2, "budgetSlack": 50, "budgetWindowS": 10, "graceS": 8},
+    }
+
+
+async def start_fleet(first: dict[str, Any] | None = None) -> Fleet:
+    """Start a control member and a gateway; apply a configuration if one is given."""
+    folder = tempfile.TemporaryDirectory()
+    grpc, api, admin, front, ready, admin2, control = free_addresses(7)
+    seeds = [control]
+    control_document = _document("core", folder.name, 1, {"control": control}) | {"seeds": seeds}
+    control_settings = platform_settings.translate(control_document, platform_settings.CONTROL)
+    control_settings.control.control_listen = grpc
+    control_settings.control.api_listen = api
+    control_settings.control.initial_members = f"127.0.0.1={grpc}/{control}"
+    control_settings.control.join_contacts = grpc
+    control_settings.common.admin_listen = admin
+    member = Daemon(control_settings)
+    await member.start()
+    assert member.control is not None
+    await member.listen(ControlApi(member.control.fleet_service).application(), control)
+    gateway_document = _document("front", None, 1, {"front": front, "readiness": ready})
+    gateway_settings = platform_settings.translate(
+        gateway_document | {"seeds": seeds}, platform_settings.GATEWAY
+    )
+    gateway_settings.common.control_addresses = grpc
+    gateway_settings.common.admin_listen = admin2
+    gateway = Daemon(gateway_settings, gateway_names=platform_names.GATEWAY_NAMES)
+    await gateway.start()
+    await gateway.listen(ready_application(gateway.ready), ready)
+    session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
+    fleet = Fleet(member, gateway, control, front, ready, session, folder)
+    if first is not None:
+        got = await fleet.replace(first)
+        if got.status != 200:
+            raise AssertionError(got)
+    return fleet
+
+
+__all__ = [
+    "END_OF_CHUNKS",
+    "Answer",
+    "Fleet",
+    "Received",
+    "StandInReplica",
+    "answer",
+    "configuration",
+    "event",
+    "route",
+    "start_fleet",
+    "stream_head",
+]
--- /dev/null
+++ b/tests/test_gateway.py
@@ -0,0 +1,286 @@
+"""A gateway between callers and replicas, over real sockets."""
+
+import asyncio
+import json
+import unittest
+
+from platform_stand_ins import (
+    END_OF_CHUNKS,
+    Fleet,
+    Received,
+    StandInReplica,
+    answer,
+    configuration,
+    event,
+    route,
+    start_fleet,
+    stream_head,
+)
+
+_ROUTES = (
+    route("/safe/"),
+    route("/once/", kind="unsafe"),
+    route("/stream/", kind="streaming", resumable=True, gapAimMs=400),
+    route("/plain-stream/", kind="streaming", resumable=False, gapAimMs=400),
+    route("/open/", allowAnonymous=True),
+    route("/safe/deeper/", timeoutMs=300),
+)
+
+
+async def _done(replica: StandInReplica, received: Received) -> bytes:
+    return answer(received)
+
+
+async def _reject(replica: StandInReplica, received: Received) -> bytes:
+    return b"HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+
+
+async def _close(replica: StandInReplica, received: Received) -> bytes:
+    return b""
+
+
+async def _misdirected(replica: StandInReplica, received: Received) -> bytes:
+    return b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+
+
+class GatewayTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet: Fleet = await start_fleet(configuration(1, *_ROUTES))
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.stop()
+
+    async def test_method_path_query_and_body_arrive_unchanged(self) -> None:
+        replica = await self.fleet.add_replica("i-1", _done)
+        path = "/safe/a%2Fb//c/..;x?q=%20&empty=&q=2"
+        got = await self.fleet.request(path, method="PUT", body=b"\x00body", Deadline_Ms="900")
+        self.assertEqual((got.status, got.body), (200, b"done"))
+        self.assertEqual(got.headers["Server-Stamp"], "stamp-1")
+        received = replica.received[0]
+        self.assertEqual((received.method, received.target), ("PUT", path))
+        self.assertEqual(received.body, b"\x00body")
+        self.assertEqual(received.headers["expect-instance"], "i-1")
+        self.assertEqual(received.headers["tenant-id"], "tenant-a")
+        self.assertNotIn("authorization", received.headers)
+        self.assertLessEqual(int(received.headers["deadline-ms"]), 900)
+
+    async def test_routes_keys_and_bodies_that_are_not_allowed(self) -> None:
+        await self.fleet.add_replica("i-1", _done)
+        self.assertEqual((await self.fleet.request("/nowhere/")).status, 404)
+        wrong = await self.fleet.request("/safe/", Authorization="Token other")
+        self.assertEqual(wrong.status, 401)
+        opened = await self.fleet.request("/open/", Authorization="Token other")
+        self.assertEqual(opened.status, 200)
+        large = await self.fleet.request("/safe/", body=b"x" * 1001)
+        self.assertEqual(large.status, 413)
+
+    async def test_a_rejected_request_goes_to_another_replica(self) -> None:
+        rejecting = await self.fleet.add_replica("i-1", _reject)
+        sound = await self.fleet.add_replica("i-2", _done)
+        for number in range(4):
+            got = await self.fleet.request("/once/", Request_Id=f"a{number}")
+            self.assertEqual(got.status, 200)
+        self.assertEqual(len(sound.received), 4)
+        self.assertGreaterEqual(len(rejecting.received), 0)
+
+    async def test_no_replica_takes_it_so_the_refusal_says_when_to_come_back(self) -> None:
+        await self.fleet.add_replica("i-1", _reject)
+        await self.fleet.add_replica("i-2", _misdirected)
+        got = await self.fleet.request("/once/")
+        self.assertEqual(got.status, 503)
+        self.assertGreater(float(got.headers["Retry-After"]), 0)
+        self.assertNotIn("Server-Stamp", got.headers)
+
+    async def test_a_request_that_may_have_run_is_not_sent_again_unless_repeatable(self) -> None:
+        first = await self.fleet.add_replica("i-1", _close)
+        second = await self.fleet.add_replica("i-2", _close)
+        got = await self.fleet.request("/once/", Request_Id="once")
+        self.assertEqual(got.status, 502)
+        self.assertEqual(len(first.received) + len(second.received), 1)
+        got = await self.fleet.request("/safe/", Request_Id="twice")
+        self.assertEqual(got.status, 502)
+        self.assertEqual(len(first.received) + len(second.received), 3)
+
+    async def test_an_answer_of_another_request_is_never_passed_on(self) -> None:
+        async def stale(replica: StandInReplica, received: Received) -> bytes:
+            received.headers["request-id"] = "another"
+            return answer(received, body=b"not yours")
+
+        await self.fleet.add_replica("i-1", stale)
+        got = await self.fleet.request("/once/")
+        self.assertEqual(got.status, 502)
+        self.assertNotIn(b"not yours", got.body)
+
+    async def test_a_second_answer_on_the_connection_is_of_no_request(self) -> None:
+        async def doubled(replica: StandInReplica, received: Received) -> bytes:
+            return answer(received) + answer(received, body=b"extra")
+
+        await self.fleet.add_replica("i-1", doubled)
+        for number in range(3):
+            got = await self.fleet.request("/safe/", Request_Id=f"d{number}")
+            self.assertEqual((got.status, got.body), (200, b"done"))
+
+    async def test_an_answer_that_is_cut_or_reset_does_not_look_whole(self) -> None:
+        async def cut(replica: StandInReplica, received: Received) -> bytes:
+            replica.close_after = True
+            return answer(received)[:-2]
+
+        async def reset_without_length(replica: StandInReplica, received: Received) -> bytes:
+            replica.reset = True
+            whole = answer(received).replace(b"Content-Length: 4\r\n", b"")
+            return whole
+
+        for script in (cut, reset_without_length):
+            replica = await self.fleet.add_replica(f"i-{script.__name__}", script)
+            got = await self.fleet.request("/once/", Request_Id=script.__name__)
+            self.assertEqual(got.status, 502, script.__name__)
+            path = f"/api/Replicas.Deregister/{replica.identity}"
+            await self.fleet.call(self.fleet.control_address, "POST", path)
+            await asyncio.sleep(0.2)
+
+    async def test_a_failure_of_the_replica_is_passed_on_as_it_is(self) -> None:
+        async def fail(replica: StandInReplica, received: Received) -> bytes:
+            return answer(received, "500 Internal Server Error", b"broken")
+
+        await self.fleet.add_replica("i-1", fail)
+        got = await self.fleet.request("/once/")
+        self.assertEqual((got.status, got.body), (500, b"broken"))
+        self.assertEqual(got.headers["Server-Stamp"], "stamp-1")
+
+    async def test_the_route_s_time_limit_ends_a_request(self) -> None:
+        async def never(replica: StandInReplica, received: Received) -> bytes:
+            await asyncio.sleep(10)
+            return b""
+
+        await self.fleet.add_replica("i-1", never)
+        began_s = asyncio.get_running_loop().time()
+        got = await self.fleet.request("/safe/deeper/")
+        self.assertEqual(got.status, 504)
+        self.assertLess(asyncio.get_running_loop().time() - began_s, 0.6)
+        self.assertNotIn("Retry-After", got.headers)
+
+    async def test_a_broken_stream_goes_on_at_another_replica(self) -> None:
+        async def breaks(replica: StandInReplica, received: Received) -> bytes:
+            replica.reset = True
+            return stream_head(received) + event(1) + event(2) + event(3)[:-9]
+
+        async def goes_on(replica: StandInReplica, received: Received) -> bytes:
+            after = int(received.headers["last-event-id"])
+            events = b"".join(event(number) for number in range(after + 1, 6))
+            return stream_head(received) + events + END_OF_CHUNKS
+
+        async def by_first(replica: StandInReplica, received: Received) -> bytes:
+            resumed = "last-event-id" in received.headers
+            return await (goes_on if resumed else breaks)(replica, received)
+
+        first = await self.fleet.add_replica("i-1", by_first)
+        second = await self.fleet.add_replica("i-2", by_first)
+        got = await self.fleet.request("/stream/")
+        self.assertEqual(got.status, 200)
+        ids = [line for line in got.body.decode().splitlines() if line.startswith("id:")]
+        self.assertEqual(ids, [f"id: {number}" for number in range(1, 6)])
+        self.assertEqual((len(first.received), len(second.received)), (1, 1))
+
+    async def test_a_broken_stream_that_may_not_be_resumed_is_cut(self) -> None:
+        async def breaks(replica: StandInReplica, received: Received) -> bytes:
+            replica.reset = True
+            return stream_head(received) + event(1)
+
+        replica = await self.fleet.add_replica("i-1", breaks)
+        with self.assertRaises(Exception) as raised:
+            await self.fleet.request("/plain-stream/")
+        self.assertIn("Client", type(raised.exception).__name__ + str(raised.exception.__class__))
+        self.assertEqual(len(replica.received), 1)
+
+    async def test_a_caller_that_leaves_closes_the_connection_to_the_replica(self) -> None:
+        closed = asyncio.Event()
+
+        async def hold(replica: StandInReplica, received: Received) -> bytes:
+            try:
+                await asyncio.sleep(30)
+            finally:
+                closed.set()
+            return b""
+
+        replica = await self.fleet.add_replica("i-1", hold)
+        caller = asyncio.ensure_future(self.fleet.request("/once/"))
+        async with asyncio.timeout(5):
+            while not replica.received:
+                await asyncio.sleep(0.01)
+        assert self.fleet.gateway.gateway is not None
+        caller.cancel()
+        async with asyncio.timeout(2):
+            while self.fleet.gateway.gateway.server.in_flight:
+                await asyncio.sleep(0.01)
+
+    async def test_a_draining_replica_gets_nothing_once_that_is_acknowledged(self) -> None:
+        leaving = await self.fleet.add_replica("i-1", _done)
+        staying = await self.fleet.add_replica("i-2", _done)
+        told = await self.fleet.call(
+            self.fleet.control_address,
+            "POST",
+            "/api/Replicas.Heartbeat/i-1",
+            leaving.heartbeat(state="draining", sequence=2),
+        )
+        self.assertEqual(told.status, 200)
+        late = leaving.heartbeat(state="ready", sequence=1)
+        path = "/api/Replicas.Heartbeat/i-1"
+        await self.fleet.call(self.fleet.control_address, "POST", path, late)
+        for number in range(6):
+            await self.fleet.request("/safe/", Request_Id=f"n{number}")
+        self.assertEqual((len(leaving.received), len(staying.received)), (0, 6))
+
+    async def test_readiness_and_a_planned_stop(self) -> None:
+        async def slow(replica: StandInReplica, received: Received) -> bytes:
+            await asyncio.sleep(1.0)
+            return answer(received)
+
+        await self.fleet.add_replica("i-1", slow)
+        ready = await self.fleet.call(self.fleet.ready_address, "GET", "/api/readyz")
+        self.assertEqual(ready.status, 200)
+        running = asyncio.ensure_future(self.fleet.request("/once/", Request_Id="before"))
+        await asyncio.sleep(0.1)
+        stopping = asyncio.ensure_future(self.fleet.gateway.stop())
+        await asyncio.sleep(0.1)
+        ready = await self.fleet.call(self.fleet.ready_address, "GET", "/api/readyz")
+        self.assertEqual(ready.status, 503)
+        still = await self.fleet.request("/once/", Request_Id="noticed-late")
+        self.assertEqual((still.status, still.headers["Connection"]), (200, "close"))
+        self.assertEqual((await running).status, 200)
+        await stopping
+
+
+class PrepaidTest(unittest.IsolatedAsyncioTestCase):
+    async def test_tokens_are_reserved_at_most_and_402_only_when_none_can_hold_it(self) -> None:
+        tenant = {"name": "tenant-a", "apiKeys": ["key-of-tenant-a"], "prepaid": 10_000}
+        engine = {"slots": 4, "kvCapacityTokens": 100_000, "stride": 5}
+        service = {"name": "app", "healthPath": "/healthz", "engine": engine}
+        declared = configuration(
+            1,
+            route("/stream/", kind="streaming", resumable=True),
+            tenants=[tenant],
+            services=[service],
+        )
+        fleet = await start_fleet(declared)
+        try:
+
+            async def two_events(replica: StandInReplica, received: Received) -> bytes:
+                return stream_head(received) + event(1) + event(2) + END_OF_CHUNKS
+
+            await fleet.add_replica("i-1", two_events)
+            statuses = []
+            for number in range(12):
+                got = await fleet.request(
+                    "/stream/", Request_Id=f"p{number}", Token_Usage="990,100"
+                )
+                statuses.append(got.status)
+            # Each used 990 + 2 x 5 tokens; the tenth would not fit at its most.
+            self.assertEqual(statuses[:9], [200] * 9)
+            self.assertEqual(statuses[9:], [402] * 3)
+            raised = json.loads(json.dumps(declared)) | {"version": 2}
+            raised["tenants"][0]["prepaid"] = 20_000
+            self.assertEqual((await fleet.replace(raised)).status, 200)
+            got = await fleet.request("/stream/", Request_Id="after", Token_Usage="990,100")
+            self.assertEqual(got.status, 200)
+        finally:
+            await fleet.stop()
