Announce prepaid tokens ahead by rate; shrink holdings as an account empties; come back later

Cause: a killed router cost each tenant a flat window, and a loss of all routers half of what was left. Ruled out: durable notes of what routers told (the time of death stays unknown without trusting clocks that step).

--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -15,7 +15,7 @@
 
 from heronladder_control.results import failure, success
 
-_SHARE_OF_HOLDERS = 2  # a holder has at most 1/(2 x holders) of what is not spent
+_MOST_HELD = 0.6  # of what is not spent, by all holders together
 _SURE_PERCENT = 97  # of the limit; beyond it the rest may be held by requests under way
 _PERCENT = 100
 
@@ -106,14 +106,17 @@
 
     @staticmethod
     def _fair_rest(account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
-        """Return what a holder may be given so that all together hold half of the rest.
+        """Return what a holder may be given, beside what it holds, as its fair share.
 
-        What is held is lost if every holder is killed at once; the other half
-        goes on to serve then.
+        What is held carries a holder through a cut from control, and is lost if
+        it is killed. Early on, all together hold up to ``_MOST_HELD`` of what is
+        not spent; as the account empties, so small a part that a loss of all
+        holders leaves most of the rest.
         """
         spent = account.closed_charge + sum(holder.spent for holder in account.holders)
         rest = max(0, account.limit - spent)
-        fair = rest // (_SHARE_OF_HOLDERS * max(1, len(account.holders)))
+        part = min(_MOST_HELD, rest / max(1, account.limit))
+        fair = int(rest * part) // max(1, len(account.holders))
         holder = next(entry for entry in account.holders if entry.holder == order.holder)
         return max(0, fair - (holder.granted - holder.returned - holder.spent))
 
--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -1,20 +1,20 @@
 """What the leader knows of routers' spending, and what a lost router is charged.
 
-A router may have used more than it last told. It keeps what it has not told
-within a window for as long as it hears control, and for ``WINDOW_HOLDS_S`` after
+A router announces the most it may use of a tenant. It keeps to what control has
+heard of that for as long as it hears control, and for ``WINDOW_HOLDS_S`` after
 the newest frame it received. Each frame carries the leader's clock and each
 heartbeat gives back the newest one received, so the leader knows a moment until
-which the router kept to the window for certain. A router that is replaced before
-that moment is charged with what it told and one window; any other with all it
-held. The first heartbeat of a stream tells all that was ever used, later ones
-what has risen. What was told counts in the leader's own term only: after it,
-another leader may have been told more.
+which the router kept to it for certain. A router that is replaced before that
+moment is charged with what it announced; any other with all it held. The first
+heartbeat of a stream announces for all tenants, later ones what has risen. What
+was announced counts in the leader's own term only: after it, another leader may
+have heard of more.
 """
 
 from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
-from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S, WINDOW_TOKENS
+from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.prepaid import PrepaidTable
@@ -28,7 +28,7 @@
     """What one incarnation of a router told on its newest stream."""
 
     term: int
-    spent: dict[str, int] = field(default_factory=dict)  # most ever used and reserved
+    most: dict[str, int] = field(default_factory=dict)  # that it may use, by tenant
     heard_control_s: float = 0.0  # leader's clock on the newest frame it received
     ended_s: float | None = None  # when its successor was heard of
 
@@ -53,7 +53,7 @@
         told = self._told.get(holder)
         if told is None:
             return
-        told.spent.update(heartbeat.prepaid_spent)  # only what changed is told
+        told.most.update(heartbeat.prepaid_announced)  # only what changed is told
         heard_s = heartbeat.control_time_ms / MILLISECONDS_PER_SECOND
         told.heard_control_s = max(told.heard_control_s, heard_s)
 
@@ -74,8 +74,7 @@
             return order
         for account in table.accounts.values():
             if self._holds(account, holder):
-                most = told.spent.get(account.tenant, 0) + WINDOW_TOKENS
-                order.charges[account.tenant] = most
+                order.charges[account.tenant] = told.most.get(account.tenant, 0)
         return order
 
     @staticmethod
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -91,7 +91,7 @@
 
     status = 503
     code = "prepaid_unavailable"
-    retry_after_s = 0.5
+    retry_after_s = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 
 
 class NotReadyError(CallerError):
@@ -99,7 +99,7 @@
 
     status = 503
     code = "not_ready"
-    retry_after_s = 0.5
+    retry_after_s = 1.0
 
 
 class StoppingError(CallerError):
--- a/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+_LEAST_AHEAD_TOKENS = 15_000
 _RATE_SMOOTHING = 0.3
 _RATE_INTERVAL_S = 1.0
 
@@ -16,8 +17,8 @@
         returned: Tokens given back.
         spent: Tokens used.
         reserved: Tokens held for requests under way.
-        peak: Most that was ever spent and reserved, or is about to be.
-        confirmed_peak: The peak that control has for certain.
+        announced: Most that control was told may be spent and reserved.
+        confirmed: What control has for certain of that.
         draws: Number of the last draw.
         rate: Tokens reserved a second, smoothed.
         refused_minimum: Tokens that were refused last; 0 when none were.
@@ -30,8 +31,8 @@
     returned: int = 0
     spent: int = 0
     reserved: int = 0
-    peak: int = 0
-    confirmed_peak: int = 0
+    announced: int = 0
+    confirmed: int = 0
     draws: int = 0
     rate: float = 0.0
     refused_minimum: int = 0
@@ -39,6 +40,7 @@
     next_draw_ahead_s: float = 0.0
     _interval_began_s: float = 0.0
     _interval_tokens: int = 0
+    _intervals: int = 0
 
     @property
     def free(self) -> int:
@@ -53,11 +55,13 @@
     def take(self, tokens: int, now_s: float) -> None:
         """Reserve tokens."""
         self.reserved += tokens
-        self.peak = max(self.peak, self.used)
         if now_s - self._interval_began_s >= _RATE_INTERVAL_S:
             elapsed_s = min(10 * _RATE_INTERVAL_S, now_s - self._interval_began_s)
             measured = self._interval_tokens / elapsed_s
-            self.rate += _RATE_SMOOTHING * (measured - self.rate)
+            self._intervals += 1
+            # A plain mean at first: a rate must be known before the first cut.
+            smoothing = max(_RATE_SMOOTHING, 1 / self._intervals)
+            self.rate += smoothing * (measured - self.rate)
             self._interval_began_s = now_s
             self._interval_tokens = 0
         self._interval_tokens += tokens
@@ -67,6 +71,18 @@
         self.reserved -= reserved
         self.spent += min(used, reserved)
 
+    def announce(self, tokens: int, ahead_s: float) -> None:
+        """Raise what is announced to cover a request and the time until control hears more.
+
+        Args:
+            tokens: Tokens about to be reserved.
+            ahead_s: Time to cover, in seconds.
+        """
+        ahead = max(_LEAST_AHEAD_TOKENS, int(self.rate * ahead_s))
+        needed = self.used + tokens + ahead // 2
+        if needed > self.announced:
+            self.announced = self.used + tokens + ahead
+
     def give_back(self, tokens: int) -> None:
         """Set free tokens aside for control; a draw tells it."""
         self.returned += tokens
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -1,8 +1,8 @@
 """Reservations of prepaid tokens, and the draws that keep them stocked.
 
 Tokens are reserved at their most before a request is sent. While control is in
-touch, no more than a window goes unreported: so a gateway that is killed costs
-its tenants one window and not all that it held (see ``prepaid_window``).
+touch, no more is used than was announced to it: so a gateway that is killed costs
+its tenants what it announced and not all that it held (see ``prepaid_window``).
 """
 
 import asyncio
@@ -12,7 +12,7 @@
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import PeerUnavailableError
 from heronladder_runtime.logs import EventLog
-from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S, WINDOW_TOKENS
+from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S
 from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, resources_pb2
@@ -23,10 +23,13 @@
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
 _FIRST_SHARE = 4  # all gateways together hold one part in four before a rate is known
 _DRAW_TIMEOUT_S = 1.0
-_DRAW_AHEAD_PAUSE_S = 0.5
+_DRAW_AHEAD_PAUSE_S = 0.7
+_DRAW_AHEAD_BELOW = 0.8  # of the target; a cut comes without notice
 _RECALL_PAUSE_S = 0.04
 _REFUSAL_HOLDS_S = 0.4
 _TRIM_INTERVAL_S = 1.0
+_LEAST_TRIMMED_TOKENS = 50_000
+_ANNOUNCED_AHEAD_S = WINDOW_HOLDS_S + 0.5
 _OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain
 _STEP = "reserve_prepaid"
 
@@ -57,7 +60,7 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._limits: dict[str, int] = {}
         self._confirmed = Pulse()
-        self._told: dict[int, dict[str, int]] = {}  # peaks told with each heartbeat
+        self._told: dict[int, dict[str, int]] = {}  # announced with each heartbeat
         self._stopping = False
         self._tell_all = True
         link.configuration.listen(self._configuration_changed)
@@ -125,7 +128,7 @@
         """Wait until the tokens may be used without control having heard of more."""
         while not self._window_allows(purse, tokens):
             # Control is told before they are used.
-            purse.peak = max(purse.peak, purse.used + tokens)
+            purse.announce(tokens, _ANNOUNCED_AHEAD_S)
             self._link.beat_now()
             left_s = deadline_s - self._environment.monotonic()
             if left_s <= 0 or not await self._confirmed.wait(left_s):
@@ -140,7 +143,7 @@
         silent_s = self._environment.monotonic() - self._link.last_heard_s
         if silent_s > WINDOW_HOLDS_S:
             return True
-        return purse.used + tokens <= purse.confirmed_peak + WINDOW_TOKENS
+        return purse.used + tokens <= purse.confirmed
 
     # ---- draws ------------------------------------------------------------
 
@@ -211,7 +214,11 @@
     def _draw_ahead(self, tenant: resources_pb2.PrepaidTenant, purse: PrepaidPurse) -> None:
         target = self._target(purse)
         now_s = self._environment.monotonic()
-        if purse.free * 2 > target or now_s < purse.next_draw_ahead_s or self._stopping:
+        if (
+            purse.free > _DRAW_AHEAD_BELOW * target
+            or now_s < purse.next_draw_ahead_s
+            or self._stopping
+        ):
             return
         purse.next_draw_ahead_s = now_s + _DRAW_AHEAD_PAUSE_S
         self._tasks.start("draw_ahead", self._draw_quietly(purse, target - purse.free))
@@ -246,7 +253,7 @@
             await asyncio.sleep(_TRIM_INTERVAL_S)
             for purse in list(self._purses.values()):
                 extra = purse.free - 2 * self._target(purse)
-                if extra > WINDOW_TOKENS:
+                if extra > _LEAST_TRIMMED_TOKENS:
                     purse.give_back(extra)
                     await self._draw_quietly(purse, 0)
 
@@ -272,23 +279,25 @@
         self._tell_all = True
 
     def fill_heartbeat(self, heartbeat: control_pb2.Heartbeat) -> None:
-        """Tell the peaks that control does not have yet; all with the first of a stream."""
+        """Announce what control does not have yet; all with the first of a stream."""
+        for purse in self._purses.values():
+            purse.announce(0, _ANNOUNCED_AHEAD_S)
         risen = {
-            purse.tenant: purse.peak
+            purse.tenant: purse.announced
             for purse in self._purses.values()
-            if self._tell_all or purse.peak > purse.confirmed_peak
+            if self._tell_all or purse.announced > purse.confirmed
         }
         self._tell_all = False
-        for tenant, peak in risen.items():
-            heartbeat.prepaid_spent[tenant] = peak
+        for tenant, announced in risen.items():
+            heartbeat.prepaid_announced[tenant] = announced
         if risen:
             self._told[heartbeat.number] = risen
 
     def confirmed(self, number: int) -> None:
         """Note that control has a heartbeat, and all before it on the same stream."""
         for told in [key for key in self._told if key <= number]:
-            for tenant, peak in self._told.pop(told).items():
+            for tenant, announced in self._told.pop(told).items():
                 purse = self._purses.get(tenant)
                 if purse is not None:
-                    purse.confirmed_peak = max(purse.confirmed_peak, peak)
+                    purse.confirmed = max(purse.confirmed, announced)
         self._confirmed.give()
--- a/packages/heronladder-runtime/src/heronladder_runtime/prepaid_window.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/prepaid_window.py
@@ -1,8 +1,7 @@
-"""How much a router may use of prepaid tokens before control has heard of it.
+"""How long a router keeps to what it announced of prepaid tokens.
 
-Both sides reckon with these figures: the router keeps to them, and control
-charges a lost router by them.
+A router announces, with its heartbeats, how many tokens of a tenant it may have
+used before control hears of it again. Control charges a lost router by that.
 """
 
 WINDOW_HOLDS_S = 4.0  # after the newest frame from control; then all that is held may be used
-WINDOW_TOKENS = 60_000  # of each tenant
