--- a/packages/heronladder-daemon/src/heronladder_daemon/http_listener.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/http_listener.py
@@ -72,10 +72,13 @@
         return web.ServerRunner(self._application, shutdown_timeout=self._last_wait_s)
 
     async def stop_accepting(self) -> None:
-        """Take no new connections and close those at rest; requests under way go on."""
-        if self._site is not None and self._runner is not None:
+        """Take no new connections; requests on those that are open go on.
+
+        Connections at rest stay open: aiohttp's ``pre_shutdown`` would end the
+        task that reads them and leave the caller's next request unanswered.
+        """
+        if self._site is not None:
             await self._site.stop()
-            self._runner.server.pre_shutdown()
             self._site = None
 
     async def stop(self) -> None:
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -164,7 +164,7 @@
         Args:
             grace_s: Longest time in all, in seconds.
             notice_s: Time that balancers need to notice, in seconds.
-            stop_accepting: Closes the listener and connections at rest.
+            stop_accepting: Closes the listener; requests on open connections are refused.
         """
         began_s = self._environment.monotonic()
         self.server.closing = True
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -24,6 +24,7 @@
     route("/plain-stream/", kind="streaming", resumable=False, gapAimMs=400),
     route("/open/", allowAnonymous=True),
     route("/safe/deeper/", timeoutMs=300),
+    route("/slow/", kind="unsafe", timeoutMs=9000),
 )
 
 
@@ -249,6 +250,35 @@
         self.assertEqual((await running).status, 200)
         await stopping
 
+    async def test_a_stopping_gateway_answers_on_connections_that_were_at_rest(self) -> None:
+        async def by_path(replica: StandInReplica, received: Received) -> bytes:
+            if "slow" in received.target:
+                await asyncio.sleep(4.0)
+            return answer(received)
+
+        await self.fleet.add_replica("i-1", by_path)
+        host, _, port = self.fleet.gateway_address.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = (
+            "GET /safe/a HTTP/1.1\r\nHost: canteen.example\r\nRequest-Id: kept\r\n"
+            "Authorization: Token key-of-tenant-a\r\n\r\n"
+        ).encode()
+        writer.write(head)
+        self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n"))
+        await reader.readexactly(4)
+        running = asyncio.ensure_future(self.fleet.request("/slow/slow", Request_Id="long"))
+        await asyncio.sleep(0.2)
+        stopping = asyncio.ensure_future(self.fleet.gateway.stop())
+        await asyncio.sleep(3.0)
+        writer.write(head)
+        late = await asyncio.wait_for(reader.readuntil(b"\r\n\r\n"), 0.5)
+        self.assertIn(b"503 Service Unavailable", late)
+        self.assertIn(b"Retry-After", late)
+        self.assertIn(b"Connection: close", late)
+        writer.close()
+        self.assertEqual((await running).status, 200)
+        await stopping
+
 
 class PrepaidTest(unittest.IsolatedAsyncioTestCase):
     async def test_tokens_are_reserved_at_most_and_402_only_when_none_can_hold_it(self) -> None:
