--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -260,9 +260,9 @@
         host, _, port = self.fleet.gateway_address.rpartition(":")
         reader, writer = await asyncio.open_connection(host, int(port))
         head = (
-            "GET /safe/a HTTP/1.1\r\nHost: canteen.example\r\nRequest-Id: kept\r\n"
-            "Authorization: Token key-of-tenant-a\r\n\r\n"
-        ).encode()
+            b"GET /safe/a HTTP/1.1\r\nHost: canteen.example\r\nRequest-Id: kept\r\n"
+            b"Authorization: Token key-of-tenant-a\r\n\r\n"
+        )
         writer.write(head)
         self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n"))
         await reader.readexactly(4)
