Tell each request's way in the logs, and read it back with heronladder explain

Cause: an on-call engineer could not tell from the logs why a request was refused or cut off. Tests: test_explain.py. The readiness test now waits for the first word of control: it raced it.

--- a/packages/heronladder-daemon/src/heronladder_daemon/main.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/main.py
@@ -5,7 +5,7 @@
 
 import typer
 from heronladder_runtime.errors import SettingsError
-from heronladder_runtime.logs import configure_logging
+from heronladder_runtime.logs import configure_daemon_logging
 from heronladder_runtime.settings import DaemonSettings, build, resolve, with_setting_options
 
 from heronladder_daemon.daemon import Daemon
@@ -33,7 +33,7 @@
 def run(flags: dict[str, str | None]) -> None:
     """Run a daemon with the roles its settings name."""
     settings = _load(flags)
-    configure_logging(settings.common.log_level)
+    configure_daemon_logging(settings.common.log_level)
     raise typer.Exit(asyncio.run(run_daemon(Daemon(settings), lambda: build(resolve(flags)))))
 
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -97,9 +97,41 @@
         except TimeoutError as error:
             raise self._time_ran_out(request, sink, progress) from error
         finally:
+            used = self._used(request, progress)
             if reservation is not None:
-                used = self._used(request, progress)
                 self._parts.tokens.settle(reservation, used)
+            self._log_end(request, sink, progress, reservation, used)
+
+    def _log_end(
+        self,
+        request: GatewayRequest,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+        reservation: TokenReservation | None,
+        used: int,
+    ) -> None:
+        now_s = self._parts.environment.monotonic()
+        tenant = request.matched.tenant
+        self._parts.log.info(
+            "request_ended",
+            step="serve",
+            peer=progress.replica,
+            request_id=request.request_id,
+            route=request.matched.route.name,
+            version=request.matched.version,
+            tenant=tenant.name if tenant is not None else "",
+            service=request.wish.service,
+            sends=progress.sends,
+            ran=progress.ran,
+            finished=progress.finished,
+            started=sink.started,
+            events=progress.cutter.events,
+            last_event=progress.cutter.last_id,
+            reserved=reservation.tokens if reservation is not None else 0,
+            used=used,
+            held_ms=int((now_s - request.arrived_s) * MILLISECONDS_PER_SECOND),
+            left_ms=int((request.deadline_s - now_s) * MILLISECONDS_PER_SECOND),
+        )
 
     # ---- tokens -----------------------------------------------------------
 
@@ -110,7 +142,21 @@
         left_s = request.deadline_s - self._parts.environment.monotonic()
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
         wait_s = min(left_s, max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s))
-        return await self._parts.tokens.reserve(tenant, request.bounds.total, wait_s)
+        try:
+            return await self._parts.tokens.reserve(tenant, request.bounds.total, wait_s)
+        except CallerError as error:
+            self._parts.log.info(
+                "tokens_refused",
+                step=error.step,
+                peer=tenant.name,
+                request_id=request.request_id,
+                wanted=request.bounds.total,
+                limit=tenant.prepaid_tokens,
+                held=self._parts.tokens.held(tenant.name),
+                version=request.matched.version,
+                code=error.code,
+            )
+            raise
 
     def _used(self, request: GatewayRequest, progress: AnswerProgress) -> int:
         """Return the most tokens that replicas can have used."""
@@ -136,7 +182,7 @@
             replica = await self._next_replica(request, sends)
             if replica is None:
                 break
-            self._log_send(request, replica, sends)
+            self._log_send(request, replica, sends, progress)
             try:
                 await self._parts.attempts.make(request, replica, sink, progress)
                 return
@@ -176,15 +222,27 @@
             return None
         return replica
 
-    def _log_send(self, request: GatewayRequest, replica: FleetReplica, sends: _Sends) -> None:
-        self._parts.log.debug(
+    def _log_send(
+        self,
+        request: GatewayRequest,
+        replica: FleetReplica,
+        sends: _Sends,
+        progress: AnswerProgress,
+    ) -> None:
+        progress.sends += 1
+        progress.replica = replica.name
+        self._parts.log.info(
             "request_sent",
             step="send",
             peer=replica.name,
             request_id=request.request_id,
             send=sends.count + 1,
+            candidates=len(self._parts.replicas.usable(request.wish.service)),
+            tried=len(sends.tried),
             in_flight=replica.in_flight,
             unread_tokens=replica.unread_tokens,
+            kept_tokens=replica.parts.kept_tokens(request.wish.parts),
+            suspect=replica.failures,
         )
 
     def _note_failure(
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -80,6 +80,17 @@
 
     # ---- reservations -----------------------------------------------------
 
+    def held(self, tenant: str) -> str:
+        """Return what is held of a tenant, for logs."""
+        purse = self._purses.get(tenant)
+        if purse is None:
+            return "none"
+        silent_s = self._environment.monotonic() - self._link.last_heard_s
+        return (
+            f"free:{purse.free},reserved:{purse.reserved},confirmed:{purse.confirmed},"
+            f"used:{purse.used},control_silent_s:{silent_s:.1f}"
+        )
+
     async def reserve(
         self, tenant: resources_pb2.PrepaidTenant, tokens: int, wait_s: float
     ) -> TokenReservation:
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -70,11 +70,15 @@
         cutter: Events passed on.
         ran: Whether a replica may have run it.
         finished: Whether the whole answer was passed on.
+        sends: How often it was sent to a replica.
+        replica: Identity of the replica it was sent to last.
     """
 
     cutter: EventCutter = field(default_factory=EventCutter)
     ran: bool = False
     finished: bool = False
+    sends: int = 0
+    replica: str = ""
 
 
 class ReplicaAttempts:
--- a/packages/heronladder-runtime/src/heronladder_runtime/logs.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/logs.py
@@ -4,6 +4,8 @@
 import logging
 import sys
 
+from heronladder_runtime.log_output import BoundedLogOutput
+
 _PLAIN_CHARACTERS = frozenset(
     "abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-:/,+@%"
 )
@@ -45,9 +47,35 @@
         return line
 
 
+class BoundedHandler(logging.Handler):
+    """Hands lines to an output that never waits.
+
+    Args:
+        output: Where lines go.
+    """
+
+    def __init__(self, output: BoundedLogOutput) -> None:
+        super().__init__()
+        self._output = output
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Write one record."""
+        kind = record.getMessage().partition(" ")[0]
+        limited = record.levelno < logging.WARNING
+        self._output.write(self.format(record), kind, limited=limited)
+
+
+def configure_daemon_logging(level: str) -> None:
+    """Send a daemon's logs to standard output, never waiting for its reader."""
+    _configure(level, BoundedHandler(BoundedLogOutput(sys.stdout.fileno())))
+
+
 def configure_logging(level: str) -> None:
-    """Send all logs at or over ``level`` (a lower-case name) to standard error."""
-    handler = logging.StreamHandler(sys.stderr)
+    """Send a tool's logs at or over ``level`` (a lower-case name) to standard error."""
+    _configure(level, logging.StreamHandler(sys.stderr))
+
+
+def _configure(level: str, handler: logging.Handler) -> None:
     handler.setFormatter(KeyValueFormatter())
     root = logging.getLogger()
     root.handlers = [handler]
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -190,6 +190,7 @@
     toolbox_commands.burn,
     toolbox_commands.load,
     toolbox_commands.emulate,
+    toolbox_commands.explain,
     toolbox_commands.soak,
 ):
     application.command()(_command)
--- a/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
@@ -31,6 +31,7 @@
 )
 from heronladder_tools.checker import ManifestChecker, check_members
 from heronladder_tools.experiment import balancing_text, compare_balancers, plot_balancing
+from heronladder_tools.explain import explain_request, explanation_text
 from heronladder_tools.load import LoadOptions, load_text, run_load
 from heronladder_tools.operator_client import OperatorClient
 from heronladder_tools.operator_commands import DEFAULT_API, Api, Token, read_files, run_command
@@ -255,3 +256,14 @@
         print(f"{runs} runs, {failed} failed (last: {profile.name} seed {seed})", flush=True)
     if failed:
         raise typer.Exit(_EXIT_FOUND)
+
+
+def explain(
+    request_id: Annotated[str, typer.Argument(help="identifier of the request")],
+    logs: Annotated[list[Path], typer.Argument(help="logs of the daemons, in any order")],
+) -> None:
+    """Tell the way of one request through the logs of several processes."""
+    found = explain_request(request_id, logs)
+    print(explanation_text(found))
+    if not found.lines:
+        raise typer.Exit(_EXIT_FOUND)
--- /dev/null
+++ b/tests/test_explain.py
@@ -0,0 +1,90 @@
+"""Logs that never wait, and the way of a request through them."""
+
+import os
+import tempfile
+import unittest
+from pathlib import Path
+
+from heronladder_runtime.log_output import BoundedLogOutput
+from heronladder_tools.explain import explain_request, explanation_text
+
+_GATEWAY = """
+time=2026-01-01T00:00:01.000 level=info event=configuration_in_use daemon=g1 version=4
+time=2026-01-01T00:00:02.000 level=info event=control_lost daemon=g1 step=session peer=c1:1
+time=2026-01-01T00:00:02.500 level=info event=replica_known daemon=g1 peer=other
+time=2026-01-01T00:00:03.000 level=info event=tokens_refused daemon=g1 peer=t1 request_id=r1
+time=2026-01-01T00:00:03.001 level=info event=request_refused daemon=g1 request_id=r1 status=503
+time=2026-01-01T00:00:04.000 level=info event=control_regained daemon=g1
+time=2026-01-01T00:00:05.000 level=info event=request_sent daemon=g1 peer=i-1 request_id=r2
+"""
+_CONTROL = """
+time=2026-01-01T00:00:00.500 level=info event=leader_elected daemon=c1 term=2
+"""
+
+
+class ExplainTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.folder = tempfile.TemporaryDirectory()
+        self.addCleanup(self.folder.cleanup)
+        self.gateway = Path(self.folder.name) / "g1.log"
+        self.gateway.write_text(_GATEWAY)
+        self.control = Path(self.folder.name) / "c1.log"
+        self.control.write_text(_CONTROL)
+
+    def test_a_refusal_is_told_with_what_its_gateway_believed(self) -> None:
+        found = explain_request("r1", [self.gateway, self.control])
+        self.assertEqual(
+            [line.fields["event"] for line in found.lines], ["tokens_refused", "request_refused"]
+        )
+        self.assertEqual(
+            [line.fields["event"] for line in found.beliefs["g1"]],
+            ["configuration_in_use", "control_lost"],
+        )
+        self.assertEqual(found.beliefs["c1"][0].fields["event"], "leader_elected")
+        self.assertEqual(found.missing, [])
+        self.assertIn("Nothing is known to be missing", explanation_text(found))
+
+    def test_what_is_missing_is_said(self) -> None:
+        found = explain_request("r2", [self.gateway])
+        self.assertIn("no line tells its end", found.missing[0])
+        self.assertIn("no line names request r9", explain_request("r9", [self.control]).missing[0])
+
+
+class BoundedLogOutputTest(unittest.TestCase):
+    def test_a_reader_that_does_not_read_stops_nothing_and_is_told_of_what_it_missed(self) -> None:
+        reading, writing = os.pipe()
+        output = BoundedLogOutput(writing)
+        line = "event=x " + "y" * 1000
+        for _ in range(2000):
+            output.write(line, "event=x", limited=False)
+        self.assertGreater(output.dropped, 1000)
+        self.assertLessEqual(len(output._pending), 256 * 1024)
+        os.set_blocking(reading, False)
+        taken = b""
+        for _ in range(20):
+            try:
+                while chunk := os.read(reading, 1 << 20):
+                    taken += chunk
+            except BlockingIOError:
+                pass
+            output.write("event=later", "event=later", limited=False)
+        self.assertIn(b"event=log_lines_dropped", taken)
+        self.assertTrue(all(part.startswith(b"event=") for part in taken.split(b"\n") if part))
+        os.close(reading)
+        output.write("event=nobody_reads", "event=nobody_reads", limited=False)
+        os.close(writing)
+
+    def test_a_flood_of_one_kind_does_not_crowd_out_another(self) -> None:
+        reading, writing = os.pipe()
+        output = BoundedLogOutput(writing)
+        os.set_blocking(reading, False)
+        for number in range(5000):
+            output.write(f"event=flood n={number}", "event=flood", limited=True)
+        output.write("event=refusal", "event=refusal", limited=True)
+        output.write("event=failure", "event=flood", limited=False)
+        taken = os.read(reading, 1 << 20)
+        self.assertIn(b"event=refusal", taken)
+        self.assertIn(b"event=failure", taken)
+        self.assertLess(taken.count(b"event=flood"), 1001)
+        os.close(reading)
+        os.close(writing)
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -237,8 +237,12 @@
             return answer(received)
 
         await self.fleet.add_replica("i-1", slow)
-        ready = await self.fleet.call(self.fleet.ready_address, "GET", "/api/readyz")
-        self.assertEqual(ready.status, 200)
+        async with asyncio.timeout(5):  # the first word of control may still be on its way
+            while True:
+                ready = await self.fleet.call(self.fleet.ready_address, "GET", "/api/readyz")
+                if ready.status == 200:
+                    break
+                await asyncio.sleep(0.05)
         running = asyncio.ensure_future(self.fleet.request("/once/", Request_Id="before"))
         await asyncio.sleep(0.1)
         stopping = asyncio.ensure_future(self.fleet.gateway.stop())
