--- a/packages/heronladder-router/src/heronladder_router/gateway_names.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_names.py
@@ -26,7 +26,7 @@
     """
 
     request_id: str = "Heronladder-Request-Id"
-    deadline_ms: str = "Heronladder-Deadline-Ms"
+    deadline_ms: str = "Heronladder-Timeout-Ms"
     expect_replica: str = "Heronladder-Expect-Replica"
     tenant: str = "Heronladder-Tenant"
     priority: str = "Heronladder-Priority"
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,166 @@
+"""The translation to the users' platform, and what its operator is answered."""
+
+import json
+import unittest
+from pathlib import Path
+from typing import Any
+
+from heronladder_platform.configuration import DocumentError, read_configuration, read_replica
+from heronladder_platform.settings import CONTROL, GATEWAY, translate
+from heronladder_runtime.errors import SettingsError
+from heronladder_schema.v1 import resources_pb2
+from platform_stand_ins import KEY, Fleet, configuration, route, start_fleet
+
+_ROOT = Path(__file__).parent.parent
+_PLATFORM_WORDS = (
+    "Server-Stamp",
+    "Not-Executed",
+    "Expect-Instance",
+    "Token-Usage",
+    "Prompt-Prefix",
+    "Deadline-Ms",
+    "Tenant-Id",
+    "Replicas.Heartbeat",
+    "Config.Replace",
+    "pathPrefix",
+    "trafficSplit",
+    "targetLatencyMs",
+    "kvCapacityTokens",
+    "apiKeys",
+    "coldRemainingMs",
+    "HERONLADDER_CONFIG",
+)
+_SETTINGS = {
+    "nodeName": "core-a-1",
+    "ip": "10.0.0.2",
+    "zone": "a",
+    "region": "r",
+    "listen": {"control": "10.0.0.2:8229"},
+    "internalPorts": [7340, 7355],
+    "seeds": ["10.0.0.3:8229", "10.0.0.2:8229", "10.0.0.1:8229"],
+    "bootstrap": True,
+    "dataDir": "/data/x",
+    "faultTolerance": {"machines": 2},
+    "bounds": {"retryBudgetRatio": 0.2, "budgetSlack": 52, "graceS": 8},
+    "somethingNew": {"to": "ignore"},
+}
+
+
+class BoundaryTest(unittest.TestCase):
+    def test_no_other_package_knows_the_platform_s_names(self) -> None:
+        found = [
+            f"{path.relative_to(_ROOT)}: {word}"
+            for path in sorted((_ROOT / "packages").rglob("*.py"))
+            for word in _PLATFORM_WORDS
+            if word in path.read_text() and not (word == "pathPrefix" and "validation" in path.name)
+        ]
+        self.assertEqual(found, [])
+
+    def test_the_folder_shadows_no_module_and_stays_small(self) -> None:
+        self.assertFalse((_ROOT / "platform" / "__init__.py").exists())
+        lines = sum(
+            len(path.read_text().splitlines()) for path in (_ROOT / "platform").rglob("*.py")
+        )
+        self.assertLess(lines, 800)
+
+
+class SettingsTest(unittest.TestCase):
+    def test_a_seed_forms_the_group_and_any_other_machine_joins(self) -> None:
+        seed = translate(_SETTINGS, CONTROL)
+        self.assertEqual(
+            seed.control.initial_members,
+            ",".join(f"10.0.0.{n}=10.0.0.{n}:7340/10.0.0.{n}:8229" for n in (1, 2, 3)),
+        )
+        self.assertEqual(seed.control.tolerated_losses, 2)
+        joining = {"ip": "10.0.0.9", "listen": {"control": "10.0.0.9:8229"}}
+        for changes in (joining, {"bootstrap": False}):
+            other = translate(_SETTINGS | changes, CONTROL)
+            self.assertEqual(other.control.initial_members, "")
+            self.assertIn("10.0.0.1:7340", other.control.join_contacts)
+
+    def test_a_wrong_file_names_its_field(self) -> None:
+        wrong = {key: value for key, value in _SETTINGS.items() if key != "internalPorts"}
+        with self.assertRaises(SettingsError) as raised:
+            translate(wrong, GATEWAY)
+        self.assertIn("internalPorts", str(raised.exception))
+
+
+class DocumentTest(unittest.TestCase):
+    def test_a_configuration_keeps_the_document_and_hides_the_keys(self) -> None:
+        document = configuration(3, route("/a/"), unknown={"field": [1, 2]})
+        body = json.dumps(document).encode()
+        read = read_configuration(body)
+        self.assertEqual((read.version, read.source), (3, body))
+        self.assertEqual(read.routes[0].kind, resources_pb2.ROUTE_KIND_REPEATABLE)
+        self.assertNotIn(KEY, str(read.tenants))
+
+    def test_what_cannot_be_read_in_full_names_the_field(self) -> None:
+        good: dict[str, Any] = configuration(1, route("/a/"))
+        cases = {
+            "version": good | {"version": "7"},
+            "routes": good | {"routes": None},
+            "routes[0].kind": good | {"routes": [route("/a/", kind="odd")]},
+            "routes[0].timeoutMs": good | {"routes": [route("/a/", timeoutMs=None)]},
+            "tenants[0].apiKeys": good | {"tenants": [{"name": "t"}]},
+        }
+        for field, document in cases.items():
+            with self.assertRaises(DocumentError) as raised:
+                read_configuration(json.dumps(document).encode())
+            self.assertIn(field, str(raised.exception))
+        with self.assertRaises(DocumentError):
+            read_configuration(json.dumps(good).encode()[:-5])
+
+    def test_a_heartbeat_without_its_address_is_refused(self) -> None:
+        with self.assertRaises(DocumentError):
+            read_replica("i-1", b'{"service": "s", "zone": "z", "state": "ready"}')
+
+
+class OperatorTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet: Fleet = await start_fleet()
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.stop()
+
+    async def _held(self) -> tuple[int, bytes]:
+        got = await self.fleet.call(self.fleet.control_address, "GET", "/api/Config.Describe")
+        return got.status, got.body
+
+    async def test_the_highest_version_holds_and_reads_back_as_sent(self) -> None:
+        self.assertEqual((await self._held())[0], 503)
+        second = json.dumps(configuration(2, extra="kept")).encode()
+        self.assertEqual((await self.fleet.replace(second)).status, 200)
+        self.assertEqual(await self._held(), (200, second))
+        self.assertEqual((await self.fleet.replace(second)).status, 200)
+        lower = await self.fleet.replace(configuration(1))
+        self.assertEqual(lower.status, 200)
+        other = await self.fleet.replace(configuration(2, route("/other/")))
+        self.assertEqual(other.status, 409)
+        self.assertEqual(await self._held(), (200, second))
+
+    async def test_invalid_configurations_are_refused_and_leave_nothing(self) -> None:
+        good = json.dumps(configuration(1)).encode()
+        await self.fleet.replace(good)
+        split = [{"service": "app", "weight": 0}, {"service": "app", "weight": 0}]
+        weightless = route("/a/", trafficSplit=split)
+        shared = [{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}]
+        invalid: dict[str, Any] = {
+            "cut short": good[: len(good) // 2],
+            "unknown service": configuration(2, route("/a/", service="none")),
+            "same place": configuration(2, route("/a/"), route("/a/", name="other")),
+            "no weight": configuration(2, weightless),
+            "no time limit": configuration(2, route("/a/", timeoutMs=0)),
+            "shared key": configuration(2, tenants=shared),
+        }
+        for name, document in invalid.items():
+            got = await self.fleet.replace(document)
+            self.assertEqual(got.status, 400, name)
+            self.assertTrue(json.loads(got.body)["error"], name)
+        self.assertEqual(await self._held(), (200, good))
+
+    async def test_malformed_heartbeats_and_unknown_leavers(self) -> None:
+        address = self.fleet.control_address
+        wrong = await self.fleet.call(address, "POST", "/api/Replicas.Heartbeat/i-1", b"{")
+        self.assertEqual(wrong.status, 400)
+        unknown = await self.fleet.call(address, "POST", "/api/Replicas.Deregister/i-9")
+        self.assertEqual(unknown.status, 200)
--- /dev/null
+++ b/tests/test_prepaid.py
@@ -0,0 +1,162 @@
+"""Prepaid accounts: what is granted, and what a lost router is charged."""
+
+import random
+import unittest
+
+from heronladder_control.prepaid import PrepaidTable
+from heronladder_control.prepaid_watch import PrepaidWatch
+from heronladder_router.event_stream import EventCutter
+from heronladder_router.kept_parts import KeptParts, parse_parts
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.errors import RefusedByInvariantError
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+_TENANT = "t"
+
+
+def _table(limit: int) -> PrepaidTable:
+    table = PrepaidTable()
+    table.set_limits(
+        [resources_pb2.PrepaidTenant(name=_TENANT, prepaid_tokens=limit, limited=True)]
+    )
+    return table
+
+
+def _draw(holder: str, number: int, **fields: int) -> control_pb2.DrawTokens:
+    return control_pb2.DrawTokens(
+        tenant=_TENANT, holder=holder, incarnation="1", number=number, **fields
+    )
+
+
+class PrepaidTableTest(unittest.TestCase):
+    def test_a_repeated_draw_changes_nothing(self) -> None:
+        table = _table(1000)
+        first = table.draw(_draw("a", 1, wanted=100, minimum=1))
+        again = table.draw(_draw("a", 1, wanted=100, minimum=1))
+        self.assertEqual((first.granted, again.granted), (100, 100))
+        self.assertEqual(table.available(table.accounts[_TENANT]), 900)
+
+    def test_all_together_never_pass_the_limit(self) -> None:
+        for seed in range(20):
+            source = random.Random(seed)
+            table = _table(10_000)
+            account = table.accounts[_TENANT]
+            granted = dict.fromkeys("abc", 0)
+            spent = dict.fromkeys("abc", 0)
+            for number in range(1, 200):
+                name = source.choice("abc")
+                spent[name] += source.randrange(granted[name] - spent[name] + 1)
+                wanted = source.randrange(2000)
+                result = table.draw(
+                    _draw(name, number, wanted=wanted, minimum=wanted // 2, spent=spent[name])
+                )
+                granted[name] = result.granted
+                self.assertLessEqual(table.charged(account), 10_000)
+                self.assertLessEqual(sum(spent.values()), 10_000)
+
+    def test_a_holder_that_tells_more_than_it_was_given_is_refused(self) -> None:
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=100))
+        with self.assertRaises(RefusedByInvariantError):
+            table.draw(_draw("a", 2, spent=101))
+
+    def test_a_lowered_limit_grants_nothing_until_enough_came_back(self) -> None:
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=500))
+        table.set_limits(
+            [resources_pb2.PrepaidTenant(name=_TENANT, prepaid_tokens=300, limited=True)]
+        )
+        refused = table.draw(_draw("b", 1, wanted=10, minimum=10))
+        self.assertEqual(refused.code, control_pb2.RESULT_CODE_EXHAUSTED)
+        table.draw(_draw("a", 2, returned=400, spent=100))
+        self.assertEqual(table.draw(_draw("b", 2, wanted=10, minimum=10)).granted, 10)
+
+    def test_exhaustion_is_sure_only_when_used_tokens_leave_no_room(self) -> None:
+        table = _table(1000)
+        held = table.draw(_draw("a", 1, wanted=1000, minimum=900))
+        self.assertEqual(held.granted, 900)
+        refused = table.draw(_draw("b", 1, wanted=200, minimum=200))
+        self.assertEqual(refused.code, control_pb2.RESULT_CODE_EXHAUSTED)
+        self.assertFalse(refused.surely_exhausted)  # a has not used them
+        table.draw(_draw("a", 2, spent=850))
+        self.assertTrue(table.draw(_draw("b", 2, minimum=200, wanted=200)).surely_exhausted)
+
+
+class _Clock(Environment):
+    now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+class PrepaidWatchTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = _Clock()
+        self.watch = PrepaidWatch(self.clock)
+        self.table = _table(1000)
+        self.table.draw(_draw("a", 1, wanted=300))
+        self.watch.opened(("a", "1"), term=1)
+        self._beat(0, {_TENANT: 40})
+
+    def _beat(self, heard_ms: int, announced: dict[str, int]) -> None:
+        heartbeat = control_pb2.Heartbeat(control_time_ms=heard_ms)
+        heartbeat.prepaid_announced.update(announced)
+        self.watch.heartbeat(("a", "1"), heartbeat)
+
+    def _charge(self, term: int = 1) -> int:
+        self.table.close(self.watch.charges(("a", "1"), self.table, term))
+        return self.table.accounts[_TENANT].closed_charge
+
+    def test_replaced_in_time_it_is_charged_what_it_announced(self) -> None:
+        self._beat(100_000, {_TENANT: 60})
+        self.clock.now_s = 103.0
+        self.watch.replaced("a", "2")
+        self.clock.now_s = 110.0
+        self.assertEqual(self._charge(), 60)
+
+    def test_replaced_late_it_is_charged_all_it_held(self) -> None:
+        self._beat(100_000, {})
+        self.clock.now_s = 104.0
+        self.watch.replaced("a", "2")
+        self.assertEqual(self._charge(), 300)
+
+    def test_without_a_word_of_this_leader_it_is_charged_all_it_held(self) -> None:
+        self.watch.replaced("a", "2")
+        self.assertEqual(self._charge(), 300)
+
+    def test_what_an_earlier_term_heard_counts_no_more(self) -> None:
+        self._beat(100_000, {})
+        self.watch.replaced("a", "2")
+        self.assertEqual(self._charge(term=2), 300)
+
+    def test_declared_gone_without_a_successor_it_is_charged_all_it_held(self) -> None:
+        self._beat(100_000, {})
+        self.assertEqual(self._charge(), 300)
+
+
+class PartsTest(unittest.TestCase):
+    def test_a_part_is_kept_only_behind_all_before_it(self) -> None:
+        kept = KeptParts(1000)
+        kept.note(parse_parts("a:100,b:50,c:25"))
+        self.assertEqual(kept.kept_tokens(parse_parts("a:100,b:50,x:5")), 150)
+        self.assertEqual(kept.kept_tokens(parse_parts("z:1,b:50")), 0)
+        self.assertEqual(parse_parts("a:100,b"), [])
+
+    def test_the_least_used_parts_give_way(self) -> None:
+        kept = KeptParts(1000)  # 600 tokens are kept
+        kept.note(parse_parts("a:300"))
+        kept.note(parse_parts("b:300"))
+        kept.note(parse_parts("a:300"))
+        kept.note(parse_parts("c:300"))
+        self.assertEqual(kept.kept_tokens(parse_parts("a:300")), 300)
+        self.assertEqual(kept.kept_tokens(parse_parts("b:300")), 0)
+
+    def test_events_are_cut_at_their_ends_wherever_chunks_end(self) -> None:
+        stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
+        for size in range(1, len(stream)):
+            cutter = EventCutter()
+            whole = b"".join(
+                cutter.feed(stream[start : start + size]) for start in range(0, len(stream), size)
+            )
+            self.assertEqual(whole, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+            self.assertEqual((cutter.events, cutter.last_id, cutter.clean), (2, "2", False))
