Let holdings of prepaid tokens grow in steps

Cause: right after a cut all gateways drew their whole target, and the loss of all of them a second later charged the accounts with it.

--- a/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
@@ -2,7 +2,7 @@
 
 from dataclasses import dataclass
 
-_LEAST_AHEAD_TOKENS = 15_000
+_LEAST_AHEAD_TOKENS = 6_000
 _RATE_SMOOTHING = 0.3
 _RATE_INTERVAL_S = 1.0
 
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -22,6 +22,8 @@
 
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
 _FIRST_SHARE = 4  # all gateways together hold one part in four before a rate is known
+_GROWTH_S = 2.5  # spending that one draw adds
+_FIRST_STEPS = 4  # draws that reach the target
 _DRAW_TIMEOUT_S = 1.0
 _DRAW_AHEAD_PAUSE_S = 0.7
 _DRAW_AHEAD_BELOW = 0.8  # of the target; a cut comes without notice
@@ -163,6 +165,16 @@
         share = limit // (_FIRST_SHARE * max(1, self._link.routers))
         return max(int(purse.rate * _HORIZON_S), share)
 
+    def _growth(self, purse: PrepaidPurse) -> int:
+        """Return how much to draw beside what is missing.
+
+        What is held grows in steps: right after a cut another one is less likely
+        than the loss of all that was just drawn.
+        """
+        target = self._target(purse)
+        step = max(int(purse.rate * _GROWTH_S), target // _FIRST_STEPS)
+        return max(0, min(target - purse.free, step))
+
     async def _draw_for(
         self, tenant: resources_pb2.PrepaidTenant, tokens: int, deadline_s: float
     ) -> None:
@@ -174,7 +186,7 @@
                 return
             if self._out_of_touch():
                 raise self._unavailable(tenant.name, "control is out of reach")
-            wanted = max(missing, self._target(purse) - purse.free)
+            wanted = max(missing, self._growth(purse))
             left_s = deadline_s - self._environment.monotonic()
             if left_s <= 0:
                 raise self._unavailable(tenant.name, "no tokens came in time")
@@ -232,7 +244,7 @@
         ):
             return
         purse.next_draw_ahead_s = now_s + _DRAW_AHEAD_PAUSE_S
-        self._tasks.start("draw_ahead", self._draw_quietly(purse, target - purse.free))
+        self._tasks.start("draw_ahead", self._draw_quietly(purse, self._growth(purse)))
 
     async def _draw_quietly(self, purse: PrepaidPurse, wanted: int) -> None:
         async with self._locks.setdefault(purse.tenant, asyncio.Lock()):
