Rank requests at engines, wait for a window that opens soon, tell what a lost holder costs

Cause: in the first seconds of a cut, requests were refused though tokens were held and the window opened within half a second; engines took all requests as equal.

--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -232,6 +232,7 @@
             command.close_prepaid_holder.CopyFrom(
                 self.prepaid_watch.charges(holder, table, self.node.term)
             )
+            held, spent = table.held_and_spent(holder)
             await self.propose(command)
             self.prepaid_watch.forget(holder)
             self.log.info(
@@ -239,7 +240,10 @@
                 step="close_prepaid_holder",
                 peer=holder[0],
                 incarnation=holder[1],
-                by_window=bool(command.close_prepaid_holder.charges),
+                by_announcement=bool(command.close_prepaid_holder.charges),
+                held=held,
+                announced=sum(command.close_prepaid_holder.charges.values()),
+                spent_as_told=spent,
             )
 
     async def _drop_old_claims(self) -> None:
--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -184,6 +184,17 @@
             if entry.holder == holder
         }
 
+    def held_and_spent(self, holder: tuple[str, str]) -> tuple[int, int]:
+        """Return what one incarnation of a router holds, and what it said it used."""
+        entries = [
+            entry
+            for account in self.accounts.values()
+            for entry in account.holders
+            if (entry.holder, entry.incarnation) == holder
+        ]
+        held = sum(entry.granted - entry.returned for entry in entries)
+        return held, sum(entry.spent for entry in entries)
+
     # ---- snapshot ---------------------------------------------------------
 
     def save(self, snapshot: control_pb2.StateSnapshot) -> None:
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -33,6 +33,7 @@
 from heronladder_router.server import OUTCOME_HEADER
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
+_LAST_PRIORITY = 9
 _STEP = "intake"
 
 
@@ -245,6 +246,9 @@
             passed.append((name, value))
         if matched.tenant is not None:
             passed.append((self._names.tenant, matched.tenant.name))
+        if matched.streams:
+            rank = min(matched.priority, _LAST_PRIORITY)
+            passed.append((self._names.priority, str(rank)))
         return passed
 
     # ---- refusals ---------------------------------------------------------
--- a/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_purse.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass
 
 _LEAST_AHEAD_TOKENS = 6_000
+_ANNOUNCED_AGAIN_BELOW = 0.8  # of what is to be covered
 _RATE_SMOOTHING = 0.3
 _RATE_INTERVAL_S = 1.0
 
@@ -79,7 +80,7 @@
             ahead_s: Time to cover, in seconds.
         """
         ahead = max(_LEAST_AHEAD_TOKENS, int(self.rate * ahead_s))
-        needed = self.used + tokens + ahead // 2
+        needed = self.used + tokens + int(_ANNOUNCED_AGAIN_BELOW * ahead)
         if needed > self.announced:
             self.announced = self.used + tokens + ahead
 
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -32,6 +32,8 @@
 _TRIM_INTERVAL_S = 1.0
 _LEAST_TRIMMED_TOKENS = 50_000
 _ANNOUNCED_AHEAD_S = WINDOW_HOLDS_S + 0.5
+_WINDOW_WAIT_S = 0.5
+_POLL_S = 0.01
 _OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain
 _STEP = "reserve_prepaid"
 
@@ -143,7 +145,13 @@
             # Control is told before they are used.
             purse.announce(tokens, _ANNOUNCED_AHEAD_S)
             self._link.beat_now()
-            left_s = deadline_s - self._environment.monotonic()
+            now_s = self._environment.monotonic()
+            opens_in_s = self._link.last_heard_s + WINDOW_HOLDS_S - now_s
+            if opens_in_s <= _WINDOW_WAIT_S:
+                # Out of touch for so long that soon all that is held may be used.
+                await self._confirmed.wait(max(0.0, opens_in_s) + _POLL_S)
+                continue
+            left_s = deadline_s - now_s
             if left_s <= 0 or not await self._confirmed.wait(left_s):
                 raise self._unavailable(purse.tenant, "control did not confirm in time")
         return True
