Keep tokens for after a loss of all routers: a part kept back, small requests first, slow growth after a cut

Ruled out: slow recovery of the group (service was back after 2 s). Change: the contract's 3 in 100 that are owed to nobody are kept back and make up for what was charged for lost gateways; after a loss, a request larger than a twelfth of the rest does not get it; for 6 s after a cut no more is drawn than needed. Test: test_prepaid (kept back).

--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -15,9 +15,8 @@
 
 from heronladder_control.results import failure, success
 
+_SPARED_PARTS = 12  # of the rest after a loss; a larger request does not get it
 _MOST_HELD = 0.6  # of what is not spent, by all holders together
-_SURE_PERCENT = 97  # of the limit; beyond it the rest may be held by requests under way
-_PERCENT = 100
 
 
 class PrepaidTable:
@@ -37,6 +36,7 @@
                 self.accounts[tenant.name] = account
             account.limit = tenant.prepaid_tokens
             account.limited = tenant.limited
+            account.kept_back = min(tenant.kept_back_tokens, tenant.prepaid_tokens)
 
     @staticmethod
     def charged(account: ledger_pb2.PrepaidAccount) -> int:
@@ -45,8 +45,14 @@
         return account.closed_charge + held
 
     def available(self, account: ledger_pb2.PrepaidAccount) -> int:
-        """Return the tokens that can be granted; 0 when the limit was lowered below."""
-        return max(0, account.limit - self.charged(account))
+        """Return the tokens that can be granted; 0 when the limit was lowered below.
+
+        What is kept back makes up for tokens charged for lost holders and not
+        known to be used.
+        """
+        lost = account.closed_charge - account.closed_spent
+        usable = account.limit - max(0, account.kept_back - lost)
+        return max(0, usable - self.charged(account))
 
     # ---- draws ------------------------------------------------------------
 
@@ -100,10 +106,22 @@
         if not account.limited:
             return order.wanted
         available = self.available(account)
-        if available < order.minimum:
+        if available < order.minimum or self._spared_for_smaller(account, order, available):
             return 0
         return min(order.wanted, available, max(self._fair_rest(account, order), order.minimum))
 
+    @staticmethod
+    def _spared_for_smaller(
+        account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens, available: int
+    ) -> bool:
+        """Whether a request is too large for what a loss of routers has left.
+
+        A few large requests would take the rest at once; many small ones are
+        served from it instead.
+        """
+        lost = account.closed_charge > account.closed_spent
+        return lost and order.minimum * _SPARED_PARTS > available
+
     @staticmethod
     def _fair_rest(account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
         """Return what a holder may be given, beside what it holds, as its fair share.
@@ -151,7 +169,7 @@
             return False
         known = account.closed_spent
         known += sum(holder.spent + holder.reserved for holder in account.holders)
-        return (known + order.minimum) * _PERCENT > account.limit * _SURE_PERCENT
+        return known + order.minimum > account.limit - account.kept_back
 
     # ---- holders that are gone --------------------------------------------
 
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -23,6 +23,8 @@
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
 _FIRST_SHARE = 4  # all gateways together hold one part in four before a rate is known
 _GROWTH_S = 2.5  # spending that one draw adds
+_AFTER_CUT_S = 6.0  # for so long no more is drawn than is needed
+_AFTER_CUT_GROWTH_S = 0.7
 _FIRST_STEPS = 4  # draws that reach the target
 _DRAW_TIMEOUT_S = 1.0
 _DRAW_AHEAD_PAUSE_S = 0.7
@@ -180,9 +182,14 @@
         than the loss of all that was just drawn.
         """
         target = self._target(purse)
+        if self._after_cut():
+            target = min(target, purse.free + int(purse.rate * _AFTER_CUT_GROWTH_S))
         step = max(int(purse.rate * _GROWTH_S), target // _FIRST_STEPS)
         return max(0, min(target - purse.free, step))
 
+    def _after_cut(self) -> bool:
+        return self._environment.monotonic() < self._link.regained_s + _AFTER_CUT_S
+
     async def _draw_for(
         self, tenant: resources_pb2.PrepaidTenant, tokens: int, deadline_s: float
     ) -> None:
@@ -248,6 +255,7 @@
         if (
             purse.free > _DRAW_AHEAD_BELOW * target
             or now_s < purse.next_draw_ahead_s
+            or self._after_cut()
             or self._stopping
         ):
             return
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -121,6 +121,7 @@
         self._became_fresh = asyncio.Event()
         self._control_time_ms = 0
         self.last_heard_s = float("-inf")  # newest frame from a leader
+        self.regained_s = float("-inf")  # end of the newest long silence of control
         self.routers = 1  # routers that control counts, this one among them
 
     def add_addresses(self, addresses: list[str]) -> None:
@@ -329,10 +330,11 @@
         if frame.control_time_ms:
             self._control_time_ms = frame.control_time_ms
             now_s = self._environment.monotonic()
-            if now_s - self.last_heard_s > self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS:
-                self._log.info(
-                    "control_regained", step="session", silent_s=now_s - self.last_heard_s
-                )
+            silent_s = now_s - self.last_heard_s
+            if silent_s > self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS:
+                self._log.info("control_regained", step="session", silent_s=silent_s)
+                if silent_s < float("inf"):
+                    self.regained_s = now_s
             self.last_heard_s = now_s
         if frame.HasField("config"):
             self.configuration.apply(frame.config)
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -81,6 +81,20 @@
         table.draw(_draw("a", 2, spent=850))
         self.assertTrue(table.draw(_draw("b", 2, minimum=200, wanted=200)).surely_exhausted)
 
+    def test_what_is_kept_back_makes_up_for_what_was_lost_and_no_more(self) -> None:
+        """RECOVER of the locks, hunt-d42f-3: nothing was left after a loss of all routers."""
+        table = _table(1000)
+        account = table.accounts[_TENANT]
+        account.kept_back = 30
+        table.draw(_draw("a", 1, wanted=1000, minimum=970))
+        self.assertEqual(table.available(account), 0)
+        table.draw(_draw("a", 2, spent=950))
+        table.close(control_pb2.ClosePrepaidHolder(holder="a", incarnation="1"))
+        self.assertEqual(table.available(account), 20)  # 970 charged, 950 known to be used
+        self.assertEqual(table.draw(_draw("b", 1, wanted=30, minimum=2)).granted, 0)
+        self.assertEqual(table.draw(_draw("b", 2, wanted=30, minimum=1)).granted, 1)
+        self.assertLessEqual(table.charged(account), 1000)
+
 
 class _Clock(Environment):
     now_s = 100.0
