--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -43,11 +43,24 @@
                 continue
             node.leader = ""
             try:
-                if await self._collect(pre_vote=True) and await self._collect(pre_vote=False):
+                term = node.term
+                if await self._collect(pre_vote=True) and await self.stand(term):
                     node.become_leader()
             except StorageError:
                 continue  # the disk refuses: others may stand
 
+    async def stand(self, term: int) -> bool:
+        """Ask for votes in the term after ``term``; return whether a majority gave them.
+
+        Between the pre-vote and this, the member may have voted for another
+        candidate. Standing against it would end its leadership at once.
+        """
+        async with self._lock:
+            if self._node.term != term:
+                return False
+            await self._node.enter_term(term + 1, voted_for=self._node.name)
+        return await self._collect(pre_vote=False)
+
     async def _collect(self, *, pre_vote: bool) -> bool:
         """Ask all voters; return whether a majority agreed and nothing changed meanwhile.
 
@@ -55,9 +68,6 @@
         does not disturb a leader that others still hear.
         """
         node = self._node
-        if not pre_vote:
-            async with self._lock:
-                await node.enter_term(node.term + 1, voted_for=node.name)
         term = node.term
         request = consensus_pb2.VoteRequest(
             term=term + 1 if pre_vote else term,
--- a/tests/test_membership_growth.py
+++ b/tests/test_membership_growth.py
@@ -9,6 +9,7 @@
 from heronladder_consensus.membership import find_member, voters
 from heronladder_consensus.node import ConsensusNode
 from heronladder_consensus.timing import ConsensusTiming
+from heronladder_schema.v1 import consensus_pb2
 from support import Group, run_virtual
 
 
@@ -128,6 +129,36 @@
         run_virtual(scenario())
 
 
+class StandingTest(unittest.TestCase):
+    def test_a_member_that_voted_since_its_pre_vote_does_not_stand_against(self) -> None:
+        """Locks, hunt-d42f-3: a leader was ended 2 ms after its election, for 2.9 s."""
+
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+            names = [name for name in group.names if name != leader.name]
+            await group.crash(leader.name)
+            await asyncio.sleep(1.0)
+            late, candidate = (group.nodes[name] for name in names)
+            late.last_heard_s = float("-inf")
+            term = late.term
+            reply = await late.election.answer(
+                consensus_pb2.VoteRequest(
+                    term=term + 1,
+                    candidate=candidate.name,
+                    incarnation=candidate.hard_state.incarnation,
+                    last_index=candidate.log.last_index,
+                    last_term=candidate.log.last_term,
+                )
+            )
+            self.assertTrue(reply.granted)
+            self.assertFalse(await late.election.stand(term))
+            self.assertEqual((late.term, late.hard_state.voted_for), (term + 1, candidate.name))
+            await group.stop()
+
+        run_virtual(scenario())
+
+
 class RefusingDiskTest(unittest.TestCase):
     def test_a_leader_whose_disk_refuses_leaves_leading_and_comes_back(self) -> None:
         async def scenario() -> None:
