--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -21,6 +21,7 @@
 from heronladder_consensus.log import MemoryLog
 from heronladder_consensus.membership import MembershipKeeper, find_member, voters
 from heronladder_consensus.replication import Replication
+from heronladder_consensus.snapshots import SnapshotKeeper
 from heronladder_consensus.state_machine import StateMachine
 from heronladder_consensus.storage import LogStorage, StoredSnapshot
 from heronladder_consensus.timing import ConsensusTiming
@@ -84,7 +85,7 @@
         self.log = MemoryLog(name, meta, loaded.entries)
         if loaded.snapshot:
             machine.restore(loaded.snapshot.data)
-        self.snapshot = loaded.snapshot
+        self.snapshots = SnapshotKeeper(self, loaded.snapshot)
         self.commit_index = meta.index
         self.applied_index = meta.index
 
@@ -350,7 +351,7 @@
             self.changed.give()
             if self.applied_index - self.log.base_index >= self.timing.snapshot_entries:
                 async with self._write_lock:
-                    await self._save_snapshot()
+                    await self.snapshots.save()
 
     def _apply_committed(self) -> None:
         while self.applied_index < self.commit_index:
@@ -366,43 +367,9 @@
             if waiter is not None and not waiter.done():
                 waiter.set_result(result)
 
-    async def _save_snapshot(self) -> None:
-        index = self.applied_index
-        meta = consensus_pb2.SnapshotMeta(
-            index=index, term=self.log.term_at(index) or 0, membership=self.log.membership(index)
-        )
-        snapshot = StoredSnapshot(meta, self.machine.snapshot())
-        try:
-            await self.storage.save_snapshot(snapshot, drop_log=False)
-        except StorageError as error:
-            self.event_log.warning(
-                "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
-            )
-            return  # the log goes on; the next entries try again
-        self.snapshot = snapshot
-        kept_from = max(self.log.base_index, index - self.timing.trailing_entries)
-        if kept_from > self.log.base_index:
-            self.log.compact(
-                consensus_pb2.SnapshotMeta(
-                    index=kept_from,
-                    term=self.log.term_at(kept_from) or 0,
-                    membership=self.log.membership(kept_from),
-                )
-            )
-        self.event_log.info(
-            "snapshot_saved", step="snapshot", index=index, bytes=len(snapshot.data)
-        )
-
     async def install_snapshot(self, snapshot: StoredSnapshot) -> None:
         """Replace log and state by the leader's snapshot, if it is newer."""
         async with self._write_lock:
-            if snapshot.meta.index <= self.commit_index:
-                return
-            await self.storage.save_snapshot(snapshot, drop_log=True)
-            self.snapshot = snapshot
-            self.log.reset(snapshot.meta)
-            self.machine.restore(snapshot.data)
-            self.commit_index = snapshot.meta.index
-            self.applied_index = snapshot.meta.index
-        self.event_log.info("snapshot_installed", step="snapshot", index=snapshot.meta.index)
-        self.changed.give()
+            installed = await self.snapshots.install(snapshot)
+        if installed:
+            self.changed.give()
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -168,7 +168,7 @@
         self, member: consensus_pb2.Member, progress: PeerProgress, term: int
     ) -> None:
         node = self._node
-        snapshot = node.snapshot
+        snapshot = node.snapshots.newest
         if snapshot is None:
             progress.next_index = node.log.base_index + 1
             return
