--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -283,6 +283,9 @@
     member = Daemon(control_settings)
     await member.start()
     assert member.control is not None
+    async with asyncio.timeout(_PATIENCE_S):
+        while not member.control.node.is_leader:  # until then it has no clear answer
+            await asyncio.sleep(0.02)
     await member.listen(ControlApi(member.control.fleet_service).application(), control)
     gateway_document = _document("front", None, 1, {"front": front, "readiness": ready})
     gateway_settings = platform_settings.translate(
