--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -9,6 +9,7 @@
 from heronladder_router.kept_parts import KeptParts, parse_parts
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.errors import RefusedByInvariantError
+from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 _TENANT = "t"
@@ -133,14 +134,14 @@
 
     def test_replaced_in_time_it_is_charged_what_it_announced(self) -> None:
         self._beat(100_000, {_TENANT: 60})
-        self.clock.now_s = 102.5
+        self.clock.now_s = 100.0 + WINDOW_HOLDS_S - 0.2
         self.watch.replaced("a", "2")
         self.clock.now_s = 110.0
         self.assertEqual(self._charge(), 60)
 
     def test_replaced_late_it_is_charged_all_it_held(self) -> None:
         self._beat(100_000, {})
-        self.clock.now_s = 104.0
+        self.clock.now_s = 100.0 + WINDOW_HOLDS_S
         self.watch.replaced("a", "2")
         self.assertEqual(self._charge(), 300)
 
