--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -73,7 +73,8 @@
         if order.minimum and not amount:
             result.code = control_pb2.RESULT_CODE_EXHAUSTED
         result.granted = holder.granted
-        result.recallable = self._unspent_of_others(account, holder)
+        if not self._spared(account, order) and self._unused(account) >= order.minimum:
+            result.recallable = self._unspent_of_others(account, holder)
         result.surely_exhausted = self._surely_exhausted(account, order)
         return result
 
@@ -109,13 +110,25 @@
         available = self.available(account)
         if available < order.minimum:
             return 0
-        rest = self._unused(account)
-        lost = account.closed_charge > account.closed_spent
-        if lost and rest < account.limit * _SCARCE_SHARE:
-            # A few large requests would take the rest at once; many small ones get it instead.
-            return order.minimum if order.minimum * _SPARED_PARTS <= rest else 0
+        if self._spared(account, order):
+            return 0
+        if self._scarce(account):
+            return order.minimum
         return min(order.wanted, available, max(self._fair_rest(account, order), order.minimum))
 
+    def _scarce(self, account: ledger_pb2.PrepaidAccount) -> bool:
+        """Whether little is left, and less than there would be without lost routers."""
+        lost = account.closed_charge > account.closed_spent
+        return lost and self._unused(account) < account.limit * _SCARCE_SHARE
+
+    def _spared(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> bool:
+        """Whether what is left is spared for smaller requests.
+
+        A few large ones would take it at once.
+        """
+        too_large = order.minimum * _SPARED_PARTS > self._unused(account)
+        return too_large and self._scarce(account)
+
     def _unused(self, account: ledger_pb2.PrepaidAccount) -> int:
         """Return what no request has or may have used, whoever holds it."""
         held = sum(
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -96,6 +96,19 @@
         self.assertEqual(table.draw(_draw("b", 2, wanted=30, minimum=1)).granted, 1)
         self.assertLessEqual(table.charged(account), 1000)
 
+    def test_nothing_is_recalled_for_a_request_that_would_not_get_it(self) -> None:
+        """After a closing fault each refused request had all gateways give back, many times."""
+        table = _table(1000)
+        account = table.accounts[_TENANT]
+        table.draw(_draw("a", 1, wanted=1000, minimum=905))
+        table.draw(_draw("a", 2, spent=890))
+        table.close(control_pb2.ClosePrepaidHolder(holder="a", incarnation="1"))
+        table.draw(_draw("b", 1, wanted=7, minimum=7))
+        self.assertGreater(table.charged(account), 900)
+        self.assertEqual(table.draw(_draw("c", 1, wanted=50, minimum=50)).recallable, 0)  # spared
+        self.assertEqual(table.draw(_draw("c", 2, wanted=101, minimum=101)).recallable, 0)
+        self.assertEqual(table.draw(_draw("c", 3, wanted=7, minimum=7)).recallable, 7)
+
     def test_most_goes_to_the_holder_whose_callers_use_most(self) -> None:
         """A tenant that kept to one router ran dry there, in a cut (trouble-1, canteens)."""
         table = _table(1000)
