Refuse for want of prepaid tokens within a fifth of the objective, and say when to come back

Cause: requests waited 0.3 s for tokens where a quarter of the objective is 0.2 s, so a refusal came too late to be made good; and all were told 5 s, also in the first two seconds of a cut, when the tokens held may be used as soon as the window opens, and when control was only slow. Change: wait a fifth of the objective; Retry-After is the time until the window opens, 0.3 s when control is in touch, 5 s when it is not. Test: test_prepaid_tokens, failing before (5 s).

--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -87,11 +87,21 @@
 
 
 class PrepaidUnavailableError(CallerError):
-    """Prepaid tokens may be left, but none could be got hold of in time."""
+    """Prepaid tokens may be left, but none could be got hold of in time.
+
+    Args:
+        message: Why there were none.
+        step: What was being done.
+        peer: The tenant.
+        retry_after_s: When they are likely to be had, in seconds.
+    """
 
     status = 503
     code = "prepaid_unavailable"
-    retry_after_s = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
+
+    def __init__(self, message: str, *, step: str, peer: str, retry_after_s: float) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
 
 
 class NotReadyError(CallerError):
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -31,8 +31,8 @@
 
 _REJECTIONS = 3  # sends that were not run, over the route's attempts
 _LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
-_RESERVE_SHARE = 0.25  # of the objective, waited at most for tokens
-_SHORTEST_RESERVE_S = 0.3
+_RESERVE_SHARE = 0.2  # of the objective, waited at most for tokens: a refusal must come early
+_SHORTEST_RESERVE_S = 0.1
 _REPLICA_WAIT_S = 0.2
 
 
--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -34,6 +34,8 @@
 _ANNOUNCED_AHEAD_S = WINDOW_HOLDS_S + 0.3  # a heartbeat more
 _WINDOW_WAIT_S = 0.5
 _POLL_S = 0.01
+_RETRY_SOON_S = 0.3  # control is in touch and was only slow
+_RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 _OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain
 _STEP = "reserve_prepaid"
 
@@ -136,8 +138,8 @@
         )
 
     @staticmethod
-    def _unavailable(tenant: str, why: str) -> PrepaidUnavailableError:
-        return PrepaidUnavailableError(why, step=_STEP, peer=tenant)
+    def _unavailable(tenant: str, why: str, retry_after_s: float) -> PrepaidUnavailableError:
+        return PrepaidUnavailableError(why, step=_STEP, peer=tenant, retry_after_s=retry_after_s)
 
     async def _within_window(self, purse: PrepaidPurse, tokens: int, deadline_s: float) -> bool:
         """Wait until the tokens may be used without control having heard of more."""
@@ -153,7 +155,14 @@
                 continue
             left_s = deadline_s - now_s
             if left_s <= 0 or not await self._confirmed.wait(left_s):
-                raise self._unavailable(purse.tenant, "control did not confirm in time")
+                opens_in_s = (
+                    self._link.last_heard_s + WINDOW_HOLDS_S - self._environment.monotonic()
+                )
+                raise self._unavailable(
+                    purse.tenant,
+                    "control did not confirm in time",
+                    max(_RETRY_SOON_S, opens_in_s + _POLL_S),
+                )
         return True
 
     def _out_of_touch(self) -> bool:
@@ -199,11 +208,11 @@
             if missing <= 0:
                 return
             if self._out_of_touch():
-                raise self._unavailable(tenant.name, "control is out of reach")
+                raise self._unavailable(tenant.name, "control is out of reach", _RETRY_LATE_S)
             wanted = max(missing, self._growth(purse))
             left_s = deadline_s - self._environment.monotonic()
             if left_s <= 0:
-                raise self._unavailable(tenant.name, "no tokens came in time")
+                raise self._unavailable(tenant.name, "no tokens came in time", _RETRY_SOON_S)
             result = await self._draw(purse, wanted, missing, min(left_s, _DRAW_TIMEOUT_S))
         if purse.free >= tokens:
             return
@@ -212,7 +221,8 @@
             purse.refused_until_s = self._environment.monotonic() + _REFUSAL_HOLDS_S
             raise self._exhausted(tenant.name, tokens)
         if not result.recallable:
-            raise self._unavailable(tenant.name, "what is left is charged for lost routers")
+            why = "what is left is charged for lost routers"
+            raise self._unavailable(tenant.name, why, _RETRY_LATE_S)
         await asyncio.sleep(_RECALL_PAUSE_S)
 
     async def _draw(
@@ -233,7 +243,7 @@
         try:
             result = await self._link.call(command, timeout_s)
         except PeerUnavailableError as error:
-            raise self._unavailable(purse.tenant, error.message) from error
+            raise self._unavailable(purse.tenant, error.message, _RETRY_SOON_S) from error
         granted = result.granted - purse.granted
         purse.granted = max(purse.granted, result.granted)
         self._log.info(
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -7,11 +7,14 @@
 from typing import cast
 
 from heronladder_control.prepaid import PrepaidTable
+from heronladder_router.errors import PrepaidUnavailableError
 from heronladder_router.prepaid_purse import PrepaidPurse
 from heronladder_router.prepaid_tokens import PrepaidTokens
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.errors import PeerUnavailableError
 from heronladder_runtime.logs import EventLog
+from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S
 from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
 
 _TENANT = resources_pb2.PrepaidTenant(name="t", prepaid_tokens=1_000_000, limited=True)
@@ -58,10 +61,16 @@
         self, command: control_pb2.Command, timeout_s: float | None = None
     ) -> control_pb2.CommandResult:
         if not self.reached:
-            await self._waiting.wait()
+            await self._wait_for_the_end_of_the_cut(timeout_s)
         self.draws.append(command.draw_tokens)
         return self.table.draw(command.draw_tokens)
 
+    async def _wait_for_the_end_of_the_cut(self, timeout_s: float | None) -> None:
+        try:
+            await asyncio.wait_for(self._waiting.wait(), timeout_s)
+        except TimeoutError as error:
+            raise PeerUnavailableError("silent", step="call", peer="control") from error
+
     def beat_now(self) -> None:
         """Confirm whatever is announced, unless cut off."""
         if self.reached:
@@ -139,6 +148,17 @@
         await self._serve(1)
         self.assertGreaterEqual(self.control.table.charged(_account(self.control)), 250_000)
 
+    async def test_a_refusal_tells_when_the_window_opens(self) -> None:
+        """Callers of the first 2 s of a cut were told 5 s, and came back in it once more."""
+        await self._serve(4)
+        self.control.cut()
+        self.clock.now_s += 0.75
+        with self.assertRaises(PrepaidUnavailableError) as refused:
+            await self._serve(1, a_second=100_000)
+        self.assertEqual(refused.exception.message, "control did not confirm in time")
+        opens_in_s = self.control.last_heard_s + WINDOW_HOLDS_S - self.clock.now_s
+        self.assertAlmostEqual(refused.exception.retry_after_s or 0.0, opens_in_s, delta=0.05)
+
 
 def _account(control: _Control) -> ledger_pb2.PrepaidAccount:
     return control.table.accounts[_TENANT.name]
