Load only the roles that a process runs; compose each role in a module of its own

Change: compose_control, compose_agent, compose_router and compose_gateway make the roles and are imported where a role starts; readiness stands apart from the operator's calls; what tells errors to callers stands in one module. No change in behaviour. Test: test_role_imports, failing before.

--- /dev/null
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -0,0 +1,83 @@
+"""Makes a control member from settings."""
+
+from collections.abc import Callable
+from pathlib import Path
+
+import grpc.aio
+from heronladder_consensus.timing import ConsensusTiming
+from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_runtime.clock import Environment, seconds
+from heronladder_runtime.disk import FolderDisk
+from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.rpc import StubFactory, make_server
+from heronladder_runtime.settings import DaemonSettings
+from heronladder_schema.v1 import consensus_pb2
+from heronladder_schema.v1.consensus_pb2_grpc import add_ConsensusServicer_to_server
+from heronladder_schema.v1.control_pb2_grpc import add_ControlServicer_to_server
+
+from heronladder_daemon.members import parse_members, parse_regions
+
+
+def compose_control(
+    settings: DaemonSettings,
+    stubs: StubFactory,
+    environment: Environment,
+    failed: Callable[[HeronladderError], None],
+) -> ControlMember:
+    """Return a control member that is not started yet.
+
+    Args:
+        settings: All settings.
+        stubs: Makes stubs to other members.
+        environment: Time and randomness.
+        failed: Called when the member cannot go on.
+    """
+    common, control = settings.common, settings.control
+    options = ControlOptions(
+        name=common.name,
+        region=common.region,
+        initial_members=parse_members(control.initial_members),
+        timing=ConsensusTiming(
+            seconds(control.election_timeout_ms),
+            control.snapshot_entries,
+            control.tolerated_losses,
+        ),
+        freshness_s=seconds(control.freshness_ms),
+        gone_after_s=seconds(control.gone_after_ms),
+        region_addresses=parse_regions(control.region_addresses),
+        me=_own_entry(settings),
+        contacts=[entry for entry in control.join_contacts.split(",") if entry],
+    )
+    disk = FolderDisk(Path(common.data_folder) / "control")
+    return ControlMember(options, disk, stubs, environment, failed)
+
+
+def _own_entry(settings: DaemonSettings) -> consensus_pb2.Member | None:
+    """Return this member's entry, if it may ask to be taken into a group."""
+    common, control = settings.common, settings.control
+    if not control.join_contacts:
+        return None
+    return consensus_pb2.Member(
+        name=common.name,
+        address=control.control_listen,
+        zone=common.zone,
+        api_address=control.member_api_address or control.api_listen,
+    )
+
+
+def make_control_server(member: ControlMember, address: str) -> grpc.aio.Server:
+    """Return a gRPC server of a member's services, not started yet.
+
+    Args:
+        member: The member.
+        address: IP:port to listen on.
+
+    Raises:
+        HeronladderError: If the address cannot be listened on.
+    """
+    server = make_server()
+    add_ConsensusServicer_to_server(member.consensus_service, server)
+    add_ControlServicer_to_server(member.service, server)
+    if server.add_insecure_port(address) == 0:
+        raise HeronladderError("cannot listen", step="listen", peer=address)
+    return server
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -9,6 +9,7 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_schema.v1 import ledger_pb2
 
+from heronladder_router.error_answer import OUTCOME_HEADER, error_document
 from heronladder_router.errors import (
     OUTCOME_WORDS,
     BodyTooLargeError,
@@ -27,10 +28,8 @@
     parse_bounds,
 )
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
-from heronladder_router.intake import error_document
 from heronladder_router.kept_parts import parse_parts
 from heronladder_router.replica_attempt import is_hop_header
-from heronladder_router.server import OUTCOME_HEADER
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _LAST_PRIORITY = 9
--- a/packages/heronladder-router/src/heronladder_router/intake.py
+++ b/packages/heronladder-router/src/heronladder_router/intake.py
@@ -1,6 +1,5 @@
 """From what came over HTTP to an admitted request: tenant, service, bounds."""
 
-import json
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -195,9 +194,3 @@
             if route.method in ("*", method) and path.startswith(route.path_prefix):
                 return route.repeatable
         return method in _SAFE_METHODS
-
-
-def error_document(message: str, code: str) -> bytes:
-    """Return the body of an error, in the form OpenAI clients know."""
-    error = {"message": message, "type": code, "param": None, "code": code}
-    return json.dumps({"error": error}).encode()
--- a/packages/heronladder-router/src/heronladder_router/server.py
+++ b/packages/heronladder-router/src/heronladder_router/server.py
@@ -13,6 +13,7 @@
 from heronladder_schema.v1 import ledger_pb2
 
 from heronladder_router.caller_answer import CallerAnswer
+from heronladder_router.error_answer import OUTCOME_HEADER, error_document
 from heronladder_router.errors import (
     OUTCOME_WORDS,
     BodyTooLargeError,
@@ -26,12 +27,10 @@
     COMPLETIONS_PATH,
     Intake,
     RawCall,
-    error_document,
 )
 from heronladder_router.requests import CallerRequest
 from heronladder_router.service_levels import ServiceLevels
 
-OUTCOME_HEADER = "Heronladder-Outcome"
 REQUEST_ID_HEADER = "Heronladder-Request-Id"
 KEY_HEADER = "Idempotency-Key"
 _BODY_TIMEOUT_S = 30.0
--- a/packages/heronladder-runtime/src/heronladder_runtime/clock.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/clock.py
@@ -8,6 +8,11 @@
 MILLISECONDS_PER_SECOND = 1000
 
 
+def seconds(milliseconds: float) -> float:
+    """Return a duration in seconds."""
+    return milliseconds / MILLISECONDS_PER_SECOND
+
+
 def _system_wall_ms() -> int:
     return int(time.time() * MILLISECONDS_PER_SECOND)
 
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -13,7 +13,8 @@
 from heronladder_daemon.daemon import Daemon
 from heronladder_platform import names as platform_names
 from heronladder_platform import settings as platform_settings
-from heronladder_platform.control_api import ControlApi, ready_application
+from heronladder_platform.control_api import ControlApi
+from heronladder_platform.readiness import ready_application
 from heronladder_tools.demo_fleet import free_addresses
 
 HOST = "canteen.example"
