--- /dev/null
+++ b/scripts/event_reference.py
@@ -0,0 +1,194 @@
+"""Writes docs/operators/events.md: every log event and metric of the daemons, from the code.
+
+Usage: ``python scripts/event_reference.py`` at the root of the repository. The
+names and fields are read from the sources; what they mean stands below, and a
+test fails when one is missing, left over, or the page is out of date.
+"""
+
+import ast
+from collections import defaultdict
+from dataclasses import dataclass, field
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+PAGE = ROOT / "docs" / "operators" / "events.md"
+_SOURCES = ("packages/*/src/**/*.py", "platform/**/*.py")
+_OUTSIDE_DAEMONS = ("heronladder_tools", "heronladder_emulator", "_pb2")
+_LEVELS = frozenset({"debug", "info", "warning", "error"})
+_LOG_NAMES = frozenset({"log", "_log", "event_log"})
+_METRICS_NAMES = frozenset({"metrics", "_metrics"})
+_METRIC_KINDS = {"add": "counter", "observe": "histogram"}
+_COMMON_FIELDS = frozenset({"step", "peer"})
+
+EVENT_MEANINGS = {
+    "agent_lost": "An agent could not be reached, or was lost in the middle of an answer.",
+    "allotment_failed": "Tokens asked of another region did not come.",
+    "allotment_received": "Tokens of another region were credited here.",
+    "configuration_in_use": "A gateway acts on this version from now on.",
+    "control_lost": "A stream to control ended or could not be opened; `silent_s` since a frame.",
+    "control_regained": "Control is heard again after a long silence.",
+    "daemon_failed": "A daemon ends by itself.",
+    "daemon_started": "All roles of a daemon are up.",
+    "daemon_stopped": "A planned stop is over.",
+    "daemon_stopping": "A planned stop began.",
+    "disk_refuses_writes": "A member's disk takes no writes; it steps down and tries again.",
+    "engine_control_failed": "An order to an engine failed.",
+    "engine_holds_newer_fence": "An engine was ordered by a newer agent; this one gives way.",
+    "engine_ordered": "An engine took an order.",
+    "folder_is_new_in_a_running_group": "A member with an empty folder joins a group that runs.",
+    "group_formed": "The first members of a group found each other.",
+    "leader_chores_ended": "A leader's periodic work stopped, with its leadership.",
+    "leader_elected": "This member leads, in this term.",
+    "leader_stepped_down": "This member leads no more.",
+    "leases_dropped": "A router forgot its leases: control charged its incarnation.",
+    "member_changed": "A member was added to the group or became a voter.",
+    "member_counts_again": "A repaired member has caught up and counts for the quorum.",
+    "member_failed": "A member cannot go on.",
+    "member_removed": "A member is out of the group.",
+    "outcome_unknown": "It is not known whether a request ran; the agent will be asked.",
+    "planned_stop_cuts_requests": "The grace of a planned stop ran out with requests in flight.",
+    "planned_stop_cuts_runs": "The same at an agent.",
+    "platform_unreadable": "The platform's list of machines could not be read.",
+    "prepaid_drawn": "Tokens asked of control: got, free here now, left at control.",
+    "prepaid_holder_closed": "A gateway is gone: what its tenants were charged for it.",
+    "replica_forgotten": "A replica left the list.",
+    "replica_known": "A replica is new, or its registration changed.",
+    "replica_suspected": "A send failed: others are preferred for `for_s`.",
+    "replica_trusted": "A suspected replica gave a whole answer.",
+    "request_ended": "The end of a request that passed intake, with all that was counted.",
+    "request_failed": "A fault of ours ended a request.",
+    "request_refused": "A request ended with an error of ours, and why.",
+    "request_sent": "A replica was chosen, with what decided it.",
+    "reservation_passed": "An engine made more tokens than were reserved; it was cancelled.",
+    "router_gone": "A router is declared gone; its leases are collected.",
+    "send_failed": "A send gave no whole answer; `kind` says whether it may have run.",
+    "session_rejected": "Control knows another incarnation of this daemon.",
+    "settings_not_reloaded": "The new settings are wrong; the earlier ones stay.",
+    "settings_reloaded": "New settings are in use.",
+    "snapshot_installed": "A member took a snapshot from the leader.",
+    "snapshot_not_saved": "A snapshot could not be written; the log is kept.",
+    "snapshot_saved": "A snapshot was written; the log before it may go.",
+    "start_failed": "A daemon could not start.",
+    "stopped_without_control": "Tokens could not be given back in a planned stop.",
+    "stream_broken": "An answer that had begun was cut.",
+    "task_failed": "A background task ended with an error.",
+    "tokens_refused": "A tenant's tokens could not be reserved; `held` is what was here.",
+    "torn_write_dropped": "The last write before a crash was torn and dropped.",
+}
+
+METRIC_MEANINGS = {
+    "agent_refusals": "Requests that an agent refused, by code.",
+    "agent_run": "Time of a run at an agent.",
+    "agent_tokens": "Tokens that engines made.",
+    "attached": "Retries that were attached to a first attempt.",
+    "callers_gone": "Callers that left before their answer's end.",
+    "command": "Time until a command was committed.",
+    "first_token": "Time to the first token.",
+    "gateway_request": "Time of a request at a gateway, by outcome.",
+    "objective_events": "Answers that count for an objective.",
+    "objective_met": "Answers that met it.",
+    "planned_stop_cuts": "Requests cut by planned stops.",
+    "refused": "Refusals, by code.",
+    "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
+    "retries": "Further sends of routers.",
+    "sends_failed": "Sends without a whole answer, by kind.",
+    "streams_broken": "Streams that were cut after they had begun.",
+    "whole_answer": "Time of a whole answer.",
+}
+
+
+@dataclass
+class Found:
+    """What the sources say of one event or metric.
+
+    Attributes:
+        kinds: Log levels of an event, or the kind of a metric.
+        fields: Keys of an event beside ``step`` and ``peer``.
+        modules: Modules that write it.
+    """
+
+    kinds: set[str] = field(default_factory=set)
+    fields: set[str] = field(default_factory=set)
+    modules: set[str] = field(default_factory=set)
+
+
+@dataclass
+class Reference:
+    """All events and metrics, by name."""
+
+    events: dict[str, Found] = field(default_factory=lambda: defaultdict(Found))
+    metrics: dict[str, Found] = field(default_factory=lambda: defaultdict(Found))
+
+
+def read_sources() -> Reference:
+    """Return what the daemons' sources log and count."""
+    reference = Reference()
+    for pattern in _SOURCES:
+        for path in sorted(ROOT.glob(pattern)):
+            if any(word in str(path) for word in _OUTSIDE_DAEMONS):
+                continue
+            for node in ast.walk(ast.parse(path.read_text())):
+                if isinstance(node, ast.Call):
+                    _note_call(reference, node, path.stem)
+    return reference
+
+
+def _note_call(reference: Reference, call: ast.Call, module: str) -> None:
+    function = call.func
+    if not isinstance(function, ast.Attribute) or not call.args:
+        return
+    name = call.args[0]
+    if not isinstance(name, ast.Constant) or not isinstance(name.value, str):
+        return
+    owner = _last_name(function.value)
+    if owner in _LOG_NAMES and function.attr in _LEVELS:
+        found = reference.events[name.value]
+        found.kinds.add(function.attr)
+        found.fields |= {key.arg for key in call.keywords if key.arg} - _COMMON_FIELDS
+    elif owner in _METRICS_NAMES and function.attr in _METRIC_KINDS:
+        found = reference.metrics[name.value]
+        found.kinds.add(_METRIC_KINDS[function.attr])
+    else:
+        return
+    found.modules.add(module)
+
+
+def _last_name(node: ast.expr) -> str:
+    if isinstance(node, ast.Attribute):
+        return node.attr
+    return node.id if isinstance(node, ast.Name) else ""
+
+
+def page(reference: Reference) -> str:
+    """Return the page as Markdown."""
+    lines = [
+        "# Log events and metrics",
+        "",
+        "Made from the code by `scripts/event_reference.py`; CI checks it. Each line of a log",
+        "has `time`, `level`, `logger`, `event`, `daemon`, and most have `step` and `peer`.",
+        "",
+        "## Events",
+        "",
+        "| event | level | fields | meaning | module |",
+        "|---|---|---|---|---|",
+    ]
+    lines += _rows(reference.events, EVENT_MEANINGS, with_fields=True)
+    lines += ["", "## Metrics", "", "| metric | kind | meaning | module |", "|---|---|---|---|"]
+    lines += _rows(reference.metrics, METRIC_MEANINGS, with_fields=False)
+    return "\n".join([*lines, ""])
+
+
+def _rows(found: dict[str, Found], meanings: dict[str, str], *, with_fields: bool) -> list[str]:
+    rows = []
+    for name in sorted(found):
+        entry = found[name]
+        cells = [f"`{name}`", ", ".join(sorted(entry.kinds))]
+        if with_fields:
+            cells.append(", ".join(f"`{key}`" for key in sorted(entry.fields)))
+        cells += [meanings.get(name, ""), ", ".join(sorted(entry.modules))]
+        rows.append("| " + " | ".join(cells) + " |")
+    return rows
+
+
+if __name__ == "__main__":
+    PAGE.write_text(page(read_sources()))
