--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -166,6 +166,7 @@
         "",
         "Made from the code by `scripts/event_reference.py`; CI checks it. Each line of a log",
         "has `time`, `level`, `logger`, `event`, `daemon`, and most have `step` and `peer`.",
+        "`log_lines_dropped` (`lines`) is the writer's own: so many lines were too much.",
         "",
         "## Events",
         "",
