--- /dev/null
+++ b/tests/test_gateway_refusals.py
@@ -0,0 +1,68 @@
+"""How long a gateway waits for prepaid tokens before it refuses."""
+
+import unittest
+from types import SimpleNamespace
+from typing import Any, cast
+
+from heronladder_router.errors import PrepaidUnavailableError
+from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
+from heronladder_router.gateway_request import AnswerSink, GatewayRequest, TokenBounds
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
+from heronladder_schema.v1 import resources_pb2
+
+_PART_OF_OBJECTIVE = 4  # a refusal later than a quarter of it cannot be made good
+
+
+class _Clock(Environment):
+    def monotonic(self) -> float:
+        return 100.0
+
+
+class _NoTokens:
+    """Prepaid tokens that are never to be had; notes how long they were waited for."""
+
+    def __init__(self) -> None:
+        self.waited_s = -1.0
+
+    def held(self, tenant: str) -> str:
+        return "none"
+
+    async def reserve(self, tenant: Any, tokens: int, wait_s: float) -> None:
+        self.waited_s = wait_s
+        raise PrepaidUnavailableError("none", step="test", peer="t", retry_after_s=1.0)
+
+
+class RefusalTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_refusal_for_want_of_tokens_comes_within_a_quarter_of_the_objective(
+        self,
+    ) -> None:
+        """Each waited 0.3 s where a quarter of the objective is 0.2 s (canteens)."""
+        tokens = _NoTokens()
+        parts = SimpleNamespace(
+            link=SimpleNamespace(routers=1),
+            allowance=SimpleNamespace(gateways=1, request=lambda service: None),
+            tokens=tokens,
+            environment=_Clock(),
+            log=EventLog("test", "gateway"),
+        )
+        for objective_ms in (800, 1500):
+            request = SimpleNamespace(
+                request_id="r",
+                wish=SimpleNamespace(service="model"),
+                bounds=TokenBounds(1000, 100),
+                deadline_s=115.0,
+                matched=SimpleNamespace(
+                    tenant=resources_pb2.PrepaidTenant(name="t", prepaid_tokens=1, limited=True),
+                    route=resources_pb2.HostRoute(objective_ms=objective_ms),
+                    version=1,
+                ),
+            )
+            dispatcher = GatewayDispatcher(cast(GatewayParts, parts))
+            with self.assertRaises(PrepaidUnavailableError):
+                await dispatcher.serve(cast(GatewayRequest, request), cast(AnswerSink, None))
+            self.assertLess(tokens.waited_s, objective_ms / 1000 / _PART_OF_OBJECTIVE)
+
+
+if __name__ == "__main__":
+    unittest.main()
