Charge a tenant for what it got: nothing of a run that handed out nothing

Cause: a run that was lost, failed or given up before its first event was charged with its prompt. Change: used is 0 unless something was handed out; a whole answer costs its most. request_ended tells sent, first event and longest pause in ms.

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -36,6 +36,11 @@
 _REPLICA_WAIT_S = 0.2
 
 
+def _since_ms(start_s: float, moment_s: float | None) -> int | None:
+    """Return the time to a moment in ms; None if it never came."""
+    return None if moment_s is None else int((moment_s - start_s) * MILLISECONDS_PER_SECOND)
+
+
 class StreamBrokenError(HeronladderError):
     """A stream that had begun cannot go on; its connection must be cut."""
 
@@ -129,6 +134,10 @@
             last_event=progress.cutter.last_id,
             reserved=reservation.tokens if reservation is not None else 0,
             used=used,
+            objective_ms=request.matched.route.objective_ms,
+            sent_ms=_since_ms(request.arrived_s, progress.sent_s),
+            first_event_ms=_since_ms(request.arrived_s, progress.first_event_s),
+            longest_pause_ms=int(progress.longest_pause_s * MILLISECONDS_PER_SECOND),
             held_ms=int((now_s - request.arrived_s) * MILLISECONDS_PER_SECOND),
             left_ms=int((request.deadline_s - now_s) * MILLISECONDS_PER_SECOND),
         )
@@ -159,14 +168,18 @@
             raise
 
     def _used(self, request: GatewayRequest, progress: AnswerProgress) -> int:
-        """Return the most tokens that replicas can have used."""
+        """Return the most tokens that the tenant can have got.
+
+        A run that ended before anything of it was handed out gave the tenant
+        nothing and costs nothing: prepaid tokens are what a tenant gets.
+        """
         bounds = request.bounds
-        if bounds is None or not progress.ran:
+        if bounds is None or not progress.handed_out:
             return 0
         service = self._parts.routes.services.get(request.wish.service)
         per_event = service.engine.tokens_per_event if service is not None else 0
-        if not per_event:
-            return bounds.total
+        if not (per_event and progress.cutter.events):
+            return bounds.total  # a whole answer, whose tokens are not told
         out = progress.cutter.events * per_event
         if not progress.finished:
             out += _LATE_TOKENS
@@ -231,6 +244,8 @@
     ) -> None:
         progress.sends += 1
         progress.replica = replica.name
+        if progress.sent_s is None:
+            progress.sent_s = self._parts.environment.monotonic()
         self._parts.log.info(
             "request_sent",
             step="send",
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -70,15 +70,34 @@
         cutter: Events passed on.
         ran: Whether a replica may have run it.
         finished: Whether the whole answer was passed on.
+        handed_out: Whether the caller got any of a replica's success.
         sends: How often it was sent to a replica.
         replica: Identity of the replica it was sent to last.
+        sent_s: When it was first sent, on the loop's clock; None before.
+        first_event_s: When its first event was passed on; None before.
+        last_event_s: When its newest event was passed on.
+        longest_pause_s: Longest time between two events passed on.
     """
 
     cutter: EventCutter = field(default_factory=EventCutter)
     ran: bool = False
     finished: bool = False
+    handed_out: bool = False
     sends: int = 0
     replica: str = ""
+    sent_s: float | None = None
+    first_event_s: float | None = None
+    last_event_s: float = 0.0
+    longest_pause_s: float = 0.0
+
+    def passed_on(self, now_s: float) -> None:
+        """Note that events were passed on."""
+        self.handed_out = True
+        if self.first_event_s is None:
+            self.first_event_s = now_s
+        else:
+            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_event_s)
+        self.last_event_s = now_s
 
 
 class ReplicaAttempts:
@@ -207,6 +226,7 @@
         if answer.status >= _FIRST_SERVER_ERROR:
             raise RunFailedError(answer, step="send", peer=replica.name)
         progress.finished = True
+        progress.handed_out = success
         await sink.whole(answer)
 
     async def _pass_stream(
@@ -233,12 +253,14 @@
             whole = cutter.feed(chunk)
             if whole:
                 reading.done()
+                progress.passed_on(self._environment.monotonic())
                 await self._write(response, sink, whole)
         if not cutter.clean:
             raise RunLostError("the stream ended within an event", step="read_stream")
         if not sink.started:
             await sink.start(ReplicaAnswer(response.status, _passed_headers(response)))
         progress.finished = True
+        progress.handed_out = True
         await sink.finish()
 
     @staticmethod
--- /dev/null
+++ b/tests/test_prepaid_use.py
@@ -0,0 +1,95 @@
+"""What a request costs its tenant: what the tenant got of it, over real sockets."""
+
+import unittest
+
+from platform_stand_ins import (
+    END_OF_CHUNKS,
+    KEY,
+    SERVICE,
+    Fleet,
+    Received,
+    StandInReplica,
+    answer,
+    configuration,
+    event,
+    route,
+    start_fleet,
+    stream_head,
+)
+
+_PROMPT_TOKENS = 1_000
+_MOST_OUT = 80
+_TOKENS_AN_EVENT = 8
+_AFTER_A_CUT = 40  # an engine may make them before it notices that its reader left
+_ENGINE = {"slots": 8, "kvCapacityTokens": 100_000, "stride": _TOKENS_AN_EVENT}
+
+
+class PrepaidUseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        tenant = {"name": "tenant-a", "apiKeys": [KEY], "prepaid": 100_000}
+        service = {"name": SERVICE, "healthPath": "/h", "maxConnections": 9, "engine": _ENGINE}
+        streams = [
+            route("/stream/", kind="streaming", resumable=False, gapAimMs=400),
+            route("/resumable/", kind="streaming", resumable=True, gapAimMs=400),
+        ]
+        self.fleet: Fleet = await start_fleet(
+            configuration(1, *streams, tenants=[tenant], services=[service])
+        )
+        self.addAsyncCleanup(self.fleet.stop)
+
+    async def _used(self, path: str) -> int:
+        """Make one request; return what it cost."""
+        headers = {"Token_Usage": f"{_PROMPT_TOKENS},{_MOST_OUT}", "Prompt_Prefix": "a:1000"}
+        try:
+            await self.fleet.request(path, **headers)
+        except OSError:
+            pass  # the stream broke, as the script had it
+        except Exception as error:
+            self.assertIn("Payload", type(error).__name__)
+        assert self.fleet.gateway.gateway is not None
+        balance = self.fleet.gateway.gateway.tokens._purses["tenant-a"]
+        self.assertEqual(balance.reserved, 0)
+        return balance.spent
+
+    async def test_a_run_that_handed_out_nothing_costs_nothing(self) -> None:
+        """4 in 100 of a tenant's tokens were charged for answers that were lost (trouble-1)."""
+
+        async def lose(replica: StandInReplica, received: Received) -> bytes:
+            return b""
+
+        await self.fleet.add_replica("i-1", lose)
+        self.assertEqual(await self._used("/stream/"), 0)
+
+    async def test_a_failure_of_the_replica_costs_nothing(self) -> None:
+        async def fail(replica: StandInReplica, received: Received) -> bytes:
+            return answer(received, "500 Internal Server Error")
+
+        await self.fleet.add_replica("i-1", fail)
+        self.assertEqual(await self._used("/stream/"), 0)
+
+    async def test_a_stream_cut_in_the_middle_costs_what_may_have_come_out(self) -> None:
+        async def cut(replica: StandInReplica, received: Received) -> bytes:
+            replica.close_after = True
+            return stream_head(received) + event(1) + event(2)
+
+        await self.fleet.add_replica("i-1", cut)
+        expected = _PROMPT_TOKENS + 2 * _TOKENS_AN_EVENT + _AFTER_A_CUT
+        self.assertEqual(await self._used("/stream/"), expected)
+
+    async def test_a_prompt_is_charged_once_when_a_stream_goes_on_elsewhere(self) -> None:
+        sent = []
+
+        async def in_two(replica: StandInReplica, received: Received) -> bytes:
+            sent.append(received)
+            replica.close_after = True
+            if len(sent) == 1:
+                return stream_head(received) + event(1)
+            return stream_head(received) + event(2) + END_OF_CHUNKS
+
+        await self.fleet.add_replica("i-1", in_two)
+        await self.fleet.add_replica("i-2", in_two)
+        self.assertEqual(await self._used("/resumable/"), _PROMPT_TOKENS + 2 * _TOKENS_AN_EVENT)
+
+
+if __name__ == "__main__":
+    unittest.main()
