heronladder losses: where requests were lost, late or refused, from logs

Cause: finding what binds took hand-made scripts, and late answers could not be told apart (waiting, first event, pause). Change: a command that reads logs of gateways line by line and counts outcomes by interval, daemon, route, replica, tenant and reason; request_ended tells sent, first event and longest pause. A configuration that cannot be unpacked ends the stream and is fetched anew (test failed: the link's task ended).

--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -336,7 +336,7 @@
             self._control_time_ms = frame.control_time_ms
             self._note_heard()
         if frame.HasField("config"):
-            self.configuration.apply(unpack(frame.config))
+            self._apply_configuration(frame.config)
             session.heartbeat_due = True  # tells control at once that it is applied
             session.wake.set()
         if frame.heartbeat_ack:
@@ -348,6 +348,13 @@
                 call.answer.set_result(answer.result)
         self._take_orders(frame)
 
+    def _apply_configuration(self, update: control_pb2.ConfigUpdate) -> None:
+        try:
+            unpacked = unpack(update)
+        except ValueError as error:
+            raise ConnectionError(str(error)) from error  # another stream sends it anew
+        self.configuration.apply(unpacked)
+
     def _note_heard(self) -> None:
         now_s = self._environment.monotonic()
         silent_s = now_s - self.last_heard_s
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -191,6 +191,7 @@
     toolbox_commands.load,
     toolbox_commands.emulate,
     toolbox_commands.explain,
+    toolbox_commands.losses,
     toolbox_commands.soak,
 ):
     application.command()(_command)
--- a/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
@@ -33,6 +33,7 @@
 from heronladder_tools.experiment import balancing_text, compare_balancers, plot_balancing
 from heronladder_tools.explain import explain_request, explanation_text
 from heronladder_tools.load import LoadOptions, load_text, run_load
+from heronladder_tools.losses import LossTable, losses_text, read_losses
 from heronladder_tools.operator_client import OperatorClient
 from heronladder_tools.operator_commands import DEFAULT_API, Api, Token, read_files, run_command
 from heronladder_tools.planner import PlannedLoad, plan_text
@@ -258,6 +259,19 @@
         raise typer.Exit(_EXIT_FOUND)
 
 
+def losses(
+    logs: Annotated[list[Path], typer.Argument(help="logs of gateways, in any order")],
+    interval_s: Annotated[float, typer.Option(help="length of an interval, in seconds")] = 2.0,
+    pause_ms: Annotated[int, typer.Option(help="longest pause of a stream, in ms")] = 600,
+) -> None:
+    """Tell where requests were lost, late or refused, by interval, route, tenant and reason."""
+    if interval_s <= 0:
+        raise typer.BadParameter("must be above 0", param_hint="--interval-s")
+    table = LossTable(interval_s, pause_ms)
+    read_losses(logs, table)
+    print(losses_text(table))
+
+
 def explain(
     request_id: Annotated[str, typer.Argument(help="identifier of the request")],
     logs: Annotated[list[Path], typer.Argument(help="logs of the daemons, in any order")],
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import unittest
 from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
 from typing import Any
 
 from heronladder_runtime.clock import Environment
@@ -34,27 +35,61 @@
                 )
 
 
+class _SendsGarbageFirst(ControlServicer):
+    """Sends a configuration that cannot be unpacked on its first stream, a sound one after."""
+
+    def __init__(self) -> None:
+        self.streams = 0
+
+    async def Session(
+        self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
+    ) -> AsyncIterator[control_pb2.ControlFrame]:
+        self.streams += 1
+        packed = b"garbage" if self.streams == 1 else b""
+        update = control_pb2.ConfigUpdate(snapshot=True, revision=5, packed_events=packed)
+        yield control_pb2.ControlFrame(config=update)
+        async for _ in request_iterator:
+            pass
+
+
 class ControlLinkTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_silent_stream_is_given_up_and_another_is_opened(self) -> None:
         service = _FallsSilent()
-        server = make_server()
-        add_ControlServicer_to_server(service, server)
-        port = server.add_insecure_port("127.0.0.1:0")
-        await server.start()
-        stubs = GrpcStubs()
-        record = ledger_pb2.DaemonRecord(name="gateway-1", role="router", incarnation="a")
-        link = ControlLink(
-            record, [f"127.0.0.1:{port}"], stubs, _HEARTBEAT_S, LinkHandlers(), Environment()
-        )
-        link.start()
-        try:
-            async with asyncio.timeout(10):
-                while service.streams < 2:
-                    await asyncio.sleep(0.05)
-                link.last_heard_s = float("-inf")
-                while link.last_heard_s < 0:
-                    await asyncio.sleep(0.05)
-        finally:
-            await link.abort()
-            await stubs.close()
-            await server.stop(0)
+        async with _linked(service) as link, asyncio.timeout(10):
+            while service.streams < 2:
+                await asyncio.sleep(0.05)
+            link.last_heard_s = float("-inf")
+            while link.last_heard_s < 0:
+                await asyncio.sleep(0.05)
+
+    async def test_a_configuration_that_cannot_be_unpacked_is_fetched_anew(self) -> None:
+        service = _SendsGarbageFirst()
+        async with _linked(service) as link, asyncio.timeout(10):
+            while link.configuration.revision < 5:
+                await asyncio.sleep(0.05)
+        self.assertEqual(service.streams, 2)
+
+
+@asynccontextmanager
+async def _linked(service: ControlServicer) -> AsyncIterator[ControlLink]:
+    """Run a link to a service over loopback."""
+    server = make_server()
+    add_ControlServicer_to_server(service, server)
+    port = server.add_insecure_port("127.0.0.1:0")
+    await server.start()
+    stubs = GrpcStubs()
+    record = ledger_pb2.DaemonRecord(name="gateway-1", role="router", incarnation="a")
+    link = ControlLink(
+        record, [f"127.0.0.1:{port}"], stubs, _HEARTBEAT_S, LinkHandlers(), Environment()
+    )
+    link.start()
+    try:
+        yield link
+    finally:
+        await link.abort()
+        await stubs.close()
+        await server.stop(0)
+
+
+if __name__ == "__main__":
+    unittest.main()
