Give what is left after a loss to whoever asks, large requests too

Change: no request is refused while what is left holds it; after a loss nothing is held ahead of need, as before.

--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -15,8 +15,7 @@
 
 from heronladder_control.results import failure, success
 
-_SCARCE_SHARE = 0.1  # of the limit: with less left after a loss, the rest is eked out
-_SPARED_PARTS = 12  # of the rest then; a larger request does not get it
+_SCARCE_SHARE = 0.1  # of the limit: with less left after a loss, nothing is held ahead (chosen)
 _MOST_HELD = 0.75  # of what is not spent, by all holders together
 
 
@@ -73,7 +72,7 @@
         if order.minimum and not amount:
             result.code = control_pb2.RESULT_CODE_EXHAUSTED
         result.granted = holder.granted
-        if not self._spared(account, order) and self._unused(account) >= order.minimum:
+        if self._unused(account) >= order.minimum:
             result.recallable = self._unspent_of_others(account, holder)
         result.surely_exhausted = self._surely_exhausted(account, order)
         return result
@@ -110,10 +109,8 @@
         available = self.available(account)
         if available < order.minimum:
             return 0
-        if self._spared(account, order):
-            return 0
         if self._scarce(account):
-            return order.minimum
+            return order.minimum  # tokens held ahead would lie idle where nobody asks
         return min(order.wanted, available, max(self._fair_rest(account, order), order.minimum))
 
     def _scarce(self, account: ledger_pb2.PrepaidAccount) -> bool:
@@ -121,14 +118,6 @@
         lost = account.closed_charge > account.closed_spent
         return lost and self._unused(account) < account.limit * _SCARCE_SHARE
 
-    def _spared(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> bool:
-        """Whether what is left is spared for smaller requests.
-
-        A few large ones would take it at once.
-        """
-        too_large = order.minimum * _SPARED_PARTS > self._unused(account)
-        return too_large and self._scarce(account)
-
     def _unused(self, account: ledger_pb2.PrepaidAccount) -> int:
         """Return what no request has or may have used, whoever holds it."""
         held = sum(
