Let a draw outlast the request that began it; hold more where draws are slow

Change: draws run on by themselves, one at a time a tenant, and serve later requests; their duration is smoothed and sets what is held right after a cut and what a refusal tells. Before and after: two tests failed before.

--- a/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/prepaid_tokens.py
@@ -17,13 +17,13 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
+from heronladder_router.draw_pace import DrawPace
 from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
 from heronladder_router.prepaid_purse import PrepaidPurse
 
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
 _FIRST_SHARE = 4  # all gateways together hold one part in four before a rate is known
 _AFTER_CUT_S = 6.0  # for so long no more is held than is needed
-_AFTER_CUT_HELD_S = 0.7  # spending that is held then
 _DRAW_TIMEOUT_S = 1.0
 _DRAW_AHEAD_PAUSE_S = 0.7
 _DRAW_AHEAD_BELOW = 0.8  # of the target; a cut comes without notice
@@ -34,7 +34,6 @@
 _ANNOUNCED_AHEAD_S = WINDOW_HOLDS_S + 0.3  # a heartbeat more
 _WINDOW_WAIT_S = 0.5
 _POLL_S = 0.01
-_RETRY_SOON_S = 0.3  # control is in touch and was only slow
 _RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 _OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain
 _STEP = "reserve_prepaid"
@@ -64,9 +63,11 @@
         self._tasks = TaskGroupOwner(log)
         self._purses: dict[str, PrepaidPurse] = {}
         self._locks: dict[str, asyncio.Lock] = {}
+        self._drawing: dict[str, asyncio.Task[control_pb2.CommandResult | None]] = {}
         self._limits: dict[str, int] = {}
         self._confirmed = Pulse()
         self._told: dict[int, dict[str, int]] = {}  # announced with each heartbeat
+        self._pace = DrawPace()
         self._stopping = False
         self._tell_all = True
         link.configuration.listen(self._configuration_changed)
@@ -165,7 +166,7 @@
                 raise self._unavailable(
                     purse.tenant,
                     "control did not confirm in time",
-                    max(_RETRY_SOON_S, opens_in_s + _POLL_S),
+                    max(self._pace.retry_s, opens_in_s + _POLL_S),
                 )
         return True
 
@@ -191,13 +192,9 @@
         target = self._held_after_cut(purse) if self._after_cut() else self._target(purse)
         return max(0, target - purse.free)
 
-    @staticmethod
-    def _held_after_cut(purse: PrepaidPurse) -> int:
-        """Return what is held right after a cut.
-
-        Another cut is less likely then than the loss of all that is held.
-        """
-        return int(purse.rate * _AFTER_CUT_HELD_S)
+    def _held_after_cut(self, purse: PrepaidPurse) -> int:
+        """Return the tokens that are held right after a cut."""
+        return int(purse.rate * min(self._pace.held_after_cut_s, _HORIZON_S))
 
     def _after_cut(self) -> bool:
         return self._environment.monotonic() < self._link.regained_s + _AFTER_CUT_S
@@ -205,30 +202,63 @@
     async def _draw_for(
         self, tenant: resources_pb2.PrepaidTenant, tokens: int, deadline_s: float
     ) -> None:
-        """Draw until the purse may hold so many tokens, or it is clear that it cannot."""
-        async with self._locks.setdefault(tenant.name, asyncio.Lock()):
-            purse = self._purse(tenant.name)
-            missing = tokens - purse.free
-            if missing <= 0:
-                return
-            if self._out_of_touch():
-                raise self._unavailable(tenant.name, "control is out of reach", _RETRY_LATE_S)
-            # One draw serves all requests that wait: drawn one after the other, those
-            # of a busy tenant would wait for each other's draws.
-            wanted = max(missing, purse.waited_for - purse.free, self._growth(purse))
-            left_s = deadline_s - self._environment.monotonic()
-            if left_s <= 0:
-                raise self._unavailable(tenant.name, "no tokens came in time", _RETRY_SOON_S)
-            result = await self._draw(purse, wanted, missing, min(left_s, _DRAW_TIMEOUT_S))
+        """Wait for a draw that may bring so many tokens; the caller looks again then.
+
+        A draw goes on when the request that began it gives up: over a choked link it
+        takes longer than any request may wait, and its tokens serve later ones.
+        """
+        purse = self._purse(tenant.name)
         if purse.free >= tokens:
             return
+        if self._out_of_touch():
+            raise self._unavailable(tenant.name, "control is out of reach", _RETRY_LATE_S)
+        left_s = deadline_s - self._environment.monotonic()
+        if left_s <= 0:
+            raise self._unavailable(tenant.name, "no tokens came in time", self._pace.retry_s)
+        drawing = self._drawing.get(tenant.name)
+        began_here = drawing is None
+        if drawing is None:
+            drawing = self._tasks.start("draw", self._draw_waited_for(purse, tokens))
+            self._drawing[tenant.name] = drawing
+        await asyncio.wait([drawing], timeout=left_s)
+        if not drawing.done():
+            raise self._unavailable(tenant.name, "no tokens came in time", self._pace.retry_s)
+        result = drawing.result() if began_here else None
+        if result is not None and purse.free < tokens:
+            await self._act_on_shortage(purse, tokens, result)
+
+    async def _draw_waited_for(
+        self, purse: PrepaidPurse, tokens: int
+    ) -> control_pb2.CommandResult | None:
+        """Draw what all waiting requests of a tenant need, at least one request's tokens.
+
+        Returns:
+            What control said; None if nothing was missing or it said nothing.
+        """
+        try:
+            async with self._locks.setdefault(purse.tenant, asyncio.Lock()):
+                missing = tokens - purse.free
+                if missing <= 0 or purse is not self._purses.get(purse.tenant):
+                    return None
+                wanted = max(missing, purse.waited_for - purse.free, self._growth(purse))
+                return await self._draw(purse, wanted, missing, _DRAW_TIMEOUT_S)
+        except PrepaidUnavailableError as error:
+            self._log.info("prepaid_not_drawn", step="draw", peer=purse.tenant, why=error.message)
+            return None
+        finally:
+            self._drawing.pop(purse.tenant, None)
+
+    async def _act_on_shortage(
+        self, purse: PrepaidPurse, tokens: int, result: control_pb2.CommandResult
+    ) -> None:
+        """Refuse a request that control has too little for, or wait for others to give back."""
         if result.surely_exhausted:
             purse.refused_minimum = tokens
             purse.refused_until_s = self._environment.monotonic() + _REFUSAL_HOLDS_S
-            raise self._exhausted(tenant.name, tokens)
+            raise self._exhausted(purse.tenant, tokens)
         if not result.recallable:
             why = "what is left is charged for lost routers"
-            raise self._unavailable(tenant.name, why, _RETRY_LATE_S)
+            raise self._unavailable(purse.tenant, why, _RETRY_LATE_S)
         await asyncio.sleep(_RECALL_PAUSE_S)
 
     async def _draw(
@@ -246,10 +276,13 @@
         draw.returned = purse.returned
         draw.spent = purse.spent
         draw.reserved = purse.reserved
+        began_s = self._environment.monotonic()
         try:
             result = await self._link.call(command, timeout_s)
         except PeerUnavailableError as error:
-            raise self._unavailable(purse.tenant, error.message, _RETRY_SOON_S) from error
+            raise self._unavailable(purse.tenant, error.message, self._pace.retry_s) from error
+        finally:
+            self._pace.note(self._environment.monotonic() - began_s)
         granted = result.granted - purse.granted
         purse.granted = max(purse.granted, result.granted)
         self._log.info(
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -51,6 +51,8 @@
         self.last_heard_s = clock.now_s
         self.regained_s = float("-inf")
         self.reached = True
+        self.draw_takes_s = 0.0
+        self._clock = clock
         self.draws: list[control_pb2.DrawTokens] = []
         self.tokens: PrepaidTokens | None = None
         self.table = PrepaidTable()
@@ -63,6 +65,7 @@
         if not self.reached:
             await self._wait_for_the_end_of_the_cut(timeout_s)
         await asyncio.sleep(0)  # others run meanwhile, as over a network
+        self._clock.now_s += self.draw_takes_s
         self.draws.append(command.draw_tokens)
         return self.table.draw(command.draw_tokens)
 
@@ -161,6 +164,30 @@
             await asyncio.gather(*waiting)
         self.assertLessEqual(len(self.control.draws) - before, 3)
 
+    async def test_a_draw_that_outlasts_its_request_serves_later_ones(self) -> None:
+        """Scale-2: 500 requests began draws over a choked link, and none was awaited."""
+        self.control.cut()  # control is heard, and answers late
+        with self.assertRaisesRegex(PrepaidUnavailableError, "no tokens came in time"):
+            await self.tokens.reserve(_TENANT, _REQUEST_TOKENS, 0.01)
+        self.control.heal(self.clock.now_s)
+        await self._settle_tasks()
+        before = len(self.control.draws)
+        self.assertEqual(before, 1)
+        await self.tokens.reserve(_TENANT, _REQUEST_TOKENS, 0.01)
+        self.assertEqual(len(self.control.draws), before)
+
+    async def test_slow_draws_have_more_held_and_are_told_to_callers(self) -> None:
+        """Choked link of one gateway, scale-2: each request waited for a draw of its own."""
+        await self._serve(8)
+        self.control.regained_s = self.clock.now_s
+        quick = self.tokens._held_after_cut(self.tokens._purse(_TENANT.name))
+        self.control.draw_takes_s = 0.5
+        for _ in range(8):
+            await self.tokens._draw(self.tokens._purse(_TENANT.name), 0, 0, 1.0)
+        slow = self.tokens._held_after_cut(self.tokens._purse(_TENANT.name))
+        self.assertGreater(slow, 4 * quick)
+        self.assertGreater(self.tokens._pace.retry_s, 0.8)
+
     async def test_a_refusal_tells_when_the_window_opens(self) -> None:
         """Callers of the first 2 s of a cut were told 5 s, and came back in it once more."""
         await self._serve(4)
