Refuse at once while the program is loaded, and say when to come back

Ruled out: a shorter load (what is left is aiohttp, gRPC and protobuf themselves). Change: a thread answers on the sockets opened early, with 503, not-run and a time to come back, from the first 0.1 s on; requests not read in full are closed unread when the daemon takes over; their identifiers are logged then (request_refused, step=load). Before and after: test failed before (the answer came after the load).

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -14,7 +14,9 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.rpc import GrpcStubs
 from heronladder_runtime.settings import DaemonSettings
+from heronladder_runtime.start_hint import RETRY_AT_START_S
 
+from heronladder_daemon import early_listeners
 from heronladder_daemon.admin import AdminServer
 from heronladder_daemon.http_listener import HttpListener
 
@@ -84,6 +86,16 @@
         metrics = [role.metrics for role in every if role is not None]
         await self._start_admin(metrics)
         self._log.info("daemon_started", step="start", roles=self.settings.common.roles)
+        for request_id in early_listeners.refused_early():
+            self._log.info(
+                "request_refused",
+                step="load",
+                request_id=request_id,
+                code="not_ready",
+                status=503,
+                retry_after_s=RETRY_AT_START_S,
+                why="the program was being loaded",
+            )
 
     async def listen(self, application: web.Application, address: str) -> None:
         """Serve one more application for as long as the daemon runs."""
--- a/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
@@ -1,15 +1,18 @@
 """Listening sockets that are opened before the rest of the program is loaded.
 
-Loading the program takes a thin machine about a second. A caller that connects
-meanwhile waits in the kernel's queue and is answered once the daemon runs; without
-a socket it would be turned away. Imports nothing that takes time to load.
+Loading the program takes a thin machine about a second. Callers can connect meanwhile:
+their requests are refused with a time to come back (``early_answers``), and the daemon
+takes the sockets over once it runs. Imports nothing that takes time to load.
 """
 
 import socket
 
+from heronladder_daemon.early_answers import EarlyAnswers
+
 BACKLOG = 1024  # connections that may wait; chosen, the kernel caps it
 
 _opened: dict[str, socket.socket] = {}
+_answering: list[EarlyAnswers] = []
 
 
 def bind(host: str, port: int) -> socket.socket:
@@ -40,6 +43,24 @@
     _opened[address] = listener
 
 
+def answer_early(request_id_header: str) -> None:
+    """Refuse requests on all sockets opened so far, until the first is taken."""
+    answers = EarlyAnswers(list(_opened.values()), request_id_header)
+    answers.start()
+    _answering.append(answers)
+
+
 def take(address: str) -> socket.socket | None:
     """Return the socket that was opened early for an address, once; else None."""
+    if address in _opened:
+        for answers in _answering:
+            if answers.is_alive():
+                answers.stop()
     return _opened.pop(address, None)
+
+
+def refused_early() -> list[str]:
+    """Return the identifiers of requests refused since the last call, for the log."""
+    refused = [name for answers in _answering for name in answers.refused]
+    _answering.clear()
+    return refused
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -1,6 +1,7 @@
 """Errors of a router; each knows how it is told to the caller."""
 
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.start_hint import RETRY_AT_START_S
 from heronladder_schema.v1 import ledger_pb2
 
 OUTCOME_WORDS = {
@@ -116,7 +117,7 @@
 
     status = 503
     code = "not_ready"
-    retry_after_s = 1.5  # after a loss of all processes control leads again 0.7 to 1.4 s later
+    retry_after_s = RETRY_AT_START_S
 
 
 class StoppingError(CallerError):
--- a/tests/test_early_listeners.py
+++ b/tests/test_early_listeners.py
@@ -1,6 +1,7 @@
 """Callers that connect before the daemon is loaded."""
 
 import asyncio
+import json
 import subprocess
 import sys
 import unittest
@@ -22,6 +23,28 @@
     return web.Response(text="hello")
 
 
+async def _connect(address: str) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+    host, _, port = address.rpartition(":")
+    return await asyncio.open_connection(host, int(port))
+
+
+async def _rest(reader: asyncio.StreamReader) -> bytes:
+    """Return what comes until the connection ends, also by a reset."""
+    try:
+        async with asyncio.timeout(5):
+            return await reader.read()
+    except ConnectionResetError:
+        return b""
+
+
+async def _exchange(address: str, request: bytes) -> bytes:
+    reader, writer = await _connect(address)
+    writer.write(request)
+    got = await _rest(reader)
+    writer.close()
+    return got
+
+
 class EarlyListenersTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_caller_that_connected_early_is_answered_once_the_daemon_runs(self) -> None:
         (address,) = free_addresses(1)
@@ -40,6 +63,40 @@
         await listener.stop()
         self.assertIsNone(early_listeners.take(address))
 
+    async def test_a_request_during_the_load_is_refused_at_once_and_later_ones_are_served(
+        self,
+    ) -> None:
+        """198 of 405 requests were late after a loss of all: they waited for the load."""
+        (address,) = free_addresses(1)
+        early_listeners.open_early(address)
+        early_listeners.answer_early("Request-Id")
+        got = await _exchange(
+            address,
+            b"POST /a HTTP/1.1\r\nHost: h\r\nrequest-id: r1\r\nContent-Length: 3\r\n\r\nabc",
+        )
+        head, _, body = got.partition(b"\r\n\r\n")
+        self.assertTrue(head.startswith(b"HTTP/1.1 503 "))
+        self.assertIn(b"Retry-After: 1.5", head)
+        self.assertIn(b"Heronladder-Outcome: not-run", head)
+        self.assertIn(b"Request-Id: r1", head)
+        self.assertEqual(json.loads(body)["error"]["code"], "not_ready")
+        chunked = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n"
+        self.assertTrue((await _exchange(address, chunked)).startswith(b"HTTP/1.1 503 "))
+        # Half a request, and the daemon takes over: closed unread, never answered.
+        reader, writer = await _connect(address)
+        writer.write(b"POST /a HTTP/1.1\r\nContent-Length: 9\r\n\r\nabc")
+        await asyncio.sleep(0.1)
+        application = web.Application()
+        application.router.add_get("/", _hello)
+        listener = HttpListener(application, address)
+        await listener.start()
+        self.addAsyncCleanup(listener.stop)
+        self.assertEqual(await _rest(reader), b"")
+        writer.close()
+        self.assertEqual(early_listeners.refused_early(), ["r1"])
+        served = await _exchange(address, b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
+        self.assertTrue(served.endswith(b"hello"))
+
     async def test_an_address_in_use_is_refused_with_the_address(self) -> None:
         (address,) = free_addresses(1)
         first = HttpListener(web.Application(), address)
