Log what a choice of a replica went by; weigh what is read again higher

Change: 0.15 ms a token, 600 ms at most (0.1 and 300); request_sent tells the others' load and its age.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -18,8 +18,8 @@
 _TOKENS_PER_MS = 50.0  # read by an engine, before any is measured
 _RUNNING_COST_MS = 3.0  # for each request that runs beside
 _OTHER_ZONE_COST_MS = 4.0
-_READ_AGAIN_COST_MS = 0.1  # for each token of a shared part that another replica keeps
-_MOST_READ_AGAIN_COST_MS = 300.0
+_READ_AGAIN_COST_MS = 0.15  # for each token of a shared part that another replica keeps
+_MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer (chosen, see decisions)
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 _CHOICES = 4  # replicas compared at random where gateways share their load (chosen)
 _SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
@@ -159,7 +159,7 @@
         if not pool:
             return None
         keeper = self._keeper(wish, pool)
-        shared_load = now_s - self.loads_told_s < _LOADS_HOLD_S
+        shared_load = self.load_age_s < _LOADS_HOLD_S
         if shared_load:
             pool = self._sample(wish, pool, keeper)
         return min(pool, key=lambda replica: self._cost_ms(replica, wish, keeper, shared_load))
@@ -219,6 +219,11 @@
                 load.in_flight = replica.in_flight
                 load.unread_tokens = max(0, replica.unread_tokens)
 
+    @property
+    def load_age_s(self) -> float:
+        """Age of what control told of the others' load, in seconds; inf if it never did."""
+        return self._environment.monotonic() - self.loads_told_s
+
     def others_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         """Take what all other gateways have under way."""
         self.loads_told_s = self._environment.monotonic()
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -256,6 +256,9 @@
             tried=len(sends.tried),
             in_flight=replica.in_flight,
             unread_tokens=replica.unread_tokens,
+            others_in_flight=replica.others_in_flight,
+            others_unread_tokens=replica.others_unread_tokens,
+            load_age_s=self._parts.replicas.load_age_s,
             kept_tokens=replica.parts.kept_tokens(request.wish.parts),
             suspect=replica.failures,
         )
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -50,6 +50,7 @@
     "planned_stop_cuts_runs": "The same at an agent.",
     "platform_unreadable": "The platform's list of machines could not be read.",
     "prepaid_drawn": "Tokens asked of control: got, free here now, left at control.",
+    "prepaid_not_drawn": "A draw of tokens got no answer in time; later requests draw again.",
     "prepaid_holder_closed": "A gateway is gone: what its tenants were charged for it.",
     "replica_forgotten": "A replica left the list.",
     "replica_known": "A replica is new, or its registration changed.",
