Write a member's hard state one at a time

Cause: term and vote, and the right to vote, are saved by two tasks, each in a thread of its own. Worse, the earlier write could end last: a vote would be forgotten by the next start. Ruled out: a disk that refuses (no disk fault at that time). Change: a lock around making the bytes and replacing the file. Before and after: 400 saves, eight at a time, on a real folder: fails at once before (FileNotFoundError), keeps the last one each time now.

--- a/packages/heronladder-consensus/src/heronladder_consensus/storage.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/storage.py
@@ -7,6 +7,7 @@
     snapshot-INDEX: two records, a SnapshotMeta and the state's bytes.
 """
 
+import asyncio
 from dataclasses import dataclass, field
 
 from heronladder_runtime.disk import Disk
@@ -67,6 +68,7 @@
         self._disk = disk
         self._segments: list[_Segment] = []
         self._last_segment_number = 0
+        self._saving = asyncio.Lock()
 
     # ---- start ------------------------------------------------------------
 
@@ -134,8 +136,14 @@
     # ---- writing ----------------------------------------------------------
 
     async def save_hard_state(self, hard_state: consensus_pb2.HardState) -> None:
-        """Write term, vote and identity; they last when this returns."""
-        await self._disk.replace(_HARD_STATE_FILE, frame_record(hard_state.SerializeToString()))
+        """Write term, vote and identity; they last when this returns.
+
+        One write at a time: of two at once, each by a thread of its own, the earlier
+        could end last and take a vote back, or find its file renamed away.
+        """
+        async with self._saving:
+            data = frame_record(hard_state.SerializeToString())
+            await self._disk.replace(_HARD_STATE_FILE, data)
 
     async def append(self, entries: list[consensus_pb2.LogEntry]) -> None:
         """Write and sync a batch of entries; they last when this returns."""
