Name seeds that catch a claim that is always free, after elections changed

The test breaks the product on purpose and names seeds whose runs show it; with other times of elections, seeds 1 to 3 make other runs. It failed the same way alone: the runs are in virtual time. Change: seeds 5, 7 and 11, found by playing 1 to 13 with the breakage (5, 7, 8, 9 and 11 are caught). The check is as strict: three seeds, the same promises.

--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -161,7 +161,7 @@
             take,
             "doubled",
             "billed_twice",
-            seeds=(1, 2, 3),
+            seeds=(5, 7, 11),
             faults=("router-crash", "bad-weather", "one-way-cut"),
         )
 
