Close the pipe of the early answers only after it was written to

The daemon tells the answering thread to end by a flag and a byte in a pipe; a request that came between the two woke the thread, which saw the flag, ended and closed the pipe; writing the byte then raised, and the daemon's start failed. Change: the pipe is closed by the one who writes to it, after the thread has ended. Before and after: the test fails with "Bad file descriptor" before, passes now.

--- a/packages/heronladder-daemon/src/heronladder_daemon/early_answers.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_answers.py
@@ -86,10 +86,16 @@
         self._close_all()
 
     def stop(self) -> None:
-        """End the thread; unread connections are closed."""
+        """End the thread; unread connections are closed.
+
+        The pipe is closed here, not by the thread: a request that comes just now may
+        wake it before the pipe does, and it would close what is written to next.
+        """
         self._stopping = True
         os.write(self._wake_writer, b"x")
         self.join()
+        os.close(self._wake_reader)
+        os.close(self._wake_writer)
 
     def _accept(self, listener: socket.socket) -> None:
         try:
@@ -146,5 +152,3 @@
             if isinstance(key.data, _Arriving):
                 key.data.connection.close()
         self._selector.close()
-        os.close(self._wake_reader)
-        os.close(self._wake_writer)
--- a/tests/test_early_listeners.py
+++ b/tests/test_early_listeners.py
@@ -12,6 +12,7 @@
 
 from aiohttp import web
 from heronladder_daemon import early_listeners
+from heronladder_daemon.early_answers import EarlyAnswers
 from heronladder_daemon.http_listener import HttpListener
 from heronladder_runtime.errors import HeronladderError
 from heronladder_tools.demo_fleet import free_addresses
@@ -101,6 +102,21 @@
         served = await _exchange(address, b"GET / HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n")
         self.assertTrue(served.endswith(b"hello"))
 
+    async def test_a_request_that_comes_as_the_daemon_takes_over_does_not_end_it(self) -> None:
+        """Three exits in 80 days of the canteens: the thread had closed its pipe first."""
+        (address,) = free_addresses(1)
+        early_listeners.open_early(address)
+        listener = early_listeners.take(address)
+        assert listener is not None
+        self.addCleanup(listener.close)
+        answers = EarlyAnswers([listener], "Request-Id")
+        answers.start()
+        answers._stopping = True  # as stop does first; then a caller wakes the thread
+        _, writer = await _connect(address)
+        await asyncio.to_thread(answers.join)
+        answers.stop()
+        writer.close()
+
     async def test_an_address_in_use_is_refused_with_the_address(self) -> None:
         (address,) = free_addresses(1)
         first = HttpListener(web.Application(), address)
