--- a/packages/heronladder-control/src/heronladder_control/in_force.py
+++ b/packages/heronladder-control/src/heronladder_control/in_force.py
@@ -5,6 +5,7 @@
 this knowledge in memory only; a new leader first takes every daemon for fresh.
 """
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
 from heronladder_runtime.clock import Environment
@@ -30,6 +31,27 @@
     connected: bool = False
 
 
+@dataclass(frozen=True)
+class LeftOut:
+    """A daemon that a change in force did not wait for.
+
+    Attributes:
+        name: The daemon.
+        applied_revision: Configuration it said it has applied.
+        silent_s: Age of its last word.
+        connected: Whether it has a stream open.
+    """
+
+    name: str
+    applied_revision: int
+    silent_s: float
+    connected: bool
+
+    def __str__(self) -> str:
+        stream = "connected" if self.connected else "away"
+        return f"{self.name}@{self.applied_revision}/{self.silent_s:.2f}s/{stream}"
+
+
 class InForceTracker:
     """Follows how far each daemon has applied the configuration.
 
@@ -119,6 +141,21 @@
             self._pending_revision = 0  # those still pending count from now on
         return max(reached, in_force_revision)
 
+    def left_out(self, revision: int) -> Iterator[LeftOut]:
+        """Give the daemons that have not said they applied a revision."""
+        now = self._environment.monotonic()
+        for name in self.behind(revision):
+            progress = self.daemons[name]
+            silent_s = now - progress.last_heard_s
+            yield LeftOut(name, progress.applied_revision, silent_s, progress.connected)
+
+    @property
+    def pending_s(self) -> float:
+        """How long the newest change has waited to come into force; 0 while there is none."""
+        if not self._pending_revision:
+            return 0.0
+        return self._environment.monotonic() - self._pending_since_s
+
     def behind(self, committed_revision: int) -> list[str]:
         """Return the daemons that have not applied the newest configuration."""
         return sorted(
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -30,6 +30,7 @@
     {"put_resource", "delete_resource", "apply_configuration", "register_replica"}
 )
 _CHORE_INTERVAL_S = 0.5
+_LEFT_OUT_NAMED = 8  # daemons named in a log line, so that it stays short (chosen)
 _CLAIM_AGE_MS = 24 * 3600 * 1000
 _CLAIM_DROP_INTERVAL_S = 600.0
 
@@ -192,12 +193,32 @@
 
     async def _put_in_force(self) -> None:
         committed = self.state.resources.revision
+        waited_s = self.in_force.pending_s
         reached = self.in_force.reached(committed, self.state.in_force_revision)
         if reached > self.state.in_force_revision:
+            self._report_in_force(reached, committed, waited_s)
             command = control_pb2.Command()
             command.set_in_force.revision = reached
             await self.propose(command)
 
+    def _report_in_force(self, reached: int, committed: int, waited_s: float) -> None:
+        """Log for whom a change is in force, and who was left out and why."""
+        left_out = list(self.in_force.left_out(reached))
+        self.metrics.observe("change_in_force", waited_s)
+        if left_out:
+            self.metrics.add("daemons_left_out", amount=len(left_out))
+        self.log.info(
+            "change_in_force",
+            step="in_force",
+            revision=reached,
+            committed=committed,
+            term=self.node.term,
+            waited_s=waited_s,
+            counted=len(self.in_force.daemons) - len(left_out),
+            left_out=len(left_out),
+            who=",".join(str(daemon) for daemon in left_out[:_LEFT_OUT_NAMED]),
+        )
+
     async def _declare_silent_gone(self) -> None:
         oldest = self.environment.monotonic() - self.options.gone_after_s
         for name in sorted(self.in_force.daemons):
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -27,8 +27,10 @@
         "daemon_stopping",
         "leader_elected",
         "leader_stepped_down",
+        "change_in_force",
     }
 )
+_OF_CONTROL = frozenset({"leader_elected", "leader_stepped_down", "change_in_force"})
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
@@ -109,7 +111,7 @@
         if daemon in daemons and (general or about in peers):
             kept = newest.setdefault(daemon, deque(maxlen=_BELIEFS_KEPT))
             kept.append(line)
-        elif line.fields["event"] in ("leader_elected", "leader_stepped_down"):
+        elif line.fields["event"] in _OF_CONTROL:
             kept = newest.setdefault(daemon, deque(maxlen=_BELIEFS_KEPT))
             if line.time <= first:
                 kept.append(line)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -24,6 +24,8 @@
     "agent_lost": "An agent could not be reached, or was lost in the middle of an answer.",
     "allotment_failed": "Tokens asked of another region did not come.",
     "allotment_received": "Tokens of another region were credited here.",
+    "change_in_force": "Control puts a change in force: how many daemons were counted, and who was"
+    " left out (name@revision applied/age of its last word/stream).",
     "configuration_in_use": "A gateway acts on this version from now on.",
     "control_lost": "A stream to control ended or could not be opened; `silent_s` since a frame.",
     "control_regained": "Control is heard again after a long silence.",
@@ -83,7 +85,9 @@
     "agent_tokens": "Tokens that engines made.",
     "attached": "Retries that were attached to a first attempt.",
     "callers_gone": "Callers that left before their answer's end.",
+    "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
+    "daemons_left_out": "Daemons that changes in force did not wait for.",
     "first_token": "Time to the first token.",
     "gateway_request": "Time of a request at a gateway, by outcome.",
     "objective_events": "Answers that count for an objective.",
--- a/tests/test_resources.py
+++ b/tests/test_resources.py
@@ -151,6 +151,25 @@
 
         run_virtual(scenario())
 
+    def test_who_is_left_out_of_a_change_is_told_with_the_age_of_its_last_word(self) -> None:
+        async def scenario() -> None:
+            import asyncio
+
+            environment = Environment(random.Random(1), virtual=True)
+            tracker = InForceTracker(environment, freshness_s=1.0)
+            tracker.begin([], 0.0)
+            for name in ("a", "b"):
+                tracker.connected(name)
+                tracker.heartbeat(name, 1, 1, 1)
+            tracker.reached(5, 1)
+            tracker.heartbeat("a", 5, 5, 1)
+            tracker.disconnected("b")
+            await asyncio.sleep(1.25)
+            self.assertEqual(tracker.pending_s, 1.25)
+            self.assertEqual([str(daemon) for daemon in tracker.left_out(5)], ["b@1/1.25s/away"])
+
+        run_virtual(scenario())
+
     def test_a_new_leader_takes_every_daemon_for_fresh(self) -> None:
         async def scenario() -> None:
             import asyncio
