A failing test: an acknowledged route that a gateway behind a thin link answers with 404

Symptom: control acknowledges a version that adds a route, and one of three gateways, up and in touch, goes on answering 404 for that route. Sequence: a configuration of 2,402 routes (188 kB packed) goes to a gateway whose link from control carries 37.6 kB a second, so one whole update takes 5 s; the other way is free. The operator sends the version and is answered 200. Cause: the gateway's lease runs out at control, which counts it no more, while the gateway serves by what it has without a look at its lease; and it gives its stream up each second in mid-transfer, upon which the whole update begins anew. No product code.

--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -15,8 +15,10 @@
 from heronladder_platform import settings as platform_settings
 from heronladder_platform.control_api import ControlApi
 from heronladder_platform.readiness import ready_application
+from heronladder_runtime.rpc import GrpcStubs
 from heronladder_tools.demo_fleet import free_addresses
 from multidict import CIMultiDict
+from shaped_link import ShapedLink, StubsOverLink
 
 HOST = "canteen.example"
 KEY = "key-of-tenant-a"
@@ -189,18 +191,46 @@
     body: bytes
 
 
+@dataclass
+class StartedGateway:
+    """A gateway that runs, and where callers reach it."""
+
+    daemon: Daemon
+    address: str
+    ready_address: str
+
+    def knows(self, replica: str) -> bool:
+        """Whether it has heard of a replica."""
+        assert self.daemon.gateway is not None
+        return replica in self.daemon.gateway.replicas._replicas
+
+
 @dataclass
 class Fleet:
-    """One control member and one gateway, as the platform would start them."""
+    """One control member and one gateway or more, as the platform would start them."""
 
     control: Daemon
     gateway: Daemon
     control_address: str
+    control_grpc: str
     gateway_address: str
     ready_address: str
     session: aiohttp.ClientSession
     folder: "tempfile.TemporaryDirectory[str]"
     replicas: list[StandInReplica] = field(default_factory=list)
+    more_gateways: list[StartedGateway] = field(default_factory=list)
+
+    @property
+    def gateways(self) -> list[StartedGateway]:
+        """All gateways, the first one first."""
+        first = StartedGateway(self.gateway, self.gateway_address, self.ready_address)
+        return [first, *self.more_gateways]
+
+    async def add_gateway(self, name: str, link: ShapedLink | None = None) -> StartedGateway:
+        """Start one more gateway, which reaches control over ``link`` if one is given."""
+        added = await _start_gateway(name, self.control_grpc, self.control_address, link)
+        self.more_gateways.append(added)
+        return added
 
     async def call(self, address: str, method: str, path: str, body: Any = None) -> Answer:
         """Make a call of the operator or of a replica."""
@@ -215,14 +245,20 @@
     async def request(
         self, path: str, *, method: str = "POST", body: bytes = b"", **headers: str
     ) -> Answer:
-        """Make a caller's request."""
+        """Make a caller's request at the first gateway."""
+        return await self.request_at(self.gateway_address, path, method, body, **headers)
+
+    async def request_at(
+        self, address: str, path: str, method: str = "POST", body: bytes = b"", **headers: str
+    ) -> Answer:
+        """Make a caller's request at a gateway."""
         named = {
             "Host": HOST,
             "Request-Id": f"r-{len(headers)}-{path.strip('/')}",
             "Authorization": f"Token {KEY}",
             **{name.replace("_", "-"): value for name, value in headers.items()},
         }
-        url = f"http://{self.gateway_address}{path}"
+        url = f"http://{address}{path}"
         async with self.session.request(method, url, headers=named, data=body) as got:
             return Answer(got.status, dict(got.headers), await got.read())
 
@@ -235,7 +271,7 @@
             return Answer(got.status, dict(got.headers), await got.read())
 
     async def add_replica(self, identity: str, script: Script, **changes: Any) -> StandInReplica:
-        """Start a replica and register it."""
+        """Start a replica and register it; return once all gateways know it."""
         replica = StandInReplica(identity, script)
         await replica.start()
         self.replicas.append(replica)
@@ -247,10 +283,8 @@
         )
         if told.status != 200:
             raise AssertionError(told)
-        assert self.gateway.gateway is not None
-        known = self.gateway.gateway.replicas
         async with asyncio.timeout(_PATIENCE_S):
-            while identity not in known._replicas:
+            while not all(gateway.knows(identity) for gateway in self.gateways):
                 await asyncio.sleep(0.01)
         return replica
 
@@ -259,7 +293,8 @@
         await self.session.close()
         for replica in self.replicas:
             await replica.stop()
-        await self.gateway.abort()
+        for gateway in self.gateways:
+            await gateway.daemon.abort()
         await self.control.stop()
         self.folder.cleanup()
 
@@ -280,10 +315,27 @@
     }
 
 
+async def _start_gateway(
+    name: str, control_grpc: str, control: str, link: ShapedLink | None = None
+) -> StartedGateway:
+    front, ready, admin = free_addresses(3)
+    document = _document("front", None, 1, {"front": front, "readiness": ready})
+    named = document | {"nodeName": name, "seeds": [control]}
+    settings = platform_settings.translate(named, platform_settings.GATEWAY)
+    settings.common.control_addresses = control_grpc
+    settings.common.admin_listen = admin
+    daemon = Daemon(settings, gateway_names=platform_names.GATEWAY_NAMES)
+    if link is not None:
+        daemon._stubs = StubsOverLink(GrpcStubs(), link)  # type: ignore[assignment]
+    await daemon.start()
+    await daemon.listen(ready_application(daemon.ready), ready)
+    return StartedGateway(daemon, front, ready)
+
+
 async def start_fleet(first: dict[str, Any] | None = None) -> Fleet:
     """Start a control member and a gateway; apply a configuration if one is given."""
     folder = tempfile.TemporaryDirectory()
-    grpc, api, admin, front, ready, admin2, control = free_addresses(7)
+    grpc, api, admin, control = free_addresses(4)
     seeds = [control]
     control_document = _document("core", folder.name, 1, {"control": control}) | {"seeds": seeds}
     control_settings = platform_settings.translate(control_document, platform_settings.CONTROL)
@@ -299,17 +351,18 @@
         while not member.control.node.is_leader:  # until then it has no clear answer
             await asyncio.sleep(0.02)
     await member.listen(ControlApi(member.control.fleet_service).application(), control)
-    gateway_document = _document("front", None, 1, {"front": front, "readiness": ready})
-    gateway_settings = platform_settings.translate(
-        gateway_document | {"seeds": seeds}, platform_settings.GATEWAY
-    )
-    gateway_settings.common.control_addresses = grpc
-    gateway_settings.common.admin_listen = admin2
-    gateway = Daemon(gateway_settings, gateway_names=platform_names.GATEWAY_NAMES)
-    await gateway.start()
-    await gateway.listen(ready_application(gateway.ready), ready)
+    gateway = await _start_gateway("front-1", grpc, control)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
-    fleet = Fleet(member, gateway, control, front, ready, session, folder)
+    fleet = Fleet(
+        member,
+        gateway.daemon,
+        control,
+        grpc,
+        gateway.address,
+        gateway.ready_address,
+        session,
+        folder,
+    )
     if first is not None:
         got = await fleet.replace(first)
         if got.status != 200:
@@ -323,6 +376,7 @@
     "Fleet",
     "Received",
     "StandInReplica",
+    "StartedGateway",
     "answer",
     "configuration",
     "event",
