A failing test: a deregistration sent again is acknowledged before it is in force

Symptom: a replica that never says it drains deregisters, gets no clear answer in time, asks again and is told yes at once, while gateways still send to it. Cause: the second call finds the leave in the state and is answered without waiting; only drains were kept from that short cut. Found by reading, looking for the cause of the reported drains elsewhere.

--- /dev/null
+++ b/tests/test_registrations.py
@@ -0,0 +1,46 @@
+"""What replicas are told of their leave holds at the gateways."""
+
+import unittest
+
+from platform_stand_ins import Answer, Fleet, answer, configuration, start_fleet
+
+_REPLICA = "leaves"
+
+
+class LeaveTest(unittest.IsolatedAsyncioTestCase):
+    """A replica leaves while a gateway has fallen silent."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet: Fleet = await start_fleet(configuration(1))
+        self.addAsyncCleanup(self.fleet.stop)
+
+        async def script(_replica: object, received: object) -> bytes:
+            return answer(received)  # type: ignore[arg-type]
+
+        await self.fleet.add_replica(_REPLICA, script)
+        await self.fleet.gateway.abort()
+
+    async def test_a_deregistration_sent_again_is_acknowledged_only_in_force(self) -> None:
+        """A replica that deregisters twice is let go while gateways still send to it.
+
+        The first call runs out of time before the leave is in force and gets no clear
+        answer. The second found the leave in the state and was told yes at once: only a
+        drain, not a deregistration, waited again for the gateways.
+        """
+        first = await self._deregister()
+        self.assertEqual(first.status, 503, "the silent gateway must be waited for")
+        while (await self._deregister()).status != 200:
+            pass
+        assert self.fleet.control.control is not None
+        state = self.fleet.control.control.state
+        left = state.resources.get("replica", _REPLICA)
+        assert left is not None
+        self.assertGreaterEqual(state.in_force_revision, left.metadata.revision)
+
+    async def _deregister(self) -> Answer:
+        path = f"/api/Replicas.Deregister/{_REPLICA}"
+        return await self.fleet.call(self.fleet.control_address, "POST", path)
+
+
+if __name__ == "__main__":
+    unittest.main()
