Acknowledge a deregistration only in force, also when it is sent again

Cause: register() answered at once for a replica whose state was known already, unless it drained; one that had deregistered counts as known. The first call had run out of time waiting for the gateways, the second did not wait at all. Ruled out: drains sent again, which wait for the revision of the replica's own record. Change: whoever leaves, by a drain or by deregistering, is told so only in force. Before: acknowledged at revision 5 in force for a leave at revision 7.

--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -78,10 +78,12 @@
 
         A replica that leaves is done once the routers in touch know.
         """
-        if self._member.state.fleet.settled(replica) and not replica.draining:
+        leaves = replica.draining or replica.gone
+        # One that leaves is told so only once its leave is in force, however often it asks.
+        if self._member.state.fleet.settled(replica) and not leaves:
             return FleetOutcome(Standing.DONE)
         request = control_pb2.CarryRequest()
-        if replica.draining or replica.gone:
+        if leaves:
             request.in_force_wait_ms = int(_REGISTER_PATIENCE_S * MILLISECONDS_PER_SECOND)
         request.command.register_replica.replica.CopyFrom(replica)
         return await self._ask(request, _REGISTER_PATIENCE_S)
