Leave no gateway in touch out of a change in force; send updates in parts

Cause: control counted a change as in force when each daemon had applied it or its freshness lease had run out, and renewed no lease of one that lagged for half a lease. That is sound for a daemon that stops when its lease ends. A gateway goes on past it, so one that merely lagged was left out of acknowledgements and served by an older state for as long as it lagged. It lagged for long because an update was one message: a gateway gave its stream up after 0.9 s without a whole one, and the next stream began it anew. Change: a daemon says in its first word whether it acts past its lease. Such a one is waited for while it is heard, however far it lags; after 2 s it is ordered to hold and counts by its promise to act by nothing older; only one that is not heard of is left out. Each is told what is in force: one that hears it and does not hold it refuses after 1 s (503, Retry-After), claims no 404, 401, 402 or 413 meanwhile, sends nothing further, and is not ready. Updates go in parts of 8 KiB, the one under way first. A restarted daemon no longer counts by what its predecessor applied, a new term no longer by how long an earlier one had waited, a late goodbye no longer forgets a successor, and no lease is renewed below a change that is being put in force. Heartbeats are always acknowledged, so a gateway that lags no longer takes control for silent.

--- a/packages/heronladder-agent/src/heronladder_agent/role.py
+++ b/packages/heronladder-agent/src/heronladder_agent/role.py
@@ -4,8 +4,9 @@
 from dataclasses import dataclass
 
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import PeerUnavailableError
+from heronladder_runtime.link_handlers import LinkHandlers
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.rpc import StubFactory
--- a/packages/heronladder-control/src/heronladder_control/in_force.py
+++ b/packages/heronladder-control/src/heronladder_control/in_force.py
@@ -1,8 +1,17 @@
 """When a committed change counts as in force.
 
-A change is in force once every daemon that may still act has applied it: each
-daemon either said so, or its freshness lease has run out. The leader keeps
-this knowledge in memory only; a new leader first takes every daemon for fresh.
+A change is in force once no daemon may act by an older state: each daemon has
+applied it, or promised to act by nothing older, or cannot be waited for.
+
+- A daemon that stops when its freshness lease ends is waited for until then.
+- One that goes on by what it holds while control is silent (a gateway) has no lease
+  that would stop it. It is waited for while it is heard, however far it lags; one
+  that lags for long is told to hold, and counts once it says that it does. Only one
+  that is not heard of at all is left out: out of touch, it may go on for a bounded
+  time, and learns what is in force with the first word it hears again.
+
+The leader keeps this knowledge in memory only; a new leader first takes every daemon
+for fresh.
 """
 
 from collections.abc import Iterator
@@ -12,6 +21,9 @@
 
 _CLOCK_RATE_MARGIN = 1.1  # daemons' clocks may run this much slower than ours
 _RENEWAL_PATIENCE_SHARE = 0.5  # of the freshness time, before a laggard is not renewed
+# Before a laggard must hold: a whole large update at 5 Mbit/s, and under the 3 s that an
+# operator's call waits (chosen).
+_HOLD_PATIENCE_S = 2.0
 
 
 @dataclass
@@ -23,12 +35,21 @@
         fresh_until_s: When its freshness lease has run out for certain.
         last_heard_s: When its last heartbeat came.
         connected: Whether it has a stream open.
+        acts_past_lease: Whether it goes on by what it holds while control is silent.
+        held_below: It promised to act by nothing older than this revision.
     """
 
     applied_revision: int = 0
     fresh_until_s: float = 0.0
     last_heard_s: float = 0.0
     connected: bool = False
+    acts_past_lease: bool = False
+    held_below: int = 0
+
+    @property
+    def acts_from(self) -> int:
+        """Oldest revision that the daemon may still act by."""
+        return max(self.applied_revision, self.held_below)
 
 
 @dataclass(frozen=True)
@@ -66,6 +87,7 @@
         self.daemons: dict[str, DaemonProgress] = {}
         self._pending_revision = 0
         self._pending_since_s = 0.0
+        self._reached_revision = 0
 
     def begin(self, names: list[str], earlier_leader_s: float) -> None:
         """Begin as a new leader: any daemon may hold a lease of the leader before.
@@ -77,12 +99,25 @@
         now = self._environment.monotonic()
         until = now + self._freshness_s * _CLOCK_RATE_MARGIN + earlier_leader_s
         self.daemons = {name: DaemonProgress(0, until, now) for name in names}
+        self._pending_revision = 0  # what an earlier term waited for is not waited for since
+        self._reached_revision = 0
 
-    def connected(self, name: str) -> None:
-        """Note that a daemon opened a stream; what it applied is not known yet."""
+    def connected(
+        self, name: str, applied_revision: int = 0, *, acts_past_lease: bool = False
+    ) -> None:
+        """Note that a daemon opened a stream.
+
+        Args:
+            name: The daemon.
+            applied_revision: What its process holds; an earlier one may have held more.
+            acts_past_lease: Whether it goes on by that while control is silent.
+        """
         progress = self.daemons.setdefault(name, DaemonProgress())
         progress.connected = True
         progress.last_heard_s = self._environment.monotonic()
+        progress.applied_revision = applied_revision
+        progress.held_below = 0
+        progress.acts_past_lease = acts_past_lease
 
     def disconnected(self, name: str) -> None:
         """Note that a daemon's stream ended; its lease runs on."""
@@ -95,7 +130,12 @@
         self.daemons.pop(name, None)
 
     def heartbeat(
-        self, name: str, applied_revision: int, committed_revision: int, in_force_revision: int
+        self,
+        name: str,
+        applied_revision: int,
+        committed_revision: int,
+        in_force_revision: int,
+        held_below: int = 0,
     ) -> bool:
         """Take in a heartbeat.
 
@@ -104,6 +144,7 @@
             applied_revision: Configuration it says it has applied.
             committed_revision: Newest committed configuration.
             in_force_revision: Newest configuration that was said to be in force.
+            held_below: It promises to act by nothing older than this revision.
 
         Returns:
             Whether the daemon's freshness lease is renewed. A daemon that lags
@@ -112,8 +153,10 @@
         now = self._environment.monotonic()
         progress = self.daemons.setdefault(name, DaemonProgress())
         progress.applied_revision = max(progress.applied_revision, applied_revision)
+        progress.held_below = max(progress.held_below, held_below)
         progress.last_heard_s = now
-        if applied_revision < in_force_revision:
+        # A change that is being put in force counts already: it no longer waits for anyone.
+        if applied_revision < max(in_force_revision, self._reached_revision):
             return False
         patience_s = self._freshness_s * _RENEWAL_PATIENCE_SHARE
         waited_s = now - self._pending_since_s if self._pending_revision else 0.0
@@ -125,7 +168,7 @@
         return True
 
     def reached(self, committed_revision: int, in_force_revision: int) -> int:
-        """Return the revision that every daemon that may act has applied."""
+        """Return the revision that no daemon that is waited for acts below."""
         if committed_revision <= in_force_revision:
             self._pending_revision = 0
             return in_force_revision
@@ -135,14 +178,37 @@
         now = self._environment.monotonic()
         reached = committed_revision
         for progress in self.daemons.values():
-            if progress.fresh_until_s > now:
-                reached = min(reached, progress.applied_revision)
+            if self._waited_for(progress, now):
+                reached = min(reached, progress.acts_from)
         if reached > in_force_revision:
             self._pending_revision = 0  # those still pending count from now on
+            self._reached_revision = reached
         return max(reached, in_force_revision)
 
+    def _waited_for(self, progress: DaemonProgress, now_s: float) -> bool:
+        if progress.fresh_until_s > now_s:
+            return True
+        silence_limit_s = self._freshness_s * _CLOCK_RATE_MARGIN
+        return progress.acts_past_lease and now_s - progress.last_heard_s < silence_limit_s
+
+    def to_hold(self, committed_revision: int) -> list[str]:
+        """Return the daemons in touch that must promise to act by nothing older.
+
+        A change that waited for long waits for their word only. One that holds
+        already is asked for each further change at once: it serves nothing.
+        """
+        late = self.pending_s >= _HOLD_PATIENCE_S
+        return [
+            name
+            for name, progress in self.daemons.items()
+            if progress.connected
+            and progress.acts_past_lease
+            and progress.acts_from < committed_revision
+            and (late or progress.held_below > progress.applied_revision)
+        ]
+
     def left_out(self, revision: int) -> Iterator[LeftOut]:
-        """Give the daemons that have not said they applied a revision."""
+        """Give the daemons that may act by something older than a revision."""
         now = self._environment.monotonic()
         for name in self.behind(revision):
             progress = self.daemons[name]
@@ -157,18 +223,18 @@
         return self._environment.monotonic() - self._pending_since_s
 
     def behind(self, committed_revision: int) -> list[str]:
-        """Return the daemons that have not applied the newest configuration."""
+        """Return the daemons that may act by something older than a revision."""
         return sorted(
             name
             for name, progress in self.daemons.items()
-            if progress.applied_revision < committed_revision
+            if progress.acts_from < committed_revision
         )
 
     def holding_up(self, committed_revision: int) -> list[str]:
-        """Return the daemons that are behind and may still act."""
+        """Return the daemons that are behind and are waited for."""
         now = self._environment.monotonic()
         return [
             name
             for name in self.behind(committed_revision)
-            if self.daemons[name].fresh_until_s > now
+            if self._waited_for(self.daemons[name], now)
         ]
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -179,8 +179,8 @@
             sorted(name for name, record in self.state.daemons.daemons.items() if not record.gone),
             earlier_leader_s=2 * self.options.timing.election_timeout_s,
         )
-        for name in self.service.sessions:
-            self.in_force.connected(name)
+        for session in self.service.sessions.values():
+            self.service.note_connected(session)
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
         while self.node.is_leader:
             await self._put_in_force()
@@ -193,6 +193,8 @@
 
     async def _put_in_force(self) -> None:
         committed = self.state.resources.revision
+        for name in self.in_force.to_hold(committed):
+            self._order_to_hold(name, committed)
         waited_s = self.in_force.pending_s
         reached = self.in_force.reached(committed, self.state.in_force_revision)
         if reached > self.state.in_force_revision:
@@ -201,6 +203,21 @@
             command.set_in_force.revision = reached
             await self.propose(command)
 
+    def _order_to_hold(self, name: str, revision: int) -> None:
+        if not self.service.hold(name, revision):
+            return
+        progress = self.in_force.daemons[name]
+        self.metrics.add("hold_orders")
+        self.log.info(
+            "hold_ordered",
+            step="in_force",
+            peer=name,
+            revision=revision,
+            applied=progress.applied_revision,
+            held_below=progress.held_below,
+            waited_s=self.in_force.pending_s,
+        )
+
     def _report_in_force(self, reached: int, committed: int, waited_s: float) -> None:
         """Log for whom a change is in force, and who was left out and why."""
         left_out = list(self.in_force.left_out(reached))
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -7,14 +7,13 @@
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
-from heronladder_runtime.config_packing import pack, without_document
-from heronladder_runtime.configuration import FLEET_KIND, REPLICA_KIND
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 from heronladder_schema.v1.control_pb2_grpc import ControlServicer
 
+from heronladder_control.config_feed import ConfigFeed
 from heronladder_control.daemons import ROLE_AGENT, ROLE_ROUTER
 from heronladder_control.replica_loads import ReplicaLoads
 
@@ -23,43 +22,36 @@
 
 _IDLE_CHECK_S = 1.0
 _SCARCE_ASKS = 4
-_ROUTER_KINDS = frozenset(
-    {"tenant", "service", "backend", "routing_policy", FLEET_KIND, REPLICA_KIND}
-)
 
 
 class DaemonSession:
     """One daemon's stream: what is to be sent on it.
 
     Args:
-        record: The daemon.
-        applied_revision: Configuration it already holds; 0 for none.
+        hello: What the daemon said first: who it is, and what it already holds.
     """
 
-    def __init__(self, record: ledger_pb2.DaemonRecord, applied_revision: int) -> None:
-        self.record = record
-        self.config_sent = applied_revision
+    def __init__(self, hello: control_pb2.Hello) -> None:
+        self.hello = hello
+        self.record = hello.daemon
+        self.config_sent = hello.applied_revision
+        self.update: control_pb2.ConfigUpdate | None = None  # being sent, in parts
+        self.update_offset = 0
+        self.in_force_told = 0
+        self.hold_below = 0  # newest order to act by no older revision; 0: none
+        self.hold_told = 0  # newest such order that was sent
         self.wake = Pulse()
         self.closed = False
         self.answers: list[control_pb2.DaemonAnswer] = []
         self.notices: dict[str, control_pb2.DaemonNotice] = {}
         self.recalls: dict[int, int] = {}
         self.heartbeat_ack = 0
+        self.renewed = False  # whether that heartbeat renews the freshness lease
         self.prepaid_recalls: set[str] = set()
         self.told_addresses: list[str] = []
         self.told_routers = 0
         self.tells_loads = False  # whether it ever told what it has under way at replicas
 
-    def wants(self, event: control_pb2.ConfigEvent) -> bool:
-        """Whether the daemon acts on this kind of resource."""
-        if self.record.role == ROLE_ROUTER:
-            return event.kind in _ROUTER_KINDS
-        if event.kind == "backend":
-            return not event.HasField("resource") or (
-                event.resource.backend.agent == self.record.name
-            )
-        return event.kind == "service"
-
     def close(self) -> None:
         """End the stream."""
         self.closed = True
@@ -77,8 +69,7 @@
         self._member = member
         self.sessions: dict[str, DaemonSession] = {}
         self._replica_loads = ReplicaLoads()
-        self._router_update_key = (-1, -1)  # revisions: already sent, reached
-        self._router_update = control_pb2.ConfigUpdate()
+        self._config_feed = ConfigFeed(member)
 
     # ---- one stream -------------------------------------------------------
 
@@ -132,9 +123,9 @@
         earlier = self.sessions.get(name)
         if earlier is not None:
             earlier.close()
-        session = DaemonSession(hello.daemon, hello.applied_revision)
+        session = DaemonSession(hello)
         self.sessions[name] = session
-        self._member.in_force.connected(name)
+        self.note_connected(session)
         self._member.prepaid_watch.opened((name, hello.daemon.incarnation), self._member.node.term)
         other_role = ROLE_ROUTER if hello.daemon.role == ROLE_AGENT else ROLE_AGENT
         for record in self._member.state.daemons.daemons.values():
@@ -146,6 +137,27 @@
                     self._notice(session, collection.router, collection.router_incarnation, True)
         return session
 
+    def note_connected(self, session: DaemonSession) -> None:
+        """Have changes wait for a daemon by what it said first on its stream."""
+        self._member.in_force.connected(
+            session.record.name,
+            session.hello.applied_revision,
+            acts_past_lease=session.hello.acts_past_lease,
+        )
+
+    def hold(self, name: str, revision: int) -> bool:
+        """Order a daemon to act by nothing older than a revision, and to say so.
+
+        Returns:
+            Whether the order is new.
+        """
+        session = self.sessions.get(name)
+        if session is None or session.hold_below >= revision:
+            return False
+        session.hold_below = revision
+        session.wake.give()
+        return True
+
     @staticmethod
     def _notice(session: DaemonSession, name: str, incarnation: str, gone: bool) -> None:
         session.notices[f"{name}/{incarnation}"] = control_pb2.DaemonNotice(
@@ -161,10 +173,14 @@
 
     def _next_frame(self, session: DaemonSession) -> control_pb2.ControlFrame | None:
         frame = control_pb2.ControlFrame()
-        self._add_config(session, frame)
+        update = self._config_feed.next_part(session)
+        if update is not None:
+            frame.config.CopyFrom(update)
+        self._add_in_force(session, frame)
         if session.heartbeat_ack:
             frame.heartbeat_ack = session.heartbeat_ack
-            frame.freshness_ms = int(self._member.freshness_s * MILLISECONDS_PER_SECOND)
+            if session.renewed:
+                frame.freshness_ms = int(self._member.freshness_s * MILLISECONDS_PER_SECOND)
             frame.control_time_ms = self._now_ms()
             session.heartbeat_ack = 0
             if session.tells_loads:
@@ -197,32 +213,16 @@
             session.told_routers = routers
             frame.routers = routers
 
-    def _add_config(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
-        resources = self._member.state.resources
-        if session.config_sent >= resources.revision:
-            return
-        frame.config.CopyFrom(self._config_update(session))
-        session.config_sent = resources.revision
-
-    def _config_update(self, session: DaemonSession) -> control_pb2.ConfigUpdate:
-        """Return what a daemon lacks; made once for all routers that lack the same."""
-        resources = self._member.state.resources
-        is_router = session.record.role == ROLE_ROUTER
-        key = (session.config_sent, resources.revision)
-        if is_router and key == self._router_update_key:
-            return self._router_update
-        events = resources.events_after(session.config_sent) if session.config_sent else None
-        update = control_pb2.ConfigUpdate(snapshot=events is None, revision=resources.revision)
-        if events is None:
-            events = resources.all_as_events()
-        wanted = (event for event in events if session.wants(event))
-        if not is_router:
-            update.events.extend(wanted)
-            return update
-        update.events.extend(without_document(event) for event in wanted)
-        self._router_update_key = key
-        self._router_update = pack(update)
-        return self._router_update
+    def _add_in_force(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
+        """Tell what is in force, at once where it is not held, and what may not be acted by."""
+        in_force = self._member.state.in_force_revision
+        is_behind = session.record.name in self._member.in_force.behind(in_force)
+        if session.in_force_told < in_force and (is_behind or session.heartbeat_ack):
+            session.in_force_told = in_force
+            frame.in_force_revision = in_force
+        if session.hold_told < session.hold_below:
+            session.hold_told = session.hold_below
+            frame.hold_below = session.hold_below
 
     # ---- frames from the daemon -------------------------------------------
 
@@ -255,9 +255,11 @@
             self._replica_loads.told(name, heartbeat.replica_loads)
         in_force = self._member.state.in_force_revision
         applied = heartbeat.applied_revision
-        if self._member.in_force.heartbeat(name, applied, committed, in_force):
-            session.heartbeat_ack = heartbeat.number
-            session.wake.give()
+        session.renewed = self._member.in_force.heartbeat(
+            name, applied, committed, in_force, heartbeat.held_below
+        )
+        session.heartbeat_ack = heartbeat.number
+        session.wake.give()
         self._member.progress.give()
 
     async def _carry_out(self, session: DaemonSession, call: control_pb2.DaemonCall) -> None:
@@ -271,7 +273,8 @@
         session.wake.give()
 
     async def _leave(self, session: DaemonSession) -> None:
-        self._member.in_force.forget(session.record.name)
+        if self.sessions.get(session.record.name) is session:  # else a successor has its name
+            self._member.in_force.forget(session.record.name)
         try:
             await self._member.declare_gone(session.record)
         except HeronladderError:
@@ -294,6 +297,8 @@
             self._tell_others(role, order.name, order.incarnation, gone=True)
         elif body in ("apply_configuration", "register_replica"):
             self._wake_all()
+        elif body == "set_in_force":
+            self._wake_those_behind(command.set_in_force.revision)
         elif body == "draw_tokens" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
             self._recall_prepaid(command.draw_tokens, result)
         elif body == "grant_lease" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
@@ -303,6 +308,12 @@
         for session in self.sessions.values():
             session.wake.give()
 
+    def _wake_those_behind(self, in_force_revision: int) -> None:
+        for name in self._member.in_force.behind(in_force_revision):
+            session = self.sessions.get(name)
+            if session is not None:
+                session.wake.give()
+
     def _tell_others(self, role: str, name: str, incarnation: str, *, gone: bool) -> None:
         for session in self.sessions.values():
             if session.record.role == role:
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -19,12 +19,14 @@
         code: Stable code of the error, for programs.
         outcome: Whether the request ran.
         retry_after_s: When the caller may come back, in seconds; None: it need not.
+        by_configuration: Whether it holds only by the newest configuration.
     """
 
     status = 500
     code = "internal_error"
     outcome: ledger_pb2.Outcome.ValueType = ledger_pb2.OUTCOME_NOT_RUN
     retry_after_s: float | None = None
+    by_configuration = False
 
     def __init__(self, message: str, *, step: str, peer: str = "") -> None:
         super().__init__(message, step=step, peer=peer)
@@ -42,6 +44,7 @@
 
     status = 413
     code = "body_too_large"
+    by_configuration = True
 
 
 class InvalidKeyError(CallerError):
@@ -49,6 +52,7 @@
 
     status = 401
     code = "invalid_api_key"
+    by_configuration = True
 
 
 class ForbiddenServiceError(CallerError):
@@ -70,6 +74,7 @@
 
     status = 404
     code = "route_not_found"
+    by_configuration = True
 
 
 class BudgetExhaustedError(CallerError):
@@ -92,6 +97,7 @@
 
     status = 402
     code = "prepaid_exhausted"
+    by_configuration = True
 
 
 class PrepaidUnavailableError(CallerError):
@@ -120,6 +126,22 @@
     retry_after_s = RETRY_AT_START_S
 
 
+class BehindError(CallerError):
+    """This gateway knows that something newer than it holds is in force; others serve."""
+
+    status = 503
+    code = "configuration_behind"
+    retry_after_s = 0.2  # an update of many routes takes so long at 5 Mbit/s (chosen)
+
+
+class UnconfirmedError(CallerError):
+    """What this gateway holds does not allow the request; what is in force may."""
+
+    status = 503
+    code = "configuration_unconfirmed"
+    retry_after_s = 0.2  # callers come back to another gateway, which may know more (chosen)
+
+
 class StoppingError(CallerError):
     """This gateway is about to end; others serve."""
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -11,6 +11,7 @@
 
 from heronladder_router.errors import (
     AnswerLostError,
+    BehindError,
     CallerError,
     NoBackendError,
     RejectedEverywhereError,
@@ -224,6 +225,7 @@
 
     async def _next_replica(self, request: GatewayRequest, sends: _Sends) -> FleetReplica | None:
         replicas = self._parts.replicas
+        await self._wait_until_it_may_send(sends)
         replica = replicas.choose(request.wish, sends.tried)
         if replica is None and not sends.count:
             await replicas.changed.wait(_REPLICA_WAIT_S)
@@ -235,6 +237,19 @@
             return None
         return replica
 
+    async def _wait_until_it_may_send(self, sends: _Sends) -> None:
+        """Send by no list of replicas that is known to be superseded.
+
+        Raises:
+            BehindError: If nothing was sent yet: other gateways can serve it.
+        """
+        standing = self._parts.link.standing
+        if not standing.must_hold:
+            return
+        if not sends.count:
+            raise BehindError("a newer configuration is in force", step="send")
+        await standing.wait_until_it_may_act()
+
     def _log_send(
         self,
         request: GatewayRequest,
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.link_handlers import LinkHandlers
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.rpc import StubFactory
@@ -80,6 +81,7 @@
             options.heartbeat_s,
             handlers,
             environment,
+            acts_past_lease=True,
         )
         self.routes = HostRouteTable(self.link.configuration, options.names.key_scheme)
         self.replicas = FleetReplicas(options.zone, self.link.configuration, environment, self.log)
@@ -93,6 +95,8 @@
         self._client = ReplicaClient()
         self.server = self._make_server()
         self.link.configuration.listen(self._configuration_changed)
+        self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
+        self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
     def _record(self) -> ledger_pb2.DaemonRecord:
         options = self.options
@@ -125,6 +129,7 @@
         return GatewayServer(
             GatewayDispatcher(parts),
             self.routes,
+            self.link,
             options.names,
             self._environment,
             self.metrics,
@@ -160,7 +165,8 @@
         """Whether new connections are wanted."""
         silent_s = self._environment.monotonic() - self.link.last_heard_s
         heard = silent_s < self.options.stale_limit_s
-        return self.server.ready and heard and not self.server.closing
+        held = self.link.standing.must_hold
+        return self.server.ready and heard and not held and not self.server.closing
 
     async def drain(
         self, grace_s: float, notice_s: float, stop_accepting: Callable[[], Awaitable[None]]
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -4,6 +4,7 @@
 
 from aiohttp import web
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
@@ -12,11 +13,13 @@
 from heronladder_router.error_answer import OUTCOME_HEADER, error_document
 from heronladder_router.errors import (
     OUTCOME_WORDS,
+    BehindError,
     BodyTooLargeError,
     CallerError,
     InvalidRequestError,
     NotReadyError,
     StoppingError,
+    UnconfirmedError,
 )
 from heronladder_router.fleet_replicas import Wish
 from heronladder_router.gateway_dispatch import GatewayDispatcher, StreamBrokenError
@@ -88,6 +91,7 @@
     Args:
         dispatcher: Serves them.
         routes: Finds routes and tenants.
+        link: Tells how what is held stands to what control said.
         names: Header names.
         environment: Time and randomness.
         metrics: Where it counts.
@@ -98,6 +102,7 @@
         self,
         dispatcher: GatewayDispatcher,
         routes: HostRouteTable,
+        link: ControlLink,
         names: GatewayNames,
         environment: Environment,
         metrics: Metrics,
@@ -105,6 +110,7 @@
     ) -> None:
         self._dispatcher = dispatcher
         self._routes = routes
+        self._link = link
         self._names = names
         self._environment = environment
         self._metrics = metrics
@@ -171,6 +177,8 @@
             raise StoppingError("this gateway is stopping", step=_STEP)
         if not self.ready:
             raise NotReadyError("no configuration is known yet", step=_STEP)
+        if self._link.standing.must_hold:
+            raise BehindError("a newer configuration is in force", step=_STEP)
         target = request.raw_path
         matched = self._routes.find(
             request.headers.get("Host", ""), target, request.headers.get("Authorization", "")
@@ -253,7 +261,20 @@
 
     # ---- refusals ---------------------------------------------------------
 
-    def _refuse(self, request: web.BaseRequest, error: CallerError) -> web.Response:
+    def _as_known(self, error: CallerError) -> CallerError:
+        """Return an error that claims no more than this gateway knows.
+
+        That a route, a key or tokens are not there holds by the newest configuration
+        only: said by one that may be older, it turns away what was just added.
+        """
+        if not error.by_configuration or self._link.knows_newest:
+            return error
+        return UnconfirmedError(
+            f"not known to be in force: {error.message}", step=error.step, peer=error.peer
+        )
+
+    def _refuse(self, request: web.BaseRequest, known: CallerError) -> web.Response:
+        error = self._as_known(known)
         request_id = request.headers.get(self._names.request_id, "")
         self._metrics.add("refused", error.code)
         self._log.info(
@@ -265,6 +286,9 @@
             status=error.status,
             retry_after_s=error.retry_after_s,
             version=self._routes.version,
+            revision=self._link.configuration.revision,
+            in_force=self._link.standing.in_force_revision,
+            control_silent_s=self._environment.monotonic() - self._link.last_heard_s,
             why=error.message,
         )
         response = web.Response(
--- a/packages/heronladder-runtime/src/heronladder_runtime/config_packing.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/config_packing.py
@@ -4,6 +4,9 @@
 0.47 MB: 0.75 s at 5 Mbit/s, while a router that lags for half of its freshness lease
 (0.5 s) is not waited for any more. Packed and without the document it takes under
 0.25 s (tests/test_config_packing.py).
+
+What is packed goes in parts, a frame each: a router counts any frame as a sign of
+control, and a large one that came whole would look like silence on a thin link.
 """
 
 import zlib
@@ -13,6 +16,7 @@
 from heronladder_runtime.configuration import FLEET_KIND
 
 PACK_OVER_BYTES = 4_096  # smaller updates gain nothing (chosen: three network packets)
+PART_BYTES = 8_192  # 0.9 s, a router's patience with silence, at 73 kbit/s (chosen)
 _LEVEL = 1  # the fastest: routes are alike, higher levels save little
 _MOST_UNPACKED_BYTES = 256 * 1024 * 1024  # what a sound peer never sends (chosen)
 
@@ -38,6 +42,37 @@
     )
 
 
+def part(update: control_pb2.ConfigUpdate, offset: int) -> control_pb2.ConfigUpdate:
+    """Return the part of an update that begins at a byte of what is packed in it."""
+    end = offset + PART_BYTES
+    return control_pb2.ConfigUpdate(
+        events=update.events,
+        snapshot=update.snapshot,
+        revision=update.revision,
+        packed_events=update.packed_events[offset:end],
+        more=end < len(update.packed_events),
+    )
+
+
+class PartJoiner:
+    """Joins the parts of updates that come on one stream."""
+
+    def __init__(self) -> None:
+        self._parts: list[bytes] = []
+
+    def add(self, update: control_pb2.ConfigUpdate) -> control_pb2.ConfigUpdate | None:
+        """Take a part; return the whole update with the last one, else None."""
+        self._parts.append(update.packed_events)
+        if update.more:
+            return None
+        parts, self._parts = self._parts, []
+        if len(parts) == 1:
+            return update
+        return control_pb2.ConfigUpdate(
+            snapshot=update.snapshot, revision=update.revision, packed_events=b"".join(parts)
+        )
+
+
 def unpack(update: control_pb2.ConfigUpdate) -> control_pb2.ConfigUpdate:
     """Return the update with its events.
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -6,64 +6,34 @@
 """
 
 import asyncio
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
-from heronladder_runtime.config_packing import unpack
+from heronladder_runtime.config_packing import PartJoiner, unpack
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.errors import (
     HeronladderError,
     PeerUnavailableError,
     StaleConfigurationError,
 )
+from heronladder_runtime.link_handlers import LinkHandlers
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.rpc import StubFactory
 from heronladder_runtime.rpc_errors import RPC_ERRORS
+from heronladder_runtime.standing import ConfigurationStanding
 from heronladder_runtime.tasks import TaskGroupOwner
 
 _RECONNECT_PAUSE_S = 0.1
 _SESSION_SILENCE_HEARTBEATS = 3
 
-RecallHandler = Callable[[int, int], None]
-DaemonNoticeHandler = Callable[[control_pb2.DaemonNotice], None]
-RejectionHandler = Callable[[], str]
-
 
 class SessionRejectedError(HeronladderError):
     """Control refused the daemon for good: another incarnation took its name."""
 
 
-@dataclass
-class LinkHandlers:
-    """What a daemon does on orders from control; each may be left out.
-
-    Attributes:
-        recall: Give back tokens of a lease: its id, and the tokens it may keep.
-        daemon_notice: A daemon of the other role registered, or is gone.
-        rejected: This incarnation was declared gone; returns a new incarnation
-            to go on with. Without it the link stays closed.
-        session_began: A new stream is being opened.
-        fill_heartbeat: Adds what the daemon tells to a heartbeat about to be sent.
-        heartbeat_confirmed: Control has the heartbeat of this number.
-        recall_prepaid: Give back what is not used of a tenant.
-        control_regained: A long silence of control has ended.
-        replica_loads: What the other routers have under way, by replica.
-    """
-
-    recall: RecallHandler | None = None
-    daemon_notice: DaemonNoticeHandler | None = None
-    rejected: RejectionHandler | None = None
-    session_began: Callable[[], None] | None = None
-    fill_heartbeat: Callable[[control_pb2.Heartbeat], None] | None = None
-    heartbeat_confirmed: Callable[[int], None] | None = None
-    recall_prepaid: Callable[[str], None] | None = None
-    control_regained: Callable[[], None] | None = None
-    replica_loads: Callable[[Mapping[str, control_pb2.ReplicaLoad]], None] | None = None
-
-
 @dataclass
 class _PendingCall:
     command: control_pb2.Command
@@ -77,6 +47,7 @@
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     sent_calls: set[int] = field(default_factory=set)
     heartbeat_times: dict[int, float] = field(default_factory=dict)
+    parts: PartJoiner = field(default_factory=PartJoiner)
     last_received: float = 0.0
     heartbeat_due: bool = True  # at once: a new leader does not know how far we are
     closed: bool = False
@@ -93,6 +64,8 @@
         heartbeat_interval_s: Time between heartbeats, in seconds.
         handlers: What to do on orders from control.
         environment: Time and randomness.
+        acts_past_lease: Whether the daemon goes on by what it holds while control is
+            silent; control then waits for it as long as it is heard.
     """
 
     def __init__(
@@ -103,8 +76,11 @@
         heartbeat_interval_s: float,
         handlers: LinkHandlers,
         environment: Environment,
+        *,
+        acts_past_lease: bool = False,
     ) -> None:
         self.record = record
+        self._acts_past_lease = acts_past_lease
         self.configuration = ConfigurationStore(record.name)
         self.rejected: SessionRejectedError | None = None
         self.bytes_sent = 0  # messages without the transport's headers
@@ -115,6 +91,7 @@
         self._handlers = handlers
         self._environment = environment
         self._log = EventLog("control_link", record.name)
+        self.standing = ConfigurationStanding(self.configuration, environment, self._log)
         self._tasks = TaskGroupOwner(self._log)
         self._pending: dict[int, _PendingCall] = {}
         self._last_call_id = 0
@@ -156,7 +133,13 @@
     @property
     def fresh(self) -> bool:
         """Whether the daemon may act on the configuration it holds."""
-        return self._environment.monotonic() < self._fresh_until and self.rejected is None
+        leased = self._environment.monotonic() < self._fresh_until
+        return leased and self.rejected is None and not self.standing.must_hold
+
+    @property
+    def knows_newest(self) -> bool:
+        """Whether nothing newer than what is held can be in force."""
+        return self.fresh and not self.standing.behind
 
     def require_fresh(self) -> None:
         """Check the freshness lease.
@@ -287,7 +270,11 @@
             session.wake.set()
 
     async def _frames(self, session: _Session) -> AsyncIterator[control_pb2.DaemonFrame]:
-        hello = control_pb2.Hello(daemon=self.record, applied_revision=self.configuration.revision)
+        hello = control_pb2.Hello(
+            daemon=self.record,
+            applied_revision=self.configuration.revision,
+            acts_past_lease=self._acts_past_lease,
+        )
         yield control_pb2.DaemonFrame(hello=hello)
         while not session.closed:
             frame = self._next_frame(session)
@@ -313,6 +300,7 @@
             frame.heartbeat.number = self._heartbeat_number
             frame.heartbeat.applied_revision = self.configuration.revision
             frame.heartbeat.control_time_ms = self._control_time_ms
+            frame.heartbeat.held_below = self.standing.hold_below
             if self._handlers.fill_heartbeat is not None:
                 self._handlers.fill_heartbeat(frame.heartbeat)
         if self._leaving and not self._pending:
@@ -335,10 +323,11 @@
         if frame.control_time_ms:
             self._control_time_ms = frame.control_time_ms
             self._note_heard()
-        if frame.HasField("config"):
-            self._apply_configuration(frame.config)
+        if frame.HasField("config") and self._apply_configuration(session, frame.config):
             session.heartbeat_due = True  # tells control at once that it is applied
             session.wake.set()
+        if frame.in_force_revision or frame.hold_below:
+            self._take_standing(session, frame)
         if frame.heartbeat_ack:
             self._renew_freshness(session, frame)
         for answer in frame.answers:
@@ -348,17 +337,29 @@
                 call.answer.set_result(answer.result)
         self._take_orders(frame)
 
-    def _apply_configuration(self, update: control_pb2.ConfigUpdate) -> None:
+    def _apply_configuration(self, session: _Session, part: control_pb2.ConfigUpdate) -> bool:
+        """Take a part of an update; return whether it was the last one."""
+        update = session.parts.add(part)
+        if update is None:
+            return False
         try:
             unpacked = unpack(update)
         except ValueError as error:
             raise ConnectionError(str(error)) from error  # another stream sends it anew
         self.configuration.apply(unpacked)
+        return True
+
+    def _take_standing(self, session: _Session, frame: control_pb2.ControlFrame) -> None:
+        self.standing.told(frame.in_force_revision, frame.hold_below)
+        if frame.hold_below:
+            session.heartbeat_due = True  # control waits for the promise
+            session.wake.set()
 
     def _note_heard(self) -> None:
         now_s = self._environment.monotonic()
         silent_s = now_s - self.last_heard_s
         self.last_heard_s = now_s
+        self.standing.heard_s = now_s
         if silent_s <= self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS:
             return
         self._log.info("control_regained", step="session", silent_s=silent_s)
@@ -376,7 +377,7 @@
         sent = session.heartbeat_times.pop(frame.heartbeat_ack, None)
         if sent is None:
             return
-        if self._leaving:
+        if self._leaving or not frame.freshness_ms:
             return
         until = sent + frame.freshness_ms / MILLISECONDS_PER_SECOND
         self._fresh_until = max(self._fresh_until, until)
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
@@ -0,0 +1,38 @@
+"""What a daemon does on orders that come over its link to control."""
+
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+
+from heronladder_schema.v1 import control_pb2
+
+RecallHandler = Callable[[int, int], None]
+DaemonNoticeHandler = Callable[[control_pb2.DaemonNotice], None]
+RejectionHandler = Callable[[], str]
+
+
+@dataclass
+class LinkHandlers:
+    """What a daemon does on orders from control; each may be left out.
+
+    Attributes:
+        recall: Give back tokens of a lease: its id, and the tokens it may keep.
+        daemon_notice: A daemon of the other role registered, or is gone.
+        rejected: This incarnation was declared gone; returns a new incarnation
+            to go on with. Without it the link stays closed.
+        session_began: A new stream is being opened.
+        fill_heartbeat: Adds what the daemon tells to a heartbeat about to be sent.
+        heartbeat_confirmed: Control has the heartbeat of this number.
+        recall_prepaid: Give back what is not used of a tenant.
+        control_regained: A long silence of control has ended.
+        replica_loads: What the other routers have under way, by replica.
+    """
+
+    recall: RecallHandler | None = None
+    daemon_notice: DaemonNoticeHandler | None = None
+    rejected: RejectionHandler | None = None
+    session_began: Callable[[], None] | None = None
+    fill_heartbeat: Callable[[control_pb2.Heartbeat], None] | None = None
+    heartbeat_confirmed: Callable[[int], None] | None = None
+    recall_prepaid: Callable[[str], None] | None = None
+    control_regained: Callable[[], None] | None = None
+    replica_loads: Callable[[Mapping[str, control_pb2.ReplicaLoad]], None] | None = None
--- a/packages/heronladder-tools/src/heronladder_tools/scale.py
+++ b/packages/heronladder-tools/src/heronladder_tools/scale.py
@@ -13,8 +13,9 @@
 from heronladder_router.leases import LeaseManager
 from heronladder_router.settler import Settler
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.link_handlers import LinkHandlers
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import LatencyHistogram
 from heronladder_runtime.rpc import GrpcStubs
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -26,6 +26,9 @@
     "allotment_received": "Tokens of another region were credited here.",
     "change_in_force": "Control puts a change in force: how many daemons were counted, and who was"
     " left out (name@revision applied/age of its last word/stream).",
+    "configuration_behind": "A daemon learns that what is in force, or what it was told to hold"
+    " below, is newer than what it holds.",
+    "configuration_caught_up": "It holds it now.",
     "configuration_in_use": "A gateway acts on this version from now on.",
     "control_lost": "A stream to control ended or could not be opened; `silent_s` since a frame.",
     "control_regained": "Control is heard again after a long silence.",
@@ -39,6 +42,8 @@
     "engine_ordered": "An engine took an order.",
     "folder_is_new_in_a_running_group": "A member with an empty folder joins a group that runs.",
     "group_formed": "The first members of a group found each other.",
+    "hold_ordered": "A change waited long for this daemon, which is in touch: it is told to act by"
+    " nothing older until it has the change.",
     "leader_chores_ended": "A leader's periodic work stopped, with its leadership.",
     "leader_elected": "This member leads, in this term.",
     "leader_stepped_down": "This member leads no more.",
@@ -88,6 +93,7 @@
     "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
     "daemons_left_out": "Daemons that changes in force did not wait for.",
+    "hold_orders": "Orders to daemons that lag to act by nothing older.",
     "first_token": "Time to the first token.",
     "gateway_request": "Time of a request at a gateway, by outcome.",
     "objective_events": "Answers that count for an objective.",
--- a/tests/test_config_packing.py
+++ b/tests/test_config_packing.py
@@ -4,7 +4,15 @@
 import unittest
 
 from heronladder_platform.configuration import read_configuration
-from heronladder_runtime.config_packing import PACK_OVER_BYTES, pack, unpack, without_document
+from heronladder_runtime.config_packing import (
+    PACK_OVER_BYTES,
+    PART_BYTES,
+    PartJoiner,
+    pack,
+    part,
+    unpack,
+    without_document,
+)
 from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME, ConfigurationStore
 from heronladder_schema.v1 import control_pb2
 from platform_stand_ins import configuration, route, start_fleet
@@ -52,6 +60,21 @@
         self.assertIs(pack(update), update)
         self.assertIs(unpack(update), update)
 
+    def test_parts_of_an_update_are_joined_again(self) -> None:
+        whole = pack(_update(1_680))
+        joiner = PartJoiner()
+        joined = None
+        parts = 0
+        while joined is None:
+            sent = part(whole, parts * PART_BYTES)
+            self.assertLessEqual(len(sent.packed_events), PART_BYTES)
+            joined = joiner.add(sent)
+            parts += 1
+        self.assertGreater(parts, 3)
+        self.assertEqual(joined, whole)
+        small = control_pb2.ConfigUpdate(revision=3)
+        self.assertEqual(joiner.add(part(small, 0)), small)
+
     def test_what_cannot_be_unpacked_is_refused(self) -> None:
         sent = pack(_update(400))
         for data in (b"nonsense", sent.packed_events[:-9]):
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -7,7 +7,8 @@
 from typing import Any
 
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.link_handlers import LinkHandlers
 from heronladder_runtime.rpc import GrpcStubs, make_server
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 from heronladder_schema.v1.control_pb2_grpc import ControlServicer, add_ControlServicer_to_server
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -12,7 +12,8 @@
 from heronladder_router.errors import BudgetExhaustedError, BudgetUnavailableError
 from heronladder_router.leases import LeaseManager
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.control_link import ControlLink, LinkHandlers
+from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.link_handlers import LinkHandlers
 from heronladder_runtime.logs import EventLog
 from heronladder_schema.v1 import consensus_pb2, control_pb2, ledger_pb2, resources_pb2
 from support import run_virtual
