--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -28,9 +28,14 @@
         "leader_elected",
         "leader_stepped_down",
         "change_in_force",
+        "hold_ordered",
+        "configuration_behind",
+        "configuration_caught_up",
     }
 )
-_OF_CONTROL = frozenset({"leader_elected", "leader_stepped_down", "change_in_force"})
+_OF_CONTROL = frozenset(
+    {"leader_elected", "leader_stepped_down", "change_in_force", "hold_ordered"}
+)
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
