Pack large commands in the replicated log

Cause: a configuration of 14,240 routes is an entry of 3.95 MB. To four followers over 170 Mbit/s that is 0.74 s, and each call has 0.32 s; so calls that carried it ran out of time, the leader stepped down for want of answers and the next one fared alike. Change: commands over 4 KiB are packed as log entries; plain ones are read as before.

--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -19,6 +19,7 @@
 from heronladder_schema.v1 import consensus_pb2, control_pb2, ledger_pb2
 
 from heronladder_control.allotments import AllotmentKeeper
+from heronladder_control.command_packing import encode_command
 from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.fleet_service import FleetService
 from heronladder_control.in_force import InForceTracker
@@ -145,7 +146,7 @@
             LeadershipLostError: If the command's fate is unknown.
         """
         started_s = self.environment.monotonic()
-        result = await self.node.propose(command.SerializeToString())
+        result = await self.node.propose(encode_command(command))
         body = command.WhichOneof("body") or ""
         self.metrics.observe("command", self.environment.monotonic() - started_s, body)
         return result
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -9,6 +9,7 @@
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.claims import ClaimTable
+from heronladder_control.command_packing import decode_command
 from heronladder_control.daemons import DaemonTable
 from heronladder_control.fleet import FleetTable
 from heronladder_control.lease_rules import Standing
@@ -45,7 +46,7 @@
 
     def apply(self, index: int, command: bytes) -> control_pb2.CommandResult:
         """Carry out one committed command."""
-        order = control_pb2.Command.FromString(command)
+        order = decode_command(command)
         self.applied_index = index
         try:
             result = self._dispatch(index, order)
