Two more tests of what control acknowledged: a drain behind a thin link, and a silence

Symptom: a replica whose drain was acknowledged still gets requests, all of them from the gateway behind a thin link. Sequence: an update of 188 kB goes over a link of 37.6 kB a second; 0.4 s later the replica says that it drains, and its news waits behind the update. Control answers 503 until the gateway's lease has run out there, then 200. Cause: as for the added route: the gateway is counted no more, and sends by what it has. Change: the tests; the version and the drain must also be acknowledged once the link is whole. Bodies of stand-in calls go as files, since aiohttp warns of over a megabyte of plain bytes.

--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -7,6 +7,7 @@
 import tempfile
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from io import BytesIO
 from typing import Any
 
 import aiohttp
@@ -234,7 +235,8 @@
 
     async def call(self, address: str, method: str, path: str, body: Any = None) -> Answer:
         """Make a call of the operator or of a replica."""
-        data = body if isinstance(body, bytes | None) else json.dumps(body)
+        # As a file: over a megabyte aiohttp warns of plain bytes.
+        data = body if isinstance(body, bytes | None) else BytesIO(json.dumps(body).encode())
         async with self.session.request(method, f"http://{address}{path}", data=data) as got:
             return Answer(got.status, dict(got.headers), await got.read())
 
--- a/tests/shaped_link.py
+++ b/tests/shaped_link.py
@@ -8,7 +8,9 @@
 from heronladder_runtime.rpc import StubFactory
 
 _PIECE_BYTES = 1_400  # about a network packet: speeds are kept this finely
+_UNLIMITED_PIECE_BYTES = 65_536  # small pieces would make the test's event loop the limit
 _BUFFER_BYTES = 32_768  # what the kernel holds for each connection on the way (chosen)
+_CATCH_UP_S = 0.05  # lost to late wake-ups, that is made good
 
 
 class LinkDirection:
@@ -34,13 +36,19 @@
         """Go on with what was kept."""
         self._open.set()
 
+    @property
+    def piece_bytes(self) -> int:
+        """How much to take at once."""
+        return _UNLIMITED_PIECE_BYTES if math.isinf(self.bytes_per_s) else _PIECE_BYTES
+
     async def pass_on(self, size_bytes: int) -> None:
         """Wait until so many bytes have gone through."""
         await self._open.wait()
         now_s = asyncio.get_running_loop().time()
-        self._free_s = max(now_s, self._free_s) + size_bytes / self.bytes_per_s
-        await asyncio.sleep(self._free_s - now_s)
-        await self._open.wait()
+        self._free_s = max(now_s - _CATCH_UP_S, self._free_s) + size_bytes / self.bytes_per_s
+        if self._free_s > now_s:
+            await asyncio.sleep(self._free_s - now_s)
+            await self._open.wait()
         self.passed_bytes += size_bytes
 
 
@@ -124,7 +132,7 @@
 async def _pump(
     reader: asyncio.StreamReader, writer: asyncio.StreamWriter, direction: LinkDirection
 ) -> None:
-    while data := await reader.read(_PIECE_BYTES):
+    while data := await reader.read(direction.piece_bytes):
         await direction.pass_on(len(data))
         writer.write(data)
         await writer.drain()
--- a/tests/test_acknowledgements.py
+++ b/tests/test_acknowledgements.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import logging
+import math
 import random
 import unittest
 from collections import Counter
@@ -15,6 +16,7 @@
 from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME
 from heronladder_schema.v1 import control_pb2
 from platform_stand_ins import (
+    SERVICE,
     Answer,
     Fleet,
     Received,
@@ -85,8 +87,9 @@
 
     async def _ask(self, gateway: StartedGateway, number: int) -> None:
         sent_s = _now_s()
-        got = await self._fleet.request_at(gateway.address, self._path, Request_Id=f"w-{number}")
         name = gateway.daemon.settings.common.name
+        request_id = f"{name}/{number}"
+        got = await self._fleet.request_at(gateway.address, self._path, Request_Id=request_id)
         self.seen.append(_Seen(name, sent_s, got.status, got.headers.get("Retry-After", "")))
 
     async def stop(self) -> None:
@@ -126,6 +129,7 @@
 
 
 def _large_configuration(version: int, *routes: dict[str, Any]) -> dict[str, Any]:
+    """Return a configuration of many routes besides."""
     source = random.Random(1)
     many = [
         route(f"/{number:x}/", name=source.randbytes(_NAME_BYTES).hex())
@@ -155,22 +159,36 @@
     return None
 
 
-class AcknowledgementTest(unittest.IsolatedAsyncioTestCase):
+class _ShapedFleet(unittest.IsolatedAsyncioTestCase):
     """Three gateways; one reaches control over a link that a test shapes."""
 
+    def setUp(self) -> None:
+        self.first = configuration(1, route(_KNOWN))
+        self.second = configuration(2, route(_KNOWN), route(_ADDED))
+
     async def asyncSetUp(self) -> None:
-        self.fleet = await start_fleet(_large_configuration(1, route(_KNOWN)))
+        self.fleet = await start_fleet(self.first)
         self.addAsyncCleanup(self.fleet.stop)
         self.link = ShapedLink([self.fleet.control_grpc])
         await self.link.start()
         self.addAsyncCleanup(self.link.stop)
         await self.fleet.add_gateway("front-2")
         self.slow = await self.fleet.add_gateway(_SLOW, self.link)
-        self.sent: list[tuple[str, str, float]] = []  # replica, request, when it came
+        self.came: list[tuple[str, str, float]] = []  # replica, gateway, and when it came
         for identity in (_STAYS, _DRAINED):
             await self.fleet.add_replica(identity, self._answer)
+        await self._settled()
+        self.link.back.passed_bytes = 0
         self.losses = self._watch_losses()
 
+    async def _settled(self) -> None:
+        """Wait until all that was set up is in force."""
+        assert self.fleet.control.control is not None
+        state = self.fleet.control.control.state
+        async with asyncio.timeout(_RESTORED_S):
+            while state.in_force_revision < state.resources.revision:
+                await asyncio.sleep(_POLL_S)
+
     def _watch_losses(self) -> _Losses:
         logger = logging.getLogger("heronladder.control_link")
         losses, level = _Losses(_SLOW), logger.level
@@ -181,7 +199,8 @@
         return losses
 
     async def _answer(self, replica: StandInReplica, received: Received) -> bytes:
-        self.sent.append((replica.identity, received.headers["request-id"], _now_s()))
+        gateway = received.headers["request-id"].partition("/")[0]
+        self.came.append((replica.identity, gateway, _now_s()))
         return answer(received)
 
     def _watch(self, path: str) -> _Watch:
@@ -189,11 +208,8 @@
         self.addAsyncCleanup(watch.stop)
         return watch
 
-    def _make_thin(self, document: dict[str, Any]) -> LinkDirection:
-        back = self.link.back
-        back.passed_bytes = 0
-        back.bytes_per_s = _update_bytes(document) / _UPDATE_S
-        return back
+    async def _replace(self) -> Answer:
+        return await self.fleet.replace(self.second)
 
     async def _served(self, path: str) -> bool:
         """Whether the slow gateway serves a path before patience with a whole link ends."""
@@ -207,11 +223,58 @@
     def _told(self, watch: _Watch, began_s: float, acknowledged_s: float) -> str:
         lost = [f"{lost_s - began_s:.2f}" for lost_s in self.losses.lost_s]
         return (
-            f"acknowledged {acknowledged_s - began_s:.2f} s after it was sent; "
-            f"{watch.told(acknowledged_s)}; stream given up at {lost} s after it was sent; "
+            f"acknowledged {acknowledged_s - began_s:.2f} s after the start; "
+            f"{watch.told(acknowledged_s)}; stream given up at {lost} s after the start; "
             f"{self.link.back.passed_bytes} bytes passed at {self.link.back.bytes_per_s:.0f} a s"
         )
 
+    async def _drain(self) -> Answer:
+        drained = next(replica for replica in self.fleet.replicas if replica.identity == _DRAINED)
+        told = drained.heartbeat(state="draining", sequence=2)
+        path = f"/api/Replicas.Heartbeat/{_DRAINED}"
+        return await self.fleet.call(self.fleet.control_address, "POST", path, told)
+
+    def _came_to_drained(self, since_s: float) -> list[tuple[str, float]]:
+        """Return who sent requests to the drained replica from a time on, and when they came."""
+        return [
+            (gateway, came_s)
+            for identity, gateway, came_s in self.came
+            if identity == _DRAINED and came_s >= since_s
+        ]
+
+    def _told_drained(self, acknowledged_s: float | None) -> str:
+        since_s = acknowledged_s or _now_s()
+        came = self._came_to_drained(since_s)
+        senders = Counter(gateway for gateway, _ in came)
+        last = f", the last {came[-1][1] - since_s:.2f} s after it" if came else ""
+        return f"sent to the drained replica after its acknowledgement: {dict(senders)}{last}"
+
+    async def _drain_known(self) -> bool:
+        """Whether the slow gateway leaves the drained replica out, before patience ends."""
+        assert self.slow.daemon.gateway is not None
+        replicas = self.slow.daemon.gateway.replicas
+        until_s = _now_s() + _RESTORED_S
+        while _now_s() < until_s:
+            if [replica.name for replica in replicas.usable(SERVICE)] == [_STAYS]:
+                return True
+            await asyncio.sleep(_POLL_S)
+        return False
+
+
+class ThinLinkTest(_ShapedFleet):
+    """A whole configuration takes five seconds to one gateway; what it says comes at once."""
+
+    def setUp(self) -> None:
+        # Made before there is an event loop, which they would hold up.
+        self.first = _large_configuration(1, route(_KNOWN))
+        self.second = _large_configuration(2, route(_KNOWN), route(_ADDED))
+        self.update_bytes = _update_bytes(self.second)
+
+    def _make_thin(self) -> LinkDirection:
+        back = self.link.back
+        back.bytes_per_s = self.update_bytes / _UPDATE_S
+        return back
+
     async def test_an_acknowledged_route_is_known_behind_a_thin_link(self) -> None:
         """A gateway answers 404 for a route whose version the operator saw acknowledged.
 
@@ -219,20 +282,76 @@
         configuration takes five seconds. Its lease runs out at control, which counts it
         no more and acknowledges, while the gateway goes on serving by what it has.
         """
-        document = _large_configuration(2, route(_KNOWN), route(_ADDED))
-        back = self._make_thin(document)
+        back = self._make_thin()
         watch = self._watch(_ADDED)
         began_s = _now_s()
-        acknowledged_s = await _acknowledged(lambda: self.fleet.replace(document))
+        acknowledged_s = await _acknowledged(self._replace)
         late: list[_Seen] = []
         if acknowledged_s is not None:
             await asyncio.sleep(_GRACE_S + _WATCH_S)
             late = watch.by_older_state(acknowledged_s + _GRACE_S)
         told = self._told(watch, began_s, acknowledged_s or _now_s())
-        back.bytes_per_s = float("inf")
+        back.bytes_per_s = math.inf
         self.assertTrue(await self._served(_ADDED), f"not served on the whole link: {told}")
+        self.assertIsNotNone(await _acknowledged(self._replace), told)
         self.assertEqual(len(late), 0, told)
 
+    async def test_a_drained_replica_gets_nothing_behind_a_thin_link(self) -> None:
+        """A replica whose drain was acknowledged still gets requests from a gateway.
+
+        A whole configuration is on its way to a gateway, five seconds long; a replica
+        says that it drains, and the news waits behind it. The gateway's lease runs out at
+        control, which acknowledges, while the gateway goes on sending by what it has.
+        """
+        back = self._make_thin()
+        watch = self._watch(_KNOWN)
+        began_s = _now_s()
+        version = asyncio.create_task(_acknowledged(self._replace))
+        await asyncio.sleep(_UNDER_WAY_S)
+        self.assertTrue(self._came_to_drained(began_s), "it gets requests before it drains")
+        acknowledged_s = await _acknowledged(self._drain)
+        late: list[tuple[str, float]] = []
+        if acknowledged_s is not None:
+            await asyncio.sleep(_GRACE_S + _WATCH_S)
+            late = self._came_to_drained(acknowledged_s + _GRACE_S)
+        told = self._told(watch, began_s, acknowledged_s or _now_s())
+        back.bytes_per_s = math.inf
+        self.assertIsNotNone(await version, "the version is not acknowledged on the whole link")
+        self.assertTrue(await self._served(_ADDED), f"not served on the whole link: {told}")
+        self.assertTrue(await self._drain_known(), f"drain not known on the whole link: {told}")
+        self.assertIsNotNone(await _acknowledged(self._drain), told)
+        self.assertEqual(len(late), 0, f"{told}; {self._told_drained(acknowledged_s)}")
+
+
+class SilentLinkTest(_ShapedFleet):
+    """Nothing comes from control to one gateway for a while; what it says comes at once."""
+
+    async def test_what_was_acknowledged_in_a_silence_holds_soon_after_it(self) -> None:
+        """A gateway serves by older state long after its link from control came back.
+
+        For three seconds nothing gets through from control to a gateway, while all the
+        gateway says gets through. A version and a drain are acknowledged meanwhile. From
+        2.5 s after the silence on the gateway must serve by both, or refuse for a moment.
+        """
+        watch = self._watch(_ADDED)
+        began_s = _now_s()
+        self.link.back.stop()
+        asking = asyncio.gather(_acknowledged(self._replace), _acknowledged(self._drain))
+        await asyncio.sleep(_SILENCE_S)
+        self.link.back.let_go()
+        let_go_s = _now_s()
+        acknowledged_s = max(done_s or math.inf for done_s in await asking)
+        self.assertLess(acknowledged_s, math.inf, "not acknowledged on the whole link")
+        since_s = max(acknowledged_s, let_go_s) + _GRACE_S
+        await asyncio.sleep(since_s + _WATCH_S - _now_s())
+        told = (
+            f"let go {let_go_s - began_s:.2f} s after the start; "
+            f"{self._told(watch, began_s, acknowledged_s)}; {self._told_drained(acknowledged_s)}"
+        )
+        self.assertTrue(await self._served(_ADDED), f"not served on the whole link: {told}")
+        self.assertEqual(len(watch.by_older_state(since_s)), 0, told)
+        self.assertEqual(len(self._came_to_drained(since_s)), 0, told)
+
 
 if __name__ == "__main__":
     unittest.main()
