Refuse callers during the load between imports, without a thread

Where the users run us, system-call sites of libraries are said to be rewritten as they are loaded, which need not be safe beside a second running thread. Ruled out by a trace of /proc/self/task at each import of a gateway: another thread during the load. It has one thread at every import and at the hand-over; gRPC's threads start later, and no module is begun beside them. Errors never reach an import; they are counted and logged after the start as early_answers_failed. With no socket open (control) nothing is installed.

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -86,6 +86,12 @@
         metrics = [role.metrics for role in every if role is not None]
         await self._start_admin(metrics)
         self._log.info("daemon_started", step="start", roles=self.settings.common.roles)
+        self._log_early_answers()
+
+    def _log_early_answers(self) -> None:
+        """Log what happened to callers while the program was being loaded."""
+        for failures, error in early_listeners.failed_early():
+            self._log.warning("early_answers_failed", step="load", times=failures, why=error)
         for request_id in early_listeners.refused_early():
             self._log.info(
                 "request_refused",
--- a/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
@@ -45,6 +45,8 @@
 
 def answer_early(request_id_header: str) -> None:
     """Refuse requests on all sockets opened so far, until the first is taken."""
+    if not _opened:
+        return
     answers = EarlyAnswers(list(_opened.values()), request_id_header)
     answers.start()
     _answering.append(answers)
@@ -54,13 +56,24 @@
     """Return the socket that was opened early for an address, once; else None."""
     if address in _opened:
         for answers in _answering:
-            if answers.is_alive():
-                answers.stop()
+            answers.stop()
     return _opened.pop(address, None)
 
 
 def refused_early() -> list[str]:
     """Return the identifiers of requests refused since the last call, for the log."""
-    refused = [name for answers in _answering for name in answers.refused]
-    _answering.clear()
+    refused = []
+    for answers in _answering:
+        refused += answers.refused
+        answers.refused.clear()
     return refused
+
+
+def failed_early() -> list[tuple[int, str]]:
+    """Return how often answering failed since the last call, and the last error of each."""
+    failed = []
+    for answers in _answering:
+        if answers.failures:
+            failed.append((answers.failures, answers.last_failure))
+        answers.failures = 0
+    return failed
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -37,6 +37,8 @@
     "daemon_stopped": "A planned stop is over.",
     "daemon_stopping": "A planned stop began.",
     "disk_refuses_writes": "A member's disk takes no writes; it steps down and tries again.",
+    "early_answers_failed": "Callers that came while the program was being loaded could not be"
+    " refused: how often, and the last error.",
     "engine_control_failed": "An order to an engine failed.",
     "engine_holds_newer_fence": "An engine was ordered by a newer agent; this one gives way.",
     "engine_ordered": "An engine took an order.",
