--- a/packages/heronladder-control/src/heronladder_control/in_force.py
+++ b/packages/heronladder-control/src/heronladder_control/in_force.py
@@ -40,7 +40,7 @@
     Attributes:
         applied_revision: Configuration it said it has applied; 0 while unknown.
         fresh_until_s: When its freshness lease has run out for certain.
-        last_heard_s: When its last heartbeat came.
+        last_heard_s: When its last word came.
         connected: Whether it has a stream open.
         acts_past_lease: Whether it goes on by what it holds while control is silent.
         hears_us_s: Newest time from which it has shown a word of ours.
@@ -258,6 +258,8 @@
         nothing. Where more than half lag it is control that is slow: the change waits,
         and they go on serving.
         """
+        if not self._commits:
+            return []
         candidates = {
             name: progress
             for name, progress in self.daemons.items()
@@ -292,13 +294,14 @@
             return 0.0
         return self._environment.monotonic() - self._pending_since_s
 
-    def behind(self, committed_revision: int) -> list[str]:
+    def is_behind(self, name: str, revision: int) -> bool:
+        """Whether a daemon may act by something older than a revision."""
+        progress = self.daemons.get(name)
+        return progress is not None and progress.acts_from < revision
+
+    def behind(self, revision: int) -> list[str]:
         """Return the daemons that may act by something older than a revision."""
-        return sorted(
-            name
-            for name, progress in self.daemons.items()
-            if progress.acts_from < committed_revision
-        )
+        return sorted(name for name in self.daemons if self.is_behind(name, revision))
 
     def holding_up(self, committed_revision: int) -> list[str]:
         """Return the daemons that are behind and are waited for."""
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -220,7 +220,7 @@
     def _add_in_force(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
         """Tell what is in force, at once where it is not held, and what may not be acted by."""
         in_force = self._member.state.in_force_revision
-        is_behind = session.record.name in self._member.in_force.behind(in_force)
+        is_behind = self._member.in_force.is_behind(session.record.name, in_force)
         if session.in_force_told < in_force and (is_behind or session.heartbeat_ack):
             session.in_force_told = in_force
             frame.in_force_revision = in_force
