--- /dev/null
+++ b/tests/control_group.py
@@ -0,0 +1,109 @@
+"""A group of control members over loopback, each of which can be stopped and started again."""
+
+import asyncio
+import tempfile
+from pathlib import Path
+from random import Random
+
+from heronladder_daemon.daemon import Daemon
+from heronladder_platform import settings as platform_settings
+from heronladder_platform.control_api import ControlApi
+from heronladder_runtime.settings import DaemonSettings
+from heronladder_tools.demo_fleet import free_addresses
+from platform_stand_ins import settings_document
+
+_ADDRESSES = 4  # of each member: gRPC, its API, its metrics, operators and replicas
+_PATIENCE_S = 15.0
+_LOOK_S = 0.02
+
+
+class ControlGroup:
+    """Members that form a group at their first start.
+
+    Args:
+        size: How many.
+
+    Attributes:
+        grpc: gRPC addresses, by number of the member.
+        operators: Addresses for operators and replicas, by number of the member.
+        running: Members that run, by number.
+    """
+
+    def __init__(self, size: int) -> None:
+        addresses = free_addresses(size * _ADDRESSES)
+        self.grpc = addresses[:size]
+        self.operators = addresses[size : 2 * size]
+        self._api = addresses[2 * size : 3 * size]
+        self._admin = addresses[3 * size :]
+        self.running: dict[int, Daemon] = {}
+        self._folder = tempfile.TemporaryDirectory()
+
+    @property
+    def size(self) -> int:
+        """How many members there are, running or not."""
+        return len(self.grpc)
+
+    @property
+    def has_quorum(self) -> bool:
+        """Whether more than half of the members run."""
+        return 2 * len(self.running) > self.size
+
+    @property
+    def leader(self) -> int | None:
+        """Number of the member that leads; None if none does."""
+        for number, daemon in self.running.items():
+            if daemon.control is not None and daemon.control.node.is_leader:
+                return number
+        return None
+
+    def some_operators_address(self, source: Random) -> str:
+        """Return where a running member serves operators; where one would if none runs."""
+        return self.operators[source.choice(sorted(self.running) or range(self.size))]
+
+    async def start(self) -> None:
+        """Start all members; return once one leads."""
+        for number in range(self.size):
+            await self.start_member(number)
+        async with asyncio.timeout(_PATIENCE_S):
+            while self.leader is None:
+                await asyncio.sleep(_LOOK_S)
+
+    async def start_member(self, number: int) -> None:
+        """Start a member, from its folder if it ran before."""
+        daemon = Daemon(self._settings(number))
+        await daemon.start()
+        assert daemon.control is not None
+        application = ControlApi(daemon.control.fleet_service).application()
+        await daemon.listen(application, self.operators[number])
+        self.running[number] = daemon
+
+    async def end_member(self, number: int, *, planned: bool) -> None:
+        """End a member: as planned, or at once."""
+        daemon = self.running.pop(number)
+        await (daemon.stop() if planned else daemon.abort())
+
+    async def stop(self) -> None:
+        """End all members."""
+        for number in list(self.running):
+            await self.end_member(number, planned=False)
+        self._folder.cleanup()
+
+    def _settings(self, number: int) -> DaemonSettings:
+        name = f"core-{number}"
+        folder = Path(self._folder.name) / name
+        folder.mkdir(exist_ok=True)
+        listen = {"control": self.operators[number]}
+        document = settings_document("core", str(folder), 1, listen) | {"seeds": self.operators}
+        document["faultTolerance"] = {"machines": (self.size - 1) // 2}
+        settings = platform_settings.translate(document, platform_settings.CONTROL)
+        settings.common.name = name
+        settings.common.control_addresses = ",".join(self.grpc)
+        settings.common.admin_listen = self._admin[number]
+        settings.control.control_listen = self.grpc[number]
+        settings.control.api_listen = self._api[number]
+        settings.control.initial_members = ",".join(
+            f"core-{other}={grpc}/{operators}"
+            for other, (grpc, operators) in enumerate(zip(self.grpc, self.operators, strict=True))
+        )
+        settings.control.join_contacts = ",".join(self.grpc)
+        return settings
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -229,7 +229,7 @@
 
     async def add_gateway(self, name: str, link: ShapedLink | None = None) -> StartedGateway:
         """Start one more gateway, which reaches control over ``link`` if one is given."""
-        added = await _start_gateway(name, self.control_grpc, self.control_address, link)
+        added = await start_gateway(name, self.control_grpc, self.control_address, link)
         self.more_gateways.append(added)
         return added
 
@@ -301,7 +301,8 @@
         self.folder.cleanup()
 
 
-def _document(role: str, data_folder: str | None, port: int, listen: dict[str, str]) -> Any:
+def settings_document(role: str, data_folder: str | None, port: int, listen: dict[str, str]) -> Any:
+    """Return the settings file of a machine."""
     return {
         "nodeName": f"{role}-1",
         "ip": "127.0.0.1",
@@ -317,11 +318,19 @@
     }
 
 
-async def _start_gateway(
+async def start_gateway(
     name: str, control_grpc: str, control: str, link: ShapedLink | None = None
 ) -> StartedGateway:
+    """Start a gateway, which reaches control over ``link`` if one is given.
+
+    Args:
+        name: The gateway.
+        control_grpc: gRPC addresses of control members, separated by commas.
+        control: Address at which a member serves operators.
+        link: Leads to all members.
+    """
     front, ready, admin = free_addresses(3)
-    document = _document("front", None, 1, {"front": front, "readiness": ready})
+    document = settings_document("front", None, 1, {"front": front, "readiness": ready})
     named = document | {"nodeName": name, "seeds": [control]}
     settings = platform_settings.translate(named, platform_settings.GATEWAY)
     settings.common.control_addresses = control_grpc
@@ -339,7 +348,9 @@
     folder = tempfile.TemporaryDirectory()
     grpc, api, admin, control = free_addresses(4)
     seeds = [control]
-    control_document = _document("core", folder.name, 1, {"control": control}) | {"seeds": seeds}
+    control_document = settings_document("core", folder.name, 1, {"control": control}) | {
+        "seeds": seeds
+    }
     control_settings = platform_settings.translate(control_document, platform_settings.CONTROL)
     control_settings.control.control_listen = grpc
     control_settings.control.api_listen = api
@@ -353,7 +364,7 @@
         while not member.control.node.is_leader:  # until then it has no clear answer
             await asyncio.sleep(0.02)
     await member.listen(ControlApi(member.control.fleet_service).application(), control)
-    gateway = await _start_gateway("front-1", grpc, control)
+    gateway = await start_gateway("front-1", grpc, control)
     session = aiohttp.ClientSession(connector=aiohttp.TCPConnector(force_close=True))
     fleet = Fleet(
         member,
@@ -383,6 +394,8 @@
     "configuration",
     "event",
     "route",
+    "settings_document",
     "start_fleet",
+    "start_gateway",
     "stream_head",
 ]
--- a/tests/shaped_link.py
+++ b/tests/shaped_link.py
@@ -11,6 +11,7 @@
 _UNLIMITED_PIECE_BYTES = 65_536  # small pieces would make the test's event loop the limit
 _BUFFER_BYTES = 32_768  # what the kernel holds for each connection on the way (chosen)
 _CATCH_UP_S = 0.05  # lost to late wake-ups, that is made good
+_LOOK_S = 0.05  # a link whose limit was lifted is noticed within this
 
 
 class LinkDirection:
@@ -47,10 +48,18 @@
         now_s = asyncio.get_running_loop().time()
         self._free_s = max(now_s - _CATCH_UP_S, self._free_s) + size_bytes / self.bytes_per_s
         if self._free_s > now_s:
-            await asyncio.sleep(self._free_s - now_s)
+            await self._wait_until(self._free_s)
             await self._open.wait()
         self.passed_bytes += size_bytes
 
+    async def _wait_until(self, free_s: float) -> None:
+        """Wait until then, but no longer once the limit is lifted."""
+        loop = asyncio.get_running_loop()
+        while (left_s := free_s - loop.time()) > 0 and not math.isinf(self.bytes_per_s):
+            await asyncio.sleep(min(left_s, _LOOK_S))
+        if math.isinf(self.bytes_per_s):
+            self._free_s = 0.0
+
 
 class ShapedLink:
     """Carries connections to some addresses, each way at its own speed.
