Count which kind of change each check would have noticed the want of

A check is telling where an older version allows an answer that none since the acknowledged one does; told apart are routes added, removed and moved, and keys. Also counted is what all versions have, which no gateway may ever deny.

--- a/tests/acknowledgement_book.py
+++ b/tests/acknowledgement_book.py
@@ -144,7 +144,9 @@
             elif state.version <= newest:
                 allowed.add(outcome)
         self._figures.counted["bound"] += 1
-        self._figures.counted["telling"] += bool(superseded - allowed)
+        if superseded - allowed:
+            self._figures.counted["telling"] += 1
+            self._figures.counted[f"telling {_kind(superseded - allowed, allowed)}"] += 1
         if _is_claim(asked.outcome) and asked.outcome not in allowed:
             self._figures.violated(
                 f"{asked}: not by any version from {floor} to {newest}, which say {allowed}"
@@ -152,10 +154,11 @@
 
     def judge_unbound(self, asked: Asked) -> None:
         """Check that no gateway denies what all versions have."""
-        if not asked.outcome.isdigit() or not _is_claim(asked.outcome):
-            return
         outcomes = {state.outcome(asked.path, asked.key) for state in self.states}
-        if not any(outcome.isdigit() for outcome in outcomes):
+        if any(outcome.isdigit() for outcome in outcomes):
+            return
+        self._figures.counted["always there"] += 1
+        if _is_claim(asked.outcome) and asked.outcome.isdigit():
             self._figures.violated(f"{asked}: denied what all versions have")
 
     def judge_arrival(self, replica: str, gateway: str, arrived_s: float) -> None:
@@ -179,6 +182,15 @@
             self._figures.violated(f"read version {version}, not of {floor} to {newest}")
 
 
+def _kind(superseded: set[str], allowed: set[str]) -> str:
+    """Return which change a check would have noticed the want of."""
+    if UNKNOWN_KEY in allowed | superseded:
+        return "keys"
+    if UNKNOWN_ROUTE in allowed:
+        return "removed"
+    return "added" if UNKNOWN_ROUTE in superseded else "moved"
+
+
 def _is_claim(outcome: str) -> bool:
     """Whether an answer says what the configuration is: served, or refused by it."""
     return not outcome.isdigit() or outcome in (UNKNOWN_ROUTE, UNKNOWN_KEY)
--- a/tests/acknowledgement_run.py
+++ b/tests/acknowledgement_run.py
@@ -346,8 +346,9 @@
 
 def told(seed: int, figures: Figures) -> str:
     """Return one line on a run."""
-    names = ("changes", "leaves", "unclear", "requests", "bound", "telling", "arrivals")
-    more = ("reads", "excused", "leaders ended", "violations")
+    names = ("changes", "leaves", "unclear", "requests", "always there", "bound", "telling")
+    kinds = [f"telling {kind}" for kind in ("added", "removed", "moved", "keys")]
+    more = (*kinds, "arrivals", "reads", "excused", "leaders ended", "violations")
     parts = [f"{name.replace(' ', '_')}={figures.counted[name]}" for name in (*names, *more)]
     return f"seed={seed} longest_wait_s={figures.longest_wait_s:.2f} {' '.join(parts)}"
 
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -321,14 +321,7 @@
 async def start_gateway(
     name: str, control_grpc: str, control: str, link: ShapedLink | None = None
 ) -> StartedGateway:
-    """Start a gateway, which reaches control over ``link`` if one is given.
-
-    Args:
-        name: The gateway.
-        control_grpc: gRPC addresses of control members, separated by commas.
-        control: Address at which a member serves operators.
-        link: Leads to all members.
-    """
+    """Start a gateway; ``control_grpc`` may name several members, which ``link`` leads to."""
     front, ready, admin = free_addresses(3)
     document = settings_document("front", None, 1, {"front": front, "readiness": ready})
     named = document | {"nodeName": name, "seeds": [control]}
--- a/tests/test_acknowledgement_run.py
+++ b/tests/test_acknowledgement_run.py
@@ -13,7 +13,7 @@
 _THREE_MEMBERS = RunSizes(members=3, routes=200, seconds=7.0)
 _LONG_UPDATES = RunSizes(members=1, routes=2_400, seconds=11.0)
 _TELLING_SEEDS = (6, 3)  # updates are under way for long to gateways that are in touch
-_CHECKED = ("changes", "leaves", "bound", "telling", "arrivals", "reads", "ends")
+_CHECKED = ("changes", "leaves", "always there", "bound", "telling", "arrivals", "reads", "ends")
 
 
 def _run(seed: int, sizes: RunSizes) -> Figures:
