A late heartbeat of a replica that has ended does not displace its successor

Cause: a registration at an address erased whoever had it, so a heartbeat that a cut delayed brought a crashed incarnation back and dropped the one that runs; ends were remembered by count, 256 of them. Ruled out: telling the newer by sequence alone (each incarnation counts anew); reviving on any newer sequence (a cut holds several heartbeats up, they come at once). Change: the one replaced is kept as ended; it comes back only where the leader hears it with rising sequences over 2 s. Ends are forgotten after 10 min by the leader's own clock. One order of first heartbeats stays ambiguous and heals by itself after 2 s.

--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -1,5 +1,7 @@
 """The fleet's whole configuration and its replicas, as the log carries them."""
 
+from collections.abc import Iterable
+
 from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME, REPLICA_KIND
 from heronladder_runtime.fleet_validation import validate_fleet
 from heronladder_schema.v1 import control_pb2, resources_pb2
@@ -8,8 +10,6 @@
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
 
-_GONE_KEPT = 256  # replicas whose end is remembered, so that a late heartbeat revives none
-
 
 class FleetTable:
     """Applies whole configurations and registrations of replicas.
@@ -72,53 +72,80 @@
     def settled(self, told: resources_pb2.Replica) -> bool:
         """Whether what a replica tells is known already, or is late."""
         known = self.replica(told.id)
-        if known is None:
-            return False
-        return self._merged(known, told) == known
+        if known is None or (known.replaced and not told.gone):
+            return False  # the leader has to judge whether it still runs
+        return self._merged(known, told, returns=False) == known
+
+    def is_replaced(self, identity: str) -> bool:
+        """Whether another incarnation registered at a replica's address."""
+        known = self.replica(identity)
+        return known is not None and known.replaced
 
     @staticmethod
-    def _merged(known: resources_pb2.Replica, told: resources_pb2.Replica) -> resources_pb2.Replica:
-        """Return the newer state: a replica never comes back from draining or gone."""
+    def _merged(
+        known: resources_pb2.Replica, told: resources_pb2.Replica, *, returns: bool
+    ) -> resources_pb2.Replica:
+        """Return the newer state: a replica never comes back from draining or gone.
+
+        But for one that was only taken for replaced, and is proved to run.
+        """
         merged = resources_pb2.Replica()
+        if known.replaced and not returns:
+            merged.CopyFrom(known)
+            return merged
         merged.CopyFrom(known if told.gone else told)
-        merged.draining = known.draining or told.draining or told.gone
-        merged.gone = known.gone or told.gone
+        merged.draining = told.draining or told.gone or (known.draining and not known.replaced)
+        merged.gone = told.gone or (known.gone and not known.replaced)
+        merged.replaced = False
+        merged.sequence = 0
         return merged
 
-    def register(self, index: int, told: resources_pb2.Replica) -> control_pb2.CommandResult:
+    def register(self, index: int, order: control_pb2.RegisterReplica) -> control_pb2.CommandResult:
         """Take what a replica tells of itself; an address has one replica only."""
+        told = order.replica
         known = self.replica(told.id)
         if known is None and told.gone and not told.service:
             return success()  # it left before it ever registered
-        state = told if known is None else self._merged(known, told)
+        before = known if known is not None else resources_pb2.Replica()
+        state = self._merged(before, told, returns=order.returns)
         if known is None or state != known:
-            self._drop_others_at(index, state)
-            resource = resources_pb2.Resource()
-            resource.replica.CopyFrom(state)
-            self._resources.write(index, REPLICA_KIND, told.id, resource)
-            self._forget_old_ends(index)
+            self._end_others_at(index, state)
+            self._write(index, state)
         result = success()
         result.revision = self._resources.resources[REPLICA_KIND][told.id].metadata.revision
         return result
 
-    def _drop_others_at(self, index: int, state: resources_pb2.Replica) -> None:
+    def _write(self, index: int, state: resources_pb2.Replica) -> None:
+        resource = resources_pb2.Resource()
+        resource.replica.CopyFrom(state)
+        self._resources.write(index, REPLICA_KIND, state.id, resource)
+
+    def _end_others_at(self, index: int, state: resources_pb2.Replica) -> None:
+        """End those that had the address: their late heartbeats must not bring them back."""
         if state.gone:
             return
         replaced = [
-            name
+            resource.replica
             for name, resource in self._resources.resources[REPLICA_KIND].items()
             if resource.replica.address == state.address
             and name != state.id
             and not resource.replica.gone
         ]
-        for name in replaced:
-            self._resources.erase(index, REPLICA_KIND, name)
-
-    def _forget_old_ends(self, index: int) -> None:
-        ended = [
-            (resource.metadata.revision, name)
-            for name, resource in self._resources.resources[REPLICA_KIND].items()
-            if resource.replica.gone
-        ]
-        for _, name in sorted(ended)[:-_GONE_KEPT]:
-            self._resources.erase(index, REPLICA_KIND, name)
+        for other in replaced:
+            ended = resources_pb2.Replica()
+            ended.CopyFrom(other)
+            ended.gone = ended.draining = ended.replaced = True
+            self._write(index, ended)
+
+    def ended(self) -> list[str]:
+        """Return the replicas that are gone and remembered."""
+        kept = self._resources.resources[REPLICA_KIND].items()
+        return [name for name, resource in kept if resource.replica.gone]
+
+    def forget(self, index: int, ids: Iterable[str]) -> control_pb2.CommandResult:
+        """Forget ends of replicas."""
+        for name in ids:
+            known = self.replica(name)
+            if known is not None and known.gone:
+                self._resources.erase(index, REPLICA_KIND, name)
+        return success()
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -16,6 +16,9 @@
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
+from heronladder_control.results import success
+from heronladder_control.returning_replicas import ReturningReplicas
+
 if TYPE_CHECKING:
     from heronladder_control.member import ControlMember
 
@@ -58,6 +61,7 @@
 
     def __init__(self, member: ControlMember) -> None:
         self._member = member
+        self._returning = ReturningReplicas(member.environment)
 
     # ---- what is asked ----------------------------------------------------
 
@@ -139,6 +143,8 @@
         try:
             if not request.HasField("command"):
                 return await self._read_as_leader()
+            if self._is_late(request.command):
+                return control_pb2.CarryReply(result=success())
             result = await self._member.propose(request.command)
         except NotLeaderError:
             return control_pb2.CarryReply(not_leader=True)
@@ -150,6 +156,28 @@
             reply.unclear = not await self._wait_in_force(result.revision, wait_s)
         return reply
 
+    def _is_late(self, command: control_pb2.Command) -> bool:
+        """Whether a heartbeat is of a replica whose address another incarnation has.
+
+        If it is proved to run all the same, the command is marked to bring it back.
+        """
+        if command.WhichOneof("body") != "register_replica":
+            return False
+        order = command.register_replica
+        if order.replica.gone or not self._member.state.fleet.is_replaced(order.replica.id):
+            return False
+        order.returns = self._returning.returns(order.replica)
+        self._member.metrics.add("replaced_replicas_heard", "back" if order.returns else "late")
+        self._member.log.info(
+            "replaced_replica_heard",
+            step="register_replica",
+            peer=order.replica.id,
+            address=order.replica.address,
+            sequence=order.replica.sequence,
+            returns=order.returns,
+        )
+        return not order.returns
+
     async def _read_as_leader(self) -> control_pb2.CarryReply:
         await self._member.node.read_barrier()
         reply = control_pb2.CarryReply()
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -21,6 +21,7 @@
 from heronladder_control.allotments import AllotmentKeeper
 from heronladder_control.command_packing import encode_command
 from heronladder_control.daemons import ROLE_ROUTER
+from heronladder_control.ended_replicas import EndedReplicas
 from heronladder_control.fleet_service import FleetService
 from heronladder_control.in_force import InForceTracker
 from heronladder_control.prepaid_watch import PrepaidWatch
@@ -185,10 +186,12 @@
         for session in self.service.sessions.values():
             self.service.note_connected(session)
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
+        ended = EndedReplicas(self.environment)
         while self.node.is_leader:
             await self._put_in_force()
             await self._declare_silent_gone()
             await self._close_prepaid_holders()
+            await self._forget_ended_replicas(ended)
             if self.environment.monotonic() >= next_drop_s:
                 next_drop_s += _CLAIM_DROP_INTERVAL_S
                 await self._drop_old_claims()
@@ -287,6 +290,13 @@
                 spent_as_told=spent,
             )
 
+    async def _forget_ended_replicas(self, ended: EndedReplicas) -> None:
+        due = ended.due(self.state.fleet.ended())
+        if due:
+            command = control_pb2.Command()
+            command.forget_replicas.ids.extend(due)
+            await self.propose(command)
+
     async def _drop_old_claims(self) -> None:
         command = control_pb2.Command()
         command.drop_claims.older_than_ms = max(0, self.environment.wall_ms() - _CLAIM_AGE_MS)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -100,7 +100,9 @@
             case "apply_configuration":
                 return self.fleet.apply(index, order.apply_configuration.configuration)
             case "register_replica":
-                return self.fleet.register(index, order.register_replica.replica)
+                return self.fleet.register(index, order.register_replica)
+            case "forget_replicas":
+                return self.fleet.forget(index, order.forget_replicas.ids)
             case "draw_tokens":
                 return self._draw(order.draw_tokens)
             case "close_prepaid_holder":
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -83,6 +83,8 @@
     "stream_broken": "An answer that had begun was cut.",
     "task_failed": "A background task ended with an error.",
     "tokens_refused": "A tenant's tokens could not be reserved; `held` is what was here.",
+    "replaced_replica_heard": "A heartbeat of a replica whose address another one has: late, or"
+    " proof that it runs (`returns`).",
     "torn_write_dropped": "The last write before a crash was torn and dropped.",
     "borrower_lost": "A gateway that borrowed here has restarted: its open loans are charged.",
     "lender_gone": "Loans cannot be settled: control no longer names their lender.",
@@ -111,6 +113,7 @@
     "objective_met": "Answers that met it.",
     "planned_stop_cuts": "Requests cut by planned stops.",
     "refused": "Refusals, by code.",
+    "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
     "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
     "retries": "Further sends of routers.",
     "sends_failed": "Sends without a whole answer, by kind.",
