A gateway whose callers keep to it stocks their tenant's tokens itself

Ruled out: an empty account (tokens free), slow draws (granted within 60 ms). Change: a gateway that expects to spend 120,000 tokens of a tenant over the horizon holds them ahead, as a holder does; the stock goes back as the rate falls. Idle gateways no longer try to give back in a cut.

--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -100,7 +100,7 @@
         if not self.lenders.takes_part:
             return await self.held.reserve(tenant, tokens, wait_s)
         deadline_s = self._environment.monotonic() + wait_s
-        serves_itself = self.lenders.is_holder(tenant.name)
+        serves_itself = self.held.serves_itself(tenant.name)
         if serves_itself or self.held.free(tenant.name) >= tokens:
             try:
                 return await self.held.reserve(tenant, tokens, wait_s)
@@ -108,6 +108,8 @@
                 # What control says of the account holds for all holders.
                 if not self.held.window.out_of_touch or self._left_s(deadline_s) <= 0:
                     raise
+        if not serves_itself:
+            self.held.note_demand(tenant.name, tokens)
         left_s = self._left_s(deadline_s)
         got = await self.borrowed.borrow(tenant.name, tokens, left_s, request_id)
         if isinstance(got, Loan):
--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -22,7 +22,7 @@
         confirmed: What control has for certain of that.
         draws: Number of the last draw.
         waited_for: Tokens that requests wait for just now.
-        rate: Tokens reserved a second, smoothed.
+        rate: Tokens asked for a second, smoothed.
         refused_minimum: Tokens that were refused last; 0 when none were.
         refused_until_s: How long that refusal is taken to hold.
         next_draw_ahead_s: When tokens may next be asked for ahead of need.
@@ -58,6 +58,10 @@
     def take(self, tokens: int, now_s: float) -> None:
         """Reserve tokens."""
         self.reserved += tokens
+        self.note_demand(tokens, now_s)
+
+    def note_demand(self, tokens: int, now_s: float) -> None:
+        """Count tokens towards the rate: reserved here, or asked of others."""
         if not self._interval_began_s:
             self._interval_began_s = now_s
         elif now_s - self._interval_began_s >= _RATE_INTERVAL_S:
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -22,6 +22,9 @@
 from heronladder_router.tokens.window import SpendingWindow
 
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
+# Expected spending over the horizon from which a gateway stocks its own callers: ten requests
+# of the largest that are common, 12,000 tokens (chosen).
+_OWN_STOCK_TOKENS = 120_000
 _FIRST_SHARE = 4  # all holders together hold one part in four before a rate is known
 _AFTER_CUT_S = 6.0  # for so long no more is held than is needed
 _DRAW_TIMEOUT_S = 1.0
@@ -157,11 +160,32 @@
     # ---- draws ------------------------------------------------------------
 
     def _target(self, balance: TokenBalance) -> int:
-        if not self._lenders.is_holder(balance.tenant):
+        if not self._holds_ahead(balance):
             return 0  # tokens held at every gateway would lie where nobody asks
+        needed = int(balance.rate * _HORIZON_S)
+        if not self._lenders.is_holder(balance.tenant):
+            return needed
         limit = self._limits.get(balance.tenant, 0)
         share = limit // (_FIRST_SHARE * self._lenders.holder_count(balance.tenant))
-        return max(int(balance.rate * _HORIZON_S), share)
+        return max(needed, share)
+
+    def _holds_ahead(self, balance: TokenBalance) -> bool:
+        """Whether tokens are held here ahead of need.
+
+        Of a tenant this gateway holds for others, or one whose callers keep to it: each of
+        their requests would wait for a loan, in vain where the link is full of them.
+        """
+        if self._lenders.is_holder(balance.tenant):
+            return True
+        return balance.rate * _HORIZON_S >= _OWN_STOCK_TOKENS
+
+    def serves_itself(self, tenant: str) -> bool:
+        """Whether a tenant's requests are to be served from what is held here."""
+        return self._holds_ahead(self._balance(tenant))
+
+    def note_demand(self, tenant: str, tokens: int) -> None:
+        """Count a request whose tokens are asked of others."""
+        self._balance(tenant).note_demand(tokens, self._environment.monotonic())
 
     def _growth(self, balance: TokenBalance) -> int:
         """Return how much to draw beside what is missing."""
@@ -258,7 +282,7 @@
         draw.returned = balance.returned
         draw.spent = balance.spent
         draw.reserved = balance.reserved
-        draw.lends = self._lenders.is_holder(balance.tenant)
+        draw.lends = self._holds_ahead(balance)
         began_s = self._environment.monotonic()
         try:
             result = await self._link.call(command, timeout_s)
@@ -328,10 +352,14 @@
     async def _trim(self) -> None:
         while True:
             await asyncio.sleep(_TRIM_INTERVAL_S)
+            if self.window.out_of_touch:
+                continue  # control would not hear of it, and others may ask for it
             for balance in list(self._balances.values()):
+                if not self._lenders.is_holder(balance.tenant):
+                    # Callers that have gone elsewhere leave no stock behind.
+                    balance.note_demand(0, self._environment.monotonic())
                 extra = balance.free - 2 * self._target(balance)
-                no_holder = not self._lenders.is_holder(balance.tenant)
-                if extra > (0 if no_holder else _LEAST_TRIMMED_TOKENS):
+                if extra > (_LEAST_TRIMMED_TOKENS if self._holds_ahead(balance) else 0):
                     balance.give_back(extra)
                     await self._exchange(balance, grow=False)
 
