--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from collections import deque
 from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -17,6 +16,7 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import lending_pb2
 
+from heronladder_router.tokens.lender_account import LenderAccount
 from heronladder_router.tokens.lenders import Lender, Lenders
 from heronladder_router.tokens.peer_key import PeerKey
 
@@ -28,7 +28,6 @@
 _SETTLE_PAUSE_S = 0.1  # over which settlements of one lender are gathered (chosen)
 _SETTLE_TIMEOUT_S = 1.0
 _SETTLE_AGAIN_S = 0.5
-_SETTLEMENTS_KEPT = 4_096  # for each lender; beyond it the oldest stay charged (chosen)
 _REFUSAL_HOLDS_S = 0.4  # a shortage costs no storm of messages (as for draws)
 _NO_ANSWER = lending_pb2.LOAN_OUTCOME_UNSPECIFIED
 
@@ -67,79 +66,6 @@
             self.retry_after_s = retry_after_s
 
 
-@dataclass
-class _LenderAccount:
-    """What was asked of one lender.
-
-    Attributes:
-        lender: Its name.
-        incarnation: Of the lender's process, as it answered last; empty before.
-        last_number: Of the newest loan.
-        open: Numbers of loans that are asked for or in use.
-        asking: Those of them whose answer has not come.
-        unsettled: Settlements that the lender has not confirmed, oldest first.
-        dropped: Settlements that were too many to keep.
-        aside_until_s: It is asked last until then.
-        teller: Tells it what was used.
-    """
-
-    lender: str
-    incarnation: str = ""
-    last_number: int = 0
-    open: set[int] = field(default_factory=set)
-    asking: set[int] = field(default_factory=set)
-    unsettled: deque[lending_pb2.LoanSettlement] = field(default_factory=deque)
-    dropped: int = 0
-    aside_until_s: float = float("-inf")
-    teller: "asyncio.Task[None] | None" = None
-
-    def begin(self) -> int:
-        """Return the number of a new loan."""
-        self.last_number += 1
-        self.open.add(self.last_number)
-        self.asking.add(self.last_number)
-        return self.last_number
-
-    def settle(self, number: int, used: int) -> None:
-        """Have the lender told what became of a loan; once for each."""
-        if number not in self.open:
-            return
-        self.open.discard(number)
-        if len(self.unsettled) >= _SETTLEMENTS_KEPT:
-            # It stays open, and so charged at its lender: what was used must not be freed.
-            self.open.add(self.unsettled.popleft().number)
-            self.dropped += 1
-        self.unsettled.append(lending_pb2.LoanSettlement(number=number, used=used))
-
-    def refused(self, number: int) -> None:
-        """Note that the lender refused a loan: there is nothing to settle."""
-        self.open.discard(number)
-
-    def settled_below(self) -> int:
-        """Return the lowest number that may still be open at the lender."""
-        told = (settlement.number for settlement in self.unsettled)
-        return min([*self.open, *told], default=self.last_number + 1)
-
-    def confirmed(self, sent: list[lending_pb2.LoanSettlement]) -> None:
-        """Forget settlements that the lender has."""
-        numbers = {settlement.number for settlement in sent}
-        kept = [entry for entry in self.unsettled if entry.number not in numbers]
-        self.unsettled.clear()
-        self.unsettled.extend(kept)
-
-    def lender_ended(self, incarnation: str) -> int:
-        """Begin anew with a lender that restarted; return how many loans it forgot.
-
-        Loans whose answer has not come may be of its new incarnation: they are kept, and
-        telling the wrong one what became of them changes nothing there.
-        """
-        forgotten = len(self.open - self.asking)
-        self.incarnation = incarnation
-        self.open &= self.asking
-        self.unsettled.clear()
-        return forgotten
-
-
 class Loan:
     """Tokens of another gateway, set aside there for one request.
 
@@ -151,7 +77,7 @@
     """
 
     def __init__(
-        self, owner: "BorrowedTokens", account: _LenderAccount, number: int, tokens: int
+        self, owner: "BorrowedTokens", account: LenderAccount, number: int, tokens: int
     ) -> None:
         self._owner = owner
         self._account = account
@@ -205,7 +131,7 @@
         self._metrics = metrics
         self._log = log
         self._tasks = TaskGroupOwner(log)
-        self._accounts: dict[str, _LenderAccount] = {}
+        self._accounts: dict[str, LenderAccount] = {}
         self._refusals: dict[str, LoanRefusal] = {}  # the newest, by tenant
         metrics.gauge("loans_in_use", lambda: float(self.loans_in_use))
         metrics.gauge("loan_settlements_dropped", lambda: float(self._dropped()))
@@ -268,10 +194,10 @@
             key=lambda lender: self._account(lender.name).aside_until_s > now_s,
         )
 
-    def _account(self, lender: str) -> _LenderAccount:
+    def _account(self, lender: str) -> LenderAccount:
         account = self._accounts.get(lender)
         if account is None:
-            account = self._accounts[lender] = _LenderAccount(lender)
+            account = self._accounts[lender] = LenderAccount(lender)
         return account
 
     async def _ask(
@@ -333,7 +259,7 @@
     async def _send(
         self,
         lender: Lender,
-        account: _LenderAccount,
+        account: LenderAccount,
         ask: lending_pb2.LoanAsk | None,
         timeout_s: float,
     ) -> lending_pb2.LendReply | None:
@@ -368,7 +294,7 @@
 
     def _take(
         self,
-        account: _LenderAccount,
+        account: LenderAccount,
         request: lending_pb2.LendRequest,
         reply: lending_pb2.LendReply,
     ) -> lending_pb2.LendReply:
@@ -383,16 +309,16 @@
             account.confirmed(list(request.settlements))
         return reply
 
-    def _tell_later(self, account: _LenderAccount) -> None:
+    def _tell_later(self, account: LenderAccount) -> None:
         if account.teller is None or account.teller.done():
             account.teller = self._tasks.start("settle_loans", self._tell(account))
 
-    def settle(self, account: _LenderAccount, number: int, used: int) -> None:
+    def settle(self, account: LenderAccount, number: int, used: int) -> None:
         """Note what became of a loan, and have its lender told."""
         account.settle(number, used)
         self._tell_later(account)
 
-    async def _tell(self, account: _LenderAccount) -> None:
+    async def _tell(self, account: LenderAccount) -> None:
         """Tell a lender what was used until it has all of it, or is gone."""
         await asyncio.sleep(_SETTLE_PAUSE_S)
         while account.unsettled:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -116,6 +116,53 @@
         self.assertLess(messages, 3.0)
 
 
+class OwnStockTest(unittest.TestCase):
+    def test_callers_that_keep_to_a_gateway_need_no_loans(self) -> None:
+        """353 loans were asked over a full link in 2 s, and none was answered in time."""
+
+        async def work() -> dict[str, int]:
+            fleet = _fleet()
+            for name in _ZONES:
+                fleet.start(name)
+            await asyncio.sleep(1)
+            busy = next(
+                process
+                for process in fleet.processes.values()
+                if not process.access.lenders.is_holder(TENANT)
+            )
+            fleet.cut_pairs.update(frozenset((busy.name, other)) for other in _ZONES)
+            got: dict[str, int] = {}
+            for number in range(100):
+                answer = await busy.serve(_TOKENS, 1.0, 0.05)
+                if number >= 50:
+                    got[answer] = got.get(answer, 0) + 1
+            await fleet.stop()
+            return got
+
+        self.assertEqual(run_virtual(work()), {"served": 50})
+
+    def test_stock_goes_back_once_the_callers_are_elsewhere(self) -> None:
+        async def work() -> int:
+            fleet = _fleet()
+            for name in _ZONES:
+                fleet.start(name)
+            await asyncio.sleep(1)
+            busy = next(
+                process
+                for process in fleet.processes.values()
+                if not process.access.lenders.is_holder(TENANT)
+            )
+            for _ in range(100):
+                await busy.serve(_TOKENS, 1.0, 0.05)
+            self.assertGreater(busy.access.held.free(TENANT), 100_000)
+            await asyncio.sleep(15)
+            left = busy.access.held.free(TENANT)
+            await fleet.stop()
+            return left
+
+        self.assertEqual(run_virtual(work()), 0)
+
+
 class LossTest(unittest.TestCase):
     def test_a_dead_borrower_costs_its_loans_in_flight(self) -> None:
         async def work() -> tuple[int, int]:
