--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -91,7 +91,6 @@
         holder.returned = max(holder.returned, order.returned)
         holder.spent = max(holder.spent, order.spent)
         holder.reserved = order.reserved
-        holder.lends = order.lends
 
     def _grant(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
         amount = self._grant_size(account, order)
@@ -112,7 +111,7 @@
             return 0
         if self._scarce(account):
             return order.minimum  # tokens held ahead would lie idle where nobody asks
-        return min(order.wanted, available, max(self._fair_rest(account, order), order.minimum))
+        return min(order.wanted, available, max(self._may_be_held(account), order.minimum))
 
     def _scarce(self, account: ledger_pb2.PrepaidAccount) -> bool:
         """Whether little is left, and less than there would be without lost routers."""
@@ -128,27 +127,18 @@
         return self.available(account) + held
 
     @staticmethod
-    def _fair_rest(account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
-        """Return what a holder may be given, beside what it holds, as its fair share.
+    def _may_be_held(account: ledger_pb2.PrepaidAccount) -> int:
+        """Return how much more all holders together may hold ahead of need.
 
-        What is held carries a holder, and those it lends to, through a cut from control,
-        and is lost if it is killed and not soon replaced. Half is shared out evenly among
-        those that lend, half by what each has used: callers of a tenant may keep to one
-        router.
+        What is held carries them, and those they lend to, through a cut from control, and is
+        lost with a holder that is not soon replaced. Whoever asks gets it: holders lend to
+        each other, and one whose callers ask little asks for little. With a share for each,
+        a sixth of a limit stayed at control while its holders ran dry in a cut (68 gateways).
         """
-        holder = next(
-            entry
-            for entry in account.holders
-            if (entry.holder, entry.incarnation) == (order.holder, order.incarnation)
-        )
         spent = account.closed_charge + sum(entry.spent for entry in account.holders)
         rest = max(0, account.limit - spent)
-        sharers = [entry for entry in account.holders if entry.lends] or account.holders
-        used = sum(entry.spent + entry.reserved for entry in sharers)
-        even = 1 / len(sharers)
-        by_use = (holder.spent + holder.reserved) / used if used else even
-        fair = int(rest * _MOST_HELD * (even + by_use) / 2)
-        return max(0, fair - (holder.granted - holder.returned - holder.spent))
+        held = sum(entry.granted - entry.returned - entry.spent for entry in account.holders)
+        return max(0, int(rest * _MOST_HELD) - held)
 
     @staticmethod
     def _holder(
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -282,7 +282,6 @@
         draw.returned = balance.returned
         draw.spent = balance.spent
         draw.reserved = balance.reserved
-        draw.lends = self._holds_ahead(balance)
         began_s = self._environment.monotonic()
         try:
             result = await self._link.call(command, timeout_s)
--- a/tests/test_config_packing.py
+++ b/tests/test_config_packing.py
@@ -1,5 +1,6 @@
 """Configurations of many routes on their way to gateways with thin links."""
 
+import asyncio
 import json
 import unittest
 
@@ -18,6 +19,7 @@
 from platform_stand_ins import configuration, route, start_fleet
 
 _LINK_BITS_A_S = 5_000_000  # of an entry machine of the grown deployments
+_PATIENCE_S = 10.0
 _LONGEST_S = 0.25  # a quarter of the freshness lease, which runs out while a frame is on its way
 
 
@@ -91,6 +93,10 @@
         self.addAsyncCleanup(fleet.stop)
         assert fleet.gateway.gateway is not None
         link = fleet.gateway.gateway.link
+        # A gateway that control has not heard of yet is not waited for with the change.
+        async with asyncio.timeout(_PATIENCE_S):
+            while link.configuration.fleet() is None:
+                await asyncio.sleep(0.02)
         held = link.configuration.fleet()
         assert held is not None
         self.assertEqual((len(held.routes), held.source), (1_681, b""))
