Read the loans once more: refused messages say nothing of tokens, a stopping holder lends no more

Cause: found by reading. A lender that refuses a message (keys differ) was taken as one that had no tokens, so a gateway with control in reach did not draw; a stopping holder lent until its last moment and returned its tokens only after waiting for loans; a settlement over its loan left the loan open; one method had no caller. Change: as named.

--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -201,6 +201,7 @@
         await asyncio.sleep(notice_s)
         # From now on, busy callers on kept connections must not hold this up.
         self.server.refusing = True
+        self.tokens.lend_no_more()
         await stop_accepting()
         while self.server.in_flight and self._environment.monotonic() - began_s < grace_s:
             await asyncio.sleep(_STOP_POLL_S)
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -12,7 +12,7 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.rpc import StubFactory
-from heronladder_schema.v1 import control_pb2, lending_pb2, resources_pb2
+from heronladder_schema.v1 import lending_pb2, resources_pb2
 
 from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
 from heronladder_router.tokens.borrowing import BorrowedTokens, Loan, LoanRefusal
@@ -150,10 +150,6 @@
 
     # ---- control ----------------------------------------------------------
 
-    def take_lenders(self, told: list[control_pb2.Lender]) -> None:
-        """Take in which gateways there are."""
-        self.lenders.update(told)
-
     def drop_all(self) -> None:
         """Forget all tokens: control charged this incarnation for them."""
         self.held.drop_all()
@@ -165,15 +161,22 @@
         """Begin to give back what is held for nothing."""
         self.held.start()
 
+    def lend_no_more(self) -> None:
+        """Send borrowers elsewhere; loans that are open are settled as ever."""
+        self.book.stopping = True
+
     async def return_all(self, patience_s: float) -> None:
         """Settle all loans and give everything back; own requests must have ended.
 
         Args:
             patience_s: Time in which others may still settle what they borrowed.
         """
-        self.book.stopping = True
+        self.lend_no_more()
         deadline_s = self._environment.monotonic() + patience_s
         await self.borrowed.settle_all()
+        await self.held.return_all()  # first: the time of a planned stop may run out below
+        if not self.book.open_loans:
+            return
         while self.book.open_loans and self._environment.monotonic() < deadline_s:
             await asyncio.sleep(_STOP_POLL_S)
         await self.held.return_all()
--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -29,6 +29,11 @@
 _SETTLE_TIMEOUT_S = 1.0
 _SETTLE_AGAIN_S = 0.5
 _REFUSAL_HOLDS_S = 0.4  # a shortage costs no storm of messages (as for draws)
+_TELLS_NOTHING = (  # of the tenant's tokens
+    lending_pb2.LOAN_OUTCOME_STOPPING,
+    lending_pb2.LOAN_OUTCOME_REFUSED,
+    lending_pb2.LOAN_OUTCOME_CLOSED,
+)
 _NO_ANSWER = lending_pb2.LOAN_OUTCOME_UNSPECIFIED
 
 
@@ -57,7 +62,7 @@
     def note(self, name: str, reply: lending_pb2.LendReply | None) -> None:
         """Take in what one lender answered; None if it did not."""
         self.asked.append(name)
-        if reply is None or reply.outcome == lending_pb2.LOAN_OUTCOME_STOPPING:
+        if reply is None or reply.outcome in _TELLS_NOTHING:
             return
         retry_after_s = reply.retry_after_ms / MILLISECONDS_PER_SECOND
         # One with control in reach knows more of what is left than one without.
--- a/packages/heronladder-router/src/heronladder_router/tokens/lending.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lending.py
@@ -174,6 +174,7 @@
         loan = borrower.open.pop(told.number, None)
         if loan is None:
             return  # settled before, or given up before it was granted
+        loan.settle(told.used)  # at most the loan, whatever is told
         invariant(
             told.used <= loan.tokens,
             "loan_used_within_loan",
@@ -181,7 +182,6 @@
             peer=borrower.incarnation,
             detail=f"{loan.balance.tenant}: {told.used} of {loan.tokens}",
         )
-        loan.settle(told.used)
 
     # ---- what is asked for ------------------------------------------------
 
