--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -192,6 +192,7 @@
     toolbox_commands.emulate,
     toolbox_commands.explain,
     toolbox_commands.losses,
+    toolbox_commands.pools,
     toolbox_commands.soak,
 ):
     application.command()(_command)
--- a/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
@@ -37,6 +37,12 @@
 from heronladder_tools.operator_client import OperatorClient
 from heronladder_tools.operator_commands import DEFAULT_API, Api, Token, read_files, run_command
 from heronladder_tools.planner import PlannedLoad, plan_text
+from heronladder_tools.pool_replay import (
+    pools_text,
+    read_token_log,
+    replay_cut,
+    second_of_day,
+)
 from heronladder_tools.profiles import PROFILES, Profile
 from heronladder_tools.settings_reference import settings_page
 from heronladder_tools.simulation.run import SimulationOptions, simulate
@@ -272,6 +278,24 @@
     print(losses_text(table))
 
 
+def pools(
+    logs: Annotated[list[Path], typer.Argument(help="logs of gateways, in any order")],
+    cut_from: Annotated[str, typer.Option(help="begin of the cut from control, HH:MM:SS")],
+    cut_until: Annotated[str, typer.Option(help="its end, HH:MM:SS")],
+    held: Annotated[float, typer.Option(min=0, max=1, help="held part of what is left")] = 0.5,
+    holders: Annotated[int, typer.Option(min=1, max=100, help="holders of a tenant")] = 3,
+) -> None:
+    """Replay what a cut from control costs, by how prepaid tokens are held."""
+    try:
+        from_s, until_s = second_of_day(cut_from), second_of_day(cut_until)
+    except ValueError as error:
+        raise typer.BadParameter(f"not a time of day, HH:MM:SS: {error}") from error
+    if until_s <= from_s:
+        raise typer.BadParameter("the cut ends before it begins", param_hint="--cut-until")
+    log = read_token_log(logs)
+    print(pools_text(log, replay_cut(log, from_s, until_s, held, holders)))
+
+
 def explain(
     request_id: Annotated[str, typer.Argument(help="identifier of the request")],
     logs: Annotated[list[Path], typer.Argument(help="logs of the daemons, in any order")],
