A holder that never heard this control is charged all it held, on a young clock too

Ruled out as faults of the run's own model, each mended there: charges of a holder opened twice were not added up, loans of a restarted borrower were taken for its predecessor's, heartbeats overtook each other. Change: never is not 0. The random run (tests/lending_run.py) now checks each holder: what was handed out of its tokens is at most what it counts, and at most what it was charged once it is gone.

--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -29,7 +29,9 @@
 
     term: int
     most: dict[str, int] = field(default_factory=dict)  # that it may use, by tenant
-    heard_control_s: float = 0.0  # leader's clock on the newest frame it received
+    # Leader's clock on the newest frame it received. Never, until it tells of one: on a machine
+    # that has just started, 0 is a moment ago, and the holder was charged nothing.
+    heard_control_s: float = float("-inf")
     ended_s: float | None = None  # when its successor was heard of
 
 
@@ -54,8 +56,9 @@
         if told is None:
             return
         told.most.update(heartbeat.prepaid_announced)  # only what changed is told
-        heard_s = heartbeat.control_time_ms / MILLISECONDS_PER_SECOND
-        told.heard_control_s = max(told.heard_control_s, heard_s)
+        if heartbeat.control_time_ms:
+            heard_s = heartbeat.control_time_ms / MILLISECONDS_PER_SECOND
+            told.heard_control_s = max(told.heard_control_s, heard_s)
 
     def replaced(self, holder: str, incarnation: str, process_age_s: float = 0.0) -> None:
         """Note that a new incarnation of a router was heard of: the others have ended.
--- a/tests/lending_fleet.py
+++ b/tests/lending_fleet.py
@@ -14,7 +14,8 @@
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_control.results import failure
 from heronladder_router.errors import CallerError
-from heronladder_router.tokens.access import LendingOptions, TokenAccess
+from heronladder_router.tokens.access import LendingOptions, Reservation, TokenAccess
+from heronladder_router.tokens.borrowing import Loan
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import PeerUnavailableError, RefusedByInvariantError
@@ -26,6 +27,7 @@
 TENANT = "t"
 REGION = "r"
 HEARTBEAT_S = 0.3
+HolderKey = tuple[str, str]  # gateway, its incarnation as control knows it
 PROMPT_SHARE = 0.6  # of a request's tokens, handed out with its first event
 
 
@@ -108,17 +110,25 @@
         except CallerError as error:
             return error.code
         used = 0
+        holder = self._holder_of(reservation)
         try:
             for share in (PROMPT_SHARE, 1 - PROMPT_SHARE):
                 await asyncio.sleep(lasts_s / 2)
                 amount = int(tokens * share * used_share)
-                self.fleet.hand_out(amount)
+                self.fleet.hand_out(amount, holder)
                 used += amount
         finally:
             if self.fleet.processes.get(self.name) is self:  # a process that ended says nothing
                 reservation.settle(used)
         return "served"
 
+    def _holder_of(self, reservation: Reservation) -> HolderKey:
+        """Return under which incarnation of which gateway tokens are charged."""
+        if isinstance(reservation, Loan):
+            borrower = self.access.borrowed._incarnation
+            return self.fleet.granted[reservation.lender, borrower, reservation._number]
+        return (self.name, self.link.record.incarnation)
+
 
 class Link:
     """A gateway's link to control, with what ``TokenAccess`` asks of it."""
@@ -133,6 +143,8 @@
         self.routers = len(fleet.zones)
         self.control_time_ms = 0
         self._beats = 0
+        self._stream = 0  # term of the control it is open to; 0: none
+        self._in_order = asyncio.Lock()
 
     async def call(
         self, command: control_pb2.Command, timeout_s: float | None = None
@@ -153,25 +165,57 @@
         self._process.tasks.start("beat_now", self.beat(1_000_000 - self._beats))
 
     async def beat(self, number: int) -> None:
-        """Send a heartbeat and take its answer, unless control is out of reach."""
-        fleet = self._fleet
-        if not fleet.reaches_control(self._process):
-            return
-        heartbeat = control_pb2.Heartbeat(number=number, control_time_ms=self.control_time_ms)
-        self._process.access.held.fill_heartbeat(heartbeat)
-        sent_s = fleet.environment.monotonic()
-        await fleet.passes_to_control(self._process)
-        fleet.watch.heartbeat((self._process.name, self.record.incarnation), heartbeat)
-        now_ms = int(fleet.environment.monotonic() * MILLISECONDS_PER_SECOND)
-        await fleet.passes_to_control(self._process)
-        self.control_time_ms = max(self.control_time_ms, now_ms)
-        silent_s = sent_s - self.last_heard_s
-        self.last_heard_s = fleet.environment.monotonic()
+        """Send a heartbeat and take its answer.
+
+        Heartbeats of a stream come in order. A stream that a cut breaks, or an end of control,
+        takes what is under way with it; the next one tells all anew.
+        """
+        async with self._in_order:
+            if not self._fleet.reaches_control(self._process):
+                self._stream = 0
+                return
+            if self._stream != self._fleet.term:
+                self._open_stream()
+            stream = self._stream
+            heartbeat = control_pb2.Heartbeat(number=number, control_time_ms=self.control_time_ms)
+            self._process.access.held.fill_heartbeat(heartbeat)
+            if not await self._passes(stream):
+                return
+            holder = (self._process.name, self.record.incarnation)
+            self._fleet.watch.heartbeat(holder, heartbeat)
+            now_ms = int(self._fleet.environment.monotonic() * MILLISECONDS_PER_SECOND)
+            if await self._passes(stream):
+                self._take_answer(number, now_ms)
+
+    def _open_stream(self) -> None:
+        self._stream = self._fleet.term
+        self.control_time_ms = 0
+        self._process.access.held.session_began()
+        self._fleet.watch.opened((self._process.name, self.record.incarnation), self._fleet.term)
+
+    async def _passes(self, stream: int) -> bool:
+        """Whether a message of a stream arrives."""
+        await asyncio.sleep(self._fleet.delay_s())
+        whole = self._fleet.reaches_control(self._process) and stream == self._fleet.term
+        if not whole or stream != self._stream:
+            self._stream = 0
+            return False
+        return True
+
+    def _take_answer(self, number: int, control_time_ms: int) -> None:
+        self.control_time_ms = control_time_ms
+        now_s = self._fleet.environment.monotonic()
+        silent_s = now_s - self.last_heard_s
+        self.last_heard_s = now_s
         if silent_s > 3 * HEARTBEAT_S:
-            self.regained_s = self.last_heard_s
+            self.regained_s = now_s
             self._process.access.held.control_regained()
         self._process.access.held.confirmed(number)
 
+    def end_stream(self) -> None:
+        """Have the next heartbeat open a new stream."""
+        self._stream = 0
+
 
 class Stubs:
     """Carries loan messages, which may be lost, doubled, late or out of order."""
@@ -211,7 +255,12 @@
         process = self._fleet.processes.get(self._target)
         if process is None or not self._fleet.reaches(self._source, self._target):
             return None
-        return await process.access.book.Lend(request, None)
+        reply = await process.access.book.Lend(request, None)
+        if reply.outcome == lending_pb2.LOAN_OUTCOME_GRANTED:
+            number = (self._target, request.borrower_incarnation, request.ask.number)
+            holder = (process.name, process.link.record.incarnation)
+            self._fleet.granted.setdefault(number, holder)
+        return reply
 
 
 class LendingFleet:
@@ -247,9 +296,15 @@
         self.term = 1
         self.processes: dict[str, Process] = {}
         self.requests: dict[str, set[asyncio.Task[str]]] = {}
+        self.stopping: set[str] = set()  # gateways that get no new callers
         self.cut_from_control: set[str] = set()
         self.cut_pairs: set[frozenset[str]] = set()
         self.handed_out = 0
+        self.granted: dict[
+            tuple[str, str, int], HolderKey
+        ] = {}  # lender, borrower's incarnation, number
+        self.handed_out_of: dict[HolderKey, int] = {}
+        self.charged_for: dict[HolderKey, int] = {}  # holders that are closed
         self.messages = 0
 
     # ---- control ----------------------------------------------------------
@@ -270,7 +325,6 @@
         for holder in list(self.account.holders):
             if holder.holder == process.name and holder.incarnation != process.incarnation:
                 self.close((holder.holder, holder.incarnation))
-        self.watch.opened((process.name, process.incarnation), self.term)
 
     def draw(self, order: control_pb2.DrawTokens) -> control_pb2.CommandResult:
         """Carry out a draw; one of an incarnation that was closed is refused."""
@@ -281,15 +335,20 @@
 
     def close(self, holder: tuple[str, str]) -> None:
         """Charge a holder that is gone."""
+        before = self.account.closed_charge
         self.table.close(self.watch.charges(holder, self.table, self.term))
         self.watch.forget(holder)
+        # A draw that came late may have opened it once more: the charges add up.
+        charge = self.account.closed_charge - before
+        self.charged_for[holder] = self.charged_for.get(holder, 0) + charge
+        self._check(holder)
 
     def declare_gone(self, process: Process) -> None:
         """Charge a gateway that was silent for long, which goes on and comes back."""
         self.close((process.name, process.link.record.incarnation))
         process.access.drop_all()
         process.link.record.incarnation = self.environment.new_id(process.name)
-        self.watch.opened((process.name, process.link.record.incarnation), self.term)
+        process.link.end_stream()
 
     def control_restarts(self) -> None:
         """Let control begin anew from a snapshot: what was announced is forgotten."""
@@ -299,9 +358,6 @@
         self.table.load(control_pb2.StateSnapshot.FromString(snapshot.SerializeToString()))
         self.watch = PrepaidWatch(self.environment)
         self.term += 1
-        for process in self.processes.values():
-            self.watch.opened((process.name, process.link.record.incarnation), self.term)
-            process.access.held.session_began()
 
     def set_limit(self, limit: int) -> None:
         """Change the limit, at control and everywhere."""
@@ -340,12 +396,26 @@
         task.add_done_callback(running.discard)
         return task
 
-    def hand_out(self, tokens: int) -> None:
-        """Count what a caller got."""
+    def hand_out(self, tokens: int, holder: HolderKey) -> None:
+        """Count what a caller got, of the tokens of a holder."""
         self.handed_out += tokens
+        self.handed_out_of[holder] = self.handed_out_of.get(holder, 0) + tokens
+        self._check(holder)
         assert self.handed_out <= self.charged, (self.handed_out, self.charged)
         assert self.handed_out <= self.highest_limit, (self.handed_out, self.highest_limit)
 
+    def _check(self, holder: HolderKey) -> None:
+        """Check that a holder counts, or was charged, all that was handed out of its tokens."""
+        handed_out = self.handed_out_of.get(holder, 0)
+        charged = self.charged_for.get(holder)
+        if charged is not None:
+            assert handed_out <= charged, (holder, handed_out, charged)
+            return
+        process = self.processes.get(holder[0])
+        if process is not None and process.link.record.incarnation == holder[1]:
+            used = process.access.held._balances[TENANT].used
+            assert handed_out <= used, (holder, handed_out, used)
+
     async def stop(self) -> None:
         """End all."""
         for process in list(self.processes.values()):
--- /dev/null
+++ b/tests/lending_run.py
@@ -0,0 +1,119 @@
+"""Random runs of gateways that lend to each other, in virtual time, while all that can fails.
+
+At each step nothing that callers got passes what control has charged, nor the highest limit.
+
+Usage: ``python tests/lending_run.py --seeds 100 --first 1000``.
+"""
+
+import argparse
+import asyncio
+import sys
+from random import Random
+
+from heronladder_schema.v1 import control_pb2
+from lending_fleet import LendingFleet, Weather
+from support import run_virtual
+
+ZONES = {f"{zone}{number}": zone for zone in "abc" for number in range(4)}
+TOKENS = 5_000
+_LIMIT = 600_000
+_LIMITS = (500_000, 600_000, 700_000)
+_SECONDS = 30.0
+_REQUESTS_A_SECOND = 20
+_POWER_LOSS_CHANCE = 0.3  # of the troubles that may be one
+_SEEN_LENDERS = 6
+_OTHER_VIEWS = 5
+
+
+async def traffic(fleet: LendingFleet, seconds: float, a_second: int) -> dict[str, int]:
+    """Have callers ask at gateways drawn at random; return answers by kind."""
+    tasks = []
+    for _ in range(int(seconds * a_second)):
+        running = [one for one in fleet.processes.values() if one.name not in fleet.stopping]
+        if running:
+            share = fleet.random.choice((0.0, 0.5, 1.0))
+            tasks.append(fleet.begin(fleet.random.choice(running), TOKENS, share, 0.4))
+        await asyncio.sleep(1 / a_second)
+    got: dict[str, int] = {}
+    for answer in await asyncio.gather(*tasks, return_exceptions=True):
+        kind = answer if isinstance(answer, str) else "lost"
+        if not isinstance(answer, str | asyncio.CancelledError):
+            raise answer
+        got[kind] = got.get(kind, 0) + 1
+    return got
+
+
+async def one_run(seed: int) -> LendingFleet:
+    """Play one seed; return the fleet, ended.
+
+    Raises:
+        AssertionError: If a caller got what was not charged, or a limit was passed.
+    """
+    weather = Weather(lost=0.1, doubled=0.1, delay_s=0.25)
+    fleet = LendingFleet(Random(seed), ZONES, _LIMIT, weather)
+    for name in ZONES:
+        fleet.start(name)
+    requests = asyncio.create_task(traffic(fleet, _SECONDS, _REQUESTS_A_SECOND))
+    while not requests.done():
+        await asyncio.sleep(0.2 + fleet.random.random())
+        await _some_trouble(fleet)
+    requests.result()
+    await fleet.stop()
+    assert fleet.charged <= fleet.highest_limit, (fleet.charged, fleet.highest_limit)
+    return fleet
+
+
+async def _some_trouble(fleet: LendingFleet) -> None:
+    name = fleet.random.choice(sorted(ZONES))
+    process = fleet.processes.get(name)
+    kind = fleet.random.randrange(9)
+    if kind == 0 and process is not None:
+        await process.crash()
+        await asyncio.sleep(0.3)
+        fleet.start(name)
+    elif kind == 1:
+        fleet.cut_from_control.update(ZONES)
+    elif kind in (2, 3):
+        fleet.cut_from_control.clear()
+        fleet.cut_pairs.clear()
+    elif kind == 4:
+        fleet.control_restarts()
+    elif kind == 5 and process is not None:
+        fleet.cut_from_control.discard(name)
+        fleet.declare_gone(process)  # as one that was frozen, and comes back
+    elif kind == 6:
+        fleet.set_limit(fleet.random.choice(_LIMITS))
+    elif kind == 7 and fleet.random.random() < _POWER_LOSS_CHANCE:
+        for each in list(fleet.processes.values()):
+            await each.crash()
+        fleet.control_restarts()
+        await asyncio.sleep(0.7)
+        for each_name in ZONES:
+            fleet.start(each_name)
+    else:  # another view of who holds
+        seen = fleet.random.sample(fleet.lenders(), _SEEN_LENDERS)
+        for each in list(fleet.processes.values())[:_OTHER_VIEWS]:
+            each.access.lenders.update([control_pb2.Lender(name=gone) for gone in ZONES] + seen)
+
+
+def main() -> int:
+    """Play seeds; return how many failed."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", type=int, default=50)
+    parser.add_argument("--first", type=int, default=0)
+    options = parser.parse_args()
+    failed = 0
+    for seed in range(options.first, options.first + options.seeds):
+        try:
+            fleet = run_virtual(one_run(seed))
+        except AssertionError as error:
+            failed += 1
+            print(f"seed {seed}: {error}")
+            continue
+        print(f"seed {seed}: {fleet.handed_out} handed out, {fleet.charged} charged")
+    print(f"{options.seeds - failed} passed, {failed} failed")
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -12,33 +12,14 @@
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import control_pb2, lending_pb2
 from lending_fleet import REGION, TENANT, LendingFleet, Weather
+from lending_run import TOKENS, ZONES, one_run, traffic
 from support import run_virtual
 
-_ZONES = {f"{zone}{number}": zone for zone in "abc" for number in range(4)}
 _LIMIT = 3_000_000
-_TOKENS = 5_000
-
-
-async def _traffic(fleet: LendingFleet, seconds: float, a_second: int) -> dict[str, int]:
-    """Have callers ask at gateways drawn at random; return answers by kind."""
-    tasks = []
-    for _ in range(int(seconds * a_second)):
-        running = list(fleet.processes.values())
-        if running:
-            share = fleet.random.choice((0.0, 0.5, 1.0))
-            tasks.append(fleet.begin(fleet.random.choice(running), _TOKENS, share, 0.4))
-        await asyncio.sleep(1 / a_second)
-    got: dict[str, int] = {}
-    for answer in await asyncio.gather(*tasks, return_exceptions=True):
-        kind = answer if isinstance(answer, str) else "lost"
-        if not isinstance(answer, str | asyncio.CancelledError):
-            raise answer
-        got[kind] = got.get(kind, 0) + 1
-    return got
 
 
 def _fleet(seed: int = 1, weather: Weather | None = None, **changes: Any) -> LendingFleet:
-    zones = changes.pop("zones", _ZONES)
+    zones = changes.pop("zones", ZONES)
     return LendingFleet(Random(seed), zones, changes.pop("limit", _LIMIT), weather or Weather())
 
 
@@ -58,11 +39,11 @@
 
         async def work() -> tuple[dict[str, int], int]:
             fleet = _fleet()
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
-            await _traffic(fleet, 10, 20)
-            fleet.cut_from_control.update(_ZONES)
-            got = await _traffic(fleet, 8, 20)
+            await traffic(fleet, 10, 20)
+            fleet.cut_from_control.update(ZONES)
+            got = await traffic(fleet, 8, 20)
             fleet.cut_from_control.clear()
             await _settle_all(fleet)
             left = fleet.charged - fleet.handed_out
@@ -76,11 +57,11 @@
     def test_with_no_lender_in_reach_a_refusal_comes_at_once(self) -> None:
         async def work() -> tuple[str, float, int]:
             fleet = _fleet()
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(3)
-            fleet.cut_from_control.update(_ZONES)
-            fleet.cut_pairs.update(frozenset(pair) for pair in itertools.combinations(_ZONES, 2))
+            fleet.cut_from_control.update(ZONES)
+            fleet.cut_pairs.update(frozenset(pair) for pair in itertools.combinations(ZONES, 2))
             await asyncio.sleep(4)
             lone = next(
                 process
@@ -89,7 +70,7 @@
             )
             fleet.messages = 0
             began_s = fleet.environment.monotonic()
-            got = await lone.serve(_TOKENS, 1.0, 0.1)
+            got = await lone.serve(TOKENS, 1.0, 0.1)
             took_s = fleet.environment.monotonic() - began_s
             await fleet.stop()
             return got, took_s, fleet.messages
@@ -102,11 +83,11 @@
     def test_an_empty_account_costs_few_messages(self) -> None:
         async def work() -> tuple[dict[str, int], float]:
             fleet = _fleet(limit=200_000)
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
-            await _traffic(fleet, 10, 20)
+            await traffic(fleet, 10, 20)
             fleet.messages = 0
-            got = await _traffic(fleet, 5, 40)
+            got = await traffic(fleet, 5, 40)
             asked = sum(got.values())
             await fleet.stop()
             return got, fleet.messages / asked
@@ -122,7 +103,7 @@
 
         async def work() -> dict[str, int]:
             fleet = _fleet()
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(1)
             busy = next(
@@ -130,10 +111,10 @@
                 for process in fleet.processes.values()
                 if not process.access.lenders.is_holder(TENANT)
             )
-            fleet.cut_pairs.update(frozenset((busy.name, other)) for other in _ZONES)
+            fleet.cut_pairs.update(frozenset((busy.name, other)) for other in ZONES)
             got: dict[str, int] = {}
             for number in range(100):
-                answer = await busy.serve(_TOKENS, 1.0, 0.05)
+                answer = await busy.serve(TOKENS, 1.0, 0.05)
                 if number >= 50:
                     got[answer] = got.get(answer, 0) + 1
             await fleet.stop()
@@ -144,7 +125,7 @@
     def test_stock_goes_back_once_the_callers_are_elsewhere(self) -> None:
         async def work() -> int:
             fleet = _fleet()
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(1)
             busy = next(
@@ -153,7 +134,7 @@
                 if not process.access.lenders.is_holder(TENANT)
             )
             for _ in range(100):
-                await busy.serve(_TOKENS, 1.0, 0.05)
+                await busy.serve(TOKENS, 1.0, 0.05)
             self.assertGreater(busy.access.held.free(TENANT), 100_000)
             await asyncio.sleep(15)
             left = busy.access.held.free(TENANT)
@@ -167,7 +148,7 @@
     def test_a_dead_borrower_costs_its_loans_in_flight(self) -> None:
         async def work() -> tuple[int, int]:
             fleet = _fleet()
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(3)
             borrower = next(
@@ -176,23 +157,23 @@
                 if not process.access.lenders.is_holder(TENANT)
             )
             for _ in range(3):
-                fleet.begin(borrower, _TOKENS, 0.0, 5.0)
+                fleet.begin(borrower, TOKENS, 0.0, 5.0)
             await asyncio.sleep(1)
             await borrower.crash()
             await asyncio.sleep(1)
             again = fleet.start(borrower.name)
-            self.assertEqual(await again.serve(_TOKENS, 0.0, 0.1), "served")
+            self.assertEqual(await again.serve(TOKENS, 0.0, 0.1), "served")
             await _settle_all(fleet)
             await fleet.stop()
             return fleet.charged, fleet.handed_out
 
         charged, handed_out = run_virtual(work())
-        self.assertEqual((charged, handed_out), (3 * _TOKENS, 0))
+        self.assertEqual((charged, handed_out), (3 * TOKENS, 0))
 
     def test_a_request_given_up_while_it_asks_leaves_nothing_on_loan(self) -> None:
         async def work() -> tuple[int, int]:
             fleet = _fleet(weather=Weather(delay_s=0.1))
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(3)
             borrower = next(
@@ -201,7 +182,7 @@
                 if not process.access.lenders.is_holder(TENANT)
             )
             for number in range(30):
-                request = fleet.begin(borrower, _TOKENS, 1.0, 0.0)
+                request = fleet.begin(borrower, TOKENS, 1.0, 0.0)
                 await asyncio.sleep(number * 0.005)
                 request.cancel()
             await asyncio.sleep(3)
@@ -215,19 +196,18 @@
     def test_a_planned_stop_loses_nothing(self) -> None:
         async def work() -> tuple[int, int]:
             fleet = _fleet()
-            for name in _ZONES:
+            for name in ZONES:
                 fleet.start(name)
-            requests = asyncio.create_task(_traffic(fleet, 6, 20))
+            requests = asyncio.create_task(traffic(fleet, 6, 20))
             await asyncio.sleep(3)
             holder = next(
                 process
                 for process in fleet.processes.values()
                 if process.access.lenders.is_holder(TENANT)
             )
-            holder.access.book.stopping = True
-            fleet.processes.pop(holder.name)  # its callers go elsewhere, it still settles
+            fleet.stopping.add(holder.name)
+            holder.access.lend_no_more()
             await asyncio.sleep(1)
-            fleet.processes[holder.name] = holder
             await holder.access.return_all(1.0)
             await holder.crash()
             await requests
@@ -248,13 +228,13 @@
 
             async def work(seed: int = seed, weather: Weather = weather) -> tuple[int, int, int]:
                 fleet = _fleet(seed, weather)
-                for name in _ZONES:
+                for name in ZONES:
                     fleet.start(name)
-                requests = asyncio.create_task(_traffic(fleet, 20, 20))
+                requests = asyncio.create_task(traffic(fleet, 20, 20))
                 for _ in range(4):
                     await asyncio.sleep(2)
-                    fleet.cut_from_control.update(fleet.random.sample(sorted(_ZONES), 8))
-                    pairs = list(itertools.combinations(_ZONES, 2))
+                    fleet.cut_from_control.update(fleet.random.sample(sorted(ZONES), 8))
+                    pairs = list(itertools.combinations(ZONES, 2))
                     fleet.cut_pairs.update(map(frozenset, fleet.random.sample(pairs, 20)))
                     await asyncio.sleep(3)
                     fleet.cut_from_control.clear()
@@ -271,56 +251,9 @@
 
     def test_nothing_passes_a_limit_while_all_that_can_end_ends(self) -> None:
         for seed in range(10):
-
-            async def work(seed: int = seed) -> LendingFleet:
-                fleet = _fleet(seed, Weather(lost=0.1, doubled=0.1, delay_s=0.25), limit=600_000)
-                for name in _ZONES:
-                    fleet.start(name)
-                requests = asyncio.create_task(_traffic(fleet, 30, 20))
-                while not requests.done():
-                    await asyncio.sleep(0.2 + fleet.random.random())
-                    await _some_trouble(fleet)
-                requests.result()
-                await fleet.stop()
-                return fleet
-
             with self.subTest(seed=seed):
-                fleet = run_virtual(work())
+                fleet = run_virtual(one_run(seed))
                 self.assertGreater(fleet.handed_out, 50_000)
-                self.assertLessEqual(fleet.charged, fleet.highest_limit)
-
-
-async def _some_trouble(fleet: LendingFleet) -> None:
-    name = fleet.random.choice(sorted(_ZONES))
-    process = fleet.processes.get(name)
-    kind = fleet.random.randrange(9)
-    if kind == 0 and process is not None:
-        await process.crash()
-        await asyncio.sleep(0.3)
-        fleet.start(name)
-    elif kind == 1:
-        fleet.cut_from_control.update(_ZONES)
-    elif kind in (2, 3):
-        fleet.cut_from_control.clear()
-        fleet.cut_pairs.clear()
-    elif kind == 4:
-        fleet.control_restarts()
-    elif kind == 5 and process is not None:
-        fleet.cut_from_control.discard(name)
-        fleet.declare_gone(process)  # as one that was frozen, and comes back
-    elif kind == 6:
-        fleet.set_limit(fleet.random.choice((500_000, 600_000, 700_000)))
-    elif kind == 7 and fleet.random.random() < 0.3:
-        for each in list(fleet.processes.values()):
-            await each.crash()
-        fleet.control_restarts()
-        await asyncio.sleep(0.7)
-        for each_name in _ZONES:
-            fleet.start(each_name)
-    else:  # another view of who holds
-        seen = fleet.random.sample(fleet.lenders(), 6)
-        for each in list(fleet.processes.values())[:5]:
-            each.access.lenders.update([control_pb2.Lender(name=gone) for gone in _ZONES] + seen)
 
 
 class OrderTest(unittest.TestCase):
@@ -416,7 +349,7 @@
             async def ask() -> None:
                 fleet.cut_from_control.add(one.name)  # so that it cannot draw itself
                 await asyncio.sleep(1.3)
-                answers.append(await one.serve(_TOKENS, 1.0, 0.1))
+                answers.append(await one.serve(TOKENS, 1.0, 0.1))
 
             await ask()
             file.write_text("second\n")
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -178,6 +178,17 @@
         self.watch.replaced("a", "2")
         self.assertEqual(self._charge(), 300)
 
+    def test_that_it_heard_nothing_is_no_moment_of_a_young_clock(self) -> None:
+        """Seed 6017 of ``lending_run``: killed before its first heartbeat told of a frame.
+
+        The leader's machine had started 3 s before, so that 0 was within the window: what
+        the router had handed out, 2,500 tokens of 5,000 held, was charged with nothing.
+        """
+        self.clock.now_s = 3.0
+        self._beat(0, {})
+        self.watch.replaced("a", "2")
+        self.assertEqual(self._charge(), 300)
+
     def test_without_a_word_of_this_leader_it_is_charged_all_it_held(self) -> None:
         self.watch.replaced("a", "2")
         self.assertEqual(self._charge(), 300)
