Random runs of loans: bursts before a crash, breakages that they must notice

Cause: the run did not notice a gateway that uses more than it announced: its announcements were ample.

--- a/tests/lending_run.py
+++ b/tests/lending_run.py
@@ -21,6 +21,9 @@
 _SECONDS = 30.0
 _REQUESTS_A_SECOND = 20
 _POWER_LOSS_CHANCE = 0.3  # of the troubles that may be one
+_BURST_CHANCE = 0.5
+_BURST_REQUESTS = 20
+_BURST_LASTS_S = 0.05
 _SEEN_LENDERS = 6
 _OTHER_VIEWS = 5
 
@@ -68,6 +71,10 @@
     process = fleet.processes.get(name)
     kind = fleet.random.randrange(9)
     if kind == 0 and process is not None:
+        if fleet.random.random() < _BURST_CHANCE:
+            for _ in range(_BURST_REQUESTS):  # more than was announced, between two heartbeats
+                fleet.begin(process, TOKENS, 1.0, _BURST_LASTS_S)
+            await asyncio.sleep(2 * _BURST_LASTS_S)
         await process.crash()
         await asyncio.sleep(0.3)
         fleet.start(name)
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -7,8 +7,12 @@
 from pathlib import Path
 from random import Random
 from typing import Any
+from unittest.mock import patch
 
+from heronladder_router.tokens.held_tokens import OwnReservation
 from heronladder_router.tokens.lenders import Lenders
+from heronladder_router.tokens.lending import LoanBook
+from heronladder_router.tokens.window import SpendingWindow
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import control_pb2, lending_pb2
 from lending_fleet import REGION, TENANT, LendingFleet, Weather
@@ -256,6 +260,41 @@
                 self.assertGreater(fleet.handed_out, 50_000)
 
 
+class TeethTest(unittest.TestCase):
+    """Breakages of the product that the random run must notice."""
+
+    def _is_caught(self, seeds: range) -> bool:
+        for seed in seeds:
+            try:
+                run_virtual(one_run(seed))
+            except AssertionError:
+                return True
+        return False
+
+    def test_a_lender_that_counts_nothing_as_used(self) -> None:
+        def settle(reservation: OwnReservation, used: int) -> None:
+            reservation.balance.settle(reservation.tokens, 0)
+
+        with patch.object(OwnReservation, "settle", settle):
+            self.assertTrue(self._is_caught(range(3)))
+
+    def test_a_lost_borrower_that_costs_nothing(self) -> None:
+        def charge(book: LoanBook, name: str, ended: Any) -> None:
+            for loan in ended.open.values():
+                loan.settle(0)
+            ended.open.clear()
+
+        with patch.object(LoanBook, "_charge_ended", charge):
+            self.assertTrue(self._is_caught(range(6)))
+
+    def test_a_holder_that_uses_more_than_it_announced(self) -> None:
+        async def wait(window: SpendingWindow, *_: Any) -> None:
+            return
+
+        with patch.object(SpendingWindow, "wait_until_within", wait):
+            self.assertTrue(self._is_caught(range(18, 19)))
+
+
 class OrderTest(unittest.TestCase):
     def test_any_order_of_a_loans_messages_ends_alike(self) -> None:
         """Asked for twice, settled twice, and all below told settled, in all 360 orders."""
