--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -11,8 +11,8 @@
 from heronladder_control.daemons import ROLE_ROUTER
 
 if TYPE_CHECKING:
+    from heronladder_control.daemon_session import DaemonSession
     from heronladder_control.member import ControlMember
-    from heronladder_control.sessions import DaemonSession
 
 # Parts that a daemon has not confirmed yet. What else is to be said waits behind so many on
 # a thin link: 1.6 s at 5 kB/s (chosen: one alone would halve the speed of a link).
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -249,11 +249,14 @@
                 wanted = max(missing, balance.waited_for - balance.free, self._growth(balance))
                 return await self._draw(balance, wanted, missing, _DRAW_TIMEOUT_S)
         except PrepaidUnavailableError as error:
-            self._log.info("prepaid_not_drawn", step="draw", peer=balance.tenant, why=error.message)
+            self._log_not_drawn(balance, error)
             return None
         finally:
             self._drawing.pop(balance.tenant, None)
 
+    def _log_not_drawn(self, balance: TokenBalance, error: PrepaidUnavailableError) -> None:
+        self._log.info("prepaid_not_drawn", step="draw", peer=balance.tenant, why=error.message)
+
     async def _act_on_shortage(
         self, balance: TokenBalance, tokens: int, result: control_pb2.CommandResult
     ) -> None:
@@ -326,8 +329,8 @@
             wanted = self._growth(balance) if grow else 0
             try:
                 await self._draw(balance, wanted, 0, _DRAW_TIMEOUT_S)
-            except PrepaidUnavailableError:
-                pass  # asked again with the next request
+            except PrepaidUnavailableError as error:
+                self._log_not_drawn(balance, error)  # asked again with the next request
 
     # ---- giving back ------------------------------------------------------
 
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -15,7 +15,7 @@
 from heronladder_router.tokens.window import SpendingWindow
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import control_pb2, lending_pb2
-from lending_fleet import REGION, TENANT, LendingFleet, Weather
+from lending_fleet import REGION, TENANT, LendingFleet, Process, Weather
 from lending_run import TOKENS, ZONES, one_run, traffic
 from support import run_virtual
 
@@ -27,6 +27,15 @@
     return LendingFleet(Random(seed), zones, changes.pop("limit", _LIMIT), weather or Weather())
 
 
+def _borrower(fleet: LendingFleet) -> Process:
+    """Return a gateway that holds no tokens ahead of need."""
+    return next(
+        process
+        for process in fleet.processes.values()
+        if not process.access.lenders.is_holder(TENANT)
+    )
+
+
 async def _settle_all(fleet: LendingFleet) -> None:
     """Let messages pass again, and have all gateways give everything back."""
     fleet.cut_from_control.clear()
@@ -67,11 +76,7 @@
             fleet.cut_from_control.update(ZONES)
             fleet.cut_pairs.update(frozenset(pair) for pair in itertools.combinations(ZONES, 2))
             await asyncio.sleep(4)
-            lone = next(
-                process
-                for process in fleet.processes.values()
-                if not process.access.lenders.is_holder(TENANT)
-            )
+            lone = _borrower(fleet)
             fleet.messages = 0
             began_s = fleet.environment.monotonic()
             got = await lone.serve(TOKENS, 1.0, 0.1)
@@ -110,11 +115,7 @@
             for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(1)
-            busy = next(
-                process
-                for process in fleet.processes.values()
-                if not process.access.lenders.is_holder(TENANT)
-            )
+            busy = _borrower(fleet)
             fleet.cut_pairs.update(frozenset((busy.name, other)) for other in ZONES)
             got: dict[str, int] = {}
             for number in range(100):
@@ -132,11 +133,7 @@
             for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(1)
-            busy = next(
-                process
-                for process in fleet.processes.values()
-                if not process.access.lenders.is_holder(TENANT)
-            )
+            busy = _borrower(fleet)
             for _ in range(100):
                 await busy.serve(TOKENS, 1.0, 0.05)
             self.assertGreater(busy.access.held.free(TENANT), 100_000)
@@ -155,11 +152,7 @@
             for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(3)
-            borrower = next(
-                process
-                for process in fleet.processes.values()
-                if not process.access.lenders.is_holder(TENANT)
-            )
+            borrower = _borrower(fleet)
             for _ in range(3):
                 fleet.begin(borrower, TOKENS, 0.0, 5.0)
             await asyncio.sleep(1)
@@ -180,11 +173,7 @@
             for name in ZONES:
                 fleet.start(name)
             await asyncio.sleep(3)
-            borrower = next(
-                process
-                for process in fleet.processes.values()
-                if not process.access.lenders.is_holder(TENANT)
-            )
+            borrower = _borrower(fleet)
             for number in range(30):
                 request = fleet.begin(borrower, TOKENS, 1.0, 0.0)
                 await asyncio.sleep(number * 0.005)
