--- a/tests/test_gateway_behind.py
+++ b/tests/test_gateway_behind.py
@@ -5,7 +5,7 @@
 import unittest
 
 from heronladder_control.config_feed import ConfigFeed
-from heronladder_control.sessions import DaemonSession
+from heronladder_control.daemon_session import DaemonSession
 from heronladder_runtime.config_packing import PART_BYTES
 from heronladder_runtime.standing import ConfigurationStanding
 from heronladder_schema.v1 import control_pb2, ledger_pb2
