--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -286,7 +286,7 @@
 
 class OrderTest(unittest.TestCase):
     def test_any_order_of_a_loans_messages_ends_alike(self) -> None:
-        """Asked for twice, settled twice, and all below told settled, in all 360 orders."""
+        """Asked for twice, settled twice, and all below told settled, in all 720 orders."""
 
         async def work(order: tuple[int, ...]) -> tuple[int, int, int]:
             fleet = _fleet(zones={"a0": "a", "b0": "b", "c0": "c"})
