--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from heronladder_runtime.config_packing import PART_BYTES, pack, part, without_document
-from heronladder_runtime.configuration import FLEET_KIND, REPLICA_KIND
+from heronladder_runtime.configuration import EVACUATION_KIND, FLEET_KIND, REPLICA_KIND
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.daemons import ROLE_ROUTER
@@ -18,7 +18,15 @@
 # a thin link: 1.6 s at 5 kB/s (chosen: one alone would halve the speed of a link).
 _PARTS_UNDER_WAY = 2
 _ROUTER_KINDS = frozenset(
-    {"tenant", "service", "backend", "routing_policy", FLEET_KIND, REPLICA_KIND}
+    {
+        "tenant",
+        "service",
+        "backend",
+        "routing_policy",
+        FLEET_KIND,
+        REPLICA_KIND,
+        EVACUATION_KIND,
+    }
 )
 
 
--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -98,6 +98,9 @@
         merged.gone = told.gone or (known.gone and not known.replaced)
         merged.replaced = False
         merged.sequence = 0
+        if not told.gone:
+            merged.cold_ms = known.cold_ms
+            merged.cold_revision = known.cold_revision
         return merged
 
     def register(self, index: int, order: control_pb2.RegisterReplica) -> control_pb2.CommandResult:
@@ -108,6 +111,9 @@
             return success()  # it left before it ever registered
         before = known if known is not None else resources_pb2.Replica()
         state = self._merged(before, told, returns=order.returns)
+        if (known is None or order.cold_news) and not state.gone:
+            state.cold_ms = told.cold_ms
+            state.cold_revision = index if told.cold_ms else 0
         if known is None or state != known:
             self._end_others_at(index, state)
             self._write(index, state)
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -13,10 +13,13 @@
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.configuration import EVACUATION_KIND
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_control.results import success
+from heronladder_control.cold_words import ColdWords
+from heronladder_control.evacuations import LateOrders
+from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
 
 if TYPE_CHECKING:
@@ -62,6 +65,8 @@
     def __init__(self, member: ControlMember) -> None:
         self._member = member
         self._returning = ReturningReplicas(member.environment)
+        self._cold_words = ColdWords(member.environment)
+        self._late_orders = LateOrders(member.environment)
 
     # ---- what is asked ----------------------------------------------------
 
@@ -73,6 +78,25 @@
         request.command.apply_configuration.configuration.CopyFrom(configuration)
         return await self._ask(request, _APPLY_PATIENCE_S)
 
+    async def evacuate(self, zone: str, *, ended: bool) -> FleetOutcome:
+        """Evacuate a zone, or take that back; done once it is in force.
+
+        Args:
+            zone: The zone.
+            ended: Whether its evacuation is taken back.
+        """
+        zones = self._member.options.zone_names
+        if zones and zone not in zones:
+            message = f"there is no zone {zone!r}; known: {', '.join(zones)}"
+            result = failure(control_pb2.RESULT_CODE_NOT_FOUND, message)
+            return FleetOutcome(Standing.REFUSED, result)
+        request = control_pb2.CarryRequest(
+            in_force_wait_ms=int(_IN_FORCE_WAIT_S * MILLISECONDS_PER_SECOND)
+        )
+        request.command.set_evacuation.zone = zone
+        request.command.set_evacuation.ended = ended
+        return await self._ask(request, _APPLY_PATIENCE_S)
+
     async def read(self) -> FleetOutcome:
         """Return the newest configuration, confirmed by a quorum."""
         return await self._ask(control_pb2.CarryRequest(), _READ_PATIENCE_S)
@@ -83,13 +107,16 @@
         A replica that leaves is done once the routers in touch know.
         """
         leaves = replica.draining or replica.gone
+        recorded = self._member.state.fleet.replica(replica.id)
+        cold_news = self._cold_words.is_news(replica, recorded)
         # One that leaves is told so only once its leave is in force, however often it asks.
-        if self._member.state.fleet.settled(replica) and not leaves:
+        if self._member.state.fleet.settled(replica) and not leaves and not cold_news:
             return FleetOutcome(Standing.DONE)
         request = control_pb2.CarryRequest()
         if leaves:
             request.in_force_wait_ms = int(_REGISTER_PATIENCE_S * MILLISECONDS_PER_SECOND)
         request.command.register_replica.replica.CopyFrom(replica)
+        request.command.register_replica.cold_news = cold_news
         return await self._ask(request, _REGISTER_PATIENCE_S)
 
     def leader_api_address(self) -> str:
@@ -101,11 +128,13 @@
 
     async def _ask(self, request: control_pb2.CarryRequest, patience_s: float) -> FleetOutcome:
         clock = self._member.environment
-        deadline_s = clock.monotonic() + patience_s
+        began_s = clock.monotonic()
         while True:
-            left_s = deadline_s - clock.monotonic()
+            age_s = clock.monotonic() - began_s
+            left_s = patience_s - age_s
             if left_s <= 0:
                 return FleetOutcome(Standing.UNCLEAR)
+            request.age_ms = int(age_s * MILLISECONDS_PER_SECOND)
             reply = await self._ask_once(request, left_s)
             if reply is not None and not reply.not_leader:
                 return self._outcome(reply)
@@ -145,6 +174,8 @@
                 return await self._read_as_leader()
             if self._is_late(request.command):
                 return control_pb2.CarryReply(result=success())
+            if self._is_overtaken(request):
+                return control_pb2.CarryReply(unclear=True)
             result = await self._member.propose(request.command)
         except NotLeaderError:
             return control_pb2.CarryReply(not_leader=True)
@@ -178,6 +209,80 @@
         )
         return not order.returns
 
+    def _is_overtaken(self, request: control_pb2.CarryRequest) -> bool:
+        """Whether an evacuation is older than the newest change of its zone."""
+        if request.command.WhichOneof("body") != "set_evacuation":
+            return False
+        order = request.command.set_evacuation
+        age_s = request.age_ms / MILLISECONDS_PER_SECOND
+        is_late = self._late_orders.is_late(order.zone, age_s)
+        self._member.log.info(
+            "evacuation_ordered",
+            step="evacuate",
+            peer=order.zone,
+            ended=order.ended,
+            age_s=age_s,
+            overtaken=is_late,
+            evacuated=self._member.state.evacuations.is_evacuated(order.zone),
+        )
+        return is_late
+
+    # ---- what was applied -------------------------------------------------
+
+    def begin_term(self) -> None:
+        """Begin as the leader."""
+        self._late_orders.begin()
+
+    def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
+        """Note a command that was just applied, at any member."""
+        body = command.WhichOneof("body")
+        if body == "set_evacuation":
+            zone = command.set_evacuation.zone
+            if result.revision == self._member.state.applied_index:  # else nothing changed
+                self._late_orders.changed(zone)
+                self._report_evacuation(zone, ended=command.set_evacuation.ended)
+        elif body == "put_resource" and command.put_resource.kind == EVACUATION_KIND:
+            self._late_orders.changed(command.put_resource.resource.metadata.name)
+        elif body == "delete_resource" and command.delete_resource.kind == EVACUATION_KIND:
+            self._late_orders.changed(command.delete_resource.name)
+        elif body == "register_replica":
+            recorded = self._member.state.fleet.replica(command.register_replica.replica.id)
+            if recorded is not None:
+                self._note_cold(command.register_replica, recorded)
+
+    def _note_cold(
+        self, order: control_pb2.RegisterReplica, recorded: resources_pb2.Replica
+    ) -> None:
+        is_cold_word = recorded.cold_revision == self._member.state.applied_index
+        if is_cold_word or not recorded.cold_ms:
+            self._cold_words.known(recorded)
+        if (is_cold_word or order.cold_news) and self._member.node.is_leader:
+            self._member.metrics.add("cold_words", "cold" if recorded.cold_ms else "warm")
+            self._member.log.info(
+                "replica_temperature",
+                step="register_replica",
+                peer=recorded.id,
+                zone=recorded.zone,
+                cold_ms=recorded.cold_ms,
+                revision=recorded.cold_revision,
+                sequence=order.replica.sequence,
+            )
+
+    def _report_evacuation(self, zone: str, *, ended: bool) -> None:
+        if not self._member.node.is_leader:
+            return
+        self._member.metrics.add("evacuations", "ended" if ended else "begun")
+        self._member.log.info(
+            "evacuation_applied",
+            step="evacuate",
+            peer=zone,
+            ended=ended,
+            revision=self._member.state.applied_index,
+            services_left_without=",".join(
+                self._member.state.evacuations.services_without_replicas()
+            ),
+        )
+
     async def _read_as_leader(self) -> control_pb2.CarryReply:
         await self._member.node.read_barrier()
         reply = control_pb2.CarryReply()
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -29,7 +29,7 @@
 from heronladder_control.state import ControlState
 
 _CONFIGURATION_COMMANDS = frozenset(
-    {"put_resource", "delete_resource", "apply_configuration", "register_replica"}
+    {"put_resource", "delete_resource", "apply_configuration", "register_replica", "set_evacuation"}
 )
 _CHORE_INTERVAL_S = 0.5
 _LEFT_OUT_NAMED = 8  # daemons named in a log line, so that it stays short (chosen)
@@ -51,6 +51,7 @@
         region_addresses: gRPC addresses of the control members of other regions.
         me: This member's entry, when it may ask to be taken into a running group.
         contacts: gRPC addresses that it may ask.
+        zone_names: Zones that may be evacuated; empty: any.
     """
 
     name: str
@@ -62,6 +63,7 @@
     region_addresses: dict[str, list[str]] = field(default_factory=dict)
     me: consensus_pb2.Member | None = None
     contacts: list[str] = field(default_factory=list)
+    zone_names: list[str] = field(default_factory=list)
 
 
 class ControlMember:
@@ -158,6 +160,7 @@
         if body == "set_in_force":
             self.in_force_since_s = self.environment.monotonic()
             self.in_force_changed.give()
+        self.fleet_service.applied(command, result)
         if not self.node.is_leader:
             return
         if body in _CONFIGURATION_COMMANDS:
@@ -183,6 +186,7 @@
             sorted(name for name, record in self.state.daemons.daemons.items() if not record.gone),
             earlier_leader_s=2 * self.options.timing.election_timeout_s,
         )
+        self.fleet_service.begin_term()
         for session in self.service.sessions.values():
             self.service.note_connected(session)
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -283,7 +283,7 @@
             role = self._member.state.daemons.daemons[order.name].role
             self._tell_others(role, order.name, order.incarnation, gone=True)
             self._tell_lenders(order.name)
-        elif body in ("apply_configuration", "register_replica"):
+        elif body in ("apply_configuration", "register_replica", "set_evacuation"):
             self._wake_all()
         elif body == "set_in_force":
             self._wake_those_behind(command.set_in_force.revision)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -11,6 +11,7 @@
 from heronladder_control.claims import ClaimTable
 from heronladder_control.command_packing import decode_command
 from heronladder_control.daemons import DaemonTable
+from heronladder_control.evacuations import EvacuationTable
 from heronladder_control.fleet import FleetTable
 from heronladder_control.lease_rules import Standing
 from heronladder_control.ledger import Ledger
@@ -40,6 +41,7 @@
         self.transfers = TransferTable(self.ledger)
         self.prepaid = PrepaidTable()
         self.fleet = FleetTable(self.resources, self.prepaid)
+        self.evacuations = EvacuationTable(self.resources)
         self.in_force_revision = 0
         self.applied_index = 0
         self.listeners: list[_AppliedListener] = []
@@ -103,6 +105,8 @@
                 return self.fleet.register(index, order.register_replica)
             case "forget_replicas":
                 return self.fleet.forget(index, order.forget_replicas.ids)
+            case "set_evacuation":
+                return self.evacuations.apply(index, order.set_evacuation)
             case "draw_tokens":
                 return self._draw(order.draw_tokens)
             case "close_prepaid_holder":
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -47,6 +47,7 @@
         region_addresses=parse_regions(control.region_addresses),
         me=_own_entry(settings),
         contacts=[entry for entry in control.join_contacts.split(",") if entry],
+        zone_names=[zone for zone in control.zone_names.split(",") if zone],
     )
     disk = FolderDisk(Path(common.data_folder) / "control")
     return ControlMember(options, disk, stubs, environment, failed)
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -40,6 +40,11 @@
         names=names,
         lending_address=gateway.lending_listen,
         lending_key_file=gateway.lending_key_file,
+        zone_regions=dict(
+            entry.split("=", 1) for entry in gateway.zone_regions.split(",") if entry
+        ),
+        cold_over=gateway.cold_over_percent / _PERCENT,
+        cold_slack=gateway.cold_slack,
     )
     return GatewayRole(options, stubs, environment)
 
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -0,0 +1,207 @@
+"""Which replica a request goes to.
+
+Load patterns: requests with prompts that share parts, long prompts beside short ones, and many
+gateways that see a small part of the load each. The cost of a replica is an estimate of when it
+would begin the answer; the least cost is chosen among a few drawn at random where all gateways
+hear the same sums of load, and among all otherwise. What may not be sent to at all is left out
+first: evacuated zones, other regions than the request's, and cold replicas beyond this gateway's
+share.
+"""
+
+import hashlib
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass
+from enum import Enum
+from typing import Protocol
+
+from heronladder_router.decisions.cold_limit import WINDOW_S
+from heronladder_router.replica_state import FleetReplica, Wish
+
+_TOKENS_PER_MS = 50.0  # read by an engine, before any is measured
+_RUNNING_COST_MS = 3.0  # for each request that runs beside
+_OTHER_ZONE_COST_MS = 4.0
+_READ_AGAIN_COST_MS = 0.15  # for each token of a shared part that another replica keeps
+_MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer (chosen, see decisions)
+_CHOICES = 4  # replicas compared at random where gateways share their load (chosen)
+_SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
+
+
+class Randomness(Protocol):
+    """Where random numbers come from; the caller brings it."""
+
+    def random(self) -> float:
+        """Return a number from 0 up to 1."""
+
+    def sample(self, population: list[FleetReplica], k: int) -> list[FleetReplica]:
+        """Return ``k`` different ones."""
+
+
+class Reason(Enum):
+    """Why a replica was chosen, or none was."""
+
+    SOUND = "sound"
+    SUSPECT = "only_suspects"
+    NONE_KNOWN = "none_known"
+    EVACUATED = "evacuated"
+    OTHER_REGION = "other_region"
+    COLD = "cold"
+    TRIED = "all_tried"
+
+
+@dataclass(frozen=True)
+class PlacementView:
+    """What is known when a replica is chosen.
+
+    Attributes:
+        replicas: Those of the service that are not leaving.
+        now_s: Time.
+        zone: Zone of the gateway.
+        zone_regions: Region of each zone.
+        evacuated: Zones to which nothing may go.
+        bears_per_s: Requests a second that a cold replica of the service bears; 0: any number.
+        cold_share: Requests that this gateway may send to a cold replica in any second.
+        shares_load: Whether what other gateways have under way is known.
+    """
+
+    replicas: list[FleetReplica]
+    now_s: float
+    zone: str
+    zone_regions: Mapping[str, str]
+    evacuated: Collection[str]
+    bears_per_s: float
+    cold_share: Callable[[str, float], int]
+    shares_load: bool
+
+
+@dataclass(frozen=True)
+class Placement:
+    """The replica chosen, or none, and why."""
+
+    replica: FleetReplica | None
+    reason: Reason
+
+
+def place(view: PlacementView, wish: Wish, tried: Collection[str], source: Randomness) -> Placement:
+    """Return the replica that would begin first.
+
+    Suspected replicas come only after all others.
+
+    Args:
+        view: What is known.
+        wish: What is asked.
+        tried: Replicas that the request was sent to before.
+        source: Randomnessness.
+    """
+    pool, lacking = _permitted(view, wish, tried)
+    if not pool:
+        return Placement(None, lacking)
+    sound = [replica for replica in pool if replica.suspect_until_s <= view.now_s]
+    reason = Reason.SOUND if sound else Reason.SUSPECT
+    pool = sound or pool
+    keeper = _keeper(wish, pool)
+    if view.shares_load:
+        pool = _sample(wish, pool, keeper, source)
+    chosen = min(pool, key=lambda replica: _cost_ms(view, replica, wish, keeper, source))
+    return Placement(chosen, reason)
+
+
+def _permitted(
+    view: PlacementView, wish: Wish, tried: Collection[str]
+) -> tuple[list[FleetReplica], Reason]:
+    """Return the replicas that may be sent to; if none, what kept the last ones out."""
+    filters: tuple[tuple[Reason, Callable[[FleetReplica], bool]], ...] = (
+        (Reason.EVACUATED, lambda replica: replica.record.zone not in view.evacuated),
+        (Reason.OTHER_REGION, lambda replica: is_at_home(view, wish, replica)),
+        (Reason.TRIED, lambda replica: replica.name not in tried),
+        (Reason.COLD, lambda replica: may_take_more(view, replica)),
+    )
+    pool = view.replicas
+    lacking = Reason.NONE_KNOWN
+    for reason, allows in filters:
+        if not pool:
+            break
+        pool = [replica for replica in pool if allows(replica)]
+        lacking = reason
+    return pool, lacking
+
+
+def is_at_home(view: PlacementView, wish: Wish, replica: FleetReplica) -> bool:
+    """Whether a replica is in a region in which the request may be served."""
+    if wish.regions is None:
+        return True
+    return view.zone_regions.get(replica.record.zone) in wish.regions
+
+
+def is_cold(view: PlacementView, replica: FleetReplica) -> bool:
+    """Whether sends to a replica are limited."""
+    return view.bears_per_s > 0 and replica.cold_until_s > view.now_s
+
+
+def may_take_more(view: PlacementView, replica: FleetReplica) -> bool:
+    """Whether this gateway's share of a cold replica is not used up; True for a warm one."""
+    if not is_cold(view, replica):
+        return True
+    since_s = view.now_s - WINDOW_S
+    sent = sum(1 for moment_s in replica.cold_sends_s if moment_s > since_s)
+    return sent < view.cold_share(replica.name, view.bears_per_s)
+
+
+def _sample(
+    wish: Wish, pool: list[FleetReplica], keeper: str, source: Randomness
+) -> list[FleetReplica]:
+    """Return some replicas at random, and those that keep parts of the prompt.
+
+    All gateways hear the same sums, some 0.3 s old: if each took the least
+    loaded of all, they would all take the same one until they hear again.
+    """
+    chosen = source.sample(pool, min(_CHOICES, len(pool)))
+    names = {replica.name for replica in chosen}
+    for replica in pool:
+        if replica.name not in names and (replica.name == keeper or _keeps(replica, wish)):
+            chosen.append(replica)
+    return chosen
+
+
+def _cost_ms(
+    view: PlacementView, replica: FleetReplica, wish: Wish, keeper: str, source: Randomness
+) -> float:
+    """Estimate when a replica would begin the answer, in ms; with a random tie-break."""
+    cost = source.random()
+    in_flight = replica.in_flight
+    unread = replica.unread_tokens
+    if view.shares_load:
+        in_flight += replica.others_in_flight
+        unread += replica.others_unread_tokens
+    if replica.record.zone != view.zone:
+        cost += _OTHER_ZONE_COST_MS
+    if not wish.prompt_tokens:
+        return cost + in_flight * _SLOT_COST_MS
+    kept = replica.parts.kept_tokens(wish.parts)
+    if replica.name == keeper:
+        kept = max(kept, wish.shared_tokens)
+    again = max(0, wish.shared_tokens - kept)
+    cost += min(_MOST_READ_AGAIN_COST_MS, again * _READ_AGAIN_COST_MS)
+    unread += max(0, wish.prompt_tokens - kept)
+    return cost + unread / _TOKENS_PER_MS + in_flight * _RUNNING_COST_MS
+
+
+def _keeper(wish: Wish, pool: list[FleetReplica]) -> str:
+    """Return the replica at which all gateways expect the shared parts to be kept.
+
+    None is expected if this gateway knows of one that keeps them.
+    """
+    shared = wish.parts[:-1]
+    if not shared or any(_keeps(replica, wish) for replica in pool):
+        return ""
+    subject = shared[-1].identity.encode()
+    return max((replica.name for replica in pool), key=lambda name: _rank(subject, name))
+
+
+def _keeps(replica: FleetReplica, wish: Wish) -> bool:
+    """Whether a replica is known to keep all shared parts of a prompt, and there are some."""
+    shared = wish.shared_tokens
+    return shared > 0 and replica.parts.kept_tokens(wish.parts[:-1]) == shared
+
+
+def _rank(subject: bytes, name: str) -> bytes:
+    return hashlib.blake2b(subject, key=name.encode()[:64], digest_size=8).digest()
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -190,6 +190,30 @@
     retry_after_s = 2
 
 
+class EvacuatedError(CallerError):
+    """All replicas that could serve the request are in zones that are evacuated."""
+
+    status = 503
+    code = "service_evacuated"
+    retry_after_s = 2  # an evacuation lasts for seconds at least (chosen)
+
+
+class RegionUnservedError(CallerError):
+    """No replica is in a region in which the request may be served."""
+
+    status = 503
+    code = "region_unserved"
+    retry_after_s = 2
+
+
+class ReplicasColdError(CallerError):
+    """All replicas are cold, and this gateway's share of what they bear is used up."""
+
+    status = 503
+    code = "replicas_cold"
+    retry_after_s = 1  # a share is counted over a second
+
+
 class StaleError(CallerError):
     """This router cannot confirm its configuration; another one may."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,85 +1,44 @@
-"""Replicas of a fleet as a gateway sees them, and the choice among them."""
+"""Replicas of a fleet as a gateway sees them."""
 
-import hashlib
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
-from heronladder_runtime.clock import Environment
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.pulse import Pulse
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_router.kept_parts import KeptParts, PromptPart
+from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
+from heronladder_router.decisions.placement import Placement, PlacementView, place
+from heronladder_router.kept_parts import KeptParts
+from heronladder_router.replica_state import FleetReplica, Wish
 
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
 _BUSY_S = 0.15
-_TOKENS_PER_MS = 50.0  # read by an engine, before any is measured
-_RUNNING_COST_MS = 3.0  # for each request that runs beside
-_OTHER_ZONE_COST_MS = 4.0
-_READ_AGAIN_COST_MS = 0.15  # for each token of a shared part that another replica keeps
-_MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer (chosen, see decisions)
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
-_CHOICES = 4  # replicas compared at random where gateways share their load (chosen)
-_SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
-
-
-@dataclass
-class FleetReplica:
-    """One incarnation of a replica.
-
-    Attributes:
-        record: What it told of itself.
-        in_flight: Requests of this gateway that it holds.
-        unread_tokens: Prompt tokens sent to it whose first event has not come.
-        parts: What it is taken to keep of earlier prompts.
-        failures: Failures in a row.
-        suspect_until_s: Until when others are preferred.
-        others_in_flight: Requests of other gateways, as control told last.
-        others_unread_tokens: Prompt tokens of theirs that are not read yet.
-    """
-
-    record: resources_pb2.Replica
-    parts: KeptParts
-    in_flight: int = 0
-    unread_tokens: int = 0
-    failures: int = 0
-    suspect_until_s: float = 0.0
-    others_in_flight: int = 0
-    others_unread_tokens: int = 0
-
-    @property
-    def name(self) -> str:
-        """Identity of the incarnation."""
-        return self.record.id
 
 
 @dataclass(frozen=True)
-class Wish:
-    """What is asked of a replica.
+class Surroundings:
+    """Where a gateway is.
 
     Attributes:
-        service: Service it must be of.
-        parts: Parts of the prompt; empty for a plain request.
-        prompt_tokens: Tokens of the whole prompt.
+        zone: Its zone.
+        zone_regions: Region of each zone.
     """
 
-    service: str
-    parts: list[PromptPart] = field(default_factory=list)
-    prompt_tokens: int = 0
-
-    @property
-    def shared_tokens(self) -> int:
-        """Tokens of the parts that other requests may share."""
-        return sum(part.tokens for part in self.parts[:-1])
+    zone: str
+    zone_regions: Mapping[str, str]
 
 
 class FleetReplicas:
     """All replicas that are registered.
 
     Args:
-        zone: Zone of the gateway.
+        where: Where the gateway is.
+        cold: What it may send to cold replicas.
         configuration: The gateway's configuration.
         environment: Time and randomness.
         log: Where changes are reported.
@@ -87,44 +46,99 @@
 
     def __init__(
         self,
-        zone: str,
+        where: Surroundings,
+        cold: ColdLimits,
         configuration: ConfigurationStore,
         environment: Environment,
         log: EventLog,
     ) -> None:
-        self._zone = zone
+        self._where = where
+        self._cold = cold
         self._configuration = configuration
         self._environment = environment
         self._log = log
         self._replicas: dict[str, FleetReplica] = {}
         self._of_service: dict[str, list[FleetReplica]] = {}
+        self._services: dict[str, resources_pb2.ReplicatedService] = {}
+        self._restored: dict[str, bool] = {}  # by zone on record: whether it was taken back
+        self.evacuated: frozenset[str] = frozenset()
         self.changed = Pulse()
         self.loads_told_s = float("-inf")  # when control last told the others' load
         configuration.listen(self._rebuild)
 
     def _rebuild(self) -> None:
-        memory = self._engine_memory()
+        self._read_services()
         earlier = self._replicas
         self._replicas = {}
         self._of_service = {}
         for record in self._configuration.replicas():
             replica = earlier.get(record.id)
             if replica is None:
-                replica = FleetReplica(record, KeptParts(memory.get(record.service, 0)))
-            self._report(replica, record, new=record.id not in earlier)
+                replica = FleetReplica(record, KeptParts(self._memory(record.service)))
+            new = record.id not in earlier
+            self._report(replica, record, new=new)
+            if record.cold_ms and (new or record.cold_revision != replica.record.cold_revision):
+                self._note_cold(replica, record.cold_ms / MILLISECONDS_PER_SECOND, "told")
             replica.record = record
             self._replicas[record.id] = replica
             if not (record.draining or record.gone):
                 self._of_service.setdefault(record.service, []).append(replica)
         for name in earlier.keys() - self._replicas.keys():
             self._log.info("replica_forgotten", step="replicas", peer=name)
+        self._read_evacuations()
         self.changed.give()
 
-    def _engine_memory(self) -> dict[str, int]:
+    def _read_services(self) -> None:
         fleet = self._configuration.fleet()
-        if fleet is None:
-            return {}
-        return {service.name: service.engine.cache_tokens for service in fleet.services}
+        declared = fleet.services if fleet is not None else ()
+        self._services = {service.name: service for service in declared}
+
+    def _memory(self, service: str) -> int:
+        declared = self._services.get(service)
+        return declared.engine.cache_tokens if declared is not None else 0
+
+    # ---- evacuated zones and cold replicas --------------------------------
+
+    def _read_evacuations(self) -> None:
+        """Take in which zones are evacuated; the replicas of one taken back may be cold.
+
+        It may have been taken back while this gateway was cut off, or before it started.
+        """
+        on_record = self._configuration.evacuations()
+        restored = {zone: evacuation.ended for zone, evacuation in on_record.items()}
+        evacuated = frozenset(zone for zone, ended in restored.items() if not ended)
+        taken_back = {zone for zone, ended in restored.items() if ended}
+        taken_back -= {zone for zone, ended in self._restored.items() if ended}
+        for zone in sorted(taken_back | (self.evacuated - evacuated)):
+            self._log.info("zone_restored", step="replicas", peer=zone)
+            for replica in self._replicas.values():
+                if replica.record.zone == zone:
+                    cold_s = self._cold_start_s(replica.record.service)
+                    self._note_cold(replica, cold_s, "zone_restored")
+        for zone in sorted(evacuated - self.evacuated):
+            self._log.info(
+                "zone_evacuated",
+                step="replicas",
+                peer=zone,
+                revision=self._configuration.revision,
+            )
+        self._restored = restored
+        self.evacuated = evacuated
+
+    def _note_cold(self, replica: FleetReplica, for_s: float, why: str) -> None:
+        """Take a replica for cold from now on, for no less than was known before."""
+        until_s = self._environment.monotonic() + for_s
+        if until_s <= replica.cold_until_s:
+            return
+        replica.cold_until_s = until_s
+        self._log.info(
+            "replica_cold",
+            step="replicas",
+            peer=replica.name,
+            for_s=for_s,
+            why=why,
+            share_per_s=self._cold.share(replica.name, self._bears_per_s(replica.record.service)),
+        )
 
     def _report(self, replica: FleetReplica, record: resources_pb2.Replica, *, new: bool) -> None:
         if not new and replica.record == record:
@@ -147,67 +161,35 @@
         """Return the replicas of a service that are not leaving."""
         return self._of_service.get(service, [])
 
-    def choose(self, wish: Wish, tried: Collection[str]) -> FleetReplica | None:
-        """Return the replica that would begin first, or None if none is left.
+    def place(self, wish: Wish, tried: Collection[str]) -> Placement:
+        """Return the replica that would begin first, or why there is none."""
+        return place(self._view(wish.service), wish, tried, self._environment.random)
+
+    def _view(self, service: str) -> PlacementView:
+        return PlacementView(
+            replicas=self.usable(service),
+            now_s=self._environment.monotonic(),
+            zone=self._where.zone,
+            zone_regions=self._where.zone_regions,
+            evacuated=self.evacuated,
+            bears_per_s=self._bears_per_s(service),
+            cold_share=self._cold.share,
+            shares_load=self.load_age_s < _LOADS_HOLD_S,
+        )
 
-        Suspected replicas come only after all others.
-        """
-        candidates = [replica for replica in self.usable(wish.service) if replica.name not in tried]
-        now_s = self._environment.monotonic()
-        sound = [replica for replica in candidates if replica.suspect_until_s <= now_s]
-        pool = sound or candidates
-        if not pool:
-            return None
-        keeper = self._keeper(wish, pool)
-        shared_load = self.load_age_s < _LOADS_HOLD_S
-        if shared_load:
-            pool = self._sample(wish, pool, keeper)
-        return min(pool, key=lambda replica: self._cost_ms(replica, wish, keeper, shared_load))
-
-    def _sample(self, wish: Wish, pool: list[FleetReplica], keeper: str) -> list[FleetReplica]:
-        """Return some replicas at random, and those that keep parts of the prompt.
-
-        All gateways hear the same sums, some 0.3 s old: if each took the least
-        loaded of all, they would all take the same one until they hear again.
-        """
-        chosen = self._environment.random.sample(pool, min(_CHOICES, len(pool)))
-        names = {replica.name for replica in chosen}
-        for replica in pool:
-            if replica.name not in names and (replica.name == keeper or _keeps(replica, wish)):
-                chosen.append(replica)
-        return chosen
-
-    def _cost_ms(self, replica: FleetReplica, wish: Wish, keeper: str, shared_load: bool) -> float:
-        """Estimate when a replica would begin the answer, in ms; with a random tie-break."""
-        cost = self._environment.random.random()
-        in_flight = replica.in_flight
-        unread = replica.unread_tokens
-        if shared_load:
-            in_flight += replica.others_in_flight
-            unread += replica.others_unread_tokens
-        if replica.record.zone != self._zone:
-            cost += _OTHER_ZONE_COST_MS
-        if not wish.prompt_tokens:
-            return cost + in_flight * _SLOT_COST_MS
-        kept = replica.parts.kept_tokens(wish.parts)
-        if replica.name == keeper:
-            kept = max(kept, wish.shared_tokens)
-        again = max(0, wish.shared_tokens - kept)
-        cost += min(_MOST_READ_AGAIN_COST_MS, again * _READ_AGAIN_COST_MS)
-        unread += max(0, wish.prompt_tokens - kept)
-        return cost + unread / _TOKENS_PER_MS + in_flight * _RUNNING_COST_MS
+    def _bears_per_s(self, service: str) -> float:
+        declared = self._services.get(service)
+        return declared.cold_per_s if declared is not None else 0.0
 
-    @staticmethod
-    def _keeper(wish: Wish, pool: list[FleetReplica]) -> str:
-        """Return the replica at which all gateways expect the shared parts to be kept.
+    def _cold_start_s(self, service: str) -> float:
+        declared = self._services.get(service)
+        return declared.cold_start_ms / MILLISECONDS_PER_SECOND if declared is not None else 0.0
 
-        None is expected if this gateway knows of one that keeps them.
-        """
-        shared = wish.parts[:-1]
-        if not shared or any(_keeps(replica, wish) for replica in pool):
-            return ""
-        subject = shared[-1].identity.encode()
-        return max((replica.name for replica in pool), key=lambda name: _rank(subject, name))
+    @property
+    def cold_count(self) -> int:
+        """How many replicas are taken for cold."""
+        now_s = self._environment.monotonic()
+        return sum(1 for replica in self._replicas.values() if replica.cold_until_s > now_s)
 
     # ---- load that gateways share through control -------------------------
 
@@ -244,8 +226,17 @@
         replica.in_flight += 1
         replica.unread_tokens += unread
         replica.parts.note(wish.parts)
+        self._count_cold_send(replica)
         return unread
 
+    def _count_cold_send(self, replica: FleetReplica) -> None:
+        """Count all sends of the last second: the replica may be known for cold only then."""
+        now_s = self._environment.monotonic()
+        sends = replica.cold_sends_s
+        while sends and sends[0] <= now_s - WINDOW_S:
+            sends.popleft()
+        sends.append(now_s)
+
     @staticmethod
     def began(replica: FleetReplica, unread: int) -> None:
         """Note that the first event of a request came, or that none will."""
@@ -260,7 +251,11 @@
         """Note a whole answer."""
         if replica.failures:
             self._log.info("replica_trusted", step="replicas", peer=replica.name)
+        if replica.unreached:
+            # It may have been without power: its first heartbeat since has yet to come.
+            self._note_cold(replica, self._cold_start_s(replica.record.service), "reached_again")
         replica.failures = 0
+        replica.unreached = False
         replica.suspect_until_s = 0.0
 
     def busy(self, replica: FleetReplica) -> None:
@@ -268,9 +263,16 @@
         until_s = self._environment.monotonic() + _BUSY_S
         replica.suspect_until_s = max(replica.suspect_until_s, until_s)
 
-    def failed(self, replica: FleetReplica, why: str) -> None:
-        """Note a failure: others are preferred for a while, longer each time."""
+    def failed(self, replica: FleetReplica, why: str, *, unreached: bool = False) -> None:
+        """Note a failure: others are preferred for a while, longer each time.
+
+        Args:
+            replica: The replica.
+            why: What happened.
+            unreached: Whether no connection came about.
+        """
         replica.failures += 1
+        replica.unreached = replica.unreached or unreached
         pause_s = min(_LONGEST_SUSPICION_S, _FIRST_SUSPICION_S * 2 ** (replica.failures - 1))
         replica.suspect_until_s = self._environment.monotonic() + pause_s
         self._log.info(
@@ -281,13 +283,3 @@
             for_s=pause_s,
             why=why,
         )
-
-
-def _keeps(replica: FleetReplica, wish: Wish) -> bool:
-    """Whether a replica is known to keep all shared parts of a prompt, and there are some."""
-    shared = wish.shared_tokens
-    return shared > 0 and replica.parts.kept_tokens(wish.parts[:-1]) == shared
-
-
-def _rank(subject: bytes, name: str) -> bytes:
-    return hashlib.blake2b(subject, key=name.encode()[:64], digest_size=8).digest()
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -9,15 +9,19 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 
+from heronladder_router.decisions.placement import Placement, Reason
 from heronladder_router.errors import (
     AnswerLostError,
     BehindError,
     CallerError,
+    EvacuatedError,
     NoBackendError,
+    RegionUnservedError,
     RejectedEverywhereError,
+    ReplicasColdError,
     TimeLimitError,
 )
-from heronladder_router.fleet_replicas import FleetReplica, FleetReplicas
+from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
 from heronladder_router.host_routes import HostRouteTable
 from heronladder_router.replica_attempt import (
@@ -27,6 +31,7 @@
     RunFailedError,
     RunLostError,
 )
+from heronladder_router.replica_state import FleetReplica
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.tokens.access import Reservation, TokenAccess
 
@@ -35,6 +40,12 @@
 _RESERVE_SHARE = 0.2  # of the objective, waited at most for tokens: a refusal must come early
 _SHORTEST_RESERVE_S = 0.1
 _REPLICA_WAIT_S = 0.2
+_MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD})  # within a moment
+_NOT_SENT: dict[Reason, type[CallerError]] = {
+    Reason.EVACUATED: EvacuatedError,
+    Reason.OTHER_REGION: RegionUnservedError,
+    Reason.COLD: ReplicasColdError,
+}
 
 
 def _since_ms(start_s: float, moment_s: float | None) -> int | None:
@@ -54,6 +65,7 @@
     rejected: int = 0
     runs: int = 0
     failure: ReplicaAnswer | None = None
+    lacking: Reason = Reason.NONE_KNOWN  # why no replica was left
 
     @property
     def count(self) -> int:
@@ -196,10 +208,12 @@
     ) -> None:
         sends = _Sends()
         while True:
-            replica = await self._next_replica(request, sends)
+            placement = await self._next_placement(request, sends)
+            replica = placement.replica
             if replica is None:
+                sends.lacking = placement.reason
                 break
-            self._log_send(request, replica, sends, progress)
+            self._log_send(request, replica, placement.reason, sends, progress)
             try:
                 await self._parts.attempts.make(request, replica, sink, progress)
                 return
@@ -226,20 +240,20 @@
         route = request.matched.route
         return request.matched.may_run_twice and sends.runs < max(1, route.attempts)
 
-    async def _next_replica(self, request: GatewayRequest, sends: _Sends) -> FleetReplica | None:
+    async def _next_placement(self, request: GatewayRequest, sends: _Sends) -> Placement:
         replicas = self._parts.replicas
         await self._wait_until_it_may_send(sends)
-        replica = replicas.choose(request.wish, sends.tried)
-        if replica is None and not sends.count:
+        placement = replicas.place(request.wish, sends.tried)
+        if placement.reason in _MAY_PASS and not sends.count:
             await replicas.changed.wait(_REPLICA_WAIT_S)
             await self._wait_until_it_may_send(sends)
-            replica = replicas.choose(request.wish, sends.tried)
-        if replica is None or not sends.count:
-            return replica
+            placement = replicas.place(request.wish, sends.tried)
+        if placement.replica is None or not sends.count:
+            return placement
         if not self._parts.allowance.try_repeat(request.wish.service):
             self._parts.metrics.add("repeats_not_allowed", request.wish.service)
-            return None
-        return replica
+            return Placement(None, Reason.TRIED)
+        return placement
 
     async def _wait_until_it_may_send(self, sends: _Sends) -> None:
         """Send by no list of replicas that is known to be superseded.
@@ -258,6 +272,7 @@
         self,
         request: GatewayRequest,
         replica: FleetReplica,
+        reason: Reason,
         sends: _Sends,
         progress: AnswerProgress,
     ) -> None:
@@ -280,6 +295,10 @@
             load_age_s=self._parts.replicas.load_age_s,
             kept_tokens=replica.parts.kept_tokens(request.wish.parts),
             suspect=replica.failures,
+            reason=reason.value,
+            cold_s=replica.cold_until_s - self._parts.environment.monotonic(),
+            cold_sends=len(replica.cold_sends_s),
+            evacuated=",".join(sorted(self._parts.replicas.evacuated)),
         )
 
     def _note_failure(
@@ -288,7 +307,8 @@
         if error.step == "rejected":
             self._parts.replicas.busy(replica)
         else:
-            self._parts.replicas.failed(replica, error.message)
+            unreached = error.step == "connect"
+            self._parts.replicas.failed(replica, error.message, unreached=unreached)
         self._parts.metrics.add("sends_failed", type(error).__name__)
         self._parts.log.info(
             "send_failed",
@@ -327,7 +347,8 @@
             return RejectedEverywhereError(
                 "no replica took the request", step="give_up", peer=service
             )
-        return NoBackendError("no replica is known", step="give_up", peer=service)
+        kind = _NOT_SENT.get(sends.lacking, NoBackendError)
+        return kind(f"no replica: {sends.lacking.value}", step="give_up", peer=service)
 
     @staticmethod
     def _time_ran_out(
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -3,8 +3,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from heronladder_router.fleet_replicas import Wish
 from heronladder_router.host_routes import MatchedRoute
+from heronladder_router.replica_state import Wish
 
 Headers = list[tuple[str, str]]
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -13,7 +13,8 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
-from heronladder_router.fleet_replicas import FleetReplicas
+from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
 from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_server import GatewayServer
@@ -45,6 +46,9 @@
         names: Header names.
         lending_address: IP:port at which other gateways borrow tokens; empty: nowhere.
         lending_key_file: File with the keys that prove loan messages; empty: none.
+        zone_regions: Region of each zone.
+        cold_over: What all gateways may send to a cold replica, in multiples of what it bears.
+        cold_slack: Requests a second that they may send to it besides.
     """
 
     name: str
@@ -59,6 +63,9 @@
     names: GatewayNames = field(default_factory=GatewayNames)
     lending_address: str = ""
     lending_key_file: str = ""
+    zone_regions: dict[str, str] = field(default_factory=dict)
+    cold_over: float = 1.5
+    cold_slack: int = 5
 
 
 class GatewayRole:
@@ -89,8 +96,8 @@
             acts_past_lease=True,
         )
         self.routes = HostRouteTable(self.link.configuration, options.names.key_scheme)
-        self.replicas = FleetReplicas(options.zone, self.link.configuration, environment, self.log)
         self.tokens = self._make_tokens(stubs)
+        self.replicas = self._make_replicas()
         handlers.session_began = self.tokens.held.session_began
         handlers.fill_heartbeat = self._fill_heartbeat
         handlers.replica_loads = self.replicas.others_told
@@ -102,6 +109,8 @@
         self.server = self._make_server()
         self.link.configuration.listen(self._configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
+        self.metrics.gauge("replicas_cold", lambda: self.replicas.cold_count)
+        self.metrics.gauge("zones_evacuated", lambda: len(self.replicas.evacuated))
         self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
     def _record(self) -> ledger_pb2.DaemonRecord:
@@ -126,6 +135,22 @@
         )
         return TokenAccess(lending, self.link, stubs, self._environment, self.metrics, self.log)
 
+    def _make_replicas(self) -> FleetReplicas:
+        options = self.options
+        cold = ColdLimits(
+            options.name,
+            options.cold_over,
+            options.cold_slack,
+            lambda: GatewaysKnown(self.tokens.lenders.names, self.link.routers),
+        )
+        return FleetReplicas(
+            Surroundings(options.zone, options.zone_regions),
+            cold,
+            self.link.configuration,
+            self._environment,
+            self.log,
+        )
+
     def _make_server(self) -> GatewayServer:
         options = self.options
         parts = GatewayParts(
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -21,7 +21,6 @@
     StoppingError,
     UnconfirmedError,
 )
-from heronladder_router.fleet_replicas import Wish
 from heronladder_router.gateway_dispatch import GatewayDispatcher, StreamBrokenError
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_request import (
@@ -33,6 +32,7 @@
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
 from heronladder_router.kept_parts import parse_parts
 from heronladder_router.replica_attempt import is_hop_header
+from heronladder_router.replica_state import Wish
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _LAST_PRIORITY = 9
@@ -217,7 +217,9 @@
             headers=self._passed_on(request, matched),
             body=body,
             matched=matched,
-            wish=self._wish(service, headers.get(self._names.prompt_parts, ""), bounds),
+            wish=self._wish(
+                service, headers.get(self._names.prompt_parts, ""), bounds, matched.regions
+            ),
             bounds=bounds,
             arrived_s=arrived_s,
             deadline_s=self._deadline_s(request, matched, arrived_s),
@@ -225,10 +227,12 @@
         )
 
     @staticmethod
-    def _wish(service: str, parts: str, bounds: TokenBounds | None) -> Wish:
+    def _wish(
+        service: str, parts: str, bounds: TokenBounds | None, regions: frozenset[str] | None
+    ) -> Wish:
         if bounds is None:
-            return Wish(service)
-        return Wish(service, parse_parts(parts), bounds.prompt)
+            return Wish(service, regions=regions)
+        return Wish(service, parse_parts(parts), bounds.prompt, regions)
 
     def _deadline_s(
         self, request: web.BaseRequest, matched: MatchedRoute, arrived_s: float
--- a/packages/heronladder-router/src/heronladder_router/host_routes.py
+++ b/packages/heronladder-router/src/heronladder_router/host_routes.py
@@ -40,6 +40,14 @@
             return True
         return self.route.kind == resources_pb2.ROUTE_KIND_STREAM and self.route.resumable
 
+    @property
+    def regions(self) -> frozenset[str] | None:
+        """Regions that may serve the request; None: any. Route and tenant both bind."""
+        bound = [frozenset(self.route.home_regions)] if self.route.home_regions else []
+        if self.tenant is not None and self.tenant.home_regions:
+            bound.append(frozenset(self.tenant.home_regions))
+        return frozenset.intersection(*bound) if bound else None
+
     @property
     def streams(self) -> bool:
         """Whether the answer is a stream of events."""
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -8,7 +8,7 @@
 from heronladder_runtime.errors import HeronladderError
 
 from heronladder_router.event_stream import EventCutter
-from heronladder_router.fleet_replicas import FleetReplica, FleetReplicas
+from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
 from heronladder_router.replica_client import (
@@ -16,6 +16,7 @@
     ReplicaLostError,
     ReplicaNotReachedError,
 )
+from heronladder_router.replica_state import FleetReplica
 
 _EVENT_STREAM = "text/event-stream"
 _MISDIRECTED = 421
--- a/packages/heronladder-router/src/heronladder_router/tokens/lenders.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lenders.py
@@ -52,6 +52,7 @@
         self._lends = lends
         self._known: dict[str, Lender] = {}
         self._holders: dict[str, list[Lender]] = {}  # found so far, by tenant
+        self.names: frozenset[str] = frozenset()  # of all gateways that control has told of
         self.gateways = 1  # that control counts; told by the link
 
     def update(self, told: Iterable[control_pb2.Lender]) -> None:
@@ -61,6 +62,7 @@
                 self._known[entry.name] = Lender(entry.name, entry.zone, entry.address)
             else:
                 self._known.pop(entry.name, None)
+        self.names = frozenset(self._known)
         self._holders.clear()
 
     def known(self, name: str) -> Lender | None:
--- a/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
@@ -9,6 +9,7 @@
 FLEET_KIND = "fleet_configuration"
 FLEET_NAME = "current"
 REPLICA_KIND = "replica"
+EVACUATION_KIND = "evacuation"
 KINDS = (
     "tenant",
     "budget",
@@ -17,6 +18,7 @@
     "routing_policy",
     FLEET_KIND,
     REPLICA_KIND,
+    EVACUATION_KIND,
 )
 Listener = Callable[[], None]
 
@@ -84,6 +86,11 @@
         """Return all replicas that registered."""
         return [resource.replica for resource in self._resources[REPLICA_KIND].values()]
 
+    def evacuations(self) -> dict[str, resources_pb2.Evacuation]:
+        """Return the zones that are evacuated, or were, by name."""
+        kept = self._resources[EVACUATION_KIND].items()
+        return {zone: resource.evacuation for zone, resource in kept}
+
     def policy(self, name: str) -> resources_pb2.RoutingPolicy | None:
         """Return a routing policy, or None when there is none of that name."""
         resource = self._resources["routing_policy"].get(name)
--- a/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
@@ -21,6 +21,7 @@
     "RoutingPolicy": "routing_policy",
     "FleetConfiguration": "fleet_configuration",
     "Replica": "replica",
+    "Evacuation": "evacuation",
 }
 FIELD_KINDS = {field: kind for kind, field in KIND_FIELDS.items()}
 
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -21,6 +21,12 @@
         "replica_suspected",
         "replica_trusted",
         "replica_forgotten",
+        "replica_cold",
+        "replica_temperature",
+        "zone_evacuated",
+        "zone_restored",
+        "evacuation_ordered",
+        "evacuation_applied",
         "prepaid_drawn",
         "prepaid_holder_closed",
         "daemon_started",
@@ -34,8 +40,16 @@
     }
 )
 _OF_CONTROL = frozenset(
-    {"leader_elected", "leader_stepped_down", "change_in_force", "hold_ordered"}
+    {
+        "leader_elected",
+        "leader_stepped_down",
+        "change_in_force",
+        "hold_ordered",
+        "evacuation_ordered",
+        "evacuation_applied",
+    }
 )
+_GENERAL = ("configuration", "control", "daemon", "leader", "zone")  # about no one replica
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
@@ -112,7 +126,7 @@
             continue
         daemon = line.fields.get("daemon", "")
         about = line.fields.get("peer", "")
-        general = line.fields["event"].startswith(("configuration", "control", "daemon", "leader"))
+        general = line.fields["event"].startswith(_GENERAL)
         if daemon in daemons and (general or about in peers):
             kept = newest.setdefault(daemon, deque(maxlen=_BELIEFS_KEPT))
             kept.append(line)
--- a/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
@@ -42,7 +42,8 @@
 DEFAULT_API = "127.0.0.1:7701"
 
 
-def _client(api: str, token: str) -> OperatorClient:
+def make_client(api: str, token: str) -> OperatorClient:
+    """Return a client of the members at addresses with commas between."""
     return OperatorClient([address for address in api.split(",") if address], token)
 
 
@@ -104,7 +105,7 @@
     """Show one resource, or all of a kind."""
 
     async def work() -> None:
-        client = _client(api, token)
+        client = make_client(api, token)
         if not name:
             _show(await client.list(kind), output)
             return
@@ -152,7 +153,7 @@
     """Declare resources: show what changes, then change it."""
 
     async def work() -> None:
-        client = _client(api, token)
+        client = make_client(api, token)
         for resource in read_files(files):
             await _apply_one(client, resource, dry_run=dry_run, wait=wait)
 
@@ -198,7 +199,7 @@
     async def work() -> None:
         path = f"/v1/{FIELD_KINDS[field_of_kind(kind)]}/{name}"
         query = {"version": str(version)} if version else {}
-        await _client(api, token).call("DELETE", path, query=query)
+        await make_client(api, token).call("DELETE", path, query=query)
         print(f"{kind}/{name} deleted")
 
     run_command(work())
@@ -216,7 +217,7 @@
     async def work() -> None:
         field = FIELD_KINDS[field_of_kind(kind)] if kind else ""
         shown = 0
-        async for event in _client(api, token).watch(revision, field):
+        async for event in make_client(api, token).watch(revision, field):
             if event["type"] == "bookmark":
                 continue
             print(json.dumps(event), flush=True)
@@ -229,7 +230,7 @@
 
 def status(api: Api = DEFAULT_API, token: Token = "", output: Output = "table") -> None:
     """Show members, daemons, who is behind, and what holds a change up."""
-    document = run_command(_client(api, token).call("GET", "/v1/status"))
+    document = run_command(make_client(api, token).call("GET", "/v1/status"))
     if output == "json":
         print(json.dumps(document, indent=2))
         return
@@ -286,7 +287,7 @@
 @members_application.command("list")
 def members_list(api: Api = DEFAULT_API, token: Token = "") -> None:
     """Show all members."""
-    _print_members(run_command(_client(api, token).call("GET", "/v1/members")))
+    _print_members(run_command(make_client(api, token).call("GET", "/v1/members")))
 
 
 @members_application.command("add")
@@ -299,13 +300,13 @@
 ) -> None:
     """Add a member; it votes once it has caught up."""
     body = {"name": name, "address": address, "apiAddress": api_address}
-    _print_members(run_command(_client(api, token).call("POST", "/v1/members", body)))
+    _print_members(run_command(make_client(api, token).call("POST", "/v1/members", body)))
 
 
 @members_application.command("remove")
 def members_remove(name: str, api: Api = DEFAULT_API, token: Token = "") -> None:
     """Remove a member."""
-    _print_members(run_command(_client(api, token).call("DELETE", f"/v1/members/{name}")))
+    _print_members(run_command(make_client(api, token).call("DELETE", f"/v1/members/{name}")))
 
 
 @members_application.command("replace")
@@ -320,7 +321,7 @@
     """Add a new member, wait until it votes, then remove the old one."""
 
     async def work() -> dict[str, Any]:
-        client = _client(api, token)
+        client = make_client(api, token)
         body = {"name": name, "address": address, "apiAddress": api_address}
         await client.call("POST", "/v1/members", body)
         for _ in range(int(_WAIT_S)):
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -4,8 +4,10 @@
 import unittest
 
 from heronladder_control.replica_loads import MOST_TOLD, ReplicaLoads
-from heronladder_router.fleet_replicas import FleetReplicas, Wish
+from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
 from heronladder_router.kept_parts import parse_parts
+from heronladder_router.replica_state import Wish
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
 from heronladder_runtime.logs import EventLog
@@ -24,7 +26,9 @@
     """Return what a gateway of a zone knows: nine replicas over three zones."""
     configuration = ConfigurationStore("gateway")
     environment = _Clock(random=random.Random(seed))
-    replicas = FleetReplicas(zone, configuration, environment, EventLog("test", "gateway"))
+    cold = ColdLimits("gateway", 1.5, 5, lambda: GatewaysKnown({"gateway"}, 1))
+    where = Surroundings(zone, {})
+    replicas = FleetReplicas(where, cold, configuration, environment, EventLog("test", "gateway"))
     update = control_pb2.ConfigUpdate(revision=1, snapshot=True)
     service = resources_pb2.ReplicatedService(name=_SERVICE)
     service.engine.cache_tokens = _MEMORY_TOKENS
@@ -46,7 +50,7 @@
 
 def _send(gateway: FleetReplicas, wish: Wish) -> str:
     """Choose a replica and have it finish at once."""
-    replica = gateway.choose(wish, ())
+    replica = gateway.place(wish, ()).replica
     assert replica is not None
     unread = gateway.sent(replica, wish)
     gateway.began(replica, unread)
@@ -119,7 +123,7 @@
         self.assertEqual(_send(self.gateway, _plan(7, 2)), owner)
 
     def test_a_gateway_tells_what_it_has_under_way(self) -> None:
-        replica = self.gateway.choose(Wish(_SERVICE, parse_parts("own1:600"), 600), ())
+        replica = self.gateway.place(Wish(_SERVICE, parse_parts("own1:600"), 600), ()).replica
         assert replica is not None
         self.gateway.sent(replica, Wish(_SERVICE, parse_parts("own1:600"), 600))
         heartbeat = control_pb2.Heartbeat()
