--- a/tests/prepaid_losses.py
+++ b/tests/prepaid_losses.py
@@ -9,7 +9,7 @@
 
 _LIMIT = 20_000_000
 _WARM_S = 4.0
-_ALL = sorted(ZONES)
+_CLOCKS_AHEAD = sorted(ZONES)[::3]  # a third of all
 
 
 async def warm_fleet(seed: int = 3) -> tuple[LendingFleet, "asyncio.Task[Any]"]:
@@ -49,10 +49,11 @@
         silent_s: For how long, in seconds.
         leader_first: Whether the leader ended as the silence began, so that its notes stay those
             of that moment; otherwise they tell of the silence.
-        clock_ahead_s: How far one wall clock was ahead at that moment, and is not later.
+        clock_ahead_s: How far a third of the wall clocks was ahead at that moment, and is not later.
     """
     fleet, callers = await warm_fleet()
-    fleet.wall_ahead_s[_ALL[0]] = clock_ahead_s
+    for name in _CLOCKS_AHEAD:
+        fleet.wall_ahead_s[name] = clock_ahead_s
     await asyncio.sleep(1)
     fleet.cut_from_control.update(ZONES)
     fleet.control.ended = leader_first
--- a/tests/test_prepaid_promises.py
+++ b/tests/test_prepaid_promises.py
@@ -53,7 +53,7 @@
                 with self.subTest(silent_s=silent_s, leader_first=leader_first):
                     run_virtual(loss_amid_a_rush(silent_s, leader_first=leader_first))
 
-    def test_one_wall_clock_that_was_ahead_changes_nothing(self) -> None:
+    def test_wall_clocks_that_were_ahead_change_nothing(self) -> None:
         run_virtual(loss_amid_a_rush(3.4, leader_first=True, clock_ahead_s=4.0))
 
     def test_lost_as_a_silence_ends(self) -> None:
