A zone that is not there cannot be evacuated by the resource API either; commands and homes have tests

Cause: the platform's call named unknown zones, a manifest or the command line took them silently; the commands had no test, and homes none over sockets.

--- a/packages/heronladder-control/src/heronladder_control/api.py
+++ b/packages/heronladder-control/src/heronladder_control/api.py
@@ -15,6 +15,7 @@
     MembershipChangeError,
     NotLeaderError,
 )
+from heronladder_runtime.configuration import EVACUATION_KIND
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.manifests import (
     FIELD_KINDS,
@@ -199,6 +200,10 @@
         resource = parse_manifest(manifest)
         if resource.metadata.name != request.match_info["name"]:
             return _error(422, "invalid", "metadata.name: must be the name in the path")
+        zones = self._member.options.zone_names
+        if kind == EVACUATION_KIND and zones and resource.metadata.name not in zones:
+            known = ", ".join(zones)
+            return _error(422, "invalid", f"metadata.name: there is no such zone; known: {known}")
         command = control_pb2.Command()
         order = command.put_resource
         order.kind = kind
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -308,6 +308,7 @@
         "ip": "127.0.0.1",
         "zone": "z1",
         "region": "r1",
+        "zones": {"z1": "r1", "z2": "r2"},
         "listen": listen,
         "internalPorts": [port, port + 15],
         "seeds": [],
--- a/tests/prepaid_losses.py
+++ b/tests/prepaid_losses.py
@@ -49,7 +49,7 @@
         silent_s: For how long, in seconds.
         leader_first: Whether the leader ended as the silence began, so that its notes stay those
             of that moment; otherwise they tell of the silence.
-        clock_ahead_s: How far a third of the wall clocks was ahead at that moment, and is not later.
+        clock_ahead_s: How far a third of the wall clocks was ahead then, and is not later.
     """
     fleet, callers = await warm_fleet()
     for name in _CLOCKS_AHEAD:
--- a/tests/test_evacuations.py
+++ b/tests/test_evacuations.py
@@ -146,8 +146,6 @@
         self.assertEqual(set(self.served), {"in-z2"})
 
     async def test_a_zone_that_is_not_there_is_named(self) -> None:
-        assert self.fleet.control.control is not None
-        self.fleet.control.control.options.zone_names.extend(["z1", "z2"])
         address = self.fleet.control_address
         got = await self.fleet.call(address, "POST", "/api/Evacuations.Start/z9")
         self.assertEqual(got.status, 404)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -9,7 +9,16 @@
 from heronladder_platform.settings import CONTROL, GATEWAY, translate
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import resources_pb2
-from platform_stand_ins import KEY, Fleet, configuration, route, start_fleet
+from platform_stand_ins import (
+    KEY,
+    Fleet,
+    Received,
+    StandInReplica,
+    answer,
+    configuration,
+    route,
+    start_fleet,
+)
 
 _ROOT = Path(__file__).parent.parent
 _PLATFORM_WORDS = (
@@ -115,6 +124,37 @@
             read_replica("i-1", b'{"service": "s", "zone": "z", "state": "ready"}')
 
 
+class HomesTest(unittest.IsolatedAsyncioTestCase):
+    """A request reached any replica, whatever the regions of its route or tenant."""
+
+    async def asyncSetUp(self) -> None:
+        away = route("/away/", allowedRegions=["r2"])
+        both = route("/both/", allowedRegions=["r1", "r2"])
+        none = route("/none/", allowedRegions=["r1"])
+        tenants = [{"name": "t", "apiKeys": [KEY], "allowedRegions": ["r2"]}]
+        self.fleet: Fleet = await start_fleet(configuration(1, away, both, none, tenants=tenants))
+        self.addAsyncCleanup(self.fleet.stop)
+        self.served: list[str] = []
+
+        async def script(replica: StandInReplica, received: Received) -> bytes:
+            self.served.append(replica.identity)
+            return answer(received)
+
+        for zone in ("z1", "z2"):
+            await self.fleet.add_replica(f"in-{zone}", script, zone=zone)
+
+    async def test_route_and_tenant_both_bind(self) -> None:
+        for path in ("/away/", "/both/") * 4:
+            self.assertEqual((await self.fleet.request(path)).status, 200)
+        self.assertEqual(set(self.served), {"in-z2"})
+
+    async def test_without_a_region_in_common_nothing_is_sent(self) -> None:
+        got = await self.fleet.request("/none/")
+        self.assertEqual((got.status, got.headers["Heronladder-Outcome"]), (503, "not-run"))
+        self.assertIn(b"region_unserved", got.body)
+        self.assertEqual(self.served, [])
+
+
 class OperatorTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.fleet: Fleet = await start_fleet()
