--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 
 # Two common small requests. All of it is charged for a lost holder, and most holders of most
-# tenants use little: with 6,000, 1.1 M tokens were charged after a loss of 30 gateways, of 14 M.
+# tenants use little: with 6,000 the promises of a gateway came to more than it held.
 _LEAST_AHEAD_TOKENS = 3_000
 _ANNOUNCED_AGAIN_BELOW = 0.8  # of what is to be covered
 _LEAST_PACE = 1_000  # tokens a second: a common small request each two seconds (chosen)
