Consensus: each part takes the member's state and the parts it names; no circle of imports

Cause: six parts held the whole node through TYPE_CHECKING imports, so that none could be read or tested without all others. Ruled out: Protocol classes for each part, which repeat every signature. No behaviour changes.

--- a/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
@@ -8,16 +8,12 @@
 to a learner, and promotes it once it has caught up.
 """
 
-from __future__ import annotations
-
 import asyncio
-from typing import TYPE_CHECKING, Any
 
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
-if TYPE_CHECKING:
-    from heronladder_consensus.node import ConsensusNode
+from heronladder_consensus.member_state import MemberState
 
 _PAUSE_S = 0.2
 
@@ -30,9 +26,7 @@
         initial_members: The first members; empty when joining a running group.
     """
 
-    def __init__(
-        self, node: ConsensusNode[Any], initial_members: list[consensus_pb2.Member]
-    ) -> None:
+    def __init__(self, node: MemberState, initial_members: list[consensus_pb2.Member]) -> None:
         self._node = node
         self._initial = initial_members
         self.forming = bool(initial_members)  # it is not clear yet whether the group is new
--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -1,19 +1,14 @@
 """Elections: a pre-vote, then a vote; and the answers to other candidates."""
 
-from __future__ import annotations
-
 import asyncio
-from typing import TYPE_CHECKING, Any
+from collections.abc import Callable
 
 from heronladder_runtime.errors import StorageError
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
-from heronladder_consensus.membership import find_member, voters
-
-if TYPE_CHECKING:
-    from heronladder_consensus.node import ConsensusNode
-
+from heronladder_consensus.member_state import MemberState
+from heronladder_consensus.members import find_member, voters
 
 # Of the election timeout, besides a random share of it, wide enough that two of nine
 # members seldom stand together. Short until the first leader since the start was heard
@@ -31,10 +26,12 @@
 
     Args:
         node: The member.
+        elected: Called once a majority gave its votes.
     """
 
-    def __init__(self, node: ConsensusNode[Any]) -> None:
+    def __init__(self, node: MemberState, elected: Callable[[], None]) -> None:
         self._node = node
+        self._elected = elected
         self._lock = asyncio.Lock()
         self._knew_a_leader = False  # since this process started
         self._voted_s = float("-inf")  # when it gave its newest vote
@@ -57,7 +54,7 @@
                     continue
                 if not node.leader and await self.stand(term):
                     self._knew_a_leader = True
-                    node.become_leader()
+                    self._elected()
             except StorageError:
                 continue  # the disk refuses: others may stand
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -6,19 +6,16 @@
 learner.
 """
 
-from __future__ import annotations
-
 import asyncio
-from typing import TYPE_CHECKING, Any
 
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
+from heronladder_consensus.bootstrap import Bootstrap
 from heronladder_consensus.errors import MembershipChangeError, NotLeaderError
-from heronladder_consensus.membership import find_member
-
-if TYPE_CHECKING:
-    from heronladder_consensus.node import ConsensusNode
+from heronladder_consensus.member_state import MemberState
+from heronladder_consensus.members import find_member
+from heronladder_consensus.membership import MembershipKeeper
 
 _PAUSE_S = 0.3
 _SILENCE_S = 2.0  # without a leader's word, before a listed member asks again
@@ -29,6 +26,8 @@
 
     Args:
         node: The member.
+        bootstrap: Tells whether the group is still forming.
+        membership: Takes machines in.
         me: This member's own entry; None for a member that is only ever added
             by an operator.
         contacts: gRPC addresses to ask when none is known from the log.
@@ -36,11 +35,15 @@
 
     def __init__(
         self,
-        node: ConsensusNode[Any],
+        node: MemberState,
+        bootstrap: Bootstrap,
+        membership: MembershipKeeper,
         me: consensus_pb2.Member | None,
         contacts: list[str],
     ) -> None:
         self._node = node
+        self._bootstrap = bootstrap
+        self._membership = membership
         self._me = me
         self.contacts = contacts
 
@@ -55,7 +58,7 @@
 
     def _needs_to_ask(self) -> bool:
         node = self._node
-        if node.is_leader or node.bootstrap.forming:
+        if node.is_leader or self._bootstrap.forming:
             return False
         return node.environment.monotonic() - node.last_heard_s > _SILENCE_S
 
@@ -92,7 +95,7 @@
         if node.is_leader and known is not None:
             return consensus_pb2.JoinReply(accepted=True)
         try:
-            await node.membership_keeper.add(request.member)
+            await self._membership.add(request.member)
         except (MembershipChangeError, NotLeaderError):
             return consensus_pb2.JoinReply(leader_address=self._leader_address())
         return consensus_pb2.JoinReply(accepted=True)
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -1,48 +1,26 @@
 """Members of the group: single changes, learners, and repair of lost folders."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING, Any
-
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_consensus.errors import MembershipChangeError, NotLeaderError
-
-if TYPE_CHECKING:
-    from heronladder_consensus.node import ConsensusNode
+from heronladder_consensus.member_state import MemberState
+from heronladder_consensus.members import find_member, voters, without
+from heronladder_consensus.replication import Replication
 
 _REPLACED_AFTER_S = 2.0  # silence of a voter whose place others have taken
 
 
-def find_member(membership: consensus_pb2.Membership, name: str) -> consensus_pb2.Member | None:
-    """Return the member of a name, or None."""
-    for member in membership.members:
-        if member.name == name:
-            return member
-    return None
-
-
-def voters(membership: consensus_pb2.Membership) -> list[consensus_pb2.Member]:
-    """Return the members that count towards a quorum."""
-    return [member for member in membership.members if member.voter]
-
-
-def without(membership: consensus_pb2.Membership, name: str) -> consensus_pb2.Membership:
-    """Return a membership without the member of a name."""
-    return consensus_pb2.Membership(
-        members=[member for member in membership.members if member.name != name]
-    )
-
-
 class MembershipKeeper:
     """Carries out changes of members, one at a time, while this member leads.
 
     Args:
         node: The member.
+        replication: What is known of peers.
     """
 
-    def __init__(self, node: ConsensusNode[Any]) -> None:
+    def __init__(self, node: MemberState, replication: Replication) -> None:
         self._node = node
+        self._replication = replication
         self._change_index = 0
         self._leading_since_s = 0.0
 
@@ -63,13 +41,13 @@
         """Make the one change that is due: demote a lost folder, promote a learner."""
         node = self._node
         for member in node.membership().members:
-            incarnation = node.replication.seen_incarnation(member.name)
+            incarnation = self._replication.seen_incarnation(member.name)
             if member.name == node.name or not incarnation:
                 continue
             if incarnation != member.incarnation:
                 self._change_member(member, incarnation=incarnation, voter=False)
                 return
-            if not member.voter and node.replication.caught_up(member.name):
+            if not member.voter and self._replication.caught_up(member.name):
                 self._change_member(member, incarnation=incarnation, voter=True)
                 return
         self._remove_replaced()
@@ -90,7 +68,7 @@
         for member in voters(node.membership()):
             if member.name == node.name:
                 continue
-            if now - node.replication.last_answer_s(member.name) > _REPLACED_AFTER_S:
+            if now - self._replication.last_answer_s(member.name) > _REPLACED_AFTER_S:
                 self._append(without(node.membership(), member.name))
                 node.event_log.warning(
                     "member_removed", step="membership", peer=member.name, reason="replaced"
@@ -114,7 +92,7 @@
 
     def _append(self, membership: consensus_pb2.Membership) -> None:
         self._change_index = self._node.append_as_leader(membership=membership)
-        self._node.replication.follow_membership()
+        self._replication.follow_membership()
 
     async def add(self, member: consensus_pb2.Member) -> None:
         """Add a learner; it votes once it has caught up.
@@ -154,7 +132,7 @@
         reachable = [
             member
             for member in voters(changed)
-            if member.name == self._node.name or self._node.replication.reachable(member.name)
+            if member.name == self._node.name or self._replication.reachable(member.name)
         ]
         if len(reachable) < len(voters(changed)) // 2 + 1:
             raise MembershipChangeError(
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -1,42 +1,30 @@
-"""One member of a replicated log: its state, its log, and its parts' tasks."""
+"""One member of a replicated log: its parts, their tasks, and the state they replicate."""
 
 import asyncio
 from collections.abc import Callable
-from enum import Enum
 from typing import Generic, TypeVar
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.errors import HeronladderError, StorageError
-from heronladder_runtime.invariants import invariant
-from heronladder_runtime.logs import EventLog
-from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.rpc import StubFactory
-from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_consensus.bootstrap import Bootstrap
 from heronladder_consensus.election import Election
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_consensus.joining import Joiner
-from heronladder_consensus.log import MemoryLog
-from heronladder_consensus.membership import MembershipKeeper, find_member, voters
+from heronladder_consensus.member_state import MemberState, Role
+from heronladder_consensus.membership import MembershipKeeper
 from heronladder_consensus.replication import Replication
 from heronladder_consensus.snapshots import SnapshotKeeper
 from heronladder_consensus.state_machine import StateMachine
-from heronladder_consensus.storage import LogStorage, StoredSnapshot
+from heronladder_consensus.storage import LogStorage
 from heronladder_consensus.timing import ConsensusTiming
 
 Result = TypeVar("Result")
 
 
-class Role(Enum):
-    """What a member is at the moment."""
-
-    FOLLOWER = "follower"
-    LEADER = "leader"
-
-
-class ConsensusNode(Generic[Result]):
+class ConsensusNode(MemberState, Generic[Result]):
     """Replicates commands to a group of members and applies them in one order.
 
     Args:
@@ -66,43 +54,23 @@
         me: consensus_pb2.Member | None = None,
         contacts: list[str] | None = None,
     ) -> None:
-        self.name = name
-        self.storage = storage
+        loaded = storage.load()
+        super().__init__(name, storage, loaded, stubs, timing, environment)
         self.machine = machine
-        self.stubs = stubs
-        self.timing = timing
-        self.environment = environment
-        self.event_log = EventLog("consensus", name)
-        self.tasks = TaskGroupOwner(self.event_log)
         self._on_failure = on_failure
-        self.failure: HeronladderError | None = None
-
-        loaded = storage.load()
+        self._waiters: dict[int, asyncio.Future[Result]] = {}
+        self._term_first_index = 0
         if loaded.dropped_bytes:
             self.event_log.warning("torn_write_dropped", step="load", bytes=loaded.dropped_bytes)
-        self.hard_state = loaded.hard_state
-        meta = loaded.snapshot.meta if loaded.snapshot else consensus_pb2.SnapshotMeta()
-        self.log = MemoryLog(name, meta, loaded.entries)
         if loaded.snapshot:
             machine.restore(loaded.snapshot.data)
-        self.snapshots = SnapshotKeeper(self, loaded.snapshot)
-        self.commit_index = meta.index
-        self.applied_index = meta.index
-
-        self.role = Role.FOLLOWER
-        self.leader: str = ""
-        self.last_heard_s = float("-inf")
-        self.changed = Pulse()  # commit index, role or acknowledgements changed
-        self.appended = Pulse()  # the log grew
-        self._write_lock = asyncio.Lock()
-        self._waiters: dict[int, asyncio.Future[Result]] = {}
-        self._term_first_index = 0
 
+        self.snapshots = SnapshotKeeper(self, machine, loaded.snapshot)
         self.bootstrap = Bootstrap(self, initial_members)
-        self.joiner = Joiner(self, me, contacts or [])
-        self.election = Election(self)
-        self.replication = Replication(self)
-        self.membership_keeper = MembershipKeeper(self)
+        self.election = Election(self, self.become_leader)
+        self.replication = Replication(self, self.election, self.snapshots)
+        self.membership_keeper = MembershipKeeper(self, self.replication)
+        self.joiner = Joiner(self, self.bootstrap, self.membership_keeper, me, contacts or [])
 
     # ---- life -------------------------------------------------------------
 
@@ -132,64 +100,8 @@
         self.step_down("failed")
         self._on_failure(error)
 
-    # ---- facts ------------------------------------------------------------
-
-    @property
-    def term(self) -> int:
-        """The current term."""
-        return self.hard_state.term
-
-    @property
-    def is_leader(self) -> bool:
-        """Whether this member leads, as far as it knows."""
-        return self.role is Role.LEADER
-
-    def membership(self) -> consensus_pb2.Membership:
-        """Return the membership in force: the newest in the log."""
-        found = self.log.membership()
-        return found if found.members else self.hard_state.bootstrap
-
-    def me(self) -> consensus_pb2.Member | None:
-        """Return this member's entry in the membership, if it has one."""
-        return find_member(self.membership(), self.name)
-
-    def may_vote(self) -> bool:
-        """Whether this member counts: its folder never lost what it had promised."""
-        member = self.me()
-        return self.hard_state.voting_allowed and member is not None and member.voter
-
-    def quorum(self) -> int:
-        """Return how many voters make a majority."""
-        return len(voters(self.membership())) // 2 + 1
-
-    def require_leader(self, step: str) -> None:
-        """Check that this member leads.
-
-        Raises:
-            NotLeaderError: If it does not; ``peer`` is the leader if known.
-        """
-        if not self.is_leader or self.failure is not None:
-            raise NotLeaderError("this member does not lead", step=step, peer=self.leader)
-
     # ---- proposing and reading --------------------------------------------
 
-    def append_as_leader(
-        self, command: bytes = b"", membership: consensus_pb2.Membership | None = None
-    ) -> int:
-        """Add an entry to the leader's log; it is synced and sent in the background.
-
-        Returns:
-            Its index.
-        """
-        entry = consensus_pb2.LogEntry(
-            index=self.log.last_index + 1, term=self.term, command=command
-        )
-        if membership is not None:
-            entry.membership.CopyFrom(membership)
-        self.log.append(entry)
-        self.appended.give()
-        return entry.index
-
     async def propose(self, command: bytes) -> Result:
         """Replicate a command and return what applying it gave.
 
@@ -225,42 +137,6 @@
 
     # ---- roles ------------------------------------------------------------
 
-    async def enter_term(self, term: int, voted_for: str = "") -> None:
-        """Move to a term and make it durable before anyone is told."""
-        if term == self.hard_state.term and voted_for == self.hard_state.voted_for:
-            return
-        invariant(
-            term >= self.hard_state.term,
-            "terms_never_go_back",
-            step="enter_term",
-            peer=self.name,
-            detail=f"{self.hard_state.term} to {term}",
-        )
-        self.step_down("newer term")
-        earlier = (self.hard_state.term, self.hard_state.voted_for)
-        self.hard_state.term = term
-        self.hard_state.voted_for = voted_for
-        try:
-            await self.save_hard_state()
-        except StorageError:
-            # Nobody may be told of a vote that a restart would forget.
-            self.hard_state.term, self.hard_state.voted_for = earlier
-            raise
-
-    async def save_hard_state(self) -> None:
-        """Write the hard state.
-
-        Raises:
-            StorageError: If the disk refuses; nothing may be said that rests on it.
-        """
-        try:
-            await self.storage.save_hard_state(self.hard_state)
-        except StorageError as error:
-            self.event_log.warning(
-                "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
-            )
-            raise
-
     def become_leader(self) -> None:
         """Lead the current term: its first entry carries the membership."""
         self.role = Role.LEADER
@@ -273,11 +149,7 @@
 
     def step_down(self, reason: str) -> None:
         """Stop leading; those who wait for entries learn that their fate is unknown."""
-        if not self.is_leader:
-            return
-        self.role = Role.FOLLOWER
-        self.leader = ""
-        self.event_log.info("leader_stepped_down", step="election", term=self.term, reason=reason)
+        super().step_down(reason)
         waiters, self._waiters = self._waiters, {}
         for waiter in waiters.values():
             if not waiter.done():
@@ -285,8 +157,6 @@
                     LeadershipLostError("leadership ended", step="propose", peer=self.name)
                 )
                 waiter.exception()  # its asker may be gone
-        self.changed.give()
-        self.appended.give()
 
     # ---- disk and state ---------------------------------------------------
 
@@ -296,7 +166,7 @@
                 await self.appended.wait()
                 continue
             try:
-                async with self._write_lock:
+                async with self.write_lock:
                     await self.flush_locked()
             except StorageError as error:
                 await self._wait_for_disk(error)
@@ -311,29 +181,6 @@
         self.step_down("the disk refuses writes")
         await asyncio.sleep(self.timing.election_timeout_s)
 
-    async def flush_locked(self) -> None:
-        """Write and sync all entries that are not; the write lock must be held.
-
-        Raises:
-            StorageError: If it fails; the member must stop.
-        """
-        entries = list(self.log.unsynced())
-        if not entries:
-            return
-        await self.storage.append(entries)
-        self.log.synced_index = entries[-1].index
-
-    @property
-    def write_lock(self) -> asyncio.Lock:
-        """Held while the log is changed or written, except for a leader's appends."""
-        return self._write_lock
-
-    def set_commit_index(self, index: int) -> None:
-        """Commit all entries up to ``index``."""
-        if index > self.commit_index:
-            self.commit_index = index
-            self.changed.give()
-
     async def _apply_when_committed(self) -> None:
         while True:
             if self.applied_index >= self.commit_index:
@@ -350,8 +197,7 @@
                 return
             self.changed.give()
             if self.applied_index - self.log.base_index >= self.timing.snapshot_entries:
-                async with self._write_lock:
-                    await self.snapshots.save()
+                await self.snapshots.save()
 
     def _apply_committed(self) -> None:
         while self.applied_index < self.commit_index:
@@ -366,10 +212,3 @@
             waiter = self._waiters.pop(index, None)
             if waiter is not None and not waiter.done():
                 waiter.set_result(result)
-
-    async def install_snapshot(self, snapshot: StoredSnapshot) -> None:
-        """Replace log and state by the leader's snapshot, if it is newer."""
-        async with self._write_lock:
-            installed = await self.snapshots.install(snapshot)
-        if installed:
-            self.changed.give()
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -1,20 +1,17 @@
 """Replication: one task a peer while leading, and the followers' side."""
 
-from __future__ import annotations
-
 import asyncio
 from dataclasses import dataclass
-from typing import TYPE_CHECKING, Any
 
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
-from heronladder_consensus.membership import find_member, voters
+from heronladder_consensus.election import Election
+from heronladder_consensus.member_state import MemberState
+from heronladder_consensus.members import find_member, voters
+from heronladder_consensus.snapshots import SnapshotKeeper
 from heronladder_consensus.storage import StoredSnapshot
 
-if TYPE_CHECKING:
-    from heronladder_consensus.node import ConsensusNode
-
 _BATCH_BYTES = 512 * 1024
 _SNAPSHOT_CHUNK_BYTES = 256 * 1024
 _SNAPSHOT_TIMEOUT_FACTOR = 50
@@ -45,10 +42,14 @@
 
     Args:
         node: The member.
+        election: Hears of leaders.
+        snapshots: What is sent to peers that lag behind the log, and installed from a leader.
     """
 
-    def __init__(self, node: ConsensusNode[Any]) -> None:
+    def __init__(self, node: MemberState, election: Election, snapshots: SnapshotKeeper) -> None:
         self._node = node
+        self._election = election
+        self._snapshots = snapshots
         self._peers: dict[str, PeerProgress] = {}
         self._round = 0
         self._leading_since_s = 0.0
@@ -151,7 +152,7 @@
         """Note that a peer answered; return False when this leadership is over."""
         node = self._node
         if reply_term > node.term:
-            await node.election.observe_leader(reply_term, "")
+            await self._election.observe_leader(reply_term, "")
             return False
         if not node.is_leader or node.term != term:
             return False
@@ -168,7 +169,7 @@
         self, member: consensus_pb2.Member, progress: PeerProgress, term: int
     ) -> None:
         node = self._node
-        snapshot = node.snapshots.newest
+        snapshot = self._snapshots.newest
         if snapshot is None:
             progress.next_index = node.log.base_index + 1
             return
@@ -284,7 +285,7 @@
         """Take in entries from the leader; they are synced when this returns."""
         node = self._node
         reply = consensus_pb2.AppendReply(incarnation=node.hard_state.incarnation)
-        if await node.election.observe_leader(request.term, request.leader):
+        if await self._election.observe_leader(request.term, request.leader):
             async with node.write_lock:
                 if request.term == node.term and not node.is_leader:
                     await self._take_entries(request, reply)
@@ -332,7 +333,7 @@
         """Take in a part of the leader's snapshot; install it with the last part."""
         node = self._node
         reply = consensus_pb2.SnapshotReply(incarnation=node.hard_state.incarnation)
-        if await node.election.observe_leader(chunk.term, chunk.leader):
+        if await self._election.observe_leader(chunk.term, chunk.leader):
             if chunk.offset == 0:
                 self._incoming_snapshot.clear()
             if chunk.offset == len(self._incoming_snapshot):
@@ -341,7 +342,7 @@
             if reply.success and chunk.last:
                 data = bytes(self._incoming_snapshot)
                 self._incoming_snapshot.clear()
-                await node.install_snapshot(StoredSnapshot(chunk.meta, data))
+                await self._snapshots.install(StoredSnapshot(chunk.meta, data))
                 node.last_heard_s = node.environment.monotonic()
         reply.term = node.term
         return reply
--- a/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
@@ -1,35 +1,40 @@
 """Snapshots of one member: its own, and those that a leader sends."""
 
-from __future__ import annotations
-
-from typing import TYPE_CHECKING, Any
+from typing import Any
 
 from heronladder_runtime.errors import StorageError
 from heronladder_schema.v1 import consensus_pb2
 
+from heronladder_consensus.member_state import MemberState
+from heronladder_consensus.state_machine import StateMachine
 from heronladder_consensus.storage import StoredSnapshot
 
-if TYPE_CHECKING:
-    from heronladder_consensus.node import ConsensusNode
-
 
 class SnapshotKeeper:
-    """Saves and installs snapshots; the node's write lock must be held for both.
+    """Saves and installs snapshots, each with the member's write lock held.
 
     Args:
         node: The member.
+        machine: The state that is saved and restored.
         newest: The snapshot that its folder held at the start.
     """
 
-    def __init__(self, node: ConsensusNode[Any], newest: StoredSnapshot | None) -> None:
+    def __init__(
+        self, node: MemberState, machine: StateMachine[Any], newest: StoredSnapshot | None
+    ) -> None:
         self._node = node
+        self._machine = machine
         self.newest = newest
 
     async def save(self) -> None:
         """Save the state as it is, and drop what lies well behind it in the log."""
+        async with self._node.write_lock:
+            await self._save_locked()
+
+    async def _save_locked(self) -> None:
         node = self._node
         index = node.applied_index
-        snapshot = StoredSnapshot(self._meta(index), node.machine.snapshot())
+        snapshot = StoredSnapshot(self._meta(index), self._machine.snapshot())
         try:
             await node.storage.save_snapshot(snapshot, drop_log=False)
         except StorageError as error:
@@ -51,23 +56,24 @@
             index=index, term=log.term_at(index) or 0, membership=log.membership(index)
         )
 
-    async def install(self, snapshot: StoredSnapshot) -> bool:
-        """Replace log and state by a leader's snapshot.
-
-        Returns:
-            False if it is not newer than what is committed here.
+    async def install(self, snapshot: StoredSnapshot) -> None:
+        """Replace log and state by a leader's snapshot, if it is newer than what is committed here.
 
         Raises:
             StorageError: If the disk refuses it; nothing has changed then.
         """
+        async with self._node.write_lock:
+            if snapshot.meta.index <= self._node.commit_index:
+                return
+            await self._install_locked(snapshot)
+        self._node.changed.give()
+
+    async def _install_locked(self, snapshot: StoredSnapshot) -> None:
         node = self._node
-        if snapshot.meta.index <= node.commit_index:
-            return False
         await node.storage.save_snapshot(snapshot, drop_log=True)
         self.newest = snapshot
         node.log.reset(snapshot.meta)
-        node.machine.restore(snapshot.data)
+        self._machine.restore(snapshot.data)
         node.commit_index = snapshot.meta.index
         node.applied_index = snapshot.meta.index
         node.event_log.info("snapshot_installed", step="snapshot", index=snapshot.meta.index)
-        return True
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from heronladder_consensus.membership import find_member
+from heronladder_consensus.members import find_member
 from heronladder_consensus.node import ConsensusNode
 from heronladder_consensus.service import ConsensusService
 from heronladder_consensus.storage import LogStorage
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/faults.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/faults.py
@@ -4,7 +4,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, replace
 
-from heronladder_consensus.membership import voters
+from heronladder_consensus.members import voters
 from heronladder_emulator.engine import EngineFaults
 from heronladder_emulator.network import Cut
 from heronladder_emulator.service import ServiceFaults
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -10,7 +10,7 @@
     MembershipChangeError,
     NotLeaderError,
 )
-from heronladder_consensus.membership import find_member, voters
+from heronladder_consensus.members import find_member, voters
 from heronladder_consensus.node import ConsensusNode
 from heronladder_schema.v1 import consensus_pb2
 from support import Group, run_virtual
--- a/tests/test_membership_growth.py
+++ b/tests/test_membership_growth.py
@@ -6,7 +6,7 @@
 
 from heronladder_consensus.election import Election
 from heronladder_consensus.errors import LeadershipLostError
-from heronladder_consensus.membership import find_member, voters
+from heronladder_consensus.members import find_member, voters
 from heronladder_consensus.node import ConsensusNode
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_schema.v1 import consensus_pb2
