--- a/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
@@ -30,6 +30,8 @@
 _ROUTERS = 3
 _READY_TIMEOUT_S = 30.0
 _POLL_S = 0.05
+_OK = 200
+_TRY_AGAIN = 503  # leadership is changing: nothing is decided yet
 
 
 def free_addresses(count: int) -> list[str]:
@@ -188,11 +190,17 @@
     async def _put(self, session: aiohttp.ClientSession, resource: resources_pb2.Resource) -> None:
         kind = FIELD_KINDS[kind_of(resource)]
         url = f"http://{self.api_addresses[0]}/v1/{kind}/{resource.metadata.name}"
-        async with session.put(url, json=to_manifest(resource)) as answer:
-            if answer.status != 200:
-                raise HeronladderError(
-                    await answer.text(), step="declare", peer=resource.metadata.name
-                )
+        deadline_s = self._environment.monotonic() + _READY_TIMEOUT_S
+        while True:
+            async with session.put(url, json=to_manifest(resource)) as answer:
+                if answer.status == _OK:
+                    return
+                is_over = self._environment.monotonic() > deadline_s
+                if answer.status != _TRY_AGAIN or is_over:
+                    raise HeronladderError(
+                        await answer.text(), step="declare", peer=resource.metadata.name
+                    )
+            await asyncio.sleep(_POLL_S)
 
     async def _wait_ready(self) -> None:
         deadline_s = self._environment.monotonic() + _READY_TIMEOUT_S
