Name a control group apart from the region of its members

Cause: every process took the region of its machine for the name of its group. Over two regions a gateway refused all loan messages of the other region as meant for another, members made different states of one log, and, worst, a refused settlement was sent again at once: the loop that tells a lender what was used paused only where no answer came.

Change: a setting `group` (empty: the region, so folders and single-region groups stay as they were), used for state, loans and allotments; the platform gives one name to all. A named group writes its name into its log once; a member set up for another one ends and says why. The loop pauses 0.5 s after a refusal as after silence, so keys that differ can't cause it either.

Tests, seen to fail first: a loan message from the other region (refused, now acted on), one state of one log (r1 and r2 in it), settlements to a lender that refuses (482 messages in 5 s, now at most 11 allowed). `test_lending` and `lending_fleet` write `group` for the renamed field.

--- a/packages/heronladder-control/src/heronladder_control/allotments.py
+++ b/packages/heronladder-control/src/heronladder_control/allotments.py
@@ -77,7 +77,7 @@
             ledger_pb2.Transfer(
                 budget=budget,
                 from_region=region,
-                to_region=self._member.options.region,
+                to_region=self._member.options.group,
                 tokens=tokens,
             )
         )
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -10,7 +10,7 @@
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.disk import Disk
-from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.errors import HeronladderError, SettingsError
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.pulse import Pulse
@@ -44,7 +44,7 @@
 
     Attributes:
         name: Name of the member.
-        region: Its region.
+        group: Name of its group, wherever its members stand.
         initial_members: First members of a new group; empty when joining one.
         timing: Times of the replicated log.
         freshness_s: Length of a daemon's freshness lease, in seconds.
@@ -53,10 +53,11 @@
         me: This member's entry, when it may ask to be taken into a running group.
         contacts: gRPC addresses that it may ask.
         zone_names: Zones that may be evacuated; empty: any.
+        named: Whether the group's name was set, and is to stand in its log.
     """
 
     name: str
-    region: str
+    group: str
     initial_members: list[consensus_pb2.Member]
     timing: ConsensusTiming = field(default_factory=ConsensusTiming)
     freshness_s: float = 8.0
@@ -65,6 +66,7 @@
     me: consensus_pb2.Member | None = None
     contacts: list[str] = field(default_factory=list)
     zone_names: list[str] = field(default_factory=list)
+    named: bool = False
 
 
 class ControlMember:
@@ -91,7 +93,7 @@
         self.metrics = Metrics()
         self.log = EventLog("control", options.name)
         self.tasks = TaskGroupOwner(self.log)
-        self.state = ControlState(options.region)
+        self.state = ControlState(options.group)
         self.node = ConsensusNode(
             options.name,
             LogStorage(disk),
@@ -116,6 +118,7 @@
         self.consensus_service = ConsensusService(self.node)
         self.allotments = AllotmentKeeper(self, stubs)
         self.state.listeners.append(self._applied)
+        self.state.restored = self._check_group
         self._tending = False
 
     @property
@@ -126,6 +129,7 @@
     async def start(self) -> None:
         """Start the member's tasks."""
         await self.node.start()
+        self._check_group()
         self.tasks.start("leader_chores", self._tend_leadership())
         self.tasks.start("promise_notes", self.promise_notes.run())
 
@@ -160,6 +164,8 @@
 
     def _applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
         body = command.WhichOneof("body")
+        if body == "name_group":
+            self._check_group()
         if body == "set_in_force":
             self.in_force_since_s = self.environment.monotonic()
             self.in_force_changed.give()
@@ -184,6 +190,21 @@
             except HeronladderError as error:
                 self.log.info("leader_chores_ended", step=error.step, reason=error.message)
 
+    def _check_group(self) -> None:
+        """End if the log names another group: this member's state would not be the others'."""
+        named = self.state.named_group
+        if named and named != self.options.group:
+            problem = f"setting group = {self.options.group!r}: the log is of group {named!r}"
+            self.node.fail(SettingsError([problem]))
+
+    async def _name_group(self) -> None:
+        if not self.options.named or self.state.named_group:
+            return
+        command = control_pb2.Command()
+        command.name_group.name = self.options.group
+        await self.propose(command)
+        self.log.info("group_named", step="name_group", peer=self.options.group)
+
     async def _lead(self) -> None:
         self.in_force.begin(
             sorted(name for name, record in self.state.daemons.daemons.items() if not record.gone),
@@ -193,6 +214,7 @@
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
         for session in self.service.sessions.values():
             self.service.note_connected(session)
+        await self._name_group()
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
         ended = EndedReplicas(self.environment)
         while self.node.is_leader:
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -26,16 +26,18 @@
 class ControlState(StateMachine[control_pb2.CommandResult]):
     """Applies commands to resources, ledger, claims and daemons.
 
-    It depends on nothing but the commands: no clock, no randomness.
+    It depends on nothing but the commands and the group's name, which all members share: no
+    clock, no randomness, and not where a member stands.
 
     Args:
-        region: Name of the region.
+        group: Name of the control group.
     """
 
-    def __init__(self, region: str) -> None:
-        self.region = region
-        self.resources = ResourceTable(region)
-        self.ledger = Ledger(region)
+    def __init__(self, group: str) -> None:
+        self.region = group
+        self.resources = ResourceTable(group)
+        self.ledger = Ledger(group)
+        self.named_group = ""  # by the log; empty: the group was never named
         self.claims = ClaimTable(self.ledger)
         self.daemons = DaemonTable(self.ledger)
         self.transfers = TransferTable(self.ledger)
@@ -45,6 +47,7 @@
         self.in_force_revision = 0
         self.applied_index = 0
         self.listeners: list[_AppliedListener] = []
+        self.restored: Callable[[], None] | None = None  # called after a snapshot was taken in
 
     def apply(self, index: int, command: bytes) -> control_pb2.CommandResult:
         """Carry out one committed command."""
@@ -109,6 +112,9 @@
                 return self.evacuations.apply(index, order.set_evacuation)
             case "draw_tokens":
                 return self._draw(order.draw_tokens)
+            case "name_group":
+                self.named_group = self.named_group or order.name_group.name
+                return success()
             case "note_promises":
                 return self.prepaid.note_promises(order.note_promises, self.is_current)
             case "close_prepaid_holder":
@@ -206,7 +212,9 @@
     def snapshot(self) -> bytes:
         """Return the whole state; the same state always gives the same bytes."""
         snapshot = control_pb2.StateSnapshot(
-            applied_index=self.applied_index, in_force_revision=self.in_force_revision
+            applied_index=self.applied_index,
+            in_force_revision=self.in_force_revision,
+            group=self.named_group,
         )
         self.resources.save(snapshot)
         self.ledger.save(snapshot)
@@ -221,9 +229,12 @@
         snapshot = control_pb2.StateSnapshot.FromString(data)
         self.applied_index = snapshot.applied_index
         self.in_force_revision = snapshot.in_force_revision
+        self.named_group = snapshot.group
         self.resources.load(snapshot)
         self.ledger.load(snapshot)
         self.claims.load(snapshot)
         self.daemons.load(snapshot)
         self.transfers.load(snapshot)
         self.prepaid.load(snapshot)
+        if self.restored is not None:
+            self.restored()
--- a/packages/heronladder-control/src/heronladder_control/status.py
+++ b/packages/heronladder-control/src/heronladder_control/status.py
@@ -11,7 +11,7 @@
     state = member.state
     committed = state.resources.revision
     return {
-        "region": member.options.region,
+        "region": member.options.group,
         "leader": node.leader,
         "term": node.term,
         "commitIndex": node.commit_index,
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -35,7 +35,8 @@
     common, control = settings.common, settings.control
     options = ControlOptions(
         name=common.name,
-        region=common.region,
+        group=common.group or common.region,
+        named=bool(common.group),
         initial_members=parse_members(control.initial_members),
         timing=ConsensusTiming(
             seconds(control.election_timeout_ms),
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -49,6 +49,7 @@
         zone_regions: Region of each zone.
         cold_over: What all gateways may send to a cold replica, in multiples of what it bears.
         cold_slack: Requests a second that they may send to it besides.
+        group: Its control group; empty: named like the region.
     """
 
     name: str
@@ -66,6 +67,7 @@
     zone_regions: dict[str, str] = field(default_factory=dict)
     cold_over: float = 1.5
     cold_slack: int = 5
+    group: str = ""
 
 
 class GatewayRole:
@@ -128,7 +130,7 @@
         options = self.options
         lending = LendingOptions(
             name=options.name,
-            region=options.region,
+            group=options.group or options.region,
             zone=options.zone,
             address=options.lending_address,
             key_file=options.lending_key_file,
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -33,14 +33,14 @@
 
     Attributes:
         name: The gateway.
-        region: Its region.
+        group: Its control group.
         zone: Its zone.
         address: IP:port at which it lends; empty: it neither lends nor borrows.
         key_file: File with the keys that prove messages; empty: they are not proved.
     """
 
     name: str
-    region: str
+    group: str
     zone: str
     address: str = ""
     key_file: str = ""
@@ -73,7 +73,7 @@
         self.lenders = Lenders(options.name, options.zone, lends=bool(options.address))
         self.held = HeldTokens(link, self.lenders, environment, log)
         incarnation = environment.new_id(options.name)
-        who = (options.name, options.region, incarnation)
+        who = (options.name, options.group, incarnation)
         self.book = LoanBook(*who, self.held, self._tenant, self.key, metrics, log)
         self.borrowed = BorrowedTokens(
             *who, self.lenders, stubs, self.key, environment, metrics, log
--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -104,7 +104,7 @@
 
     Args:
         name: This gateway.
-        region: Its region.
+        group: Its control group.
         incarnation: Of this process.
         lenders: Whom to ask.
         stubs: Makes stubs to them.
@@ -117,7 +117,7 @@
     def __init__(
         self,
         name: str,
-        region: str,
+        group: str,
         incarnation: str,
         lenders: Lenders,
         stubs: StubFactory,
@@ -127,7 +127,7 @@
         log: EventLog,
     ) -> None:
         self._name = name
-        self._region = region
+        self._group = group
         self._incarnation = incarnation
         self._lenders = lenders
         self._stubs = stubs
@@ -271,7 +271,7 @@
         """Send a message to a lender; return its answer, or None if none came."""
         sent = list(account.unsettled)
         request = lending_pb2.LendRequest(
-            region=self._region,
+            group=self._group,
             borrower=self._name,
             borrower_incarnation=self._incarnation,
             lender=lender.name,
@@ -332,7 +332,9 @@
                 self._log.info("lender_gone", step="settle_loans", peer=account.lender)
                 account.lender_ended("")
                 return
-            if await self._send(lender, account, None, _SETTLE_TIMEOUT_S) is None:
+            reply = await self._send(lender, account, None, _SETTLE_TIMEOUT_S)
+            # A refusal takes nothing in: without a pause both ends would do nothing else.
+            if reply is None or reply.outcome == lending_pb2.LOAN_OUTCOME_REFUSED:
                 await asyncio.sleep(_SETTLE_AGAIN_S)
 
     async def settle_all(self) -> None:
--- a/packages/heronladder-router/src/heronladder_router/tokens/lending.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lending.py
@@ -45,7 +45,7 @@
 
     Args:
         name: This gateway.
-        region: Its region.
+        group: Its control group.
         incarnation: Of this process.
         held: The tokens held here.
         find_tenant: Finds a tenant of the configuration in use.
@@ -57,7 +57,7 @@
     def __init__(
         self,
         name: str,
-        region: str,
+        group: str,
         incarnation: str,
         held: HeldTokens,
         find_tenant: TenantFinder,
@@ -66,7 +66,7 @@
         log: EventLog,
     ) -> None:
         self._name = name
-        self._region = region
+        self._group = group
         self._incarnation = incarnation
         self._held = held
         self._find_tenant = find_tenant
@@ -118,7 +118,7 @@
         """Return why a message is not acted on; empty if it is."""
         if not self._key.proves(request):
             return "not_proved"
-        if request.lender != self._name or request.region != self._region:
+        if request.lender != self._name or request.group != self._group:
             return "meant_for_another"
         if not (request.borrower and request.borrower_incarnation):
             return "no_borrower"
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
@@ -157,7 +157,7 @@
         ]
         options = ControlOptions(
             name=name,
-            region=self.profile.name,
+            group=self.profile.name,
             initial_members=members,
             timing=ConsensusTiming(1.0, _SNAPSHOT_ENTRIES),
         )
--- a/tests/lending_fleet.py
+++ b/tests/lending_fleet.py
@@ -26,7 +26,7 @@
 from lending_control import ControlStandIn
 
 TENANT = "t"
-REGION = "r"
+GROUP = "r"
 _EPOCH_MS = 1_800_000_000_000
 HEARTBEAT_S = 0.3
 HolderKey = tuple[str, str]  # gateway, its incarnation as control knows it
@@ -70,7 +70,7 @@
         self.tasks = TaskGroupOwner(self.log)
         self.incarnation = fleet.environment.new_id(name)
         self.link = Link(fleet, self)
-        options = LendingOptions(name, REGION, zone, address=name, key_file=key_file)
+        options = LendingOptions(name, GROUP, zone, address=name, key_file=key_file)
         self.metrics = Metrics()
         self.access = TokenAccess(
             options,
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -15,7 +15,7 @@
 from heronladder_router.tokens.window import SpendingWindow
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import control_pb2, lending_pb2
-from lending_fleet import REGION, TENANT, LendingFleet, Process, Weather
+from lending_fleet import GROUP, TENANT, LendingFleet, Process, Weather
 from lending_run import TOKENS, ZONES, one_run, traffic
 from prepaid_losses import loss_amid_a_rush
 from support import run_virtual
@@ -107,6 +107,32 @@
         self.assertLess(messages, 3.0)
 
 
+class RefusedSettlementTest(unittest.TestCase):
+    def test_a_lender_that_refuses_settlements_is_not_asked_without_a_pause(self) -> None:
+        """100,800 refused messages in 8 s of 31 gateways: settlements sent again at once."""
+
+        async def work() -> tuple[int, int]:
+            fleet = _fleet()
+            for name in ZONES:
+                fleet.start(name)
+            await asyncio.sleep(3)
+            lone = _borrower(fleet)
+            self.assertEqual(await lone.serve(TOKENS, 1.0, 0.01), "served")
+            with patch.object(LoanBook, "_refusal", lambda book, request: "not_proved"):
+                fleet.messages = 0
+                await asyncio.sleep(5)
+                sent = fleet.messages
+            await asyncio.sleep(2)
+            accounts = lone.access.borrowed._accounts.values()
+            untold = sum(len(account.unsettled) for account in accounts)
+            await fleet.stop()
+            return sent, untold
+
+        sent, left = run_virtual(work())
+        self.assertLessEqual(sent, 11)
+        self.assertEqual(left, 0)
+
+
 class OwnStockTest(unittest.TestCase):
     def test_callers_that_keep_to_a_gateway_need_no_loans(self) -> None:
         """353 loans were asked over a full link in 2 s, and none was answered in time."""
@@ -300,7 +326,7 @@
 
             def message(**more: Any) -> lending_pb2.LendRequest:
                 return lending_pb2.LendRequest(
-                    region=REGION,
+                    group=GROUP,
                     borrower="b0",
                     borrower_incarnation="b0-1",
                     lender="a0",
@@ -347,7 +373,7 @@
                 ask = lending_pb2.LoanAsk(number=number, tenant=TENANT, tokens=900, wait_ms=50)
                 reply = await lender.access.book.Lend(
                     lending_pb2.LendRequest(
-                        region=REGION,
+                        group=GROUP,
                         borrower="b0",
                         borrower_incarnation=incarnation,
                         lender="a0",
--- /dev/null
+++ b/tests/test_stretched_group.py
@@ -0,0 +1,130 @@
+"""One control group over two regions: one name, one state, and loans that cross."""
+
+import asyncio
+import random
+import unittest
+from typing import Any
+
+from heronladder_consensus.timing import ConsensusTiming
+from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_daemon.compose_control import compose_control
+from heronladder_daemon.compose_gateway import compose_gateway
+from heronladder_emulator.memory_disk import MemoryDisk
+from heronladder_emulator.memory_stubs import MemoryStubs
+from heronladder_emulator.network import MemoryNetwork, Place, Weather
+from heronladder_platform import names as platform_names
+from heronladder_platform.settings import CONTROL, GATEWAY, translate
+from heronladder_router.gateway_role import GatewayRole
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.errors import HeronladderError, SettingsError
+from heronladder_schema.v1 import consensus_pb2, control_pb2, lending_pb2, resources_pb2
+from platform_stand_ins import settings_document
+from support import run_virtual
+
+ZONES = {"z1": "r1", "z2": "r2"}
+
+
+def _document(role: str, zone: str) -> dict[str, Any]:
+    listen = {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2", "control": "127.0.0.1:3"}
+    document: dict[str, Any] = settings_document(role, "/nowhere", 4, listen)
+    place: dict[str, Any] = {"zone": zone, "region": ZONES[zone], "nodeName": f"{role}-{zone}"}
+    place["seeds"] = ["127.0.0.1:3"]
+    return document | place
+
+
+def _gateway(zone: str) -> GatewayRole:
+    settings = translate(_document("front", zone), GATEWAY)
+    environment = Environment(random.Random(1))
+    stubs: Any = None
+    return compose_gateway(settings, stubs, environment, platform_names.GATEWAY_NAMES)
+
+
+class OneNameTest(unittest.IsolatedAsyncioTestCase):
+    """Each process took the region of its machine for the name of its group."""
+
+    async def test_a_gateway_acts_on_a_loan_message_from_the_other_region(self) -> None:
+        borrower, lender = _gateway("z1"), _gateway("z2")
+        request = lending_pb2.LendRequest(
+            group=borrower.tokens.borrowed._group,
+            borrower=borrower.options.name,
+            borrower_incarnation="one",
+            lender=lender.options.name,
+            ask=lending_pb2.LoanAsk(number=1, tenant="t", tokens=5, wait_ms=1),
+        )
+        reply = await lender.tokens.book.Lend(request, None)
+        # It has no tokens and no control here; but the message was meant for it.
+        self.assertEqual(reply.outcome, lending_pb2.LOAN_OUTCOME_NO_CONTROL)
+
+    async def test_members_in_two_regions_make_the_same_state_of_one_log(self) -> None:
+        states = []
+        for zone in ZONES:
+            settings = translate(_document("core", zone), CONTROL)
+            stubs: Any = None
+            member = compose_control(
+                settings, stubs, Environment(random.Random(1)), lambda error: None
+            )
+            budget = resources_pb2.Resource(budget=resources_pb2.Budget(tokens=9, period=1))
+            budget.metadata.name = "b"
+            order = control_pb2.PutResource(kind="budget", resource=budget, any_version=True)
+            member.state.apply(1, control_pb2.Command(put_resource=order).SerializeToString())
+            states.append(member.state.snapshot())
+        self.assertEqual(*states)
+
+
+class NameInTheLogTest(unittest.TestCase):
+    def _run(self, groups: list[str], named: bool) -> tuple[list[str], dict[str, str]]:
+        """Run a group whose members are set up with these names.
+
+        Returns:
+            The name in each running member's state; why each other member ended.
+        """
+
+        async def work() -> tuple[list[str], dict[str, str]]:
+            source = random.Random(1)
+            environment = Environment(source, virtual=True)
+            network = MemoryNetwork(source, Weather())
+            ended: dict[str, str] = {}
+            names = [f"m{number}" for number in range(len(groups))]
+            first = [
+                consensus_pb2.Member(name=name, address=f"{name}:1", voter=True) for name in names
+            ]
+            members: dict[str, ControlMember] = {}
+            for name, group in zip(names, groups, strict=True):
+
+                def failed(error: HeronladderError, name: str = name) -> None:
+                    self.assertIsInstance(error, SettingsError)
+                    ended[name] = error.message
+
+                options = ControlOptions(name, group, first, ConsensusTiming(1.0), named=named)
+                disk = MemoryDisk(source).handle()
+                stubs = MemoryStubs(network, name)
+                member = ControlMember(options, disk, stubs, environment, failed)
+                servers = {"consensus": member.consensus_service, "control": member.service}
+                network.start(name, Place(name, name), servers)
+                await member.start()
+                members[name] = member
+            await asyncio.sleep(10)
+            found = [m.state.named_group for name, m in members.items() if name not in ended]
+            for member in members.values():
+                await member.stop()
+            return found, ended
+
+        return run_virtual(work())
+
+    def test_the_log_names_the_group_once(self) -> None:
+        self.assertEqual(self._run(["fleet"] * 3, named=True), (["fleet"] * 3, {}))
+
+    def test_a_member_of_another_name_ends(self) -> None:
+        found, ended = self._run(["fleet", "fleet", "other"], named=True)
+        self.assertEqual(len(found) + len(ended), 3)
+        self.assertEqual(len(set(found)), 1, (found, ended))
+        self.assertTrue(ended)
+        for why in ended.values():
+            self.assertIn("setting group", why)
+
+    def test_a_group_without_a_name_of_its_own_writes_none(self) -> None:
+        self.assertEqual(self._run(["r1"] * 3, named=False), ([""] * 3, {}))
+
+
+if __name__ == "__main__":
+    unittest.main()
