--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -49,6 +49,9 @@
         zone_regions: Region of each zone.
         cold_over: What all gateways may send to a cold replica, in multiples of what it bears.
         cold_slack: Requests a second that they may send to it besides.
+        group: Its control group; empty: named like the region.
+        far_cost_ms: What a send to another region costs, in ms: the way, and its bytes.
+        far_sends_per_s: Requests a second that may go there while there are replicas here.
     """
 
     name: str
@@ -66,6 +69,9 @@
     zone_regions: dict[str, str] = field(default_factory=dict)
     cold_over: float = 1.5
     cold_slack: int = 5
+    group: str = ""
+    far_cost_ms: float = 150.0
+    far_sends_per_s: int = 5
 
 
 class GatewayRole:
@@ -110,6 +116,7 @@
         self.link.configuration.listen(self._configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
         self.metrics.gauge("replicas_cold", lambda: self.replicas.cold_count)
+        self.metrics.gauge("far_sends", lambda: self.replicas.far_sends)
         self.metrics.gauge("zones_evacuated", lambda: len(self.replicas.evacuated))
         self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
@@ -128,10 +135,11 @@
         options = self.options
         lending = LendingOptions(
             name=options.name,
-            region=options.region,
+            group=options.group or options.region,
             zone=options.zone,
             address=options.lending_address,
             key_file=options.lending_key_file,
+            zone_regions=options.zone_regions,
         )
         return TokenAccess(lending, self.link, stubs, self._environment, self.metrics, self.log)
 
@@ -144,7 +152,12 @@
             lambda: GatewaysKnown(self.tokens.lenders.names, self.link.routers),
         )
         return FleetReplicas(
-            Surroundings(options.zone, options.zone_regions),
+            Surroundings(
+                options.zone,
+                options.zone_regions,
+                options.far_cost_ms,
+                options.far_sends_per_s,
+            ),
             cold,
             self.link.configuration,
             self._environment,
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -5,7 +5,8 @@
 """
 
 import asyncio
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
@@ -33,17 +34,19 @@
 
     Attributes:
         name: The gateway.
-        region: Its region.
+        group: Its control group.
         zone: Its zone.
         address: IP:port at which it lends; empty: it neither lends nor borrows.
         key_file: File with the keys that prove messages; empty: they are not proved.
+        zone_regions: Region of each zone.
     """
 
     name: str
-    region: str
+    group: str
     zone: str
     address: str = ""
     key_file: str = ""
+    zone_regions: Mapping[str, str] = field(default_factory=dict)
 
 
 class TokenAccess:
@@ -70,10 +73,12 @@
         self._link = link
         self._environment = environment
         self.key = PeerKey(options.key_file)
-        self.lenders = Lenders(options.name, options.zone, lends=bool(options.address))
+        self.lenders = Lenders(
+            options.name, options.zone, lends=bool(options.address), regions=options.zone_regions
+        )
         self.held = HeldTokens(link, self.lenders, environment, log)
         incarnation = environment.new_id(options.name)
-        who = (options.name, options.region, incarnation)
+        who = (options.name, options.group, incarnation)
         self.book = LoanBook(*who, self.held, self._tenant, self.key, metrics, log)
         self.borrowed = BorrowedTokens(
             *who, self.lenders, stubs, self.key, environment, metrics, log
