Never pass on a promise that the replica did not make

A request that must not run twice got its replica's 408, 429 or 503 as it came, also without the word that it was not run; an answer to another request that said so counted as a rejection of this one; and the HTTP library sent GET, PUT, DELETE, HEAD and OPTIONS again by itself when their connection failed, also what must not run twice.

Now such a status ends as 502 (outcome unknown, unsigned, no Retry-After) unless the replica says that the request was not run; an answer that names another request tells nothing; the library repeats nothing, so that all repeats are the dispatcher's and counted. What may be repeated keeps the failure of its replica. Weighed: keeping the status without the signature (it is still a promise).

Performance: not measured.

--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -20,6 +20,7 @@
 
 _EVENT_STREAM = "text/event-stream"
 _MISDIRECTED = 421
+_PROMISES = frozenset({408, 429, 503})  # to a caller they say: not run, and never will be
 _FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR = 500
 _FIRST_REDIRECT = 300
@@ -206,6 +207,10 @@
         progress: AnswerProgress,
         reading: "_UnreadPrompt",
     ) -> None:
+        identity = response.headers.get(self._names.request_id)
+        if identity not in (None, request.request_id):
+            # An extra answer to an earlier request, be it a rejection, tells nothing of this one.
+            raise RunLostError("the answer is of another request", step="send", peer=replica.name)
         if response.status == _MISDIRECTED or self._names.not_run in response.headers:
             await response.read()
             raise NotRunError(
@@ -213,8 +218,13 @@
                 step="misdirected" if response.status == _MISDIRECTED else "rejected",
                 peer=replica.name,
             )
-        if response.headers.get(self._names.request_id) != request.request_id:
-            raise RunLostError("the answer is of another request", step="send", peer=replica.name)
+        if identity is None:
+            raise RunLostError("the answer names no request", step="send", peer=replica.name)
+        if response.status in _PROMISES and not request.matched.may_run_twice:
+            # Passed on, its status would have the caller repeat what may have run.
+            raise RunLostError(
+                f"failed with {response.status}", step="unpromised", peer=replica.name
+            )
         success = response.status < _FIRST_REDIRECT
         if success and self._names.signature not in response.headers:
             raise RunLostError("the answer is not signed", step="send", peer=replica.name)
--- a/packages/heronladder-router/src/heronladder_router/replica_client.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_client.py
@@ -104,7 +104,7 @@
     def _session(self, *, keep: bool) -> aiohttp.ClientSession:
         session = self._sessions.get(keep)
         if session is None:
-            session = self._sessions[keep] = aiohttp.ClientSession(
+            session = aiohttp.ClientSession(
                 connector=_StrictConnector(keep=keep),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
@@ -113,6 +113,10 @@
                 max_line_size=_MAX_HEADER_BYTES,
                 max_field_size=_MAX_HEADER_BYTES,
             )
+            # By itself aiohttp sends GET, PUT, DELETE and the like again when their
+            # connection fails: runs that nobody counts, twice what may run once.
+            session._retry_connection = False
+            self._sessions[keep] = session
         return session
 
     async def send(
