Leave out an incarnation whose address is another's

A replica that ended without a word keeps its record until control misses its heartbeats, while its address may belong to another service after 2 s. Its 421 was taken for one failure of a sound replica: suspected for 0.4 to 4 s, then, or when no other was left, asked again. Every send names the incarnation, so nothing ran there; what was lost is the send, which the retry budget counts.

A 421 now leaves the incarnation out for 10 s (chosen: each start of a replica is a new incarnation, a wrong word must not cost it for good). Ruled out: forgetting it until its record changes, which may never happen.

Tests: test_address_reuse; before the change 3 sends for 1 beside a sound replica, 5 for 1 alone; that every send names the incarnation passed before. Performance: not measured.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -17,6 +17,9 @@
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
 _BUSY_S = 0.15
+# How long one is left out whose address answered that it is another's. Each start of a
+# replica is a new incarnation, so it does not come back; a wrong word costs this long (chosen).
+MISDIRECTED_S = 10.0
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 
 
@@ -60,6 +63,7 @@
         self._replicas: dict[str, FleetReplica] = {}
         self._of_service: dict[str, list[FleetReplica]] = {}
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
+        self._misdirected: dict[str, float] = {}  # until when, of those that are left out
         self._restored: dict[str, bool] = {}  # by zone on record: whether it was taken back
         self.evacuated: frozenset[str] = frozenset()
         self.changed = Pulse()
@@ -70,7 +74,6 @@
         self._read_services()
         earlier = self._replicas
         self._replicas = {}
-        self._of_service = {}
         for record in self._configuration.replicas():
             replica = earlier.get(record.id)
             if replica is None:
@@ -79,15 +82,29 @@
             self._report(replica, record, new=new)
             if record.cold_ms and (new or record.cold_revision != replica.record.cold_revision):
                 self._note_cold(replica, record.cold_ms / MILLISECONDS_PER_SECOND, "told")
+            if replica.record.address != record.address:
+                self._misdirected.pop(record.id, None)
             replica.record = record
             self._replicas[record.id] = replica
-            if not (record.draining or record.gone):
-                self._of_service.setdefault(record.service, []).append(replica)
+        self._sort_by_service()
         for name in earlier.keys() - self._replicas.keys():
             self._log.info("replica_forgotten", step="replicas", peer=name)
         self._read_evacuations()
         self.changed.give()
 
+    def _sort_by_service(self) -> None:
+        """Sort the replicas that may be sent to."""
+        self._misdirected = {
+            name: until_s
+            for name, until_s in self._misdirected.items()
+            if name in self._replicas and until_s > self._environment.monotonic()
+        }
+        self._of_service = {}
+        for replica in self._replicas.values():
+            record = replica.record
+            if not (record.draining or record.gone or replica.name in self._misdirected):
+                self._of_service.setdefault(record.service, []).append(replica)
+
     def _read_services(self) -> None:
         fleet = self._configuration.fleet()
         declared = fleet.services if fleet is not None else ()
@@ -159,6 +176,9 @@
 
     def usable(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving."""
+        now_s = self._environment.monotonic()
+        if self._misdirected and min(self._misdirected.values()) <= now_s:
+            self._sort_by_service()
         return self._of_service.get(service, [])
 
     def place(self, wish: Wish, tried: Collection[str]) -> Placement:
@@ -263,6 +283,19 @@
         until_s = self._environment.monotonic() + _BUSY_S
         replica.suspect_until_s = max(replica.suspect_until_s, until_s)
 
+    def misdirected(self, replica: FleetReplica) -> None:
+        """Leave out an incarnation: its address said that it is another's by now."""
+        self._misdirected[replica.name] = self._environment.monotonic() + MISDIRECTED_S
+        self._sort_by_service()
+        self._log.info(
+            "replica_misdirected",
+            step="replicas",
+            peer=replica.name,
+            address=replica.record.address,
+            service=replica.record.service,
+            for_s=MISDIRECTED_S,
+        )
+
     def failed(self, replica: FleetReplica, why: str, *, unreached: bool = False) -> None:
         """Note a failure: others are preferred for a while, longer each time.
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -310,6 +310,8 @@
     ) -> None:
         if error.step == "rejected":
             self._parts.replicas.busy(replica)
+        elif error.step == "misdirected":
+            self._parts.replicas.misdirected(replica)
         else:
             unreached = error.step == "connect"
             self._parts.replicas.failed(replica, error.message, unreached=unreached)
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -18,6 +18,7 @@
         "control_lost",
         "control_regained",
         "replica_known",
+        "replica_misdirected",
         "replica_suspected",
         "replica_trusted",
         "replica_forgotten",
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -70,6 +70,8 @@
     " to `share_per_s`.",
     "replica_forgotten": "A replica left the list.",
     "replica_known": "A replica is new, or its registration changed.",
+    "replica_misdirected": "A replica's address answered that it is another's by now: it is left"
+    " out for `for_s`.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
     "replica_trusted": "A suspected replica gave a whole answer.",
     "replica_temperature": "A replica's word on being cold is news to the gateways.",
--- /dev/null
+++ b/tests/test_address_reuse.py
@@ -0,0 +1,101 @@
+"""Addresses of replicas that are gone belong to other services soon: none is taken for the other.
+
+Every send names the incarnation that it means; whoever else is there answers 421, has not
+run it, and is asked no more for that incarnation.
+"""
+
+import asyncio
+import unittest
+
+from heronladder_router.fleet_replicas import MISDIRECTED_S
+from platform_stand_ins import (
+    END_OF_CHUNKS,
+    Fleet,
+    Received,
+    StandInReplica,
+    answer,
+    configuration,
+    event,
+    route,
+    start_fleet,
+    stream_head,
+)
+
+_ROUTES = (
+    route("/safe/"),
+    route("/once/", kind="unsafe"),
+    route("/stream/", kind="streaming", resumable=True, gapAimMs=400),
+)
+
+
+async def _as_named(replica: StandInReplica, received: Received) -> bytes:
+    """Answer as a replica does that is asked for by its name, or for another."""
+    if received.headers.get("expect-instance") != replica.identity:
+        return b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n"
+    return answer(received)
+
+
+class AddressReuseTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet: Fleet = await start_fleet(configuration(1, *_ROUTES))
+
+    async def asyncTearDown(self) -> None:
+        await self.fleet.stop()
+
+    async def test_an_incarnation_whose_address_is_another_s_is_asked_no_more(self) -> None:
+        reused = await self.fleet.add_replica("i-gone", _as_named)
+        reused.identity = "i-of-another-service"
+        sound = await self.fleet.add_replica("i-sound", _as_named)
+        for number in range(30):
+            path = ("/once/", "/safe/", "/stream/")[number % 3]
+            got = await self.fleet.request(path, Request_Id=f"u{number}")
+            self.assertEqual((got.status, got.body), (200, b"done"))
+            await asyncio.sleep(0.05)  # past the first pause of one that merely failed
+        self.assertEqual(len(sound.received), 30)
+        self.assertEqual(len(reused.received), 1)
+
+    async def test_alone_it_is_not_asked_again_either(self) -> None:
+        reused = await self.fleet.add_replica("i-gone", _as_named)
+        reused.identity = "i-of-another-service"
+        for number in range(5):
+            got = await self.fleet.request("/once/", Request_Id=f"a{number}")
+            self.assertEqual(got.status, 503)
+            self.assertGreater(float(got.headers["Retry-After"]), 0)
+        self.assertEqual(len(reused.received), 1)
+
+    async def test_one_that_was_wrongly_left_out_comes_back(self) -> None:
+        replica = await self.fleet.add_replica("i-1", _as_named)
+        replica.identity = "for a moment"
+        self.assertEqual((await self.fleet.request("/once/")).status, 503)
+        replica.identity = "i-1"
+        gateway = self.fleet.gateway.gateway
+        assert gateway is not None
+        until_s = gateway.replicas._misdirected["i-1"]
+        left_s = until_s - asyncio.get_running_loop().time()
+        self.assertLessEqual(left_s, MISDIRECTED_S)
+        gateway.replicas._misdirected["i-1"] = asyncio.get_running_loop().time()
+        self.assertEqual((await self.fleet.request("/once/", Request_Id="b")).status, 200)
+
+    async def test_every_send_names_the_incarnation_also_those_of_a_resumed_stream(self) -> None:
+        async def breaks(replica: StandInReplica, received: Received) -> bytes:
+            if "last-event-id" in received.headers:
+                return stream_head(received) + event(2) + END_OF_CHUNKS
+            replica.close_after = True
+            return stream_head(received) + event(1)
+
+        for name in ("i-1", "i-2"):
+            await self.fleet.add_replica(name, breaks)
+        got = await self.fleet.request("/stream/")
+        self.assertEqual(got.status, 200)
+        sends = [
+            (replica.identity, received.headers.get("expect-instance"))
+            for replica in self.fleet.replicas
+            for received in replica.received
+        ]
+        self.assertEqual(len(sends), 2)
+        for identity, named in sends:
+            self.assertEqual(named, identity)
+
+
+if __name__ == "__main__":
+    unittest.main()
