Disks that refuse or hold up: acknowledgements go on, and nothing is left half done

A follower that cannot keep the leader's says so and is not sent all of it at each heartbeat (29 times in 6 s before, seen with the answer's error let through). - A restart with a torn last write on a full disk failed; the cut is made before the next write. A new folder on a full disk ended the start; it waits for room. Found while mending: compaction past what a lagging leader had synced itself would have left out entries of its next write; the stall test restarts such a leader.

Processor time: not measured.

--- a/packages/heronladder-consensus/src/heronladder_consensus/log.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/log.py
@@ -102,6 +102,9 @@
         del self._entries[: meta.index - self._base.index]
         self._changes = [entry for entry in self._changes if entry.index > meta.index]
         self._base = meta
+        # A leader whose own disk lags commits by its peers: what it has not synced
+        # itself may be in the snapshot already.
+        self.synced_index = max(self.synced_index, meta.index)
 
     def reset(self, meta: consensus_pb2.SnapshotMeta) -> None:
         """Begin anew after a snapshot from the leader."""
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -97,6 +97,7 @@
         self._write_lock = asyncio.Lock()
         self._waiters: dict[int, asyncio.Future[Result]] = {}
         self._term_first_index = 0
+        self._saving_snapshot = False
 
         self.bootstrap = Bootstrap(self, initial_members)
         self.joiner = Joiner(self, me, contacts or [])
@@ -110,13 +111,22 @@
         """Give a new folder its identity and start all tasks."""
         if not self.hard_state.incarnation:
             self.hard_state.incarnation = self.environment.new_id("member")
-            await self.storage.save_hard_state(self.hard_state)
+            await self._save_identity()
         self.tasks.start("bootstrap", self.bootstrap.run())
         self.tasks.start("joining", self.joiner.run())
         self.tasks.start("election", self.election.run())
         self.tasks.start("flush", self._flush_when_appended())
         self.tasks.start("apply", self._apply_when_committed())
 
+    async def _save_identity(self) -> None:
+        """Write the identity of a new folder, as soon as the disk takes it."""
+        while True:
+            try:
+                await self.save_hard_state()
+                return
+            except StorageError:
+                await asyncio.sleep(self.timing.election_timeout_s)
+
     async def stop(self) -> None:
         """Stop all tasks and close the files."""
         self.step_down("stopping")
@@ -349,9 +359,20 @@
                 self.fail(HeronladderError(repr(error), step="apply", peer=self.name))
                 return
             self.changed.give()
-            if self.applied_index - self.log.base_index >= self.timing.snapshot_entries:
-                async with self._write_lock:
-                    await self.snapshots.save()
+            is_due = self.applied_index - self.log.base_index >= self.timing.snapshot_entries
+            if is_due and not self._saving_snapshot:
+                # Apart: a disk that holds a snapshot up must not hold up what peers commit.
+                self._saving_snapshot = True
+                self.tasks.start("snapshot", self._save_snapshot())
+
+    async def _save_snapshot(self) -> None:
+        try:
+            async with self._write_lock:
+                saved = await self.snapshots.save()
+            if not saved:
+                await asyncio.sleep(self.timing.snapshot_retry_s)
+        finally:
+            self._saving_snapshot = False
 
     def _apply_committed(self) -> None:
         while self.applied_index < self.commit_index:
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, Any
 
+from heronladder_runtime.errors import StorageError
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
@@ -190,6 +191,9 @@
             )
             if not await self._accept_answer(progress, reply.term, reply.incarnation, term):
                 return
+            if reply.disk_refuses:
+                # Not the whole snapshot again at each heartbeat, for a disk that is full.
+                await asyncio.sleep(node.timing.snapshot_retry_s)
             if not reply.success:
                 return
             offset += max(len(data), 1)
@@ -341,7 +345,17 @@
             if reply.success and chunk.last:
                 data = bytes(self._incoming_snapshot)
                 self._incoming_snapshot.clear()
-                await node.install_snapshot(StoredSnapshot(chunk.meta, data))
+                await self._install(StoredSnapshot(chunk.meta, data), reply)
                 node.last_heard_s = node.environment.monotonic()
         reply.term = node.term
         return reply
+
+    async def _install(self, snapshot: StoredSnapshot, reply: consensus_pb2.SnapshotReply) -> None:
+        try:
+            await self._node.install_snapshot(snapshot)
+        except StorageError as error:
+            self._node.event_log.warning(
+                "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
+            )
+            reply.success = False
+            reply.disk_refuses = True
--- a/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
@@ -25,8 +25,12 @@
         self._node = node
         self.newest = newest
 
-    async def save(self) -> None:
-        """Save the state as it is, and drop what lies well behind it in the log."""
+    async def save(self) -> bool:
+        """Save the state as it is, and drop what lies well behind it in the log.
+
+        Returns:
+            Whether the disk took it.
+        """
         node = self._node
         index = node.applied_index
         snapshot = StoredSnapshot(self._meta(index), node.machine.snapshot())
@@ -36,7 +40,7 @@
             node.event_log.warning(
                 "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
             )
-            return  # the log goes on; the next entries try again
+            return False  # the log goes on
         self.newest = snapshot
         kept_from = max(node.log.base_index, index - node.timing.trailing_entries)
         if kept_from > node.log.base_index:
@@ -44,6 +48,7 @@
         node.event_log.info(
             "snapshot_saved", step="snapshot", index=index, bytes=len(snapshot.data)
         )
+        return True
 
     def _meta(self, index: int) -> consensus_pb2.SnapshotMeta:
         log = self._node.log
--- a/packages/heronladder-consensus/src/heronladder_consensus/storage.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/storage.py
@@ -169,18 +169,21 @@
             snapshot: The snapshot to keep from now on.
             drop_log: Whether all log segments are dropped: the snapshot came
                 from the leader and the log does not go on from it.
+
+        Raises:
+            StorageError: If the disk refuses.
         """
         name = _numbered(_SNAPSHOT_PREFIX, snapshot.meta.index)
         records = frame_record(snapshot.meta.SerializeToString()) + frame_record(snapshot.data)
         await self._disk.replace(name, records)
         for other in self._disk.names():
             if other.startswith(_SNAPSHOT_PREFIX) and other != name:
-                self._disk.delete(other)
+                await self._disk.delete(other)
         kept = []
         for position, segment in enumerate(self._segments):
             is_last = position == len(self._segments) - 1
             if drop_log or (not is_last and segment.last_index <= snapshot.meta.index):
-                self._disk.delete(segment.name)
+                await self._disk.delete(segment.name)
             else:
                 kept.append(segment)
         self._segments = kept
--- a/packages/heronladder-consensus/src/heronladder_consensus/timing.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/timing.py
@@ -39,6 +39,11 @@
         """Time a peer has for an answer: one lost call must not cost leadership."""
         return self.election_timeout_s * 2 / 5
 
+    @property
+    def snapshot_retry_s(self) -> float:
+        """Time after a snapshot that a disk refused, here or at a peer, before the next."""
+        return self.election_timeout_s * 2
+
     @property
     def trailing_entries(self) -> int:
         """Entries kept behind a snapshot for members that lag a little."""
--- a/packages/heronladder-emulator/src/heronladder_emulator/memory_disk.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/memory_disk.py
@@ -17,11 +17,13 @@
 
     def __init__(self, source: random.Random, sync_s: float = 0.001) -> None:
         self._random = source
-        self._sync_s = sync_s
+        self.sync_s = sync_s
         self._durable: dict[str, bytes] = {}
         self._current: dict[str, bytearray] = {}
         self._starts = 0
         self.fail_syncs = False
+        self.refuse_removals = False
+        self.refuse_whole_files = False
 
     def crash(self) -> None:
         """Lose what was not synced; the last write may be torn at any byte."""
@@ -67,7 +69,7 @@
         """Sync a file."""
         size = len(self._current[name])
         start = self._starts
-        await asyncio.sleep(self._sync_s)
+        await asyncio.sleep(self.sync_s)
         if start != self._starts:
             return
         if self.fail_syncs:
@@ -80,10 +82,10 @@
     async def replace(self, name: str, data: bytes) -> None:
         """Write a whole file, old or new after a crash."""
         start = self._starts
-        await asyncio.sleep(self._sync_s)
+        await asyncio.sleep(self.sync_s)
         if start != self._starts:
             return
-        if self.fail_syncs:
+        if self.fail_syncs or self.refuse_whole_files:
             raise StorageError("input/output error", step="replace", peer=name)
         self._durable[name] = data
         self._current[name] = bytearray(data)
@@ -93,8 +95,10 @@
         del self._current[name][size:]
         self._durable[name] = bytes(self._current[name])
 
-    def delete(self, name: str) -> None:
+    async def delete(self, name: str) -> None:
         """Remove a file."""
+        if self.refuse_removals:
+            raise StorageError("input/output error", step="delete", peer=name)
         self._current.pop(name, None)
         self._durable.pop(name, None)
 
@@ -150,7 +154,7 @@
         if self._alive:
             self._disk.truncate(name, size)
 
-    def delete(self, name: str) -> None:
+    async def delete(self, name: str) -> None:
         """Remove a file."""
         if self._alive:
-            self._disk.delete(name)
+            await self._disk.delete(name)
--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -41,11 +41,15 @@
 
     @abstractmethod
     def truncate(self, name: str, size: int) -> None:
-        """Cut a file to ``size`` bytes and sync it."""
+        """Cut a file to ``size`` bytes and sync it, before the next write at the latest."""
 
     @abstractmethod
-    def delete(self, name: str) -> None:
-        """Remove a file if it exists."""
+    async def delete(self, name: str) -> None:
+        """Remove a file if it exists.
+
+        Raises:
+            StorageError: If the disk refuses.
+        """
 
     def close(self) -> None:  # noqa: B027 - only some disks hold anything open
         """Release what is held open."""
@@ -102,7 +106,8 @@
 
     def _write_and_sync(self, name: str, data: bytes) -> None:
         try:
-            self._cut_back(name)
+            for damaged in list(self._damaged):
+                self._cut_back(damaged)
             descriptor = self._descriptor(name)
             self._damaged[name] = os.fstat(descriptor).st_size
             view = memoryview(data)
@@ -152,21 +157,35 @@
             beside.replace(self._folder / name)
             self._sync_folder()
         except OSError as error:
+            self._remove_quietly(beside)  # half of it would take the room of others
             raise StorageError(str(error), step="replace", peer=name) from error
 
+    @staticmethod
+    def _remove_quietly(path: Path) -> None:
+        try:
+            path.unlink(missing_ok=True)
+        except OSError:
+            pass  # the next one of its name writes over it
+
     def truncate(self, name: str, size: int) -> None:
-        """Cut a file and sync it."""
+        """Cut a file and sync it; if the disk refuses, before the next write."""
         self._forget(name)
-        with (self._folder / name).open("r+b") as file:
-            file.truncate(size)
-            os.fsync(file.fileno())
+        self._damaged[name] = size
+        self._cut_back_quietly(name)
 
-    def delete(self, name: str) -> None:
-        """Remove a file if it exists."""
+    async def delete(self, name: str) -> None:
+        """Remove a file if it exists; a slow disk holds up its own thread only."""
         self._forget(name)
-        (self._folder / name).unlink(missing_ok=True)
+        await asyncio.get_running_loop().run_in_executor(None, self._delete, name)
+
+    def _delete(self, name: str) -> None:
+        try:
+            (self._folder / name).unlink(missing_ok=True)
+        except OSError as error:
+            raise StorageError(str(error), step="delete", peer=name) from error
 
     def _forget(self, name: str) -> None:
+        self._damaged.pop(name, None)
         descriptor = self._open.pop(name, None)
         self._named.discard(name)
         if descriptor is not None:
--- /dev/null
+++ b/tests/test_disk_troubles.py
@@ -0,0 +1,241 @@
+"""A member whose disk refuses, holds up or half takes what it is to write."""
+
+import asyncio
+import errno
+import tempfile
+import unittest
+from pathlib import Path
+from unittest import mock
+
+from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
+from heronladder_consensus.storage import LogStorage, StoredSnapshot
+from heronladder_runtime.disk import FolderDisk
+from heronladder_runtime.errors import StorageError
+from heronladder_schema.v1 import consensus_pb2
+from support import Group, run_virtual
+
+_FULL = OSError(errno.ENOSPC, "No space left on device")
+_SNAPSHOT_ENTRIES = 10
+
+
+def _entries(first: int, last: int) -> list[consensus_pb2.LogEntry]:
+    return [
+        consensus_pb2.LogEntry(index=index, term=1, command=b"x" * 50)
+        for index in range(first, last + 1)
+    ]
+
+
+class FullDiskFilesTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.disk = FolderDisk(self.folder)
+        self.storage = LogStorage(self.disk)
+
+    def _sizes(self) -> dict[str, int]:
+        return {path.name: path.stat().st_size for path in self.folder.iterdir()}
+
+    async def test_a_whole_file_that_does_not_fit_leaves_nothing_behind(self) -> None:
+        """Its half would take the room that the log still has."""
+        await self.storage.append(_entries(1, 3))
+        before = self._sizes()
+        refusal = mock.patch("heronladder_runtime.disk.os.fsync", side_effect=_FULL)
+        with refusal, self.assertRaises(StorageError):
+            await self.disk.replace("snapshot-1", b"s" * 10_000)
+        self.assertEqual(self._sizes(), before)
+        await self.storage.append(_entries(4, 4))
+        self.assertEqual(len(LogStorage(FolderDisk(self.folder)).load().entries), 4)
+
+    async def test_a_member_starts_on_a_full_disk_whose_last_write_was_torn(self) -> None:
+        await self.storage.append(_entries(1, 3))
+        self.storage.close()
+        segment = next(self.folder.iterdir())
+        whole = segment.read_bytes()
+        segment.write_bytes(whole + b"\x07\x00half a record")
+        disk = FolderDisk(self.folder)
+        storage = LogStorage(disk)
+        refusal = mock.patch("heronladder_runtime.disk.os.fsync", side_effect=_FULL)
+        cut = mock.patch("heronladder_runtime.disk.os.ftruncate", side_effect=_FULL)
+        with refusal, cut:
+            self.assertEqual(len(storage.load().entries), 3)
+            with self.assertRaises(StorageError):
+                await storage.append(_entries(4, 4))
+        self.assertEqual(segment.read_bytes()[: len(whole)], whole)
+        await storage.append(_entries(4, 4))  # there is room again
+        loaded = LogStorage(FolderDisk(self.folder)).load()
+        self.assertEqual((len(loaded.entries), loaded.dropped_bytes), (4, 0))
+
+    async def test_half_a_record_is_gone_before_the_next_one(self) -> None:
+        await self.storage.append(_entries(1, 2))
+        refusal = mock.patch("heronladder_runtime.disk.os.fdatasync", side_effect=_FULL)
+        with refusal, self.assertRaises(StorageError):
+            await self.storage.append(_entries(3, 3))
+        await self.storage.append(_entries(3, 4))
+        loaded = LogStorage(FolderDisk(self.folder)).load()
+        self.assertEqual((len(loaded.entries), loaded.dropped_bytes), (4, 0))
+
+    async def test_a_removal_that_is_refused_is_an_error_of_storage(self) -> None:
+        await self.storage.append(_entries(1, 2))
+        refused = mock.patch.object(Path, "unlink", side_effect=_FULL)
+        with refused, self.assertRaises(StorageError):
+            await self.disk.delete(next(self.folder.iterdir()).name)
+
+
+class MemberWithDiskTroublesTest(unittest.TestCase):
+    def test_acknowledgements_go_on_while_the_leader_s_disk_holds_up_a_snapshot(self) -> None:
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            group.disks[leader.name].sync_s = 5.0
+            for number in range(3 * _SNAPSHOT_ENTRIES):
+                async with asyncio.timeout(0.5):
+                    await leader.propose(f"c{number}".encode())
+            self.assertTrue(leader.is_leader)
+            group.disks[leader.name].sync_s = 0.001
+            await asyncio.sleep(15)
+            self.assertGreater(leader.log.base_index, 0)  # a snapshot came about after all
+            commands = list(group.machines[leader.name].commands)
+            await group.crash(leader.name)
+            await group.start(leader.name)  # its files are whole
+            await asyncio.sleep(3)
+            self.assertEqual(group.machines[leader.name].commands, commands)
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_refused_removal_does_not_end_applying(self) -> None:
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            for disk in group.disks.values():
+                disk.refuse_removals = True
+            for number in range(3 * _SNAPSHOT_ENTRIES):
+                async with asyncio.timeout(2):
+                    await leader.propose(f"c{number}".encode())
+            await asyncio.sleep(3)
+            for machine in group.machines.values():
+                self.assertEqual(len(machine.commands), 3 * _SNAPSHOT_ENTRIES)
+            self.assertFalse(group.failures)
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_snapshot_that_does_not_fit_is_tried_again_in_a_while_not_at_each_entry(
+        self,
+    ) -> None:
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            made = 0
+            snapshot = group.machines[leader.name].snapshot
+
+            def counted() -> bytes:
+                nonlocal made
+                made += 1
+                return snapshot()
+
+            group.machines[leader.name].snapshot = counted  # type: ignore[method-assign]
+            group.disks[leader.name].refuse_whole_files = True
+            for number in range(5 * _SNAPSHOT_ENTRIES):
+                async with asyncio.timeout(2):
+                    await leader.propose(f"c{number}".encode())
+            self.assertLessEqual(made, 2)
+            group.disks[leader.name].refuse_whole_files = False
+            await asyncio.sleep(10)
+            await leader.propose(b"one more")
+            await asyncio.sleep(1)
+            self.assertGreater(leader.log.base_index, 0)
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_snapshot_that_a_follower_cannot_keep_is_not_sent_at_each_heartbeat(self) -> None:
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            name = next(name for name in group.names if name != leader.name)
+            await group.crash(name)
+            for number in range(3 * _SNAPSHOT_ENTRIES):
+                await leader.propose(f"c{number}".encode())
+            await asyncio.sleep(1)
+            group.disks[name].refuse_whole_files = True
+            node = await group.start(name)
+            sent = 0
+            install = node.install_snapshot
+
+            async def counted(snapshot: StoredSnapshot) -> None:
+                nonlocal sent
+                sent += 1
+                await install(snapshot)
+
+            node.install_snapshot = counted  # type: ignore[method-assign]
+            await asyncio.sleep(6)
+            self.assertTrue(1 <= sent <= 4, sent)
+            group.disks[name].refuse_whole_files = False
+            await asyncio.sleep(6)
+            self.assertEqual(len(group.machines[name].commands), 3 * _SNAPSHOT_ENTRIES)
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_two_members_of_five_with_full_disks_cost_nothing_and_come_back_by_themselves(
+        self,
+    ) -> None:
+        async def scenario(seed: int) -> None:
+            group = Group(size=5, seed=seed, snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            full = [leader.name, next(name for name in group.names if name != leader.name)]
+            for name in full:
+                group.disks[name].fail_syncs = True
+            accepted = []
+            for number in range(40):
+                command = f"c{number}".encode()
+                for _ in range(40):
+                    try:
+                        async with asyncio.timeout(4):
+                            leader = await group.leader()
+                            await leader.propose(command)
+                        accepted.append(command)
+                        break
+                    except (NotLeaderError, LeadershipLostError, TimeoutError):
+                        await asyncio.sleep(0.1)
+            self.assertEqual(len(accepted), 40)
+            self.assertNotIn(leader.name, full)
+            for name in full:
+                group.disks[name].fail_syncs = False
+            await asyncio.sleep(10)
+            for name in full:
+                kept = set(group.machines[name].commands)
+                self.assertTrue(kept.issuperset(accepted), name)
+            self.assertFalse(group.failures)
+            await group.stop()
+
+        for seed in range(3):
+            run_virtual(scenario(seed))
+
+    def test_a_new_member_whose_disk_is_full_starts_once_there_is_room(self) -> None:
+        async def scenario() -> None:
+            group = Group()
+            await group.start_all()
+            name = group.names[0]
+            await group.crash(name, wipe=True)
+            disk = group.disks[name]
+            disk.fail_syncs = True
+            start = asyncio.ensure_future(group.start(name))
+            await asyncio.sleep(5)
+            disk.fail_syncs = False
+            await asyncio.sleep(5)
+            self.assertTrue(start.done())
+            node = await start
+            leader = await group.leader()
+            await leader.propose(b"after")
+            await asyncio.sleep(3)
+            self.assertIn(b"after", group.machines[node.name].commands)
+            await group.stop()
+
+        run_virtual(scenario())
+
+
+if __name__ == "__main__":
+    unittest.main()
