--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -20,6 +20,7 @@
 from heronladder_tools.demo_fleet import free_addresses
 from multidict import CIMultiDict
 from shaped_link import ShapedLink, StubsOverLink
+from silent_link import SilentLink
 
 HOST = "canteen.example"
 KEY = "key-of-tenant-a"
@@ -227,7 +228,9 @@
         first = StartedGateway(self.gateway, self.gateway_address, self.ready_address)
         return [first, *self.more_gateways]
 
-    async def add_gateway(self, name: str, link: ShapedLink | None = None) -> StartedGateway:
+    async def add_gateway(
+        self, name: str, link: ShapedLink | SilentLink | None = None
+    ) -> StartedGateway:
         """Start one more gateway, which reaches control over ``link`` if one is given."""
         added = await start_gateway(name, self.control_grpc, self.control_address, link)
         self.more_gateways.append(added)
@@ -320,7 +323,7 @@
 
 
 async def start_gateway(
-    name: str, control_grpc: str, control: str, link: ShapedLink | None = None
+    name: str, control_grpc: str, control: str, link: ShapedLink | SilentLink | None = None
 ) -> StartedGateway:
     """Start a gateway; ``control_grpc`` may name several members, which ``link`` leads to."""
     front, ready, admin, lending = free_addresses(4)
