Tell how long orders wait for their acknowledgement, and at which stage

Now order_answered at the member that was asked has the ms until a leader was given the order, it was committed, in force and answered; the leader tells its own two with its reply. heronladder losses joins the lines of all members by what the order is about into a table.

Only configurations, evacuations and leaves have a line: bounded by their number, a leave one a heartbeat. Test: test_order_waits (in calm each is acknowledged within a second, over real sockets; the table). Processor time: not measured.

--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -19,6 +19,7 @@
 
 from heronladder_control.cold_words import ColdWords
 from heronladder_control.evacuations import LateOrders
+from heronladder_control.order_times import LeaderTimes, OrderTimes
 from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
 
@@ -76,7 +77,8 @@
             in_force_wait_ms=int(_IN_FORCE_WAIT_S * MILLISECONDS_PER_SECOND)
         )
         request.command.apply_configuration.configuration.CopyFrom(configuration)
-        return await self._ask(request, _APPLY_PATIENCE_S)
+        order = self._order("configuration", str(configuration.version))
+        return await self._ask(request, _APPLY_PATIENCE_S, order)
 
     async def evacuate(self, zone: str, *, ended: bool) -> FleetOutcome:
         """Evacuate a zone, or take that back; done once it is in force.
@@ -95,7 +97,8 @@
         )
         request.command.set_evacuation.zone = zone
         request.command.set_evacuation.ended = ended
-        return await self._ask(request, _APPLY_PATIENCE_S)
+        order = self._order("evacuation", f"{zone} {'ended' if ended else 'begun'}")
+        return await self._ask(request, _APPLY_PATIENCE_S, order)
 
     async def read(self) -> FleetOutcome:
         """Return the newest configuration, confirmed by a quorum."""
@@ -113,11 +116,13 @@
         if self._member.state.fleet.settled(replica) and not leaves and not cold_news:
             return FleetOutcome(Standing.DONE)
         request = control_pb2.CarryRequest()
+        order = None
         if leaves:
+            order = self._order("leave", replica.id)
             request.in_force_wait_ms = int(_REGISTER_PATIENCE_S * MILLISECONDS_PER_SECOND)
         request.command.register_replica.replica.CopyFrom(replica)
         request.command.register_replica.cold_news = cold_news
-        return await self._ask(request, _REGISTER_PATIENCE_S)
+        return await self._ask(request, _REGISTER_PATIENCE_S, order)
 
     def leader_api_address(self) -> str:
         """Return the address at which the leader serves operators, or ""."""
@@ -126,18 +131,37 @@
 
     # ---- at the leader, or passed on to it --------------------------------
 
-    async def _ask(self, request: control_pb2.CarryRequest, patience_s: float) -> FleetOutcome:
+    def _order(self, kind: str, about: str) -> OrderTimes:
+        return OrderTimes(kind, about, self._member.environment)
+
+    async def _ask(
+        self,
+        request: control_pb2.CarryRequest,
+        patience_s: float,
+        order: OrderTimes | None = None,
+    ) -> FleetOutcome:
+        reply = await self._ask_until_clear(request, patience_s, order)
+        outcome = self._outcome(reply) if reply is not None else FleetOutcome(Standing.UNCLEAR)
+        if order is not None:
+            order.report(self._member.log, self._member.metrics, outcome.standing.value, reply)
+        return outcome
+
+    async def _ask_until_clear(
+        self, request: control_pb2.CarryRequest, patience_s: float, order: OrderTimes | None
+    ) -> control_pb2.CarryReply | None:
         clock = self._member.environment
         began_s = clock.monotonic()
         while True:
             age_s = clock.monotonic() - began_s
             left_s = patience_s - age_s
             if left_s <= 0:
-                return FleetOutcome(Standing.UNCLEAR)
+                return None
             request.age_ms = int(age_s * MILLISECONDS_PER_SECOND)
+            if order is not None:
+                order.sent()
             reply = await self._ask_once(request, left_s)
             if reply is not None and not reply.not_leader:
-                return self._outcome(reply)
+                return reply
             await asyncio.sleep(_RETRY_PAUSE_S)
 
     async def _ask_once(
@@ -169,6 +193,7 @@
 
     async def carry(self, request: control_pb2.CarryRequest) -> control_pb2.CarryReply:
         """Carry out a command, or read, as the leader."""
+        times = LeaderTimes(self._member.environment)
         try:
             if not request.HasField("command"):
                 return await self._read_as_leader()
@@ -181,10 +206,11 @@
             return control_pb2.CarryReply(not_leader=True)
         except LeadershipLostError:
             return control_pb2.CarryReply(unclear=True)
-        reply = control_pb2.CarryReply(result=result)
+        reply = control_pb2.CarryReply(result=result, committed_ms=times.now_ms())
         if result.code == control_pb2.RESULT_CODE_OK and request.in_force_wait_ms:
             wait_s = request.in_force_wait_ms / MILLISECONDS_PER_SECOND
             reply.unclear = not await self._wait_in_force(result.revision, wait_s)
+            reply.in_force_ms = 0 if reply.unclear else times.now_ms()
         return reply
 
     def _is_late(self, command: control_pb2.Command) -> bool:
--- a/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/toolbox_commands.py
@@ -36,6 +36,7 @@
 from heronladder_tools.losses import LossTable, losses_text, read_losses
 from heronladder_tools.operator_client import OperatorClient
 from heronladder_tools.operator_commands import DEFAULT_API, Api, Token, read_files, run_command
+from heronladder_tools.order_waits import OrderWaits
 from heronladder_tools.planner import PlannedLoad, plan_text
 from heronladder_tools.pool_replay import (
     pools_text,
@@ -266,16 +267,20 @@
 
 
 def losses(
-    logs: Annotated[list[Path], typer.Argument(help="logs of gateways, in any order")],
+    logs: Annotated[list[Path], typer.Argument(help="logs of daemons, in any order")],
     interval_s: Annotated[float, typer.Option(help="length of an interval, in seconds")] = 2.0,
     pause_ms: Annotated[int, typer.Option(help="longest pause of a stream, in ms")] = 600,
 ) -> None:
-    """Tell where requests were lost, late or refused, by interval, route, tenant and reason."""
+    """Tell where requests were lost, late or refused, and how long orders waited."""
     if interval_s <= 0:
         raise typer.BadParameter("must be above 0", param_hint="--interval-s")
     table = LossTable(interval_s, pause_ms)
     read_losses(logs, table)
     print(losses_text(table))
+    waits = OrderWaits()
+    waits.read(logs)
+    if waits.orders:
+        print(f"\n{waits.text()}")
 
 
 def pools(
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -59,6 +59,8 @@
     "member_failed": "A member cannot go on.",
     "member_removed": "A member is out of the group.",
     "outcome_unknown": "It is not known whether a request ran; the agent will be asked.",
+    "order_answered": "What became of a configuration, an evacuation or a leave, and the ms from"
+    " its receipt until a leader was given it, it was committed, in force, and answered.",
     "planned_stop_cuts_requests": "The grace of a planned stop ran out with requests in flight.",
     "planned_stop_cuts_runs": "The same at an agent.",
     "platform_unreadable": "The platform's list of machines could not be read.",
@@ -125,6 +127,7 @@
     "gateway_request": "Time of a request at a gateway, by outcome.",
     "objective_events": "Answers that count for an objective.",
     "objective_met": "Answers that met it.",
+    "order_answered": "Time of an order from its receipt to its answer, by kind and standing.",
     "planned_stop_cuts": "Requests cut by planned stops.",
     "refused": "Refusals, by code.",
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
