A follower whose disk refuses says so, once, and is no answer that counts

It answers that its disk refuses now, the leader waits a heartbeat and does not count it towards its quorum (as before), and the member tells once that its disk refuses and once that it takes writes again, with how long. A vote that could not be written is refused, not raised.

Tests: test_disk_troubles (says so once; no quorum of full disks).

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -144,7 +144,10 @@
         """Grant or refuse a vote."""
         node = self._node
         async with self._lock:
-            granted = await self._decide(request)
+            try:
+                granted = await self._decide(request)
+            except StorageError:
+                granted = False  # a vote that a restart would forget is none
             return consensus_pb2.VoteReply(
                 term=node.term, granted=granted, incarnation=node.hard_state.incarnation
             )
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -15,6 +15,7 @@
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_consensus.bootstrap import Bootstrap
+from heronladder_consensus.disk_watch import DiskWatch
 from heronladder_consensus.election import Election
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_consensus.joining import Joiner
@@ -74,6 +75,7 @@
         self.environment = environment
         self.event_log = EventLog("consensus", name)
         self.tasks = TaskGroupOwner(self.event_log)
+        self.disk = DiskWatch(self.event_log, environment)
         self._on_failure = on_failure
         self.failure: HeronladderError | None = None
 
@@ -266,10 +268,9 @@
         try:
             await self.storage.save_hard_state(self.hard_state)
         except StorageError as error:
-            self.event_log.warning(
-                "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
-            )
+            self.disk.refused(error)
             raise
+        self.disk.took()
 
     def become_leader(self) -> None:
         """Lead the current term: its first entry carries the membership."""
@@ -308,16 +309,13 @@
             try:
                 async with self._write_lock:
                     await self.flush_locked()
-            except StorageError as error:
-                await self._wait_for_disk(error)
+            except StorageError:
+                await self._wait_for_disk()
                 continue
             self.replication.advance_commit()
 
-    async def _wait_for_disk(self, error: StorageError) -> None:
+    async def _wait_for_disk(self) -> None:
         """Leave leading to others while this member's disk takes no writes."""
-        self.event_log.warning(
-            "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
-        )
         self.step_down("the disk refuses writes")
         await asyncio.sleep(self.timing.election_timeout_s)
 
@@ -330,7 +328,12 @@
         entries = list(self.log.unsynced())
         if not entries:
             return
-        await self.storage.append(entries)
+        try:
+            await self.storage.append(entries)
+        except StorageError as error:
+            self.disk.refused(error)
+            raise
+        self.disk.took()
         self.log.synced_index = entries[-1].index
 
     @property
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -135,6 +135,10 @@
         reply: consensus_pb2.AppendReply = await stub.AppendEntries(
             request, timeout=node.timing.call_timeout_s
         )
+        if reply.disk_refuses:
+            # Not an answer that counts: nothing it says would outlive a restart.
+            await asyncio.sleep(node.timing.heartbeat_s)
+            return
         if not await self._accept_answer(progress, reply.term, reply.incarnation, term):
             return
         if not reply.success:
@@ -288,10 +292,13 @@
         """Take in entries from the leader; they are synced when this returns."""
         node = self._node
         reply = consensus_pb2.AppendReply(incarnation=node.hard_state.incarnation)
-        if await node.election.observe_leader(request.term, request.leader):
-            async with node.write_lock:
-                if request.term == node.term and not node.is_leader:
-                    await self._take_entries(request, reply)
+        try:
+            if await node.election.observe_leader(request.term, request.leader):
+                async with node.write_lock:
+                    if request.term == node.term and not node.is_leader:
+                        await self._take_entries(request, reply)
+        except StorageError:
+            reply.disk_refuses = True
         reply.term = node.term
         return reply
 
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -36,7 +36,9 @@
     "daemon_started": "All roles of a daemon are up.",
     "daemon_stopped": "A planned stop is over.",
     "daemon_stopping": "A planned stop began.",
-    "disk_refuses_writes": "A member's disk takes no writes; it steps down and tries again.",
+    "disk_refuses_writes": "A member's disk takes no writes; it steps down and tries again. Told"
+    " once, until it took one.",
+    "disk_takes_writes": "It takes writes again, after `refused_s` and so many refusals.",
     "early_answers_failed": "Callers that came while the program was being loaded could not be"
     " refused: how often, and the last error.",
     "engine_control_failed": "An order to an engine failed.",
--- a/tests/test_disk_troubles.py
+++ b/tests/test_disk_troubles.py
@@ -214,6 +214,46 @@
         for seed in range(3):
             run_virtual(scenario(seed))
 
+    def test_a_follower_with_a_full_disk_says_so_once_and_once_that_it_is_back(self) -> None:
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+            name = next(name for name in group.names if name != leader.name)
+            group.disks[name].fail_syncs = True
+            for number in range(20):
+                await leader.propose(f"c{number}".encode())
+                await asyncio.sleep(0.1)
+            group.disks[name].fail_syncs = False
+            await asyncio.sleep(2)
+            self.assertEqual(len(group.machines[name].commands), 20)
+            self.assertTrue(leader.is_leader)
+            await group.stop()
+
+        with self.assertLogs("heronladder.consensus", "INFO") as logs:
+            run_virtual(scenario())
+        told = [line for line in logs.output if "event=disk_" in line]
+        self.assertEqual(len(told), 2, told)
+        self.assertIn("event=disk_refuses_writes", told[0])
+        self.assertIn("event=disk_takes_writes", told[1])
+
+    def test_followers_with_full_disks_are_no_quorum(self) -> None:
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+            for name in group.names:
+                group.disks[name].fail_syncs = name != leader.name
+            with self.assertRaises(LeadershipLostError):
+                async with asyncio.timeout(5):
+                    await leader.propose(b"never acknowledged")
+            self.assertFalse(leader.is_leader)
+            for disk in group.disks.values():
+                disk.fail_syncs = False
+            leader = await group.leader()
+            await leader.propose(b"after")
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_new_member_whose_disk_is_full_starts_once_there_is_room(self) -> None:
         async def scenario() -> None:
             group = Group()
