--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -16,6 +16,7 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import consensus_pb2
 
+from heronladder_consensus.disk_watch import DiskWatch
 from heronladder_consensus.errors import NotLeaderError
 from heronladder_consensus.log import MemoryLog
 from heronladder_consensus.members import find_member, voters
@@ -42,6 +43,7 @@
         environment: Time and randomness.
 
     Attributes:
+        disk: Tells whether the disk takes writes.
         failure: Why the member takes part no more; None while it does.
         commit_index: Newest entry known to be committed.
         applied_index: Newest entry applied.
@@ -68,6 +70,7 @@
         self.environment = environment
         self.event_log = EventLog("consensus", name)
         self.tasks = TaskGroupOwner(self.event_log)
+        self.disk = DiskWatch(self.event_log, environment)
         self.failure: HeronladderError | None = None
 
         self.hard_state = loaded.hard_state
@@ -150,7 +153,12 @@
         entries = list(self.log.unsynced())
         if not entries:
             return
-        await self.storage.append(entries)
+        try:
+            await self.storage.append(entries)
+        except StorageError as error:
+            self.disk.refused(error)
+            raise
+        self.disk.took()
         self.log.synced_index = entries[-1].index
 
     def set_commit_index(self, index: int) -> None:
@@ -192,10 +200,9 @@
         try:
             await self.storage.save_hard_state(self.hard_state)
         except StorageError as error:
-            self.event_log.warning(
-                "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
-            )
+            self.disk.refused(error)
             raise
+        self.disk.took()
 
     def step_down(self, reason: str) -> None:
         """Stop leading."""
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -60,6 +60,7 @@
         self._on_failure = on_failure
         self._waiters: dict[int, asyncio.Future[Result]] = {}
         self._term_first_index = 0
+        self._saving_snapshot = False
         if loaded.dropped_bytes:
             self.event_log.warning("torn_write_dropped", step="load", bytes=loaded.dropped_bytes)
         if loaded.snapshot:
@@ -78,13 +79,22 @@
         """Give a new folder its identity and start all tasks."""
         if not self.hard_state.incarnation:
             self.hard_state.incarnation = self.environment.new_id("member")
-            await self.storage.save_hard_state(self.hard_state)
+            await self._save_identity()
         self.tasks.start("bootstrap", self.bootstrap.run())
         self.tasks.start("joining", self.joiner.run())
         self.tasks.start("election", self.election.run())
         self.tasks.start("flush", self._flush_when_appended())
         self.tasks.start("apply", self._apply_when_committed())
 
+    async def _save_identity(self) -> None:
+        """Write the identity of a new folder, as soon as the disk takes it."""
+        while True:
+            try:
+                await self.save_hard_state()
+                return
+            except StorageError:
+                await asyncio.sleep(self.timing.election_timeout_s)
+
     async def stop(self) -> None:
         """Stop all tasks and close the files."""
         self.step_down("stopping")
@@ -168,16 +178,13 @@
             try:
                 async with self.write_lock:
                     await self.flush_locked()
-            except StorageError as error:
-                await self._wait_for_disk(error)
+            except StorageError:
+                await self._wait_for_disk()
                 continue
             self.replication.advance_commit()
 
-    async def _wait_for_disk(self, error: StorageError) -> None:
+    async def _wait_for_disk(self) -> None:
         """Leave leading to others while this member's disk takes no writes."""
-        self.event_log.warning(
-            "disk_refuses_writes", step=error.step, peer=error.peer, error=error.message
-        )
         self.step_down("the disk refuses writes")
         await asyncio.sleep(self.timing.election_timeout_s)
 
@@ -196,8 +203,18 @@
                 self.fail(HeronladderError(repr(error), step="apply", peer=self.name))
                 return
             self.changed.give()
-            if self.applied_index - self.log.base_index >= self.timing.snapshot_entries:
-                await self.snapshots.save()
+            is_due = self.applied_index - self.log.base_index >= self.timing.snapshot_entries
+            if is_due and not self._saving_snapshot:
+                # Apart: a disk that holds a snapshot up must not hold up what peers commit.
+                self._saving_snapshot = True
+                self.tasks.start("snapshot", self._save_snapshot())
+
+    async def _save_snapshot(self) -> None:
+        try:
+            if not await self.snapshots.save():
+                await asyncio.sleep(self.timing.snapshot_retry_s)
+        finally:
+            self._saving_snapshot = False
 
     def _apply_committed(self) -> None:
         while self.applied_index < self.commit_index:
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from heronladder_runtime.errors import StorageError
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
@@ -135,6 +136,10 @@
         reply: consensus_pb2.AppendReply = await stub.AppendEntries(
             request, timeout=node.timing.call_timeout_s
         )
+        if reply.disk_refuses:
+            # Not an answer that counts: nothing it says would outlive a restart.
+            await asyncio.sleep(node.timing.heartbeat_s)
+            return
         if not await self._accept_answer(progress, reply.term, reply.incarnation, term):
             return
         if not reply.success:
@@ -191,6 +196,9 @@
             )
             if not await self._accept_answer(progress, reply.term, reply.incarnation, term):
                 return
+            if reply.disk_refuses:
+                # Not the whole snapshot again at each heartbeat, for a disk that is full.
+                await asyncio.sleep(node.timing.snapshot_retry_s)
             if not reply.success:
                 return
             offset += max(len(data), 1)
@@ -285,10 +293,13 @@
         """Take in entries from the leader; they are synced when this returns."""
         node = self._node
         reply = consensus_pb2.AppendReply(incarnation=node.hard_state.incarnation)
-        if await self._election.observe_leader(request.term, request.leader):
-            async with node.write_lock:
-                if request.term == node.term and not node.is_leader:
-                    await self._take_entries(request, reply)
+        try:
+            if await self._election.observe_leader(request.term, request.leader):
+                async with node.write_lock:
+                    if request.term == node.term and not node.is_leader:
+                        await self._take_entries(request, reply)
+        except StorageError:
+            reply.disk_refuses = True
         reply.term = node.term
         return reply
 
@@ -342,7 +353,17 @@
             if reply.success and chunk.last:
                 data = bytes(self._incoming_snapshot)
                 self._incoming_snapshot.clear()
-                await self._snapshots.install(StoredSnapshot(chunk.meta, data))
+                await self._install(StoredSnapshot(chunk.meta, data), reply)
                 node.last_heard_s = node.environment.monotonic()
         reply.term = node.term
         return reply
+
+    async def _install(self, snapshot: StoredSnapshot, reply: consensus_pb2.SnapshotReply) -> None:
+        try:
+            await self._snapshots.install(snapshot)
+        except StorageError as error:
+            self._node.event_log.warning(
+                "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
+            )
+            reply.success = False
+            reply.disk_refuses = True
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -36,7 +36,9 @@
     "daemon_started": "All roles of a daemon are up.",
     "daemon_stopped": "A planned stop is over.",
     "daemon_stopping": "A planned stop began.",
-    "disk_refuses_writes": "A member's disk takes no writes; it steps down and tries again.",
+    "disk_refuses_writes": "A member's disk takes no writes; it steps down and tries again. Told"
+    " once, until it took one.",
+    "disk_takes_writes": "It takes writes again, after `refused_s` and so many refusals.",
     "early_answers_failed": "Callers that came while the program was being loaded could not be"
     " refused: how often, and the last error.",
     "engine_control_failed": "An order to an engine failed.",
@@ -60,6 +62,8 @@
     "member_failed": "A member cannot go on.",
     "member_removed": "A member is out of the group.",
     "outcome_unknown": "It is not known whether a request ran; the agent will be asked.",
+    "order_answered": "What became of a configuration, an evacuation or a leave, and the ms from"
+    " its receipt until a leader was given it, it was committed, in force, and answered.",
     "planned_stop_cuts_requests": "The grace of a planned stop ran out with requests in flight.",
     "planned_stop_cuts_runs": "The same at an agent.",
     "platform_unreadable": "The platform's list of machines could not be read.",
@@ -71,6 +75,8 @@
     " to `share_per_s`.",
     "replica_forgotten": "A replica left the list.",
     "replica_known": "A replica is new, or its registration changed.",
+    "replica_misdirected": "A replica's address answered that it is another's by now: it is left"
+    " out for `for_s`.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
     "replica_trusted": "A suspected replica gave a whole answer.",
     "replica_temperature": "A replica's word on being cold is news to the gateways.",
@@ -124,6 +130,7 @@
     "gateway_request": "Time of a request at a gateway, by outcome.",
     "objective_events": "Answers that count for an objective.",
     "objective_met": "Answers that met it.",
+    "order_answered": "Time of an order from its receipt to its answer, by kind and standing.",
     "planned_stop_cuts": "Requests cut by planned stops.",
     "refused": "Refusals, by code.",
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
