Test one group over a link that is cut, one way, choked, or a member short

Five members over two regions, 12 ms apart, in virtual time: the leader on the smaller side when the link is cut while a change is put; on the larger side (its term and its commits unharmed); one way only; a member of the leader's region lost (a commit then takes one way there and back); ten times the delay for 20 s (no election: the time-out of 0.8 s is 33 ways there and back, so it stays as it is).

--- /dev/null
+++ b/tests/test_link_between_regions.py
@@ -0,0 +1,181 @@
+"""One control group over two regions, 12 ms apart, while the link between them fails."""
+
+import asyncio
+import random
+import unittest
+from collections.abc import Awaitable, Callable
+from dataclasses import replace
+
+from heronladder_consensus.timing import ConsensusTiming
+from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_emulator.memory_disk import MemoryDisk
+from heronladder_emulator.memory_stubs import MemoryStubs
+from heronladder_emulator.network import Cut, MemoryNetwork, Place, Weather
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.errors import HeronladderError
+from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
+from support import run_virtual
+
+_FAR_S = 0.012
+_ELECTION_S = 0.8
+_LARGE = ("n-0", "n-1", "n-2")
+_SMALL = ("s-0", "s-1")
+_SEEDS = range(40)
+
+
+class _Group:
+    """Three members in one region, two in the other."""
+
+    def __init__(self, seed: int) -> None:
+        self._source = random.Random(seed)
+        self.environment = Environment(self._source, virtual=True)
+        self.network = MemoryNetwork(self._source, Weather(region_delay_s=_FAR_S))
+        self.members: dict[str, ControlMember] = {}
+        self.terms: set[int] = set()
+
+    async def start(self) -> None:
+        names = [*_LARGE, *_SMALL]
+        first = [consensus_pb2.Member(name=name, address=f"{name}:1", voter=True) for name in names]
+        for name in names:
+            options = ControlOptions(name, "fleet", first, ConsensusTiming(_ELECTION_S), named=True)
+            disk = MemoryDisk(self._source).handle()
+            stubs = MemoryStubs(self.network, name)
+            member = ControlMember(options, disk, stubs, self.environment, lambda error: None)
+            servers = {"consensus": member.consensus_service, "control": member.service}
+            self.network.start(name, Place(name, name.partition("-")[0]), servers)
+            await member.start()
+            self.members[name] = member
+        await asyncio.sleep(4)
+
+    def leader(self, among: tuple[str, ...] = (*_LARGE, *_SMALL)) -> str:
+        """Return who leads with a quorum, or "" if nobody does."""
+        leading = [name for name in among if self.members[name].node.is_leader]
+        return max(leading, key=lambda name: self.members[name].node.term, default="")
+
+    def cut(self, *pairs: tuple[tuple[str, ...], tuple[str, ...]]) -> list[Cut]:
+        cuts = [Cut(frozenset(one), frozenset(other)) for one, other in pairs]
+        for cut in cuts:
+            self.network.cut(cut)
+        return cuts
+
+    def heal(self, cuts: list[Cut]) -> None:
+        for cut in cuts:
+            self.network.heal(cut)
+
+    async def put(self, name: str, among: tuple[str, ...]) -> float:
+        """Write a budget through whoever leads; return how long it took, in seconds."""
+        resource = resources_pb2.Resource(budget=resources_pb2.Budget(tokens=9, period=1))
+        resource.metadata.name = name
+        order = control_pb2.PutResource(
+            kind="budget", resource=resource, any_version=True, change_id=name
+        )
+        began_s = self.environment.monotonic()
+        while True:
+            leader = self.leader(among)
+            try:
+                if leader:
+                    command = control_pb2.Command(put_resource=order)
+                    async with asyncio.timeout(2):
+                        await self.members[leader].propose(command)
+                    return self.environment.monotonic() - began_s
+            except (HeronladderError, TimeoutError):
+                pass  # another may lead by now; the change id makes it one change
+            await asyncio.sleep(0.05)
+
+    def states(self) -> set[bytes]:
+        return {member.state.snapshot() for member in self.members.values()}
+
+    async def stop(self) -> None:
+        for name, member in self.members.items():
+            self.network.kill(name)
+            await member.stop()
+
+
+def _with_leader_in(side: tuple[str, ...], work: Callable[[_Group], Awaitable[None]]) -> None:
+    """Run with the first seed whose first leader stands on a side."""
+    for seed in _SEEDS:
+
+        async def one(seed: int = seed) -> bool:
+            group = _Group(seed)
+            await group.start()
+            fits = group.leader() in side
+            if fits:
+                await work(group)
+            await group.stop()
+            return fits
+
+        if run_virtual(one()):
+            return
+    raise AssertionError("no seed made such a leader")
+
+
+class LinkTest(unittest.TestCase):
+    def _one_state(self, group: _Group, budgets: set[str]) -> None:
+        self.assertEqual(len(group.states()), 1)
+        for member in group.members.values():
+            self.assertEqual(set(member.state.resources.resources["budget"]), budgets)
+
+    def test_the_larger_side_goes_on_when_the_leader_stands_on_the_smaller(self) -> None:
+        async def work(group: _Group) -> None:
+            await group.put("before", _SMALL)
+            cuts = group.cut((_LARGE, _SMALL), (_SMALL, _LARGE))
+            took_s = await group.put("amid", _LARGE)
+            self.assertLess(took_s, 4 * _ELECTION_S)
+            self.assertEqual(group.leader(_SMALL), "")  # it stepped down: nobody answers it
+            group.heal(cuts)
+            await asyncio.sleep(3)
+            self._one_state(group, {"before", "amid"})
+
+        _with_leader_in(_SMALL, work)
+
+    def test_a_leader_on_the_larger_side_notices_nothing(self) -> None:
+        async def work(group: _Group) -> None:
+            term = group.members[group.leader()].node.term
+            cuts = group.cut((_LARGE, _SMALL), (_SMALL, _LARGE))
+            await asyncio.sleep(8)
+            self.assertLess(await group.put("amid", _LARGE), _FAR_S)
+            group.heal(cuts)
+            await asyncio.sleep(3)
+            self.assertEqual(group.members[group.leader()].node.term, term)
+            self._one_state(group, {"amid"})
+
+        _with_leader_in(_LARGE, work)
+
+    def test_a_link_that_carries_one_way_only(self) -> None:
+        for one, other in ((_LARGE, _SMALL), (_SMALL, _LARGE)):
+
+            async def work(group: _Group, way: tuple[tuple[str, ...], ...] = (one, other)) -> None:
+                cuts = group.cut((way[0], way[1]))
+                await group.put("amid", _LARGE)
+                group.heal(cuts)
+                await asyncio.sleep(3)
+                self._one_state(group, {"amid"})
+
+            with self.subTest(lost_from=one):
+                _with_leader_in(_LARGE, work)
+
+    def test_with_a_member_of_the_leaders_region_lost_the_far_ones_complete_a_quorum(self) -> None:
+        async def work(group: _Group) -> None:
+            lost = next(name for name in _LARGE if name != group.leader())
+            group.network.kill(lost)
+            took_s = await group.put("after", _LARGE)
+            self.assertGreaterEqual(took_s, 2 * _FAR_S)
+            self.assertLess(took_s, 4 * _FAR_S)
+
+        _with_leader_in(_LARGE, work)
+
+    def test_a_link_that_is_choked_elects_nobody_anew(self) -> None:
+        async def work(group: _Group) -> None:
+            term = group.members[group.leader()].node.term
+            group.network.weather = replace(
+                group.network.weather, region_delay_s=10 * _FAR_S, extra_delay_s=0.05
+            )
+            await asyncio.sleep(20)
+            self.assertEqual(group.members[group.leader()].node.term, term)
+            await group.put("amid", (*_LARGE, *_SMALL))
+
+        _with_leader_in(_SMALL, work)
+
+
+if __name__ == "__main__":
+    unittest.main()
