--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -4,11 +4,16 @@
 import unittest
 from collections import Counter
 
+from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.decisions.distance import Way
 from heronladder_router.decisions.placement import Placement, PlacementView, place
+from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
 from heronladder_router.kept_parts import KeptParts, PromptPart
 from heronladder_router.replica_state import FleetReplica, Wish
-from heronladder_schema.v1 import resources_pb2
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
+from heronladder_runtime.logs import EventLog
+from heronladder_schema.v1 import control_pb2, resources_pb2
 
 _REGIONS = {f"{region}-{zone}": region for region in ("n", "s") for zone in "abc"}
 _SERVICE = "s"
@@ -135,5 +140,53 @@
         self.assertEqual(fleet.ways(wish), {Way.NEAR: 200})
 
 
+class _Clock(Environment):
+    """A clock that the test moves."""
+
+    now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+class SpillBoundTest(unittest.TestCase):
+    def test_a_gateway_sends_as_many_elsewhere_in_a_second_as_may_go(self) -> None:
+        clock = _Clock(random=random.Random(1))
+        configuration = ConfigurationStore("gateway")
+        replicas = FleetReplicas(
+            Surroundings("n-a", _REGIONS, _FAR_MS, 3),
+            ColdLimits("gateway", 1.5, 5, lambda: GatewaysKnown({"gateway"}, 1)),
+            configuration,
+            clock,
+            EventLog("test", "gateway"),
+        )
+        update = control_pb2.ConfigUpdate(revision=1, snapshot=True)
+        for zone in _REGIONS:
+            event = update.events.add(kind=REPLICA_KIND, name=zone)
+            event.resource.replica.CopyFrom(
+                resources_pb2.Replica(id=zone, service=_SERVICE, zone=zone)
+            )
+        configuration.apply(update)
+        replicas.others_told({f"n-{zone}": control_pb2.ReplicaLoad(in_flight=50) for zone in "abc"})
+        wish = Wish(_SERVICE)
+
+        def send() -> Way:
+            placement = replicas.place(wish, ())
+            assert placement.replica is not None
+            replicas.began(placement.replica, replicas.sent(placement.replica, wish))
+            replicas.ended(placement.replica)
+            return placement.way
+
+        ways = [send() for _ in range(5)]
+        self.assertEqual(ways, [Way.FAR_NEAR_BUSY] * 3 + [Way.NEAR_SPILL_BOUND] * 2)
+        self.assertEqual(replicas.far_sends, 3)
+        clock.now_s += 0.5
+        self.assertEqual(send(), Way.NEAR_SPILL_BOUND)
+        clock.now_s += 0.49
+        replicas.others_told({f"n-{zone}": control_pb2.ReplicaLoad(in_flight=50) for zone in "abc"})
+        clock.now_s += 0.02
+        self.assertEqual(send(), Way.FAR_NEAR_BUSY)
+
+
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_stretched_group.py
+++ b/tests/test_stretched_group.py
@@ -7,6 +7,7 @@
 
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_control.state import ControlState
 from heronladder_daemon.compose_control import compose_control
 from heronladder_daemon.compose_gateway import compose_gateway
 from heronladder_emulator.memory_disk import MemoryDisk
@@ -126,5 +127,37 @@
         self.assertEqual(self._run(["r1"] * 3, named=False), ([""] * 3, {}))
 
 
+class FolderTest(unittest.IsolatedAsyncioTestCase):
+    def _member(self, failures: list[HeronladderError]) -> ControlMember:
+        source = random.Random(1)
+        stubs: Any = None
+        options = ControlOptions("m0", "fleet", [], named=True)
+        disk = MemoryDisk(source).handle()
+        return ControlMember(options, disk, stubs, Environment(source), failures.append)
+
+    async def test_a_snapshot_from_before_groups_had_names_is_taken_in(self) -> None:
+        old = ControlState("r1")
+        budget = resources_pb2.Resource(budget=resources_pb2.Budget(tokens=9, period=1))
+        budget.metadata.name = "b"
+        order = control_pb2.PutResource(kind="budget", resource=budget, any_version=True)
+        old.apply(1, control_pb2.Command(put_resource=order).SerializeToString())
+        failures: list[HeronladderError] = []
+        member = self._member(failures)
+        member.state.restore(old.snapshot())
+        self.assertEqual((failures, member.state.named_group), ([], ""))
+        account = member.state.ledger.account("b")
+        assert account is not None
+        self.assertEqual(account.available, 9)
+
+    async def test_a_snapshot_of_another_group_ends_the_member(self) -> None:
+        other = ControlState("other")
+        name = control_pb2.Command(name_group=control_pb2.NameGroup(name="other"))
+        other.apply(1, name.SerializeToString())
+        failures: list[HeronladderError] = []
+        self._member(failures).state.restore(other.snapshot())
+        self.assertEqual(len(failures), 1)
+        self.assertIn("setting group", failures[0].message)
+
+
 if __name__ == "__main__":
     unittest.main()
