Wait for tokens by the measured way to control

Cause: a request waits 0.1 s at least for its tokens. With the leader in the other region a draw and a promise each take 24 ms there and back and over to a quorum; a lender that had to draw answered too late.

Change: the link measures its quickest answer to a heartbeat, anew on each stream. Four times what it takes beyond 6 ms is waited for besides, 0.12 s at most (chosen). Within one region nothing is added.

Tests: the way is measured over a real socket (failed: there was no such figure); what is added.

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -40,6 +40,12 @@
 _LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
 _RESERVE_SHARE = 0.2  # of the objective, waited at most for tokens: a refusal must come early
 _SHORTEST_RESERVE_S = 0.1
+# Tokens may take a draw and a promise, each there and back and over to a quorum, and control may
+# stand in another region: so many of the ways there and back are waited for besides (chosen), of
+# what a way takes beyond that within a region.
+_RESERVE_ROUND_TRIPS = 4
+_NEAR_ROUND_TRIP_S = 0.006  # within a region, on a busy machine (chosen)
+_MOST_ADDED_S = 0.12  # a refusal must come early all the same (chosen)
 _REPLICA_WAIT_S = 0.2
 _MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD})  # within a moment
 _NOT_SENT: dict[Reason, type[CallerError]] = {
@@ -165,7 +171,8 @@
             return None
         left_s = request.deadline_s - self._parts.environment.monotonic()
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        wait_s = min(left_s, max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s))
+        wait_s = max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s) + self._far_control_s()
+        wait_s = min(left_s, wait_s)
         try:
             return await self._parts.tokens.reserve(
                 tenant, request.bounds.total, wait_s, request.request_id
@@ -184,6 +191,11 @@
             )
             raise
 
+    def _far_control_s(self) -> float:
+        """Return what tokens take longer because control stands far away."""
+        beyond_s = max(0.0, self._parts.link.round_trip_s - _NEAR_ROUND_TRIP_S)
+        return min(_MOST_ADDED_S, _RESERVE_ROUND_TRIPS * beyond_s)
+
     def _used(self, request: GatewayRequest, progress: AnswerProgress) -> int:
         """Return the most tokens that the tenant can have got.
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -85,6 +85,7 @@
         self._control_time_ms = 0
         self.last_heard_s = float("-inf")  # newest heartbeat that a leader answered
         self.regained_s = float("-inf")  # end of the newest long silence of control
+        self.round_trip_s = 0.0  # quickest answer to a heartbeat on this stream; 0: none yet
         self.routers = 1  # routers that control counts, this one among them
 
     def add_addresses(self, addresses: list[str]) -> None:
@@ -203,6 +204,7 @@
         if self._handlers.session_began is not None:
             self._handlers.session_began()
         self._control_time_ms = 0  # another leader's clock says nothing to this one
+        self.round_trip_s = 0.0  # nor does the way to it
         stream = self._stubs.control(address).Session(self._frames(session))
         watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
         try:
@@ -367,6 +369,8 @@
         sent = session.heartbeat_times.pop(frame.heartbeat_ack, None)
         if sent is None:
             return
+        took_s = self._environment.monotonic() - sent
+        self.round_trip_s = min(self.round_trip_s or took_s, took_s)
         if self._leaving or not frame.freshness_ms:
             return
         until = sent + frame.freshness_ms / MILLISECONDS_PER_SECOND
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -14,6 +14,7 @@
 from heronladder_schema.v1.control_pb2_grpc import ControlServicer, add_ControlServicer_to_server
 
 _HEARTBEAT_S = 0.1
+_FAR_ROUND_TRIP_S = 0.024
 
 
 class _FallsSilent(ControlServicer):
@@ -53,6 +54,20 @@
             pass
 
 
+class _StandsFarAway(ControlServicer):
+    """Acknowledges each heartbeat a while after it came."""
+
+    async def Session(
+        self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
+    ) -> AsyncIterator[control_pb2.ControlFrame]:
+        async for frame in request_iterator:
+            if frame.HasField("heartbeat"):
+                await asyncio.sleep(_FAR_ROUND_TRIP_S)
+                yield control_pb2.ControlFrame(
+                    heartbeat_ack=frame.heartbeat.number, freshness_ms=1000, control_time_ms=1
+                )
+
+
 class ControlLinkTest(unittest.IsolatedAsyncioTestCase):
     async def test_a_silent_stream_is_given_up_and_another_is_opened(self) -> None:
         service = _FallsSilent()
@@ -63,6 +78,14 @@
             while link.last_heard_s < 0:
                 await asyncio.sleep(0.05)
 
+    async def test_the_way_to_control_is_measured(self) -> None:
+        async with _linked(_StandsFarAway()) as link, asyncio.timeout(10):
+            self.assertEqual(link.round_trip_s, 0.0)
+            while not link.round_trip_s:
+                await asyncio.sleep(0.02)
+            self.assertGreaterEqual(link.round_trip_s, _FAR_ROUND_TRIP_S)
+            self.assertLess(link.round_trip_s, 1.0)
+
     async def test_a_configuration_that_cannot_be_unpacked_is_fetched_anew(self) -> None:
         service = _SendsGarbageFirst()
         async with _linked(service) as link, asyncio.timeout(10):
--- a/tests/test_region_tokens.py
+++ b/tests/test_region_tokens.py
@@ -3,7 +3,10 @@
 import asyncio
 import unittest
 from random import Random
+from types import SimpleNamespace
+from typing import cast
 
+from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_schema.v1 import control_pb2
 from lending_fleet import TENANT, LendingFleet, Process, Weather
@@ -114,5 +117,17 @@
                 self.assertGreater(fleet.handed_out, 0)
 
 
+class FarControlTest(unittest.TestCase):
+    def test_tokens_are_waited_for_by_the_way_to_control(self) -> None:
+        """A draw and a promise over 24 ms there and back took all of the 100 ms."""
+        added = []
+        for round_trip_s in (0.0, 0.002, 0.006, 0.024, 1.0):
+            parts = cast(
+                GatewayParts, SimpleNamespace(link=SimpleNamespace(round_trip_s=round_trip_s))
+            )
+            added.append(round(GatewayDispatcher(parts)._far_control_s(), 3))
+        self.assertEqual(added, [0.0, 0.0, 0.0, 0.072, 0.12])
+
+
 if __name__ == "__main__":
     unittest.main()
