Write one thing at a time to a data folder, also after a caller gave up

Cause: a leader ends an AppendEntries call after 0.32 s; the handler is cancelled and lets go of the write lock while its thread still writes. The hard state is replaced under a lock that is let go in the same way. Change: one writing thread for each data folder. Result: both tests of test_folder_disk failed before (b'second' != b'first,second'; b'first' != b'second') and pass.

--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -3,6 +3,8 @@
 import asyncio
 import os
 from abc import ABC, abstractmethod
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
 from heronladder_runtime.errors import StorageError
@@ -66,6 +68,9 @@
         self._damaged: dict[str, int] = {}  # size to cut a file back to before it is used
         self._open: dict[str, int] = {}
         self._named: set[str] = set()
+        # One thread: a write whose caller gave up still ends, and before the next one begins.
+        # Two at once took each other's bytes for half a write and cut them off.
+        self._writer = ThreadPoolExecutor(max_workers=1, thread_name_prefix="disk")
         folder.mkdir(parents=True, exist_ok=True)
 
     def names(self) -> list[str]:
@@ -98,7 +103,11 @@
         is cut back to what it held before.
         """
         data = bytes(self._staged.pop(name, b""))
-        await asyncio.get_running_loop().run_in_executor(None, self._write_and_sync, name, data)
+        await self._write(self._write_and_sync, name, data)
+
+    async def _write(self, what: Callable[[str, bytes], None], name: str, data: bytes) -> None:
+        loop = asyncio.get_running_loop()
+        await loop.run_in_executor(self._writer, what, name, data)
 
     def _write_and_sync(self, name: str, data: bytes) -> None:
         try:
@@ -140,7 +149,7 @@
 
     async def replace(self, name: str, data: bytes) -> None:
         """Write beside, sync, rename over, sync the folder."""
-        await asyncio.get_running_loop().run_in_executor(None, self._replace, name, data)
+        await self._write(self._replace, name, data)
 
     def _replace(self, name: str, data: bytes) -> None:
         beside = self._folder / f"{name}.new"
@@ -173,6 +182,7 @@
             os.close(descriptor)
 
     def close(self) -> None:
-        """Close all open files."""
+        """Close all open files; what is being written may still end."""
+        self._writer.shutdown(wait=False, cancel_futures=True)
         for name in list(self._open):
             self._forget(name)
