--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -11,6 +11,9 @@
 from heronladder_tools import demo as demo_module
 from heronladder_tools import evacuation_commands, operator_commands, toolbox_commands
 from heronladder_tools.bench import PathTarget, bench_log, bench_path, bench_state
+from heronladder_tools.crowd import Crowd, CrowdOptions
+from heronladder_tools.crowd_clients import run_gateways, run_replicas
+from heronladder_tools.crowd_member import run_member
 from heronladder_tools.replay import bill_text, summary_text
 from heronladder_tools.replay import replay as replay_folder
 from heronladder_tools.scale import ScaleOptions, run_scale, scale_text
@@ -153,6 +156,41 @@
     print(scale_text(asyncio.run(run_scale(options))))
 
 
+@application.command()
+def crowd(
+    folder: Annotated[Path, typer.Argument(help="empty folder for the members' data")],
+    gateways: Annotated[int, typer.Option(min=0, max=400)] = 100,
+    replicas: Annotated[int, typer.Option(min=0, max=4000)] = 1000,
+    members: Annotated[int, typer.Option(min=1, max=5)] = 3,
+    seconds: Annotated[float, typer.Option(min=1, max=60, help="time at rest")] = 10.0,
+) -> None:
+    """Time a control group before a crowd, by stage: new, at rest, and after all were killed."""
+    configure_logging("error")
+    options = CrowdOptions(folder, gateways, replicas, members, seconds)
+    print("\n".join(asyncio.run(Crowd(options).run())))
+
+
+@application.command("crowd-member", hidden=True)
+def crowd_member(folder: Path, number: int) -> None:
+    """Run one member of 'heronladder crowd'."""
+    configure_logging("error")
+    asyncio.run(run_member(folder, number))
+
+
+@application.command("crowd-gateways", hidden=True)
+def crowd_gateways(folder: Path, first: int, count: int, replicas: int) -> None:
+    """Run hollow gateways of 'heronladder crowd'."""
+    configure_logging("error")
+    asyncio.run(run_gateways(folder, first, count, replicas))
+
+
+@application.command("crowd-replicas", hidden=True)
+def crowd_replicas(folder: Path, first: int, count: int) -> None:
+    """Run hollow replicas of 'heronladder crowd'."""
+    configure_logging("error")
+    asyncio.run(run_replicas(folder, first, count))
+
+
 @application.command()
 def bench(
     what: Annotated[str, typer.Argument(help="log, state, transport or path")] = "log",
