--- a/packages/heronladder-runtime/src/heronladder_runtime/pulse.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/pulse.py
@@ -7,14 +7,20 @@
     """Wakes all tasks that wait at the moment it is given.
 
     Tasks check their condition, wait for the next pulse, and check again. All
-    run on one event loop, so no change can fall between check and wait.
+    run on one event loop, so no change can fall between check and wait. A task that
+    waits for something else meanwhile compares ``given`` with what it was at its check.
+
+    Attributes:
+        given: How often it was given.
     """
 
     def __init__(self) -> None:
         self._waiters: list[asyncio.Future[None]] = []
+        self.given = 0
 
     def give(self) -> None:
         """Wake all waiting tasks."""
+        self.given += 1
         waiters, self._waiters = self._waiters, []
         for waiter in waiters:
             if not waiter.done():
