Crowds: batches of registrations, admission, heartbeats over members, chores apart

Cause (heronladder crowd, 100 gateways and 1,000 replicas, data in memory): each registration was an entry, told to each gateway; whoever found no leader looked for one by itself each 50 ms; all replicas beat at the leader; the leader's chores ran at each heartbeat of a gateway; 300 holders were closed one after the other between two changes put in force. Change: registrations that come within a pause are one entry of the log; those without a leader wait for one look, gateways and operators before replicas, bounded; over 256 replicas beats are spread over the members; chores each 0.1 s at most, 32 holders closed at once; a stream given up before its first word ends quietly.

--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -122,6 +122,14 @@
         result.revision = self._resources.resources[REPLICA_KIND][told.id].metadata.revision
         return result
 
+    def register_all(
+        self, index: int, orders: Iterable[control_pb2.RegisterReplica]
+    ) -> control_pb2.CommandResult:
+        """Take what many replicas tell, in their order; each has a result of its own."""
+        result = success()
+        result.each.extend(self.register(index, order) for order in orders)
+        return result
+
     def _write(self, index: int, state: resources_pb2.Replica) -> None:
         resource = resources_pb2.Resource()
         resource.replica.CopyFrom(state)
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -13,12 +13,14 @@
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
-from heronladder_runtime.configuration import EVACUATION_KIND
+from heronladder_runtime.configuration import EVACUATION_KIND, REPLICA_KIND
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_control.cold_words import ColdWords
 from heronladder_control.evacuations import LateOrders
+from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
+from heronladder_control.registration_batches import RegistrationBatches
 from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
 
@@ -29,7 +31,6 @@
 _APPLY_PATIENCE_S = 3.5
 _REGISTER_PATIENCE_S = 0.9
 _READ_PATIENCE_S = 1.5
-_RETRY_PAUSE_S = 0.05
 
 
 class Standing(Enum):
@@ -67,6 +68,9 @@
         self._returning = ReturningReplicas(member.environment)
         self._cold_words = ColdWords(member.environment)
         self._late_orders = LateOrders(member.environment)
+        self._spread = HeartbeatSpread(member.environment)
+        member.metrics.gauge("heartbeats_moved", lambda: self._spread.moved)
+        self._batches = RegistrationBatches(member)
 
     # ---- what is asked ----------------------------------------------------
 
@@ -119,10 +123,24 @@
         request.command.register_replica.cold_news = cold_news
         return await self._ask(request, _REGISTER_PATIENCE_S)
 
-    def leader_api_address(self) -> str:
-        """Return the address at which the leader serves operators, or ""."""
-        leader = self._member.leader()
-        return leader.api_address if leader is not None else ""
+    def heartbeat_address(self, replica: resources_pb2.Replica) -> str:
+        """Return where a replica is to send its later heartbeats; "" for anywhere."""
+        node = self._member.node
+        passed_over = self._spread.passed_over()
+        view = SpreadView(
+            own=node.name,
+            leader=node.leader,
+            members=list(node.membership().members),
+            replicas=len(self._member.state.resources.resources[REPLICA_KIND]),
+            silent_s=self._member.environment.monotonic() - node.last_heard_s,
+        )
+        address = self._spread.name(replica, view)
+        for name in set(self._spread.passed_over()).difference(passed_over):
+            self._member.metrics.add("members_passed_over")
+            self._member.log.info(
+                "member_passed_over", step="heartbeat", peer=name, replica=replica.id
+            )
+        return address
 
     # ---- at the leader, or passed on to it --------------------------------
 
@@ -138,7 +156,10 @@
             reply = await self._ask_once(request, left_s)
             if reply is not None and not reply.not_leader:
                 return self._outcome(reply)
-            await asyncio.sleep(_RETRY_PAUSE_S)
+            left_s = patience_s - (clock.monotonic() - began_s)
+            is_replica = request.command.HasField("register_replica")
+            if not await self._member.admission.ask(max(0.0, left_s), first=not is_replica):
+                return FleetOutcome(Standing.UNCLEAR)
 
     async def _ask_once(
         self, request: control_pb2.CarryRequest, left_s: float
@@ -176,7 +197,10 @@
                 return control_pb2.CarryReply(result=success())
             if self._is_overtaken(request):
                 return control_pb2.CarryReply(unclear=True)
-            result = await self._member.propose(request.command)
+            if request.command.WhichOneof("body") == "register_replica":
+                result = await self._batches.propose(request.command.register_replica)
+            else:
+                result = await self._member.propose(request.command)
         except NotLeaderError:
             return control_pb2.CarryReply(not_leader=True)
         except LeadershipLostError:
@@ -246,13 +270,15 @@
         elif body == "delete_resource" and command.delete_resource.kind == EVACUATION_KIND:
             self._late_orders.changed(command.delete_resource.name)
         elif body == "register_replica":
-            recorded = self._member.state.fleet.replica(command.register_replica.replica.id)
-            if recorded is not None:
-                self._note_cold(command.register_replica, recorded)
-
-    def _note_cold(
-        self, order: control_pb2.RegisterReplica, recorded: resources_pb2.Replica
-    ) -> None:
+            self._note_cold(command.register_replica)
+        elif body == "register_replicas":
+            for order in command.register_replicas.orders:
+                self._note_cold(order)
+
+    def _note_cold(self, order: control_pb2.RegisterReplica) -> None:
+        recorded = self._member.state.fleet.replica(order.replica.id)
+        if recorded is None:
+            return
         is_cold_word = recorded.cold_revision == self._member.state.applied_index
         if is_cold_word or not recorded.cold_ms:
             self._cold_words.known(recorded)
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -1,5 +1,6 @@
 """One control member: replicated state, streams of daemons, and the leader's chores."""
 
+import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
@@ -18,21 +19,34 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import consensus_pb2, control_pb2, ledger_pb2
 
+from heronladder_control.admission import Admission
 from heronladder_control.allotments import AllotmentKeeper
 from heronladder_control.command_packing import encode_command
 from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.ended_replicas import EndedReplicas
 from heronladder_control.fleet_service import FleetService
 from heronladder_control.in_force import InForceTracker
-from heronladder_control.prepaid_watch import PrepaidWatch
+from heronladder_control.prepaid_watch import HolderKey, PrepaidWatch
 from heronladder_control.promise_notes import PromiseNotes
 from heronladder_control.sessions import ControlService
 from heronladder_control.state import ControlState
 
 _CONFIGURATION_COMMANDS = frozenset(
-    {"put_resource", "delete_resource", "apply_configuration", "register_replica", "set_evacuation"}
+    {
+        "put_resource",
+        "delete_resource",
+        "apply_configuration",
+        "register_replica",
+        "register_replicas",
+        "set_evacuation",
+    }
 )
 _CHORE_INTERVAL_S = 0.5
+# Between two rounds of what costs with the number of daemons, holders and replicas: each
+# heartbeat woke them, 1,000 a second of 300 gateways (chosen).
+_CHORE_PAUSE_S = 0.1
+_IN_FORCE_PAUSE_S = 0.00005  # a daemon, between two looks at all of them: 15 ms at 300 (chosen)
+_CLOSED_AT_ONCE = 32  # holders; what puts changes in force waits for one such round (chosen)
 _LEFT_OUT_NAMED = 8  # daemons named in a log line, so that it stays short (chosen)
 _CLAIM_AGE_MS = 24 * 3600 * 1000
 _CLAIM_DROP_INTERVAL_S = 600.0
@@ -110,6 +124,10 @@
         self.progress = Pulse()  # a daemon applied a configuration
         self.in_force_changed = Pulse()
         self.in_force_since_s = 0.0  # when this member learned of the revision in force
+        self.admission = Admission(
+            environment, self.tasks, self.metrics, lambda: bool(self.node.leader)
+        )
+        self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
         self.service = ControlService(self)
         self.stubs = stubs
         self.fleet_service = FleetService(self)
@@ -193,17 +211,23 @@
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
         for session in self.service.sessions.values():
             self.service.note_connected(session)
+        next_chores_s = 0.0
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
         ended = EndedReplicas(self.environment)
         while self.node.is_leader:
+            seen = self.progress.given
             await self._put_in_force()
-            await self._declare_silent_gone()
-            await self._close_prepaid_holders()
-            await self._forget_ended_replicas(ended)
+            if self.environment.monotonic() >= next_chores_s:
+                next_chores_s = self.environment.monotonic() + _CHORE_PAUSE_S
+                await self._declare_silent_gone()
+                await self._close_prepaid_holders()
+                await self._forget_ended_replicas(ended)
             if self.environment.monotonic() >= next_drop_s:
                 next_drop_s += _CLAIM_DROP_INTERVAL_S
                 await self._drop_old_claims()
-            await self.progress.wait(_CHORE_INTERVAL_S)
+            await asyncio.sleep(_IN_FORCE_PAUSE_S * len(self.in_force.daemons))
+            if self.progress.given == seen:
+                await self.progress.wait(_CHORE_INTERVAL_S)
 
     async def _put_in_force(self) -> None:
         committed = self.state.resources.revision
@@ -269,33 +293,43 @@
         await self.propose(command)
 
     async def _close_prepaid_holders(self) -> None:
-        """Charge routers that were replaced or declared gone, and free the rest."""
-        table = self.state.prepaid
-        for holder in sorted(table.holders()):
+        """Charge routers that were replaced or declared gone, and free the rest.
+
+        Some together, in the log one behind the other: when all gateways come back, 300 of
+        them in a row would each wait for the disks.
+        """
+        due = []
+        for holder in sorted(self.state.prepaid.holders()):
             record = self.state.daemons.daemons.get(holder[0])
             if record is not None and record.incarnation == holder[1] and not record.gone:
                 continue
-            if self.prepaid_watch.must_wait(holder):
-                continue
-            command = control_pb2.Command()
-            command.close_prepaid_holder.CopyFrom(self.prepaid_watch.charges(holder, table))
-            lived_on_s = self.prepaid_watch.lived_on_s(holder)
-            held, spent = table.held_and_spent(holder)
-            charged_before = table.closed_charges
-            await self.propose(command)
-            self.prepaid_watch.forget(holder)
-            self.log.info(
-                "prepaid_holder_closed",
-                step="close_prepaid_holder",
-                peer=holder[0],
-                incarnation=holder[1],
-                by_promise=bool(command.close_prepaid_holder.charges),
-                lived_on_s=lived_on_s,
-                held=held,
-                promised=sum(command.close_prepaid_holder.charges.values()),
-                charged=table.closed_charges - charged_before,
-                spent_as_told=spent,
-            )
+            if not self.prepaid_watch.must_wait(holder):
+                due.append(holder)
+        closed = (self._close_prepaid_holder(holder) for holder in due[:_CLOSED_AT_ONCE])
+        for outcome in await asyncio.gather(*closed, return_exceptions=True):
+            if isinstance(outcome, BaseException):
+                raise outcome
+
+    async def _close_prepaid_holder(self, holder: HolderKey) -> None:
+        table = self.state.prepaid
+        command = control_pb2.Command()
+        command.close_prepaid_holder.CopyFrom(self.prepaid_watch.charges(holder, table))
+        lived_on_s = self.prepaid_watch.lived_on_s(holder)
+        held, spent = table.held_and_spent(holder)
+        result = await self.propose(command)
+        self.prepaid_watch.forget(holder)
+        self.log.info(
+            "prepaid_holder_closed",
+            step="close_prepaid_holder",
+            peer=holder[0],
+            incarnation=holder[1],
+            by_promise=bool(command.close_prepaid_holder.charges),
+            lived_on_s=lived_on_s,
+            held=held,
+            promised=sum(command.close_prepaid_holder.charges.values()),
+            charged=result.charged,
+            spent_as_told=spent,
+        )
 
     async def _forget_ended_replicas(self, ended: EndedReplicas) -> None:
         due = ended.due(self.state.fleet.ended())
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/registration_batches.py
@@ -0,0 +1,118 @@
+"""Registrations of replicas that come together go into the log as one entry.
+
+Each entry that changes replicas is told to each router: 3,000 replicas that register one by one
+with 300 routers are 900,000 frames. The pause between two entries grows with the routers, so what
+a crowd costs the leader does not grow with both.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from heronladder_consensus.errors import LeadershipLostError
+from heronladder_runtime.errors import HeronladderError
+from heronladder_schema.v1 import control_pb2
+
+if TYPE_CHECKING:
+    from heronladder_control.member import ControlMember
+
+# Between two entries, a router: 0.3 s with 300, a third of what a replica that leaves waits at
+# most, and 3 ms with 3 (chosen). The first after a pause goes at once.
+PAUSE_S = 0.001
+MOST_AT_ONCE = 512  # one entry is applied without a break: 0.1 s (0.19 ms each, test machine)
+MOST_WAITING = 4_096  # some five entries; who asks over it is told at once to ask again (chosen)
+_Waiting = tuple[control_pb2.RegisterReplica, "asyncio.Future[control_pb2.CommandResult]"]
+
+
+class RegistrationBatches:
+    """Proposes registrations in the order in which they came.
+
+    Args:
+        member: The control member, which leads.
+    """
+
+    def __init__(self, member: ControlMember) -> None:
+        self._member = member
+        self._waiting: deque[_Waiting] = deque()
+        self._next_s = float("-inf")
+        self._running = False
+
+    @property
+    def waiting(self) -> int:
+        """How many registrations are not in the log yet."""
+        return len(self._waiting)
+
+    async def propose(self, order: control_pb2.RegisterReplica) -> control_pb2.CommandResult:
+        """Replicate a registration; return its own result.
+
+        Raises:
+            NotLeaderError: If this member does not lead.
+            LeadershipLostError: If it is not known whether it was committed, or too many wait.
+        """
+        self._member.node.require_leader("register_replica")
+        if len(self._waiting) >= MOST_WAITING:
+            self._member.metrics.add("registrations_refused")
+            raise LeadershipLostError(
+                f"{MOST_WAITING} registrations wait already",
+                step="register_replica",
+                peer=order.replica.id,
+            )
+        answer: asyncio.Future[control_pb2.CommandResult] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting.append((order, answer))
+        if not self._running:
+            self._running = True
+            self._member.tasks.start("registrations", self._run())
+        return await answer
+
+    async def _run(self) -> None:
+        clock = self._member.environment
+        try:
+            while self._waiting:
+                pause_s = self._next_s - clock.monotonic()
+                if pause_s > 0:
+                    await asyncio.sleep(pause_s)
+                self._next_s = clock.monotonic() + PAUSE_S * len(self._member.service.sessions)
+                await self._propose_some()
+        finally:
+            self._running = False
+
+    async def _propose_some(self) -> None:
+        taken = [self._waiting.popleft() for _ in range(min(MOST_AT_ONCE, len(self._waiting)))]
+        taken = [entry for entry in taken if not entry[1].done()]  # others asked no more
+        if not taken:
+            return
+        command = control_pb2.Command()
+        if len(taken) == 1:
+            command.register_replica.CopyFrom(taken[0][0])
+        else:
+            command.register_replicas.orders.extend(order for order, _ in taken)
+        began_s = self._member.environment.monotonic()
+        try:
+            result = await self._member.propose(command)
+        except HeronladderError as error:
+            for _, answer in taken:
+                if not answer.done():
+                    answer.set_exception(error)
+            return
+        each = [result] if len(taken) == 1 else result.each
+        for (_, answer), own in zip(taken, each, strict=True):
+            if not answer.done():
+                answer.set_result(own)
+        self._report(len(taken), self._member.environment.monotonic() - began_s)
+
+    def _report(self, count: int, took_s: float) -> None:
+        self._member.metrics.add("registrations", amount=count)
+        if count > 1:
+            self._member.log.info(
+                "replicas_registered",
+                step="register_replica",
+                count=count,
+                waiting=len(self._waiting),
+                routers=len(self._member.service.sessions),
+                took_s=took_s,
+                index=self._member.state.applied_index,
+            )
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -22,6 +22,12 @@
 
 _IDLE_CHECK_S = 1.0
 _SCARCE_ASKS = 4
+# Routers; with more, each hears of a lender with its next heartbeat: 300 that come at once
+# made 90,000 frames (chosen).
+_LENDERS_TOLD_AT_ONCE = 64
+_FLEET_COMMANDS = frozenset(
+    {"apply_configuration", "register_replica", "register_replicas", "set_evacuation"}
+)
 
 
 class ControlService(ControlServicer):
@@ -34,6 +40,7 @@
     def __init__(self, member: ControlMember) -> None:
         self._member = member
         self.sessions: dict[str, DaemonSession] = {}
+        self._routers = 0  # streams of routers
         self._replica_loads = ReplicaLoads()
         self._config_feed = ConfigFeed(member)
 
@@ -42,7 +49,11 @@
     async def Session(  # noqa: D102 - generated name
         self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
     ) -> AsyncIterator[control_pb2.ControlFrame]:
-        first = await anext(request_iterator)
+        first = await anext(request_iterator, None)
+        if first is None:
+            return  # it was given up before its first word came
+        if not self._member.leader_address():
+            await self._member.admission.stream()
         self._member.in_force.heard(first.hello.daemon.name)
         refusal = await self._register(first.hello)
         if refusal is not None:
@@ -97,6 +108,7 @@
             earlier.close()
         session = DaemonSession(hello)
         self.sessions[name] = session
+        self._count_routers()
         self.note_connected(session)
         self._member.prepaid_watch.opened((name, hello.daemon.incarnation), self._member.node.term)
         other_role = ROLE_ROUTER if hello.daemon.role == ROLE_AGENT else ROLE_AGENT
@@ -142,6 +154,7 @@
         session.closed = True
         if self.sessions.get(session.record.name) is session:
             del self.sessions[session.record.name]
+            self._count_routers()
             self._member.in_force.disconnected(session.record.name)
             self._replica_loads.forget(session.record.name)
             self._member.promise_notes.forget(session.record.name)
@@ -188,10 +201,13 @@
         if addresses != session.told_addresses:
             session.told_addresses = addresses
             frame.control_addresses.extend(addresses)
-        routers = sum(1 for other in self.sessions.values() if other.record.role == ROLE_ROUTER)
-        if routers != session.told_routers:
-            session.told_routers = routers
-            frame.routers = routers
+        if self._routers != session.told_routers:
+            session.told_routers = self._routers
+            frame.routers = self._routers
+
+    def _count_routers(self) -> None:
+        """Count once a change: each frame counted all streams."""
+        self._routers = sum(one.record.role == ROLE_ROUTER for one in self.sessions.values())
 
     def _add_in_force(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
         """Tell what is in force, at once where it is not held, and what may not be acted by."""
@@ -287,7 +303,7 @@
             role = self._member.state.daemons.daemons[order.name].role
             self._tell_others(role, order.name, order.incarnation, gone=True)
             self._tell_lenders(order.name)
-        elif body in ("apply_configuration", "register_replica", "set_evacuation"):
+        elif body in _FLEET_COMMANDS:
             self._wake_all()
         elif body == "set_in_force":
             self._wake_those_behind(command.set_in_force.revision)
@@ -320,8 +336,9 @@
     def _tell_lenders(self, name: str) -> None:
         """Tell routers that lend of another one that came, changed or went."""
         record = self._member.state.daemons.daemons[name]
+        few = len(self.sessions) <= _LENDERS_TOLD_AT_ONCE
         for session in self.sessions.values():
-            if session.record.lending_address and session.lenders.know(record):
+            if session.record.lending_address and session.lenders.know(record) and few:
                 session.wake.give()
 
     def _recall(self, ask: control_pb2.GrantLease, result: control_pb2.CommandResult) -> None:
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -103,6 +103,8 @@
                 return self.fleet.apply(index, order.apply_configuration.configuration)
             case "register_replica":
                 return self.fleet.register(index, order.register_replica)
+            case "register_replicas":
+                return self.fleet.register_all(index, order.register_replicas.orders)
             case "forget_replicas":
                 return self.fleet.forget(index, order.forget_replicas.ids)
             case "set_evacuation":
@@ -112,8 +114,11 @@
             case "note_promises":
                 return self.prepaid.note_promises(order.note_promises, self.is_current)
             case "close_prepaid_holder":
+                charged = self.prepaid.closed_charges
                 self.prepaid.close(order.close_prepaid_holder)
-                return success()
+                result = success()
+                result.charged = self.prepaid.closed_charges - charged
+                return result
         invariant(False, "commands_are_known", step="apply", detail=f"{body} at {index}")
         return success()
 
--- a/packages/heronladder-tools/src/heronladder_tools/crowd.py
+++ b/packages/heronladder-tools/src/heronladder_tools/crowd.py
@@ -8,6 +8,7 @@
 import asyncio
 import contextlib
 import json
+import os
 import sys
 import time
 from collections import Counter
@@ -20,14 +21,15 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_tools.crowd_clients import SERVICES, TENANTS
-from heronladder_tools.demo_fleet import free_addresses
 
 _PART = 100  # gateways a process
 _REPLICAS_PART = 750  # replicas a process
 _ROUTES = 40
 _LINE_BYTES = 1 << 20
-_STAGE_LIMIT_S = 60.0
+_STAGE_LIMIT_S = 30.0
 _MEMBER_ZONES = 3
+_HOSTS = 77  # loopback network of the plays
+_FIRST_PORT = 7_100
 
 
 @dataclass(frozen=True)
@@ -73,16 +75,18 @@
         self.reader.cancel()
 
 
-async def _spawn(*arguments: object) -> _Process:
-    process = await asyncio.create_subprocess_exec(
-        sys.executable,
-        "-m",
-        "heronladder_tools",
-        *map(str, arguments),
-        stdin=asyncio.subprocess.PIPE,
-        stdout=asyncio.subprocess.PIPE,
-        limit=_LINE_BYTES,
-    )
+async def _spawn(log: Path, *arguments: object) -> _Process:
+    with log.open("ab") as errors:
+        process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            "-m",
+            "heronladder_tools",
+            *map(str, arguments),
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
+            stderr=errors,
+            limit=_LINE_BYTES,
+        )
     lines: list[dict[str, Any]] = []
 
     async def read() -> None:
@@ -110,8 +114,15 @@
 
     def _write_settings(self) -> list[str]:
         count = self._options.members
-        addresses = free_addresses(3 * count)
-        grpc, apis, replicas = addresses[:count], addresses[count : 2 * count], addresses[2 * count :]
+        # An address of this play's own: other plays and outgoing connections take free ports.
+        pid = os.getpid()
+        host = f"127.{_HOSTS}.{pid // 256 % 256}.{pid % 256}"
+        addresses = [f"{host}:{_FIRST_PORT + number}" for number in range(3 * count)]
+        grpc, apis, replicas = (
+            addresses[:count],
+            addresses[count : 2 * count],
+            addresses[2 * count :],
+        )
         initial = ",".join(
             f"control-{number}={address}/{replicas[number]}" for number, address in enumerate(grpc)
         )
@@ -143,21 +154,24 @@
 
     async def _start_members(self) -> None:
         folder = self._options.folder
-        numbers = range(self._options.members)
-        self._members = [await _spawn("crowd-member", folder, number) for number in numbers]
+        self._members = [
+            await _spawn(folder / f"control-{number}.log", "crowd-member", folder, number)
+            for number in range(self._options.members)
+        ]
 
     async def _start_gateways(self) -> None:
         options = self._options
         for first in range(0, options.gateways, _PART):
             count = min(_PART, options.gateways - first)
             arguments = ("crowd-gateways", options.folder, first, count, options.replicas)
-            self._gateways.append(await _spawn(*arguments))
+            self._gateways.append(await _spawn(options.folder / "gateways.log", *arguments))
 
     async def _start_replicas(self) -> None:
         options = self._options
         for first in range(0, options.replicas, _REPLICAS_PART):
             count = min(_REPLICAS_PART, options.replicas - first)
-            self._replicas.append(await _spawn("crowd-replicas", options.folder, first, count))
+            arguments = ("crowd-replicas", options.folder, first, count)
+            self._replicas.append(await _spawn(options.folder / "replicas.log", *arguments))
 
     async def _configure(self) -> None:
         request = control_pb2.CarryRequest(in_force_wait_ms=3_000)
@@ -183,15 +197,15 @@
 
     # ---- the play ---------------------------------------------------------
 
-    async def run(self) -> list[str]:
-        """Play; return what is to be printed."""
+    async def run(self) -> None:
+        """Play; print what each part showed."""
         try:
-            return await self._play()
+            await self._play()
         finally:
             for process in (*self._members, *self._gateways, *self._replicas):
                 await process.kill()
 
-    async def _play(self) -> list[str]:
+    async def _play(self) -> None:
         options = self._options
         await self._start_members()
         await self._configure()
@@ -203,11 +217,10 @@
             await self._stage("registered", self._replicas, options.replicas, began_s),
             await self._stage("whole", self._gateways, options.gateways, began_s),
         ]
-        report = [f"a crowd of new replicas: {', '.join(first)}", *self._leader(began_s)]
+        _show(f"a crowd of new replicas: {', '.join(first)}", *self._leader(began_s))
         await asyncio.sleep(options.seconds / 2)
-        report += await self._rest()
-        report += await self._restart()
-        return report
+        _show(*await self._rest())
+        _show(*await self._restart())
 
     async def _reached(self, key: str, processes: list[_Process], wanted: int) -> float | None:
         try:
@@ -218,9 +231,7 @@
             return None
         return time.time()
 
-    async def _stage(
-        self, key: str, processes: list[_Process], wanted: int, began_s: float
-    ) -> str:
+    async def _stage(self, key: str, processes: list[_Process], wanted: int, began_s: float) -> str:
         reached_s = await self._reached(key, processes, wanted)
         if reached_s is None:
             return f"{key} {self._sum(processes, key)} of {wanted} in {_STAGE_LIMIT_S:.0f} s"
@@ -238,7 +249,9 @@
             share = 100 * (now["cpu_s"] - earlier["cpu_s"]) / (now["t"] - earlier["t"])
             entries = (now["index"] - earlier["index"]) / (now["t"] - earlier["t"])
             role = "leader" if now["leads"] else "follower"
-            rows.append(f"  {role}: {share:.0f}% of a core, {now['mb']} MB, {entries:.0f} entries/s")
+            rows.append(
+                f"  {role}: {share:.0f}% of a core, {now['mb']} MB, {entries:.0f} entries/s"
+            )
         count = max(1, self._options.gateways)
         told = (self._sum(self._gateways, "received") - received) / spent_s / count
         beaten = (self._sum(self._replicas, "beats") - beats) / spent_s
@@ -308,6 +321,10 @@
         return lines
 
 
+def _show(*lines: str) -> None:
+    print("\n".join(lines), flush=True)
+
+
 def _configuration() -> resources_pb2.FleetConfiguration:
     configuration = resources_pb2.FleetConfiguration(version=1, source=b"{}")
     for number in range(SERVICES):
--- a/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
+++ b/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
@@ -70,17 +70,13 @@
         replica = resources_pb2.Replica.FromString(await request.read())
         outcome = await member.fleet_service.register(replica)
         status = 200 if outcome.standing is Standing.DONE else 503
-        return web.Response(status=status, text=_heartbeat_address(member, replica))
+        return web.Response(status=status, text=member.fleet_service.heartbeat_address(replica))
 
     application = web.Application()
     application.router.add_post(REGISTER_PATH, register)
     return application
 
 
-def _heartbeat_address(member: ControlMember, replica: resources_pb2.Replica) -> str:
-    return member.fleet_service.leader_api_address()
-
-
 async def run_member(folder: Path, number: int) -> None:
     """Run a member from the settings that the rig left in its folder, until it is killed."""
     began_s = time.time()
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -167,13 +167,13 @@
     """Time a control group before a crowd, by stage: new, at rest, and after all were killed."""
     configure_logging("error")
     options = CrowdOptions(folder, gateways, replicas, members, seconds)
-    print("\n".join(asyncio.run(Crowd(options).run())))
+    asyncio.run(Crowd(options).run())
 
 
 @application.command("crowd-member", hidden=True)
 def crowd_member(folder: Path, number: int) -> None:
     """Run one member of 'heronladder crowd'."""
-    configure_logging("error")
+    configure_logging("info")
     asyncio.run(run_member(folder, number))
 
 
--- a/tests/test_crowd_of_replicas.py
+++ b/tests/test_crowd_of_replicas.py
@@ -1,31 +1,46 @@
-"""Thousands of replicas that register at once."""
+"""Thousands of replicas that register at once, and gateways and operators among them."""
 
+import asyncio
+import tempfile
 import time
 import unittest
+from pathlib import Path
 
+from control_group import ControlGroup
+from heronladder_consensus.storage import LogStorage
+from heronladder_control.fleet_service import FleetOutcome, Standing
+from heronladder_control.member import ControlMember
 from heronladder_control.state import ControlState
-from heronladder_schema.v1 import control_pb2, resources_pb2
+from heronladder_runtime.disk import FolderDisk
+from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
+from platform_stand_ins import answer, configuration, start_fleet
 
 _FEW = 500
 _MANY = 4_000
 _MOST_TIMES = 4.0  # dearer, a registration among eight times as many; it was eight times
 
 
+def _replica(number: int, address: str = "") -> resources_pb2.Replica:
+    return resources_pb2.Replica(
+        id=f"replica-{number}",
+        service="s",
+        address=address or f"10.0.{number // 250}.{number % 250}:80",
+        zone="z",
+        slots=4,
+    )
+
+
 def _register(state: ControlState, number: int, address: str = "") -> None:
     command = control_pb2.Command()
-    replica = command.register_replica.replica
-    replica.CopyFrom(
-        resources_pb2.Replica(
-            id=f"replica-{number}",
-            service="s",
-            address=address or f"10.0.{number // 250}.{number % 250}:80",
-            zone="z",
-            slots=4,
-        )
-    )
+    command.register_replica.replica.CopyFrom(_replica(number, address))
     state.apply(state.applied_index + 1, command.SerializeToString())
 
 
+async def _register_all(member: ControlMember, count: int) -> list[FleetOutcome]:
+    asked = (member.fleet_service.register(_replica(number)) for number in range(count))
+    return await asyncio.gather(*asked)
+
+
 class CostTest(unittest.TestCase):
     def test_a_registration_costs_the_same_however_many_there_are(self) -> None:
         """Each read all replicas and all kept events: a crowd of 3,000 kept its leader busy
@@ -55,7 +70,109 @@
         self.assertTrue(again.fleet.is_replaced("replica-7"))
         events = again.resources.events_after(19)
         assert events is not None
-        self.assertEqual([event.name for event in events], ["replica-19", "replica-7", "replica-99"])
+        self.assertEqual(
+            [event.name for event in events], ["replica-19", "replica-7", "replica-99"]
+        )
+
+
+class BatchTest(unittest.IsolatedAsyncioTestCase):
+    async def test_registrations_that_come_together_are_few_entries_of_the_log(self) -> None:
+        """Each was one, told to each gateway: 3,000 before 300 gateways are 900,000 frames."""
+        group = ControlGroup(1)
+        await group.start()
+        self.addAsyncCleanup(group.stop)
+        member = group.running[0].control
+        assert member is not None
+        before = member.node.log.last_index
+        outcomes = await _register_all(member, 400)
+        self.assertEqual({outcome.standing for outcome in outcomes}, {Standing.DONE})
+        self.assertEqual(len(member.state.resources.resources["replica"]), 400)
+        self.assertLess(member.node.log.last_index - before, 20)
+
+    async def test_a_leave_among_a_crowd_holds_at_the_gateways_when_it_is_acknowledged(
+        self,
+    ) -> None:
+        fleet = await start_fleet(configuration(1))
+        self.addAsyncCleanup(fleet.stop)
+
+        async def script(_replica: object, received: object) -> bytes:
+            return answer(received)  # type: ignore[arg-type]
+
+        await fleet.add_replica("leaves", script)
+        asyncio.get_running_loop().set_debug(False)
+        member = fleet.control.control
+        assert member is not None
+        crowd = asyncio.create_task(_register_all(member, 400))
+        await asyncio.sleep(0)
+        began_s = time.monotonic()
+        told = await fleet.call(fleet.control_address, "POST", "/api/Replicas.Deregister/leaves")
+        self.assertEqual(told.status, 200)
+        self.assertLess(time.monotonic() - began_s, 1.0)
+        gateway = fleet.gateway.gateway
+        assert gateway is not None
+        known = {one.id: one.gone for one in gateway.link.configuration.replicas()}
+        self.assertTrue(known["leaves"])
+        self.assertEqual({outcome.standing for outcome in await crowd}, {Standing.DONE})
+
+    async def test_an_entry_of_many_that_is_cut_at_any_byte_is_whole_or_not_there(self) -> None:
+        command = control_pb2.Command()
+        for number in range(12):
+            command.register_replicas.orders.add().replica.CopyFrom(_replica(number))
+        entry = consensus_pb2.LogEntry(index=1, term=1, command=command.SerializeToString())
+        with tempfile.TemporaryDirectory() as folder:
+            storage = LogStorage(FolderDisk(Path(folder)))
+            await storage.append([entry])
+            storage.close()
+            file = next(Path(folder).iterdir())
+            whole = file.read_bytes()
+            for size in range(len(whole) + 1):
+                file.write_bytes(whole[:size])
+                kept = LogStorage(FolderDisk(Path(folder))).load().entries
+                state = ControlState("r")
+                for one in kept:
+                    state.apply(one.index, one.command)
+                known = len(state.resources.resources["replica"])
+                self.assertEqual(known, 12 if size == len(whole) else 0, f"{size} bytes")
+
+
+class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
+    """A crowd at a member that knows no leader."""
+
+    async def asyncSetUp(self) -> None:
+        self.group = ControlGroup(3)
+        await self.group.start_member(0)
+        self.addAsyncCleanup(self.group.stop)
+        member = self.group.running[0].control
+        assert member is not None
+        self.member = member
+
+    async def test_a_crowd_that_waits_for_a_leader_leaves_the_loop_free(self) -> None:
+        """Each looked by itself, 20 times a second: votes came too late, and there was no
+        leader for longer."""
+        asyncio.get_running_loop().set_debug(False)
+        crowd = asyncio.create_task(_register_all(self.member, 3_000))
+        began_s = time.monotonic()
+        while not crowd.done():
+            await asyncio.sleep(0.01)
+        outcomes = await crowd
+        self.assertEqual({outcome.standing for outcome in outcomes}, {Standing.UNCLEAR})
+        self.assertLess(time.monotonic() - began_s, 2.5)  # 5.2 s, with 0.9 s of patience each
+
+    async def test_an_operator_goes_before_a_crowd_and_nobody_in_it_is_starved(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        crowd = asyncio.create_task(_register_all(self.member, 600))
+        await asyncio.sleep(0.05)
+        wanted = resources_pb2.FleetConfiguration(version=1, source=b"{}")
+        operator = asyncio.create_task(self.member.fleet_service.apply(wanted))
+        for number in (1, 2):
+            await self.group.start_member(number)
+        self.assertEqual((await operator).standing, Standing.DONE)
+        for _ in range(20):  # as replicas do, which ask again
+            outcomes = await crowd
+            if {outcome.standing for outcome in outcomes} == {Standing.DONE}:
+                break
+            crowd = asyncio.create_task(_register_all(self.member, 600))
+        self.assertEqual({outcome.standing for outcome in outcomes}, {Standing.DONE})
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/tests/test_heartbeat_spread.py
@@ -0,0 +1,104 @@
+"""Heartbeats of a crowd of replicas, spread over the members."""
+
+import unittest
+from collections import Counter
+
+from heronladder_control.heartbeat_spread import (
+    MOVES_A_SECOND,
+    PASSED_OVER_S,
+    SPREAD_OVER,
+    HeartbeatSpread,
+    SpreadView,
+)
+from heronladder_runtime.clock import Environment
+from heronladder_schema.v1 import consensus_pb2, resources_pb2
+
+_ZONES = {"m0": "za", "m1": "zb", "m2": "zc", "m3": "za", "m4": "zb"}
+_MEMBERS = [
+    consensus_pb2.Member(name=name, zone=zone, api_address=f"{name}:80")
+    for name, zone in _ZONES.items()
+]
+
+
+class _Clock(Environment):
+    now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+def _replica(number: int, zone: str = "") -> resources_pb2.Replica:
+    return resources_pb2.Replica(id=f"r{number}", zone=zone or f"z{'abc'[number % 3]}")
+
+
+def _view(own: str, leader: str = "m0", replicas: int = 3_000, silent_s: float = 0.1) -> SpreadView:
+    return SpreadView(own, leader, _MEMBERS, replicas, silent_s)
+
+
+class SpreadTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = _Clock()
+        self.spreads = {name: HeartbeatSpread(self.clock) for name in _ZONES}
+        self.at: dict[int, str] = {}
+
+    def _beat(self, number: int, dead: str = "", leader: str = "m0") -> None:
+        """Have a replica beat where it was told to; a dead member sends it anywhere."""
+        name = self.at.get(number, f"m{number % 5}")
+        if name == dead:
+            name = next(one for one in _ZONES if one != dead)
+        told = self.spreads[name].name(_replica(number), _view(name, leader))
+        self.at[number] = told.partition(":")[0]
+
+    def _rounds(self, count: int, replicas: int, dead: str = "") -> int:
+        """Play some intervals; return how often a replica changed its member."""
+        moves = 0
+        for _ in range(count):
+            for number in range(replicas):
+                before = self.at.get(number)
+                self._beat(number, dead)
+                moves += self.at[number] != before
+            self.clock.now_s += 1.2
+        return moves
+
+    def test_few_replicas_all_beat_at_the_leader(self) -> None:
+        view = _view("m1", replicas=SPREAD_OVER - 1)
+        self.assertEqual(self.spreads["m1"].name(_replica(1), view), "m0:80")
+
+    def test_many_settle_at_near_members_and_the_leader_has_none(self) -> None:
+        """All 3,000 beat at the leader, which had 3,000 connections and 2,500 calls a second."""
+        self._rounds(20, 600)
+        self.assertEqual(self._rounds(3, 600), 0, "they must stay where they are")
+        counts = Counter(self.at.values())
+        self.assertNotIn("m0", counts)
+        self.assertEqual({number % 3 for number, at in self.at.items() if at == "m2"}, {2})
+        self.assertLess(max(counts.values()), 0.45 * 600)
+
+    def test_a_member_moves_only_so_many_in_a_second(self) -> None:
+        spread = self.spreads["m0"]
+        told = [spread.name(_replica(n), _view("m0")) for n in range(500)]
+        self.assertEqual(sum(one != "m0:80" for one in told), MOVES_A_SECOND)
+
+    def test_a_member_that_goes_is_passed_over_until_long_after(self) -> None:
+        """It was named again and again: each heartbeat then failed once."""
+        self._rounds(20, 600)
+        failed = 0
+        for _ in range(25):
+            failed += sum(at == "m2" for at in self.at.values())
+            self._rounds(1, 600, dead="m2")
+            self.clock.now_s -= 1.2
+            self.clock.now_s += 1.0
+        lasted = sum(at == "m2" for at in self.at.values())
+        self.assertLess(failed, 2 * 200 + MOVES_A_SECOND, "each fails once, some once more")
+        self.assertEqual(lasted, 0)
+        self.clock.now_s += PASSED_OVER_S
+        self._rounds(20, 600)
+        self.assertGreater(sum(at == "m2" for at in self.at.values()), 100, "it came back")
+
+    def test_a_member_that_hears_no_leader_sends_its_replicas_on(self) -> None:
+        """Cut off, it would take them for settled though the others know better."""
+        view = _view("m2", leader="", silent_s=5.0)
+        self.assertNotIn(self.spreads["m2"].name(_replica(2), view), ("", "m2:80"))
+
+
+if __name__ == "__main__":
+    unittest.main()
