--- a/packages/heronladder-control/src/heronladder_control/admission.py
+++ b/packages/heronladder-control/src/heronladder_control/admission.py
@@ -3,8 +3,8 @@
 Each replica and each gateway that asked looked for a leader by itself, each 50 to 100 ms: with
 3,000 of them the loop was so late that votes ran out of time, and there was no leader for longer.
 Here all wait for one look. Gateways and operators go first and at once: without configuration
-and tokens nobody is served. Replicas follow in the order in which they came, so many at each look; over a
-bound they are told at once to ask again, elsewhere.
+and tokens nobody is served. Replicas follow in the order in which they came, so many at each
+look; over a bound they are told at once to ask again, elsewhere.
 """
 
 import asyncio
--- a/packages/heronladder-tools/src/heronladder_tools/crowd.py
+++ b/packages/heronladder-tools/src/heronladder_tools/crowd.py
@@ -315,8 +315,9 @@
             names = ", ".join(f"{name} {100 * n // total}%" for name, n in top.most_common(8))
             lines.append(
                 f"  control-{number} led {len(led)} looks: loop late at most"
-                f" {max(line['late_ms'] for line in led)} ms, tasks {max(l['tasks'] for l in led)},"
-                f" proposals waiting {max(l['waiting'] for l in led)}; {names}"
+                f" {max(look['late_ms'] for look in led)} ms, at most"
+                f" {max(look['tasks'] for look in led)} tasks and"
+                f" {max(look['waiting'] for look in led)} proposals waiting; {names}"
             )
         return lines
 
