--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -57,6 +57,9 @@
     "member_changed": "A member was added to the group or became a voter.",
     "member_counts_again": "A repaired member has caught up and counts for the quorum.",
     "member_failed": "A member cannot go on.",
+    "member_passed_over": (
+        "A replica that was sent to this member came back: for half a minute none is sent there."
+    ),
     "member_removed": "A member is out of the group.",
     "outcome_unknown": "It is not known whether a request ran; the agent will be asked.",
     "planned_stop_cuts_requests": "The grace of a planned stop ran out with requests in flight.",
@@ -72,6 +75,10 @@
     "replica_known": "A replica is new, or its registration changed.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
     "replica_trusted": "A suspected replica gave a whole answer.",
+    "replicas_registered": (
+        "Registrations that came together went into the log as one entry: how many, how many"
+        " wait for the next one, and how many routers are told."
+    ),
     "replica_temperature": "A replica's word on being cold is news to the gateways.",
     "request_ended": "The end of a request that passed intake, with all that was counted.",
     "request_failed": "A fault of ours ended a request.",
@@ -108,6 +115,10 @@
 }
 
 METRIC_MEANINGS = {
+    "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
+    "members_passed_over": "Members from which a replica came back that was sent there.",
+    "registrations": "Registrations of replicas that went into the log.",
+    "registrations_refused": "Registrations turned away: too many waited for the log.",
     "agent_refusals": "Requests that an agent refused, by code.",
     "agent_run": "Time of a run at an agent.",
     "agent_tokens": "Tokens that engines made.",
