Pass a crowd's registrations on to the leader with few calls; keep several packed updates

Cause: of 3,000 new replicas before three members two thirds meet a follower, which called the leader for each; answers came too late and all came again. Packing one update for each router that lagged otherwise was 16% of the leader's samples. Result: 300 registrations at a follower were 300 calls to the leader (test_crowd_of_replicas, failed before), now under 30. A replica that was taken for replaced still comes back over a follower.

--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from collections import OrderedDict
 from typing import TYPE_CHECKING
 
 from heronladder_runtime.config_packing import PART_BYTES, pack, part, without_document
@@ -17,6 +18,7 @@
 # Parts that a daemon has not confirmed yet. What else is to be said waits behind so many on
 # a thin link: 1.6 s at 5 kB/s (chosen: one alone would halve the speed of a link).
 _PARTS_UNDER_WAY = 2
+_UPDATES_KEPT = 8  # packed; a whole one is some 100 kB at 3,000 replicas (chosen)
 _ROUTER_KINDS = frozenset(
     {
         "tenant",
@@ -48,8 +50,9 @@
 
     def __init__(self, member: ControlMember) -> None:
         self._member = member
-        self._router_update_key = (-1, -1)  # revisions: already sent, reached
-        self._router_update = control_pb2.ConfigUpdate()
+        # By revisions: already sent, reached. Routers that lag by one or two changes are at
+        # different ones: with a single update kept, packing was 16% of a busy leader.
+        self._router_updates: OrderedDict[tuple[int, int], control_pb2.ConfigUpdate] = OrderedDict()
 
     def next_part(self, session: DaemonSession) -> control_pb2.ConfigUpdate | None:
         """Return the next part of what a daemon lacks.
@@ -81,8 +84,8 @@
         resources = self._member.state.resources
         is_router = session.record.role == ROLE_ROUTER
         key = (session.config_sent, resources.revision)
-        if is_router and key == self._router_update_key:
-            return self._router_update
+        if is_router and key in self._router_updates:
+            return self._router_updates[key]
         events = resources.events_after(session.config_sent) if session.config_sent else None
         update = control_pb2.ConfigUpdate(snapshot=events is None, revision=resources.revision)
         if events is None:
@@ -92,6 +95,7 @@
             update.events.extend(wanted)
             return update
         update.events.extend(without_document(event) for event in wanted)
-        self._router_update_key = key
-        self._router_update = pack(update)
-        return self._router_update
+        packed = self._router_updates[key] = pack(update)
+        if len(self._router_updates) > _UPDATES_KEPT:
+            self._router_updates.popitem(last=False)
+        return packed
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import TYPE_CHECKING
@@ -21,6 +22,7 @@
 from heronladder_control.evacuations import LateOrders
 from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
 from heronladder_control.registration_batches import RegistrationBatches
+from heronladder_control.registration_relay import RegistrationRelay
 from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
 
@@ -70,6 +72,7 @@
         self._late_orders = LateOrders(member.environment)
         self._spread = HeartbeatSpread(member.environment)
         member.metrics.gauge("heartbeats_moved", lambda: self._spread.moved)
+        self._relay = RegistrationRelay(member)
         self._batches = RegistrationBatches(member)
 
     # ---- what is asked ----------------------------------------------------
@@ -172,6 +175,8 @@
         address = self._member.leader_address()
         if not address:
             return control_pb2.CarryReply(not_leader=True)
+        if request.command.HasField("register_replica") and not request.in_force_wait_ms:
+            return await self._relay.ask(request.command.register_replica, left_s)
         try:
             stub = self._member.stubs.control(address)
             reply: control_pb2.CarryReply = await stub.Carry(request, timeout=left_s)
@@ -193,11 +198,14 @@
         try:
             if not request.HasField("command"):
                 return await self._read_as_leader()
-            if self._is_late(request.command):
+            is_replica = request.command.HasField("register_replica")
+            if is_replica and self._is_late(request.command.register_replica):
                 return control_pb2.CarryReply(result=success())
             if self._is_overtaken(request):
                 return control_pb2.CarryReply(unclear=True)
-            if request.command.WhichOneof("body") == "register_replica":
+            if request.command.HasField("register_replicas"):
+                return await self._register_all(request.command.register_replicas.orders)
+            if is_replica:
                 result = await self._batches.propose(request.command.register_replica)
             else:
                 result = await self._member.propose(request.command)
@@ -211,14 +219,29 @@
             reply.unclear = not await self._wait_in_force(result.revision, wait_s)
         return reply
 
-    def _is_late(self, command: control_pb2.Command) -> bool:
+    async def _register_all(
+        self, orders: Iterable[control_pb2.RegisterReplica]
+    ) -> control_pb2.CarryReply:
+        """Register what a member passed on; each replica has a result of its own."""
+        made = (self._register_one(order) for order in orders)
+        results = await asyncio.gather(*made, return_exceptions=True)
+        for result in results:
+            if isinstance(result, BaseException):
+                raise result
+        reply = control_pb2.CarryReply(result=success())
+        reply.result.each.extend(results)  # type: ignore[arg-type]
+        return reply
+
+    async def _register_one(self, order: control_pb2.RegisterReplica) -> control_pb2.CommandResult:
+        if self._is_late(order):
+            return success()
+        return await self._batches.propose(order)
+
+    def _is_late(self, order: control_pb2.RegisterReplica) -> bool:
         """Whether a heartbeat is of a replica whose address another incarnation has.
 
-        If it is proved to run all the same, the command is marked to bring it back.
+        If it is proved to run all the same, the order is marked to bring it back.
         """
-        if command.WhichOneof("body") != "register_replica":
-            return False
-        order = command.register_replica
         if order.replica.gone or not self._member.state.fleet.is_replaced(order.replica.id):
             return False
         order.returns = self._returning.returns(order.replica)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/registration_relay.py
@@ -0,0 +1,102 @@
+"""Passes registrations of replicas on to the leader, many with one call.
+
+A crowd of new replicas meets members that do not lead for the most part. With a call for each,
+1,000 that came at once cost a member and the leader a second of processor time each, their
+answers came too late, and all came again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from typing import TYPE_CHECKING
+
+from heronladder_runtime.rpc_errors import RPC_ERRORS
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_control.registration_batches import MOST_AT_ONCE, MOST_WAITING
+
+if TYPE_CHECKING:
+    from heronladder_control.member import ControlMember
+
+_GATHER_S = 0.02  # while another call is under way (chosen)
+_CALLS = 4  # under way at once: a leader answers a call in up to 0.3 s before 300 routers (chosen)
+_CALL_S = 0.9  # what a replica waits at most
+_Waiting = tuple[control_pb2.RegisterReplica, "asyncio.Future[control_pb2.CarryReply | None]"]
+
+
+class RegistrationRelay:
+    """Registrations at a member that does not lead.
+
+    Args:
+        member: The control member.
+    """
+
+    def __init__(self, member: ControlMember) -> None:
+        self._member = member
+        self._waiting: deque[_Waiting] = deque()
+        self._calls = 0
+        self._running = False
+
+    async def ask(
+        self, order: control_pb2.RegisterReplica, left_s: float
+    ) -> control_pb2.CarryReply | None:
+        """Have the leader register a replica.
+
+        Returns:
+            Its answer; None if there was none in time, or too many wait.
+        """
+        if len(self._waiting) >= MOST_WAITING:
+            self._member.metrics.add("registrations_refused")
+            return None
+        answer: asyncio.Future[control_pb2.CarryReply | None] = (
+            asyncio.get_running_loop().create_future()
+        )
+        self._waiting.append((order, answer))
+        if not self._running:
+            self._running = True
+            self._member.tasks.start("registration_relay", self._run())
+        try:
+            return await asyncio.wait_for(answer, left_s)
+        except TimeoutError:
+            return None
+
+    async def _run(self) -> None:
+        try:
+            while self._waiting:
+                if self._calls:
+                    await asyncio.sleep(_GATHER_S)
+                if self._calls < _CALLS:
+                    taken = [
+                        self._waiting.popleft()
+                        for _ in range(min(MOST_AT_ONCE, len(self._waiting)))
+                    ]
+                    taken = [entry for entry in taken if not entry[1].done()]
+                    if taken:
+                        self._calls += 1
+                        self._member.tasks.start("registration_call", self._call(taken))
+        finally:
+            self._running = False
+
+    async def _call(self, taken: list[_Waiting]) -> None:
+        replies: list[control_pb2.CarryReply | None] = [None] * len(taken)
+        try:
+            replies = await self._replies(taken)
+        except RPC_ERRORS:
+            pass  # no answer: they are tried again for as long as those who ask wait
+        finally:
+            self._calls -= 1
+            for (_, answer), reply in zip(taken, replies, strict=True):
+                if not answer.done():
+                    answer.set_result(reply)
+
+    async def _replies(self, taken: list[_Waiting]) -> list[control_pb2.CarryReply | None]:
+        address = self._member.leader_address()
+        if not address:
+            return [control_pb2.CarryReply(not_leader=True) for _ in taken]
+        request = control_pb2.CarryRequest()
+        request.command.register_replicas.orders.extend(order for order, _ in taken)
+        reply = await self._member.stubs.control(address).Carry(request, timeout=_CALL_S)
+        if reply.not_leader or reply.unclear or len(reply.result.each) != len(taken):
+            return [reply for _ in taken]
+        return [control_pb2.CarryReply(result=own) for own in reply.result.each]
--- a/tests/test_crowd_of_replicas.py
+++ b/tests/test_crowd_of_replicas.py
@@ -5,11 +5,13 @@
 import time
 import unittest
 from pathlib import Path
+from unittest import mock
 
 from control_group import ControlGroup
 from heronladder_consensus.storage import LogStorage
 from heronladder_control.fleet_service import FleetOutcome, Standing
 from heronladder_control.member import ControlMember
+from heronladder_control.returning_replicas import RETURNS_AFTER_S
 from heronladder_control.state import ControlState
 from heronladder_runtime.disk import FolderDisk
 from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
@@ -135,6 +137,57 @@
                 self.assertEqual(known, 12 if size == len(whole) else 0, f"{size} bytes")
 
 
+class RelayTest(unittest.IsolatedAsyncioTestCase):
+    """A crowd at a member that does not lead."""
+
+    async def asyncSetUp(self) -> None:
+        self.group = ControlGroup(3)
+        await self.group.start()
+        self.addAsyncCleanup(self.group.stop)
+        asyncio.get_running_loop().set_debug(False)
+        leader = self.group.leader
+        assert leader is not None
+        self.leader = self._member(leader)
+        self.follower = self._member((leader + 1) % 3)
+
+    def _member(self, number: int) -> ControlMember:
+        member = self.group.running[number].control
+        assert member is not None
+        return member
+
+    async def test_a_crowd_passes_with_few_calls_and_each_has_its_own_answer(self) -> None:
+        """Each was a call of its own: 1,000 took the leader a second of processor time."""
+        calls = 0
+        carry = self.leader.fleet_service.carry
+
+        async def counted(request: control_pb2.CarryRequest) -> control_pb2.CarryReply:
+            nonlocal calls
+            calls += 1
+            return await carry(request)
+
+        with mock.patch.object(self.leader.fleet_service, "carry", counted):
+            outcomes = await _register_all(self.follower, 300)
+        self.assertEqual({outcome.standing for outcome in outcomes}, {Standing.DONE})
+        self.assertLess(calls, 30)
+        revisions = [outcome.result.revision for outcome in outcomes]
+        self.assertTrue(all(revisions))
+
+    async def test_one_taken_for_replaced_comes_back_over_a_member_that_does_not_lead(
+        self,
+    ) -> None:
+        """The leader alone judges late heartbeats, also those that another member passes on."""
+        service = self.follower.fleet_service
+        alive, ghost = _replica(1), _replica(2, address=_replica(1).address)
+        await service.register(alive)
+        await service.register(ghost)
+        async with asyncio.timeout(RETURNS_AFTER_S + 6.0):
+            while self.leader.state.fleet.is_replaced(alive.id) or not alive.sequence:
+                alive.sequence += 1
+                await service.register(alive)
+                await asyncio.sleep(0.3)
+        self.assertTrue(self.leader.state.fleet.is_replaced(ghost.id))
+
+
 class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
     """A crowd at a member that knows no leader."""
 
