More patience with a new stream after some that ended without a word

Ruled out: an empty first word from the leader, which would count as a sign of control. Change: 0.9 s for the first two as before, then 1.8, 2.7 and 3.6 s; 0.9 s again once one has a word.

--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -28,6 +28,9 @@
 
 _RECONNECT_PAUSE_S = 0.1
 _SESSION_SILENCE_HEARTBEATS = 3
+# Times as much for a new stream, after so many in a row without a word: 300 gateways gave theirs
+# up before a crowded leader came to them, and each cost it as much as one that lasts (chosen).
+_MOST_PATIENCE = 4
 
 
 class SessionRejectedError(HeronladderError):
@@ -79,6 +82,7 @@
         self._fresh_until = 0.0
         self._session: LinkSession | None = None
         self._hint = ""
+        self._wordless_streams = 0  # newest ones that were given up before a first word
         self._leaving = False
         self._began_anew = False  # the process goes on under a new incarnation
         self._became_fresh = asyncio.Event()
@@ -208,6 +212,8 @@
         try:
             async for frame in stream:
                 session.last_received = self._environment.monotonic()
+                session.has_word = True
+                self._wordless_streams = 0
                 self.bytes_received += frame.ByteSize()
                 if frame.not_leader:
                     self._hint = frame.leader_address
@@ -241,11 +247,13 @@
 
     async def _watch_silence(self, session: LinkSession, stream: object) -> None:
         """Beat at each interval; give the stream up once control has gone silent."""
-        limit = self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS
+        limit_s = self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS
         while True:
             await asyncio.sleep(self._heartbeat_interval_s)
-            if self._environment.monotonic() - session.last_received > limit:
+            times = 1 if session.has_word else max(1, min(self._wordless_streams, _MOST_PATIENCE))
+            if self._environment.monotonic() - session.last_received > times * limit_s:
                 session.given_up = True
+                self._wordless_streams += not session.has_word
                 stream.cancel()  # type: ignore[attr-defined]
                 return
             session.heartbeat_due = True
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -30,3 +30,4 @@
     heartbeat_due: bool = True  # at once: a new leader does not know how far we are
     closed: bool = False
     given_up: bool = False  # control was silent: the stream was cancelled here
+    has_word: bool = False  # whether control said anything on it
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -36,6 +36,24 @@
                 )
 
 
+class _Crowded(ControlServicer):
+    """Comes to a stream only after twice a link's patience; one given up is as dear."""
+
+    def __init__(self) -> None:
+        self.streams = 0
+
+    async def Session(
+        self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
+    ) -> AsyncIterator[control_pb2.ControlFrame]:
+        self.streams += 1
+        await asyncio.sleep(6.5 * _HEARTBEAT_S)
+        async for frame in request_iterator:
+            if frame.HasField("heartbeat"):
+                yield control_pb2.ControlFrame(
+                    heartbeat_ack=frame.heartbeat.number, freshness_ms=1000, control_time_ms=1
+                )
+
+
 class _SendsGarbageFirst(ControlServicer):
     """Sends a configuration that cannot be unpacked on its first stream, a sound one after."""
 
@@ -63,6 +81,18 @@
             while link.last_heard_s < 0:
                 await asyncio.sleep(0.05)
 
+    async def test_a_new_stream_has_more_patience_after_some_without_a_word(self) -> None:
+        """Before a crowded leader 300 gateways gave their streams up before it came to them,
+        and opened others, for ever."""
+        service = _Crowded()
+        async with _linked(service) as link, asyncio.timeout(10):
+            while link.last_heard_s < 0:
+                await asyncio.sleep(0.05)
+            self.assertGreater(service.streams, 2, "the first ones are given up as ever")
+            streams = service.streams
+            await asyncio.sleep(8 * _HEARTBEAT_S)
+            self.assertEqual(service.streams, streams, "the one with a word lasts")
+
     async def test_a_configuration_that_cannot_be_unpacked_is_fetched_anew(self) -> None:
         service = _SendsGarbageFirst()
         async with _linked(service) as link, asyncio.timeout(10):
