--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -106,6 +106,8 @@
                 return self.fleet.apply(index, order.apply_configuration.configuration)
             case "register_replica":
                 return self.fleet.register(index, order.register_replica)
+            case "register_replicas":
+                return self.fleet.register_all(index, order.register_replicas.orders)
             case "forget_replicas":
                 return self.fleet.forget(index, order.forget_replicas.ids)
             case "set_evacuation":
@@ -118,8 +120,11 @@
             case "note_promises":
                 return self.prepaid.note_promises(order.note_promises, self.is_current)
             case "close_prepaid_holder":
+                charged = self.prepaid.closed_charges
                 self.prepaid.close(order.close_prepaid_holder)
-                return success()
+                result = success()
+                result.charged = self.prepaid.closed_charges - charged
+                return result
         invariant(False, "commands_are_known", step="apply", detail=f"{body} at {index}")
         return success()
 
@@ -231,6 +236,7 @@
         self.in_force_revision = snapshot.in_force_revision
         self.named_group = snapshot.group
         self.resources.load(snapshot)
+        self.fleet.loaded()
         self.ledger.load(snapshot)
         self.claims.load(snapshot)
         self.daemons.load(snapshot)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -60,6 +60,9 @@
     "member_changed": "A member was added to the group or became a voter.",
     "member_counts_again": "A repaired member has caught up and counts for the quorum.",
     "member_failed": "A member cannot go on.",
+    "member_passed_over": (
+        "A replica that was sent to this member came back: for half a minute none is sent there."
+    ),
     "member_removed": "A member is out of the group.",
     "outcome_unknown": "It is not known whether a request ran; the agent will be asked.",
     "order_answered": "What became of a configuration, an evacuation or a leave, and the ms from"
@@ -79,6 +82,10 @@
     " out for `for_s`.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
     "replica_trusted": "A suspected replica gave a whole answer.",
+    "replicas_registered": (
+        "Registrations that came together went into the log as one entry: how many, how many"
+        " wait for the next one, and how many routers are told."
+    ),
     "replica_temperature": "A replica's word on being cold is news to the gateways.",
     "request_ended": "The end of a request that passed intake, with all that was counted.",
     "request_failed": "A fault of ours ended a request.",
@@ -115,6 +122,10 @@
 }
 
 METRIC_MEANINGS = {
+    "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
+    "members_passed_over": "Members from which a replica came back that was sent there.",
+    "registrations": "Registrations of replicas that went into the log.",
+    "registrations_refused": "Registrations turned away: too many waited for the log.",
     "agent_refusals": "Requests that an agent refused, by code.",
     "agent_run": "Time of a run at an agent.",
     "agent_tokens": "Tokens that engines made.",
