Plain services: wait for a place or be turned away, by what can be in time

Cause: a gateway sent at once whatever came; replicas of few places queued more than can be in time or turned it away unrun, each further send counted against the shared repeats, and all were told the same moment to come back. Change: decisions/waiting (room by shared sums and measured times of answers; rank, laxity, each fourth place to the oldest) and decisions/come_back (each refused caller a moment of its own), a queue at the gateway that asks them; setting wait_for_places. Ruled out: a bound of places and a fixed part of them: best for short queues of one length only; counting only what was sent: a gateway sees a thirtieth of it.

--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -158,6 +158,24 @@
     retry_after_s = 0.3
 
 
+class PlacesTakenError(CallerError):
+    """All places of a plain service are taken for longer than the request has; it was not sent.
+
+    Args:
+        message: When a place is expected.
+        step: What was being done.
+        peer: The service.
+        retry_after_s: When a place is expected for this caller, in seconds.
+    """
+
+    status = 503
+    code = "places_taken"
+
+    def __init__(self, message: str, *, step: str, peer: str, retry_after_s: float) -> None:
+        super().__init__(message, step=step, peer=peer)
+        self.retry_after_s = retry_after_s
+
+
 class AnswerLostError(CallerError):
     """A replica may have run the request, and its answer was lost or broken."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -10,7 +10,8 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
-from heronladder_router.decisions.placement import Placement, PlacementView, place
+from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
+from heronladder_router.decisions.waiting import ReplicaPlaces
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
 
@@ -177,6 +178,25 @@
             shares_load=self.load_age_s < _LOADS_HOLD_S,
         )
 
+    def places_of(self, wish: Wish) -> tuple[list[ReplicaPlaces], bool]:
+        """Return the places of the replicas that a request may go to, and if sums are heard."""
+        view = self._view(wish.service)
+        allowed = [
+            replica
+            for replica in view.replicas
+            if replica.record.zone not in view.evacuated and is_at_home(view, wish, replica)
+        ]
+        trusted = [replica for replica in allowed if not replica.failures]
+        places = [
+            ReplicaPlaces(
+                replica.record.slots,
+                replica.in_flight + replica.others_in_flight,
+                replica.busy_until_s > view.now_s,
+            )
+            for replica in trusted or allowed
+        ]
+        return places, view.shares_load
+
     def _bears_per_s(self, service: str) -> float:
         declared = self._services.get(service)
         return declared.cold_per_s if declared is not None else 0.0
@@ -262,6 +282,7 @@
         """Note that a replica had no room: others are preferred for a moment."""
         until_s = self._environment.monotonic() + _BUSY_S
         replica.suspect_until_s = max(replica.suspect_until_s, until_s)
+        replica.busy_until_s = until_s
 
     def failed(self, replica: FleetReplica, why: str, *, unreached: bool = False) -> None:
         """Note a failure: others are preferred for a while, longer each time.
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -24,6 +24,7 @@
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
 from heronladder_router.host_routes import HostRouteTable
+from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import (
     AnswerProgress,
     NotRunError,
@@ -83,6 +84,7 @@
     tokens: TokenAccess
     attempts: ReplicaAttempts
     allowance: SlidingAllowance
+    places: PlaceQueue
     environment: Environment
     metrics: Metrics
     log: EventLog
@@ -111,6 +113,7 @@
         progress = AnswerProgress()
         try:
             async with asyncio.timeout_at(request.deadline_s):
+                await self._parts.places.admit(request)
                 await self._send_until_answered(request, sink, progress)
         except TimeoutError as error:
             raise self._time_ran_out(request, sink, progress) from error
@@ -215,7 +218,7 @@
                 break
             self._log_send(request, replica, placement, sends, progress)
             try:
-                await self._parts.attempts.make(request, replica, sink, progress)
+                await self._make_attempt(request, replica, sink, progress)
                 return
             except NotRunError as error:
                 sends.rejected += 1
@@ -235,6 +238,25 @@
                 break
         await self._give_up(request, sink, progress, sends)
 
+    async def _make_attempt(
+        self,
+        request: GatewayRequest,
+        replica: FleetReplica,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+    ) -> None:
+        """Send once; what waits for a place hears of its end."""
+        if request.bounds is not None:
+            await self._parts.attempts.make(request, replica, sink, progress)
+            return
+        service = request.wish.service
+        sent_s = self._parts.environment.monotonic()
+        try:
+            await self._parts.attempts.make(request, replica, sink, progress)
+            self._parts.places.answered(service, self._parts.environment.monotonic() - sent_s)
+        finally:
+            self._parts.places.room(service)
+
     @staticmethod
     def _may_run_again(request: GatewayRequest, sends: _Sends) -> bool:
         route = request.matched.route
@@ -342,15 +364,17 @@
             return
         raise self._no_answer(request, sends)
 
-    @staticmethod
-    def _no_answer(request: GatewayRequest, sends: _Sends) -> CallerError:
+    def _no_answer(self, request: GatewayRequest, sends: _Sends) -> CallerError:
         service = request.wish.service
         if sends.runs:
             return AnswerLostError("the answer was lost", step="give_up", peer=service)
         if sends.rejected:
-            return RejectedEverywhereError(
+            error = RejectedEverywhereError(
                 "no replica took the request", step="give_up", peer=service
             )
+            if request.bounds is None:
+                error.retry_after_s = self._parts.places.come_back_s(service, error.retry_after_s)
+            return error
         kind = _NOT_SENT.get(sends.lacking, NoBackendError)
         return kind(f"no replica: {sends.lacking.value}", step="give_up", peer=service)
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -1,7 +1,7 @@
 """The gateway role: a router by host and path that sends to replicas itself."""
 
 import asyncio
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import Environment
@@ -19,6 +19,7 @@
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_server import GatewayServer
 from heronladder_router.host_routes import HostRouteTable
+from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
 from heronladder_router.sliding_allowance import SlidingAllowance
@@ -49,6 +50,7 @@
         zone_regions: Region of each zone.
         cold_over: What all gateways may send to a cold replica, in multiples of what it bears.
         cold_slack: Requests a second that they may send to it besides.
+        wait_for_places: Whether requests for plain services wait here or are turned away.
     """
 
     name: str
@@ -66,6 +68,7 @@
     zone_regions: dict[str, str] = field(default_factory=dict)
     cold_over: float = 1.5
     cold_slack: int = 5
+    wait_for_places: bool = True
 
 
 class GatewayRole:
@@ -100,7 +103,8 @@
         self.replicas = self._make_replicas()
         handlers.session_began = self.tokens.held.session_began
         handlers.fill_heartbeat = self._fill_heartbeat
-        handlers.replica_loads = self.replicas.others_told
+        self.places = self._make_places()
+        handlers.replica_loads = self._loads_told
         handlers.promises_noted = self.tokens.held.confirmed
         handlers.recall_prepaid = self.tokens.held.recall
         handlers.control_regained = self.tokens.held.control_regained
@@ -110,6 +114,7 @@
         self.link.configuration.listen(self._configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
         self.metrics.gauge("replicas_cold", lambda: self.replicas.cold_count)
+        self.metrics.gauge("requests_waiting_for_places", lambda: self.places.waiting_count)
         self.metrics.gauge("zones_evacuated", lambda: len(self.replicas.evacuated))
         self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
@@ -151,6 +156,20 @@
             self.log,
         )
 
+    def _make_places(self) -> PlaceQueue:
+        return PlaceQueue(
+            self.replicas.places_of,
+            lambda: self.link.routers,
+            self._environment,
+            self.metrics,
+            self.log,
+            waits=self.options.wait_for_places,
+        )
+
+    def _loads_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
+        self.replicas.others_told(loads)
+        self.places.loads_told()
+
     def _make_server(self) -> GatewayServer:
         options = self.options
         parts = GatewayParts(
@@ -165,6 +184,7 @@
                 options.retry_slack,
                 options.retry_window_s,
             ),
+            places=self.places,
             environment=self._environment,
             metrics=self.metrics,
             log=self.log,
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -24,6 +24,7 @@
         cold_sends_s: When this gateway sent to it while it was cold, for as long as that counts.
         others_in_flight: Requests of other gateways, as control told last.
         others_unread_tokens: Prompt tokens of theirs that are not read yet.
+        busy_until_s: Until when it is taken for full: it turned a request away unrun.
     """
 
     record: resources_pb2.Replica
@@ -37,6 +38,7 @@
     cold_sends_s: deque[float] = field(default_factory=deque)
     others_in_flight: int = 0
     others_unread_tokens: int = 0
+    busy_until_s: float = 0.0
 
     @property
     def name(self) -> str:
--- /dev/null
+++ b/tests/plain_service_model.py
@@ -0,0 +1,298 @@
+"""A plain service of few places behind many gateways, in virtual time; decisions are the real ones.
+
+Gateways hear the sums of what the others have under way each 0.3 s. A replica runs ``slots``
+requests at once, queues a few, and turns the rest away unrun. A refused caller comes back once.
+"""
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from heronladder_router.decisions.come_back import ComeBackView, come_back
+from heronladder_router.decisions.waiting import (
+    AnswerTimes,
+    ReplicaPlaces,
+    Verdict,
+    Waiter,
+    WaitingView,
+    ahead_of,
+    decide,
+    next_waiter,
+    turn_ms,
+)
+
+SUMS_S = 0.3  # between two hearings of the others' load
+WAY_S = 0.001  # one way between gateway and replica
+_BUSY_S = 0.15
+_SENDS = 4
+_MS = 1000.0  # in a second
+_SAFETY = 0.75  # of the repeats allowed, as the gateways' allowance keeps it
+
+
+@dataclass
+class Load:
+    """What comes, and what it meets."""
+
+    rate: Callable[[float], float]  # requests a second at a time
+    slots: list[int]
+    until_s: float = 10.0
+    gateways: int = 30
+    work_s: float = 0.09
+    queue: int = 2
+    objective_s: float = 0.415
+    deadline_s: float = 3.1
+    ranks: tuple[int, ...] = (0,)
+    repeat_ratio: float = 0.2
+    repeat_slack: int = 100
+
+
+@dataclass
+class Outcome:
+    """What became of all callers' requests; each is counted once."""
+
+    in_time: int = 0
+    late: int = 0
+    failed: int = 0
+    refusals: int = 0
+    sends: int = 0
+    turned_away: int = 0  # sends that a full replica did not run
+    told_s: list[float] = field(default_factory=list)
+    longest_wait_s: float = 0.0
+    by_rank: dict[int, list[int]] = field(default_factory=dict)
+
+    @property
+    def in_time_share(self) -> float:
+        """Share answered within the objective from the first attempt."""
+        return self.in_time / max(1, self.in_time + self.late + self.failed)
+
+
+@dataclass
+class _Request:
+    first_s: float
+    gateway: int
+    rank: int
+    number: int
+    arrived_s: float = 0.0
+    sent_s: float = 0.0
+    attempts: int = 0
+    sends: int = 0
+    tried: set[int] = field(default_factory=set)
+
+
+class _Replica:
+    def __init__(self, slots: int, queue: int) -> None:
+        self.slots, self.queue = slots, queue
+        self.running = 0
+        self.waiting: list[_Request] = []
+
+
+class PlainService:
+    """Plays a load; ``waits``: by the decision on waiting, else sent at once."""
+
+    def __init__(self, load: Load, seed: int, *, waits: bool) -> None:
+        self._load, self._waits = load, waits
+        self._random = random.Random(seed)
+        self._replicas = [_Replica(slots, load.queue) for slots in load.slots]
+        count, replicas = load.gateways, len(load.slots)
+        self._own = [[0] * replicas for _ in range(count)]
+        self._others = [[0] * replicas for _ in range(count)]
+        self._busy_s = [[0.0] * replicas for _ in range(count)]
+        self._queue: list[dict[int, tuple[Waiter, _Request]]] = [{} for _ in range(count)]
+        self._given = [0] * count
+        self._told_s = [0.0] * count
+        self._repeats = [0] * count
+        self._requests = [0] * count
+        self._measured = [AnswerTimes().after(load.work_s * _MS) for _ in range(count)]
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._numbers = itertools.count()
+        self.now_s = 0.0
+        self.outcome = Outcome()
+
+    def play(self) -> Outcome:
+        """Play until nothing is left to happen."""
+        self._at(self._random.expovariate(self._load.rate(0.0)), self._arrive)
+        for gateway in range(self._load.gateways):
+            first_s = self._random.random() * SUMS_S
+            self._at(first_s, lambda gateway=gateway: self._hear(gateway))  # type: ignore[misc]
+        while self._events:
+            self.now_s, _, event = heapq.heappop(self._events)
+            event()
+        return self.outcome
+
+    def _at(self, moment_s: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (moment_s, next(self._numbers), event))
+
+    def _hear(self, gateway: int) -> None:
+        for number in range(len(self._replicas)):
+            total = sum(own[number] for own in self._own)
+            self._others[gateway][number] = total - self._own[gateway][number]
+        self._room(gateway)
+        if self.now_s < self._load.until_s + self._load.deadline_s:
+            self._at(self.now_s + SUMS_S, lambda: self._hear(gateway))
+
+    # ---- callers ----------------------------------------------------------
+
+    def _arrive(self) -> None:
+        request = _Request(
+            self.now_s,
+            self._random.randrange(self._load.gateways),
+            self._random.choice(self._load.ranks),
+            next(self._numbers),
+        )
+        self._attempt(request)
+        next_s = self.now_s + self._random.expovariate(self._load.rate(self.now_s))
+        if next_s < self._load.until_s:
+            self._at(next_s, self._arrive)
+
+    def _attempt(self, request: _Request) -> None:
+        request.arrived_s = self.now_s
+        request.attempts += 1
+        request.gateway = self._random.randrange(self._load.gateways)
+        request.tried.clear()
+        request.sends = 0
+        self._requests[request.gateway] += 1
+        self._consider(request)
+
+    def _end(self, request: _Request, answered: bool) -> None:
+        took_s = self.now_s - request.first_s
+        outcome = self.outcome
+        in_time = answered and took_s <= self._load.objective_s
+        if in_time:
+            outcome.in_time += 1
+        elif answered and took_s <= self._load.deadline_s:
+            outcome.late += 1
+        else:
+            outcome.failed += 1
+        counts = outcome.by_rank.setdefault(request.rank, [0, 0])
+        counts[0] += in_time
+        counts[1] += 1
+
+    def _refuse(self, request: _Request, after_s: float) -> None:
+        self.outcome.refusals += 1
+        self.outcome.told_s.append(self.now_s + after_s)
+        if request.attempts > 1:
+            self._end(request, answered=False)
+        else:
+            self._at(self.now_s + after_s, lambda: self._attempt(request))
+
+    # ---- at a gateway -----------------------------------------------------
+
+    def _view(self, gateway: int, ahead: int, left_s: float) -> WaitingView:
+        places = [
+            ReplicaPlaces(
+                replica.slots,
+                self._own[gateway][number] + self._others[gateway][number],
+                self._busy_s[gateway][number] > self.now_s,
+            )
+            for number, replica in enumerate(self._replicas)
+        ]
+        measured = self._measured[gateway]
+        return WaitingView(places, True, self._load.gateways, measured, ahead, left_s * _MS)
+
+    def _consider(self, request: _Request) -> None:
+        if not self._waits:
+            self._send(request)
+            return
+        left_s = self._load.objective_s - (self.now_s - request.arrived_s)
+        waiting = self._queue[request.gateway]
+        waiter = Waiter(request.number, request.rank, self.now_s + left_s)
+        ahead = ahead_of(waiter, [other for other, _ in waiting.values()])
+        verdict = decide(self._view(request.gateway, ahead, left_s))
+        if verdict.verdict is Verdict.SEND:
+            self._send(request)
+        elif verdict.verdict is Verdict.TURN_AWAY:
+            self._refuse(request, self._told(request.gateway, verdict.expected_ms / _MS))
+        else:
+            waiting[request.number] = (waiter, request)
+            last_s = self.now_s + verdict.last_start_ms / _MS
+            self._at(last_s, lambda: self._last_start(request))
+
+    def _told(self, gateway: int, free_in_s: float) -> float:
+        answer_ms = self._measured[gateway].least_ms
+        turn_s = turn_ms(sum(self._load.slots), answer_ms, self._load.gateways)
+        view = ComeBackView(self.now_s, free_in_s, turn_s / _MS, self._told_s[gateway])
+        told = come_back(view)
+        self._told_s[gateway] = told.told_until_s
+        return told.after_s
+
+    def _last_start(self, request: _Request) -> None:
+        if self._queue[request.gateway].pop(request.number, None) is not None:
+            self._release(request)
+
+    def _release(self, request: _Request) -> None:
+        waited_s = self.now_s - request.arrived_s
+        self.outcome.longest_wait_s = max(self.outcome.longest_wait_s, waited_s)
+        self._send(request)
+
+    def _room(self, gateway: int) -> None:
+        waiting = self._queue[gateway]
+        while waiting:
+            view = self._view(gateway, 0, self._load.objective_s)
+            if decide(view).verdict is not Verdict.SEND:
+                return
+            chosen = next_waiter([waiter for waiter, _ in waiting.values()], self._given[gateway])
+            self._given[gateway] += 1
+            self._release(waiting.pop(chosen.number)[1])
+
+    def _send(self, request: _Request) -> None:
+        gateway = request.gateway
+        pool = [number for number in range(len(self._replicas)) if number not in request.tried]
+        sound = [number for number in pool if self._busy_s[gateway][number] <= self.now_s]
+        if request.sends:
+            allowed = self._load.repeat_ratio * self._requests[gateway]
+            allowed += self._load.repeat_slack / self._load.gateways
+            if (
+                not pool
+                or request.sends >= _SENDS
+                or self._repeats[gateway] + 1 > _SAFETY * allowed
+            ):
+                self._refuse(request, self._told(gateway, 0.1) if self._waits else 0.3)
+                return
+            self._repeats[gateway] += 1
+        chosen = min(
+            sound or pool,
+            key=lambda number: (
+                self._own[gateway][number] + self._others[gateway][number] + self._random.random()
+            ),
+        )
+        request.sends += 1
+        request.sent_s = self.now_s
+        self.outcome.sends += 1
+        self._own[gateway][chosen] += 1
+        self._at(self.now_s + WAY_S, lambda: self._reach(request, chosen))
+
+    # ---- at a replica -----------------------------------------------------
+
+    def _reach(self, request: _Request, number: int) -> None:
+        replica = self._replicas[number]
+        if replica.running < replica.slots:
+            self._run(request, number)
+        elif len(replica.waiting) < replica.queue:
+            replica.waiting.append(request)
+        else:
+            self.outcome.turned_away += 1
+            self._at(self.now_s + WAY_S, lambda: self._rejected(request, number))
+
+    def _run(self, request: _Request, number: int) -> None:
+        self._replicas[number].running += 1
+        took_s = self._load.work_s * self._random.uniform(0.8, 1.2)
+        self._at(self.now_s + took_s, lambda: self._ran(request, number))
+
+    def _ran(self, request: _Request, number: int) -> None:
+        replica = self._replicas[number]
+        replica.running -= 1
+        if replica.waiting:
+            self._run(replica.waiting.pop(0), number)
+        self._own[request.gateway][number] -= 1
+        measured = self._measured[request.gateway]
+        self._measured[request.gateway] = measured.after((self.now_s - request.sent_s) * _MS)
+        self._end(request, answered=True)
+        self._room(request.gateway)
+
+    def _rejected(self, request: _Request, number: int) -> None:
+        self._own[request.gateway][number] -= 1
+        self._busy_s[request.gateway][number] = self.now_s + _BUSY_S
+        request.tried.add(number)
+        self._send(request)
