Gateways are not ready while their link or loop is behind

Cause: the callers of one tenant keep to one gateway; its 5 Mbit/s are full, requests wait half a second each way while its neighbours have nothing to do, and it goes on saying that it is ready. Change: decisions/take goes by the way of a heartbeat to control and back and by how late its timer wakes; only one with more than twice the mean under way is behind, so fewer than half can be; back at half of the limit or after 4 s. Answers then ask callers to connect anew. Setting behind_after_ms, 0: off. Ruled out: bytes waiting in the sockets (the way in cannot be seen there, and it is as full); the limit alone (control that is slow would make all of them unready).

--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -45,6 +45,7 @@
         ),
         cold_over=gateway.cold_over_percent / _PERCENT,
         cold_slack=gateway.cold_slack,
+        behind_after_ms=gateway.behind_after_ms,
         wait_for_places=bool(gateway.wait_for_places),
     )
     return GatewayRole(options, stubs, environment)
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -234,6 +234,16 @@
             replica.others_in_flight = loads[replica.name].in_flight if known else 0
             replica.others_unread_tokens = loads[replica.name].unread_tokens if known else 0
 
+    def under_way(self) -> tuple[int, int | None]:
+        """Return the requests of this gateway, and of all others, that replicas hold.
+
+        The others' are None where they are not known.
+        """
+        own = sum(replica.in_flight for replica in self._replicas.values())
+        if self.load_age_s >= _LOADS_HOLD_S:
+            return own, None
+        return own, sum(replica.others_in_flight for replica in self._replicas.values())
+
     # ---- what was seen of a replica ---------------------------------------
 
     def sent(self, replica: FleetReplica, wish: Wish) -> int:
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -369,7 +369,7 @@
         if sends.runs:
             return AnswerLostError("the answer was lost", step="give_up", peer=service)
         if sends.rejected:
-            error = RejectedEverywhereError(
+            error: CallerError = RejectedEverywhereError(
                 "no replica took the request", step="give_up", peer=service
             )
             if request.bounds is None:
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -23,6 +23,7 @@
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
 from heronladder_router.sliding_allowance import SlidingAllowance
+from heronladder_router.taking import Taking
 from heronladder_router.tokens.access import LendingOptions, TokenAccess
 
 _STOP_POLL_S = 0.02
@@ -51,6 +52,7 @@
         cold_over: What all gateways may send to a cold replica, in multiples of what it bears.
         cold_slack: Requests a second that they may send to it besides.
         wait_for_places: Whether requests for plain services wait here or are turned away.
+        behind_after_ms: Not ready while link or loop are later than that, in ms; 0: never.
     """
 
     name: str
@@ -69,6 +71,7 @@
     cold_over: float = 1.5
     cold_slack: int = 5
     wait_for_places: bool = True
+    behind_after_ms: float = 0.0
 
 
 class GatewayRole:
@@ -104,6 +107,14 @@
         handlers.session_began = self.tokens.held.session_began
         handlers.fill_heartbeat = self._fill_heartbeat
         self.places = self._make_places()
+        self.taking = Taking(
+            options.behind_after_ms,
+            self.link,
+            self.replicas,
+            environment,
+            self.metrics,
+            self.log,
+        )
         handlers.replica_loads = self._loads_told
         handlers.promises_noted = self.tokens.held.confirmed
         handlers.recall_prepaid = self.tokens.held.recall
@@ -169,6 +180,8 @@
     def _loads_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         self.replicas.others_told(loads)
         self.places.loads_told()
+        self.taking.look()
+        self.server.moving = self.taking.behind
 
     def _make_server(self) -> GatewayServer:
         options = self.options
@@ -229,7 +242,12 @@
         silent_s = self._environment.monotonic() - self.link.last_heard_s
         heard = silent_s < self.options.stale_limit_s
         held = self.link.standing.must_hold
-        return self.server.ready and heard and not held and not self.server.closing
+        return (
+            self.server.ready
+            and heard
+            and not held
+            and not (self.server.closing or self.server.moving)
+        )
 
     async def drain(
         self, grace_s: float, notice_s: float, stop_accepting: Callable[[], Awaitable[None]]
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -117,6 +117,7 @@
         self._log = log
         self.in_flight = 0
         self.closing = False  # answers ask callers to connect anew
+        self.moving = False  # callers are asked to connect anew: this gateway is behind
         self.refusing = False  # requests are refused: this gateway is about to end
         self.ready = False  # a configuration was confirmed by control
         own = (
@@ -133,7 +134,7 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
-        sink = _CallerSink(request, self.closing)
+        sink = _CallerSink(request, self.closing or self.moving)
         arrived_s = self._environment.monotonic()
         self.in_flight += 1
         try:
@@ -306,6 +307,6 @@
         not_run = error.outcome == ledger_pb2.OUTCOME_NOT_RUN
         if error.retry_after_s is not None and not_run:
             response.headers["Retry-After"] = f"{error.retry_after_s:g}"
-        if self.closing:
+        if self.closing or self.moving:
             response.force_close()
         return response
--- a/packages/heronladder-router/src/heronladder_router/place_queue.py
+++ b/packages/heronladder-router/src/heronladder_router/place_queue.py
@@ -41,7 +41,7 @@
     waiting: dict[int, tuple[Waiter, "asyncio.Future[None]", Wish]] = field(default_factory=dict)
     given: int = 0
     told_until_s: float = -math.inf
-    measured: AnswerTimes = AnswerTimes()
+    measured: AnswerTimes = field(default_factory=AnswerTimes)
     places: int = 0
 
 
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/taking.py
@@ -0,0 +1,83 @@
+"""Asks whether this gateway is ready by its link and loop, and keeps the answer."""
+
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+
+from heronladder_router.decisions.take import TakeView, take
+from heronladder_router.fleet_replicas import FleetReplicas
+
+
+class Taking:
+    """Whether new connections are wanted, as far as link and loop go.
+
+    Args:
+        limit_ms: Behind from there, by link or loop; 0: never.
+        link: The link to control, whose heartbeats it goes by.
+        replicas: Tells what gateways have under way.
+        environment: Time.
+        metrics: Where changes are counted.
+        log: Where changes are logged.
+    """
+
+    def __init__(
+        self,
+        limit_ms: float,
+        link: ControlLink,
+        replicas: FleetReplicas,
+        environment: Environment,
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        self._limit_ms = limit_ms
+        self._link = link
+        self._replicas = replicas
+        self._environment = environment
+        self._metrics = metrics
+        self._log = log
+        self._behind_since_s: float | None = None
+        if limit_ms:
+            metrics.gauge("heartbeat_round_trip_seconds", lambda: link.round_trip_s)
+            metrics.gauge("loop_late_seconds", lambda: link.loop_late_s)
+            metrics.gauge("gateway_behind", lambda: int(self.behind))
+
+    @property
+    def behind(self) -> bool:
+        """Whether this gateway is behind."""
+        return self._behind_since_s is not None
+
+    def look(self) -> None:
+        """Decide anew; called with each answer of control to a heartbeat."""
+        if not self._limit_ms:
+            return
+        now_s = self._environment.monotonic()
+        since_s = self._behind_since_s
+        own, others = self._replicas.under_way()
+        view = TakeView(
+            limit_ms=self._limit_ms,
+            link_ms=self._link.round_trip_s * MILLISECONDS_PER_SECOND,
+            loop_ms=self._link.loop_late_s * MILLISECONDS_PER_SECOND,
+            own=own,
+            others=others,
+            gateways=self._link.routers,
+            behind_s=None if since_s is None else now_s - since_s,
+        )
+        decided = take(view)
+        if decided.ready is not self.behind:
+            return
+        self._behind_since_s = None if decided.ready else now_s
+        self._metrics.add("gateway_behind_changes", decided.standing.value)
+        self._log.info(
+            "gateway_ready_again" if decided.ready else "gateway_behind",
+            step="take",
+            reason=decided.standing.value,
+            link_ms=int(view.link_ms),
+            loop_ms=int(view.loop_ms),
+            limit_ms=int(view.limit_ms),
+            own=own,
+            others=-1 if others is None else others,
+            mean=decided.mean,
+            gateways=view.gateways,
+            behind_ms=int((view.behind_s or 0.0) * MILLISECONDS_PER_SECOND),
+        )
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -85,6 +85,8 @@
         self._control_time_ms = 0
         self.last_heard_s = float("-inf")  # newest heartbeat that a leader answered
         self.regained_s = float("-inf")  # end of the newest long silence of control
+        self.round_trip_s = 0.0  # of the newest heartbeat that was acknowledged
+        self.loop_late_s = 0.0  # how late the timer between heartbeats woke last
         self.routers = 1  # routers that control counts, this one among them
 
     def add_addresses(self, addresses: list[str]) -> None:
@@ -243,7 +245,9 @@
         """Beat at each interval; give the stream up once control has gone silent."""
         limit = self._heartbeat_interval_s * _SESSION_SILENCE_HEARTBEATS
         while True:
+            due_s = self._environment.monotonic() + self._heartbeat_interval_s
             await asyncio.sleep(self._heartbeat_interval_s)
+            self.loop_late_s = self._environment.monotonic() - due_s
             if self._environment.monotonic() - session.last_received > limit:
                 session.given_up = True
                 stream.cancel()  # type: ignore[attr-defined]
@@ -367,6 +371,7 @@
         sent = session.heartbeat_times.pop(frame.heartbeat_ack, None)
         if sent is None:
             return
+        self.round_trip_s = self._environment.monotonic() - sent
         if self._leaving or not frame.freshness_ms:
             return
         until = sent + frame.freshness_ms / MILLISECONDS_PER_SECOND
--- /dev/null
+++ b/tests/test_taking.py
@@ -0,0 +1,205 @@
+"""A gateway that is not ready while its link or its loop is behind."""
+
+import asyncio
+import unittest
+from dataclasses import dataclass
+
+from heronladder_router.decisions.take import Standing, TakeView, take
+from platform_stand_ins import (
+    Fleet,
+    Received,
+    StandInReplica,
+    StartedGateway,
+    answer,
+    configuration,
+    route,
+    start_fleet,
+)
+from shaped_link import ShapedLink
+
+_LIMIT_MS = 300.0
+_BEAT_S = 0.3
+_LINK_BYTES_PER_S = 5_000_000 / 8
+_REQUEST_BYTES = 5_000  # over the link each way: prompt, answer, heads (of one played day)
+_ANSWER_S = 0.3
+
+
+@dataclass
+class _Link:
+    """A gateway's link in virtual time: what waits on it, and what it has under way."""
+
+    waiting_bytes: float = 0.0
+    behind_since_s: float | None = None
+    told_behind_at_s: float = -1.0
+    longest_ms: float = 0.0
+
+    @property
+    def wait_s(self) -> float:
+        return self.waiting_bytes / _LINK_BYTES_PER_S
+
+
+class HotTenantTest(unittest.TestCase):
+    """One tenant sends four times its usual; the platform sends it to one ready gateway."""
+
+    def _play(self, limit_ms: float, gateways: int = 12) -> list[_Link]:
+        links = [_Link() for _ in range(gateways)]
+        step_s = 0.05
+        kept = 0  # the gateway that the tenant's callers keep to
+        for step in range(int(12.0 / step_s)):
+            now_s = step * step_s
+            hot_per_s = 160.0 if 2.0 <= now_s < 8.0 else 40.0
+            # Callers hear of a gateway that is behind after two questions of a balancer.
+            if 0 <= links[kept].told_behind_at_s < now_s - 0.6:
+                free = [n for n, link in enumerate(links) if link.told_behind_at_s < 0]
+                kept = min(free, key=lambda n: (n - kept) % gateways) if free else kept
+            for number, link in enumerate(links):
+                per_s = 12.0 + (hot_per_s if number == kept else 0.0)
+                link.waiting_bytes += per_s * step_s * _REQUEST_BYTES
+                link.waiting_bytes = max(0.0, link.waiting_bytes - _LINK_BYTES_PER_S * step_s)
+                link.longest_ms = max(link.longest_ms, link.wait_s * 1000)
+            if step % int(_BEAT_S / step_s) == 0:
+                self._beat(links, now_s, kept, hot_per_s, limit_ms)
+        return links
+
+    @staticmethod
+    def _beat(
+        links: list[_Link], now_s: float, kept: int, hot_per_s: float, limit_ms: float
+    ) -> None:
+        under_way = [
+            int((12.0 + (hot_per_s if n == kept else 0.0)) * (_ANSWER_S + 2 * link.wait_s))
+            for n, link in enumerate(links)
+        ]
+        for number, link in enumerate(links):
+            since_s = link.behind_since_s
+            decided = take(
+                TakeView(
+                    limit_ms,
+                    2 * link.wait_s * 1000,
+                    0.0,
+                    under_way[number],
+                    sum(under_way) - under_way[number],
+                    len(links),
+                    None if since_s is None else now_s - since_s,
+                )
+            )
+            if decided.ready:
+                link.behind_since_s, link.told_behind_at_s = None, -1.0
+            elif since_s is None:
+                link.behind_since_s = link.told_behind_at_s = now_s
+
+    def test_no_link_is_as_full_as_where_a_gateway_is_always_ready(self) -> None:
+        """Always ready, the one gateway's link holds seconds of what came."""
+        always = max(link.longest_ms for link in self._play(0.0))
+        decided = max(link.longest_ms for link in self._play(_LIMIT_MS))
+        self.assertGreater(always, 1_500)
+        self.assertLess(decided, 700)
+
+
+def _view(
+    *,
+    limit_ms: float = _LIMIT_MS,
+    link_ms: float = 0.0,
+    loop_ms: float = 0.0,
+    own: int = 100,
+    others: int | None = 100,
+    gateways: int = 20,
+    behind_s: float | None = None,
+) -> TakeView:
+    return TakeView(limit_ms, link_ms, loop_ms, own, others, gateways, behind_s)
+
+
+class TakeTest(unittest.TestCase):
+    def test_fewer_than_half_can_be_behind_whatever_they_have(self) -> None:
+        for loads in ([50] * 20, [0] * 19 + [900], [10, 90] * 10, list(range(0, 200, 10))):
+            behind = [
+                own
+                for own in loads
+                if not take(_view(link_ms=9_000, own=own, others=sum(loads) - own)).ready
+            ]
+            self.assertLess(len(behind), len(loads) / 2)
+
+    def test_a_late_loop_counts_as_a_full_link_does(self) -> None:
+        self.assertFalse(take(_view(loop_ms=400)).ready)
+        self.assertFalse(take(_view(link_ms=400)).ready)
+        self.assertTrue(take(_view(link_ms=300)).ready)
+
+    def test_it_is_ready_where_it_cannot_compare_itself(self) -> None:
+        self.assertEqual(take(_view(link_ms=900, others=None)).standing, Standing.UNKNOWN)
+        self.assertEqual(take(_view(link_ms=900, others=0, gateways=1)).standing, Standing.UNKNOWN)
+        self.assertEqual(take(_view(link_ms=900, own=7, others=0)).standing, Standing.SHARED)
+
+    def test_it_comes_back_with_a_margin_or_after_a_while(self) -> None:
+        self.assertFalse(take(_view(link_ms=200, behind_s=1.0)).ready)
+        self.assertTrue(take(_view(link_ms=149, behind_s=1.0)).ready)
+        self.assertEqual(take(_view(link_ms=900, behind_s=4.1)).standing, Standing.LONG_ENOUGH)
+
+    def test_it_can_be_turned_off(self) -> None:
+        self.assertEqual(take(_view(limit_ms=0.0, link_ms=9_000)).standing, Standing.OFF)
+
+
+class SocketsTest(unittest.IsolatedAsyncioTestCase):
+    """Three gateways; the link of one turns slow while it has most of the work."""
+
+    async def asyncSetUp(self) -> None:
+        self.fleet: Fleet = await start_fleet(
+            configuration(1, route("/slow/", kind="unsafe", timeoutMs=20_000))
+        )
+        self.link = ShapedLink([self.fleet.control_grpc])
+        await self.link.start()
+        await self.fleet.add_gateway("front-3")
+        self.busy: StartedGateway = await self.fleet.add_gateway("front-2", self.link)
+        self.go_on = asyncio.Event()
+        self.slow: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+
+    async def asyncTearDown(self) -> None:
+        self.go_on.set()
+        self.slow.cancel()
+        await self.fleet.stop()
+        await self.link.stop()
+
+    async def _make_slow(self) -> None:
+        """Hold up what goes to control, as a full link does, for half a second at a time."""
+        try:
+            while True:
+                self.link.there.stop()
+                await asyncio.sleep(0.5)
+                self.link.there.let_go()
+                await asyncio.sleep(0.05)
+        finally:
+            self.link.there.let_go()
+
+    async def _ready(self, gateway: StartedGateway) -> bool:
+        got = await self.fleet.call(gateway.ready_address, "GET", "/api/readyz")
+        return got.status == 200
+
+    async def _until(self, ready: bool) -> None:
+        async with asyncio.timeout(10):
+            while await self._ready(self.busy) is not ready:
+                await asyncio.sleep(0.05)
+
+    async def test_it_says_so_and_asks_callers_to_connect_anew(self) -> None:
+        async def hold(replica: StandInReplica, received: Received) -> bytes:
+            await self.go_on.wait()
+            return answer(received)
+
+        await self.fleet.add_replica("i-1", hold, slots=64)
+        calls = [
+            asyncio.ensure_future(
+                self.fleet.request_at(self.busy.address, "/slow/", Request_Id=f"s{number}")
+            )
+            for number in range(12)
+        ]
+        await self._until(True)
+        self.slow = asyncio.ensure_future(self._make_slow())
+        await self._until(False)
+        self.assertTrue(await self._ready(self.fleet.gateways[0]))
+        self.go_on.set()
+        for got in await asyncio.gather(*calls):
+            self.assertEqual(got.status, 200)
+            self.assertEqual(got.headers.get("Connection"), "close")
+        self.slow.cancel()
+        await self._until(True)
+
+
+if __name__ == "__main__":
+    unittest.main()
