--- a/packages/heronladder-router/src/heronladder_router/taking.py
+++ b/packages/heronladder-router/src/heronladder_router/taking.py
@@ -69,8 +69,9 @@
         self._behind_since_s = None if decided.ready else now_s
         self._metrics.add("gateway_behind_changes", decided.standing.value)
         self._log.info(
-            "gateway_ready_again" if decided.ready else "gateway_behind",
+            "gateway_taking",
             step="take",
+            ready=decided.ready,
             reason=decided.standing.value,
             link_ms=int(view.link_ms),
             loop_ms=int(view.loop_ms),
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -37,6 +37,7 @@
         "hold_ordered",
         "configuration_behind",
         "configuration_caught_up",
+        "gateway_taking",
     }
 )
 _OF_CONTROL = frozenset(
@@ -49,7 +50,7 @@
         "evacuation_applied",
     }
 )
-_GENERAL = ("configuration", "control", "daemon", "leader", "zone")  # about no one replica
+_GENERAL = ("configuration", "control", "daemon", "gateway", "leader", "zone")  # about no one replica
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
