--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -50,7 +50,8 @@
         "evacuation_applied",
     }
 )
-_GENERAL = ("configuration", "control", "daemon", "gateway", "leader", "zone")  # about no one replica
+# About no one replica.
+_GENERAL = ("configuration", "control", "daemon", "gateway", "leader", "zone")
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,8 +21,8 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
-    "gateway_taking": "A gateway is not ready because its link or its loop is behind and it has more"
-    " under way than twice the mean, or is ready again.",
+    "gateway_taking": "A gateway is not ready because its link or its loop is behind and it has"
+    " more under way than twice the mean, or is ready again.",
     "place_decided": "A request for a plain service waits for a place, is sent although places"
     " seem taken, or is turned away; with what decided it.",
     "place_waited": "A request was sent after it waited for a place: there was room, or it was its"
@@ -114,14 +114,10 @@
 }
 
 METRIC_MEANINGS = {
-    "gateway_behind": "1 while this gateway is not ready because it is behind.",
     "gateway_behind_changes": "Times that a gateway became ready or not by its link and loop, by"
     " reason.",
-    "heartbeat_round_trip_seconds": "Time of the newest heartbeat to control and back.",
-    "loop_late_seconds": "How late the heartbeat's timer woke last.",
     "place_verdicts": "Requests for plain services that did not just find room, by verdict.",
     "place_wait": "Time that requests waited for a place, by service.",
-    "requests_waiting_for_places": "Requests that wait for a place now.",
     "agent_refusals": "Requests that an agent refused, by code.",
     "agent_run": "Time of a run at an agent.",
     "agent_tokens": "Tokens that engines made.",
