Streams are given up by what first events of their service take

Cause: three times the objective is longer than the deadline where objectives are long (3,657 ms of 3,047): what was lost there was never sent again. Change: decisions/patience, four times what four of five first events take, from 1 s up to three times the objective as before; setting measured_patience.

--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -47,6 +47,7 @@
         cold_slack=gateway.cold_slack,
         behind_after_ms=gateway.behind_after_ms,
         measured_speed=bool(gateway.measured_speed),
+        measured_patience=bool(gateway.measured_patience),
         wait_for_places=bool(gateway.wait_for_places),
     )
     return GatewayRole(options, stubs, environment)
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/decisions/patience.py
@@ -0,0 +1,78 @@
+"""How long a stream that may be sent again is waited for before it is taken for lost.
+
+Load patterns: answers that are lost on their way, replicas that hang. A fixed share of the
+objective is longer than the whole deadline where objectives are long beside deadlines (three
+times 1,219 ms, of 3,047), so what was lost there is never sent again; and it is short where a
+service is slow for all. So patience is a multiple of what most first events of the service
+take, measured at this gateway, and never over the share of the objective.
+
+What is given up counts as a first event that took so long: where all are slow, patience grows
+and little is broken off while its replica is at work, which costs more than a late answer.
+"""
+
+from dataclasses import dataclass
+from enum import Enum
+
+_OBJECTIVES = 3.0  # while little is measured, and at most
+_SHORTEST_S = 1.0  # nothing is given up sooner (chosen)
+_TIMES = 4.0  # of what most first events take (chosen)
+# Up to a fifth of the answers may be lost without patience growing (chosen).
+_MOST = 0.8
+_RATE = 0.1  # of the value, by which it moves: up by 0.08 of it, down by 0.02 (chosen)
+_LEAST_SEEN = 20  # first events before they are believed (chosen)
+
+
+class Measure(Enum):
+    """What patience goes by."""
+
+    OBJECTIVE = "objective"
+    MEASURED = "measured"
+
+
+@dataclass(frozen=True)
+class FirstEventTimes:
+    """What four of five first events of a service stay within.
+
+    Attributes:
+        most_within_s: That time.
+        seen: First events so far.
+    """
+
+    most_within_s: float = 0.0
+    seen: int = 0
+
+    def after(self, took_s: float) -> "FirstEventTimes":
+        """Return what is known after one more first event, or one that was given up."""
+        if not self.seen:
+            return FirstEventTimes(took_s, 1)
+        share = _MOST if took_s > self.most_within_s else _MOST - 1
+        return FirstEventTimes(self.most_within_s * (1 + _RATE * share), self.seen + 1)
+
+
+@dataclass(frozen=True)
+class Patience:
+    """How long is waited, and by what.
+
+    Attributes:
+        for_s: How long.
+        measure: By what.
+    """
+
+    for_s: float
+    measure: Measure
+
+
+def patience(objective_s: float, times: FirstEventTimes) -> Patience:
+    """Return how long the first event of a stream is waited for.
+
+    Args:
+        objective_s: Time in which it is in time.
+        times: First events of the service.
+    """
+    most_s = max(_SHORTEST_S, _OBJECTIVES * objective_s)
+    if times.seen < _LEAST_SEEN:
+        return Patience(most_s, Measure.OBJECTIVE)
+    measured_s = max(_SHORTEST_S, _TIMES * times.most_within_s)
+    if measured_s >= most_s:
+        return Patience(most_s, Measure.OBJECTIVE)
+    return Patience(measured_s, Measure.MEASURED)
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -10,6 +10,7 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
+from heronladder_router.decisions.patience import FirstEventTimes
 from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, Speed
 from heronladder_router.decisions.waiting import ReplicaPlaces
@@ -30,11 +31,13 @@
         zone: Its zone.
         zone_regions: Region of each zone.
         measures_speed: Whether replicas are compared by measured speed, not by constants.
+        measures_patience: Whether streams are waited for by measured first events.
     """
 
     zone: str
     zone_regions: Mapping[str, str]
     measures_speed: bool = True
+    measures_patience: bool = True
 
 
 class FleetReplicas:
@@ -64,6 +67,7 @@
         self._replicas: dict[str, FleetReplica] = {}
         self._of_service: dict[str, list[FleetReplica]] = {}
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
+        self._first_events: dict[str, FirstEventTimes] = {}
         self._measured: dict[str, MeasuredSpeed] = {}
         self._restored: dict[str, bool] = {}  # by zone on record: whether it was taken back
         self.evacuated: frozenset[str] = frozenset()
@@ -286,6 +290,8 @@
 
     def first_event(self, replica: FleetReplica, seen: FirstEvent) -> None:
         """Take in how long a first event of a model's stream took."""
+        took_s = seen.took_ms / MILLISECONDS_PER_SECOND
+        self._note_first_event(replica.record.service, took_s)
         if not self._where.measures_speed:
             return
         measured = self._measured.get(replica.record.service, MeasuredSpeed())
@@ -293,6 +299,18 @@
         replica.pace = replica.pace.after(seen, measured.speed(), now_s)
         self._measured[replica.record.service] = measured.after(seen)
 
+    def first_events(self, service: str) -> FirstEventTimes:
+        """Return how long the first events of a service take."""
+        return self._first_events.get(service, FirstEventTimes())
+
+    def given_up(self, replica: FleetReplica, after_s: float) -> None:
+        """Note that no answer of a replica began in so long."""
+        self._note_first_event(replica.record.service, after_s)
+
+    def _note_first_event(self, service: str, took_s: float) -> None:
+        if self._where.measures_patience:
+            self._first_events[service] = self.first_events(service).after(took_s)
+
     @staticmethod
     def began(replica: FleetReplica, unread: int) -> None:
         """Note that the first event of a request came, or that none will."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -54,6 +54,7 @@
         wait_for_places: Whether requests for plain services wait here or are turned away.
         behind_after_ms: Not ready while link or loop are later than that, in ms; 0: never.
         measured_speed: Whether replicas are compared by measured speed, not by constants.
+        measured_patience: Whether streams are waited for by measured first events.
     """
 
     name: str
@@ -74,6 +75,7 @@
     wait_for_places: bool = True
     behind_after_ms: float = 0.0
     measured_speed: bool = True
+    measured_patience: bool = True
 
 
 class GatewayRole:
@@ -162,7 +164,12 @@
             lambda: GatewaysKnown(self.tokens.lenders.names, self.link.routers),
         )
         return FleetReplicas(
-            Surroundings(options.zone, options.zone_regions, options.measured_speed),
+            Surroundings(
+                options.zone,
+                options.zone_regions,
+                options.measured_speed,
+                options.measured_patience,
+            ),
             cold,
             self.link.configuration,
             self._environment,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -7,6 +7,7 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.errors import HeronladderError
 
+from heronladder_router.decisions.patience import patience
 from heronladder_router.decisions.speed import FirstEvent
 from heronladder_router.event_stream import EventCutter
 from heronladder_router.fleet_replicas import FleetReplicas
@@ -38,8 +39,6 @@
         "content-length",
     }
 )
-_SLOWEST_FIRST_ANSWER = 3.0  # objectives; then one that may be repeated is taken for lost
-_SHORTEST_FIRST_ANSWER_S = 1.0
 _LONGEST_GAP_S = 2.0
 
 
@@ -175,14 +174,17 @@
             async with asyncio.timeout(self._patience_s(request)):
                 return await send
         except TimeoutError as error:
-            raise RunLostError("no answer began in time", step="send", peer=replica.name) from error
+            waited_s = self._patience_s(request)
+            self._replicas.given_up(replica, waited_s)
+            raise RunLostError(
+                f"no answer began in time ({waited_s:.2f} s)", step="send", peer=replica.name
+            ) from error
         except ReplicaNotReachedError as error:
             raise NotRunError(error.message, step="connect", peer=replica.name) from error
 
-    @staticmethod
-    def _patience_s(request: GatewayRequest) -> float:
+    def _patience_s(self, request: GatewayRequest) -> float:
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        return max(_SHORTEST_FIRST_ANSWER_S, _SLOWEST_FIRST_ANSWER * objective_s)
+        return patience(objective_s, self._replicas.first_events(request.wish.service)).for_s
 
     def _headers(
         self, request: GatewayRequest, replica: FleetReplica, progress: AnswerProgress
@@ -249,7 +251,11 @@
                 async with asyncio.timeout(patience_s if resumable else None):
                     chunk = await content.readany()
             except TimeoutError as error:
-                raise RunLostError("the stream stalled", step="read_stream") from error
+                if not cutter.events:
+                    reading.given_up(patience_s)
+                raise RunLostError(
+                    f"the stream stalled ({patience_s:.2f} s)", step="read_stream"
+                ) from error
             if not chunk:
                 break
             whole = cutter.feed(chunk)
@@ -301,6 +307,10 @@
         )
         self.done()
 
+    def given_up(self, after_s: float) -> None:
+        """Note that no event came in so long."""
+        self._replicas.given_up(self._replica, after_s)
+
     def done(self) -> None:
         """Note that the prompt is read, or will not be."""
         tokens, self._tokens = self._tokens, 0
