--- a/packages/heronladder-router/src/heronladder_router/decisions/waiting.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/waiting.py
@@ -28,6 +28,9 @@
 # Requests whose answers are lost count as taken until their time runs out. While the newest
 # answers took less than this share of the time left, such sums are not believed (chosen).
 _DOUBT_SHARE = 0.35
+# Of the time left: where the gateway's own link takes more, what is under way and how long answers
+# take tell of the link and not of the service (chosen).
+_LINK_SHARE = 0.25
 _SHORTEST_MS = 5.0  # no answer is taken for faster (chosen)
 
 
@@ -43,6 +46,7 @@
     """The reason of a verdict."""
 
     NOT_COUNTED = "places_not_counted"
+    LINK = "link_is_slow"
     DOUBTED = "answers_are_quick"
     FREE = "place_free"
     FULL = "full_in_time"
@@ -75,6 +79,7 @@
         measured: Times of answers, as this gateway measured them.
         ahead: Requests that wait here and go first.
         left_ms: Time left in which its answer is in time.
+        link_ms: Way over this gateway's link and back, as measured last.
     """
 
     replicas: Collection[ReplicaPlaces]
@@ -83,6 +88,7 @@
     measured: "AnswerTimes"
     ahead: int
     left_ms: float
+    link_ms: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -117,6 +123,8 @@
     free = sum(_room(replica, turns) for replica in view.replicas)
     if free > view.ahead:
         return Waiting(Verdict.SEND, Why.FREE, free=free, places=places)
+    if view.link_ms > _LINK_SHARE * view.left_ms:
+        return Waiting(Verdict.SEND, Why.LINK, free=free, places=places)
     shed = any(replica.busy for replica in view.replicas)
     if not shed and view.measured.newest_ms < _DOUBT_SHARE * view.left_ms:
         return Waiting(Verdict.SEND, Why.DOUBTED, free=free, places=places)
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -183,6 +183,7 @@
         return PlaceQueue(
             self.replicas.places_of,
             lambda: self.link.routers,
+            lambda: self.link.round_trip_s,
             self._environment,
             self.metrics,
             self.log,
--- a/packages/heronladder-router/src/heronladder_router/place_queue.py
+++ b/packages/heronladder-router/src/heronladder_router/place_queue.py
@@ -51,6 +51,7 @@
     Args:
         places_of: Tells the places of the replicas that a request may be sent to.
         gateways: Tells how many gateways send to the same services.
+        link_s: Tells the way over this gateway's link and back, in seconds.
         environment: Time.
         metrics: Where verdicts are counted.
         log: Where verdicts are logged.
@@ -61,6 +62,7 @@
         self,
         places_of: PlacesOf,
         gateways: Callable[[], int],
+        link_s: Callable[[], float],
         environment: Environment,
         metrics: Metrics,
         log: EventLog,
@@ -69,6 +71,7 @@
     ) -> None:
         self._places_of = places_of
         self._gateways = gateways
+        self._link_s = link_s
         self._environment = environment
         self._metrics = metrics
         self._log = log
@@ -114,7 +117,15 @@
     def _decide(self, queue: _ServiceQueue, wish: Wish, ahead: int, left_s: float) -> Waiting:
         replicas, heard = self._places_of(wish)
         left_ms = left_s * MILLISECONDS_PER_SECOND
-        view = WaitingView(replicas, heard, self._gateways(), queue.measured, ahead, left_ms)
+        view = WaitingView(
+            replicas,
+            heard,
+            self._gateways(),
+            queue.measured,
+            ahead,
+            left_ms,
+            self._link_s() * MILLISECONDS_PER_SECOND,
+        )
         decided = decide(view)
         queue.places = decided.places
         return decided
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -127,6 +127,13 @@
         decided = decide(_view(ReplicaPlaces(6, 29), ReplicaPlaces(6, 29), measured=_ANSWER))
         self.assertEqual((decided.verdict, decided.why), (Verdict.SEND, Why.DOUBTED))
 
+    def test_a_full_link_of_the_gateway_does_not_look_like_a_full_service(self) -> None:
+        """Turned away at the one gateway whose link was full (grown locks, seed 906234049784)."""
+        full = ReplicaPlaces(6, 12)
+        view = WaitingView([full] * 5, True, 26, AnswerTimes(195.0, 698.0), 0, 415.0, 336.0)
+        self.assertEqual(decide(view).why, Why.LINK)
+        self.assertEqual(decide(view).verdict, Verdict.SEND)
+
     def test_one_that_came_back_is_not_put_behind(self) -> None:
         new, back = Waiter(1, 1, 10.4), Waiter(2, 1, 10.1)
         self.assertEqual(next_waiter([new, back], 0), back)
