--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,6 +1,6 @@
 """Replicas of a fleet as a gateway sees them."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -20,6 +20,7 @@
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
 _BUSY_S = 0.15
+_LINK_SHARE = 0.25  # of a first event, from which it tells of the link (chosen)
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 
 
@@ -32,12 +33,14 @@
         zone_regions: Region of each zone.
         measures_speed: Whether replicas are compared by measured speed, not by constants.
         measures_patience: Whether streams are waited for by measured first events.
+        link_s: Tells the way over the gateway's link and back, in seconds.
     """
 
     zone: str
     zone_regions: Mapping[str, str]
     measures_speed: bool = True
     measures_patience: bool = True
+    link_s: Callable[[], float] = lambda: 0.0
 
 
 class FleetReplicas:
@@ -292,7 +295,9 @@
         """Take in how long a first event of a model's stream took."""
         took_s = seen.took_ms / MILLISECONDS_PER_SECOND
         self._note_first_event(replica.record.service, took_s)
-        if not self._where.measures_speed:
+        # What a full link of this gateway holds up tells nothing of engines.
+        link_full = self._where.link_s() > _LINK_SHARE * took_s
+        if link_full or not self._where.measures_speed:
             return
         measured = self._measured.get(replica.record.service, MeasuredSpeed())
         now_s = self._environment.monotonic()
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -172,6 +172,7 @@
                 options.zone_regions,
                 options.measured_speed,
                 options.measured_patience,
+                lambda: self.link.round_trip_s,
             ),
             cold,
             self.link.configuration,
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -7,10 +7,15 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.decisions.placement import PlacementView, place
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, ReplicaPace, Speed
+from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.configuration import ConfigurationStore
+from heronladder_runtime.logs import EventLog
 from heronladder_schema.v1 import resources_pb2
 
 _SERVICE = "model"
@@ -184,6 +189,22 @@
         self.assertLess(pace.factor(112.0), 1.3)
         self.assertEqual(ReplicaPace().factor(100.0), 1.0)
 
+    def test_a_full_link_of_the_gateway_tells_nothing_of_engines(self) -> None:
+        """A gateway with a full link passed keepers over: 1.6 times as much was read again."""
+        cold = ColdLimits("g", 1.5, 5, lambda: GatewaysKnown({"g"}, 1))
+        link_s = 0.5
+        where = Surroundings("z", {}, link_s=lambda: link_s)
+        store = ConfigurationStore("g")
+        replicas = FleetReplicas(where, cold, store, Environment(), EventLog("test", "g"))
+        replica = FleetReplica(resources_pb2.Replica(id="r", service=_SERVICE), KeptParts(0))
+        for _ in range(20):
+            replicas.first_event(replica, FirstEvent(500, 2, 1_300))
+        self.assertEqual(replicas.speed(_SERVICE), Speed())
+        self.assertEqual(replica.pace, ReplicaPace())
+        link_s = 0.01
+        replicas.first_event(replica, FirstEvent(500, 2, 1_300))
+        self.assertGreater(replicas.speed(_SERVICE).token_ms, Speed().token_ms)
+
 
 if __name__ == "__main__":
     unittest.main()
