--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -26,6 +26,11 @@
 _RUN_S = 0.4  # after the first event
 
 
+class _Clock(Environment):
+    def monotonic(self) -> float:
+        return 100.0
+
+
 @dataclass
 class _Replica:
     """An engine that reads prompts one after the other."""
@@ -195,7 +200,7 @@
         link_s = 0.5
         where = Surroundings("z", {}, link_s=lambda: link_s)
         store = ConfigurationStore("g")
-        replicas = FleetReplicas(where, cold, store, Environment(), EventLog("test", "g"))
+        replicas = FleetReplicas(where, cold, store, _Clock(), EventLog("test", "g"))
         replica = FleetReplica(resources_pb2.Replica(id="r", service=_SERVICE), KeptParts(0))
         for _ in range(20):
             replicas.first_event(replica, FirstEvent(500, 2, 1_300))
