--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -48,7 +48,6 @@
         behind_after_ms=gateway.behind_after_ms,
         measured_speed=bool(gateway.measured_speed),
         measured_patience=bool(gateway.measured_patience),
-        hopeless_retries=bool(gateway.hopeless_retries),
         wait_for_places=bool(gateway.wait_for_places),
     )
     return GatewayRole(options, stubs, environment)
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -20,7 +20,6 @@
         outcome: Whether the request ran.
         retry_after_s: When the caller may come back, in seconds; None: it need not.
         by_configuration: Whether it holds only by the newest configuration.
-        free_expected: Whether what binds is expected to come free at all.
     """
 
     status = 500
@@ -28,7 +27,6 @@
     outcome: ledger_pb2.Outcome.ValueType = ledger_pb2.OUTCOME_NOT_RUN
     retry_after_s: float | None = None
     by_configuration = False
-    free_expected = True
 
     def __init__(self, message: str, *, step: str, peer: str = "") -> None:
         super().__init__(message, step=step, peer=peer)
@@ -110,19 +108,14 @@
         step: What was being done.
         peer: The tenant.
         retry_after_s: When they are likely to be had, in seconds.
-        spent: Whether none are expected: only the operator, or a lost router that is back,
-            can change that.
     """
 
     status = 503
     code = "prepaid_unavailable"
 
-    def __init__(
-        self, message: str, *, step: str, peer: str, retry_after_s: float, spent: bool = False
-    ) -> None:
+    def __init__(self, message: str, *, step: str, peer: str, retry_after_s: float) -> None:
         super().__init__(message, step=step, peer=peer)
         self.retry_after_s = retry_after_s
-        self.free_expected = not spent
 
 
 class NotReadyError(CallerError):
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -55,7 +55,6 @@
         behind_after_ms: Not ready while link or loop are later than that, in ms; 0: never.
         measured_speed: Whether replicas are compared by measured speed, not by constants.
         measured_patience: Whether streams are waited for by measured first events.
-        hopeless_retries: Whether refusals for what is not expected free have a Retry-After.
     """
 
     name: str
@@ -77,7 +76,6 @@
     behind_after_ms: float = 0.0
     measured_speed: bool = True
     measured_patience: bool = True
-    hopeless_retries: bool = False
 
 
 class GatewayRole:
@@ -128,7 +126,6 @@
         handlers.lenders = self.tokens.lenders.update
         self._client = ReplicaClient()
         self.server = self._make_server()
-        self.server.hopeless_retries = options.hopeless_retries
         self.link.configuration.listen(self._configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
         self.metrics.gauge("replicas_cold", lambda: self.replicas.cold_count)
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -119,7 +119,6 @@
         self.closing = False  # answers ask callers to connect anew
         self.moving = False  # callers are asked to connect anew: this gateway is behind
         self.refusing = False  # requests are refused: this gateway is about to end
-        self.hopeless_retries = False  # Retry-After also where nothing is expected to come free
         self.ready = False  # a configuration was confirmed by control
         own = (
             names.deadline_ms,
@@ -282,9 +281,6 @@
     def _refuse(self, request: web.BaseRequest, known: CallerError) -> web.Response:
         error = self._as_known(known)
         request_id = request.headers.get(self._names.request_id, "")
-        after_s = error.retry_after_s
-        if not (error.free_expected or self.hopeless_retries):
-            after_s = None  # 1,872 came back in two plays for such tokens, 13 were served
         self._metrics.add("refused", error.code)
         self._log.info(
             "request_refused",
@@ -293,7 +289,7 @@
             request_id=request_id,
             code=error.code,
             status=error.status,
-            retry_after_s=after_s,
+            retry_after_s=error.retry_after_s,
             version=self._routes.version,
             revision=self._link.configuration.revision,
             in_force=self._link.standing.in_force_revision,
@@ -309,8 +305,8 @@
         if request_id:
             response.headers[self._names.request_id] = request_id
         not_run = error.outcome == ledger_pb2.OUTCOME_NOT_RUN
-        if after_s is not None and not_run:
-            response.headers["Retry-After"] = f"{after_s:g}"
+        if error.retry_after_s is not None and not_run:
+            response.headers["Retry-After"] = f"{error.retry_after_s:g}"
         if self.closing or self.moving:
             response.force_close()
         return response
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -142,7 +142,6 @@
             step=_STEP,
             peer=tenant,
             retry_after_s=got.retry_after_s or _RETRY_AT_OTHERS_S,
-            spent=got.spent,
         )
 
     def state_of(self, tenant: str) -> str:
--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -45,7 +45,6 @@
         tokens: How many were wanted.
         outcome: Of the lender that knew most; unspecified if none answered.
         retry_after_s: When tokens are likely to be had, in seconds.
-        spent: Whether none are expected to come free.
         asked: Lenders that were asked.
         until_s: For so long others that want as many are refused unasked.
     """
@@ -53,7 +52,6 @@
     tokens: int
     outcome: lending_pb2.LoanOutcome.ValueType = _NO_ANSWER
     retry_after_s: float = 0.0
-    spent: bool = False
     asked: list[str] = field(default_factory=list)
     until_s: float = float("-inf")
 
@@ -71,7 +69,6 @@
         if self.outcome in (_NO_ANSWER, lending_pb2.LOAN_OUTCOME_NO_CONTROL):
             self.outcome = reply.outcome
             self.retry_after_s = retry_after_s
-            self.spent = reply.spent
 
 
 class Loan:
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -34,7 +34,6 @@
 _REFUSAL_HOLDS_S = 0.4
 _TRIM_INTERVAL_S = 1.0
 _LEAST_TRIMMED_TOKENS = 50_000
-_SPENT = "what is left is charged for lost routers"
 _RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 _STEP = "reserve_prepaid"
 
@@ -122,7 +121,8 @@
             PrepaidExhaustedError: If no router can hold so many.
             PrepaidUnavailableError: If they could not be got hold of in time.
         """
-        deadline_s = self._environment.monotonic() + wait_s
+        now_s = self._environment.monotonic()
+        deadline_s = now_s + wait_s
         while True:
             balance = self._balance(tenant.name)
             if balance.free >= tokens:
@@ -154,11 +154,8 @@
         )
 
     @staticmethod
-    def _unavailable(
-        tenant: str, why: str, retry_s: float, *, spent: bool = False
-    ) -> PrepaidUnavailableError:
-        at = {"step": _STEP, "peer": tenant}
-        return PrepaidUnavailableError(why, **at, retry_after_s=retry_s, spent=spent)
+    def _unavailable(tenant: str, why: str, retry_after_s: float) -> PrepaidUnavailableError:
+        return PrepaidUnavailableError(why, step=_STEP, peer=tenant, retry_after_s=retry_after_s)
 
     # ---- draws ------------------------------------------------------------
 
@@ -269,7 +266,8 @@
             balance.refused_until_s = self._environment.monotonic() + _REFUSAL_HOLDS_S
             raise self._exhausted(balance.tenant, tokens)
         if not result.recallable:
-            raise self._unavailable(balance.tenant, _SPENT, _RETRY_LATE_S, spent=True)
+            why = "what is left is charged for lost routers"
+            raise self._unavailable(balance.tenant, why, _RETRY_LATE_S)
         await asyncio.sleep(_RECALL_PAUSE_S)
 
     async def _draw(
--- a/packages/heronladder-router/src/heronladder_router/tokens/lending.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lending.py
@@ -248,7 +248,6 @@
             reply.outcome = lending_pb2.LOAN_OUTCOME_NO_CONTROL
         else:
             reply.outcome = lending_pb2.LOAN_OUTCOME_SHORT
-        reply.spent = not error.free_expected
         reply.retry_after_ms = int((error.retry_after_s or 0.0) * MILLISECONDS_PER_SECOND)
 
     def _log_answer(self, request: lending_pb2.LendRequest, reply: lending_pb2.LendReply) -> None:
