--- a/packages/heronladder-router/src/heronladder_router/decisions/patience.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/patience.py
@@ -15,6 +15,9 @@
 
 _OBJECTIVES = 3.0  # while little is measured, and at most
 _SHORTEST_S = 1.0  # nothing is given up sooner (chosen)
+# Objectives, before which nothing is given up: long prompts at slow engines took over 1 s where
+# most first events take 0.1 s, and were given up twice (8 of 488 failed so in a trial).
+_LEAST_OBJECTIVES = 2.0
 _TIMES = 4.0  # of what most first events take (chosen)
 # Up to a fifth of the answers may be lost without patience growing (chosen).
 _MOST = 0.8
@@ -72,7 +75,8 @@
     most_s = max(_SHORTEST_S, _OBJECTIVES * objective_s)
     if times.seen < _LEAST_SEEN:
         return Patience(most_s, Measure.OBJECTIVE)
-    measured_s = max(_SHORTEST_S, _TIMES * times.most_within_s)
+    least_s = max(_SHORTEST_S, _LEAST_OBJECTIVES * objective_s)
+    measured_s = max(least_s, _TIMES * times.most_within_s)
     if measured_s >= most_s:
         return Patience(most_s, Measure.OBJECTIVE)
     return Patience(measured_s, Measure.MEASURED)
