--- a/packages/heronladder-router/src/heronladder_router/decisions/speed.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/speed.py
@@ -17,13 +17,16 @@
 _RUNNING_MS = 3.0
 _FIRST_STEP_MS = 20.0  # of a first event, whatever was asked (the users' sheets: work of 20 ms)
 _BOUND = 4.0  # of the constants, either way (chosen)
-_KEEP = 0.98  # of earlier streams of a service with each new one: some 50 count (chosen)
-# The constants count as much as five streams of 2,000 unread tokens beside five others (chosen).
-_TOKEN_WEIGHT = 5 * 2_000.0**2
-_RUNNING_WEIGHT = 5 * 5.0**2
+_KEEP = 0.995  # of earlier streams of a service with each new one: some 200 count (chosen)
+# The constants count as much as 20 streams of 2,000 unread tokens beside five others (chosen).
+_TOKEN_WEIGHT = 20 * 2_000.0**2
+_RUNNING_WEIGHT = 20 * 5.0**2
 _REPLICA_KEEP = 0.7  # of earlier streams of a replica: some three count (chosen)
-_REPLICA_WEIGHT_MS = 200.0  # of first events at the pace of the service that count beside (chosen)
-_FASTEST, _SLOWEST = 0.5, 4.0  # factor of a replica (chosen)
+_REPLICA_WEIGHT_MS = 100.0  # of first events at the pace of the service that count beside (chosen)
+# A factor below is taken for chance: each passing over of a replica that keeps a shared part has
+# it read again elsewhere (0.031 of worth for that on an own day where it was 0.024 by constants).
+_SLOW_FROM = 1.5
+_SLOWEST = 4.0
 _FORGET_S = 2.0  # half of what a factor says is forgotten in that time (chosen)
 
 
@@ -127,7 +130,8 @@
         kept = self._kept(now_s)
         took_ms = kept * self.took_ms + _REPLICA_WEIGHT_MS
         expected_ms = kept * self.expected_ms + _REPLICA_WEIGHT_MS
-        return min(_SLOWEST, max(_FASTEST, took_ms / expected_ms))
+        factor = min(_SLOWEST, took_ms / expected_ms)
+        return factor if factor >= _SLOW_FROM else 1.0
 
     def _kept(self, now_s: float) -> float:
         return float(0.5 ** (max(0.0, now_s - self.seen_s) / _FORGET_S))
