A gateway that was behind is ready for four seconds at least

Cause: still behind after the longest time, it was unready again at the next heartbeat: 0.3 s ready of 4.3. Test: by the decision alone over 60 s; seen failing with no rest.

--- a/packages/heronladder-router/src/heronladder_router/decisions/take.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/take.py
@@ -12,6 +12,7 @@
 whatever happens.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum
 
@@ -22,6 +23,7 @@
 # Then it is ready again whatever its times say: they may be long for another reason, and an
 # eighth of all time unready is a duty missed (chosen).
 _LONGEST_S = 4.0
+_REST_S = 4.0  # ready at least so long in between: half of the time at the worst (chosen)
 
 
 class Standing(Enum):
@@ -32,6 +34,7 @@
     IN_TIME = "in_time"
     SHARED = "no_more_than_others"
     BEHIND = "behind"
+    RESTS = "was_behind_just_now"
     LONG_ENOUGH = "behind_long_enough"
 
 
@@ -47,6 +50,7 @@
         others: Those of all other gateways; None: not known.
         gateways: How many there are.
         behind_s: For how long it has been behind; None: it is not.
+        ready_s: For how long it has been ready since it was behind.
     """
 
     limit_ms: float
@@ -56,6 +60,7 @@
     others: int | None
     gateways: int
     behind_s: float | None
+    ready_s: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -92,4 +97,6 @@
         return Take(True, Standing.IN_TIME, late_ms, mean)
     if view.own < _LEAST_IN_FLIGHT or view.own <= _MEANS * mean:
         return Take(True, Standing.SHARED, late_ms, mean)
+    if view.ready_s < _REST_S:
+        return Take(True, Standing.RESTS, late_ms, mean)
     return Take(False, Standing.BEHIND, late_ms, mean)
--- a/packages/heronladder-router/src/heronladder_router/taking.py
+++ b/packages/heronladder-router/src/heronladder_router/taking.py
@@ -1,5 +1,7 @@
 """Asks whether this gateway is ready by its link and loop, and keeps the answer."""
 
+import math
+
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.logs import EventLog
@@ -37,6 +39,7 @@
         self._metrics = metrics
         self._log = log
         self._behind_since_s: float | None = None
+        self._ready_since_s = -math.inf
         if limit_ms:
             metrics.gauge("heartbeat_round_trip_seconds", lambda: link.round_trip_s)
             metrics.gauge("loop_late_seconds", lambda: link.loop_late_s)
@@ -62,11 +65,15 @@
             others=others,
             gateways=self._link.routers,
             behind_s=None if since_s is None else now_s - since_s,
+            ready_s=now_s - self._ready_since_s,
         )
         decided = take(view)
         if decided.ready is not self.behind:
             return
-        self._behind_since_s = None if decided.ready else now_s
+        if decided.ready:
+            self._behind_since_s, self._ready_since_s = None, now_s
+        else:
+            self._behind_since_s = now_s
         self._metrics.add("gateway_behind_changes", decided.standing.value)
         self._log.info(
             "gateway_taking",
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -133,6 +133,23 @@
         self.assertTrue(take(_view(link_ms=149, behind_s=1.0)).ready)
         self.assertEqual(take(_view(link_ms=900, behind_s=4.1)).standing, Standing.LONG_ENOUGH)
 
+    def test_it_is_ready_for_half_of_the_time_whatever_its_times_say(self) -> None:
+        """An eighth of all time unready is a duty missed; it was behind again after 0.3 s."""
+        ready_beats, ready_since_s = 0, -100.0
+        behind_since_s: float | None = None
+        for beat in range(200):
+            now_s = beat * _BEAT_S
+            behind_s = None if behind_since_s is None else now_s - behind_since_s
+            decided = take(
+                TakeView(_LIMIT_MS, 900, 0.0, 100, 100, 20, behind_s, now_s - ready_since_s)
+            )
+            ready_beats += decided.ready
+            if decided.ready and behind_since_s is not None:
+                behind_since_s, ready_since_s = None, now_s
+            elif not decided.ready and behind_since_s is None:
+                behind_since_s = now_s
+        self.assertGreater(ready_beats, 90)
+
     def test_it_can_be_turned_off(self) -> None:
         self.assertEqual(take(_view(limit_ms=0.0, link_ms=9_000)).standing, Standing.OFF)
 
