A gateway that is behind looks again also while control is silent

Cause: only control's answers to heartbeats had it decide anew: cut from control while behind, it would have stayed unready. Test: over sockets, control held up; seen failing before (still 503).

--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -191,6 +191,9 @@
     def _loads_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         self.replicas.others_told(loads)
         self.places.loads_told()
+        self._look_at_load()
+
+    def _look_at_load(self) -> None:
         self.taking.look()
         self.server.moving = self.taking.behind
 
@@ -250,6 +253,8 @@
 
     def ready(self) -> bool:
         """Whether new connections are wanted."""
+        if self.taking.behind:
+            self._look_at_load()
         silent_s = self._environment.monotonic() - self.link.last_heard_s
         heard = silent_s < self.options.stale_limit_s
         held = self.link.standing.must_hold
--- a/packages/heronladder-router/src/heronladder_router/taking.py
+++ b/packages/heronladder-router/src/heronladder_router/taking.py
@@ -51,7 +51,11 @@
         return self._behind_since_s is not None
 
     def look(self) -> None:
-        """Decide anew; called with each answer of control to a heartbeat."""
+        """Decide anew.
+
+        Called with each answer of control to a heartbeat, and by whoever asks while this gateway
+        is behind: control may have gone silent since.
+        """
         if not self._limit_ms:
             return
         now_s = self._environment.monotonic()
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -3,8 +3,14 @@
 import asyncio
 import unittest
 from dataclasses import dataclass
+from types import SimpleNamespace
+from typing import Any, cast
 
 from heronladder_router.decisions.take import Standing, TakeView, take
+from heronladder_router.taking import Taking
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
 from platform_stand_ins import (
     Fleet,
     Received,
@@ -154,6 +160,35 @@
         self.assertEqual(take(_view(limit_ms=0.0, link_ms=9_000)).standing, Standing.OFF)
 
 
+class _Clock(Environment):
+    now_s = 100.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+class SilentControlTest(unittest.TestCase):
+    def test_a_gateway_is_not_behind_for_ever_while_control_is_silent(self) -> None:
+        """Nothing but the answers of control had it look again."""
+        link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20)
+        replicas = SimpleNamespace(under_way=lambda: (100, 100))
+        clock = _Clock()
+        taking = Taking(
+            _LIMIT_MS,
+            cast(Any, link),
+            cast(Any, replicas),
+            clock,
+            Metrics(),
+            EventLog("test", "gateway"),
+        )
+        taking.look()
+        self.assertTrue(taking.behind)
+        replicas.under_way = lambda: (100, None)
+        clock.now_s += 4.1
+        taking.look()
+        self.assertFalse(taking.behind)
+
+
 class SocketsTest(unittest.IsolatedAsyncioTestCase):
     """Three gateways; the link of one turns slow while it has most of the work."""
 
@@ -217,6 +252,18 @@
         self.slow.cancel()
         await self._until(True)
 
+    async def test_it_is_ready_again_also_where_control_has_gone_silent(self) -> None:
+        gateway = self.busy.daemon.gateway
+        assert gateway is not None
+        await self._until(True)
+        gateway.link.round_trip_s = 0.9
+        gateway.taking._behind_since_s = gateway._environment.monotonic()
+        gateway.server.moving = True
+        self.link.there.stop()  # nothing of control comes any more
+        self.assertFalse(await self._ready(self.busy))
+        gateway.taking._behind_since_s -= 4.1
+        self.assertTrue(await self._ready(self.busy))
+
 
 if __name__ == "__main__":
     unittest.main()
