Simulation: further seeds for two broken promises

The order of messages changed with the leader's chores and batches: test_simulation's broken claims and broken attempts were not noticed with their seeds (10, 15, 21; 11, 17, 24), as the code before was with those. Their seeds stay, and two that show each breakage are added (22, 23; 29, 31): what the tests ask is the same.

--- a/tests/test_simulation.py
+++ b/tests/test_simulation.py
@@ -147,7 +147,7 @@
             lambda self, key: False,
             "doubled",
             "billed_twice",
-            seeds=(11, 17, 24),
+            seeds=(11, 17, 24, 29, 31),
             faults=("bad-weather", "service-fault"),
         )
 
@@ -164,7 +164,7 @@
             take,
             "doubled",
             "billed_twice",
-            seeds=(10, 15, 21),
+            seeds=(10, 15, 21, 22, 23),
             faults=("router-crash", "bad-weather", "one-way-cut"),
         )
 
