--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -206,6 +206,8 @@
     async def asyncTearDown(self) -> None:
         self.go_on.set()
         self.slow.cancel()
+        self.link.there.let_go()
+        self.link.back.let_go()
         await self.fleet.stop()
         await self.link.stop()
 
@@ -256,10 +258,12 @@
         gateway = self.busy.daemon.gateway
         assert gateway is not None
         await self._until(True)
+        self.link.there.stop()  # nothing of control comes any more, once what is on its way has
+        self.link.back.stop()
+        await asyncio.sleep(0.1)
         gateway.link.round_trip_s = 0.9
         gateway.taking._behind_since_s = gateway._environment.monotonic()
         gateway.server.moving = True
-        self.link.there.stop()  # nothing of control comes any more
         self.assertFalse(await self._ready(self.busy))
         gateway.taking._behind_since_s -= 4.1
         self.assertTrue(await self._ready(self.busy))
