A leader overtaken by a vain term stands again at once

An order waited 3.1 s for a leader.

A leader that hears of a newer term, knows no leader of it and has voted for nobody in it stands at once, and once more 0.3 s later; members that hear it grant it their (pre-)vote, as hearing it is no reason to wait for it. That it keeps to its own vote, and that one who has just voted gives no pre-vote to others, stays. Ruled out: ignoring the newer term, which must be passed for the candidate to follow again.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, Any
 
 from heronladder_runtime.errors import StorageError
+from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import consensus_pb2
 
@@ -38,6 +39,7 @@
         self._lock = asyncio.Lock()
         self._knew_a_leader = False  # since this process started
         self._voted_s = float("-inf")  # when it gave its newest vote
+        self._overtaken = Pulse()
 
     async def run(self) -> None:
         """Stand whenever no leader was heard of for an election timeout."""
@@ -46,20 +48,49 @@
             patience = _PATIENCE if self._knew_a_leader else _FIRST_PATIENCE
             chance = node.environment.random.random()
             timeout_s = node.timing.election_timeout_s * (patience + chance)
-            await asyncio.sleep(timeout_s)
+            if await self._overtaken.wait(timeout_s):
+                await self._lead_again()
+                continue
             silent_s = node.environment.monotonic() - node.last_heard_s
             if node.is_leader or not node.may_vote() or silent_s < timeout_s:
                 continue
-            node.leader = ""
-            try:
-                term = node.term
-                if not await self._collect(pre_vote=True):
-                    continue
-                if not node.leader and await self.stand(term):
-                    self._knew_a_leader = True
-                    node.become_leader()
-            except StorageError:
-                continue  # the disk refuses: others may stand
+            await self._try_to_lead()
+
+    async def _try_to_lead(self) -> None:
+        node = self._node
+        node.leader = ""
+        try:
+            term = node.term
+            if not await self._collect(pre_vote=True):
+                return
+            if not node.leader and await self.stand(term):
+                self._knew_a_leader = True
+                node.become_leader()
+        except StorageError:
+            return  # the disk refuses: others may stand
+
+    def overtaken(self) -> None:
+        """Note that this member led until it heard of a newer term."""
+        self._overtaken.give()
+
+    async def _lead_again(self) -> None:
+        """Stand without patience; once more when votes just given hold no more."""
+        for pause_s in (0.0, _VOTE_HOLDS * self._node.timing.election_timeout_s):
+            await asyncio.sleep(pause_s)
+            if await self._may_lead_again():
+                await self._try_to_lead()
+
+    async def _may_lead_again(self) -> bool:
+        """Whether nobody is known to lead or to have this member's vote in the newer term.
+
+        Its candidate may have stood as this member was elected, and lost: all others
+        hear this member and would wait for it in vain, over a second.
+        """
+        node = self._node
+        async with self._lock:  # what brought the newer term is decided
+            pass
+        voted = node.hard_state.voted_for not in ("", node.name)
+        return node.may_vote() and not (node.is_leader or node.leader or voted)
 
     async def stand(self, term: int) -> bool:
         """Ask for votes in the term after ``term``; return whether a majority gave them.
@@ -156,13 +187,13 @@
         node = self._node
         if node.failure is not None or not node.may_vote() or request.term < node.term:
             return False
-        if self._hears_leader():
+        if self._hears_leader() and (node.is_leader or request.candidate != node.leader):
             return False
         candidate = find_member(node.membership(), request.candidate)
         if candidate is not None and candidate.incarnation not in ("", request.incarnation):
             return False
         if request.pre_vote:
-            if self._voted_lately():
+            if self._voted_lately() and node.leader != request.candidate:
                 return False
             return request.term > node.term and self._up_to_date(request)
         if request.term > node.term:
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -248,6 +248,7 @@
             peer=self.name,
             detail=f"{self.hard_state.term} to {term}",
         )
+        led = self.is_leader
         self.step_down("newer term")
         earlier = (self.hard_state.term, self.hard_state.voted_for)
         self.hard_state.term = term
@@ -258,6 +259,8 @@
             # Nobody may be told of a vote that a restart would forget.
             self.hard_state.term, self.hard_state.voted_for = earlier
             raise
+        if led:
+            self.election.overtaken()
 
     async def save_hard_state(self) -> None:
         """Write the hard state.
@@ -310,15 +313,12 @@
                 async with self._write_lock:
                     await self.flush_locked()
             except StorageError:
-                await self._wait_for_disk()
+                # Leading is left to others while this member's disk takes no writes.
+                self.step_down("the disk refuses writes")
+                await asyncio.sleep(self.timing.election_timeout_s)
                 continue
             self.replication.advance_commit()
 
-    async def _wait_for_disk(self) -> None:
-        """Leave leading to others while this member's disk takes no writes."""
-        self.step_down("the disk refuses writes")
-        await asyncio.sleep(self.timing.election_timeout_s)
-
     async def flush_locked(self) -> None:
         """Write and sync all entries that are not; the write lock must be held.
 
--- a/tests/test_consensus.py
+++ b/tests/test_consensus.py
@@ -100,6 +100,51 @@
 
         run_virtual(scenario())
 
+    def test_a_leader_whose_term_was_overtaken_in_vain_leads_again_at_once(self) -> None:
+        """A candidate that stood as another won left the group without a leader for 2.4 s."""
+
+        async def scenario(seed: int) -> None:
+            group = Group(size=5, seed=seed)
+            leader = await group.start_all()
+            await leader.propose(b"before")
+            await asyncio.sleep(1.0)
+            late = next(node for name, node in group.nodes.items() if name != leader.name)
+            await late.enter_term(late.term + 1, voted_for=late.name)  # it stood, and lost
+            async with asyncio.timeout(0.5):
+                while leader.term < late.term:
+                    await asyncio.sleep(0.01)
+                while True:
+                    leading = await group.leader()
+                    try:
+                        await leading.propose(b"after")
+                        break
+                    except (NotLeaderError, LeadershipLostError):
+                        await asyncio.sleep(0.01)
+            self.assertEqual(leading.name, leader.name)
+            await asyncio.sleep(1)
+            for machine in group.machines.values():
+                self.assertEqual(machine.commands, [b"before", b"after"])
+            await group.stop()
+
+        for seed in range(5):
+            run_virtual(scenario(seed))
+
+    def test_a_leader_that_gave_its_vote_away_does_not_stand_against_it(self) -> None:
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+            other = next(node for name, node in group.nodes.items() if name != leader.name)
+            await other.enter_term(other.term + 1, voted_for=other.name)
+            await leader.enter_term(other.term, voted_for=other.name)
+            other.become_leader()
+            await other.propose(b"by the other")
+            await asyncio.sleep(3)
+            self.assertTrue(other.is_leader)
+            self.assertFalse(leader.is_leader)
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_lagging_member_gets_a_snapshot(self) -> None:
         async def scenario() -> None:
             group = Group(snapshot_entries=20)
