--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -157,6 +157,13 @@
         self.membership_keeper.start_leading()
         self.changed.give()
 
+    async def enter_term(self, term: int, voted_for: str = "") -> None:
+        """Move to a term; one that led stands again if the newer term has no leader."""
+        led = self.is_leader
+        await super().enter_term(term, voted_for)
+        if led and not self.is_leader:
+            self.election.overtaken()
+
     def step_down(self, reason: str) -> None:
         """Stop leading; those who wait for entries learn that their fate is unknown."""
         super().step_down(reason)
