Write no registration again that is known when it is let in

Cause: after a start replicas ask before the log is read; let in, each was proposed once more. Change: the leader answers what changes nothing from its state.

--- a/packages/heronladder-control/src/heronladder_control/registration_batches.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_batches.py
@@ -15,6 +15,8 @@
 from heronladder_runtime.errors import HeronladderError
 from heronladder_schema.v1 import control_pb2
 
+from heronladder_control.results import success
+
 if TYPE_CHECKING:
     from heronladder_control.member import ControlMember
 
@@ -52,6 +54,8 @@
             LeadershipLostError: If it is not known whether it was committed, or too many wait.
         """
         self._member.node.require_leader("register_replica")
+        if self._is_known(order):
+            return success()
         if len(self._waiting) >= MOST_WAITING:
             self._member.metrics.add("registrations_refused")
             raise LeadershipLostError(
@@ -68,6 +72,12 @@
             self._member.tasks.start("registrations", self._run())
         return await answer
 
+    def _is_known(self, order: control_pb2.RegisterReplica) -> bool:
+        """Whether it changes nothing: many ask while a log that tells of them is read again."""
+        told = order.replica
+        is_news = order.cold_news or order.returns or told.draining or told.gone
+        return not is_news and self._member.state.fleet.settled(told)
+
     async def _run(self) -> None:
         clock = self._member.environment
         try:
--- a/tests/test_crowd_of_replicas.py
+++ b/tests/test_crowd_of_replicas.py
@@ -38,6 +38,10 @@
     state.apply(state.applied_index + 1, command.SerializeToString())
 
 
+def _registrations(page: bytes) -> list[bytes]:
+    return [line for line in page.splitlines() if b"registrations_total" in line]
+
+
 async def _register_all(member: ControlMember, count: int) -> list[FleetOutcome]:
     asked = (member.fleet_service.register(_replica(number)) for number in range(count))
     return await asyncio.gather(*asked)
@@ -91,6 +95,25 @@
         self.assertEqual(len(member.state.resources.resources["replica"]), 400)
         self.assertLess(member.node.log.last_index - before, 20)
 
+    async def test_one_that_is_known_by_the_time_it_is_let_in_writes_nothing(self) -> None:
+        """After a start all replicas asked before the log was read, and were written again."""
+        group = ControlGroup(1)
+        await group.start()
+        self.addAsyncCleanup(group.stop)
+        member = group.running[0].control
+        assert member is not None
+        await _register_all(member, 3)
+        written = member.state.resources.resources["replica"]["replica-1"].metadata.revision
+        request = control_pb2.CarryRequest()
+        request.command.register_replica.replica.CopyFrom(_replica(1))
+        request.command.register_replica.replica.sequence = 9
+        before = member.metrics.page()
+        reply = await member.fleet_service.carry(request)
+        self.assertEqual(reply.result.code, control_pb2.RESULT_CODE_OK)
+        self.assertEqual(_registrations(member.metrics.page()), _registrations(before))
+        record = member.state.resources.resources["replica"]["replica-1"]
+        self.assertEqual(record.metadata.revision, written)
+
     async def test_a_leave_among_a_crowd_holds_at_the_gateways_when_it_is_acknowledged(
         self,
     ) -> None:
