--- a/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
@@ -10,6 +10,7 @@
 FLEET_NAME = "current"
 REPLICA_KIND = "replica"
 EVACUATION_KIND = "evacuation"
+ROLLOUT_KIND = "rollout"
 KINDS = (
     "tenant",
     "budget",
@@ -19,6 +20,7 @@
     FLEET_KIND,
     REPLICA_KIND,
     EVACUATION_KIND,
+    ROLLOUT_KIND,
 )
 Listener = Callable[[], None]
 
@@ -91,6 +93,11 @@
         kept = self._resources[EVACUATION_KIND].items()
         return {zone: resource.evacuation for zone, resource in kept}
 
+    def rollouts(self) -> dict[str, resources_pb2.Rollout]:
+        """Return the newest change of version of each service that had one, by service."""
+        kept = self._resources[ROLLOUT_KIND].items()
+        return {service: resource.rollout for service, resource in kept}
+
     def policy(self, name: str) -> resources_pb2.RoutingPolicy | None:
         """Return a routing policy, or None when there is none of that name."""
         resource = self._resources["routing_policy"].get(name)
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -381,6 +381,8 @@
             self._handlers.promises_noted(frame.promises_noted)
         if self._handlers.replica_loads is not None and frame.has_replica_loads:
             self._handlers.replica_loads(frame.replica_loads)
+        if frame.rollout_grants and self._handlers.rollout_grants is not None:
+            self._handlers.rollout_grants(frame.rollout_grants)
         if frame.lenders and self._handlers.lenders is not None:
             self._handlers.lenders(frame.lenders)
         if self._handlers.recall_prepaid is not None:
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
@@ -25,6 +25,7 @@
         recall_prepaid: Give back what is not used of a tenant.
         control_regained: A long silence of control has ended.
         lenders: Routers that lend prepaid tokens, as far as that changed.
+        rollout_grants: What this router may send to versions on trial.
         replica_loads: What the other routers have under way, by replica.
     """
 
@@ -37,4 +38,5 @@
     recall_prepaid: Callable[[str], None] | None = None
     control_regained: Callable[[], None] | None = None
     lenders: Callable[[Iterable[control_pb2.Lender]], None] | None = None
+    rollout_grants: Callable[[Iterable[control_pb2.RolloutGrant]], None] | None = None
     replica_loads: Callable[[Mapping[str, control_pb2.ReplicaLoad]], None] | None = None
--- a/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
@@ -22,6 +22,7 @@
     "FleetConfiguration": "fleet_configuration",
     "Replica": "replica",
     "Evacuation": "evacuation",
+    "Rollout": "rollout",
 }
 FIELD_KINDS = {field: kind for kind, field in KIND_FIELDS.items()}
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/validation.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/validation.py
@@ -50,6 +50,8 @@
         errors.found.extend(validate_fleet(resource.fleet_configuration))
     elif kind == "evacuation":
         pass  # its name is the zone, and it has nothing else to check
+    elif kind == "rollout":
+        errors.require(False, "kind", "order it with 'heronladder rollout start'")
     elif kind == "replica":
         errors.require(False, "kind", "replicas register themselves; they are not declared")
     else:
