Control leads roll-outs: order, grants, phases in the log

An order is acknowledged once in force, by the way that evacuations have; the same order again is acknowledged by its first record. Grants stay under a ceiling that is in the log before. With roll-outs off nothing is written or told.

--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -5,7 +5,12 @@
 from typing import TYPE_CHECKING
 
 from heronladder_runtime.config_packing import PART_BYTES, pack, part, without_document
-from heronladder_runtime.configuration import EVACUATION_KIND, FLEET_KIND, REPLICA_KIND
+from heronladder_runtime.configuration import (
+    EVACUATION_KIND,
+    FLEET_KIND,
+    REPLICA_KIND,
+    ROLLOUT_KIND,
+)
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.daemons import ROLE_ROUTER
@@ -26,6 +31,7 @@
         FLEET_KIND,
         REPLICA_KIND,
         EVACUATION_KIND,
+        ROLLOUT_KIND,
     }
 )
 
--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -9,6 +9,7 @@
 from heronladder_control.prepaid import PrepaidTable
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
+from heronladder_control.rollouts.table import RolloutTable
 
 
 class FleetTable:
@@ -17,9 +18,13 @@
     Args:
         resources: Where they are kept.
         prepaid: Takes the tenants' limits.
+        rollouts: Told of versions that a service did not have.
     """
 
-    def __init__(self, resources: ResourceTable, prepaid: PrepaidTable) -> None:
+    def __init__(
+        self, resources: ResourceTable, prepaid: PrepaidTable, rollouts: RolloutTable
+    ) -> None:
+        self._rollouts = rollouts
         self._resources = resources
         self._prepaid = prepaid
 
@@ -69,6 +74,13 @@
         resource = self._resources.get(REPLICA_KIND, identity)
         return resource.replica if resource is not None else None
 
+    def live_replicas(self, service: str) -> Iterable[resources_pb2.Replica]:
+        """Give the replicas of a service that are not leaving."""
+        for resource in self._resources.resources[REPLICA_KIND].values():
+            replica = resource.replica
+            if replica.service == service and not (replica.gone or replica.draining):
+                yield replica
+
     def settled(self, told: resources_pb2.Replica) -> bool:
         """Whether what a replica tells is known already, or is late."""
         known = self.replica(told.id)
@@ -115,8 +127,12 @@
             state.cold_ms = told.cold_ms
             state.cold_revision = index if told.cold_ms else 0
         if known is None or state != known:
+            watches = order.watch_newcomers and not (state.gone or state.draining)
+            versions = self._rollouts.versions(state.service) if watches else set()
             self._end_others_at(index, state)
             self._write(index, state)
+            if watches:
+                self._rollouts.watch_newcomer(index, state.service, state.software, versions)
         result = success()
         result.revision = self._resources.resources[REPLICA_KIND][told.id].metadata.revision
         return result
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -21,6 +21,7 @@
 from heronladder_control.evacuations import LateOrders
 from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
+from heronladder_control.rollouts.orders import RolloutOrders
 
 if TYPE_CHECKING:
     from heronladder_control.member import ControlMember
@@ -48,11 +49,13 @@
         standing: What became of it.
         result: The result of the command, once there is one.
         configuration: The newest configuration, for a read.
+        rollout: A service's newest roll-out, for a read of it.
     """
 
     standing: Standing
     result: control_pb2.CommandResult = field(default_factory=control_pb2.CommandResult)
     configuration: resources_pb2.FleetConfiguration | None = None
+    rollout: resources_pb2.Rollout | None = None
 
 
 class FleetService:
@@ -67,6 +70,7 @@
         self._returning = ReturningReplicas(member.environment)
         self._cold_words = ColdWords(member.environment)
         self._late_orders = LateOrders(member.environment)
+        self._rollout_orders = RolloutOrders(member)
 
     # ---- what is asked ----------------------------------------------------
 
@@ -97,6 +101,31 @@
         request.command.set_evacuation.ended = ended
         return await self._ask(request, _APPLY_PATIENCE_S)
 
+    async def start_rollout(self, service: str, target: str, duration_s: float) -> FleetOutcome:
+        """Move a service to a version; done once the order is in force.
+
+        Args:
+            service: The service.
+            target: The version.
+            duration_s: Time within which the version is to take over, in seconds.
+        """
+        if not self._member.options.rollout_limits.enabled:
+            message = "roll-outs are off: no bound is set on what a version on trial may get"
+            result = failure(control_pb2.RESULT_CODE_INVALID, message)
+            return FleetOutcome(Standing.REFUSED, result)
+        request = control_pb2.CarryRequest(
+            in_force_wait_ms=int(_IN_FORCE_WAIT_S * MILLISECONDS_PER_SECOND)
+        )
+        order = request.command.start_rollout
+        order.service = service
+        order.target = target
+        order.duration_ms = int(duration_s * MILLISECONDS_PER_SECOND)
+        return await self._ask(request, _APPLY_PATIENCE_S)
+
+    async def read_rollout(self, service: str) -> FleetOutcome:
+        """Return a service's newest roll-out, confirmed by a quorum."""
+        return await self._ask(control_pb2.CarryRequest(read_rollout=service), _READ_PATIENCE_S)
+
     async def read(self) -> FleetOutcome:
         """Return the newest configuration, confirmed by a quorum."""
         return await self._ask(control_pb2.CarryRequest(), _READ_PATIENCE_S)
@@ -117,6 +146,9 @@
             request.in_force_wait_ms = int(_REGISTER_PATIENCE_S * MILLISECONDS_PER_SECOND)
         request.command.register_replica.replica.CopyFrom(replica)
         request.command.register_replica.cold_news = cold_news
+        request.command.register_replica.watch_newcomers = (
+            self._member.options.rollout_limits.enabled
+        )
         return await self._ask(request, _REGISTER_PATIENCE_S)
 
     def leader_api_address(self) -> str:
@@ -165,13 +197,14 @@
         if reply.result.code != control_pb2.RESULT_CODE_OK:
             return FleetOutcome(Standing.REFUSED, reply.result)
         held = reply.configuration if reply.HasField("configuration") else None
-        return FleetOutcome(Standing.DONE, reply.result, held)
+        rollout = reply.rollout if reply.HasField("rollout") else None
+        return FleetOutcome(Standing.DONE, reply.result, held, rollout)
 
     async def carry(self, request: control_pb2.CarryRequest) -> control_pb2.CarryReply:
         """Carry out a command, or read, as the leader."""
         try:
             if not request.HasField("command"):
-                return await self._read_as_leader()
+                return await self._read_as_leader(request.read_rollout)
             if self._is_late(request.command):
                 return control_pb2.CarryReply(result=success())
             if self._is_overtaken(request):
@@ -210,7 +243,11 @@
         return not order.returns
 
     def _is_overtaken(self, request: control_pb2.CarryRequest) -> bool:
-        """Whether an evacuation is older than the newest change of its zone."""
+        """Whether an order is older than the newest change of what it is for."""
+        if request.command.WhichOneof("body") == "start_rollout":
+            return self._rollout_orders.is_overtaken(
+                request.command.start_rollout, request.age_ms / MILLISECONDS_PER_SECOND
+            )
         if request.command.WhichOneof("body") != "set_evacuation":
             return False
         order = request.command.set_evacuation
@@ -232,6 +269,7 @@
     def begin_term(self) -> None:
         """Begin as the leader."""
         self._late_orders.begin(self._member.node.term)
+        self._rollout_orders.begin()
 
     def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
         """Note a command that was just applied, at any member."""
@@ -241,6 +279,8 @@
             if result.revision == self._member.state.applied_index:  # else nothing changed
                 self._late_orders.changed(zone)
                 self._report_evacuation(zone, ended=command.set_evacuation.ended)
+        elif body in ("start_rollout", "advance_rollout"):
+            self._rollout_orders.applied(command, result)
         elif body == "put_resource" and command.put_resource.kind == EVACUATION_KIND:
             self._late_orders.changed(command.put_resource.resource.metadata.name)
         elif body == "delete_resource" and command.delete_resource.kind == EVACUATION_KIND:
@@ -283,9 +323,14 @@
             ),
         )
 
-    async def _read_as_leader(self) -> control_pb2.CarryReply:
+    async def _read_as_leader(self, rollout_of: str) -> control_pb2.CarryReply:
         await self._member.node.read_barrier()
         reply = control_pb2.CarryReply()
+        if rollout_of:
+            rollout = self._member.state.rollouts.get(rollout_of)
+            if rollout is not None and rollout.target:
+                reply.rollout.CopyFrom(rollout)
+            return reply
         held = self._member.state.fleet.configuration()
         if held is not None:
             reply.configuration.CopyFrom(held)
--- a/packages/heronladder-control/src/heronladder_control/in_force.py
+++ b/packages/heronladder-control/src/heronladder_control/in_force.py
@@ -279,6 +279,11 @@
         few = len({*late, *holding}) * 2 <= len(candidates)
         return sorted({*late, *holding}) if few else holding
 
+    def in_touch(self) -> list[str]:
+        """Return the daemons that are waited for: they are heard, and hear."""
+        now = self._environment.monotonic()
+        return [name for name, known in self.daemons.items() if self._waited_for(known, now)]
+
     def left_out(self, revision: int) -> Iterator[LeftOut]:
         """Give the daemons that may act by something older than a revision."""
         now = self._environment.monotonic()
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -26,11 +26,21 @@
 from heronladder_control.in_force import InForceTracker
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_control.promise_notes import PromiseNotes
+from heronladder_control.rollouts.conductor import RolloutConductor
+from heronladder_control.rollouts.exposure import ExposureLimits
 from heronladder_control.sessions import ControlService
 from heronladder_control.state import ControlState
 
 _CONFIGURATION_COMMANDS = frozenset(
-    {"put_resource", "delete_resource", "apply_configuration", "register_replica", "set_evacuation"}
+    {
+        "put_resource",
+        "delete_resource",
+        "apply_configuration",
+        "register_replica",
+        "set_evacuation",
+        "start_rollout",
+        "advance_rollout",
+    }
 )
 _CHORE_INTERVAL_S = 0.5
 _LEFT_OUT_NAMED = 8  # daemons named in a log line, so that it stays short (chosen)
@@ -53,6 +63,7 @@
         me: This member's entry, when it may ask to be taken into a running group.
         contacts: gRPC addresses that it may ask.
         zone_names: Zones that may be evacuated; empty: any.
+        rollout_limits: What a version on trial may get; none: no roll-outs.
     """
 
     name: str
@@ -65,6 +76,7 @@
     me: consensus_pb2.Member | None = None
     contacts: list[str] = field(default_factory=list)
     zone_names: list[str] = field(default_factory=list)
+    rollout_limits: ExposureLimits = field(default_factory=ExposureLimits)
 
 
 class ControlMember:
@@ -110,6 +122,7 @@
         self.progress = Pulse()  # a daemon applied a configuration
         self.in_force_changed = Pulse()
         self.in_force_since_s = 0.0  # when this member learned of the revision in force
+        self.rollouts = RolloutConductor(self)
         self.service = ControlService(self)
         self.stubs = stubs
         self.fleet_service = FleetService(self)
@@ -190,6 +203,7 @@
             earlier_leader_s=2 * self.options.timing.election_timeout_s,
         )
         self.fleet_service.begin_term()
+        self.rollouts.begin()
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
         for session in self.service.sessions.values():
             self.service.note_connected(session)
@@ -197,6 +211,7 @@
         ended = EndedReplicas(self.environment)
         while self.node.is_leader:
             await self._put_in_force()
+            await self.rollouts.tend()
             await self._declare_silent_gone()
             await self._close_prepaid_holders()
             await self._forget_ended_replicas(ended)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/orders.py
@@ -0,0 +1,91 @@
+"""Orders of roll-outs as they come to the leader: repeats, late copies, new ones."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_control.evacuations import LateOrders
+from heronladder_control.rollouts.table import RUNNING, phase_name
+
+if TYPE_CHECKING:
+    from heronladder_control.member import ControlMember
+
+# An operator repeats an order for 5 s at most; the same order later than this after its end is
+# a new one (chosen: twice that).
+_REPEATS_S = 10.0
+
+
+class RolloutOrders:
+    """Judges orders at the leader.
+
+    Args:
+        member: The control member.
+    """
+
+    def __init__(self, member: ControlMember) -> None:
+        self._member = member
+        self._late = LateOrders(member.environment)
+        self._ended_s: dict[str, float] = {}  # by service, in this term
+        self._began_s = 0.0
+
+    def begin(self) -> None:
+        """Begin as the leader: any order may have ended just now."""
+        self._late.begin(self._member.node.term)
+        self._ended_s.clear()
+        self._began_s = self._member.environment.monotonic()
+
+    def is_overtaken(self, order: control_pb2.StartRollout, age_s: float) -> bool:
+        """Whether another order for the service was taken after this one came; marks a new one.
+
+        Args:
+            order: The order.
+            age_s: Time since a member got it, in seconds.
+        """
+        held = self._member.state.rollouts.get(order.service)
+        now_s = self._member.environment.monotonic()
+        order.anew = now_s - self._ended_s.get(order.service, self._began_s) >= _REPEATS_S
+        same = held is not None and held.target == order.target
+        late = not same and self._late.is_late(order.service, age_s, self._member.node.term)
+        self._member.log.info(
+            "rollout_ordered",
+            step="rollout",
+            peer=order.service,
+            target=order.target,
+            duration_ms=order.duration_ms,
+            age_s=age_s,
+            anew=order.anew,
+            overtaken=late,
+            phase=phase_name(held.phase) if held is not None else "none",
+            held=held.target if held is not None else "",
+        )
+        return late
+
+    def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
+        """Note an order or a phase that was just applied."""
+        if result.code != control_pb2.RESULT_CODE_OK:
+            return
+        is_order = command.WhichOneof("body") == "start_rollout"
+        body = command.start_rollout if is_order else command.advance_rollout
+        if result.resource.metadata.revision != self._member.state.applied_index:
+            return  # nothing changed
+        if is_order:
+            self._late.changed(body.service)
+        record = result.resource.rollout
+        if record.phase not in RUNNING:
+            self._ended_s[body.service] = self._member.environment.monotonic()
+        if self._member.node.is_leader:
+            self._member.metrics.add("rollout_phases", phase_name(record.phase))
+            self._member.log.info(
+                "rollout_phase",
+                step="rollout",
+                peer=body.service,
+                target=record.target,
+                newcomer=record.newcomer,
+                phase=phase_name(record.phase),
+                admitted=",".join(record.admitted),
+                refused=",".join(record.refused),
+                revision=result.resource.metadata.revision,
+                reason=record.reason,
+            )
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
@@ -0,0 +1,118 @@
+"""The leader's next step of a roll-out, from what it knows. No clock, no sockets."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from heronladder_runtime.rollouts.verdict import Decision, Verdict
+from heronladder_schema.v1 import resources_pb2
+
+from heronladder_control.rollouts.table import (
+    COMPLETED,
+    MOVING,
+    ROLLED_BACK,
+    TRIAL,
+    WAITING,
+)
+
+# From the order to move until all routers hold it, and from the last answer elsewhere until
+# `completed` is in the log (chosen: 3 heartbeats each way and a commit of a slow disk).
+_WAY_S = 1.0
+_LONGEST_MORE = 1.1  # the longest answer still to come, against the longest seen (chosen)
+_MOST_OF_TIME = 0.4  # of an order's time, that is kept for the move at most (chosen)
+_ORDER_REPEATS_S = 8.0  # operators repeat an order for 5 s; a newcomer is admitted after this
+
+
+@dataclass(frozen=True)
+class RolloutView:
+    """What is known of a roll-out.
+
+    Attributes:
+        phase: Its phase.
+        newcomer: Whether a version is there that no order named.
+        elapsed_s: Time since the order, or since the newcomer's first word, at least.
+        duration_s: Time within which it is to be completed.
+        target_replicas: Replicas of the target that are not leaving.
+        verdict: On all that routers counted.
+        stopped: Why a router stopped by itself; empty if none did.
+        longest_s: Longest answer of the old version.
+        all_clear: Whether all routers in touch hold the move and have nothing elsewhere.
+    """
+
+    phase: resources_pb2.RolloutPhase.ValueType
+    newcomer: bool
+    elapsed_s: float
+    duration_s: float
+    target_replicas: int
+    verdict: Verdict
+    stopped: str
+    longest_s: float
+    all_clear: bool
+
+    @property
+    def move_after_s(self) -> float:
+        """When to move: as late as what runs elsewhere can end in time.
+
+        Until then a version that turns bad gets a trial's share only.
+        """
+        needed_s = _WAY_S + _LONGEST_MORE * self.longest_s
+        return self.duration_s - min(needed_s, _MOST_OF_TIME * self.duration_s)
+
+
+@dataclass(frozen=True)
+class Step:
+    """The next phase and why; the same phase again admits the newcomer."""
+
+    phase: resources_pb2.RolloutPhase.ValueType
+    reason: str
+
+
+def next_step(view: RolloutView) -> Step | None:
+    """Return the next step, or None to go on."""
+    match view.phase:
+        case resources_pb2.ROLLOUT_PHASE_WAITING | resources_pb2.ROLLOUT_PHASE_TRIAL:
+            return _in_trial(view)
+        case resources_pb2.ROLLOUT_PHASE_MOVING:
+            return _in_move(view)
+        case _:
+            return _newcomer(view)
+
+
+def _newcomer(view: RolloutView) -> Step | None:
+    if view.newcomer and view.elapsed_s >= _ORDER_REPEATS_S:
+        return Step(view.phase, "no order came for it")
+    return None
+
+
+def _bad(view: RolloutView) -> Step | None:
+    if view.verdict.decision is Decision.GO_BACK:
+        return Step(ROLLED_BACK, view.verdict.reason)
+    if view.stopped:
+        return Step(ROLLED_BACK, view.stopped)
+    return None
+
+
+def _in_trial(view: RolloutView) -> Step | None:
+    bad = _bad(view)
+    if bad is not None:
+        return bad
+    if view.elapsed_s >= view.duration_s:
+        return Step(ROLLED_BACK, f"not proved in its time: {view.verdict.reason}")
+    if not view.target_replicas:
+        return None
+    if view.phase == WAITING:
+        return Step(TRIAL, "its replicas are there")
+    if view.elapsed_s >= view.move_after_s and view.verdict.decision is Decision.SOUND:
+        return Step(MOVING, view.verdict.reason)
+    return None
+
+
+def _in_move(view: RolloutView) -> Step | None:
+    bad = _bad(view)
+    if bad is not None:
+        return bad
+    if not view.target_replicas:
+        return Step(ROLLED_BACK, "no replica of it is left")
+    if view.all_clear:
+        return Step(COMPLETED, view.verdict.reason)
+    return None
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/table.py
@@ -0,0 +1,196 @@
+"""Roll-outs, as the log carries them. Depends on nothing but the commands."""
+
+from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME, REPLICA_KIND, ROLLOUT_KIND
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_control.resources import ResourceTable
+from heronladder_control.results import failure, success
+
+UNORDERED = resources_pb2.ROLLOUT_PHASE_UNORDERED
+WAITING = resources_pb2.ROLLOUT_PHASE_WAITING
+TRIAL = resources_pb2.ROLLOUT_PHASE_TRIAL
+MOVING = resources_pb2.ROLLOUT_PHASE_MOVING
+COMPLETED = resources_pb2.ROLLOUT_PHASE_COMPLETED
+ROLLED_BACK = resources_pb2.ROLLOUT_PHASE_ROLLED_BACK
+RUNNING = frozenset({WAITING, TRIAL, MOVING})
+
+
+def phase_name(phase: "resources_pb2.RolloutPhase.ValueType") -> str:
+    """Return a phase as logs and operators see it."""
+    return resources_pb2.RolloutPhase.Name(phase).removeprefix("ROLLOUT_PHASE_").lower()
+
+
+class RolloutTable:
+    """Applies orders, phases and newcomers; keeps what only leaders need beside them.
+
+    Args:
+        resources: Where the records are kept.
+    """
+
+    def __init__(self, resources: ResourceTable) -> None:
+        self._resources = resources
+        self.notes: dict[str, control_pb2.RolloutNote] = {}
+
+    def get(self, service: str) -> resources_pb2.Rollout | None:
+        """Return a service's record, or None."""
+        resource = self._resources.get(ROLLOUT_KIND, service)
+        return resource.rollout if resource is not None else None
+
+    def services(self) -> list[str]:
+        """Return the services that have a record."""
+        return sorted(self._resources.resources[ROLLOUT_KIND])
+
+    def versions(self, service: str) -> set[str]:
+        """Return the versions of a service's replicas that are not leaving."""
+        replicas = self._resources.resources[REPLICA_KIND].values()
+        return {
+            resource.replica.software
+            for resource in replicas
+            if resource.replica.service == service
+            and not (resource.replica.gone or resource.replica.draining)
+        }
+
+    def _is_known(self, service: str) -> bool:
+        fleet = self._resources.get(FLEET_KIND, FLEET_NAME)
+        if fleet is None:
+            return bool(self.versions(service))
+        return any(known.name == service for known in fleet.fleet_configuration.services)
+
+    # ---- orders -----------------------------------------------------------
+
+    def start(self, index: int, order: control_pb2.StartRollout) -> control_pb2.CommandResult:
+        """Take an order; the same order again changes nothing."""
+        if not self._is_known(order.service):
+            message = f"there is no service {order.service!r}"
+            return failure(control_pb2.RESULT_CODE_NOT_FOUND, message)
+        if not order.target or not order.duration_ms:
+            message = "name the version, and the time within which it is to take over"
+            return failure(control_pb2.RESULT_CODE_INVALID, message)
+        held = self.get(order.service)
+        if held is not None and held.phase != UNORDERED:
+            is_same = (held.target, held.duration_ms) == (order.target, order.duration_ms)
+            if is_same and (held.phase in RUNNING or not order.anew):
+                return self._outcome(order.service, held.ordered_revision)
+            if held.phase in RUNNING:
+                message = f"the roll-out of {order.service} to {held.target!r} is under way"
+                return failure(control_pb2.RESULT_CODE_VERSION_CONFLICT, message)
+        self._write(index, order.service, self._ordered(index, order, held))
+        self.notes[order.service] = control_pb2.RolloutNote(
+            service=order.service, ordered_revision=index
+        )
+        return self._outcome(order.service, index)
+
+    def _ordered(
+        self, index: int, order: control_pb2.StartRollout, held: resources_pb2.Rollout | None
+    ) -> resources_pb2.Rollout:
+        """Return the record of a new order."""
+        live = self.versions(order.service)
+        admitted = set(held.admitted) if held is not None and held.admitted else live
+        refused = set(held.refused) if held is not None else set()
+        record = resources_pb2.Rollout(
+            target=order.target,
+            duration_ms=order.duration_ms,
+            ordered_revision=index,
+            admitted=sorted(admitted - {order.target}),
+            refused=sorted(refused - {order.target}),
+            phase=TRIAL if order.target in live else WAITING,
+            reason="ordered",
+        )
+        if live and not record.admitted:
+            record.phase, record.reason = COMPLETED, "no other version is there"
+            record.admitted.append(order.target)
+        return record
+
+    # ---- phases -----------------------------------------------------------
+
+    def advance(self, index: int, order: control_pb2.AdvanceRollout) -> control_pb2.CommandResult:
+        """Take the next phase, or admit the newcomer; void if the record has gone on."""
+        held = self.get(order.service)
+        current = (held.ordered_revision, held.phase) if held is not None else None
+        if held is None or current != (order.ordered_revision, order.from_phase):
+            return failure(control_pb2.RESULT_CODE_STALE, "the roll-out has gone on")
+        record = resources_pb2.Rollout()
+        record.CopyFrom(held)
+        if order.to_phase == order.from_phase:
+            if record.newcomer:
+                record.admitted.append(record.newcomer)
+            record.newcomer = ""
+        else:
+            record.phase = order.to_phase
+            record.reason = order.reason
+        if record.phase == COMPLETED and held.phase != COMPLETED:
+            record.refused.extend(held.admitted)
+            del record.admitted[:]
+            record.admitted.append(record.target)
+        elif record.phase == ROLLED_BACK and held.phase != ROLLED_BACK:
+            record.refused.append(record.target)
+        self._take_newcomer(index, order.service, record)
+        self._write(index, order.service, record)
+        return self._outcome(order.service, index)
+
+    # ---- newcomers --------------------------------------------------------
+
+    def watch_newcomer(self, index: int, service: str, software: str, before: set[str]) -> None:
+        """Have a version that a service did not have go by grants, until it is ordered or old.
+
+        Args:
+            index: Log index of its replica's first word.
+            service: The service.
+            software: Its version.
+            before: Versions of the replicas that were there.
+        """
+        held = self.get(service)
+        if not software or (held is None and (not before or software in before)):
+            return
+        record = resources_pb2.Rollout(admitted=sorted(before))
+        if held is not None:
+            record.CopyFrom(held)
+        if self._take_newcomer(index, service, record):
+            self._write(index, service, record)
+
+    def _take_newcomer(self, index: int, service: str, record: resources_pb2.Rollout) -> bool:
+        if record.phase in RUNNING or record.newcomer:
+            return False
+        known = {*record.admitted, *record.refused, record.target, ""}
+        strangers = sorted(self.versions(service) - known)
+        if not strangers:
+            return False
+        record.newcomer = strangers[0]
+        record.ordered_revision = index
+        self.notes[service] = control_pb2.RolloutNote(service=service, ordered_revision=index)
+        return True
+
+    # ---- what only leaders need -------------------------------------------
+
+    def note(self, order: control_pb2.RolloutNote) -> control_pb2.CommandResult:
+        """Take a higher ceiling and a later time of the same order."""
+        held = self.notes.get(order.service)
+        if held is None or held.ordered_revision != order.ordered_revision:
+            return failure(control_pb2.RESULT_CODE_STALE, "the roll-out has gone on")
+        held.ceiling = max(held.ceiling, order.ceiling)
+        held.elapsed_ms = max(held.elapsed_ms, order.elapsed_ms)
+        return success()
+
+    def save(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Write the notes into a snapshot; the records are with all resources."""
+        snapshot.rollout_notes.extend(self.notes[service] for service in sorted(self.notes))
+
+    def load(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Take the notes from a snapshot."""
+        self.notes = {}
+        for note in snapshot.rollout_notes:
+            self.notes[note.service] = control_pb2.RolloutNote()
+            self.notes[note.service].CopyFrom(note)
+
+    def _write(self, index: int, service: str, record: resources_pb2.Rollout) -> None:
+        resource = resources_pb2.Resource()
+        resource.rollout.CopyFrom(record)
+        self._resources.write(index, ROLLOUT_KIND, service, resource)
+
+    def _outcome(self, service: str, revision: int) -> control_pb2.CommandResult:
+        result = success()
+        result.revision = revision
+        resource = self._resources.get(ROLLOUT_KIND, service)
+        if resource is not None:
+            result.resource.CopyFrom(resource)
+        return result
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -22,6 +22,15 @@
 
 _IDLE_CHECK_S = 1.0
 _SCARCE_ASKS = 4
+_FLEET_COMMANDS = frozenset(
+    {
+        "apply_configuration",
+        "register_replica",
+        "set_evacuation",
+        "start_rollout",
+        "advance_rollout",
+    }
+)
 
 
 class ControlService(ControlServicer):
@@ -158,6 +167,7 @@
             session.heartbeat_ack = 0
             if session.tells_loads:
                 self._replica_loads.fill(session.record.name, frame)
+            self._member.rollouts.fill(session, frame)
         if session.answers:
             frame.answers.extend(session.answers)
             session.answers.clear()
@@ -233,6 +243,8 @@
         name = session.record.name
         if self.sessions.get(name) is not session or not self._member.node.is_leader:
             return
+        if heartbeat.rollouts:
+            self._member.rollouts.told(session, heartbeat.rollouts)
         if session.record.role == ROLE_ROUTER:
             self._member.promise_notes.heartbeat(session, heartbeat)
         if heartbeat.replica_loads or session.tells_loads:
@@ -287,7 +299,7 @@
             role = self._member.state.daemons.daemons[order.name].role
             self._tell_others(role, order.name, order.incarnation, gone=True)
             self._tell_lenders(order.name)
-        elif body in ("apply_configuration", "register_replica", "set_evacuation"):
+        elif body in _FLEET_COMMANDS:
             self._wake_all()
         elif body == "set_in_force":
             self._wake_those_behind(command.set_in_force.revision)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -18,6 +18,7 @@
 from heronladder_control.prepaid import PrepaidTable
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
+from heronladder_control.rollouts.table import RolloutTable
 from heronladder_control.transfers import TransferTable
 
 _AppliedListener = Callable[[control_pb2.Command, control_pb2.CommandResult], None]
@@ -40,7 +41,8 @@
         self.daemons = DaemonTable(self.ledger)
         self.transfers = TransferTable(self.ledger)
         self.prepaid = PrepaidTable()
-        self.fleet = FleetTable(self.resources, self.prepaid)
+        self.rollouts = RolloutTable(self.resources)
+        self.fleet = FleetTable(self.resources, self.prepaid, self.rollouts)
         self.evacuations = EvacuationTable(self.resources)
         self.in_force_revision = 0
         self.applied_index = 0
@@ -107,6 +109,12 @@
                 return self.fleet.forget(index, order.forget_replicas.ids)
             case "set_evacuation":
                 return self.evacuations.apply(index, order.set_evacuation)
+            case "start_rollout":
+                return self.rollouts.start(index, order.start_rollout)
+            case "advance_rollout":
+                return self.rollouts.advance(index, order.advance_rollout)
+            case "note_rollout":
+                return self.rollouts.note(order.note_rollout)
             case "draw_tokens":
                 return self._draw(order.draw_tokens)
             case "note_promises":
@@ -214,6 +222,7 @@
         self.daemons.save(snapshot)
         self.transfers.save(snapshot)
         self.prepaid.save(snapshot)
+        self.rollouts.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -227,3 +236,4 @@
         self.daemons.load(snapshot)
         self.transfers.load(snapshot)
         self.prepaid.load(snapshot)
+        self.rollouts.load(snapshot)
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -6,6 +6,7 @@
 import grpc.aio
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_control.rollouts.exposure import ExposureLimits
 from heronladder_runtime.clock import Environment, seconds
 from heronladder_runtime.disk import FolderDisk
 from heronladder_runtime.errors import HeronladderError
@@ -17,6 +18,8 @@
 
 from heronladder_daemon.members import parse_members, parse_regions
 
+_PERCENT = 100
+
 
 def compose_control(
     settings: DaemonSettings,
@@ -47,6 +50,9 @@
         region_addresses=parse_regions(control.region_addresses),
         me=_own_entry(settings),
         contacts=[entry for entry in control.join_contacts.split(",") if entry],
+        rollout_limits=ExposureLimits(
+            control.rollout_share_percent / _PERCENT, control.rollout_slack
+        ),
         zone_names=[zone for zone in control.zone_names.split(",") if zone],
     )
     disk = FolderDisk(Path(common.data_folder) / "control")
