Gateways send to versions as the record says, by grants in a trial

One more filter of placement for every path. A trial is the first send of a request only; what fails there is repeated at an admitted version. Without a word of control for 1 s nothing goes to a version on trial. Not measured.

--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -44,6 +44,7 @@
     NONE_KNOWN = "none_known"
     EVACUATED = "evacuated"
     OTHER_REGION = "other_region"
+    VERSION = "version_not_admitted"
     COLD = "cold"
     TRIED = "all_tried"
 
@@ -60,6 +61,7 @@
         evacuated: Zones to which nothing may go.
         bears_per_s: Requests a second that a cold replica of the service bears; 0: any number.
         cold_share: Requests that this gateway may send to a cold replica in any second.
+        permits: Whether a replica's version may be sent to.
         shares_load: Whether what other gateways have under way is known.
     """
 
@@ -71,6 +73,7 @@
     bears_per_s: float
     cold_share: Callable[[str, float], int]
     shares_load: bool
+    permits: Callable[[FleetReplica], bool] = lambda _replica: True
 
 
 @dataclass(frozen=True)
@@ -126,6 +129,7 @@
     filters: tuple[tuple[Reason, Callable[[FleetReplica], bool]], ...] = (
         (Reason.EVACUATED, lambda replica: replica.record.zone not in view.evacuated),
         (Reason.OTHER_REGION, lambda replica: is_at_home(view, wish, replica)),
+        (Reason.VERSION, view.permits),
         (Reason.TRIED, lambda replica: replica.name not in tried),
         (Reason.COLD, lambda replica: may_take_more(view, replica)),
     )
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -198,6 +198,14 @@
     retry_after_s = 2  # an evacuation lasts for seconds at least (chosen)
 
 
+class VersionNotAdmittedError(CallerError):
+    """No replica is of a version that may be sent to."""
+
+    status = 503
+    code = "version_not_admitted"
+    retry_after_s = 1  # a roll-out goes on or back within moments (chosen)
+
+
 class RegionUnservedError(CallerError):
     """No replica is in a region in which the request may be served."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -13,6 +13,7 @@
 from heronladder_router.decisions.placement import Placement, PlacementView, place
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.rollouts.version_gates import Permits, VersionGates
 
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
@@ -54,6 +55,7 @@
     ) -> None:
         self._where = where
         self._cold = cold
+        self.versions = VersionGates(configuration, environment, log)
         self._configuration = configuration
         self._environment = environment
         self._log = log
@@ -86,6 +88,7 @@
         for name in earlier.keys() - self._replicas.keys():
             self._log.info("replica_forgotten", step="replicas", peer=name)
         self._read_evacuations()
+        self.versions.rebuild(self.usable)
         self.changed.give()
 
     def _read_services(self) -> None:
@@ -150,6 +153,7 @@
             address=record.address,
             service=record.service,
             zone=record.zone,
+            software=record.software,
             draining=record.draining,
             gone=record.gone,
             revision=self._configuration.revision,
@@ -163,9 +167,15 @@
 
     def place(self, wish: Wish, tried: Collection[str]) -> Placement:
         """Return the replica that would begin first, or why there is none."""
-        return place(self._view(wish.service), wish, tried, self._environment.random)
-
-    def _view(self, service: str) -> PlacementView:
+        usable = self.usable(wish.service)
+        for permits in self.versions.choices(wish.service, wish.route, tried, usable):
+            view = self._view(wish.service, permits)
+            placement = place(view, wish, tried, self._environment.random)
+            if placement.replica is not None:
+                break
+        return placement
+
+    def _view(self, service: str, permits: Permits) -> PlacementView:
         return PlacementView(
             replicas=self.usable(service),
             now_s=self._environment.monotonic(),
@@ -175,6 +185,7 @@
             bears_per_s=self._bears_per_s(service),
             cold_share=self._cold.share,
             shares_load=self.load_age_s < _LOADS_HOLD_S,
+            permits=permits,
         )
 
     def _bears_per_s(self, service: str) -> float:
@@ -200,6 +211,7 @@
                 load = heartbeat.replica_loads[replica.name]
                 load.in_flight = replica.in_flight
                 load.unread_tokens = max(0, replica.unread_tokens)
+        self.versions.fill_heartbeat(heartbeat, self._replicas.values())
 
     @property
     def load_age_s(self) -> float:
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -20,6 +20,7 @@
     RejectedEverywhereError,
     ReplicasColdError,
     TimeLimitError,
+    VersionNotAdmittedError,
 )
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
@@ -45,6 +46,7 @@
     Reason.EVACUATED: EvacuatedError,
     Reason.OTHER_REGION: RegionUnservedError,
     Reason.COLD: ReplicasColdError,
+    Reason.VERSION: VersionNotAdmittedError,
 }
 
 
@@ -107,6 +109,7 @@
         """
         self._parts.allowance.gateways = self._parts.link.routers
         self._parts.allowance.request(request.wish.service)
+        self._parts.replicas.versions.requested(request.wish.service)
         reservation = await self._reserve(request)
         progress = AnswerProgress()
         try:
@@ -284,6 +287,7 @@
             "request_sent",
             step="send",
             peer=replica.name,
+            software=replica.record.software,
             request_id=request.request_id,
             send=sends.count + 1,
             candidates=len(self._parts.replicas.usable(request.wish.service)),
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -101,6 +101,9 @@
         handlers.session_began = self.tokens.held.session_began
         handlers.fill_heartbeat = self._fill_heartbeat
         handlers.replica_loads = self.replicas.others_told
+        self.replicas.versions.heard_s = lambda: self.link.standing.heard_s
+        self.replicas.versions.count = lambda version: self.metrics.add("rollout_sends", version)
+        handlers.rollout_grants = self.replicas.versions.granted
         handlers.promises_noted = self.tokens.held.confirmed
         handlers.recall_prepaid = self.tokens.held.recall
         handlers.control_regained = self.tokens.held.control_regained
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -217,9 +217,7 @@
             headers=self._passed_on(request, matched),
             body=body,
             matched=matched,
-            wish=self._wish(
-                service, headers.get(self._names.prompt_parts, ""), bounds, matched.regions
-            ),
+            wish=self._wish(service, headers.get(self._names.prompt_parts, ""), bounds, matched),
             bounds=bounds,
             arrived_s=arrived_s,
             deadline_s=self._deadline_s(request, matched, arrived_s),
@@ -227,12 +225,11 @@
         )
 
     @staticmethod
-    def _wish(
-        service: str, parts: str, bounds: TokenBounds | None, regions: frozenset[str] | None
-    ) -> Wish:
+    def _wish(service: str, parts: str, bounds: TokenBounds | None, matched: MatchedRoute) -> Wish:
+        route = matched.route.name
         if bounds is None:
-            return Wish(service, regions=regions)
-        return Wish(service, parse_parts(parts), bounds.prompt, regions)
+            return Wish(service, regions=matched.regions, route=route)
+        return Wish(service, parse_parts(parts), bounds.prompt, matched.regions, route)
 
     def _deadline_s(
         self, request: web.BaseRequest, matched: MatchedRoute, arrived_s: float
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -17,6 +17,7 @@
     ReplicaNotReachedError,
 )
 from heronladder_router.replica_state import FleetReplica
+from heronladder_router.rollouts.version_gates import AnswerSeen
 
 _EVENT_STREAM = "text/event-stream"
 _MISDIRECTED = 421
@@ -139,23 +140,39 @@
         """
         unread = self._replicas.sent(replica, request.wish)
         reading = _UnreadPrompt(self._replicas, replica, unread)
+        route = request.matched.route
+        objective_s = route.objective_ms / MILLISECONDS_PER_SECOND
+        seen = self._replicas.versions.sent(replica, route, objective_s)
         response: aiohttp.ClientResponse | None = None
         ran_before = progress.ran
         try:
             response = await self._head(request, replica, progress)
-            await self._take(request, replica, response, sink, progress, reading)
+            await self._take(request, replica, response, sink, progress, reading, seen)
             self._replicas.succeeded(replica)
+            self._count(seen, failed=False)
         except NotRunError:
             progress.ran = ran_before
             raise
+        except (RunLostError, RunFailedError):
+            self._count(seen, failed=True)
+            raise
         except (ReplicaLostError, aiohttp.ClientError, OSError) as error:
+            self._count(seen, failed=True)
             raise RunLostError(repr(error), step="read_answer", peer=replica.name) from error
+        except asyncio.CancelledError:
+            if seen is not None:
+                seen.given_up(self._environment.monotonic())
+            raise
         finally:
             reading.done()
             self._replicas.ended(replica)
             if response is not None:
                 response.close()  # a connection whose answer was whole is back in the pool
 
+    def _count(self, seen: AnswerSeen | None, *, failed: bool) -> None:
+        if seen is not None:
+            seen.ended(self._environment.monotonic(), failed=failed)
+
     async def _head(
         self, request: GatewayRequest, replica: FleetReplica, progress: AnswerProgress
     ) -> aiohttp.ClientResponse:
@@ -205,6 +222,7 @@
         sink: AnswerSink,
         progress: AnswerProgress,
         reading: "_UnreadPrompt",
+        seen: AnswerSeen | None,
     ) -> None:
         if response.status == _MISDIRECTED or self._names.not_run in response.headers:
             await response.read()
@@ -219,8 +237,10 @@
         if success and self._names.signature not in response.headers:
             raise RunLostError("the answer is not signed", step="send", peer=replica.name)
         if success and response.content_type == _EVENT_STREAM:
-            await self._pass_stream(request, response, sink, progress, reading)
+            await self._pass_stream(request, response, sink, progress, reading, seen)
             return
+        if seen is not None:
+            seen.came(self._environment.monotonic())
         answer = ReplicaAnswer(response.status, _passed_headers(response), await response.read())
         if sink.started:
             raise RunLostError("the stream did not go on", step="resume", peer=replica.name)
@@ -237,6 +257,7 @@
         sink: AnswerSink,
         progress: AnswerProgress,
         reading: "_UnreadPrompt",
+        seen: AnswerSeen | None,
     ) -> None:
         cutter = progress.cutter
         cutter.drop_rest()
@@ -251,9 +272,12 @@
                 raise RunLostError("the stream stalled", step="read_stream") from error
             if not chunk:
                 break
+            events = cutter.events
             whole = cutter.feed(chunk)
             if whole:
                 reading.done()
+                if seen is not None:
+                    seen.came(self._environment.monotonic(), cutter.events - events)
                 progress.passed_on(self._environment.monotonic())
                 await self._write(response, sink, whole)
         if not cutter.clean:
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -53,12 +53,14 @@
         parts: Parts of the prompt; empty for a plain request.
         prompt_tokens: Tokens of the whole prompt.
         regions: Regions it must be in; None: any.
+        route: Name of its route.
     """
 
     service: str
     parts: list[PromptPart] = field(default_factory=list)
     prompt_tokens: int = 0
     regions: frozenset[str] | None = None
+    route: str = ""
 
     @property
     def shared_tokens(self) -> int:
