--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -78,6 +78,12 @@
     "request_refused": "A request ended with an error of ours, and why.",
     "request_sent": "A replica was chosen, with what decided it.",
     "reservation_passed": "An engine made more tokens than were reserved; it was cancelled.",
+    "rollout_decided": "The leader takes the next step of a roll-out: the time passed, requests of"
+    " the service and sends to the version on trial as routers told, what was granted, and which"
+    " test or limit decided.",
+    "rollout_ordered": "An operator's order came to the leader; `anew` if it is no repeat of the"
+    " order before, `overtaken` if another order for the service was taken since it came.",
+    "rollout_phase": "A phase of a roll-out, or a version that no order named, is in the log.",
     "router_gone": "A router is declared gone; its leases are collected.",
     "send_failed": "A send gave no whole answer; `kind` says whether it may have run.",
     "session_rejected": "Control knows another incarnation of this daemon.",
@@ -97,6 +103,9 @@
     "borrower_lost": "A gateway that borrowed here has restarted: its open loans are charged.",
     "lender_gone": "Loans cannot be settled: control no longer names their lender.",
     "lender_restarted": "A lender began anew and knows nothing of the loans it had made.",
+    "versions_clear": "A gateway has nothing under way at the versions that a service leaves, and"
+    " sends nothing there any more.",
+    "versions_known": "A gateway learns which versions of a service it may send to.",
     "zone_evacuated": "A gateway sends nothing more to the replicas of a zone.",
     "zone_restored": "A gateway may send there again; the replicas are taken for cold at first.",
     "lending": "Where a gateway lends prepaid tokens, and whether messages are proved by a key.",
@@ -128,6 +137,8 @@
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
     "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
     "retries": "Further sends of routers.",
+    "rollout_phases": "Phases of roll-outs that were written, by phase.",
+    "rollout_sends": "Sends to versions on trial or moved to, by version.",
     "sends_failed": "Sends without a whole answer, by kind.",
     "streams_broken": "Streams that were cut after they had begun.",
     "whole_answer": "Time of a whole answer.",
--- a/tests/platform_stand_ins.py
+++ b/tests/platform_stand_ins.py
@@ -338,7 +338,13 @@
     return StartedGateway(daemon, front, ready)
 
 
-async def start_fleet(first: dict[str, Any] | None = None) -> Fleet:
+def with_rollouts(document: Any) -> Any:
+    """Return a settings file with roll-outs on."""
+    bounds = document["bounds"] | {"exposeShare": 0.1, "exposeSlack": 50, "rollbackMs": 5000}
+    return document | {"contracts": ["base", "rollout"], "bounds": bounds}
+
+
+async def start_fleet(first: dict[str, Any] | None = None, *, has_rollouts: bool = False) -> Fleet:
     """Start a control member and a gateway; apply a configuration if one is given."""
     folder = tempfile.TemporaryDirectory()
     grpc, api, admin, control = free_addresses(4)
@@ -346,6 +352,8 @@
     control_document = settings_document("core", folder.name, 1, {"control": control}) | {
         "seeds": seeds
     }
+    if has_rollouts:
+        control_document = with_rollouts(control_document)
     control_settings = platform_settings.translate(control_document, platform_settings.CONTROL)
     control_settings.control.control_listen = grpc
     control_settings.control.api_listen = api
@@ -393,4 +401,5 @@
     "start_fleet",
     "start_gateway",
     "stream_head",
+    "with_rollouts",
 ]
