--- a/tests/test_rollout_failures.py
+++ b/tests/test_rollout_failures.py
@@ -23,7 +23,7 @@
         """Go on for a while, then have callers stop."""
         await asyncio.sleep(after_s)
         self.fleet.calm = True
-        await self._calm(load)
+        await load
         self.fleet.calm = False
 
     async def _kill_leader(self) -> int:
@@ -43,6 +43,7 @@
         gates = gateway.replicas.versions
         async with asyncio.timeout(within_s):
             while not gates.phase("app").endswith(phase):
+                self.assertNotIn("ROLLED_BACK", gates.phase("app"))
                 await asyncio.sleep(0.02)
 
     async def test_a_good_version_is_completed_with_nothing_at_the_old(self) -> None:
