Operators' commands for roll-outs: start, status, back

An order from the command line is taken as a new one after an end. explain shows what a gateway knew of versions and request_sent the version.

--- a/packages/heronladder-control/src/heronladder_control/api.py
+++ b/packages/heronladder-control/src/heronladder_control/api.py
@@ -15,7 +15,7 @@
     MembershipChangeError,
     NotLeaderError,
 )
-from heronladder_runtime.configuration import EVACUATION_KIND
+from heronladder_runtime.configuration import EVACUATION_KIND, ROLLOUT_KIND
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.manifests import (
     FIELD_KINDS,
@@ -27,6 +27,7 @@
 from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
 
 from heronladder_control.member import ControlMember
+from heronladder_control.rollouts.manifests import command_of
 from heronladder_control.status import status_document
 
 CHANGE_ID_HEADER = "Heronladder-Change-Id"
@@ -204,6 +205,11 @@
         if kind == EVACUATION_KIND and zones and resource.metadata.name not in zones:
             known = ", ".join(zones)
             return _error(422, "invalid", f"metadata.name: there is no such zone; known: {known}")
+        if kind == ROLLOUT_KIND:
+            if not self._member.options.rollout_limits.enabled:
+                return _error(422, "invalid", "roll-outs are off: see --rollout-share-percent")
+            held = self._member.state.rollouts.get(resource.metadata.name)
+            return await self._change(request, command_of(resource, held))
         command = control_pb2.Command()
         order = command.put_resource
         order.kind = kind
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -27,6 +27,10 @@
         "zone_restored",
         "evacuation_ordered",
         "evacuation_applied",
+        "rollout_ordered",
+        "rollout_phase",
+        "versions_known",
+        "version_stopped",
         "prepaid_drawn",
         "prepaid_holder_closed",
         "daemon_started",
@@ -47,9 +51,19 @@
         "hold_ordered",
         "evacuation_ordered",
         "evacuation_applied",
+        "rollout_ordered",
+        "rollout_phase",
     }
 )
-_GENERAL = ("configuration", "control", "daemon", "leader", "zone")  # about no one replica
+_GENERAL = (
+    "configuration",
+    "control",
+    "daemon",
+    "leader",
+    "zone",
+    "version",
+    "rollout",
+)  # about no one replica
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -9,7 +9,12 @@
 from heronladder_runtime.logs import configure_logging
 
 from heronladder_tools import demo as demo_module
-from heronladder_tools import evacuation_commands, operator_commands, toolbox_commands
+from heronladder_tools import (
+    evacuation_commands,
+    operator_commands,
+    rollout_commands,
+    toolbox_commands,
+)
 from heronladder_tools.bench import PathTarget, bench_log, bench_path, bench_state
 from heronladder_tools.replay import bill_text, summary_text
 from heronladder_tools.replay import replay as replay_folder
@@ -185,6 +190,7 @@
 application.command()(operator_commands.status)
 application.command()(evacuation_commands.evacuate)
 application.command()(evacuation_commands.restore)
+application.add_typer(rollout_commands.rollout_application, name="rollout")
 application.add_typer(operator_commands.members_application, name="members")
 for _command in (
     toolbox_commands.check,
