--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -18,13 +18,16 @@
     Args:
         resources: Where they are kept.
         prepaid: Takes the tenants' limits.
-        rollouts: Told of versions that a service did not have.
+        rollouts: Told of versions that a service did not have; its own if none is given.
     """
 
     def __init__(
-        self, resources: ResourceTable, prepaid: PrepaidTable, rollouts: RolloutTable
+        self,
+        resources: ResourceTable,
+        prepaid: PrepaidTable,
+        rollouts: RolloutTable | None = None,
     ) -> None:
-        self._rollouts = rollouts
+        self._rollouts = rollouts or RolloutTable(resources)
         self._resources = resources
         self._prepaid = prepaid
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -109,7 +109,6 @@
         """
         self._parts.allowance.gateways = self._parts.link.routers
         self._parts.allowance.request(request.wish.service)
-        self._parts.replicas.versions.requested(request.wish.service)
         reservation = await self._reserve(request)
         progress = AnswerProgress()
         try:
@@ -209,6 +208,7 @@
     async def _send_until_answered(
         self, request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
     ) -> None:
+        self._parts.replicas.versions.requested(request.wish.service)
         sends = _Sends()
         while True:
             placement = await self._next_placement(request, sends)
