--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -28,6 +28,8 @@
 from heronladder_control.in_force import InForceTracker
 from heronladder_control.prepaid_watch import HolderKey, PrepaidWatch
 from heronladder_control.promise_notes import PromiseNotes
+from heronladder_control.rollouts.conductor import RolloutConductor
+from heronladder_control.rollouts.exposure import ExposureLimits
 from heronladder_control.sessions import ControlService
 from heronladder_control.state import ControlState
 
@@ -39,6 +41,8 @@
         "register_replica",
         "register_replicas",
         "set_evacuation",
+        "start_rollout",
+        "advance_rollout",
     }
 )
 _CHORE_INTERVAL_S = 0.5
@@ -68,6 +72,7 @@
         contacts: gRPC addresses that it may ask.
         zone_names: Zones that may be evacuated; empty: any.
         named: Whether the group's name was set, and is to stand in its log.
+        rollout_limits: What a version on trial may get; none: no roll-outs.
     """
 
     name: str
@@ -81,6 +86,7 @@
     contacts: list[str] = field(default_factory=list)
     zone_names: list[str] = field(default_factory=list)
     named: bool = False
+    rollout_limits: ExposureLimits = field(default_factory=ExposureLimits)
 
 
 class ControlMember:
@@ -130,6 +136,7 @@
             environment, self.tasks, self.metrics, lambda: bool(self.node.leader)
         )
         self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
+        self.rollouts = RolloutConductor(self)
         self.service = ControlService(self)
         self.stubs = stubs
         self.fleet_service = FleetService(self)
@@ -229,6 +236,7 @@
             earlier_leader_s=2 * self.options.timing.election_timeout_s,
         )
         self.fleet_service.begin_term()
+        self.rollouts.begin()
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
         for session in self.service.sessions.values():
             self.service.note_connected(session)
@@ -239,6 +247,7 @@
         while self.node.is_leader:
             seen = self.progress.given
             await self._put_in_force()
+            await self.rollouts.tend()
             if self.environment.monotonic() >= next_chores_s:
                 next_chores_s = self.environment.monotonic() + _CHORE_PAUSE_S
                 await self._declare_silent_gone()
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -26,7 +26,14 @@
 # made 90,000 frames (chosen).
 _LENDERS_TOLD_AT_ONCE = 64
 _FLEET_COMMANDS = frozenset(
-    {"apply_configuration", "register_replica", "register_replicas", "set_evacuation"}
+    {
+        "apply_configuration",
+        "register_replica",
+        "register_replicas",
+        "set_evacuation",
+        "start_rollout",
+        "advance_rollout",
+    }
 )
 
 
@@ -171,6 +178,7 @@
             session.heartbeat_ack = 0
             if session.tells_loads:
                 self._replica_loads.fill(session.record.name, frame)
+            self._member.rollouts.fill(session, frame)
         if session.answers:
             frame.answers.extend(session.answers)
             session.answers.clear()
@@ -249,6 +257,8 @@
         name = session.record.name
         if self.sessions.get(name) is not session or not self._member.node.is_leader:
             return
+        if heartbeat.rollouts:
+            self._member.rollouts.told(session, heartbeat.rollouts)
         if session.record.role == ROLE_ROUTER:
             self._member.promise_notes.heartbeat(session, heartbeat)
         if heartbeat.replica_loads or session.tells_loads:
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -18,6 +18,7 @@
 from heronladder_router.decisions.waiting import ReplicaPlaces
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.rollouts.version_gates import Permits, VersionGates
 
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
@@ -74,6 +75,7 @@
     ) -> None:
         self._where = where
         self._cold = cold
+        self.versions = VersionGates(configuration, environment, log)
         self._configuration = configuration
         self._environment = environment
         self._log = log
@@ -110,6 +112,7 @@
         for name in earlier.keys() - self._replicas.keys():
             self._log.info("replica_forgotten", step="replicas", peer=name)
         self._read_evacuations()
+        self.versions.rebuild(self._serving)
         self.changed.give()
 
     def _sort_by_service(self) -> None:
@@ -187,6 +190,7 @@
             address=record.address,
             service=record.service,
             zone=record.zone,
+            software=record.software,
             draining=record.draining,
             gone=record.gone,
             revision=self._configuration.revision,
@@ -201,11 +205,22 @@
             self._sort_by_service()
         return self._of_service.get(service, [])
 
+    def _serving(self, service: str) -> list[FleetReplica]:
+        """Return the replicas of a service that are not leaving, nor in evacuated zones."""
+        usable = self.usable(service)
+        return [replica for replica in usable if replica.record.zone not in self.evacuated]
+
     def place(self, wish: Wish, tried: Collection[str]) -> Placement:
         """Return the replica that would begin first, or why there is none."""
-        return place(self._view(wish.service), wish, tried, self._environment.random)
-
-    def _view(self, service: str) -> PlacementView:
+        usable = self.usable(wish.service)
+        for permits in self.versions.choices(wish.service, wish.route, tried, usable):
+            view = self._view(wish.service, permits)
+            placement = place(view, wish, tried, self._environment.random)
+            if placement.replica is not None:
+                break
+        return placement
+
+    def _view(self, service: str, permits: Permits) -> PlacementView:
         return PlacementView(
             replicas=self.usable(service),
             now_s=self._environment.monotonic(),
@@ -218,6 +233,7 @@
             far_cost_ms=self._where.far_cost_ms,
             may_spill=self.far_sends < self._where.far_sends_per_s,
             speed=self.speed(service),
+            permits=permits,
         )
 
     @property
@@ -234,11 +250,14 @@
 
     def places_of(self, wish: Wish) -> tuple[list[ReplicaPlaces], bool]:
         """Return the places of the replicas that a request may go to, and if sums are heard."""
-        view = self._view(wish.service)
+        usable = self.usable(wish.service)
+        view = self._view(wish.service, self.versions.admitted(wish.service, usable))
         allowed = [
             replica
             for replica in view.replicas
-            if replica.record.zone not in view.evacuated and is_at_home(view, wish, replica)
+            if replica.record.zone not in view.evacuated
+            and is_at_home(view, wish, replica)
+            and view.permits(replica)
         ]
         trusted = [replica for replica in allowed if not replica.failures]
         places = [
@@ -274,6 +293,7 @@
                 load = heartbeat.replica_loads[replica.name]
                 load.in_flight = replica.in_flight
                 load.unread_tokens = max(0, replica.unread_tokens)
+        self.versions.fill_heartbeat(heartbeat, self._replicas.values())
 
     @property
     def load_age_s(self) -> float:
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -21,6 +21,7 @@
     RejectedEverywhereError,
     ReplicasColdError,
     TimeLimitError,
+    VersionNotAdmittedError,
 )
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
@@ -53,6 +54,7 @@
     Reason.EVACUATED: EvacuatedError,
     Reason.OTHER_REGION: RegionUnservedError,
     Reason.COLD: ReplicasColdError,
+    Reason.VERSION: VersionNotAdmittedError,
 }
 
 
@@ -222,6 +224,7 @@
     async def _send_until_answered(
         self, request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
     ) -> None:
+        self._parts.replicas.versions.requested(request.wish.service)
         sends = _Sends()
         while True:
             placement = await self._next_placement(request, sends)
@@ -324,6 +327,7 @@
             "request_sent",
             step="send",
             peer=replica.name,
+            software=replica.record.software,
             request_id=request.request_id,
             send=sends.count + 1,
             candidates=len(self._parts.replicas.usable(request.wish.service)),
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -28,6 +28,10 @@
         "zone_restored",
         "evacuation_ordered",
         "evacuation_applied",
+        "rollout_ordered",
+        "rollout_phase",
+        "versions_known",
+        "version_stopped",
         "prepaid_drawn",
         "prepaid_holder_closed",
         "daemon_started",
@@ -49,10 +53,20 @@
         "hold_ordered",
         "evacuation_ordered",
         "evacuation_applied",
+        "rollout_ordered",
+        "rollout_phase",
     }
 )
-# About no one replica.
-_GENERAL = ("configuration", "control", "daemon", "gateway", "leader", "zone")
+_GENERAL = (
+    "configuration",
+    "control",
+    "daemon",
+    "gateway",
+    "leader",
+    "zone",
+    "version",
+    "rollout",
+)  # about no one replica
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
