Refuse within a quarter of the objective also where control is far away

Cause: the wait added for a far control had its own bound, 0.12 s, and passed a quarter of a short objective: `test_gateway_refusals` stands for that rule, and its stand-in of a link had no measured way.

Change: what is added ends at 0.24 of the objective. The test now asks it with a way of 0, 24 ms and 2 s, and that the far one is waited for longer; its own bound is as it was. `test_region_tokens` has the figure that is added before that bound (0.12 s was a bound that is gone).

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -45,7 +45,7 @@
 # what a way takes beyond that within a region.
 _RESERVE_ROUND_TRIPS = 4
 _NEAR_ROUND_TRIP_S = 0.006  # within a region, on a busy machine (chosen)
-_MOST_ADDED_S = 0.12  # a refusal must come early all the same (chosen)
+_MOST_RESERVE_SHARE = 0.24  # of the objective: a later refusal cannot be made good
 _REPLICA_WAIT_S = 0.2
 _MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD})  # within a moment
 _NOT_SENT: dict[Reason, type[CallerError]] = {
@@ -171,8 +171,9 @@
             return None
         left_s = request.deadline_s - self._parts.environment.monotonic()
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        wait_s = max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s) + self._far_control_s()
-        wait_s = min(left_s, wait_s)
+        wait_s = max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s)
+        most_s = max(wait_s, _MOST_RESERVE_SHARE * objective_s)
+        wait_s = min(left_s, most_s, wait_s + self._far_control_s())
         try:
             return await self._parts.tokens.reserve(
                 tenant, request.bounds.total, wait_s, request.request_id
@@ -194,7 +195,7 @@
     def _far_control_s(self) -> float:
         """Return what tokens take longer because control stands far away."""
         beyond_s = max(0.0, self._parts.link.round_trip_s - _NEAR_ROUND_TRIP_S)
-        return min(_MOST_ADDED_S, _RESERVE_ROUND_TRIPS * beyond_s)
+        return _RESERVE_ROUND_TRIPS * beyond_s
 
     def _used(self, request: GatewayRequest, progress: AnswerProgress) -> int:
         """Return the most tokens that the tenant can have got.
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -1,5 +1,6 @@
 """How long a gateway waits for prepaid tokens before it refuses."""
 
+import itertools
 import unittest
 from types import SimpleNamespace
 from typing import Any, cast
@@ -39,14 +40,16 @@
     ) -> None:
         """Each waited 0.3 s where a quarter of the objective is 0.2 s (canteens)."""
         tokens = _NoTokens()
+        link = SimpleNamespace(routers=1, round_trip_s=0.0)
         parts = SimpleNamespace(
-            link=SimpleNamespace(routers=1),
+            link=link,
             allowance=SimpleNamespace(gateways=1, request=lambda service: None),
             tokens=tokens,
             environment=_Clock(),
             log=EventLog("test", "gateway"),
         )
-        for objective_ms in (800, 1500):
+        waited = {}
+        for objective_ms, link.round_trip_s in itertools.product((800, 1500), (0.0, 0.024, 2.0)):
             request = SimpleNamespace(
                 request_id="r",
                 wish=SimpleNamespace(service="model"),
@@ -62,6 +65,9 @@
             with self.assertRaises(PrepaidUnavailableError):
                 await dispatcher.serve(cast(GatewayRequest, request), cast(AnswerSink, None))
             self.assertLess(tokens.waited_s, objective_ms / 1000 / _PART_OF_OBJECTIVE)
+            waited[objective_ms, link.round_trip_s] = tokens.waited_s
+        for objective_ms in (800, 1500):
+            self.assertLess(waited[objective_ms, 0.0], waited[objective_ms, 0.024])
 
 
 if __name__ == "__main__":
--- a/tests/test_region_tokens.py
+++ b/tests/test_region_tokens.py
@@ -126,7 +126,7 @@
                 GatewayParts, SimpleNamespace(link=SimpleNamespace(round_trip_s=round_trip_s))
             )
             added.append(round(GatewayDispatcher(parts)._far_control_s(), 3))
-        self.assertEqual(added, [0.0, 0.0, 0.0, 0.072, 0.12])
+        self.assertEqual(added, [0.0, 0.0, 0.0, 0.072, 3.976])
 
 
 if __name__ == "__main__":
