--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -74,7 +74,7 @@
     cold_slack: int = 5
     wait_for_places: bool = True
     behind_after_ms: float = 0.0
-    measured_speed: bool = True
+    measured_speed: bool = False
     measured_patience: bool = True
 
 
