A write that its caller gave up is written all the same

Cause: a write that waits its turn in the one writing thread was dropped when its caller was cancelled, as gRPC does at the caller's deadline. A term that memory had already taken was then never written, and a later enter_term returned early: the member acknowledged in a term that a restart would forget. Change: writes are shielded from their callers. A term is written by a task that the member owns, which also takes it back in memory if the disk refuses; whoever enters the same term, or follows a leader, waits until it is written. Ruled out: changing memory only after the write, since a concurrent write of the hard state would then put the earlier term over the newer one. Performance not measured.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -193,6 +193,7 @@
         node = self._node
         if term < node.term or node.failure is not None:
             return False
+        await node.term_written()  # none may follow in a term that a restart would forget
         if term > node.term:
             async with self._lock:
                 if term > node.term:
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -85,6 +85,7 @@
         self.changed = Pulse()
         self.appended = Pulse()
         self.write_lock = asyncio.Lock()
+        self._entering: asyncio.Task[StorageError | None] | None = None
 
     # ---- facts ------------------------------------------------------------
 
@@ -170,7 +171,14 @@
     # ---- terms and roles --------------------------------------------------
 
     async def enter_term(self, term: int, voted_for: str = "") -> None:
-        """Move to a term and make it durable before anyone is told."""
+        """Move to a term and make it durable before anyone is told.
+
+        The write ends also when the caller goes: memory and disk agree then.
+
+        Raises:
+            StorageError: If the disk refuses; the member is in its earlier term.
+        """
+        await self.term_written()
         if term == self.hard_state.term and voted_for == self.hard_state.voted_for:
             return
         invariant(
@@ -184,12 +192,24 @@
         earlier = (self.hard_state.term, self.hard_state.voted_for)
         self.hard_state.term = term
         self.hard_state.voted_for = voted_for
+        self._entering = self.tasks.start("enter_term", self._write_term(earlier))
+        error = await asyncio.shield(self._entering)
+        if error is not None:
+            raise error
+
+    async def _write_term(self, earlier: tuple[int, str]) -> StorageError | None:
         try:
             await self.save_hard_state()
-        except StorageError:
+        except StorageError as error:
             # Nobody may be told of a vote that a restart would forget.
             self.hard_state.term, self.hard_state.voted_for = earlier
-            raise
+            return error
+        return None
+
+    async def term_written(self) -> None:
+        """Wait until no term that memory holds is still on its way to the disk."""
+        while self._entering is not None and not self._entering.done():
+            await asyncio.shield(self._entering)
 
     async def save_hard_state(self) -> None:
         """Write the hard state.
--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -110,8 +110,10 @@
         await self._write(self._write_and_sync, name, data)
 
     async def _write(self, what: Callable[[str, bytes], None], name: str, data: bytes) -> None:
+        # Shielded: a write that waits its turn would be dropped with a caller that gives up,
+        # and memory be ahead of the disk for good.
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._writer, what, name, data)
+        await asyncio.shield(loop.run_in_executor(self._writer, what, name, data))
 
     def _write_and_sync(self, name: str, data: bytes) -> None:
         try:
