--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -16,6 +16,7 @@
 from heronladder_consensus.member_state import MemberState, Role
 from heronladder_consensus.membership import MembershipKeeper
 from heronladder_consensus.replication import Replication
+from heronladder_consensus.snapshot_intake import SnapshotIntake
 from heronladder_consensus.snapshots import SnapshotKeeper
 from heronladder_consensus.state_machine import StateMachine
 from heronladder_consensus.storage import LogStorage
@@ -70,6 +71,7 @@
         self.bootstrap = Bootstrap(self, initial_members)
         self.election = Election(self, self.become_leader)
         self.replication = Replication(self, self.election, self.snapshots)
+        self.snapshot_intake = SnapshotIntake(self, self.election, self.snapshots)
         self.membership_keeper = MembershipKeeper(self, self.replication)
         self.joiner = Joiner(self, self.bootstrap, self.membership_keeper, me, contacts or [])
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -11,7 +11,6 @@
 from heronladder_consensus.member_state import MemberState
 from heronladder_consensus.members import find_member, voters
 from heronladder_consensus.snapshots import SnapshotKeeper
-from heronladder_consensus.storage import StoredSnapshot
 
 _BATCH_BYTES = 512 * 1024
 _SNAPSHOT_CHUNK_BYTES = 256 * 1024
@@ -29,6 +28,7 @@
         acknowledged_round: Newest read round whose message it answered.
         last_answer_s: When it last answered, on the loop's clock.
         incarnation: Identity of its data folder, as it said itself.
+        snapshot_due_s: When it may be sent a snapshot again, after its disk refused one.
     """
 
     next_index: int
@@ -36,6 +36,7 @@
     acknowledged_round: int = 0
     last_answer_s: float = float("-inf")
     incarnation: str = ""
+    snapshot_due_s: float = float("-inf")
 
 
 class Replication:
@@ -54,7 +55,6 @@
         self._peers: dict[str, PeerProgress] = {}
         self._round = 0
         self._leading_since_s = 0.0
-        self._incoming_snapshot = bytearray()
 
     # ---- leading ----------------------------------------------------------
 
@@ -105,10 +105,12 @@
                 self._peers.pop(name, None)
                 return
             try:
-                if node.log.term_at(progress.next_index - 1) is None:
-                    await self._send_snapshot(member, progress, term)
-                else:
+                if node.log.term_at(progress.next_index - 1) is not None:
                     await self._send_entries(member, progress, term)
+                elif node.environment.monotonic() < progress.snapshot_due_s:
+                    await self._send_word(member, term)
+                else:
+                    await self._send_snapshot(member, progress, term)
             except RPC_ERRORS:
                 await asyncio.sleep(node.timing.heartbeat_s)
                 continue
@@ -151,6 +153,28 @@
         self.advance_commit()
         node.changed.give()
 
+    async def _send_word(self, member: consensus_pb2.Member, term: int) -> None:
+        """Tell a peer whose disk refuses the snapshot that this member still leads.
+
+        The answer does not count: nothing that the peer lacks would outlive a restart.
+        """
+        node = self._node
+        request = consensus_pb2.AppendRequest(
+            term=term,
+            leader=node.name,
+            previous_index=node.log.last_index,
+            previous_term=node.log.last_term,
+            commit_index=node.commit_index,
+        )
+        stub = node.stubs.consensus(member.address)
+        reply: consensus_pb2.AppendReply = await stub.AppendEntries(
+            request, timeout=node.timing.call_timeout_s
+        )
+        if reply.term > node.term:
+            await self._election.observe_leader(reply.term, "")
+            return
+        await asyncio.sleep(node.timing.heartbeat_s)
+
     async def _accept_answer(
         self, progress: PeerProgress, reply_term: int, incarnation: str, term: int
     ) -> bool:
@@ -194,11 +218,13 @@
             reply: consensus_pb2.SnapshotReply = await stub.InstallSnapshot(
                 chunk, timeout=timeout_s
             )
+            if reply.disk_refuses:
+                # No answer that counts, and not the whole snapshot again at each heartbeat.
+                now_s = node.environment.monotonic()
+                progress.snapshot_due_s = now_s + node.timing.snapshot_retry_s
+                return
             if not await self._accept_answer(progress, reply.term, reply.incarnation, term):
                 return
-            if reply.disk_refuses:
-                # Not the whole snapshot again at each heartbeat, for a disk that is full.
-                await asyncio.sleep(node.timing.snapshot_retry_s)
             if not reply.success:
                 return
             offset += max(len(data), 1)
@@ -337,33 +363,3 @@
         while index - 1 > log.base_index and log.term_at(index - 1) == term:
             index -= 1
         return max(index, log.base_index + 1, self._node.commit_index)
-
-    async def answer_snapshot(
-        self, chunk: consensus_pb2.SnapshotChunk
-    ) -> consensus_pb2.SnapshotReply:
-        """Take in a part of the leader's snapshot; install it with the last part."""
-        node = self._node
-        reply = consensus_pb2.SnapshotReply(incarnation=node.hard_state.incarnation)
-        if await self._election.observe_leader(chunk.term, chunk.leader):
-            if chunk.offset == 0:
-                self._incoming_snapshot.clear()
-            if chunk.offset == len(self._incoming_snapshot):
-                self._incoming_snapshot += chunk.data
-                reply.success = True
-            if reply.success and chunk.last:
-                data = bytes(self._incoming_snapshot)
-                self._incoming_snapshot.clear()
-                await self._install(StoredSnapshot(chunk.meta, data), reply)
-                node.last_heard_s = node.environment.monotonic()
-        reply.term = node.term
-        return reply
-
-    async def _install(self, snapshot: StoredSnapshot, reply: consensus_pb2.SnapshotReply) -> None:
-        try:
-            await self._snapshots.install(snapshot)
-        except StorageError as error:
-            self._node.event_log.warning(
-                "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
-            )
-            reply.success = False
-            reply.disk_refuses = True
--- a/packages/heronladder-consensus/src/heronladder_consensus/service.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/service.py
@@ -53,4 +53,4 @@
     async def InstallSnapshot(  # noqa: D102
         self, request: consensus_pb2.SnapshotChunk, context: Any
     ) -> consensus_pb2.SnapshotReply:
-        return await self._whole("answer_snapshot", self._node.replication.answer_snapshot(request))
+        return await self._whole("answer_snapshot", self._node.snapshot_intake.answer(request))
--- a/tests/test_disk_troubles.py
+++ b/tests/test_disk_troubles.py
@@ -179,6 +179,52 @@
 
         run_virtual(scenario())
 
+    def test_a_follower_that_cannot_keep_a_snapshot_hears_of_its_leader_and_is_no_quorum(
+        self,
+    ) -> None:
+        """It heard nothing until the next try, and knew no leader; its refusals counted as
+        answers."""
+
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            name = next(name for name in group.names if name != leader.name)
+            await group.crash(name)
+            for number in range(3 * _SNAPSHOT_ENTRIES):
+                await leader.propose(f"c{number}".encode())
+            await asyncio.sleep(1)
+            group.disks[name].refuse_whole_files = True
+            node = await group.start(name)
+            await asyncio.sleep(2)
+            for _ in range(60):
+                await asyncio.sleep(0.1)
+                self.assertEqual(node.leader, leader.name)
+                silent_s = group.environment.monotonic() - node.last_heard_s
+                self.assertLess(silent_s, 2 * group.timing.heartbeat_s)
+                self.assertFalse(leader.replication.reachable(name))
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_snapshot_of_a_term_that_the_disk_refuses_is_refused_in_words(self) -> None:
+        """The error went through to the caller, who took the member for gone."""
+
+        async def scenario() -> None:
+            group = Group()
+            leader = await group.start_all()
+            name = next(name for name in group.names if name != leader.name)
+            group.disks[name].fail_syncs = True
+            meta = consensus_pb2.SnapshotMeta(index=100, term=leader.term + 1)
+            chunk = consensus_pb2.SnapshotChunk(
+                term=leader.term + 1, leader=leader.name, meta=meta, data=b"x", last=True
+            )
+            reply = await group.nodes[name].snapshot_intake.answer(chunk)
+            self.assertTrue(reply.disk_refuses)
+            self.assertFalse(reply.success)
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_two_members_of_five_with_full_disks_cost_nothing_and_come_back_by_themselves(
         self,
     ) -> None:
