Registrations whose callers gave up take no places, and failures are told to all

Cause: orders that nobody waited for used up places of an entry, pauses and room; and a failure other than one of ours ended the task while those it had taken waited on. Change: an order goes with its caller; an entry takes up to 512 that somebody waits for and no pause follows when there is none. Replicas that leave go first, after what they told before (else one that came and went would be taken up after it was gone). Any failure is told to the orders taken and to those that still wait, then raised.

--- a/packages/heronladder-control/src/heronladder_control/registration_batches.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_batches.py
@@ -8,8 +8,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections import deque
-from typing import TYPE_CHECKING
+from collections.abc import Iterable
+from typing import TYPE_CHECKING, TypeAlias
 
 from heronladder_consensus.errors import LeadershipLostError
 from heronladder_runtime.errors import HeronladderError
@@ -23,11 +23,11 @@
 PAUSE_S = 0.001
 MOST_AT_ONCE = 512  # one entry is applied without a break: 0.1 s (0.19 ms each, test machine)
 MOST_WAITING = 4_096  # some five entries; who asks over it is told at once to ask again (chosen)
-_Waiting = tuple[control_pb2.RegisterReplica, "asyncio.Future[control_pb2.CommandResult]"]
+_Answer: TypeAlias = "asyncio.Future[control_pb2.CommandResult]"
 
 
 class RegistrationBatches:
-    """Proposes registrations in the order in which they came.
+    """Proposes registrations in the order in which they came, replicas that leave first.
 
     Args:
         member: The control member, which leads.
@@ -35,7 +35,8 @@
 
     def __init__(self, member: ControlMember) -> None:
         self._member = member
-        self._waiting: deque[_Waiting] = deque()
+        self._waiting: dict[_Answer, control_pb2.RegisterReplica] = {}  # in the order they came
+        self._leaving: dict[_Answer, str] = {}  # ids of those among them that leave
         self._next_s = float("-inf")
         self._running = False
 
@@ -59,14 +60,21 @@
                 step="register_replica",
                 peer=order.replica.id,
             )
-        answer: asyncio.Future[control_pb2.CommandResult] = (
-            asyncio.get_running_loop().create_future()
-        )
-        self._waiting.append((order, answer))
+        answer: _Answer = asyncio.get_running_loop().create_future()
+        self._waiting[answer] = order
+        if order.replica.draining or order.replica.gone:
+            self._leaving[answer] = order.replica.id
         if not self._running:
             self._running = True
             self._member.tasks.start("registrations", self._run())
-        return await answer
+        try:
+            return await answer
+        finally:  # one whose caller gave up takes no place of others
+            self._forget(answer)
+
+    def _forget(self, answer: _Answer) -> None:
+        self._waiting.pop(answer, None)
+        self._leaving.pop(answer, None)
 
     async def _run(self) -> None:
         clock = self._member.environment
@@ -75,35 +83,62 @@
                 pause_s = self._next_s - clock.monotonic()
                 if pause_s > 0:
                     await asyncio.sleep(pause_s)
-                self._next_s = clock.monotonic() + PAUSE_S * len(self._member.service.sessions)
-                await self._propose_some()
+                taken = self._take()
+                if taken:
+                    self._next_s = clock.monotonic() + PAUSE_S * len(self._member.service.sessions)
+                    await self._propose(taken)
+        except BaseException as error:
+            self._tell_all(list(self._waiting), self._unclear(error))
+            raise
         finally:
             self._running = False
 
-    async def _propose_some(self) -> None:
-        taken = [self._waiting.popleft() for _ in range(min(MOST_AT_ONCE, len(self._waiting)))]
-        taken = [entry for entry in taken if not entry[1].done()]  # others asked no more
-        if not taken:
-            return
+    def _take(self) -> dict[_Answer, control_pb2.RegisterReplica]:
+        """Take the next orders that somebody waits for.
+
+        Replicas that leave go first: their requests end with the process. What one told
+        before it left stays before it, or it would be taken up after it was gone.
+        """
+        live = [entry for entry in self._waiting.items() if not entry[0].done()]
+        if self._leaving:
+            leaving = set(self._leaving.values())
+            live.sort(key=lambda entry: entry[1].replica.id not in leaving)
+        taken = dict(live[:MOST_AT_ONCE])
+        for answer in taken or list(self._waiting):
+            self._forget(answer)
+        return taken
+
+    async def _propose(self, taken: dict[_Answer, control_pb2.RegisterReplica]) -> None:
         command = control_pb2.Command()
         if len(taken) == 1:
-            command.register_replica.CopyFrom(taken[0][0])
+            command.register_replica.CopyFrom(*taken.values())
         else:
-            command.register_replicas.orders.extend(order for order, _ in taken)
+            command.register_replicas.orders.extend(taken.values())
         began_s = self._member.environment.monotonic()
         try:
             result = await self._member.propose(command)
-        except HeronladderError as error:
-            for _, answer in taken:
+            each = [result] if len(taken) == 1 else result.each
+            for answer, own in zip(taken, each, strict=True):
                 if not answer.done():
-                    answer.set_exception(error)
+                    answer.set_result(own)
+        except HeronladderError as error:
+            self._tell_all(taken, error)
             return
-        each = [result] if len(taken) == 1 else result.each
-        for (_, answer), own in zip(taken, each, strict=True):
-            if not answer.done():
-                answer.set_result(own)
+        except BaseException as error:
+            self._tell_all(taken, self._unclear(error))
+            raise
         self._report(len(taken), self._member.environment.monotonic() - began_s)
 
+    @staticmethod
+    def _unclear(error: BaseException) -> LeadershipLostError:
+        return LeadershipLostError(f"registering failed: {error!r}", step="register_replica")
+
+    @staticmethod
+    def _tell_all(answers: Iterable[_Answer], error: HeronladderError) -> None:
+        for answer in answers:
+            if not answer.done():
+                answer.set_exception(error)
+
     def _report(self, count: int, took_s: float) -> None:
         self._member.metrics.add("registrations", amount=count)
         if count > 1:
--- /dev/null
+++ b/tests/test_registration_batches.py
@@ -0,0 +1,153 @@
+"""What becomes of registrations that wait for the log, while those who ask give up or fail."""
+
+import asyncio
+import random
+import unittest
+from types import SimpleNamespace
+from typing import Any
+from unittest import mock
+
+from heronladder_consensus.errors import LeadershipLostError
+from heronladder_control.registration_batches import (
+    MOST_AT_ONCE,
+    MOST_WAITING,
+    PAUSE_S,
+    RegistrationBatches,
+)
+from heronladder_control.results import success
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.tasks import TaskGroupOwner
+from heronladder_schema.v1 import control_pb2, resources_pb2
+from support import run_virtual
+
+_STREAMS = 300
+_REPLICAS = 4_000
+_PATIENCE_S = 0.9
+_ASKED_AGAIN_S = 0.1
+
+
+class _Member:
+    """Commits each entry after a while; notes the replicas in the order of the log."""
+
+    def __init__(self) -> None:
+        self.environment = Environment(random.Random(1), virtual=True)
+        self.metrics = mock.Mock()
+        self.log = EventLog("control", "m")
+        self.tasks = TaskGroupOwner(self.log)
+        self.node = mock.Mock()
+        self.service = SimpleNamespace(sessions=range(_STREAMS))
+        self.state = SimpleNamespace(applied_index=0)
+        self.registered: list[str] = []
+        self.commit_s = 0.1
+        self.failure: Exception | None = None
+
+    async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
+        await asyncio.sleep(self.commit_s)
+        if self.failure is not None:
+            raise self.failure
+        one = command.HasField("register_replica")
+        orders = [command.register_replica] if one else list(command.register_replicas.orders)
+        self.registered.extend(order.replica.id for order in orders)
+        result = success()
+        if not one:
+            result.each.extend(success() for _ in orders)
+        return result
+
+
+def _order(identity: str, *, gone: bool = False) -> control_pb2.RegisterReplica:
+    return control_pb2.RegisterReplica(replica=resources_pb2.Replica(id=identity, gone=gone))
+
+
+def _run(scenario: Any) -> None:
+    async def work() -> None:
+        member = _Member()
+        await scenario(member, RegistrationBatches(member))  # type: ignore[arg-type]
+        await member.tasks.stop()
+
+    run_virtual(work())
+
+
+class GivenUpTest(unittest.TestCase):
+    def test_a_crowd_that_gives_up_and_asks_again_is_registered(self) -> None:
+        """Orders whose callers had gone took the places of the living, and their pauses."""
+
+        async def replica(batches: RegistrationBatches, number: int) -> None:
+            while True:
+                try:
+                    async with asyncio.timeout(_PATIENCE_S):
+                        await batches.propose(_order(f"r{number}"))
+                    return
+                except (TimeoutError, LeadershipLostError):
+                    await asyncio.sleep(_ASKED_AGAIN_S)
+
+        async def scenario(_member: _Member, batches: RegistrationBatches) -> None:
+            crowd = [asyncio.create_task(replica(batches, n)) for n in range(_REPLICAS)]
+            _, late = await asyncio.wait(crowd, timeout=2 * _REPLICAS / MOST_AT_ONCE * 0.4)
+            for task in late:
+                task.cancel()
+            self.assertFalse(len(late))
+
+        _run(scenario)
+
+    def test_orders_of_callers_that_went_cost_neither_places_nor_pauses(self) -> None:
+        async def scenario(member: _Member, batches: RegistrationBatches) -> None:
+            member.commit_s = 0.0
+            await batches.propose(_order("first"))
+            gone = [
+                asyncio.create_task(batches.propose(_order(f"g{n}"))) for n in range(MOST_WAITING)
+            ]
+            await asyncio.sleep(0.01)
+            for task in gone:
+                task.cancel()
+            await asyncio.sleep(0)
+            began_s = member.environment.monotonic()
+            await batches.propose(_order("lives"))
+            took_s = member.environment.monotonic() - began_s
+            self.assertLess(took_s, 1.1 * PAUSE_S * _STREAMS)
+            self.assertEqual(member.registered, ["first", "lives"])
+
+        _run(scenario)
+
+
+class OrderTest(unittest.TestCase):
+    def test_a_replica_that_leaves_goes_first_but_after_its_own_earlier_words(self) -> None:
+        async def scenario(member: _Member, batches: RegistrationBatches) -> None:
+            first = asyncio.create_task(batches.propose(_order("first")))
+            await asyncio.sleep(0.01)
+            names = [f"r{number}" for number in range(2 * MOST_AT_ONCE)]
+            crowd = [asyncio.create_task(batches.propose(_order(name))) for name in names]
+            await asyncio.sleep(0.01)
+            await batches.propose(_order(names[-1], gone=True))
+            self.assertEqual(member.registered[:4], ["first", names[-1], names[-1], "r0"])
+            await asyncio.gather(first, *crowd)
+
+        _run(scenario)
+
+
+class FailureTest(unittest.TestCase):
+    def test_a_failure_of_any_kind_is_told_to_all_that_wait(self) -> None:
+        """Their orders were taken and never answered: each waited for all of its patience."""
+
+        async def scenario(member: _Member, batches: RegistrationBatches) -> None:
+            member.failure = ValueError("broken")
+            asked = [
+                asyncio.create_task(batches.propose(_order(f"r{number}")))
+                for number in range(MOST_AT_ONCE + 5)
+            ]
+            done, waiting = await asyncio.wait(asked, timeout=5)
+            for task in waiting:
+                task.cancel()
+            self.assertFalse(len(waiting))
+            errors = {type(task.exception()) for task in done}
+            self.assertEqual(errors, {LeadershipLostError})
+            member.failure = None
+            await batches.propose(_order("later"))
+            self.assertEqual(member.registered, ["later"])
+
+        with self.assertLogs("heronladder.control", "ERROR"):
+            _run(scenario)
+
+
+if __name__ == "__main__":
+    unittest.main()
