A write that fails after its caller went is no stray error

A member that was stopped in mid-write left an exception that nobody took, seen once in test_crowd_of_replicas since writes are shielded. What was not written stays unsynced in memory, and a term is taken back by the task that writes it. The new test failed before.

--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -57,6 +57,12 @@
         """Release what is held open."""
 
 
+def _note_failure(writing: asyncio.Future[None]) -> None:
+    """Take a failure that nobody waits for any more; who still waits gets it as well."""
+    if not writing.cancelled():
+        writing.exception()
+
+
 class FolderDisk(Disk):
     """A folder of the machine's file system.
 
@@ -113,7 +119,9 @@
         # Shielded: a write that waits its turn would be dropped with a caller that gives up,
         # and memory be ahead of the disk for good.
         loop = asyncio.get_running_loop()
-        await asyncio.shield(loop.run_in_executor(self._writer, what, name, data))
+        writing = loop.run_in_executor(self._writer, what, name, data)
+        writing.add_done_callback(_note_failure)
+        await asyncio.shield(writing)
 
     def _write_and_sync(self, name: str, data: bytes) -> None:
         try:
--- a/tests/test_folder_disk.py
+++ b/tests/test_folder_disk.py
@@ -1,6 +1,7 @@
 """Files of a member's data folder while the disk is slow and callers give up."""
 
 import asyncio
+import gc
 import os
 import tempfile
 import threading
@@ -117,6 +118,25 @@
                 await write
             self.assertEqual(disk.names(), [])
 
+    async def test_a_write_that_fails_after_its_caller_went_is_no_stray_error(self) -> None:
+        """A member that is stopped in mid-write closes its files under it."""
+        stray: list[dict[str, object]] = []
+        loop = asyncio.get_running_loop()
+        loop.set_exception_handler(lambda _loop, context: stray.append(context))
+        with tempfile.TemporaryDirectory() as folder, _slow_disk() as slow:
+            disk = FolderDisk(Path(folder))
+            disk.append("log", b"x")
+            write = asyncio.create_task(disk.sync("log"))
+            await slow.wait_stuck()
+            write.cancel()
+            await asyncio.sleep(0.05)
+            disk.close()
+            slow.go.set()
+            await asyncio.sleep(0.1)
+            del write
+            gc.collect()
+        self.assertEqual(stray, [])
+
 
 class GivenUpTermTest(unittest.IsolatedAsyncioTestCase):
     """A caller that goes while a member enters a term."""
