A member that only names the leader takes a link's patience no more away

Cause: any frame put the count of streams without a word back to zero, also a follower's not_leader: with followers in the group the patience before a crowded leader never grew. Change: only frames of a member that leads put it back. Test: a link that comes over a follower to a crowded leader, beside the one without a follower; it never heard of the leader in 10 s before.

--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -217,11 +217,11 @@
             async for frame in stream:
                 session.last_received = self._environment.monotonic()
                 session.has_word = True
-                self._wordless_streams = 0
                 self.bytes_received += frame.ByteSize()
                 if frame.not_leader:
                     self._hint = frame.leader_address
                     return
+                self._wordless_streams = 0  # a member that names the leader is not the leader
                 if frame.rejected:
                     self._reject(frame.rejected, address)
                     return
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -55,6 +55,22 @@
                 )
 
 
+class _Follows(ControlServicer):
+    """Says at once who leads, as a member that does not lead does.
+
+    Args:
+        leader: Address of the leader.
+    """
+
+    def __init__(self, leader: str) -> None:
+        self._leader = leader
+
+    async def Session(
+        self, request_iterator: AsyncIterator[control_pb2.DaemonFrame], context: Any
+    ) -> AsyncIterator[control_pb2.ControlFrame]:
+        yield control_pb2.ControlFrame(not_leader=True, leader_address=self._leader)
+
+
 class _SendsGarbageFirst(ControlServicer):
     """Sends a configuration that cannot be unpacked on its first stream, a sound one after."""
 
@@ -116,6 +132,19 @@
             await asyncio.sleep(8 * _HEARTBEAT_S)
             self.assertEqual(service.streams, streams, "the one with a word lasts")
 
+    async def test_a_member_that_only_names_the_leader_takes_no_patience_away(self) -> None:
+        """Each stream to the crowded leader came after a follower's word, which counted as
+        control's: 36 were given up in 15 s, and none lasted."""
+        service = _Crowded()
+        async with (
+            _served(service) as leader,
+            _linked(_Follows(leader)) as link,
+            asyncio.timeout(10),
+        ):
+            while link.last_heard_s < 0:
+                await asyncio.sleep(0.05)
+            self.assertGreater(service.streams, 2, "the first ones are given up as ever")
+
     async def test_a_configuration_that_cannot_be_unpacked_is_fetched_anew(self) -> None:
         service = _SendsGarbageFirst()
         async with _linked(service) as link, asyncio.timeout(10):
@@ -125,25 +154,32 @@
 
 
 @asynccontextmanager
-async def _linked(service: ControlServicer) -> AsyncIterator[ControlLink]:
-    """Run a link to a service over loopback."""
+async def _served(service: ControlServicer) -> AsyncIterator[str]:
+    """Serve over loopback; give the address."""
     server = make_server()
     add_ControlServicer_to_server(service, server)
     port = server.add_insecure_port("127.0.0.1:0")
     await server.start()
-    stubs = GrpcStubs()
-    record = ledger_pb2.DaemonRecord(name="gateway-1", role="router", incarnation="a")
-    link = ControlLink(
-        record, [f"127.0.0.1:{port}"], stubs, _HEARTBEAT_S, LinkHandlers(), Environment()
-    )
-    link.start()
     try:
-        yield link
+        yield f"127.0.0.1:{port}"
     finally:
-        await link.abort()
-        await stubs.close()
         await server.stop(0)
 
 
+@asynccontextmanager
+async def _linked(service: ControlServicer) -> AsyncIterator[ControlLink]:
+    """Run a link to a service over loopback."""
+    async with _served(service) as address:
+        stubs = GrpcStubs()
+        record = ledger_pb2.DaemonRecord(name="gateway-1", role="router", incarnation="a")
+        link = ControlLink(record, [address], stubs, _HEARTBEAT_S, LinkHandlers(), Environment())
+        link.start()
+        try:
+            yield link
+        finally:
+            await link.abort()
+            await stubs.close()
+
+
 if __name__ == "__main__":
     unittest.main()
