One registration that fails takes none of those passed on with it along

Cause: the leader raised the first failure among up to 512 orders that a member had passed on, so all of them were unclear; an answer with fewer results than orders was taken for the answer of each, though its code was OK; a call that failed left no trace. Change: each order has a result of its own, with a new code for unclear; an answer that lacks results acknowledges nobody and is asked for again; a call without an answer is counted, and told in a line once until one has an answer again. Tests: the three new ones of test_crowd_of_replicas failed before.

--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -249,19 +249,20 @@
         self, orders: Iterable[control_pb2.RegisterReplica]
     ) -> control_pb2.CarryReply:
         """Register what a member passed on; each replica has a result of its own."""
-        made = (self._register_one(order) for order in orders)
-        results = await asyncio.gather(*made, return_exceptions=True)
-        for result in results:
-            if isinstance(result, BaseException):
-                raise result
+        results = await asyncio.gather(*(self._register_one(order) for order in orders))
         reply = control_pb2.CarryReply(result=success())
-        reply.result.each.extend(results)  # type: ignore[arg-type]
+        reply.result.each.extend(results)
         return reply
 
     async def _register_one(self, order: control_pb2.RegisterReplica) -> control_pb2.CommandResult:
         if self._is_late(order):
             return success()
-        return await self._batches.propose(order)
+        try:
+            return await self._batches.propose(order)
+        except NotLeaderError as error:
+            return failure(control_pb2.RESULT_CODE_NOT_LEADER, str(error))
+        except LeadershipLostError as error:
+            return failure(control_pb2.RESULT_CODE_UNCLEAR, str(error))
 
     def _is_late(self, order: control_pb2.RegisterReplica) -> bool:
         """Whether a heartbeat is of a replica whose address another incarnation has.
--- a/packages/heronladder-control/src/heronladder_control/registration_relay.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_relay.py
@@ -37,6 +37,7 @@
         self._waiting: deque[_Waiting] = deque()
         self._calls = 0
         self._running = False
+        self._is_failing = False
 
     async def ask(
         self, order: control_pb2.RegisterReplica, left_s: float
@@ -82,14 +83,31 @@
         replies: list[control_pb2.CarryReply | None] = [None] * len(taken)
         try:
             replies = await self._replies(taken)
-        except RPC_ERRORS:
-            pass  # no answer: they are tried again for as long as those who ask wait
+            self._is_failing = False
+        except RPC_ERRORS as error:
+            # They are tried again for as long as those who ask wait.
+            self._report_failure(len(taken), error)
         finally:
             self._calls -= 1
             for (_, answer), reply in zip(taken, replies, strict=True):
                 if not answer.done():
                     answer.set_result(reply)
 
+    def _report_failure(self, count: int, error: BaseException) -> None:
+        """Count a call without an answer; a line for the first one since the last answer."""
+        self._member.metrics.add("registration_calls_failed")
+        if self._is_failing:
+            return
+        self._is_failing = True
+        self._member.log.warning(
+            "registrations_not_passed_on",
+            step="register_replica",
+            peer=self._member.leader_address(),
+            count=count,
+            waiting=len(self._waiting),
+            error=repr(error),
+        )
+
     async def _replies(self, taken: list[_Waiting]) -> list[control_pb2.CarryReply | None]:
         address = self._member.leader_address()
         if not address:
@@ -97,6 +115,18 @@
         request = control_pb2.CarryRequest()
         request.command.register_replicas.orders.extend(order for order, _ in taken)
         reply = await self._member.stubs.control(address).Carry(request, timeout=_CALL_S)
-        if reply.not_leader or reply.unclear or len(reply.result.each) != len(taken):
+        is_refused = reply.result.code != control_pb2.RESULT_CODE_OK
+        if reply.not_leader or reply.unclear or is_refused:
             return [reply for _ in taken]
-        return [control_pb2.CarryReply(result=own) for own in reply.result.each]
+        if len(reply.result.each) != len(taken):
+            return [None for _ in taken]  # it says nothing of any one of them
+        return [self._own(result) for result in reply.result.each]
+
+    @staticmethod
+    def _own(result: control_pb2.CommandResult) -> control_pb2.CarryReply:
+        """Return the answer to one of those passed on."""
+        return control_pb2.CarryReply(
+            result=result,
+            not_leader=result.code == control_pb2.RESULT_CODE_NOT_LEADER,
+            unclear=result.code == control_pb2.RESULT_CODE_UNCLEAR,
+        )
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -88,6 +88,8 @@
     " out for `for_s`.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
     "replica_trusted": "A suspected replica gave a whole answer.",
+    "registrations_not_passed_on": "The first call to the leader without an answer since the last"
+    " one that had one: how many registrations it passed on, and how many wait.",
     "replicas_registered": (
         "Registrations that came together went into the log as one entry: how many, how many"
         " wait for the next one, and how many routers are told."
@@ -131,6 +133,8 @@
     "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
     "members_passed_over": "Members from which a replica came back that was sent there.",
     "registrations": "Registrations of replicas that went into the log.",
+    "registration_calls_failed": "Calls that passed registrations on to the leader and had no"
+    " answer.",
     "registrations_refused": "Registrations turned away: too many waited for the log.",
     "gateway_behind_changes": "Times that a gateway became ready or not by its link and loop, by"
     " reason.",
--- a/tests/test_crowd_of_replicas.py
+++ b/tests/test_crowd_of_replicas.py
@@ -8,9 +8,11 @@
 from unittest import mock
 
 from control_group import ControlGroup
+from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_consensus.storage import LogStorage
 from heronladder_control.fleet_service import FleetOutcome, Standing
 from heronladder_control.member import ControlMember
+from heronladder_control.results import success
 from heronladder_control.returning_replicas import RETURNS_AFTER_S
 from heronladder_control.state import ControlState
 from heronladder_runtime.disk import FolderDisk
@@ -172,6 +174,56 @@
         revisions = [outcome.result.revision for outcome in outcomes]
         self.assertTrue(all(revisions))
 
+    async def test_an_order_that_fails_takes_none_of_those_passed_on_with_it_along(self) -> None:
+        """One refused order was the answer of up to 511 others as well."""
+        batches = self.leader.fleet_service._batches
+        propose = batches.propose
+
+        async def refuse_some(order: control_pb2.RegisterReplica) -> control_pb2.CommandResult:
+            if order.replica.id == "replica-7":
+                raise LeadershipLostError("too many wait", step="register_replica")
+            if order.replica.id == "replica-8":
+                raise NotLeaderError("not the leader", step="register_replica")
+            return await propose(order)
+
+        with mock.patch.object(batches, "propose", refuse_some):
+            outcomes = await _register_all(self.follower, 40)
+        unclear = [
+            number
+            for number, outcome in enumerate(outcomes)
+            if outcome.standing is Standing.UNCLEAR
+        ]
+        self.assertEqual(unclear, [7, 8])
+        done = [outcome for outcome in outcomes if outcome.standing is Standing.DONE]
+        self.assertEqual(len(done), 38)
+
+    async def test_an_answer_that_lacks_results_acknowledges_nobody(self) -> None:
+        """It was taken for the answer of each."""
+
+        async def cut_short(_request: control_pb2.CarryRequest) -> control_pb2.CarryReply:
+            reply = control_pb2.CarryReply(result=success())
+            reply.result.each.extend([success()] * 3)
+            return reply
+
+        with mock.patch.object(self.leader.fleet_service, "carry", cut_short):
+            outcomes = await _register_all(self.follower, 40)
+        standings = {outcome.standing for outcome in outcomes}
+        self.assertEqual(standings, {Standing.UNCLEAR})
+
+    async def test_a_leader_that_does_not_answer_is_told_of_once_and_counted(self) -> None:
+        async def breaks(_request: control_pb2.CarryRequest) -> control_pb2.CarryReply:
+            raise ConnectionError("broken")
+
+        with (
+            mock.patch.object(self.leader.fleet_service, "carry", breaks),
+            self.assertLogs("heronladder", "WARNING") as logs,
+        ):
+            outcomes = await _register_all(self.follower, 5)
+        self.assertEqual({outcome.standing for outcome in outcomes}, {Standing.UNCLEAR})
+        told = [line for line in logs.output if "event=registrations_not_passed_on" in line]
+        self.assertEqual(len(told), 1, told)
+        self.assertIn(b"registration_calls_failed", self.follower.metrics.page())
+
     async def test_one_taken_for_replaced_comes_back_over_a_member_that_does_not_lead(
         self,
     ) -> None:
