While all loads fit into a word, all are told at once

Cause: the choice of the busiest replicas is renewed four times a round of all routers, also where there are fewer replicas than a word has room for: a replica that a router had just told of was missing until a quarter of the routers had told. Change: with at most 64 replicas under load all are told, and nothing is chosen. Test: the new one of LoadSumsTest failed before (0 instead of 7 in flight).

--- a/packages/heronladder-control/src/heronladder_control/replica_loads.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_loads.py
@@ -63,7 +63,12 @@
                 load.unread_tokens = unread - own_unread
 
     def _chosen(self) -> list[str]:
-        """Return the busiest replicas, as they were at most a part of a round ago."""
+        """Return the busiest replicas, as they were at most a part of a round ago.
+
+        While there is room for all, all: each is told at once, and none is sorted.
+        """
+        if len(self._sums) <= MOST_TOLD:
+            return list(self._sums)
         if self._told_since * _CHOSEN_A_ROUND >= len(self._told):
             self._told_since = 0
             self._busiest = heapq.nlargest(MOST_TOLD, self._sums, key=self._sums.__getitem__)
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -164,6 +164,17 @@
                 self.assertEqual(load.in_flight, sum(count for count, _ in others))
                 self.assertEqual(load.unread_tokens, sum(tokens for _, tokens in others))
 
+    def test_a_replica_that_one_of_many_routers_told_of_is_told_at_once(self) -> None:
+        """Only after a quarter of the routers had told: a request went where it had to wait."""
+        sums = ReplicaLoads()
+        for router in range(40):
+            sums.told(f"g{router}", {"r0": control_pb2.ReplicaLoad(in_flight=1)})
+        sums.fill("g0", control_pb2.ControlFrame())
+        sums.told("g1", {"r1": control_pb2.ReplicaLoad(in_flight=7)})
+        frame = control_pb2.ControlFrame()
+        sums.fill("g0", frame)
+        self.assertEqual(frame.replica_loads["r1"].in_flight, 7)
+
     def test_only_the_busiest_replicas_are_told(self) -> None:
         sums = ReplicaLoads()
         told = {f"r{n}": control_pb2.ReplicaLoad(in_flight=n + 1) for n in range(MOST_TOLD + 9)}
