--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -215,6 +215,9 @@
         try:
             if not await self.snapshots.save():
                 await asyncio.sleep(self.timing.snapshot_retry_s)
+        except Exception:
+            await asyncio.sleep(self.timing.snapshot_retry_s)  # nor then at each entry
+            raise
         finally:
             self._saving_snapshot = False
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
@@ -40,12 +40,13 @@
         index = node.applied_index
         snapshot = StoredSnapshot(self._meta(index), self._machine.snapshot())
         try:
-            await node.storage.save_snapshot(snapshot, drop_log=False)
+            refusals = await node.storage.save_snapshot(snapshot, drop_log=False)
         except StorageError as error:
             node.event_log.warning(
                 "snapshot_not_saved", step=error.step, peer=error.peer, error=error.message
             )
             return False  # the log goes on
+        self._report(refusals)
         self.newest = snapshot
         kept_from = max(node.log.base_index, index - node.timing.trailing_entries)
         if kept_from > node.log.base_index:
@@ -55,6 +56,19 @@
         )
         return True
 
+    def _report(self, refusals: list[StorageError]) -> None:
+        """Tell of files that are left for the next snapshot to remove."""
+        if not refusals:
+            return
+        error = refusals[0]
+        self._node.event_log.warning(
+            "files_not_removed",
+            step=error.step,
+            peer=error.peer,
+            refusals=len(refusals),
+            error=error.message,
+        )
+
     def _meta(self, index: int) -> consensus_pb2.SnapshotMeta:
         log = self._node.log
         return consensus_pb2.SnapshotMeta(
@@ -75,7 +89,7 @@
 
     async def _install_locked(self, snapshot: StoredSnapshot) -> None:
         node = self._node
-        await node.storage.save_snapshot(snapshot, drop_log=True)
+        self._report(await node.storage.save_snapshot(snapshot, drop_log=True))
         self.newest = snapshot
         node.log.reset(snapshot.meta)
         self._machine.restore(snapshot.data)
--- a/packages/heronladder-consensus/src/heronladder_consensus/storage.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/storage.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass, field
 
 from heronladder_runtime.disk import Disk
-from heronladder_runtime.errors import CorruptFileError
+from heronladder_runtime.errors import CorruptFileError, StorageError
 from heronladder_runtime.records import frame_record, scan_records
 from heronladder_schema.v1 import consensus_pb2
 
@@ -107,7 +107,7 @@
 
     def _load_segments(self, names: list[str], state: LoadedState) -> None:
         segment_names = [name for name in names if name.startswith(_SEGMENT_PREFIX)]
-        first_kept = state.snapshot.meta.index + 1 if state.snapshot else 1
+        meta = state.snapshot.meta if state.snapshot else consensus_pb2.SnapshotMeta()
         by_index: dict[int, consensus_pb2.LogEntry] = {}
         last_index = 0
         for position, name in enumerate(segment_names):
@@ -124,13 +124,15 @@
                     last_index = entry.index
             self._segments.append(_Segment(name, scan.good_size, last_index))
             self._last_segment_number = int(name.removeprefix(_SEGMENT_PREFIX))
-        for index in range(first_kept, last_index + 1):
+        for index in range(meta.index + 1, last_index + 1):
             if index not in by_index:
                 raise CorruptFileError(
                     f"the log has no entry {index} between its snapshot and its end",
                     step="load",
                     peer=segment_names[0],
                 )
+            if by_index[index].term < meta.term:
+                break  # of a log that the snapshot replaced, and the disk kept
             state.entries.append(by_index[index])
 
     # ---- writing ----------------------------------------------------------
@@ -162,31 +164,52 @@
             self._segments.append(_Segment(name, 0, 0))
         return self._segments[-1]
 
-    async def save_snapshot(self, snapshot: StoredSnapshot, *, drop_log: bool) -> None:
+    async def save_snapshot(
+        self, snapshot: StoredSnapshot, *, drop_log: bool
+    ) -> list[StorageError]:
         """Write a snapshot, then drop older snapshots and the segments it covers.
 
+        The snapshot holds once it is written. A file whose removal the disk refuses
+        costs room only, and is tried again with the next snapshot.
+
         Args:
             snapshot: The snapshot to keep from now on.
             drop_log: Whether all log segments are dropped: the snapshot came
                 from the leader and the log does not go on from it.
 
+        Returns:
+            Removals that the disk refused.
+
         Raises:
-            StorageError: If the disk refuses.
+            StorageError: If the disk refuses the snapshot; nothing has changed then.
         """
         name = _numbered(_SNAPSHOT_PREFIX, snapshot.meta.index)
         records = frame_record(snapshot.meta.SerializeToString()) + frame_record(snapshot.data)
         await self._disk.replace(name, records)
+        refusals = []
         for other in self._disk.names():
             if other.startswith(_SNAPSHOT_PREFIX) and other != name:
-                await self._disk.delete(other)
-        kept = []
-        for position, segment in enumerate(self._segments):
-            is_last = position == len(self._segments) - 1
-            if drop_log or (not is_last and segment.last_index <= snapshot.meta.index):
-                await self._disk.delete(segment.name)
-            else:
-                kept.append(segment)
-        self._segments = kept
+                try:
+                    await self._disk.delete(other)
+                except StorageError as error:
+                    refusals.append(error)
+        try:
+            await self._drop_segments(snapshot.meta.index, drop_log=drop_log)
+        except StorageError as error:
+            refusals.append(error)
+        return refusals
+
+    async def _drop_segments(self, covered: int, *, drop_log: bool) -> None:
+        """Remove segments, and forget each as soon as it is gone.
+
+        All of a log are removed from its end: one without its middle cannot be loaded.
+        """
+        dropped = list(reversed(self._segments))
+        if not drop_log:
+            dropped = [one for one in self._segments[:-1] if one.last_index <= covered]
+        for segment in dropped:
+            await self._disk.delete(segment.name)
+            self._segments.remove(segment)
 
     def close(self) -> None:
         """Close all files."""
--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -194,8 +194,14 @@
 
     async def delete(self, name: str) -> None:
         """Remove a file if it exists; a slow disk holds up its own thread only."""
+        damaged = self._damaged.get(name)
         self._forget(name)
-        await asyncio.get_running_loop().run_in_executor(None, self._delete, name)
+        try:
+            await asyncio.get_running_loop().run_in_executor(None, self._delete, name)
+        except StorageError:
+            if damaged is not None:
+                self._damaged[name] = damaged  # what stays is cut back before its next use
+            raise
 
     def _delete(self, name: str) -> None:
         try:
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -88,6 +88,8 @@
     " out for `for_s`.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
     "replica_trusted": "A suspected replica gave a whole answer.",
+    "files_not_removed": "A snapshot is saved, but the disk refused to remove files that it"
+    " replaces; they cost room until the next snapshot.",
     "registrations_not_passed_on": "The first call to the leader without an answer since the last"
     " one that had one: how many registrations it passed on, and how many wait.",
     "replicas_registered": (
--- a/tests/test_disk_troubles.py
+++ b/tests/test_disk_troubles.py
@@ -81,6 +81,57 @@
         with refused, self.assertRaises(StorageError):
             await self.disk.delete(next(self.folder.iterdir()).name)
 
+    async def test_a_snapshot_holds_whatever_removal_the_disk_refuses_after_it(self) -> None:
+        """The member took it for not saved; files that were gone were still written to, and a
+        log without its middle kept the member from starting."""
+        for refused in range(4):
+            for drop_log in (False, True):
+                with self.subTest(refused=refused, drop_log=drop_log):
+                    await self._snapshot_with_a_refused_removal(refused, drop_log=drop_log)
+
+    async def _snapshot_with_a_refused_removal(self, refused: int, *, drop_log: bool) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            disk = FolderDisk(Path(folder))
+            storage = LogStorage(disk)
+            with mock.patch("heronladder_consensus.storage._SEGMENT_BYTES", 1):
+                for index in range(1, 5):
+                    await storage.append(_entries(index, index))
+            meta = consensus_pb2.SnapshotMeta(index=2, term=2 if drop_log else 1)
+            unlink, calls = Path.unlink, 0
+
+            def refuse_one(path: Path, missing_ok: bool = False) -> None:
+                nonlocal calls
+                calls += 1
+                if calls == refused + 1:
+                    raise _FULL
+                unlink(path, missing_ok=missing_ok)
+
+            with mock.patch.object(Path, "unlink", refuse_one):
+                await storage.save_snapshot(StoredSnapshot(meta, b"s"), drop_log=drop_log)
+            if drop_log:  # nothing of the log that the snapshot replaced may come back
+                self.assertEqual(LogStorage(FolderDisk(Path(folder))).load().entries, [])
+            entry = consensus_pb2.LogEntry(index=3, term=meta.term, command=b"new")
+            await storage.append([entry])
+            disk.close()
+            loaded = LogStorage(FolderDisk(Path(folder))).load()
+            assert loaded.snapshot is not None
+            self.assertEqual(loaded.snapshot.meta.index, 2)
+            self.assertEqual(loaded.entries, [entry])
+
+    async def test_a_torn_file_that_cannot_be_removed_is_still_cut_before_it_is_used(self) -> None:
+        await self.storage.append(_entries(1, 2))
+        name = next(self.folder.iterdir()).name
+        sync = mock.patch("heronladder_runtime.disk.os.fdatasync", side_effect=_FULL)
+        cut = mock.patch("heronladder_runtime.disk.os.ftruncate", side_effect=_FULL)
+        with sync, cut, self.assertRaises(StorageError):
+            await self.storage.append(_entries(3, 3))
+        refused = mock.patch.object(Path, "unlink", side_effect=_FULL)
+        with refused, self.assertRaises(StorageError):
+            await self.disk.delete(name)
+        before = len(self.disk.read(name))
+        await self.storage.append(_entries(3, 3))
+        self.assertEqual(len(self.disk.read(name)), before)
+
 
 class MemberWithDiskTroublesTest(unittest.TestCase):
     def test_acknowledgements_go_on_while_the_leader_s_disk_holds_up_a_snapshot(self) -> None:
@@ -121,6 +172,47 @@
 
         run_virtual(scenario())
 
+    def test_a_snapshot_whose_removals_are_refused_is_saved_and_they_come_next_time(self) -> None:
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            disk = group.disks[leader.name]
+            disk.refuse_removals = True
+            for number in range(3 * _SNAPSHOT_ENTRIES):
+                await leader.propose(f"c{number}".encode())
+                await asyncio.sleep(0.01)
+            self.assertGreater(leader.log.base_index, _SNAPSHOT_ENTRIES)
+            assert leader.snapshots.newest is not None
+            self.assertGreater(leader.snapshots.newest.meta.index, 2 * _SNAPSHOT_ENTRIES)
+            disk.refuse_removals = False
+            for number in range(2 * _SNAPSHOT_ENTRIES):
+                await leader.propose(f"d{number}".encode())
+                await asyncio.sleep(0.01)
+            kept = [name for name in disk.names() if name.startswith("snapshot-")]
+            self.assertEqual(len(kept), 1)
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_snapshot_that_fails_in_any_way_is_tried_again_in_a_while(self) -> None:
+        async def scenario() -> None:
+            group = Group(snapshot_entries=_SNAPSHOT_ENTRIES)
+            leader = await group.start_all()
+            made = 0
+
+            def broken() -> bytes:
+                nonlocal made
+                made += 1
+                raise ValueError("broken")
+
+            group.machines[leader.name].snapshot = broken  # type: ignore[method-assign]
+            for number in range(5 * _SNAPSHOT_ENTRIES):
+                await leader.propose(f"c{number}".encode())
+            self.assertLessEqual(made, 2)
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_snapshot_that_does_not_fit_is_tried_again_in_a_while_not_at_each_entry(
         self,
     ) -> None:
