--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -68,6 +68,7 @@
         contacts: gRPC addresses that it may ask.
         zone_names: Zones that may be evacuated; empty: any.
         named: Whether the group's name was set, and is to stand in its log.
+        region: Where this member stands; empty: the group stands in one region, of its name.
     """
 
     name: str
@@ -81,6 +82,7 @@
     contacts: list[str] = field(default_factory=list)
     zone_names: list[str] = field(default_factory=list)
     named: bool = False
+    region: str = ""
 
 
 class ControlMember:
--- a/packages/heronladder-control/src/heronladder_control/status.py
+++ b/packages/heronladder-control/src/heronladder_control/status.py
@@ -11,7 +11,8 @@
     state = member.state
     committed = state.resources.revision
     return {
-        "region": member.options.group,
+        "group": member.options.group,
+        "region": member.options.region or member.options.group,
         "leader": node.leader,
         "term": node.term,
         "commitIndex": node.commit_index,
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -37,6 +37,7 @@
         name=common.name,
         group=common.group or common.region,
         named=bool(common.group),
+        region=common.region,
         initial_members=parse_members(control.initial_members),
         timing=ConsensusTiming(
             seconds(control.election_timeout_ms),
--- a/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
@@ -235,7 +235,8 @@
         print(json.dumps(document, indent=2))
         return
     print(
-        f"region {document['region']}  leader {document['leader']}  term {document['term']}  "
+        f"group {document['group']}  region {document['region']}  "
+        f"leader {document['leader']}  term {document['term']}  "
         f"committed {document['committedRevision']}  in force {document['inForceRevision']}"
     )
     if document["heldUpBy"]:
