--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -19,6 +19,7 @@
     StaleConfigurationError,
 )
 from heronladder_runtime.link_handlers import LinkHandlers
+from heronladder_runtime.link_orders import take_orders
 from heronladder_runtime.link_session import LinkSession, PendingCall
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.rpc import StubFactory
@@ -339,7 +340,7 @@
             call = self._pending.get(answer.call_id)
             if call is not None and not call.answer.done():
                 call.answer.set_result(answer.result)
-        self._take_orders(frame)
+        take_orders(self._handlers, frame)
 
     def _apply_configuration(self, session: LinkSession, part: control_pb2.ConfigUpdate) -> bool:
         """Take a part of an update; return whether it was the last one."""
@@ -389,20 +390,3 @@
         until = sent + frame.freshness_ms / MILLISECONDS_PER_SECOND
         self._fresh_until = max(self._fresh_until, until)
         self._became_fresh.set()
-
-    def _take_orders(self, frame: control_pb2.ControlFrame) -> None:
-        if self._handlers.recall is not None:
-            for recall in frame.recalls:
-                self._handlers.recall(recall.lease_id, recall.keep)
-        if self._handlers.promises_noted is not None and frame.promises_noted:
-            self._handlers.promises_noted(frame.promises_noted)
-        if self._handlers.replica_loads is not None and frame.has_replica_loads:
-            self._handlers.replica_loads(frame.replica_loads)
-        if frame.lenders and self._handlers.lenders is not None:
-            self._handlers.lenders(frame.lenders)
-        if self._handlers.recall_prepaid is not None:
-            for tenant in frame.prepaid_recalls:
-                self._handlers.recall_prepaid(tenant)
-        if self._handlers.daemon_notice is not None:
-            for notice in frame.daemons:
-                self._handlers.daemon_notice(notice)
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_orders.py
@@ -0,0 +1,24 @@
+"""Gives the orders that come over a daemon's link to those who carry them out."""
+
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_runtime.link_handlers import LinkHandlers
+
+
+def take_orders(handlers: LinkHandlers, frame: control_pb2.ControlFrame) -> None:
+    """Give each order of a frame to its handler, if the daemon has one."""
+    if handlers.recall is not None:
+        for recall in frame.recalls:
+            handlers.recall(recall.lease_id, recall.keep)
+    if handlers.promises_noted is not None and frame.promises_noted:
+        handlers.promises_noted(frame.promises_noted)
+    if handlers.replica_loads is not None and frame.has_replica_loads:
+        handlers.replica_loads(frame.replica_loads)
+    if frame.lenders and handlers.lenders is not None:
+        handlers.lenders(frame.lenders)
+    if handlers.recall_prepaid is not None:
+        for tenant in frame.prepaid_recalls:
+            handlers.recall_prepaid(tenant)
+    if handlers.daemon_notice is not None:
+        for notice in frame.daemons:
+            handlers.daemon_notice(notice)
