--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -73,6 +73,7 @@
         zone_names: Zones that may be evacuated; empty: any.
         named: Whether the group's name was set, and is to stand in its log.
         rollout_limits: What a version on trial may get; none: no roll-outs.
+        region: Where this member stands; empty: the group stands in one region, of its name.
     """
 
     name: str
@@ -87,6 +88,7 @@
     zone_names: list[str] = field(default_factory=list)
     named: bool = False
     rollout_limits: ExposureLimits = field(default_factory=ExposureLimits)
+    region: str = ""
 
 
 class ControlMember:
--- a/packages/heronladder-runtime/src/heronladder_runtime/disk.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/disk.py
@@ -57,6 +57,12 @@
         """Release what is held open."""
 
 
+def _note_failure(writing: asyncio.Future[None]) -> None:
+    """Take a failure that nobody waits for any more; who still waits gets it as well."""
+    if not writing.cancelled():
+        writing.exception()
+
+
 class FolderDisk(Disk):
     """A folder of the machine's file system.
 
@@ -110,8 +116,12 @@
         await self._write(self._write_and_sync, name, data)
 
     async def _write(self, what: Callable[[str, bytes], None], name: str, data: bytes) -> None:
+        # Shielded: a write that waits its turn would be dropped with a caller that gives up,
+        # and memory be ahead of the disk for good.
         loop = asyncio.get_running_loop()
-        await loop.run_in_executor(self._writer, what, name, data)
+        writing = loop.run_in_executor(self._writer, what, name, data)
+        writing.add_done_callback(_note_failure)
+        await asyncio.shield(writing)
 
     def _write_and_sync(self, name: str, data: bytes) -> None:
         try:
@@ -127,7 +137,7 @@
                 if name not in self._named:
                     self._sync_folder()
                     self._named.add(name)
-            del self._damaged[name]
+            self._damaged.pop(name, None)  # its file may be removed meanwhile
         except OSError as error:
             self._cut_back_quietly(name)
             raise StorageError(str(error), step="sync", peer=name) from error
@@ -137,7 +147,7 @@
         if name in self._damaged:
             os.ftruncate(self._descriptor(name), self._damaged[name])
             os.fdatasync(self._descriptor(name))
-            del self._damaged[name]
+            self._damaged.pop(name, None)
 
     def _cut_back_quietly(self, name: str) -> None:
         try:
@@ -184,8 +194,14 @@
 
     async def delete(self, name: str) -> None:
         """Remove a file if it exists; a slow disk holds up its own thread only."""
+        damaged = self._damaged.get(name)
         self._forget(name)
-        await asyncio.get_running_loop().run_in_executor(None, self._delete, name)
+        try:
+            await asyncio.get_running_loop().run_in_executor(None, self._delete, name)
+        except StorageError:
+            if damaged is not None:
+                self._damaged[name] = damaged  # what stays is cut back before its next use
+            raise
 
     def _delete(self, name: str) -> None:
         try:
