Test of a slow link: each heartbeat waits, as on a full link

Cause: the test stopped the link for 0.5 s and let all go for 0.05 s. The heartbeats kept back came out together; the newest one, by which a gateway goes, had waited 40 ms, so that the gateway was behind for less than a millisecond (traced: behind at 340 ms, in time 0.4 ms later, then 4 s of rest in which it is not behind again). The test asks each 50 ms, and passed only where one of few beats fell right within its 10 s. Ruled out: the stream ending (none did), sums not heard (others=0 of 3 gateways in all looks), fewer under way than the mean asks (12 of a mean of 4), the queue for places. Change: the link holds each piece for half a second, as a full link does; what the test asks for stands as it was: unready, the others ready, callers asked to connect anew, ready again. What a link that lets go twice a second would do is no full link.

--- a/tests/shaped_link.py
+++ b/tests/shaped_link.py
@@ -19,11 +19,13 @@
 
     Attributes:
         bytes_per_s: Speed; may be changed at any time.
+        delay_s: How long what comes waits besides, as on a link whose queue stays full.
         passed_bytes: What went through so far.
     """
 
     def __init__(self) -> None:
         self.bytes_per_s = math.inf
+        self.delay_s = 0.0
         self.passed_bytes = 0
         self._free_s = 0.0  # when what was taken so far has left
         self._open = asyncio.Event()
@@ -45,6 +47,8 @@
     async def pass_on(self, size_bytes: int) -> None:
         """Wait until so many bytes have gone through."""
         await self._open.wait()
+        if self.delay_s:
+            await asyncio.sleep(self.delay_s)
         now_s = asyncio.get_running_loop().time()
         self._free_s = max(now_s - _CATCH_UP_S, self._free_s) + size_bytes / self.bytes_per_s
         if self._free_s > now_s:
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -201,25 +201,12 @@
         await self.fleet.add_gateway("front-3")
         self.busy: StartedGateway = await self.fleet.add_gateway("front-2", self.link)
         self.go_on = asyncio.Event()
-        self.slow: asyncio.Future[None] = asyncio.get_running_loop().create_future()
 
     async def asyncTearDown(self) -> None:
         self.go_on.set()
-        self.slow.cancel()
         await self.fleet.stop()
         await self.link.stop()
 
-    async def _make_slow(self) -> None:
-        """Hold up what goes to control, as a full link does, for half a second at a time."""
-        try:
-            while True:
-                self.link.there.stop()
-                await asyncio.sleep(0.5)
-                self.link.there.let_go()
-                await asyncio.sleep(0.05)
-        finally:
-            self.link.there.let_go()
-
     async def _ready(self, gateway: StartedGateway) -> bool:
         got = await self.fleet.call(gateway.ready_address, "GET", "/api/readyz")
         return got.status == 200
@@ -242,14 +229,14 @@
             for number in range(12)
         ]
         await self._until(True)
-        self.slow = asyncio.ensure_future(self._make_slow())
+        self.link.there.delay_s = 0.5  # each heartbeat waits so long, as on a full link
         await self._until(False)
         self.assertTrue(await self._ready(self.fleet.gateways[0]))
         self.go_on.set()
         for got in await asyncio.gather(*calls):
             self.assertEqual(got.status, 200)
             self.assertEqual(got.headers.get("Connection"), "close")
-        self.slow.cancel()
+        self.link.there.delay_s = 0.0
         await self._until(True)
 
     async def test_it_is_ready_again_also_where_control_has_gone_silent(self) -> None:
