A gateway is behind by whole sums only

Cause: that fewer than half of the gateways can be behind holds for whole sums. The first answers of a new leader carry few or none, and of more than 64 loaded replicas only the busiest are told, while a gateway counts all its own. After a change of leader all gateways could turn unready at once. Change: load_unknown for the first second of a stream with a word, and where the replicas told and those that the gateway sends to are 64 or more (it is not told those that only itself sends to). The limit moves to the runtime package, which both ends may import. Changed tests: the stand-in link of SilentControlTest tells since when it is heard, test_fleet_replicas imports the limit from its new place.

--- a/packages/heronladder-control/src/heronladder_control/replica_loads.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_loads.py
@@ -8,12 +8,9 @@
 import heapq
 from collections.abc import Mapping
 
+from heronladder_runtime.replica_sums import MOST_TOLD
 from heronladder_schema.v1 import control_pb2
 
-#: Replicas told at once: 20 bytes each, under a fifth of 2 KB/s at three frames a second
-#: for the replicas of one router's subset (chosen).
-MOST_TOLD = 64
-
 # The busiest are chosen anew so often while all routers tell once: at each word of 300 routers
 # it sorted 3,000 sums 1,000 times a second (chosen).
 _CHOSEN_A_ROUND = 4
--- a/packages/heronladder-router/src/heronladder_router/decisions/take.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/take.py
@@ -9,7 +9,8 @@
 control and back, over the same link, and how late the heartbeat's timer wakes. Both may also be
 long because control is slow, or because all gateways have too much to do. So a gateway is only
 behind while it has more under way than twice the mean of all: fewer than half of them can be,
-whatever happens.
+whatever happens. That holds for whole sums only: a leader that is new has heard of few, and where
+replicas are many the busiest alone are told. By such sums none is behind.
 """
 
 import math
@@ -23,6 +24,8 @@
 # Then it is ready again whatever its times say: they may be long for another reason, and an
 # eighth of all time unready is a duty missed (chosen).
 _LONGEST_S = 4.0
+# Of a stream to control, before its sums are whole: three heartbeats of all the others (chosen).
+_SUMS_WHOLE_S = 1.0
 _REST_S = 4.0  # ready at least so long in between: half of the time at the worst (chosen)
 
 
@@ -47,10 +50,11 @@
         link_ms: Time of the newest heartbeat to control and back.
         loop_ms: How late the heartbeat's timer woke last.
         own: Requests that it has under way at replicas.
-        others: Those of all other gateways; None: not known.
+        others: Those of all other gateways; None: not known, or not of all replicas.
         gateways: How many there are.
         behind_s: For how long it has been behind; None: it is not.
         ready_s: For how long it has been ready since it was behind.
+        heard_s: For how long control has been heard on this stream.
     """
 
     limit_ms: float
@@ -61,6 +65,7 @@
     gateways: int
     behind_s: float | None
     ready_s: float = math.inf
+    heard_s: float = math.inf
 
 
 @dataclass(frozen=True)
@@ -90,7 +95,7 @@
             return Take(True, Standing.IN_TIME, late_ms)
         ready = view.behind_s > _LONGEST_S
         return Take(ready, Standing.LONG_ENOUGH if ready else Standing.BEHIND, late_ms)
-    if view.others is None or view.gateways < _MEANS:
+    if view.others is None or view.heard_s < _SUMS_WHOLE_S or view.gateways < _MEANS:
         return Take(True, Standing.UNKNOWN, late_ms)
     mean = (view.own + view.others) / view.gateways
     if late_ms <= view.limit_ms:
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -8,6 +8,7 @@
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.pulse import Pulse
+from heronladder_runtime.replica_sums import MOST_TOLD
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
@@ -88,6 +89,7 @@
         self.evacuated: frozenset[str] = frozenset()
         self.changed = Pulse()
         self.loads_told_s = float("-inf")  # when control last told the others' load
+        self._loads_cut = False  # whether it may have told a part of the replicas only
         configuration.listen(self._rebuild)
 
     def _rebuild(self) -> None:
@@ -283,6 +285,9 @@
     def others_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         """Take what all other gateways have under way."""
         self.loads_told_s = self._environment.monotonic()
+        held = {replica.name for replica in self._replicas.values() if replica.in_flight > 0}
+        # Those that only this gateway sends to are among the busiest too, but it is not told them.
+        self._loads_cut = len(held.union(loads)) >= MOST_TOLD
         for replica in self._replicas.values():
             known = replica.name in loads
             replica.others_in_flight = loads[replica.name].in_flight if known else 0
@@ -291,10 +296,10 @@
     def under_way(self) -> tuple[int, int | None]:
         """Return the requests of this gateway, and of all others, that replicas hold.
 
-        The others' are None where they are not known.
+        The others' are None where they are not known, or only those of the busiest replicas.
         """
         own = sum(replica.in_flight for replica in self._replicas.values())
-        if self.load_age_s >= _LOADS_HOLD_S:
+        if self.load_age_s >= _LOADS_HOLD_S or self._loads_cut:
             return own, None
         return own, sum(replica.others_in_flight for replica in self._replicas.values())
 
--- a/packages/heronladder-router/src/heronladder_router/taking.py
+++ b/packages/heronladder-router/src/heronladder_router/taking.py
@@ -70,6 +70,7 @@
             gateways=self._link.routers,
             behind_s=None if since_s is None else now_s - since_s,
             ready_s=now_s - self._ready_since_s,
+            heard_s=now_s - self._link.heard_since_s,
         )
         decided = take(view)
         if decided.ready is not self.behind:
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -88,6 +88,7 @@
         self._became_fresh = asyncio.Event()
         self._control_time_ms = 0
         self.last_heard_s = float("-inf")  # newest heartbeat that a leader answered
+        self.heard_since_s = float("inf")  # first word on this stream; inf: none yet
         self.regained_s = float("-inf")  # end of the newest long silence of control
         self.quickest_round_trip_s = 0.0  # of the heartbeats on this stream; 0: none yet
         self.round_trip_s = 0.0  # of the newest heartbeat that was acknowledged
@@ -211,12 +212,14 @@
             self._handlers.session_began()
         self._control_time_ms = 0  # another leader's clock says nothing to this one
         self.quickest_round_trip_s = 0.0  # nor does the way to it
+        self.heard_since_s = float("inf")
         stream = self._stubs.control(address).Session(self._frames(session))
         watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
         try:
             async for frame in stream:
                 session.last_received = self._environment.monotonic()
                 session.has_word = True
+                self.heard_since_s = min(self.heard_since_s, session.last_received)
                 self._wordless_streams = 0
                 self.bytes_received += frame.ByteSize()
                 if frame.not_leader:
--- a/tests/test_control_link.py
+++ b/tests/test_control_link.py
@@ -110,7 +110,9 @@
         service = _Crowded()
         async with _linked(service) as link, asyncio.timeout(10):
             while link.last_heard_s < 0:
+                self.assertEqual(link.heard_since_s, float("inf"), "streams without a word")
                 await asyncio.sleep(0.05)
+            self.assertLessEqual(link.heard_since_s, link.last_heard_s)
             self.assertGreater(service.streams, 2, "the first ones are given up as ever")
             streams = service.streams
             await asyncio.sleep(8 * _HEARTBEAT_S)
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from heronladder_control.replica_loads import MOST_TOLD, ReplicaLoads
+from heronladder_control.replica_loads import ReplicaLoads
 from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
 from heronladder_router.kept_parts import parse_parts
@@ -11,6 +11,7 @@
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
 from heronladder_runtime.logs import EventLog
+from heronladder_runtime.replica_sums import MOST_TOLD
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 _SERVICE = "model"
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -6,11 +6,17 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.decisions.take import Standing, TakeView, take
+from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
+from heronladder_router.replica_state import Wish
 from heronladder_router.taking import Taking
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.replica_sums import MOST_TOLD
+from heronladder_schema.v1 import control_pb2, resources_pb2
 from platform_stand_ins import (
     Fleet,
     Received,
@@ -110,8 +116,9 @@
     others: int | None = 100,
     gateways: int = 20,
     behind_s: float | None = None,
+    heard_s: float = 60.0,
 ) -> TakeView:
-    return TakeView(limit_ms, link_ms, loop_ms, own, others, gateways, behind_s)
+    return TakeView(limit_ms, link_ms, loop_ms, own, others, gateways, behind_s, heard_s=heard_s)
 
 
 class TakeTest(unittest.TestCase):
@@ -124,6 +131,13 @@
             ]
             self.assertLess(len(behind), len(loads) / 2)
 
+    def test_fewer_than_half_can_be_behind_while_a_new_leader_has_parts_of_the_sums(self) -> None:
+        """All 20 were: each of them heard of few others at a leader that had just begun."""
+        partial = [take(_view(link_ms=9_000, own=50, others=0, heard_s=0.9)) for _ in range(20)]
+        self.assertEqual({one.standing for one in partial}, {Standing.UNKNOWN})
+        self.assertTrue(all(one.ready for one in partial))
+        self.assertFalse(take(_view(link_ms=9_000, own=50, others=0, heard_s=1.0)).ready)
+
     def test_a_late_loop_counts_as_a_full_link_does(self) -> None:
         self.assertFalse(take(_view(loop_ms=400)).ready)
         self.assertFalse(take(_view(link_ms=400)).ready)
@@ -167,10 +181,69 @@
         return self.now_s
 
 
+class LoadsHeardTest(unittest.TestCase):
+    """What a gateway takes for the load of all others."""
+
+    def _gateway(self, names: list[str]) -> FleetReplicas:
+        store = ConfigurationStore("g")
+        replicas = FleetReplicas(
+            Surroundings("z", {}),
+            ColdLimits("g", 1.5, 5, lambda: GatewaysKnown({"g"}, 1)),
+            store,
+            _Clock(),
+            EventLog("test", "g"),
+        )
+        update = control_pb2.ConfigUpdate(revision=1, snapshot=True)
+        for name in names:
+            event = update.events.add(kind=REPLICA_KIND, name=name)
+            event.resource.replica.CopyFrom(resources_pb2.Replica(id=name, service="s", zone="z"))
+        store.apply(update)
+        return replicas
+
+    def test_sums_that_may_be_cut_are_not_compared_with(self) -> None:
+        """Only the busiest are told, but a gateway counts all of its own."""
+        names = [f"r{number}" for number in range(MOST_TOLD + 40)]
+        busy = {name: control_pb2.ReplicaLoad(in_flight=9) for name in names}
+        for told, own, known in (
+            (MOST_TOLD, 0, False),
+            (MOST_TOLD - 1, 0, True),
+            (MOST_TOLD - 4, 4, False),  # control does not tell a gateway of its own alone
+            (0, MOST_TOLD, False),
+            (0, MOST_TOLD - 1, True),
+        ):
+            with self.subTest(told=told, own=own):
+                gateway = self._gateway(names)
+                for name in names[told : told + own]:
+                    replica = next(one for one in gateway.usable("s") if one.name == name)
+                    gateway.sent(replica, Wish("s"))
+                gateway.others_told({name: busy[name] for name in names[:told]})
+                self.assertEqual(gateway.under_way(), (own, 9 * told if known else None))
+
+
+class NewStreamTest(unittest.TestCase):
+    def test_a_gateway_is_not_behind_by_the_first_sums_of_a_new_stream(self) -> None:
+        link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20, heard_since_s=99.5)
+        replicas = SimpleNamespace(under_way=lambda: (100, 0))
+        clock = _Clock()
+        taking = Taking(
+            _LIMIT_MS,
+            cast(Any, link),
+            cast(Any, replicas),
+            clock,
+            Metrics(),
+            EventLog("test", "gateway"),
+        )
+        taking.look()
+        self.assertFalse(taking.behind)
+        clock.now_s += 0.5
+        taking.look()
+        self.assertTrue(taking.behind)
+
+
 class SilentControlTest(unittest.TestCase):
     def test_a_gateway_is_not_behind_for_ever_while_control_is_silent(self) -> None:
         """Nothing but the answers of control had it look again."""
-        link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20)
+        link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20, heard_since_s=0.0)
         replicas = SimpleNamespace(under_way=lambda: (100, 100))
         clock = _Clock()
         taking = Taking(
