Going far past suspects of the own region is spill, and bound

Cause: suspects were dropped before the near and the far were told apart. Change: the permitted are split first. Where there are replicas here but all are suspects, and others are not, a send goes far as far_near_suspect while more may spill, else to the suspects here. Where all of both are suspects, they are compared as before.

--- a/packages/heronladder-router/src/heronladder_router/decisions/distance.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/distance.py
@@ -4,8 +4,10 @@
 dear, each with replicas enough for its own callers most of the time.
 
 Way chosen: what stands in the own region is compared first. A replica elsewhere is looked at only
-where there is none here, or where the best one here would begin later than the way to another
-region costs. A zone whose region is not known is taken for one of the own region.
+where there is none here, where all here are suspects, or where the best one here would begin
+later than the way to another region costs. The last two are bound: a region whose replicas all
+turned something away in the same moment sent all that it had over the thin link. A zone
+whose region is not known is taken for one of the own region.
 """
 
 from collections.abc import Callable, Mapping
@@ -21,12 +23,18 @@
     NEAR = "near"  # the own region
     FAR_NONE_NEAR = "far_none_near"  # none of the own region may be sent to
     FAR_NEAR_BUSY = "far_near_busy"  # those would begin later, the way counted
-    NEAR_SPILL_BOUND = "near_spill_bound"  # the same, but as many as may went elsewhere
+    FAR_NEAR_SUSPECT = "far_near_suspect"  # those have no room or failed a moment ago
+    NEAR_SPILL_BOUND = "near_spill_bound"  # one of both, but as many as may went elsewhere
 
     @property
     def is_far(self) -> bool:
         """Whether it leads to another region."""
-        return self in (Way.FAR_NONE_NEAR, Way.FAR_NEAR_BUSY)
+        return self is Way.FAR_NONE_NEAR or self.is_spill
+
+    @property
+    def is_spill(self) -> bool:
+        """Whether it leads there although the own region has a replica that may be sent to."""
+        return self in (Way.FAR_NEAR_BUSY, Way.FAR_NEAR_SUSPECT)
 
 
 @dataclass(frozen=True)
@@ -72,6 +80,7 @@
     far_cost_ms: float,
     *,
     may_spill: bool,
+    near_suspect: bool = False,
 ) -> tuple[Offer, Way]:
     """Return the better offer of the own region and the others; there must be one.
 
@@ -81,9 +90,14 @@
         best: Finds the best of some.
         far_cost_ms: What a send to another region costs: the way, and its bytes.
         may_spill: Whether more may go there while there are replicas here.
+        near_suspect: Whether all of the own region are suspects, and others are not.
     """
     if not near:
         return best(far), Way.FAR_NONE_NEAR
+    if near_suspect:
+        if may_spill:
+            return best(far), Way.FAR_NEAR_SUSPECT
+        return best(near), Way.NEAR_SPILL_BOUND
     here = best(near)
     if not far or here.cost_ms <= far_cost_ms:
         return here, Way.NEAR
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -103,7 +103,8 @@
 def place(view: PlacementView, wish: Wish, tried: Collection[str], source: Randomness) -> Placement:
     """Return the replica that would begin first.
 
-    Suspected replicas come only after all others.
+    Suspected replicas come only after all others of their region, and after those of other
+    regions as far as more may go there.
 
     Args:
         view: What is known.
@@ -114,18 +115,30 @@
     pool, lacking = _permitted(view, wish, tried)
     if not pool:
         return Placement(None, lacking)
-    sound = [replica for replica in pool if replica.suspect_until_s <= view.now_s]
-    reason = Reason.SOUND if sound else Reason.SUSPECT
-    near, far = split(sound or pool, view.zone, view.zone_regions)
+    near, far = split(pool, view.zone, view.zone_regions)
+    sound_near, sound_far = _sound(view, near), _sound(view, far)
 
     def best(some: list[FleetReplica]) -> Offer:
         return _best(view, wish, some, source)
 
-    offer, way = choose(near, far, best, view.far_cost_ms, may_spill=view.may_spill)
+    offer, way = choose(
+        sound_near or near,
+        sound_far if sound_near or sound_far else far,
+        best,
+        view.far_cost_ms,
+        may_spill=view.may_spill,
+        near_suspect=bool(sound_far) and not sound_near,
+    )
+    suspect = offer.replica.suspect_until_s > view.now_s
+    reason = Reason.SUSPECT if suspect else Reason.SOUND
     cost_ms = offer.cost_ms + (view.far_cost_ms if way.is_far else 0.0)
     return Placement(offer.replica, reason, cost_ms, offer.again_tokens, offer.compared, way)
 
 
+def _sound(view: PlacementView, pool: list[FleetReplica]) -> list[FleetReplica]:
+    return [replica for replica in pool if replica.suspect_until_s <= view.now_s]
+
+
 def _best(view: PlacementView, wish: Wish, pool: list[FleetReplica], source: Randomness) -> Offer:
     """Return the replica of one region that would begin first.
 
