Only spill counts against the bound on spill

Cause: each send to another region counted, also those that a home or an evacuation forces. A gateway whose callers' home is far spilled nothing of its own region's load. Change: the dispatcher counts what goes far because the replicas here are busy or suspects. Test over sockets seen to fail first (3 counted, not 0). Changed test: the bound's unit test says itself that a send is spill, as the dispatcher does.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -12,7 +12,6 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
-from heronladder_router.decisions.distance import is_far
 from heronladder_router.decisions.patience import FirstEventTimes
 from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, Speed
@@ -224,7 +223,7 @@
 
     @property
     def far_sends(self) -> int:
-        """Requests that went to other regions in the last second."""
+        """Requests that spilled to other regions in the last second."""
         oldest_s = self._environment.monotonic() - _SPILL_WINDOW_S
         while self._far_sends_s and self._far_sends_s[0] <= oldest_s:
             self._far_sends_s.popleft()
@@ -316,10 +315,12 @@
         replica.unread_tokens += unread
         replica.parts.note(wish.parts)
         self._count_cold_send(replica)
-        if is_far(self._where.zone, replica.record.zone, self._where.zone_regions):
-            self._far_sends_s.append(self._environment.monotonic())
         return unread
 
+    def spilled(self) -> None:
+        """Note that a request goes to another region although this one has replicas for it."""
+        self._far_sends_s.append(self._environment.monotonic())
+
     def _count_cold_send(self, replica: FleetReplica) -> None:
         """Count all sends of the last second: the replica may be known for cold only then."""
         now_s = self._environment.monotonic()
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -314,6 +314,8 @@
         if placement.way.is_far:
             self._parts.metrics.add("requests_across", placement.way.value)
             self._parts.metrics.add("body_bytes_across", amount=len(request.body))
+            if placement.way.is_spill:
+                self._parts.replicas.spilled()
         elif placement.way is Way.NEAR_SPILL_BOUND:
             self._parts.metrics.add("spills_held_back")
         progress.sends += 1
--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -191,6 +191,8 @@
         def send() -> Way:
             placement = replicas.place(wish, ())
             assert placement.replica is not None
+            if placement.way.is_spill:
+                replicas.spilled()
             replicas.began(placement.replica, replicas.sent(placement.replica, wish))
             replicas.ended(placement.replica)
             return placement.way
--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -101,6 +101,16 @@
         for sends, path in enumerate(("/safe/", "/unsafe/", "/tenant/"), 1):
             self._check(await self._ask(path), sends)
 
+    async def test_what_a_home_forces_across_takes_nothing_of_the_bound_on_spill(self) -> None:
+        """Three sends to the home took three of the five that may spill in a second."""
+        await self._start(self._good)
+        gateway = self.fleet.gateway.gateway
+        assert gateway is not None
+        for sends in range(1, 4):
+            self._check(await self._ask("/unsafe/"), sends)
+        self.assertEqual(gateway.metrics.counters["requests_across", "far_none_near"], 3)
+        self.assertEqual(gateway.replicas.far_sends, 0)
+
     async def test_a_shed_request_is_sent_again_at_home(self) -> None:
         await self._start(_shed)
         self._check(await self._ask("/unsafe/"), 2)
