Waiting, measured speed and measured patience are off unless set

Cause: three settings were on by default, so that deployments that set nothing began to turn plain requests away, compare by measured speed and give streams up earlier. The options in code have the same defaults. Changed test: test_speed sets measures_speed, whose default it relied on.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -48,8 +48,8 @@
     zone_regions: Mapping[str, str]
     far_cost_ms: float = 150.0
     far_sends_per_s: int = 5
-    measures_speed: bool = True
-    measures_patience: bool = True
+    measures_speed: bool = False
+    measures_patience: bool = False
     link_s: Callable[[], float] = lambda: 0.0
 
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -78,10 +78,10 @@
     group: str = ""
     far_cost_ms: float = 150.0
     far_sends_per_s: int = 5
-    wait_for_places: bool = True
+    wait_for_places: bool = False
     behind_after_ms: float = 0.0
-    measured_speed: bool = True
-    measured_patience: bool = True
+    measured_speed: bool = False
+    measured_patience: bool = False
 
 
 class GatewayRole:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -87,6 +87,12 @@
             self.assertEqual(other.control.initial_members, "")
             self.assertIn("10.0.0.1:7340", other.control.join_contacts)
 
+    def test_what_a_gateway_decides_anew_is_on(self) -> None:
+        front = {"listen": {"front": "10.0.0.2:80"}}
+        gateway = translate(_SETTINGS | front, GATEWAY).gateway
+        for name in ("wait_for_places", "measured_speed", "measured_patience", "behind_after_ms"):
+            self.assertGreater(getattr(gateway, name), 0, name)
+
     def test_a_wrong_file_names_its_field(self) -> None:
         wrong = {key: value for key, value in _SETTINGS.items() if key != "internalPorts"}
         with self.assertRaises(SettingsError) as raised:
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -54,6 +54,12 @@
         self.assertEqual(len(lines), 2)
         self.assertIn("roles = 'cook' from flag --roles", result.stderr)
 
+    def test_what_a_gateway_decides_anew_is_off_unless_it_is_set(self) -> None:
+        """A deployment that set nothing began to turn away and to give streams up earlier."""
+        gateway = load(GOOD, {}).gateway
+        for name in ("wait_for_places", "measured_speed", "measured_patience", "behind_after_ms"):
+            self.assertEqual(getattr(gateway, name), 0, name)
+
     def test_the_settings_page_is_made_from_the_schema(self) -> None:
         page = Path(__file__).parent.parent / "docs" / "operators" / "settings.md"
         self.assertEqual(page.read_text(), settings_page())
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -198,7 +198,7 @@
         """A gateway with a full link passed keepers over: 1.6 times as much was read again."""
         cold = ColdLimits("g", 1.5, 5, lambda: GatewaysKnown({"g"}, 1))
         link_s = 0.5
-        where = Surroundings("z", {}, link_s=lambda: link_s)
+        where = Surroundings("z", {}, measures_speed=True, link_s=lambda: link_s)
         store = ConfigurationStore("g")
         replicas = FleetReplicas(where, cold, store, _Clock(), EventLog("test", "g"))
         replica = FleetReplica(resources_pb2.Replica(id="r", service=_SERVICE), KeptParts(0))
