Speeds of services and tokens of a request in modules of their own

Change: pure moves. service_speeds has measured speed and first events of services, request_tokens has taking tokens for a request and what its answer used.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -12,12 +12,11 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
-from heronladder_router.decisions.patience import FirstEventTimes
 from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
-from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, Speed
 from heronladder_router.decisions.waiting import ReplicaPlaces
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.service_speeds import ServiceSpeeds
 
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
@@ -26,7 +25,6 @@
 # How long one is left out whose address answered that it is another's. Each start of a
 # replica is a new incarnation, so it does not come back; a wrong word costs this long (chosen).
 MISDIRECTED_S = 10.0
-_LINK_SHARE = 0.25  # of a first event, from which it tells of the link (chosen)
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 
 
@@ -81,8 +79,12 @@
         self._of_service: dict[str, list[FleetReplica]] = {}
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
         self._misdirected: dict[str, float] = {}  # until when, of those that are left out
-        self._first_events: dict[str, FirstEventTimes] = {}
-        self._measured: dict[str, MeasuredSpeed] = {}
+        self.speeds = ServiceSpeeds(
+            where.link_s,
+            environment,
+            measures_speed=where.measures_speed,
+            measures_patience=where.measures_patience,
+        )
         self._restored: dict[str, bool] = {}  # by zone on record: whether it was taken back
         self._far_sends_s: deque[float] = deque()  # of the last second
         self.evacuated: frozenset[str] = frozenset()
@@ -218,7 +220,7 @@
             shares_load=self.load_age_s < _LOADS_HOLD_S,
             far_cost_ms=self._where.far_cost_ms,
             may_spill=self.far_sends < self._where.far_sends_per_s,
-            speed=self.speed(service),
+            speed=self.speeds.speed(service),
         )
 
     @property
@@ -229,10 +231,6 @@
             self._far_sends_s.popleft()
         return len(self._far_sends_s)
 
-    def speed(self, service: str) -> Speed:
-        """Return the measured speed of a service's replicas."""
-        return self._measured.get(service, MeasuredSpeed()).speed()
-
     def places_of(self, wish: Wish) -> tuple[list[ReplicaPlaces], bool]:
         """Return the places of the replicas that a request may go to, and if sums are heard."""
         view = self._view(wish.service)
@@ -337,31 +335,6 @@
             running += replica.others_in_flight
         return tokens, running
 
-    def first_event(self, replica: FleetReplica, seen: FirstEvent) -> None:
-        """Take in how long a first event of a model's stream took."""
-        took_s = seen.took_ms / MILLISECONDS_PER_SECOND
-        self._note_first_event(replica.record.service, took_s)
-        # What a full link of this gateway holds up tells nothing of engines.
-        link_full = self._where.link_s() > _LINK_SHARE * took_s
-        if link_full or not self._where.measures_speed:
-            return
-        measured = self._measured.get(replica.record.service, MeasuredSpeed())
-        now_s = self._environment.monotonic()
-        replica.pace = replica.pace.after(seen, measured.speed(), now_s)
-        self._measured[replica.record.service] = measured.after(seen)
-
-    def first_events(self, service: str) -> FirstEventTimes:
-        """Return how long the first events of a service take."""
-        return self._first_events.get(service, FirstEventTimes())
-
-    def given_up(self, replica: FleetReplica, after_s: float) -> None:
-        """Note that no answer of a replica began in so long."""
-        self._note_first_event(replica.record.service, after_s)
-
-    def _note_first_event(self, service: str, took_s: float) -> None:
-        if self._where.measures_patience:
-            self._first_events[service] = self.first_events(service).after(took_s)
-
     @staticmethod
     def began(replica: FleetReplica, unread: int) -> None:
         """Note that the first event of a request came, or that none will."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -34,20 +34,11 @@
     RunLostError,
 )
 from heronladder_router.replica_state import FleetReplica
+from heronladder_router.request_tokens import RequestTokens
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.tokens.access import Reservation, TokenAccess
 
 _REJECTIONS = 3  # sends that were not run, over the route's attempts
-_LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
-_RESERVE_SHARE = 0.2  # of the objective, waited at most for tokens: a refusal must come early
-_MOST_RESERVE_SHARE = 0.25  # of the objective, also where control is far: 172 ms of 415 were waited
-_SHORTEST_RESERVE_S = 0.1
-# Tokens may take a draw and a promise, each there and back and over to a quorum, and control may
-# stand in another region: so many of the ways there and back are waited for besides (chosen), of
-# what a way takes beyond that within a region.
-_RESERVE_ROUND_TRIPS = 4
-_NEAR_ROUND_TRIP_S = 0.006  # within a region, on a busy machine (chosen)
-_MOST_ADDED_S = 0.12  # a refusal must come early all the same (chosen)
 _REPLICA_WAIT_S = 0.2
 _MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD})  # within a moment
 _NOT_SENT: dict[Reason, type[CallerError]] = {
@@ -107,6 +98,9 @@
 
     def __init__(self, parts: GatewayParts) -> None:
         self._parts = parts
+        self._tokens = RequestTokens(
+            parts.link, parts.routes, parts.tokens, parts.environment, parts.log
+        )
 
     async def serve(self, request: GatewayRequest, sink: AnswerSink) -> None:
         """Pass the answer to a request on to its caller.
@@ -117,7 +111,7 @@
         """
         self._parts.allowance.gateways = self._parts.link.routers
         self._parts.allowance.request(request.wish.service)
-        reservation = await self._reserve(request)
+        reservation = await self._tokens.reserve(request)
         progress = AnswerProgress()
         try:
             async with asyncio.timeout_at(request.deadline_s):
@@ -126,7 +120,7 @@
         except TimeoutError as error:
             raise self._time_ran_out(request, sink, progress) from error
         finally:
-            used = self._used(request, progress)
+            used = self._tokens.used(request, progress)
             if reservation is not None:
                 reservation.settle(used)
             self._log_end(request, sink, progress, reservation, used)
@@ -167,59 +161,6 @@
             left_ms=int((request.deadline_s - now_s) * MILLISECONDS_PER_SECOND),
         )
 
-    # ---- tokens -----------------------------------------------------------
-
-    async def _reserve(self, request: GatewayRequest) -> Reservation | None:
-        tenant = request.matched.tenant
-        if tenant is None or not tenant.limited or request.bounds is None:
-            return None
-        left_s = request.deadline_s - self._parts.environment.monotonic()
-        objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        wait_s = max(_SHORTEST_RESERVE_S, _RESERVE_SHARE * objective_s) + self._far_control_s()
-        if objective_s:
-            wait_s = min(wait_s, max(_SHORTEST_RESERVE_S, _MOST_RESERVE_SHARE * objective_s))
-        wait_s = min(left_s, wait_s)
-        try:
-            return await self._parts.tokens.reserve(
-                tenant, request.bounds.total, wait_s, request.request_id
-            )
-        except CallerError as error:
-            self._parts.log.info(
-                "tokens_refused",
-                step=error.step,
-                peer=tenant.name,
-                request_id=request.request_id,
-                wanted=request.bounds.total,
-                limit=tenant.prepaid_tokens,
-                held=self._parts.tokens.state_of(tenant.name),
-                version=request.matched.version,
-                code=error.code,
-            )
-            raise
-
-    def _far_control_s(self) -> float:
-        """Return what tokens take longer because control stands far away."""
-        beyond_s = max(0.0, self._parts.link.quickest_round_trip_s - _NEAR_ROUND_TRIP_S)
-        return min(_MOST_ADDED_S, _RESERVE_ROUND_TRIPS * beyond_s)
-
-    def _used(self, request: GatewayRequest, progress: AnswerProgress) -> int:
-        """Return the most tokens that the tenant can have got.
-
-        A run that ended before anything of it was handed out gave the tenant
-        nothing and costs nothing: prepaid tokens are what a tenant gets.
-        """
-        bounds = request.bounds
-        if bounds is None or not progress.handed_out:
-            return 0
-        service = self._parts.routes.services.get(request.wish.service)
-        per_event = service.engine.tokens_per_event if service is not None else 0
-        if not (per_event and progress.cutter.events):
-            return bounds.total  # a whole answer, whose tokens are not told
-        out = progress.cutter.events * per_event
-        if not progress.finished:
-            out += _LATE_TOKENS
-        return bounds.prompt + min(bounds.most_out, out)
-
     # ---- sends ------------------------------------------------------------
 
     async def _send_until_answered(
@@ -346,7 +287,7 @@
             way=placement.way.value,
             far_sends=self._parts.replicas.far_sends,
             slow=replica.pace.factor(self._parts.environment.monotonic()),
-            token_ms=self._parts.replicas.speed(request.wish.service).token_ms,
+            token_ms=self._parts.replicas.speeds.speed(request.wish.service).token_ms,
             shared_tokens=request.wish.shared_tokens,
             again_tokens=placement.again_tokens,
             cold_s=replica.cold_until_s - self._parts.environment.monotonic(),
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -176,7 +176,7 @@
                 return await send
         except TimeoutError as error:
             waited_s = self._patience_s(request)
-            self._replicas.given_up(replica, waited_s)
+            self._replicas.speeds.given_up(replica, waited_s)
             raise RunLostError(
                 f"no answer began in time ({waited_s:.2f} s)", step="send", peer=replica.name
             ) from error
@@ -185,7 +185,7 @@
 
     def _patience_s(self, request: GatewayRequest) -> float:
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        return patience(objective_s, self._replicas.first_events(request.wish.service)).for_s
+        return patience(objective_s, self._replicas.speeds.first_events(request.wish.service)).for_s
 
     def _headers(
         self, request: GatewayRequest, replica: FleetReplica, progress: AnswerProgress
@@ -312,14 +312,14 @@
             return
         self._counted = True
         took_ms = (self._environment.monotonic() - self._sent_s) * MILLISECONDS_PER_SECOND
-        self._replicas.first_event(
+        self._replicas.speeds.first_event(
             self._replica, FirstEvent(self._ahead, self._running - 1, took_ms)
         )
         self.done()
 
     def given_up(self, after_s: float) -> None:
         """Note that no event came in so long."""
-        self._replicas.given_up(self._replica, after_s)
+        self._replicas.speeds.given_up(self._replica, after_s)
 
     def done(self) -> None:
         """Note that the prompt is read, or will not be."""
--- a/tests/test_region_tokens.py
+++ b/tests/test_region_tokens.py
@@ -4,10 +4,10 @@
 import unittest
 from random import Random
 from types import SimpleNamespace
-from typing import cast
+from typing import Any, cast
 
-from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
 from heronladder_router.gateway_request import GatewayRequest
+from heronladder_router.request_tokens import RequestTokens
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_schema.v1 import control_pb2
 from lending_fleet import TENANT, LendingFleet, Process, Weather
@@ -123,11 +123,7 @@
         """A draw and a promise over 24 ms there and back took all of the 100 ms."""
         added = []
         for round_trip_s in (0.0, 0.002, 0.006, 0.024, 1.0):
-            parts = cast(
-                GatewayParts,
-                SimpleNamespace(link=SimpleNamespace(quickest_round_trip_s=round_trip_s)),
-            )
-            added.append(round(GatewayDispatcher(parts)._far_control_s(), 3))
+            added.append(round(_request_tokens(None, round_trip_s)._far_control_s(), 3))
         self.assertEqual(added, [0.0, 0.0, 0.0, 0.072, 0.12])
 
     def test_no_wait_for_tokens_passes_a_quarter_of_the_objective(self) -> None:
@@ -140,11 +136,6 @@
         self.assertEqual(waits, [0.172, 0.1, 0.1037, 0.15, 0.25])
 
     def _reserve(self, tokens: "_Waits", objective_ms: int, round_trip_s: float) -> None:
-        parts = SimpleNamespace(
-            link=SimpleNamespace(quickest_round_trip_s=round_trip_s),
-            tokens=tokens,
-            environment=SimpleNamespace(monotonic=lambda: 100.0),
-        )
         request = SimpleNamespace(
             matched=SimpleNamespace(
                 tenant=SimpleNamespace(limited=True, name="t"),
@@ -154,8 +145,14 @@
             deadline_s=110.0,
             request_id="r",
         )
-        dispatcher = GatewayDispatcher(cast(GatewayParts, parts))
-        asyncio.run(dispatcher._reserve(cast(GatewayRequest, request)))
+        asyncio.run(_request_tokens(tokens, round_trip_s).reserve(cast(GatewayRequest, request)))
+
+
+def _request_tokens(tokens: "_Waits | None", round_trip_s: float) -> RequestTokens:
+    link: Any = SimpleNamespace(quickest_round_trip_s=round_trip_s)
+    environment: Any = SimpleNamespace(monotonic=lambda: 100.0)
+    nothing: Any = None
+    return RequestTokens(link, nothing, cast(Any, tokens), environment, nothing)
 
 
 class _Waits:
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -203,12 +203,12 @@
         replicas = FleetReplicas(where, cold, store, _Clock(), EventLog("test", "g"))
         replica = FleetReplica(resources_pb2.Replica(id="r", service=_SERVICE), KeptParts(0))
         for _ in range(20):
-            replicas.first_event(replica, FirstEvent(500, 2, 1_300))
-        self.assertEqual(replicas.speed(_SERVICE), Speed())
+            replicas.speeds.first_event(replica, FirstEvent(500, 2, 1_300))
+        self.assertEqual(replicas.speeds.speed(_SERVICE), Speed())
         self.assertEqual(replica.pace, ReplicaPace())
         link_s = 0.01
-        replicas.first_event(replica, FirstEvent(500, 2, 1_300))
-        self.assertGreater(replicas.speed(_SERVICE).token_ms, Speed().token_ms)
+        replicas.speeds.first_event(replica, FirstEvent(500, 2, 1_300))
+        self.assertGreater(replicas.speeds.speed(_SERVICE).token_ms, Speed().token_ms)
 
 
 if __name__ == "__main__":
