A refusal for want of tokens comes within a quarter, also with control far

Change: the cap is 0.23 of the objective, so that the refusal reaches its caller in time. Test: RefusalTest also asks with control at 24 ms; seen to fail first (0.2 not less than 0.2). Changed test: the cap's figures, 0.23 of the objective; the refusals' stand-in has the parts that a dispatcher takes.

--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -12,7 +12,9 @@
 
 _LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
 _RESERVE_SHARE = 0.2  # of the objective, waited at most for tokens: a refusal must come early
-_MOST_RESERVE_SHARE = 0.25  # of the objective, also where control is far: 172 ms of 415 were waited
+# Of the objective, also where control is far (172 ms of 415 were waited): a refusal must reach its
+# caller within a quarter (chosen).
+_MOST_RESERVE_SHARE = 0.23
 _SHORTEST_RESERVE_S = 0.1
 # Tokens may take a draw and a promise, each there and back and over to a quorum, and control may
 # stand in another region: so many of the ways there and back are waited for besides (chosen), of
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -41,12 +41,14 @@
         tokens = _NoTokens()
         parts = SimpleNamespace(
             link=SimpleNamespace(routers=1),
+            routes=None,
             allowance=SimpleNamespace(gateways=1, request=lambda service: None),
             tokens=tokens,
             environment=_Clock(),
             log=EventLog("test", "gateway"),
         )
-        for objective_ms in (800, 1500):
+        for objective_ms, round_trip_s in ((800, 0.0), (1500, 0.0), (800, 0.024), (1500, 0.024)):
+            parts.link.quickest_round_trip_s = round_trip_s
             request = SimpleNamespace(
                 request_id="r",
                 wish=SimpleNamespace(service="model"),
--- a/tests/test_region_tokens.py
+++ b/tests/test_region_tokens.py
@@ -126,14 +126,14 @@
             added.append(round(_request_tokens(None, round_trip_s)._far_control_s(), 3))
         self.assertEqual(added, [0.0, 0.0, 0.0, 0.072, 0.12])
 
-    def test_no_wait_for_tokens_passes_a_quarter_of_the_objective(self) -> None:
+    def test_no_wait_for_tokens_reaches_a_quarter_of_the_objective(self) -> None:
         """A refusal of 172 ms came after two fifths of an objective of 415 ms."""
         waits = []
         for objective_ms in (0, 200, 415, 600, 1_000):
             tokens = _Waits()
             self._reserve(tokens, objective_ms, round_trip_s=0.024)
             waits.append(round(tokens.wait_s, 4))
-        self.assertEqual(waits, [0.172, 0.1, 0.1037, 0.15, 0.25])
+        self.assertEqual(waits, [0.172, 0.1, 0.1, 0.138, 0.23])
 
     def _reserve(self, tokens: "_Waits", objective_ms: int, round_trip_s: float) -> None:
         request = SimpleNamespace(
