Test of silent control: set the times once nothing is on its way

Cause: the test set the link's time and then stopped the link; a heartbeat answered in between wrote its own time over it, and the gateway was ready (failed once in a whole run of the tests, load average 12; True is not false). Change: both ways are stopped first, and nothing may have been heard for 0.2 s. What the test asks for is as it was.

--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -316,10 +316,15 @@
         gateway = self.busy.daemon.gateway
         assert gateway is not None
         await self._until(True)
+        self.link.there.stop()  # nothing of control comes any more
+        self.link.back.stop()
+        heard_s = 0.0
+        while heard_s != gateway.link.last_heard_s:  # what was on its way has come
+            heard_s = gateway.link.last_heard_s
+            await asyncio.sleep(0.2)
         gateway.link.round_trip_s = 0.9
         gateway.taking._behind_since_s = gateway._environment.monotonic()
         gateway.server.moving = True
-        self.link.there.stop()  # nothing of control comes any more
         self.assertFalse(await self._ready(self.busy))
         gateway.taking._behind_since_s -= 4.1
         self.assertTrue(await self._ready(self.busy))
