Test that the dispatcher counts spill past suspects

The unit test of the bound counts itself; this one asks the dispatcher, over sockets. Seen to fail with the dispatcher's count left out (0 != 1).

--- a/tests/test_homes.py
+++ b/tests/test_homes.py
@@ -154,5 +154,29 @@
         self.assertEqual(self.away, [])
 
 
+class SpillTest(unittest.IsolatedAsyncioTestCase):
+    """A replica here and one elsewhere; no homes."""
+
+    async def test_a_send_past_suspects_of_the_own_region_is_counted_as_spill(self) -> None:
+        fleet = await start_fleet(configuration(1, route("/any/")))
+        self.addAsyncCleanup(fleet.stop)
+
+        async def good(replica: StandInReplica, received: Received) -> bytes:
+            return answer(received)
+
+        near = await fleet.add_replica("near", good, zone="z1")
+        far = await fleet.add_replica("far", good, zone="z2")
+        gateway = fleet.gateway.gateway
+        assert gateway is not None
+        spills: list[None] = []
+        gateway.replicas.spilled = lambda: spills.append(None)  # type: ignore[method-assign]
+        for replica in gateway.replicas.usable(near.heartbeat()["service"]):
+            replica.suspect_until_s = float("inf") if replica.record.zone == "z1" else 0.0
+        got = await fleet.request("/any/")
+        self.assertEqual((got.status, len(near.received), len(far.received)), (200, 0, 1))
+        self.assertEqual(gateway.metrics.counters["requests_across", "far_near_suspect"], 1)
+        self.assertEqual(len(spills), 1)
+
+
 if __name__ == "__main__":
     unittest.main()
