--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -8,17 +8,16 @@
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.pulse import Pulse
+from heronladder_runtime.replica_sums import MOST_TOLD
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
-from heronladder_router.decisions.distance import is_far
-from heronladder_router.decisions.patience import FirstEventTimes
 from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
-from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, Speed
 from heronladder_router.decisions.waiting import ReplicaPlaces
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
+from heronladder_router.service_speeds import ServiceSpeeds
 
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
@@ -27,7 +26,6 @@
 # How long one is left out whose address answered that it is another's. Each start of a
 # replica is a new incarnation, so it does not come back; a wrong word costs this long (chosen).
 MISDIRECTED_S = 10.0
-_LINK_SHARE = 0.25  # of a first event, from which it tells of the link (chosen)
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 
 
@@ -49,8 +47,8 @@
     zone_regions: Mapping[str, str]
     far_cost_ms: float = 150.0
     far_sends_per_s: int = 5
-    measures_speed: bool = True
-    measures_patience: bool = True
+    measures_speed: bool = False
+    measures_patience: bool = False
     link_s: Callable[[], float] = lambda: 0.0
 
 
@@ -83,13 +81,18 @@
         self._of_service: dict[str, list[FleetReplica]] = {}
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
         self._misdirected: dict[str, float] = {}  # until when, of those that are left out
-        self._first_events: dict[str, FirstEventTimes] = {}
-        self._measured: dict[str, MeasuredSpeed] = {}
+        self.speeds = ServiceSpeeds(
+            where.link_s,
+            environment,
+            measures_speed=where.measures_speed,
+            measures_patience=where.measures_patience,
+        )
         self._restored: dict[str, bool] = {}  # by zone on record: whether it was taken back
         self._far_sends_s: deque[float] = deque()  # of the last second
         self.evacuated: frozenset[str] = frozenset()
         self.changed = Pulse()
         self.loads_told_s = float("-inf")  # when control last told the others' load
+        self._loads_cut = False  # whether it may have told a part of the replicas only
         configuration.listen(self._rebuild)
 
     def _rebuild(self) -> None:
@@ -232,22 +235,18 @@
             shares_load=self.load_age_s < _LOADS_HOLD_S,
             far_cost_ms=self._where.far_cost_ms,
             may_spill=self.far_sends < self._where.far_sends_per_s,
-            speed=self.speed(service),
+            speed=self.speeds.speed(service),
             permits=permits,
         )
 
     @property
     def far_sends(self) -> int:
-        """Requests that went to other regions in the last second."""
+        """Requests that spilled to other regions in the last second."""
         oldest_s = self._environment.monotonic() - _SPILL_WINDOW_S
         while self._far_sends_s and self._far_sends_s[0] <= oldest_s:
             self._far_sends_s.popleft()
         return len(self._far_sends_s)
 
-    def speed(self, service: str) -> Speed:
-        """Return the measured speed of a service's replicas."""
-        return self._measured.get(service, MeasuredSpeed()).speed()
-
     def places_of(self, wish: Wish) -> tuple[list[ReplicaPlaces], bool]:
         """Return the places of the replicas that a request may go to, and if sums are heard."""
         usable = self.usable(wish.service)
@@ -303,6 +302,9 @@
     def others_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         """Take what all other gateways have under way."""
         self.loads_told_s = self._environment.monotonic()
+        held = {replica.name for replica in self._replicas.values() if replica.in_flight > 0}
+        # Those that only this gateway sends to are among the busiest too, but it is not told them.
+        self._loads_cut = len(held.union(loads)) >= MOST_TOLD
         for replica in self._replicas.values():
             known = replica.name in loads
             replica.others_in_flight = loads[replica.name].in_flight if known else 0
@@ -311,10 +313,10 @@
     def under_way(self) -> tuple[int, int | None]:
         """Return the requests of this gateway, and of all others, that replicas hold.
 
-        The others' are None where they are not known.
+        The others' are None where they are not known, or only those of the busiest replicas.
         """
         own = sum(replica.in_flight for replica in self._replicas.values())
-        if self.load_age_s >= _LOADS_HOLD_S:
+        if self.load_age_s >= _LOADS_HOLD_S or self._loads_cut:
             return own, None
         return own, sum(replica.others_in_flight for replica in self._replicas.values())
 
@@ -331,10 +333,12 @@
         replica.unread_tokens += unread
         replica.parts.note(wish.parts)
         self._count_cold_send(replica)
-        if is_far(self._where.zone, replica.record.zone, self._where.zone_regions):
-            self._far_sends_s.append(self._environment.monotonic())
         return unread
 
+    def spilled(self) -> None:
+        """Note that a request goes to another region although this one has replicas for it."""
+        self._far_sends_s.append(self._environment.monotonic())
+
     def _count_cold_send(self, replica: FleetReplica) -> None:
         """Count all sends of the last second: the replica may be known for cold only then."""
         now_s = self._environment.monotonic()
@@ -351,31 +355,6 @@
             running += replica.others_in_flight
         return tokens, running
 
-    def first_event(self, replica: FleetReplica, seen: FirstEvent) -> None:
-        """Take in how long a first event of a model's stream took."""
-        took_s = seen.took_ms / MILLISECONDS_PER_SECOND
-        self._note_first_event(replica.record.service, took_s)
-        # What a full link of this gateway holds up tells nothing of engines.
-        link_full = self._where.link_s() > _LINK_SHARE * took_s
-        if link_full or not self._where.measures_speed:
-            return
-        measured = self._measured.get(replica.record.service, MeasuredSpeed())
-        now_s = self._environment.monotonic()
-        replica.pace = replica.pace.after(seen, measured.speed(), now_s)
-        self._measured[replica.record.service] = measured.after(seen)
-
-    def first_events(self, service: str) -> FirstEventTimes:
-        """Return how long the first events of a service take."""
-        return self._first_events.get(service, FirstEventTimes())
-
-    def given_up(self, replica: FleetReplica, after_s: float) -> None:
-        """Note that no answer of a replica began in so long."""
-        self._note_first_event(replica.record.service, after_s)
-
-    def _note_first_event(self, service: str, took_s: float) -> None:
-        if self._where.measures_patience:
-            self._first_events[service] = self.first_events(service).after(took_s)
-
     @staticmethod
     def began(replica: FleetReplica, unread: int) -> None:
         """Note that the first event of a request came, or that none will."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -81,7 +81,7 @@
     wait_for_places: bool = False
     behind_after_ms: float = 0.0
     measured_speed: bool = False
-    measured_patience: bool = True
+    measured_patience: bool = False
 
 
 class GatewayRole:
