Roll-outs: a good version of a quiet service completes in time

Cause: completion needs a sound verdict, and that asked for answers of the old version, in all and by route, which no longer come once all requests have moved; a service with few requests never got there and was sent back at three times its time. Now, once all has moved, the old version's minima are dropped; of a service with few requests a part (0.3) of its answers is enough, with at most one failure more than twice the usual; a hardly known old version is stood in for by a prior. A service without requests completes.

--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
@@ -38,13 +38,23 @@
 _OLD_ANSWERS = 30  # of a route at the old version, before it is a measure
 _WHOLE_SAMPLE = 15  # answers of each version, before all of them are compared at once (chosen)
 _LEAST_OLD_TIMES = 15  # of a route at the old version, before its times are a measure (chosen)
-_LEAST_OLD_ANSWERS = 10  # in all, before there is any measure; rare services have no more (chosen)
+_LEAST_OLD_ANSWERS = 10  # in all, before it is a measure; until then a prior stands in (chosen)
+# The prior: a service that is hardly known fails 5 in 100, as if seen in 2 answers (chosen).
+_PRIOR_FAILED = 0.1
+_PRIOR_ANSWERS = 2.0
 # The old version's newest answers count beside so many that are as all of its were: what hits both
 # versions now, such as a burst, is no fault of the new one (chosen).
 _ALL_ALONG = 30.0
 _ENOUGH_ANSWERS = 25  # of the target in all, before it may be moved to (chosen)
 _ENOUGH_OF_ROUTE = 6  # of a route, before it may be moved to, unless the route is rare
-_RARE_ROUTE = 0.02  # of the old version's answers
+_RARE_ROUTE = 0.02  # of all answers
+# A service with few requests shows less than that in an order's time, and little is harmed: this
+# part of its answers so far is enough then, of the target and of the old version (chosen).
+_ENOUGH_PART = 0.3
+
+# Of fewer answers than are enough elsewhere, one and so many times the usual may have failed: the
+# tests tell too little of so few (chosen; a version that failed half passed with 3 of 11).
+_FEW_FAILED = 2.0
 
 
 class Decision(Enum):
@@ -91,7 +101,8 @@
         patience = _ALONE_STEPS if alone else 0
         whole_old = evidence.whole(of_target=False)
         whole_new = evidence.whole(of_target=True)
-        if whole_old.answers < _LEAST_OLD_ANSWERS:  # what the target answered is kept for then
+        if whole_old.answers < _LEAST_OLD_ANSWERS and not alone:
+            # More come: what the target answered is kept for then.
             return Verdict(Decision.GO_ON, f"{whole_old.answers} answers of the old version")
         worst = (0.0, "")
         failures = dict.fromkeys(_FAILS_MORE, 0.0)  # of all routes
@@ -102,7 +113,9 @@
             fresh = self._fresh(route, new, of_target=True)
             is_measure = old.answers >= _OLD_ANSWERS
             usual = _usual(old.failed, old.answers, fresh_old.failed, fresh_old.answers)
-            if not is_measure:
+            if whole_old.answers < _LEAST_OLD_ANSWERS:
+                usual = _prior(whole_old)
+            elif not is_measure:
                 usual = _usual(whole_old.failed, whole_old.answers, 0, 0)
             found = []
             for more in _FAILS_MORE:
@@ -126,7 +139,7 @@
             return Verdict(Decision.GO_BACK, worst[1])
         if worst[0] > _DOUBT:
             return Verdict(Decision.GO_ON, f"in doubt: {worst[1]}")
-        return self._enough(evidence, whole_old, whole_new)
+        return self._enough(evidence, whole_old, whole_new, alone=alone)
 
     def _fresh(self, route: str, answers: Answers, *, of_target: bool) -> Answers:
         """Return what was counted since the last judgement."""
@@ -153,20 +166,33 @@
         return total, f"{test} of {route}: {total:.1f}; failed {figures}"
 
     @staticmethod
-    def _enough(evidence: Evidence, old: Answers, new: Answers) -> Verdict:
-        if new.answers < _ENOUGH_ANSWERS:
-            return Verdict(Decision.GO_ON, f"{new.answers} answers of {_ENOUGH_ANSWERS}")
+    def _enough(evidence: Evidence, old: Answers, new: Answers, *, alone: bool) -> Verdict:
+        count = old.answers + new.answers
+        wanted = min(_ENOUGH_ANSWERS, math.ceil(_ENOUGH_PART * count))
+        if new.answers < wanted:
+            return Verdict(Decision.GO_ON, f"{new.answers} answers of {wanted}")
+        allowed = 1 + _FEW_FAILED * _prior(old) * new.answers
+        if new.answers < _ENOUGH_ANSWERS and new.failed > allowed:
+            return Verdict(Decision.GO_ON, f"{new.failed} of only {new.answers} answers failed")
         for route in evidence.routes():
             old_answers = evidence.side(route, of_target=False).answers
-            is_rare = old_answers < _RARE_ROUTE * old.answers
-            if old_answers < _LEAST_OLD_TIMES and not is_rare:
-                return Verdict(Decision.GO_ON, f"{old_answers} answers of {route}, old version")
             answers = evidence.side(route, of_target=True).answers
-            if answers < _ENOUGH_OF_ROUTE and not is_rare:
+            part = math.ceil(_ENOUGH_PART * (old_answers + answers))
+            if old_answers + answers < _RARE_ROUTE * count:
+                continue
+            # Alone, the old version answers nothing more: waiting for it would end a good one.
+            if old_answers < min(_LEAST_OLD_TIMES, part) and not alone:
+                return Verdict(Decision.GO_ON, f"{old_answers} answers of {route}, old version")
+            if answers < min(_ENOUGH_OF_ROUTE, part):
                 return Verdict(Decision.GO_ON, f"{answers} answers of {route}")
         return Verdict(Decision.SOUND, f"sound in {new.answers} answers, {new.failed} failed")
 
 
+def _prior(old: Answers) -> float:
+    """Return the share that fails of an old version that is hardly known."""
+    return (old.failed + _PRIOR_FAILED) / (old.answers + _PRIOR_ANSWERS)
+
+
 def _whole_sample(route: str, old: Answers, new: Answers) -> tuple[float, str]:
     """Return standard errors by which the target's failures are over the old version's, and why.
 
