Roll-outs: a version that fails all goes back though the old is hardly known

Cause: under 10 answers of the old version the verdict went on whatever the target did: 500 failures of 500 beside 9 old answers. Now 25 failures beyond what the old version's share explains (a prior of 5 in 100 while it is hardly known, else less three standard errors of that share) end it whatever the other tests say, and once all has moved these judge from the prior too.

test_a_version_that_fails_everything_... and test_one_look_at_many_failures failed first ("go_on is not go_back", old 0, alone; old 9, 500 of 500).

--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
@@ -42,6 +42,10 @@
 # The prior: a service that is hardly known fails 5 in 100, as if seen in 2 answers (chosen).
 _PRIOR_FAILED = 0.1
 _PRIOR_ANSWERS = 2.0
+# So many failures more than the old version's share explains end it whatever the tests say: half
+# of what is borne of a bad version, since what is under way comes on top (chosen).
+_STOP_FAILURES = 25.0
+_STOP_ERRORS = 3.0  # and so many standard errors of that share, which few answers tell (chosen)
 # The old version's newest answers count beside so many that are as all of its were: what hits both
 # versions now, such as a burst, is no fault of the new one (chosen).
 _ALL_ALONG = 30.0
@@ -101,6 +105,10 @@
         patience = _ALONE_STEPS if alone else 0
         whole_old = evidence.whole(of_target=False)
         whole_new = evidence.whole(of_target=True)
+        unexplained = _unexplained(whole_old, whole_new)
+        if unexplained >= _STOP_FAILURES:
+            figures = f"{whole_new.failed}/{whole_new.answers}"
+            return Verdict(Decision.GO_BACK, f"{unexplained:.0f} failures too many; {figures}")
         if whole_old.answers < _LEAST_OLD_ANSWERS and not alone:
             # More come: what the target answered is kept for then.
             return Verdict(Decision.GO_ON, f"{whole_old.answers} answers of the old version")
@@ -193,6 +201,16 @@
     return (old.failed + _PRIOR_FAILED) / (old.answers + _PRIOR_ANSWERS)
 
 
+def _unexplained(old: Answers, new: Answers) -> float:
+    """Return the target's failures beyond what the old version's share explains, at the most."""
+    share = _prior(old)
+    if old.answers < _LEAST_OLD_ANSWERS:
+        return new.failed - share * new.answers
+    spread = new.answers * share * (1 - share)
+    spread *= 1 + new.answers / (old.answers + _PRIOR_ANSWERS)
+    return new.failed - share * new.answers - _STOP_ERRORS * math.sqrt(spread)
+
+
 def _whole_sample(route: str, old: Answers, new: Answers) -> tuple[float, str]:
     """Return standard errors by which the target's failures are over the old version's, and why.
 
--- a/tests/test_rollout_quiet.py
+++ b/tests/test_rollout_quiet.py
@@ -4,7 +4,8 @@
 from random import Random
 
 from heronladder_control.rollouts.table import COMPLETED, ROLLED_BACK
-from heronladder_runtime.rollouts.verdict import Watch
+from heronladder_runtime.rollouts.evidence import Answers, Evidence
+from heronladder_runtime.rollouts.verdict import Decision, Watch
 from rollout_trials import Drawn, play
 
 _SEEDS = 40
@@ -43,6 +44,25 @@
             back = sum(outcome.phase == ROLLED_BACK for outcome in outcomes)
             self.assertEqual(back, _SEEDS, (per_s, duration_s))
 
+    def test_a_version_that_fails_everything_goes_back_though_the_old_is_hardly_known(
+        self,
+    ) -> None:
+        for old in (0, 3, 9):
+            for alone in (True, False):
+                watch = Watch()
+                evidence = Evidence()
+                evidence.sides[("r", False)] = Answers(answers=old)
+                for count in range(1, 31):
+                    evidence.sides[("r", True)] = Answers(answers=count, failed=count)
+                    verdict = watch.judge(evidence, alone=alone)
+                self.assertIs(verdict.decision, Decision.GO_BACK, (old, alone))
+
+    def test_one_look_at_many_failures_is_enough(self) -> None:
+        evidence = Evidence()
+        evidence.sides[("r", False)] = Answers(answers=9)
+        evidence.sides[("r", True)] = Answers(answers=500, failed=500)
+        self.assertIs(Watch().judge(evidence, alone=True).decision, Decision.GO_BACK)
+
 
 if __name__ == "__main__":
     unittest.main()
