Roll-outs: what is not proved is not moved to at the last moment

Cause: what a move needs of the bound was reckoned with what is left of the order's time, which goes to nothing, so that any version fitted just before its deadline. Now with the whole time of a move; and what is moved to but not sound at the deadline goes back.

Both new tests of steps failed first (moved to 0.1 to 0.3 s before the deadline; not sent back after it).

--- a/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
@@ -27,7 +27,7 @@
 # In a service's whole traffic, until a version that turns bad is noticed and left; see the table
 # in docs/measurements/rollouts.md.
 _NOTICED_S = 0.6
-_LATEST = 3.0  # times an order's time, after which a move that proved nothing ends (chosen)
+_LATEST = 3.0  # times an order's time, after which a move ends whose old answers do not (chosen)
 _ORDER_REPEATS_S = 8.0  # operators repeat an order for 5 s; a newcomer is admitted after this
 
 
@@ -65,11 +65,12 @@
     def may_be_moved_to(self) -> bool:
         """Whether what a bad version would still do fits into the bound.
 
-        Of a service with few requests it fits whatever the version is, until the deadline;
-        else only if the version is sound so far, until it is noticed that it no longer is.
+        Of a service with few requests it fits whatever the version is, for the whole time of a
+        move; else only if the version is sound so far, until it is noticed that it no longer is.
+        By what is left until the deadline anything would fit just before it.
         """
-        rest_s = max(0.0, self.duration_s - self.elapsed_s)
-        if self.per_s * rest_s <= self.left * _SAFE_PART:
+        move_s = self.duration_s - self.move_after_s
+        if self.per_s * move_s <= self.left * _SAFE_PART:
             return True
         fits = self.per_s * _NOTICED_S <= self.left
         return fits and self.verdict.decision is Decision.SOUND
@@ -139,8 +140,11 @@
     if not view.target_replicas:
         return Step(ROLLED_BACK, "no replica of it is left")
     if view.elapsed_s >= _LATEST * view.duration_s:
-        return Step(ROLLED_BACK, f"not proved in {_LATEST:g} times its time: {view.verdict.reason}")
+        return Step(ROLLED_BACK, f"old answers ran on for {_LATEST:g} times its time")
+    is_sound = view.verdict.decision is Decision.SOUND
+    if view.elapsed_s >= view.duration_s and not is_sound:
+        return Step(ROLLED_BACK, f"not proved in its time: {view.verdict.reason}")
     is_time = view.elapsed_s >= view.duration_s - _COMPLETE_BEFORE_S
-    if is_time and view.all_clear and view.verdict.decision is Decision.SOUND:
+    if is_time and view.all_clear and is_sound:
         return Step(COMPLETED, view.verdict.reason)
     return None
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -221,6 +221,25 @@
         self.assertIsNone(self._phase(elapsed_s=9.9, verdict=doubt, per_s=2000.0))
         self.assertEqual(self._phase(elapsed_s=10.0, verdict=doubt), ROLLED_BACK)
 
+    def test_what_is_in_doubt_is_not_moved_to_at_the_last_moment_either(self) -> None:
+        """What is left of the time goes to nothing, and so did what was asked of the bound."""
+        doubt = Verdict(Decision.GO_ON, "in doubt: failures of all 4.4")
+        for per_s, duration_s, elapsed_s, left in (
+            (148.0, 12.0, 11.75, 100),
+            (148.0, 30.0, 29.7, 150),
+            (60.0, 12.0, 11.9, 80),
+            (400.0, 12.0, 11.85, 250),
+        ):
+            known = {"per_s": per_s, "duration_s": duration_s, "elapsed_s": elapsed_s}
+            self.assertIsNone(self._phase(**known, left=left, verdict=doubt))
+            self.assertEqual(self._phase(**known, left=left), MOVING)
+
+    def test_after_the_deadline_only_what_is_sound_stays_moved_to(self) -> None:
+        doubt = Verdict(Decision.GO_ON, "in doubt")
+        late = {"phase": MOVING, "elapsed_s": 10.0}
+        self.assertEqual(self._phase(**late, verdict=doubt), ROLLED_BACK)
+        self.assertIsNone(self._phase(**late))  # it waits for what runs elsewhere
+
     def test_what_does_not_fit_into_the_bound_is_not_moved_to(self) -> None:
         self.assertIsNone(self._phase(elapsed_s=9.0, left=20))
 
