Roll-outs: one gateway's own verdict does not end a roll-out for all

Cause: the leader went back as soon as one gateway had stopped by itself. The sums that the leader hears decide; a gateway's own stop counts while it hears nothing of control, and goes into the leader's log.

--- a/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
@@ -177,7 +177,6 @@
             duration_s=record.duration_ms / MILLISECONDS_PER_SECOND,
             target_replicas=self._replicas_of(service, record.target),
             verdict=conducted.verdict,
-            stopped=next((w.stopped for w in conducted.told.values() if w.stopped), ""),
             longest_s=longest_ms / MILLISECONDS_PER_SECOND,
             left=self._limits.whole(conducted.requests) - max(sent, conducted.book.given),
             per_s=conducted.requests / max(elapsed_s, _LOOK_S),
@@ -233,6 +232,8 @@
             sent=sum(word.sent for word in conducted.told.values()),
             granted=conducted.book.given,
             routers=len(conducted.told),
+            # What single routers took it for, of few answers each: their sum decides.
+            stopped=sum(1 for word in conducted.told.values() if word.stopped),
             reason=step.reason,
         )
         await self._member.propose(command)
--- a/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
@@ -42,7 +42,6 @@
         duration_s: Time within which it is to be completed.
         target_replicas: Replicas of the target that are not leaving.
         verdict: On all that routers counted.
-        stopped: Why a router stopped by itself; empty if none did.
         longest_s: Longest answer of the old version.
         left: Requests that it may still get within the whole bound.
         per_s: Requests of the service a second.
@@ -55,7 +54,6 @@
     duration_s: float
     target_replicas: int
     verdict: Verdict
-    stopped: str
     longest_s: float
     left: int
     per_s: float
@@ -113,8 +111,6 @@
 def _bad(view: RolloutView) -> Step | None:
     if view.verdict.decision is Decision.GO_BACK:
         return Step(ROLLED_BACK, view.verdict.reason)
-    if view.stopped:
-        return Step(ROLLED_BACK, view.stopped)
     return None
 
 
--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -83,12 +83,10 @@
     def moves(self) -> bool:
         """Whether all requests go to the target.
 
-        One that said that it has nothing elsewhere keeps to that while control hears it, since
-        old replicas may be stopped on that word; cut off, it goes by what it sees.
+        While control is heard, it decides by the sums of all: one of many gateways finds a good
+        version bad by chance. Cut off, a gateway goes by what it sees.
         """
-        if self.record.phase != _MOVING:
-            return False
-        return not self.stopped or (self.clear and self.hears)
+        return self.record.phase == _MOVING and (self.hears or not self.stopped)
 
     # ---- what may be sent to ----------------------------------------------
 
@@ -116,7 +114,7 @@
         self._routes.add(route)
         if self.record.phase != _TRIAL and not self.record.newcomer:
             return False
-        if self.stopped or self.sent >= self.granted or not self.hears:
+        if self.sent >= self.granted or not self.hears:
             return False
         least = min(self._sent_by_route[known] for known in self._routes)
         if self._sent_by_route[route] <= least:
--- a/tests/test_rollout_failures.py
+++ b/tests/test_rollout_failures.py
@@ -56,6 +56,18 @@
         self.assertEqual(self.fleet.arrived[OLD], before)
         self.assertEqual(set(self.fleet.statuses), {200})
 
+    async def test_one_gateways_own_verdict_does_not_end_it_for_all(self) -> None:
+        """Of 30 that judge few answers each, some find a good version bad by chance."""
+        load = self._load()
+        await self._begin()
+        await self._phase("MOVING", _LONG_S)
+        gateway = self.fleet.gateways[0].daemon.gateway
+        assert gateway is not None
+        gateway.replicas.versions._gates["app"].stopped = "bad by chance"
+        self.assertEqual(await self.fleet.ended(_LONG_S), "completed")
+        await self._calm(load)
+        self.assertEqual(set(self.fleet.statuses), {200})
+
     async def test_the_leader_is_lost_in_the_trial_of_a_bad_version(self) -> None:
         self.fleet.badness = failing(0.5)
         load = self._load()
