Roll-outs: a dead replica does not hold up a trial, nor spend its grants

Cause: the trial's share went to the replicas that come first by hash, also when no connection to them came about, and each refused send used up a grant; a trial with one replica showed nothing until its end. Those that are unreached or suspect are left out, the next by hash stand in, and a send that was not run is taken back from what was sent.

Both new tests failed first (as errors: neither the choice by time nor the word of a send that was not run existed).

--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -153,6 +153,8 @@
             self._count(seen, failed=False)
         except NotRunError:
             progress.ran = ran_before
+            if seen is not None:
+                seen.not_run()
             raise
         except (RunLostError, RunFailedError):
             self._count(seen, failed=True)
--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -50,6 +50,8 @@
         self._sent_by_route: Counter[str] = Counter()
         self._routes: set[str] = set()
         self._grant_since_s = math.inf
+        self._targets: list[FleetReplica] = []  # in the order in which the trial takes them
+        self._few = 1
         self._trial: frozenset[str] = frozenset()
 
     # ---- the record -------------------------------------------------------
@@ -62,15 +64,15 @@
         """Choose the few replicas of the version on trial that get its share.
 
         Each bears about what one of the old bears, so that a version that is bad under load
-        shows it. All gateways choose the same.
+        shows it. All gateways choose the same, but for those that a gateway finds dead.
 
         Args:
             replicas: Those of the service that are not leaving.
         """
         old = sum(1 for replica in replicas if replica.record.software in self.record.admitted)
-        names = [replica.name for replica in replicas if replica.record.software == self.on_trial]
-        few = max(1, round(_TRIAL_REPLICAS * old))
-        self._trial = frozenset(sorted(names, key=_rank)[:few])
+        targets = [replica for replica in replicas if replica.record.software == self.on_trial]
+        self._targets = sorted(targets, key=lambda replica: _rank(replica.name))
+        self._few = max(1, round(_TRIAL_REPLICAS * old))
 
     @property
     def on_trial(self) -> str:
@@ -97,9 +99,22 @@
         return replica.record.software in self.record.admitted
 
     def on_trial_here(self, replica: FleetReplica) -> bool:
-        """Whether a replica is one of those that the trial's share goes to."""
+        """Whether a replica is one of those that the trial's share goes to now."""
         return replica.name in self._trial
 
+    def choose(self, now_s: float) -> None:
+        """Choose the trial's replicas anew, without those that may be dead.
+
+        With one dead replica in its place, a trial showed nothing until its end.
+        """
+        alive = [
+            replica
+            for replica in self._targets
+            if not replica.unreached and replica.suspect_until_s <= now_s
+        ]
+        chosen = (alive or self._targets)[: self._few]
+        self._trial = frozenset(replica.name for replica in chosen)
+
     def note_silence(self, silent_s: float) -> None:
         """Note how long control has been silent."""
         self.hears = silent_s <= _SILENCE_S
@@ -131,6 +146,14 @@
         if replica.record.software == self.on_trial:
             self.sent += 1
 
+    def uncount_send(self, version: str, route: str) -> None:
+        """Take back a send that was not run: it showed nothing, and harmed nothing."""
+        if version != self.on_trial:
+            return
+        self.sent = max(0, self.sent - 1)
+        if self._sent_by_route[route] and not self.moves:
+            self._sent_by_route[route] -= 1
+
     def take_grant(self, total: int, now_s: float) -> None:
         """Take a total that may be sent; it only rises."""
         if total > self.granted and self.sent >= self.granted:
--- a/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
@@ -69,6 +69,10 @@
             now_s=now_s,
         )
 
+    def not_run(self) -> None:
+        """Note that the replica did not run it: a refused connection, or a rejection."""
+        self.gate.uncount_send(self.version, self.route)
+
     def given_up(self, now_s: float) -> None:
         """Count an answer that nobody waits for any more; it says something if it was late."""
         if self.first_s is None and now_s - self.sent_s > self.objective_s:
@@ -166,6 +170,7 @@
         now_s = self._environment.monotonic()
         gate.note_silence(now_s - self.heard_s())
         if not tried and gate.trial_is_due(route, now_s):
+            gate.choose(now_s)
             return (gate.on_trial_here, gate.admits)
         return (self.admitted(service, replicas),)
 
--- a/tests/test_rollout_gates.py
+++ b/tests/test_rollout_gates.py
@@ -5,8 +5,10 @@
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.service_gate import ServiceGate
+from heronladder_router.rollouts.version_gates import AnswerSeen
 from heronladder_schema.v1 import resources_pb2
 
+_TRIAL = resources_pb2.ROLLOUT_PHASE_TRIAL
 _MOVING = resources_pb2.ROLLOUT_PHASE_MOVING
 _DURATION_S = 12.0
 
@@ -36,6 +38,11 @@
         gate.take_replicas([self.old, self.new])
         return gate
 
+    @staticmethod
+    def _on_trial(gate: ServiceGate, replica: FleetReplica, now_s: float) -> bool:
+        gate.choose(now_s)
+        return gate.on_trial_here(replica)
+
     def test_its_own_verdict_counts_while_it_hears_nothing(self) -> None:
         gate = self._gate(_MOVING)
         gate.stopped = "bad by chance"
@@ -46,6 +53,34 @@
         self.assertFalse(gate.admits(self.new))
         self.assertTrue(gate.admits(self.old))
 
+    def test_a_trial_leaves_out_replicas_that_may_be_dead(self) -> None:
+        others = [_replica(f"n{number}", "v2") for number in range(4)]
+        gate = self._gate(_TRIAL)
+        gate.take_replicas([self.old, *others])
+        (first,) = [one for one in others if self._on_trial(gate, one, 0.0)]
+        first.unreached = True
+        (second,) = [one for one in others if self._on_trial(gate, one, 0.0)]
+        self.assertIsNot(second, first)
+        second.suspect_until_s = 5.0
+        (third,) = [one for one in others if self._on_trial(gate, one, 1.0)]
+        self.assertNotIn(third, (first, second))
+        self.assertTrue(self._on_trial(gate, second, 6.0))
+        for one in others:
+            one.unreached = True
+        self.assertTrue(self._on_trial(gate, first, 6.0))  # none is sound: those of before
+
+    def test_a_send_that_was_not_run_spends_no_grant(self) -> None:
+        gate = self._gate(_TRIAL)
+        gate.note_silence(0.0)
+        gate.take_grant(1, 0.0)
+        seen = AnswerSeen(gate, "v2", "r", 1.0, 0.0)
+        gate.count_send(self.new, "r", 0.0)
+        self.assertFalse(gate.trial_is_due("r", 0.1))
+        seen.not_run()
+        self.assertEqual(gate.sent, 0)
+        self.assertTrue(gate.trial_is_due("r", 0.1))
+        self.assertEqual(gate.evidence.whole(of_target=True).answers, 0)
+
 
 if __name__ == "__main__":
     unittest.main()
