Roll-outs: of a sound version, the deadline bounds what it may still do

Cause: since nothing unproved is moved to at the last moment, a sound one of 90 requests a second whose trial had used half of the bound was not moved to either (test_a_good_version_is_completed failed: rolled_back). What a sound version that turns bad may still get before its deadline ends there.

--- a/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
@@ -64,13 +64,14 @@
         """Whether what a bad version would still do fits into the bound.
 
         Of a service with few requests it fits whatever the version is, for the whole time of a
-        move; else only if the version is sound so far, until it is noticed that it no longer is.
-        By what is left until the deadline anything would fit just before it.
+        move; else only if the version is sound so far, until it is noticed that it no longer is,
+        or the deadline. By what is left until the deadline anything would fit just before it.
         """
         move_s = self.duration_s - self.move_after_s
         if self.per_s * move_s <= self.left * _SAFE_PART:
             return True
-        fits = self.per_s * _NOTICED_S <= self.left
+        rest_s = max(0.0, self.duration_s - self.elapsed_s)
+        fits = self.per_s * min(_NOTICED_S, rest_s) <= self.left
         return fits and self.verdict.decision is Decision.SOUND
 
     @property
