Roll-outs: a gateway that hears nothing goes back early in the move

Cause: in the move no number runs out, so a gateway cut off from control sent all its requests to the target for as long as its own verdict let it. Silent for over 1 s and more than 1 s before the order's time, it goes back to what is admitted and withdraws its word that nothing runs elsewhere; the leader takes that word only while it is less than 1 s old, since old replicas are stopped on it. The rate that a move is planned with is the larger of the mean and of the last second.

test_cut_off_early_in_the_move_... failed first (the target still admitted).

--- a/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
@@ -18,6 +18,7 @@
 
 from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.rollouts.exposure import GrantBook
+from heronladder_control.rollouts.pace import RequestPace
 from heronladder_control.rollouts.plan import RolloutView, Step, next_step
 from heronladder_control.rollouts.table import MOVING, RUNNING, TRIAL, phase_name
 
@@ -26,6 +27,7 @@
     from heronladder_control.member import ControlMember
 
 _LOOK_S = 0.2  # between two looks at a roll-out; under a heartbeat (chosen)
+_CLEAR_HOLDS_S = 1.0  # as long as a router that hears nothing stays with a move (chosen alike)
 _NOTE_S = 0.5  # between two notes in the log (chosen: two entries a second while one runs)
 _NOTE_AHEAD_S = 1.0  # the ceiling is as high as the allowance will be so much later (chosen)
 
@@ -39,6 +41,8 @@
     book: GrantBook
     watch: Watch
     told: dict[str, control_pb2.RolloutTold] = field(default_factory=dict)  # by incarnation
+    told_s: dict[str, float] = field(default_factory=dict)  # when a word came last
+    pace: RequestPace = field(default_factory=RequestPace)
     noted_s: float = float("-inf")
     requests_noted: int = 0
     verdict: Verdict = field(default_factory=lambda: Verdict(Decision.GO_ON, "nothing counted yet"))
@@ -79,6 +83,7 @@
             earlier = conducted.told.get(incarnation)
             if earlier is None or word.age_ms >= earlier.age_ms:
                 conducted.told[incarnation] = word
+                conducted.told_s[incarnation] = self._now_s()
             # Routers learned of the order after it came: so much time has surely passed.
             began_s = self._now_s() - word.age_ms / MILLISECONDS_PER_SECOND
             conducted.began_s = min(conducted.began_s, began_s)
@@ -168,6 +173,7 @@
         if record.phase in RUNNING and conducted.verdict.decision is not Decision.GO_BACK:
             conducted.verdict = conducted.watch.judge(evidence, alone=record.phase == MOVING)
         elapsed_s = self._now_s() - conducted.began_s
+        conducted.pace.note(self._now_s(), conducted.requests)
         sent = sum(word.sent for word in conducted.told.values())
         longest_ms = evidence.whole(of_target=False).longest_ms
         return RolloutView(
@@ -179,7 +185,7 @@
             verdict=conducted.verdict,
             longest_s=longest_ms / MILLISECONDS_PER_SECOND,
             left=self._limits.whole(conducted.requests) - max(sent, conducted.book.given),
-            per_s=conducted.requests / max(elapsed_s, _LOOK_S),
+            per_s=conducted.pace.per_s(elapsed_s),
             all_clear=record.phase == MOVING and self._all_clear(service, conducted),
         )
 
@@ -198,13 +204,15 @@
             return False
         known = self._member.state.daemons.daemons
         routers = [known[name] for name in self._member.in_force.in_touch() if name in known]
-        words = [
-            conducted.told.get(router.incarnation)
-            for router in routers
-            if router.role == ROLE_ROUTER and not router.gone
-        ]
+        asked = [r.incarnation for r in routers if r.role == ROLE_ROUTER and not r.gone]
         # None in touch: what they have elsewhere is not known.
-        return bool(words) and all(word is not None and word.clear for word in words)
+        return bool(asked) and all(self._is_clear(conducted, name) for name in asked)
+
+    def _is_clear(self, conducted: _Conducted, incarnation: str) -> bool:
+        """Whether a router says so now: one that hears nothing goes back to old replicas."""
+        word = conducted.told.get(incarnation)
+        silent_s = self._now_s() - conducted.told_s.get(incarnation, float("-inf"))
+        return word is not None and word.clear and silent_s <= _CLEAR_HOLDS_S
 
     async def _advance(
         self,
--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -15,6 +15,9 @@
 # Without a word of control for so long, nothing goes to a version on trial: a fifth of the
 # shortest bound on going back that users set (chosen).
 _SILENCE_S = 1.0
+# `completed` comes 0.6 s before an order's time at the earliest, and a gateway learns of the order
+# so much after control: until then the old replicas stay (0.4 s chosen).
+_OLD_STAY_S = 1.0
 # A grant waits so long for a request of the route that the trial has seen least (chosen).
 _RARE_ROUTE_WAIT_S = 0.5
 _JUDGE_S = 0.1  # between two looks at what it saw itself: one takes some 0.1 ms a route (chosen)
@@ -44,6 +47,7 @@
         self.stopped = ""
         self.clear = False
         self.hears = True
+        self._is_early = False
         self._watch = Watch(unread_routes)
         self._learned_s = now_s
         self._judged_s = -math.inf
@@ -86,9 +90,12 @@
         """Whether all requests go to the target.
 
         While control is heard, it decides by the sums of all: one of many gateways finds a good
-        version bad by chance. Cut off, a gateway goes by what it sees.
+        version bad by chance. Cut off, a gateway goes back to the old replicas for as long as
+        they surely stay, and then by what it sees.
         """
-        return self.record.phase == _MOVING and (self.hears or not self.stopped)
+        if self.record.phase != _MOVING:
+            return False
+        return self.hears or not (self.stopped or self._is_early)
 
     # ---- what may be sent to ----------------------------------------------
 
@@ -115,9 +122,12 @@
         chosen = (alive or self._targets)[: self._few]
         self._trial = frozenset(replica.name for replica in chosen)
 
-    def note_silence(self, silent_s: float) -> None:
+    def note_silence(self, silent_s: float, now_s: float) -> None:
         """Note how long control has been silent."""
         self.hears = silent_s <= _SILENCE_S
+        age_s = now_s - self._learned_s
+        left_s = self.record.duration_ms / MILLISECONDS_PER_SECOND - age_s
+        self._is_early = left_s > _OLD_STAY_S
 
     def trial_is_due(self, route: str, now_s: float) -> bool:
         """Whether a request goes to the version on trial.
@@ -218,8 +228,8 @@
         """
         if not self.on_trial:
             return None
-        if self.moves and not elsewhere:
-            self.clear = True
+        # Withdrawn when it went back while it heard nothing: old replicas are stopped on it.
+        self.clear = self.moves and not elsewhere
         return control_pb2.RolloutTold(
             service=service,
             ordered_revision=self.ordered_revision,
--- a/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
@@ -168,7 +168,7 @@
         if gate is None:
             return ANY_VERSION
         now_s = self._environment.monotonic()
-        gate.note_silence(now_s - self.heard_s())
+        gate.note_silence(now_s - self.heard_s(), now_s)
         if not tried and gate.trial_is_due(route, now_s):
             gate.choose(now_s)
             return (gate.on_trial_here, gate.admits)
@@ -238,7 +238,9 @@
                 if replica.record.service == service and replica.record.software != gate.on_trial
             )
             was_clear = gate.clear
-            word = gate.told(service, elsewhere, self._environment.monotonic())
+            now_s = self._environment.monotonic()
+            gate.note_silence(now_s - self.heard_s(), now_s)
+            word = gate.told(service, elsewhere, now_s)
             if word is None:
                 continue
             heartbeat.rollouts.append(word)
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -5,6 +5,7 @@
 
 from heronladder_control.resources import ResourceTable
 from heronladder_control.rollouts.exposure import ExposureLimits, GrantBook
+from heronladder_control.rollouts.pace import RequestPace
 from heronladder_control.rollouts.plan import RolloutView, next_step
 from heronladder_control.rollouts.table import (
     COMPLETED,
@@ -189,6 +190,24 @@
                 self.assertLess(trial, limits.whole(requests))
 
 
+class PaceTest(unittest.TestCase):
+    def test_a_jump_counts_after_a_second(self) -> None:
+        pace = RequestPace()
+        for look in range(51):
+            pace.note(look * 0.2, look * 2)  # 10 a second
+        self.assertAlmostEqual(pace.per_s(10.0), 10.0)
+        for look in range(1, 6):
+            pace.note(10.0 + look * 0.2, 100 + look * 40)  # 200 a second
+        self.assertAlmostEqual(pace.per_s(11.0), 200.0)
+
+    def test_a_lull_is_no_reason_to_plan_with_less(self) -> None:
+        pace = RequestPace()
+        pace.note(0.0, 0)
+        pace.note(5.0, 500)
+        pace.note(7.0, 500)
+        self.assertAlmostEqual(pace.per_s(7.0), 500 / 7)
+
+
 class StepTest(unittest.TestCase):
     @staticmethod
     def _view(**changes: object) -> RolloutView:
@@ -233,6 +252,14 @@
             self.assertIsNone(self._phase(**known, left=left, verdict=doubt))
             self.assertEqual(self._phase(**known, left=left), MOVING)
 
+    def test_of_a_sound_one_the_deadline_bounds_what_it_may_still_do(self) -> None:
+        """A good version of 90 requests a second was sent back: its trial had used too much."""
+        known = {"per_s": 91.0, "duration_s": 4.0, "left": 46, "longest_s": 0.035}
+        self.assertIsNone(self._phase(**known, elapsed_s=3.3))
+        self.assertEqual(self._phase(**known, elapsed_s=3.58), MOVING)
+        doubt = Verdict(Decision.GO_ON, "in doubt")
+        self.assertIsNone(self._phase(**known, elapsed_s=3.58, verdict=doubt))
+
     def test_after_the_deadline_only_what_is_sound_stays_moved_to(self) -> None:
         doubt = Verdict(Decision.GO_ON, "in doubt")
         late = {"phase": MOVING, "elapsed_s": 10.0}
--- a/tests/test_rollout_gates.py
+++ b/tests/test_rollout_gates.py
@@ -46,10 +46,10 @@
     def test_its_own_verdict_counts_while_it_hears_nothing(self) -> None:
         gate = self._gate(_MOVING)
         gate.stopped = "bad by chance"
-        gate.note_silence(0.3)
+        gate.note_silence(0.3, 9.0)
         self.assertTrue(gate.admits(self.new))
         self.assertFalse(gate.admits(self.old))
-        gate.note_silence(1.1)
+        gate.note_silence(1.1, 11.8)
         self.assertFalse(gate.admits(self.new))
         self.assertTrue(gate.admits(self.old))
 
@@ -71,7 +71,7 @@
 
     def test_a_send_that_was_not_run_spends_no_grant(self) -> None:
         gate = self._gate(_TRIAL)
-        gate.note_silence(0.0)
+        gate.note_silence(0.0, 0.0)
         gate.take_grant(1, 0.0)
         seen = AnswerSeen(gate, "v2", "r", 1.0, 0.0)
         gate.count_send(self.new, "r", 0.0)
@@ -81,6 +81,26 @@
         self.assertTrue(gate.trial_is_due("r", 0.1))
         self.assertEqual(gate.evidence.whole(of_target=True).answers, 0)
 
+    def test_cut_off_early_in_the_move_it_goes_back_to_what_is_admitted(self) -> None:
+        """No number runs out in the move: it sent on to a version of which it heard nothing."""
+        gate = self._gate(_MOVING)
+        gate.note_silence(0.1, 9.0)
+        word = gate.told("app", 0, 9.0)
+        assert word is not None
+        self.assertTrue(word.clear)
+        gate.note_silence(1.2, 10.0)
+        self.assertTrue(gate.admits(self.old))
+        self.assertFalse(gate.admits(self.new))
+        word = gate.told("app", 1, 10.0)
+        assert word is not None
+        self.assertFalse(word.clear)
+
+    def test_cut_off_when_old_replicas_may_be_gone_it_stays(self) -> None:
+        gate = self._gate(_MOVING)
+        gate.note_silence(1.2, 11.3)
+        self.assertTrue(gate.admits(self.new))
+        self.assertFalse(gate.admits(self.old))
+
 
 if __name__ == "__main__":
     unittest.main()
