Roll-outs: no record leaves nothing to send to; versions are kept in an index

Causes: an order while no replica was registered admitted no version, ever; a third version during a running order was admitted by nobody when the old replicas left; an order while all old replicas were gone for a moment was completed at once, so that a target nobody had admitted got all requests. Now versions that are neither ordered nor refused are admitted before the move when no admitted one is left; an order admits also the versions on record whose replicas are gone. A gateway holds a request for a moment when no version is admitted, as it does when no replica is known (no test of its own).

Versions of a service were read from all replicas at each registration: 3,000 that register at once made 9,000,000 reads. They are counted as replicas are written.

--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -137,6 +137,8 @@
             self._write(index, state)
             if watches:
                 self._rollouts.watch_newcomer(index, state.service, state.software, versions)
+            else:
+                self._rollouts.watch_left(index, state.service)
         result = success()
         result.revision = self._resources.resources[REPLICA_KIND][told.id].metadata.revision
         return result
--- a/packages/heronladder-control/src/heronladder_control/resources.py
+++ b/packages/heronladder-control/src/heronladder_control/resources.py
@@ -1,7 +1,7 @@
 """Declared resources: compare-and-set, change ids, references, and their history."""
 
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from itertools import takewhile
 
 from heronladder_runtime.configuration import KINDS
@@ -11,6 +11,9 @@
 
 from heronladder_control.results import failure
 
+# Told of a resource before and after a change; None where it is not there.
+Watcher = Callable[[resources_pb2.Resource | None, resources_pb2.Resource | None], None]
+
 _EVENTS_KEPT = 4_000
 _CHANGES_KEPT = 4_000
 
@@ -32,12 +35,26 @@
         self._last_event = 0
         self.compacted_revision = 0
         self.revision = 0
+        self._watchers: dict[str, Watcher] = {}
         self._changes: OrderedDict[str, control_pb2.CommandResult] = OrderedDict()
 
     def get(self, kind: str, name: str) -> resources_pb2.Resource | None:
         """Return a resource, or None."""
         return self.resources[kind].get(name)
 
+    def watch(self, kind: str, watcher: Watcher) -> None:
+        """Have all changes of a kind told from now on, those of a snapshot too."""
+        self._watchers[kind] = watcher
+
+    def _set(self, kind: str, name: str, resource: resources_pb2.Resource | None) -> None:
+        """Put a resource in its place, or take it away."""
+        before = self.resources[kind].pop(name, None) if resource is None else self.get(kind, name)
+        if resource is not None:
+            self.resources[kind][name] = resource
+        watcher = self._watchers.get(kind)
+        if watcher is not None:
+            watcher(before, resource)
+
     # ---- changes ----------------------------------------------------------
 
     def first_outcome(self, change_id: str) -> control_pb2.CommandResult | None:
@@ -89,7 +106,7 @@
         resource.metadata.revision = index
         if not resource.metadata.region:
             resource.metadata.region = self._region
-        self.resources[order.kind][resource.metadata.name] = resource
+        self._set(order.kind, resource.metadata.name, resource)
         self._record(index, order.kind, resource.metadata.name, resource)
         result = control_pb2.CommandResult(
             code=control_pb2.RESULT_CODE_OK,
@@ -114,7 +131,7 @@
                 control_pb2.RESULT_CODE_REFERENCED,
                 f"{order.kind} {order.name} is used by {', '.join(users[:5])}",
             )
-        del self.resources[order.kind][order.name]
+        self._set(order.kind, order.name, None)
         self._record(index, order.kind, order.name, None)
         result = control_pb2.CommandResult(code=control_pb2.RESULT_CODE_OK, revision=index)
         result.resource.CopyFrom(known)
@@ -127,13 +144,14 @@
         resource.metadata.region = self._region
         resource.metadata.version = known.metadata.version + 1 if known is not None else 1
         resource.metadata.revision = index
-        self.resources[kind][name] = resource
+        self._set(kind, name, resource)
         self._forget_events(kind, name)
         self._record(index, kind, name, resource)
 
     def erase(self, index: int, kind: str, name: str) -> None:
         """Remove a resource written by ``write``."""
-        if self.resources[kind].pop(name, None) is not None:
+        if name in self.resources[kind]:
+            self._set(kind, name, None)
             self._forget_events(kind, name)
             self._record(index, kind, name, None)
 
@@ -242,9 +260,10 @@
     def load(self, snapshot: control_pb2.StateSnapshot) -> None:
         """Take all from a snapshot."""
         for kind in KINDS:
-            self.resources[kind].clear()
+            for name in list(self.resources[kind]):
+                self._set(kind, name, None)
         for resource in snapshot.resources:
-            self.resources[kind_of(resource)][resource.metadata.name] = resource
+            self._set(kind_of(resource), resource.metadata.name, resource)
         self._changes = OrderedDict(
             (change.change_id, change.result) for change in snapshot.changes
         )
--- a/packages/heronladder-control/src/heronladder_control/rollouts/table.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/table.py
@@ -5,6 +5,7 @@
 
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import failure, success
+from heronladder_control.rollouts.version_index import VersionIndex
 
 UNORDERED = resources_pb2.ROLLOUT_PHASE_UNORDERED
 WAITING = resources_pb2.ROLLOUT_PHASE_WAITING
@@ -12,6 +13,7 @@
 MOVING = resources_pb2.ROLLOUT_PHASE_MOVING
 COMPLETED = resources_pb2.ROLLOUT_PHASE_COMPLETED
 ROLLED_BACK = resources_pb2.ROLLOUT_PHASE_ROLLED_BACK
+BEFORE_MOVE = frozenset({WAITING, TRIAL})
 RUNNING = frozenset({WAITING, TRIAL, MOVING})
 
 
@@ -29,6 +31,8 @@
 
     def __init__(self, resources: ResourceTable) -> None:
         self._resources = resources
+        self._versions = VersionIndex()
+        resources.watch(REPLICA_KIND, self._versions.changed)
         self.notes: dict[str, control_pb2.RolloutNote] = {}
 
     def get(self, service: str) -> resources_pb2.Rollout | None:
@@ -42,13 +46,7 @@
 
     def versions(self, service: str) -> set[str]:
         """Return the versions of a service's replicas that are not leaving."""
-        replicas = self._resources.resources[REPLICA_KIND].values()
-        return {
-            resource.replica.software
-            for resource in replicas
-            if resource.replica.service == service
-            and not (resource.replica.gone or resource.replica.draining)
-        }
+        return self._versions.live(service)
 
     def _is_known(self, service: str) -> bool:
         fleet = self._resources.get(FLEET_KIND, FLEET_NAME)
@@ -85,8 +83,13 @@
     ) -> resources_pb2.Rollout:
         """Return the record of a new order."""
         live = self.versions(order.service)
-        admitted = set(held.admitted) if held is not None and held.admitted else live
         refused = set(held.refused) if held is not None else set()
+        admitted = set(held.admitted) if held is not None else set()
+        if not admitted:
+            # With those whose replicas are all gone just now: they may come back in a moment,
+            # and a target beside which none is left would get all requests at once.
+            admitted = self._versions.known(order.service) - refused - {""}
+            admitted = admitted or live
         record = resources_pb2.Rollout(
             target=order.target,
             duration_ms=order.duration_ms,
@@ -145,9 +148,33 @@
         record = resources_pb2.Rollout(admitted=sorted(before))
         if held is not None:
             record.CopyFrom(held)
-        if self._take_newcomer(index, service, record):
+        took = self._take_newcomer(index, service, record)
+        if self._take_stand_in(service, record) or took:
             self._write(index, service, record)
 
+    def watch_left(self, index: int, service: str) -> None:
+        """Admit another version if the last replica that may be sent to has left."""
+        held = self.get(service)
+        if held is None:
+            return
+        record = resources_pb2.Rollout()
+        record.CopyFrom(held)
+        if self._take_stand_in(service, record):
+            self._write(index, service, record)
+
+    def _take_stand_in(self, service: str, record: resources_pb2.Rollout) -> bool:
+        """Admit versions that are neither ordered nor refused where no admitted one is left.
+
+        An order before any replica of the service, or a release during one, left nothing that
+        could be sent to.
+        """
+        live = self.versions(service)
+        if record.phase not in BEFORE_MOVE or live & set(record.admitted):
+            return False
+        strangers = sorted(live - {*record.admitted, *record.refused, record.target, ""})
+        record.admitted.extend(strangers)
+        return bool(strangers)
+
     def _take_newcomer(self, index: int, service: str, record: resources_pb2.Rollout) -> bool:
         if record.phase in RUNNING or record.newcomer:
             return False
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -49,7 +49,8 @@
 _NEAR_ROUND_TRIP_S = 0.006  # within a region, on a busy machine (chosen)
 _MOST_ADDED_S = 0.12  # a refusal must come early all the same (chosen)
 _REPLICA_WAIT_S = 0.2
-_MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD})  # within a moment
+# Within a moment: a replica comes, is warm, or is of a version that has just been admitted.
+_MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD, Reason.VERSION})
 _NOT_SENT: dict[Reason, type[CallerError]] = {
     Reason.EVACUATED: EvacuatedError,
     Reason.OTHER_REGION: RegionUnservedError,
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -2,6 +2,7 @@
 
 import random
 import unittest
+from collections.abc import ValuesView
 
 from heronladder_control.resources import ResourceTable
 from heronladder_control.rollouts.exposure import ExposureLimits, GrantBook
@@ -126,6 +127,70 @@
         self._add("c", "v2")
         self.assertEqual(self._record().newcomer, "")
 
+    def _drain(self, name: str) -> None:
+        self._index += 1
+        resource = resources_pb2.Resource()
+        resource.CopyFrom(self.resources.resources["replica"][name])
+        resource.replica.draining = True
+        self.resources.write(self._index, "replica", name, resource)
+        self.table.watch_left(self._index, _SERVICE)
+
+    def test_an_order_before_any_replica_admits_the_old_ones_that_come_later(self) -> None:
+        """Nothing was admitted then, and all requests were refused."""
+        self.resources.erase(9, "replica", "a")
+        fleet = resources_pb2.Resource()
+        fleet.fleet_configuration.services.add(name=_SERVICE)
+        self.resources.write(9, "fleet_configuration", "current", fleet)
+        self._start()
+        self.assertEqual(list(self._record().admitted), [])
+        self._add("b", "v2")
+        self._add("c", "v1")
+        self.assertEqual(list(self._record().admitted), ["v1"])
+        self._add("d", "v3")  # the old one is there: a third one has to wait
+        self.assertEqual(list(self._record().admitted), ["v1"])
+
+    def test_a_third_version_takes_over_when_the_old_one_leaves_during_an_order(self) -> None:
+        self._add("b", "v2")
+        self._start()
+        self._add("c", "v3")
+        self.assertEqual(list(self._record().admitted), ["v1"])
+        self._drain("a")
+        self.assertEqual(list(self._record().admitted), ["v1", "v3"])
+        self.assertEqual(self._record().phase, TRIAL)
+
+    def test_old_replicas_that_are_gone_for_a_moment_complete_nothing(self) -> None:
+        """The target had been admitted by nobody, and got all requests at once."""
+        self._drain("a")
+        self._add("b", "v2")
+        self._start()
+        self.assertEqual((self._record().phase, list(self._record().admitted)), (TRIAL, ["v1"]))
+
+    def test_a_target_that_is_admitted_already_is_completed(self) -> None:
+        self._start(target="v1")
+        self.assertEqual(self._record().phase, COMPLETED)
+
+    def test_versions_are_known_without_reading_all_replicas(self) -> None:
+        """At 3,000 replicas each registration read all of them."""
+
+        class Counted(dict[str, resources_pb2.Resource]):
+            reads = 0
+
+            def values(self) -> ValuesView[resources_pb2.Resource]:
+                Counted.reads += 1
+                return super().values()
+
+        self.resources.resources["replica"] = Counted(self.resources.resources["replica"])
+        for number in range(5):
+            self._add(f"n{number}", "v1")
+        self.assertEqual(self.table.versions(_SERVICE), {"v1"})
+        self.assertEqual(Counted.reads, 0)
+        self._drain("a")
+        for number in range(5):
+            self._drain(f"n{number}")
+        self.assertEqual(self.table.versions(_SERVICE), set())
+        self.resources.load(control_pb2.StateSnapshot())
+        self.assertEqual(self.table.versions(_SERVICE), set())
+
     def test_a_snapshot_carries_record_and_note(self) -> None:
         state = ControlState("r")
         command = control_pb2.Command()
