--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -4,6 +4,7 @@
 import unittest
 from typing import Any
 
+import aiohttp
 from heronladder_platform import settings as platform_settings
 from platform_stand_ins import (
     SERVICE,
@@ -70,6 +71,17 @@
         self.assertEqual(await self._order(""), 400)
         self.assertEqual(await self._order(within_s=0), 400)
 
+    async def test_a_time_out_of_range_is_refused_clearly(self) -> None:
+        """Some were answered 500, which operators repeat."""
+        address = self.fleet.control_address
+        for written in ("-1", "NaN", "Infinity", "-Infinity", "1e30", "1e400", "1" * 400, "-0.1"):
+            with self.subTest(written=written[:20]):
+                body = f'{{"service":"{SERVICE}","targetVersion":"v2","durationS":{written}}}'
+                url = f"http://{address}/api/Rollouts.Start"
+                async with aiohttp.ClientSession() as session:
+                    async with session.post(url, data=body.encode()) as got:
+                        self.assertEqual(got.status, 400)
+
     async def test_a_good_version_is_completed(self) -> None:
         self.assertEqual(await self._order(), 200)
         await self.fleet.add_replica("new-0", self._script, version="v2")
