Roll-outs: count requests when they are sent, and only what the version did

Causes: a request refused unsent raised what the new version might get; an answer that the caller's side broke (its connection gone while it was written to) counted as a failure of the version, which one of few clients brings down; a stream cut after its first byte counted for nothing, so a version too slow to end any stream showed no gap.

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -225,7 +225,6 @@
     async def _send_until_answered(
         self, request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
     ) -> None:
-        self._parts.replicas.versions.requested(request.wish.service)
         sends = _Sends()
         while True:
             placement = await self._next_placement(request, sends)
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -1,7 +1,9 @@
 """One send of a request to one replica, and what its answer means."""
 
 import asyncio
+from collections.abc import Coroutine
 from dataclasses import dataclass, field
+from typing import Any
 
 import aiohttp
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -143,7 +145,7 @@
         reading = _UnreadPrompt(self._replicas, replica, unread, self._environment)
         route = request.matched.route
         objective_s = route.objective_ms / MILLISECONDS_PER_SECOND
-        seen = self._replicas.versions.sent(replica, route, objective_s)
+        seen = self._replicas.versions.sent(replica, route, objective_s, first=progress.sends == 1)
         response: aiohttp.ClientResponse | None = None
         ran_before = progress.ran
         try:
@@ -263,7 +265,7 @@
             raise RunFailedError(answer, step="send", peer=replica.name)
         progress.finished = True
         progress.handed_out = success
-        await sink.whole(answer)
+        await _passed(sink.whole(answer), seen)
 
     async def _pass_stream(
         self,
@@ -298,14 +300,15 @@
                 if seen is not None:
                     seen.came(self._environment.monotonic(), cutter.events - events)
                 progress.passed_on(self._environment.monotonic())
-                await self._write(response, sink, whole)
+                await _passed(self._write(response, sink, whole), seen)
         if not cutter.clean:
             raise RunLostError("the stream ended within an event", step="read_stream")
         if not sink.started:
-            await sink.start(ReplicaAnswer(response.status, _passed_headers(response)))
+            head = ReplicaAnswer(response.status, _passed_headers(response))
+            await _passed(sink.start(head), seen)
         progress.finished = True
         progress.handed_out = True
-        await sink.finish()
+        await _passed(sink.finish(), seen)
 
     @staticmethod
     async def _write(response: aiohttp.ClientResponse, sink: AnswerSink, whole: bytes) -> None:
@@ -314,6 +317,16 @@
         await sink.write(whole)
 
 
+async def _passed(passing_on: Coroutine[Any, Any, None], seen: AnswerSeen | None) -> None:
+    """Pass something on to the caller; what fails there is no fault of the replica's version."""
+    try:
+        await passing_on
+    except BaseException:
+        if seen is not None:
+            seen.spoiled = True
+        raise
+
+
 class _UnreadPrompt:
     """Takes a prompt off its replica's account once, when it has been read."""
 
--- a/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
@@ -33,6 +33,7 @@
         sent_s: When it was sent.
         first_s: When its first byte came; None before.
         events: Events that came.
+        spoiled: Whether the caller's side broke it, which says nothing of the version.
     """
 
     gate: ServiceGate
@@ -42,6 +43,7 @@
     sent_s: float
     first_s: float | None = None
     events: int = 0
+    spoiled: bool = False
 
     def came(self, now_s: float, events: int = 0) -> None:
         """Note bytes of the answer.
@@ -59,6 +61,11 @@
         gap_s = None
         if self.first_s is not None and self.events > 1:
             gap_s = (now_s - self.first_s) / (self.events - 1)
+        self._count(now_s, gap_s, failed=failed)
+
+    def _count(self, now_s: float, gap_s: float | None, *, failed: bool) -> None:
+        if self.spoiled:
+            return
         self.gate.answered(
             self.version,
             self.route,
@@ -74,8 +81,14 @@
         self.gate.uncount_send(self.version, self.route)
 
     def given_up(self, now_s: float) -> None:
-        """Count an answer that nobody waits for any more; it says something if it was late."""
-        if self.first_s is None and now_s - self.sent_s > self.objective_s:
+        """Count an answer that nobody waits for any more; it says something if it was late.
+
+        Of a stream that had begun, the event that did not come counts for its gap: a version too
+        slow to end any stream in time showed none.
+        """
+        if self.first_s is not None and self.events:
+            self._count(now_s, (now_s - self.first_s) / self.events, failed=False)
+        elif self.first_s is None and now_s - self.sent_s > self.objective_s:
             self.first_s = now_s
             self.ended(now_s, failed=False)
 
@@ -191,19 +204,27 @@
 
     # ---- what was done and seen -------------------------------------------
 
-    def requested(self, service: str) -> None:
-        """Count a request of a service."""
-        gate = self._gates.get(service)
-        if gate is not None:
-            gate.requests += 1
-
     def sent(
-        self, replica: FleetReplica, route: resources_pb2.HostRoute, objective_s: float
+        self,
+        replica: FleetReplica,
+        route: resources_pb2.HostRoute,
+        objective_s: float,
+        *,
+        first: bool,
     ) -> AnswerSeen | None:
-        """Count a send; return what is to be told of its answer, or None."""
+        """Count a send; return what is to be told of its answer, or None.
+
+        Args:
+            replica: Where to.
+            route: Route of the request.
+            objective_s: Time in which its first byte would be in time, in seconds.
+            first: Whether it is the request's first: what was refused unsent never reached the
+                service, and must not raise what its new version may get.
+        """
         gate = self._gates.get(replica.record.service)
         if gate is None:
             return None
+        gate.requests += first
         now_s = self._environment.monotonic()
         gate.count_send(replica, route.name, now_s)
         if replica.record.software == gate.on_trial:
--- a/tests/test_rollout_gates.py
+++ b/tests/test_rollout_gates.py
@@ -1,12 +1,18 @@
 """What a gateway sends to, and counts, of one service with a record: in virtual time."""
 
 import unittest
+from unittest.mock import Mock
 
 from heronladder_router.kept_parts import KeptParts
+from heronladder_router.replica_attempt import _passed
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.service_gate import ServiceGate
-from heronladder_router.rollouts.version_gates import AnswerSeen
-from heronladder_schema.v1 import resources_pb2
+from heronladder_router.rollouts.version_gates import AnswerSeen, VersionGates
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.configuration import ConfigurationStore
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.rollouts.evidence import step_of
+from heronladder_schema.v1 import control_pb2, resources_pb2
 
 _TRIAL = resources_pb2.ROLLOUT_PHASE_TRIAL
 _MOVING = resources_pb2.ROLLOUT_PHASE_MOVING
@@ -28,7 +34,7 @@
     return FleetReplica(record, KeptParts(0))
 
 
-class GateTest(unittest.TestCase):
+class GateTest(unittest.IsolatedAsyncioTestCase):
     def setUp(self) -> None:
         self.old = _replica("o", "v1")
         self.new = _replica("n", "v2")
@@ -101,6 +107,56 @@
         self.assertTrue(gate.admits(self.new))
         self.assertFalse(gate.admits(self.old))
 
+    def test_a_stream_that_is_cut_after_its_first_byte_counts_its_gap(self) -> None:
+        """A version whose streams were too slow to end showed no gap at all."""
+        gate = self._gate(_TRIAL)
+        seen = AnswerSeen(gate, "v2", "r", 1.0, 0.0)
+        seen.came(0.5, 1)
+        seen.came(1.5, 1)
+        seen.given_up(4.5)
+        side = gate.evidence.side("r", of_target=True)
+        self.assertEqual((side.answers, side.failed), (1, 0))
+        self.assertEqual(dict(side.first), {step_of(0.5): 1})
+        self.assertEqual(dict(side.gap), {step_of(2.0): 1})  # two events, and one that did not come
+
+    def test_one_that_nobody_waited_for_in_time_counts_only_if_late(self) -> None:
+        gate = self._gate(_TRIAL)
+        AnswerSeen(gate, "v2", "r", 1.0, 0.0).given_up(0.9)
+        self.assertEqual(gate.evidence.side("r", of_target=True).answers, 0)
+        AnswerSeen(gate, "v2", "r", 1.0, 0.0).given_up(1.1)
+        self.assertEqual(gate.evidence.side("r", of_target=True).answers, 1)
+
+    async def test_what_the_callers_side_broke_says_nothing_of_the_version(self) -> None:
+        gate = self._gate(_TRIAL)
+        seen = AnswerSeen(gate, "v2", "r", 1.0, 0.0)
+        seen.came(0.5, 1)
+
+        async def broken() -> None:
+            raise ConnectionResetError
+
+        with self.assertRaises(ConnectionResetError):
+            await _passed(broken(), seen)
+        seen.ended(0.6, failed=True)
+        self.assertEqual(gate.evidence.side("r", of_target=True).answers, 0)
+
+
+class FleetTest(unittest.IsolatedAsyncioTestCase):
+    async def test_a_request_counts_once_and_when_it_is_sent(self) -> None:
+        """Requests refused unsent raised what a bad version might get."""
+        configuration = Mock(ConfigurationStore)
+        configuration.rollouts.return_value = {"app": _record(_TRIAL)}
+        configuration.fleet.return_value = None
+        configuration.revision = 7
+        gates = VersionGates(configuration, Environment(), Mock(EventLog))
+        replica = _replica("o", "v1")
+        gates.rebuild(lambda service: [replica])
+        route = resources_pb2.HostRoute(name="r")
+        for first in (True, False, True):
+            gates.sent(replica, route, 1.0, first=first)
+        heartbeat = control_pb2.Heartbeat()
+        gates.fill_heartbeat(heartbeat, [replica])
+        self.assertEqual(heartbeat.rollouts[0].requests, 2)
+
 
 if __name__ == "__main__":
     unittest.main()
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -78,9 +78,11 @@
             with self.subTest(written=written[:20]):
                 body = f'{{"service":"{SERVICE}","targetVersion":"v2","durationS":{written}}}'
                 url = f"http://{address}/api/Rollouts.Start"
-                async with aiohttp.ClientSession() as session:
-                    async with session.post(url, data=body.encode()) as got:
-                        self.assertEqual(got.status, 400)
+                async with (
+                    aiohttp.ClientSession() as session,
+                    session.post(url, data=body.encode()) as got,
+                ):
+                    self.assertEqual(got.status, 400)
 
     async def test_a_good_version_is_completed(self) -> None:
         self.assertEqual(await self._order(), 200)
