--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -41,7 +41,8 @@
 
 _REJECTIONS = 3  # sends that were not run, over the route's attempts
 _REPLICA_WAIT_S = 0.2
-_MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD})  # within a moment
+# Within a moment: a replica comes, is warm, or is of a version that has just been admitted.
+_MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD, Reason.VERSION})
 _NOT_SENT: dict[Reason, type[CallerError]] = {
     Reason.EVACUATED: EvacuatedError,
     Reason.OTHER_REGION: RegionUnservedError,
@@ -168,7 +169,6 @@
     async def _send_until_answered(
         self, request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
     ) -> None:
-        self._parts.replicas.versions.requested(request.wish.service)
         sends = _Sends()
         while True:
             placement = await self._next_placement(request, sends)
--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -15,6 +15,9 @@
 # Without a word of control for so long, nothing goes to a version on trial: a fifth of the
 # shortest bound on going back that users set (chosen).
 _SILENCE_S = 1.0
+# `completed` comes 0.6 s before an order's time at the earliest, and a gateway learns of the order
+# so much after control: until then the old replicas stay (0.4 s chosen).
+_OLD_STAY_S = 1.0
 # A grant waits so long for a request of the route that the trial has seen least (chosen).
 _RARE_ROUTE_WAIT_S = 0.5
 _JUDGE_S = 0.1  # between two looks at what it saw itself: one takes some 0.1 ms a route (chosen)
@@ -44,12 +47,15 @@
         self.stopped = ""
         self.clear = False
         self.hears = True
+        self._is_early = False
         self._watch = Watch(unread_routes)
         self._learned_s = now_s
         self._judged_s = -math.inf
         self._sent_by_route: Counter[str] = Counter()
         self._routes: set[str] = set()
         self._grant_since_s = math.inf
+        self._targets: list[FleetReplica] = []  # in the order in which the trial takes them
+        self._few = 1
         self._trial: frozenset[str] = frozenset()
 
     # ---- the record -------------------------------------------------------
@@ -62,15 +68,15 @@
         """Choose the few replicas of the version on trial that get its share.
 
         Each bears about what one of the old bears, so that a version that is bad under load
-        shows it. All gateways choose the same.
+        shows it. All gateways choose the same, but for those that a gateway finds dead.
 
         Args:
             replicas: Those of the service that are not leaving.
         """
         old = sum(1 for replica in replicas if replica.record.software in self.record.admitted)
-        names = [replica.name for replica in replicas if replica.record.software == self.on_trial]
-        few = max(1, round(_TRIAL_REPLICAS * old))
-        self._trial = frozenset(sorted(names, key=_rank)[:few])
+        targets = [replica for replica in replicas if replica.record.software == self.on_trial]
+        self._targets = sorted(targets, key=lambda replica: _rank(replica.name))
+        self._few = max(1, round(_TRIAL_REPLICAS * old))
 
     @property
     def on_trial(self) -> str:
@@ -83,12 +89,13 @@
     def moves(self) -> bool:
         """Whether all requests go to the target.
 
-        One that said that it has nothing elsewhere keeps to that while control hears it, since
-        old replicas may be stopped on that word; cut off, it goes by what it sees.
+        While control is heard, it decides by the sums of all: one of many gateways finds a good
+        version bad by chance. Cut off, a gateway goes back to the old replicas for as long as
+        they surely stay, and then by what it sees.
         """
         if self.record.phase != _MOVING:
             return False
-        return not self.stopped or (self.clear and self.hears)
+        return self.hears or not (self.stopped or self._is_early)
 
     # ---- what may be sent to ----------------------------------------------
 
@@ -99,12 +106,28 @@
         return replica.record.software in self.record.admitted
 
     def on_trial_here(self, replica: FleetReplica) -> bool:
-        """Whether a replica is one of those that the trial's share goes to."""
+        """Whether a replica is one of those that the trial's share goes to now."""
         return replica.name in self._trial
 
-    def note_silence(self, silent_s: float) -> None:
+    def choose(self, now_s: float) -> None:
+        """Choose the trial's replicas anew, without those that may be dead.
+
+        With one dead replica in its place, a trial showed nothing until its end.
+        """
+        alive = [
+            replica
+            for replica in self._targets
+            if not replica.unreached and replica.suspect_until_s <= now_s
+        ]
+        chosen = (alive or self._targets)[: self._few]
+        self._trial = frozenset(replica.name for replica in chosen)
+
+    def note_silence(self, silent_s: float, now_s: float) -> None:
         """Note how long control has been silent."""
         self.hears = silent_s <= _SILENCE_S
+        age_s = now_s - self._learned_s
+        left_s = self.record.duration_ms / MILLISECONDS_PER_SECOND - age_s
+        self._is_early = left_s > _OLD_STAY_S
 
     def trial_is_due(self, route: str, now_s: float) -> bool:
         """Whether a request goes to the version on trial.
@@ -116,7 +139,7 @@
         self._routes.add(route)
         if self.record.phase != _TRIAL and not self.record.newcomer:
             return False
-        if self.stopped or self.sent >= self.granted or not self.hears:
+        if self.sent >= self.granted or not self.hears:
             return False
         least = min(self._sent_by_route[known] for known in self._routes)
         if self._sent_by_route[route] <= least:
@@ -133,6 +156,14 @@
         if replica.record.software == self.on_trial:
             self.sent += 1
 
+    def uncount_send(self, version: str, route: str) -> None:
+        """Take back a send that was not run: it showed nothing, and harmed nothing."""
+        if version != self.on_trial:
+            return
+        self.sent = max(0, self.sent - 1)
+        if self._sent_by_route[route] and not self.moves:
+            self._sent_by_route[route] -= 1
+
     def take_grant(self, total: int, now_s: float) -> None:
         """Take a total that may be sent; it only rises."""
         if total > self.granted and self.sent >= self.granted:
@@ -197,8 +228,8 @@
         """
         if not self.on_trial:
             return None
-        if self.moves and not elsewhere:
-            self.clear = True
+        # Withdrawn when it went back while it heard nothing: old replicas are stopped on it.
+        self.clear = self.moves and not elsewhere
         return control_pb2.RolloutTold(
             service=service,
             ordered_revision=self.ordered_revision,
