--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -8,22 +8,19 @@
 
 import asyncio
 from collections.abc import Iterable
-from dataclasses import dataclass, field
-from enum import Enum
 from typing import TYPE_CHECKING
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 from heronladder_runtime.configuration import EVACUATION_KIND, REPLICA_KIND
-from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_control.cold_words import ColdWords
 from heronladder_control.evacuations import LateOrders
 from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
+from heronladder_control.leader_asks import FleetOutcome, LeaderAsks, Standing
 from heronladder_control.order_times import LeaderTimes, OrderTimes
 from heronladder_control.registration_batches import RegistrationBatches
-from heronladder_control.registration_relay import RegistrationRelay
 from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
 from heronladder_control.rollouts.orders import RolloutOrders
@@ -37,31 +34,6 @@
 _READ_PATIENCE_S = 1.5
 
 
-class Standing(Enum):
-    """What became of what was asked."""
-
-    DONE = "done"
-    REFUSED = "refused"
-    UNCLEAR = "unclear"  # it may have been done, or still be
-
-
-@dataclass
-class FleetOutcome:
-    """The answer to an operator or a replica.
-
-    Attributes:
-        standing: What became of it.
-        result: The result of the command, once there is one.
-        configuration: The newest configuration, for a read.
-        rollout: A service's newest roll-out, for a read of it.
-    """
-
-    standing: Standing
-    result: control_pb2.CommandResult = field(default_factory=control_pb2.CommandResult)
-    configuration: resources_pb2.FleetConfiguration | None = None
-    rollout: resources_pb2.Rollout | None = None
-
-
 class FleetService:
     """Carries out what operators and replicas ask.
 
@@ -76,7 +48,7 @@
         self._late_orders = LateOrders(member.environment)
         self._spread = HeartbeatSpread(member.environment)
         member.metrics.gauge("heartbeats_moved", lambda: self._spread.moved)
-        self._relay = RegistrationRelay(member)
+        self._asks = LeaderAsks(member, self.carry)
         self._batches = RegistrationBatches(member)
         self._rollout_orders = RolloutOrders(member)
 
@@ -89,7 +61,7 @@
         )
         request.command.apply_configuration.configuration.CopyFrom(configuration)
         order = self._order("configuration", str(configuration.version))
-        return await self._ask(request, _APPLY_PATIENCE_S, order)
+        return await self._asks.ask(request, _APPLY_PATIENCE_S, order)
 
     async def evacuate(self, zone: str, *, ended: bool) -> FleetOutcome:
         """Evacuate a zone, or take that back; done once it is in force.
@@ -109,7 +81,7 @@
         request.command.set_evacuation.zone = zone
         request.command.set_evacuation.ended = ended
         order = self._order("evacuation", f"{zone} {'ended' if ended else 'begun'}")
-        return await self._ask(request, _APPLY_PATIENCE_S, order)
+        return await self._asks.ask(request, _APPLY_PATIENCE_S, order)
 
     async def start_rollout(self, service: str, target: str, duration_s: float) -> FleetOutcome:
         """Move a service to a version; done once the order is in force.
@@ -131,15 +103,17 @@
         command.target = target
         command.duration_ms = int(duration_s * MILLISECONDS_PER_SECOND)
         order = self._order("rollout", f"{service} to {target}")
-        return await self._ask(request, _APPLY_PATIENCE_S, order)
+        return await self._asks.ask(request, _APPLY_PATIENCE_S, order)
 
     async def read_rollout(self, service: str) -> FleetOutcome:
         """Return a service's newest roll-out, confirmed by a quorum."""
-        return await self._ask(control_pb2.CarryRequest(read_rollout=service), _READ_PATIENCE_S)
+        return await self._asks.ask(
+            control_pb2.CarryRequest(read_rollout=service), _READ_PATIENCE_S
+        )
 
     async def read(self) -> FleetOutcome:
         """Return the newest configuration, confirmed by a quorum."""
-        return await self._ask(control_pb2.CarryRequest(), _READ_PATIENCE_S)
+        return await self._asks.ask(control_pb2.CarryRequest(), _READ_PATIENCE_S)
 
     async def register(self, replica: resources_pb2.Replica) -> FleetOutcome:
         """Take what a replica tells of itself.
@@ -162,7 +136,7 @@
         request.command.register_replica.watch_newcomers = (
             self._member.options.rollout_limits.enabled
         )
-        return await self._ask(request, _REGISTER_PATIENCE_S, order)
+        return await self._asks.ask(request, _REGISTER_PATIENCE_S, order)
 
     def heartbeat_address(self, replica: resources_pb2.Replica) -> str:
         """Return where a replica is to send its later heartbeats; "" for anywhere."""
@@ -183,74 +157,11 @@
             )
         return address
 
-    # ---- at the leader, or passed on to it --------------------------------
+    # ---- at the leader ----------------------------------------------------
 
     def _order(self, kind: str, about: str) -> OrderTimes:
         return OrderTimes(kind, about, self._member.environment)
 
-    async def _ask(
-        self,
-        request: control_pb2.CarryRequest,
-        patience_s: float,
-        order: OrderTimes | None = None,
-    ) -> FleetOutcome:
-        reply = await self._ask_until_clear(request, patience_s, order)
-        outcome = self._outcome(reply) if reply is not None else FleetOutcome(Standing.UNCLEAR)
-        if order is not None:
-            order.report(self._member.log, self._member.metrics, outcome.standing.value, reply)
-        return outcome
-
-    async def _ask_until_clear(
-        self, request: control_pb2.CarryRequest, patience_s: float, order: OrderTimes | None
-    ) -> control_pb2.CarryReply | None:
-        clock = self._member.environment
-        began_s = clock.monotonic()
-        while True:
-            age_s = clock.monotonic() - began_s
-            left_s = patience_s - age_s
-            if left_s <= 0:
-                return None
-            request.age_ms = int(age_s * MILLISECONDS_PER_SECOND)
-            if order is not None:
-                order.sent()
-            reply = await self._ask_once(request, left_s)
-            if reply is not None and not reply.not_leader:
-                return reply
-            left_s = patience_s - (clock.monotonic() - began_s)
-            is_replica = request.command.HasField("register_replica")
-            if not await self._member.admission.ask(max(0.0, left_s), first=not is_replica):
-                return None
-
-    async def _ask_once(
-        self, request: control_pb2.CarryRequest, left_s: float
-    ) -> control_pb2.CarryReply | None:
-        if self._member.node.is_leader:
-            try:
-                return await asyncio.wait_for(self.carry(request), left_s)
-            except TimeoutError:
-                return None
-        address = self._member.leader_address()
-        if not address:
-            return control_pb2.CarryReply(not_leader=True)
-        if request.command.HasField("register_replica") and not request.in_force_wait_ms:
-            return await self._relay.ask(request.command.register_replica, left_s)
-        try:
-            stub = self._member.stubs.control(address)
-            reply: control_pb2.CarryReply = await stub.Carry(request, timeout=left_s)
-        except RPC_ERRORS:
-            return None
-        return reply
-
-    @staticmethod
-    def _outcome(reply: control_pb2.CarryReply) -> FleetOutcome:
-        if reply.unclear:
-            return FleetOutcome(Standing.UNCLEAR, reply.result)
-        if reply.result.code != control_pb2.RESULT_CODE_OK:
-            return FleetOutcome(Standing.REFUSED, reply.result)
-        held = reply.configuration if reply.HasField("configuration") else None
-        rollout = reply.rollout if reply.HasField("rollout") else None
-        return FleetOutcome(Standing.DONE, reply.result, held, rollout)
-
     async def carry(self, request: control_pb2.CarryRequest) -> control_pb2.CarryReply:
         """Carry out a command, or read, as the leader."""
         times = LeaderTimes(self._member.environment)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/leader_asks.py
@@ -0,0 +1,130 @@
+"""Asking the leader: carried out here where this member leads, else passed on to it."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from enum import Enum
+from typing import TYPE_CHECKING
+
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.rpc_errors import RPC_ERRORS
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_control.order_times import OrderTimes
+from heronladder_control.registration_relay import RegistrationRelay
+
+if TYPE_CHECKING:
+    from heronladder_control.member import ControlMember
+
+Carry = Callable[[control_pb2.CarryRequest], Awaitable[control_pb2.CarryReply]]
+
+
+class Standing(Enum):
+    """What became of what was asked."""
+
+    DONE = "done"
+    REFUSED = "refused"
+    UNCLEAR = "unclear"  # it may have been done, or still be
+
+
+@dataclass
+class FleetOutcome:
+    """The answer to an operator or a replica.
+
+    Attributes:
+        standing: What became of it.
+        result: The result of the command, once there is one.
+        configuration: The newest configuration, for a read.
+        rollout: A service's newest roll-out, for a read of it.
+    """
+
+    standing: Standing
+    result: control_pb2.CommandResult = field(default_factory=control_pb2.CommandResult)
+    configuration: resources_pb2.FleetConfiguration | None = None
+    rollout: resources_pb2.Rollout | None = None
+
+
+class LeaderAsks:
+    """Asks the leader until there is a clear answer, or for as long as the caller waits.
+
+    Args:
+        member: The control member.
+        carry: Carries out a request as the leader.
+    """
+
+    def __init__(self, member: ControlMember, carry: Carry) -> None:
+        self._member = member
+        self._carry = carry
+        self._relay = RegistrationRelay(member)
+
+    async def ask(
+        self,
+        request: control_pb2.CarryRequest,
+        patience_s: float,
+        order: OrderTimes | None = None,
+    ) -> FleetOutcome:
+        """Ask, and report how long an order waited.
+
+        Args:
+            request: What is asked.
+            patience_s: Longest time in all, in seconds.
+            order: Whose waits are told; None: nobody's.
+        """
+        reply = await self._ask_until_clear(request, patience_s, order)
+        outcome = self._outcome(reply) if reply is not None else FleetOutcome(Standing.UNCLEAR)
+        if order is not None:
+            order.report(self._member.log, self._member.metrics, outcome.standing.value, reply)
+        return outcome
+
+    async def _ask_until_clear(
+        self, request: control_pb2.CarryRequest, patience_s: float, order: OrderTimes | None
+    ) -> control_pb2.CarryReply | None:
+        clock = self._member.environment
+        began_s = clock.monotonic()
+        while True:
+            age_s = clock.monotonic() - began_s
+            left_s = patience_s - age_s
+            if left_s <= 0:
+                return None
+            request.age_ms = int(age_s * MILLISECONDS_PER_SECOND)
+            if order is not None:
+                order.sent()
+            reply = await self._ask_once(request, left_s)
+            if reply is not None and not reply.not_leader:
+                return reply
+            left_s = patience_s - (clock.monotonic() - began_s)
+            is_replica = request.command.HasField("register_replica")
+            if not await self._member.admission.ask(max(0.0, left_s), first=not is_replica):
+                return None
+
+    async def _ask_once(
+        self, request: control_pb2.CarryRequest, left_s: float
+    ) -> control_pb2.CarryReply | None:
+        if self._member.node.is_leader:
+            try:
+                return await asyncio.wait_for(self._carry(request), left_s)
+            except TimeoutError:
+                return None
+        address = self._member.leader_address()
+        if not address:
+            return control_pb2.CarryReply(not_leader=True)
+        if request.command.HasField("register_replica") and not request.in_force_wait_ms:
+            return await self._relay.ask(request.command.register_replica, left_s)
+        try:
+            stub = self._member.stubs.control(address)
+            reply: control_pb2.CarryReply = await stub.Carry(request, timeout=left_s)
+        except RPC_ERRORS:
+            return None
+        return reply
+
+    @staticmethod
+    def _outcome(reply: control_pb2.CarryReply) -> FleetOutcome:
+        if reply.unclear:
+            return FleetOutcome(Standing.UNCLEAR, reply.result)
+        if reply.result.code != control_pb2.RESULT_CODE_OK:
+            return FleetOutcome(Standing.REFUSED, reply.result)
+        held = reply.configuration if reply.HasField("configuration") else None
+        rollout = reply.rollout if reply.HasField("rollout") else None
+        return FleetOutcome(Standing.DONE, reply.result, held, rollout)
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -15,13 +15,13 @@
 from heronladder_control.config_feed import ConfigFeed
 from heronladder_control.daemon_session import DaemonSession
 from heronladder_control.daemons import ROLE_AGENT, ROLE_ROUTER
+from heronladder_control.recalls import recall_leases, recall_prepaid
 from heronladder_control.replica_loads import ReplicaLoads
 
 if TYPE_CHECKING:
     from heronladder_control.member import ControlMember
 
 _IDLE_CHECK_S = 1.0
-_SCARCE_ASKS = 4
 # Routers; with more, each hears of a lender with its next heartbeat: 300 that come at once
 # made 90,000 frames (chosen).
 _LENDERS_TOLD_AT_ONCE = 64
@@ -318,9 +318,10 @@
         elif body == "set_in_force":
             self._wake_those_behind(command.set_in_force.revision)
         elif body == "draw_tokens" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
-            self._recall_prepaid(command.draw_tokens, result)
+            recall_prepaid(self.sessions.values(), command.draw_tokens, result)
         elif body == "grant_lease" and result.code == control_pb2.RESULT_CODE_EXHAUSTED:
-            self._recall(command.grant_lease, result)
+            leases = self._member.state.ledger.open_leases(command.grant_lease.budget)
+            recall_leases(self.sessions, leases, command.grant_lease, result)
 
     def _wake_all(self) -> None:
         for session in self.sessions.values():
@@ -351,34 +352,6 @@
             if session.record.lending_address and session.lenders.know(record) and few:
                 session.wake.give()
 
-    def _recall(self, ask: control_pb2.GrantLease, result: control_pb2.CommandResult) -> None:
-        """Ask the other holders of an empty budget to give back all but a fair share."""
-        leases = self._member.state.ledger.open_leases(ask.budget)
-        held = sum(
-            lease.granted - lease.returned - lease.billed - lease.withheld for lease in leases
-        )
-        total = held + result.available
-        # Near the end a fair share for each would leave too little for anyone.
-        scarce = total < _SCARCE_ASKS * ask.minimum
-        keep = 0 if scarce else total // (2 * max(1, len(leases)))
-        for lease in leases:
-            session = self.sessions.get(lease.holder)
-            if session is None or lease.holder == ask.holder:
-                continue
-            session.recalls[lease.lease_id] = keep
-            session.wake.give()
-
-    def _recall_prepaid(
-        self, order: control_pb2.DrawTokens, result: control_pb2.CommandResult
-    ) -> None:
-        """Ask the other routers to give back what they have not used of a tenant."""
-        if not result.recallable:
-            return
-        for session in self.sessions.values():
-            if session.record.role == ROLE_ROUTER and session.record.name != order.holder:
-                session.prepaid_recalls.add(order.tenant)
-                session.wake.give()
-
     # ---- members and other regions ----------------------------------------------------
 
     async def Carry(  # noqa: D102 - generated name
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,8 +1,7 @@
 """Replicas of a fleet as a gateway sees them."""
 
 from collections import deque
-from collections.abc import Callable, Collection, Mapping
-from dataclasses import dataclass
+from collections.abc import Collection, Mapping
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.configuration import ConfigurationStore
@@ -14,10 +13,12 @@
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
 from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
 from heronladder_router.decisions.waiting import ReplicaPlaces
+from heronladder_router.evacuated_zones import EvacuatedZones
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
 from heronladder_router.service_speeds import ServiceSpeeds
+from heronladder_router.surroundings import Surroundings
 
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
@@ -29,29 +30,6 @@
 _LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 
 
-@dataclass(frozen=True)
-class Surroundings:
-    """Where a gateway is.
-
-    Attributes:
-        zone: Its zone.
-        zone_regions: Region of each zone.
-        far_cost_ms: What a send to another region costs, in ms: the way, and its bytes.
-        far_sends_per_s: Requests a second that may go there while there are replicas here.
-        measures_speed: Whether replicas are compared by measured speed, not by constants.
-        measures_patience: Whether streams are waited for by measured first events.
-        link_s: Tells the way over the gateway's link and back, in seconds.
-    """
-
-    zone: str
-    zone_regions: Mapping[str, str]
-    far_cost_ms: float = 150.0
-    far_sends_per_s: int = 5
-    measures_speed: bool = False
-    measures_patience: bool = False
-    link_s: Callable[[], float] = lambda: 0.0
-
-
 class FleetReplicas:
     """All replicas that are registered.
 
@@ -87,9 +65,8 @@
             measures_speed=where.measures_speed,
             measures_patience=where.measures_patience,
         )
-        self._restored: dict[str, bool] = {}  # by zone on record: whether it was taken back
+        self._zones = EvacuatedZones()
         self._far_sends_s: deque[float] = deque()  # of the last second
-        self.evacuated: frozenset[str] = frozenset()
         self.changed = Pulse()
         self.loads_told_s = float("-inf")  # when control last told the others' load
         self._loads_cut = False  # whether it may have told a part of the replicas only
@@ -147,26 +124,25 @@
 
         It may have been taken back while this gateway was cut off, or before it started.
         """
-        on_record = self._configuration.evacuations()
-        restored = {zone: evacuation.ended for zone, evacuation in on_record.items()}
-        evacuated = frozenset(zone for zone, ended in restored.items() if not ended)
-        taken_back = {zone for zone, ended in restored.items() if ended}
-        taken_back -= {zone for zone, ended in self._restored.items() if ended}
-        for zone in sorted(taken_back | (self.evacuated - evacuated)):
+        change = self._zones.take(self._configuration.evacuations())
+        for zone in change.restored:
             self._log.info("zone_restored", step="replicas", peer=zone)
             for replica in self._replicas.values():
                 if replica.record.zone == zone:
                     cold_s = self._cold_start_s(replica.record.service)
                     self._note_cold(replica, cold_s, "zone_restored")
-        for zone in sorted(evacuated - self.evacuated):
+        for zone in change.evacuated:
             self._log.info(
                 "zone_evacuated",
                 step="replicas",
                 peer=zone,
                 revision=self._configuration.revision,
             )
-        self._restored = restored
-        self.evacuated = evacuated
+
+    @property
+    def evacuated(self) -> frozenset[str]:
+        """Zones to which nothing may go."""
+        return self._zones.evacuated
 
     def _note_cold(self, replica: FleetReplica, for_s: float, why: str) -> None:
         """Take a replica for cold from now on, for no less than was known before."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -14,7 +14,7 @@
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
-from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
+from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_server import GatewayServer
@@ -23,6 +23,7 @@
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
 from heronladder_router.sliding_allowance import SlidingAllowance
+from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
 from heronladder_router.tokens.access import LendingOptions, TokenAccess
 
--- a/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
+++ b/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
@@ -16,7 +16,7 @@
 from types import FrameType
 
 from aiohttp import web
-from heronladder_control.fleet_service import Standing
+from heronladder_control.leader_asks import Standing
 from heronladder_control.member import ControlMember
 from heronladder_daemon.daemon import Daemon
 from heronladder_runtime.settings import load
--- a/tests/test_crowd_of_replicas.py
+++ b/tests/test_crowd_of_replicas.py
@@ -10,7 +10,7 @@
 from control_group import ControlGroup
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_consensus.storage import LogStorage
-from heronladder_control.fleet_service import FleetOutcome, Standing
+from heronladder_control.leader_asks import FleetOutcome, Standing
 from heronladder_control.member import ControlMember
 from heronladder_control.results import success
 from heronladder_control.returning_replicas import RETURNS_AFTER_S
--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -7,9 +7,10 @@
 from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.decisions.distance import Way
 from heronladder_router.decisions.placement import Placement, PlacementView, Reason, place
-from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
+from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import KeptParts, PromptPart
 from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.surroundings import Surroundings
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
 from heronladder_runtime.logs import EventLog
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -10,9 +10,10 @@
 from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.decisions.placement import PlacementView, place
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, ReplicaPace, Speed
-from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
+from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.surroundings import Surroundings
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.logs import EventLog
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -8,8 +8,9 @@
 
 from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.decisions.take import Standing, TakeView, take
-from heronladder_router.fleet_replicas import FleetReplicas, Surroundings
+from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.replica_state import Wish
+from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
