Roll-outs: slow times show beside few old ones; trials steer by route

The trials choose by route as a gateway does (the route seen least, others after 0.5 s); before, a rare route got its part by chance. Parts of a quiet service's answers that are enough: 0.25, of a route 0.15.

--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
@@ -37,6 +37,7 @@
 _MOST_SHARE = 0.97
 _OLD_ANSWERS = 30  # of a route at the old version, before it is a measure
 _WHOLE_SAMPLE = 15  # answers of each version, before all of them are compared at once (chosen)
+_LEAST_TIMES = 5  # of the old version, before any time of the target is slow beside them (chosen)
 _LEAST_OLD_TIMES = 15  # of a route at the old version, before its times are a measure (chosen)
 _LEAST_OLD_ANSWERS = 10  # in all, before it is a measure; until then a prior stands in (chosen)
 # The prior: a service that is hardly known fails 5 in 100, as if seen in 2 answers (chosen).
@@ -54,7 +55,8 @@
 _RARE_ROUTE = 0.02  # of all answers
 # A service with few requests shows less than that in an order's time, and little is harmed: this
 # part of its answers so far is enough then, of the target and of the old version (chosen).
-_ENOUGH_PART = 0.3
+_ENOUGH_PART = 0.25
+_ENOUGH_PART_OF_ROUTE = 0.15  # routes that are asked often get less of the trial (chosen)
 
 # Of fewer answers than are enough elsewhere, one and so many times the usual may have failed: the
 # tests tell too little of so few (chosen; a version that failed half passed with 3 of 11).
@@ -185,7 +187,7 @@
         for route in evidence.routes():
             old_answers = evidence.side(route, of_target=False).answers
             answers = evidence.side(route, of_target=True).answers
-            part = math.ceil(_ENOUGH_PART * (old_answers + answers))
+            part = math.ceil(_ENOUGH_PART_OF_ROUTE * (old_answers + answers))
             if old_answers + answers < _RARE_ROUTE * count:
                 continue
             # Alone, the old version answers nothing more: waiting for it would end a good one.
@@ -236,7 +238,7 @@
     old: Counter[int], fresh_old: Counter[int], fresh: Counter[int], patience_steps: int
 ) -> float:
     """Return the ratio for how many of the target's times are over the old version's slow ones."""
-    if old.total() < _LEAST_OLD_TIMES or not fresh:
+    if old.total() < _LEAST_TIMES or not fresh:
         return 0.0
     limit = _quantile(old, _SLOW_QUANTILE) + _SLOW_STEPS + patience_steps
     usual = _usual(_above(old, limit), old.total(), _above(fresh_old, limit), fresh_old.total())
--- a/tests/rollout_trials.py
+++ b/tests/rollout_trials.py
@@ -21,6 +21,7 @@
 LIMITS = ExposureLimits(0.1, 50)
 _TICK_S = 0.1
 _HEARD_S = 0.4  # from an answer's end until the leader counts it, with its look (chosen)
+_RARE_ROUTE_WAIT_S = 0.5  # as in a gateway
 _IN_FORCE_S = 0.3  # from a phase's entry until gateways keep to it (chosen)
 
 
@@ -168,7 +169,8 @@
     evidence = Evidence()
     verdict = Verdict(Decision.GO_ON, "")
     requests = sent = exposed = serial = 0
-    now_s = 0.0
+    now_s = tried_s = 0.0
+    tried = [0] * len(drawn.routes)  # sends of the trial by route
     # A tick beyond the latest end, so that none is left running.
     while now_s < 3.0 * drawn.duration_s + 1.0 and phase in (TRIAL, MOVING):
         now_s += _TICK_S
@@ -176,12 +178,17 @@
             in_force = changes.pop(0)[1]
         for _ in range(_poisson(drawn.per_s * _TICK_S, source)):
             requests += 1
+            route = source.choices(range(len(drawn.routes)), drawn.routes)[0]
             is_new = in_force == MOVING
             if in_force == TRIAL and sent < LIMITS.trial(requests, now_s, drawn.duration_s):
-                is_new = source.random() < 0.5
+                # As a gateway chooses: the route that the trial has seen least, or after a wait.
+                is_due = tried[route] <= min(tried) or now_s - tried_s >= _RARE_ROUTE_WAIT_S
+                is_new = is_due and source.random() < 0.5
+            if is_new and in_force == TRIAL:
+                tried[route] += 1
+                tried_s = now_s
             sent += is_new
             exposed += is_new and now_s <= drawn.duration_s
-            route = source.choices(range(len(drawn.routes)), drawn.routes)[0]
             bad = is_new and now_s >= drawn.after_s and drawn.route in (-1, route)
             took_s = drawn.work_s * math.exp(source.gauss(0, drawn.spread))
             took_s *= drawn.slow if bad else 1.0
