--- a/tests/rollout_trials.py
+++ b/tests/rollout_trials.py
@@ -1,6 +1,7 @@
 """Roll-outs of drawn versions in virtual time: the product's grants, verdicts and steps.
 
-Usage: ``python tests/rollout_trials.py [DRAWS]`` prints the table of docs/measurements/rollouts.md.
+Usage: ``python tests/rollout_trials.py [DRAWS|rates]`` prints a table of
+docs/measurements/rollouts.md.
 Requests, replicas and gateways are drawn numbers here; nothing is sent.
 """
 
@@ -298,5 +299,28 @@
                 )
 
 
+def rate_table(seeds: int) -> None:
+    """Print how versions of services with few and many requests end, by rate and routes."""
+    for per_s in (0.0, 2.0, 6.0, 10.0, 20.0, 60.0, 150.0):
+        for duration_s in (6.0, 12.0, 30.0):
+            cells = []
+            for routes in ([1.0], [0.81, 0.19]):
+                for fails, slow in ((0.0, 1.0), (0.5, 1.0), (0.0, 4.0)):
+                    if not per_s and (fails or slow > 1.0):
+                        continue
+                    drawn = Drawn(
+                        "", per_s, duration_s, routes, 0.09, 0.3, 0.0, fails=fails, slow=slow
+                    )
+                    ends = [play(drawn, Watch().judge, Random(seed)) for seed in range(seeds)]
+                    in_time = sum(o.phase == COMPLETED and o.ended_s <= duration_s for o in ends)
+                    back = sum(o.phase == ROLLED_BACK for o in ends)
+                    over = sum(not o.kept for o in ends)
+                    cells.append(f"{in_time}/{back}/{over}")
+            print(f"| {per_s:g} | {duration_s:g} | {' | '.join(cells)} |")
+
+
 if __name__ == "__main__":
-    table(int(sys.argv[1]) if len(sys.argv) > 1 else 600)
+    if sys.argv[1:] == ["rates"]:
+        rate_table(40)
+    else:
+        table(int(sys.argv[1]) if len(sys.argv) > 1 else 600)
