--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -77,6 +77,7 @@
         targets = [replica for replica in replicas if replica.record.software == self.on_trial]
         self._targets = sorted(targets, key=lambda replica: _rank(replica.name))
         self._few = max(1, round(_TRIAL_REPLICAS * old))
+        self.choose(math.inf)
 
     @property
     def on_trial(self) -> str:
@@ -139,7 +140,7 @@
         self._routes.add(route)
         if self.record.phase != _TRIAL and not self.record.newcomer:
             return False
-        if self.sent >= self.granted or not self.hears:
+        if self.stopped or self.sent >= self.granted or not self.hears:
             return False
         least = min(self._sent_by_route[known] for known in self._routes)
         if self._sent_by_route[route] <= least:
