--- a/tests/rollout_trials.py
+++ b/tests/rollout_trials.py
@@ -1,6 +1,7 @@
 """Roll-outs of drawn versions in virtual time: the product's grants, verdicts and steps.
 
-Usage: ``python tests/rollout_trials.py [DRAWS]`` prints the table of docs/measurements/rollouts.md.
+Usage: ``python tests/rollout_trials.py [DRAWS|rates]`` prints a table of
+docs/measurements/rollouts.md.
 Requests, replicas and gateways are drawn numbers here; nothing is sent.
 """
 
@@ -21,6 +22,7 @@
 LIMITS = ExposureLimits(0.1, 50)
 _TICK_S = 0.1
 _HEARD_S = 0.4  # from an answer's end until the leader counts it, with its look (chosen)
+_RARE_ROUTE_WAIT_S = 0.5  # as in a gateway
 _IN_FORCE_S = 0.3  # from a phase's entry until gateways keep to it (chosen)
 
 
@@ -168,7 +170,8 @@
     evidence = Evidence()
     verdict = Verdict(Decision.GO_ON, "")
     requests = sent = exposed = serial = 0
-    now_s = 0.0
+    now_s = tried_s = 0.0
+    tried = [0] * len(drawn.routes)  # sends of the trial by route
     # A tick beyond the latest end, so that none is left running.
     while now_s < 3.0 * drawn.duration_s + 1.0 and phase in (TRIAL, MOVING):
         now_s += _TICK_S
@@ -176,12 +179,17 @@
             in_force = changes.pop(0)[1]
         for _ in range(_poisson(drawn.per_s * _TICK_S, source)):
             requests += 1
+            route = source.choices(range(len(drawn.routes)), drawn.routes)[0]
             is_new = in_force == MOVING
             if in_force == TRIAL and sent < LIMITS.trial(requests, now_s, drawn.duration_s):
-                is_new = source.random() < 0.5
+                # As a gateway chooses: the route that the trial has seen least, or after a wait.
+                is_due = tried[route] <= min(tried) or now_s - tried_s >= _RARE_ROUTE_WAIT_S
+                is_new = is_due and source.random() < 0.5
+            if is_new and in_force == TRIAL:
+                tried[route] += 1
+                tried_s = now_s
             sent += is_new
             exposed += is_new and now_s <= drawn.duration_s
-            route = source.choices(range(len(drawn.routes)), drawn.routes)[0]
             bad = is_new and now_s >= drawn.after_s and drawn.route in (-1, route)
             took_s = drawn.work_s * math.exp(source.gauss(0, drawn.spread))
             took_s *= drawn.slow if bad else 1.0
@@ -291,5 +299,28 @@
                 )
 
 
+def rate_table(seeds: int) -> None:
+    """Print how versions of services with few and many requests end, by rate and routes."""
+    for per_s in (0.0, 2.0, 6.0, 10.0, 20.0, 60.0, 150.0):
+        for duration_s in (6.0, 12.0, 30.0):
+            cells = []
+            for routes in ([1.0], [0.81, 0.19]):
+                for fails, slow in ((0.0, 1.0), (0.5, 1.0), (0.0, 4.0)):
+                    if not per_s and (fails or slow > 1.0):
+                        continue
+                    drawn = Drawn(
+                        "", per_s, duration_s, routes, 0.09, 0.3, 0.0, fails=fails, slow=slow
+                    )
+                    ends = [play(drawn, Watch().judge, Random(seed)) for seed in range(seeds)]
+                    in_time = sum(o.phase == COMPLETED and o.ended_s <= duration_s for o in ends)
+                    back = sum(o.phase == ROLLED_BACK for o in ends)
+                    over = sum(not o.kept for o in ends)
+                    cells.append(f"{in_time}/{back}/{over}")
+            print(f"| {per_s:g} | {duration_s:g} | {' | '.join(cells)} |")
+
+
 if __name__ == "__main__":
-    table(int(sys.argv[1]) if len(sys.argv) > 1 else 600)
+    if sys.argv[1:] == ["rates"]:
+        rate_table(40)
+    else:
+        table(int(sys.argv[1]) if len(sys.argv) > 1 else 600)
--- a/tests/test_registration_batches.py
+++ b/tests/test_registration_batches.py
@@ -37,7 +37,8 @@
         self.tasks = TaskGroupOwner(self.log)
         self.node = mock.Mock()
         self.service = SimpleNamespace(sessions=range(_STREAMS))
-        self.state = SimpleNamespace(applied_index=0)
+        fleet = SimpleNamespace(settled=lambda told: False)  # nothing is known yet
+        self.state = SimpleNamespace(applied_index=0, fleet=fleet)
         self.registered: list[str] = []
         self.commit_s = 0.1
         self.failure: Exception | None = None
