A draw of prepaid tokens brings what all waiting requests need

Cause: where other holders held three quarters of what was left, or tokens were scarce after a loss, a draw brought one request's minimum, though its holder asked for what all that waited needed; the others waited for a draw each, one behind the other, and their time ran out. Change: a draw says how much of what is wanted requests wait for; that much is granted ahead of the bounds on stock, within what is available. Nothing is granted over what is available: the check 'prepaid_within_limit' and the limit stay as they were. Tests: test_prepaid, two, both seen to fail without the change (10 != 60, 7 != 21). Members of mixed versions: an order with the new field has another outcome on members that do not know it; both are updated together with the gateways that send it only after.

--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -112,9 +112,11 @@
         available = self.available(account)
         if available < order.minimum:
             return 0
+        # All that wait at once: one by one each would wait for the draws of those before it.
+        needed = max(order.minimum, order.needed)
         if self._scarce(account):
-            return order.minimum  # tokens held ahead would lie idle where nobody asks
-        return min(order.wanted, available, max(self._may_be_held(account), order.minimum))
+            return min(needed, available)  # tokens held ahead would lie idle where nobody asks
+        return min(order.wanted, available, max(self._may_be_held(account), needed))
 
     def _scarce(self, account: ledger_pb2.PrepaidAccount) -> bool:
         """Whether little is left, and less than there would be without lost routers."""
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -156,8 +156,7 @@
         if not self._lenders.is_holder(balance.tenant):
             return needed
         limit = self._limits.get(balance.tenant, 0)
-        share = limit // (_FIRST_SHARE * self._lenders.holder_count(balance.tenant))
-        return max(needed, share)
+        return max(needed, limit // (_FIRST_SHARE * self._lenders.holder_count(balance.tenant)))
 
     def _holds_ahead(self, balance: TokenBalance) -> bool:
         """Whether tokens are held here ahead of need.
@@ -236,8 +235,9 @@
                 missing = tokens - balance.free
                 if missing <= 0 or balance is not self._balances.get(balance.tenant):
                     return None
-                wanted = max(missing, balance.waited_for - balance.free, self._growth(balance))
-                return await self._draw(balance, wanted, missing, _DRAW_TIMEOUT_S)
+                needed = max(missing, balance.waited_for - balance.free)
+                wanted = max(needed, self._growth(balance))
+                return await self._draw(balance, wanted, missing, _DRAW_TIMEOUT_S, needed)
         except PrepaidUnavailableError as error:
             self._log_not_drawn(balance, error)
             return None
@@ -261,7 +261,12 @@
         await asyncio.sleep(_RECALL_PAUSE_S)
 
     async def _draw(
-        self, balance: TokenBalance, wanted: int, minimum: int, timeout_s: float
+        self,
+        balance: TokenBalance,
+        wanted: int,
+        minimum: int,
+        timeout_s: float,
+        needed: int = 0,
     ) -> control_pb2.CommandResult:
         balance.draws += 1
         command = control_pb2.Command()
@@ -272,6 +277,7 @@
         draw.number = balance.draws
         draw.wanted = wanted
         draw.minimum = minimum
+        draw.needed = needed
         draw.returned = balance.returned
         draw.spent = balance.spent
         draw.reserved = balance.reserved
--- a/tests/lending_run.py
+++ b/tests/lending_run.py
@@ -154,9 +154,7 @@
     else:  # another view of who holds
         seen = fleet.random.sample(fleet.lenders(), _SEEN_LENDERS)
         for each in list(fleet.processes.values())[:_OTHER_VIEWS]:
-            each.access.lenders_told(
-                [control_pb2.Lender(name=gone) for gone in fleet.zones] + seen
-            )
+            each.access.lenders_told([control_pb2.Lender(name=gone) for gone in fleet.zones] + seen)
 
 
 async def loss_run(seed: int) -> LendingFleet:
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -98,6 +98,29 @@
         self.assertEqual(table.draw(_draw("b", 3, wanted=30, minimum=1)).granted, 20)
         self.assertLessEqual(table.charged(account), 1000)
 
+    def test_one_draw_serves_all_that_wait(self) -> None:
+        """113 tries of one tenant were refused in two seconds: each waited for the draws of others.
+
+        Other holders held three quarters of what was left, and a draw brought one request's.
+        """
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=750))
+        result = table.draw(_draw("b", 1, wanted=200, minimum=10, needed=60))
+        self.assertEqual(result.granted, 60)
+        rest = table.draw(_draw("b", 2, wanted=500, minimum=10, needed=500))
+        self.assertEqual(rest.granted, 250)  # all that is left, and never more
+        self.assertEqual(table.charged(table.accounts[_TENANT]), 1000)
+
+    def test_where_tokens_are_scarce_after_a_loss_one_draw_serves_all_that_wait(self) -> None:
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=1000, minimum=905))
+        table.draw(_draw("a", 2, spent=890))
+        table.close(control_pb2.ClosePrepaidHolder(holder="a", incarnation="1"))
+        self.assertEqual(table.draw(_draw("b", 1, wanted=90, minimum=7, needed=21)).granted, 21)
+        rest = table.draw(_draw("b", 2, wanted=200, minimum=7, needed=200))
+        self.assertEqual(rest.granted, 95)
+        self.assertEqual(table.charged(table.accounts[_TENANT]), 1000)
+
     def test_nothing_is_recalled_for_a_request_that_would_not_get_it(self) -> None:
         """After a closing fault each refused request had all gateways give back, many times."""
         table = _table(1000)
