A recall with nothing to tell costs no draw

Cause: each draw that finds an account short has all other gateways give back, and each of them drew, also with nothing to give and nothing used since, one draw behind the other for each recall. Change: a recall is answered by one draw however often it comes meanwhile, and by none where control was told what was given back and used. Tests: three in test_prepaid_tokens; two seen to fail without the change (13 != 3 and 5 != 1 draws), the third guards what a recall must still tell.

--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -16,9 +16,10 @@
 from heronladder_schema.v1 import control_pb2, lending_pb2, resources_pb2
 
 from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
+from heronladder_router.tokens.balance import OwnReservation
 from heronladder_router.tokens.borrowing import BorrowedTokens, Loan, LoanRefusal
 from heronladder_router.tokens.first_stock import FirstStock
-from heronladder_router.tokens.held_tokens import HeldTokens, OwnReservation
+from heronladder_router.tokens.held_tokens import HeldTokens
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_router.tokens.lending import LoanBook
 from heronladder_router.tokens.peer_key import PeerKey
--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -31,6 +31,7 @@
         waited_for: Tokens that requests wait for just now.
         unpromised: Tokens of requests that wait until as much is promised.
         rate: Tokens asked for a second, smoothed.
+        told: The sums that control was last told; None if it may not have answered.
         refused_minimum: Tokens that were refused last; 0 when none were.
         refused_until_s: How long that refusal is taken to hold.
         next_draw_ahead_s: When tokens may next be asked for ahead of need.
@@ -49,6 +50,7 @@
     waited_for: int = 0
     unpromised: int = 0
     rate: float = 0.0
+    told: tuple[int, int] | None = (0, 0)
     refused_minimum: int = 0
     refused_until_s: float = 0.0
     next_draw_ahead_s: float = 0.0
@@ -66,6 +68,16 @@
         """Tokens spent or reserved."""
         return self.spent + self.reserved
 
+    @property
+    def sums(self) -> tuple[int, int]:
+        """What was given back, and what is used: control reckons from these what is unused."""
+        return (self.returned, self.used)
+
+    @property
+    def is_told(self) -> bool:
+        """Whether control knows what is unused here."""
+        return self.sums == self.told
+
     def take(self, tokens: int, now_s: float) -> None:
         """Reserve tokens."""
         self.reserved += tokens
@@ -109,3 +121,20 @@
     def give_back(self, tokens: int) -> None:
         """Set free tokens aside for control; a draw tells it."""
         self.returned += tokens
+
+
+@dataclass(frozen=True)
+class OwnReservation:
+    """Tokens set aside for one request, of what is held here."""
+
+    balance: TokenBalance
+    tokens: int
+
+    @property
+    def lender(self) -> str:
+        """Whose tokens they are, for logs: this gateway's own."""
+        return ""
+
+    def settle(self, used: int) -> None:
+        """Note what the request used."""
+        self.balance.settle(self.tokens, used)
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
@@ -16,7 +15,7 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.errors import PrepaidUnavailableError
-from heronladder_router.tokens.balance import TokenBalance
+from heronladder_router.tokens.balance import OwnReservation, TokenBalance
 from heronladder_router.tokens.draw_pace import DrawPace
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_router.tokens.refusals import exhausted, unavailable
@@ -35,26 +34,10 @@
 _REFUSAL_HOLDS_S = 0.4
 _TRIM_INTERVAL_S = 1.0
 _LEAST_TRIMMED_TOKENS = 50_000
+_TAKEN_IN = (control_pb2.RESULT_CODE_OK, control_pb2.RESULT_CODE_EXHAUSTED)
 _RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 
 
-@dataclass(frozen=True)
-class OwnReservation:
-    """Tokens set aside for one request, of what is held here."""
-
-    balance: TokenBalance
-    tokens: int
-
-    @property
-    def lender(self) -> str:
-        """Whose tokens they are, for logs: this gateway's own."""
-        return ""
-
-    def settle(self, used: int) -> None:
-        """Note what the request used."""
-        self.balance.settle(self.tokens, used)
-
-
 class HeldTokens:
     """Holds prepaid tokens of all tenants that call here.
 
@@ -77,6 +60,7 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._drawing: dict[str, asyncio.Task[control_pb2.CommandResult | None]] = {}
         self._limits: dict[str, int] = {}
+        self._returning: set[str] = set()  # tenants of whom control is about to be told
         self._pace = DrawPace()
         self.window = SpendingWindow(link, environment, self._pace)
         self._stopping = False
@@ -93,6 +77,7 @@
     def drop_all(self) -> None:
         """Forget all tokens: control charged this incarnation for them."""
         self._balances.clear()
+        self._returning.clear()
         self.window.forget()
 
     # ---- reservations -----------------------------------------------------
@@ -281,6 +266,7 @@
         draw.returned = balance.returned
         draw.spent = balance.spent
         draw.reserved = balance.reserved
+        telling, balance.told = balance.sums, None  # without an answer, more may be granted
         began_s = self._environment.monotonic()
         try:
             result = await self._link.call(command, timeout_s)
@@ -291,6 +277,8 @@
                 self._pace.note(self._environment.monotonic() - began_s)
             raise unavailable(balance.tenant, error.message, self._pace.retry_s) from error
         self._pace.note(self._environment.monotonic() - began_s)
+        if result.code in _TAKEN_IN:
+            balance.told = telling
         granted = result.granted - balance.granted
         balance.granted = max(balance.granted, result.granted)
         self._log.info(
@@ -326,6 +314,7 @@
     async def _exchange(self, balance: TokenBalance, *, grow: bool) -> None:
         """Tell control what was used and given back, and draw more if the balance is to grow."""
         async with self._locks.setdefault(balance.tenant, asyncio.Lock()):
+            self._returning.discard(balance.tenant)
             if balance is not self._balances.get(balance.tenant):
                 return
             wanted = self._growth(balance) if grow else 0
@@ -341,13 +330,24 @@
         balance = self._balances.get(tenant)
         if balance is not None:
             balance.give_back(balance.free)
-            self._tasks.start("return_prepaid", self._exchange(balance, grow=False))
+            self._return(balance)
+
+    def _return(self, balance: TokenBalance) -> None:
+        """Tell control what was given back, unless it knows or is about to be told.
+
+        Askers of an emptied account have all gateways give back, again and again: 900 draws a
+        second that brought and gave nothing kept those from their answers that would have.
+        """
+        if balance.is_told or balance.tenant in self._returning:
+            return
+        self._returning.add(balance.tenant)
+        self._tasks.start("return_prepaid", self._exchange(balance, grow=False))
 
     def control_regained(self) -> None:
         """Give back what was held for the cut that has just ended."""
         for balance in list(self._balances.values()):
             balance.give_back(max(0, balance.free - self._held_after_cut(balance)))
-            self._tasks.start("return_prepaid", self._exchange(balance, grow=False))
+            self._return(balance)
 
     async def return_all(self) -> None:
         """Give everything back before a planned stop; requests must have ended."""
--- a/packages/heronladder-router/src/heronladder_router/tokens/lending.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lending.py
@@ -20,7 +20,8 @@
 from heronladder_schema.v1.lending_pb2_grpc import LendingServicer
 
 from heronladder_router.errors import CallerError, PrepaidExhaustedError, PrepaidUnavailableError
-from heronladder_router.tokens.held_tokens import HeldTokens, OwnReservation
+from heronladder_router.tokens.balance import OwnReservation
+from heronladder_router.tokens.held_tokens import HeldTokens
 from heronladder_router.tokens.peer_key import PeerKey
 
 _ENDED_KEPT = 16  # incarnations of a borrower that may not borrow any more (chosen)
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -173,6 +173,43 @@
             await asyncio.gather(*waiting)
         self.assertLessEqual(len(self.control.draws) - before, 3)
 
+    async def test_a_recall_with_nothing_to_tell_costs_no_draw(self) -> None:
+        """900 draws a second gave and brought nothing, on a day whose hot tenants ran out."""
+        await self._serve(4)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        self.assertEqual(self.tokens.free(_TENANT.name), 0)
+        self.assertEqual(self.control.table.charged(_account(self.control)), 80_000)
+        before = len(self.control.draws)
+        for _ in range(10):
+            self.tokens.recall(_TENANT.name)
+            await self._settle_tasks()
+        self.assertEqual(len(self.control.draws), before)
+
+    async def test_recalls_that_come_at_once_are_answered_by_one_draw(self) -> None:
+        await self._serve(4)
+        before = len(self.control.draws)
+        for _ in range(10):
+            self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        self.assertEqual(len(self.control.draws) - before, 1)
+        self.assertEqual(self.control.table.charged(_account(self.control)), 80_000)
+
+    async def test_a_recall_tells_what_was_used_since(self) -> None:
+        """Control reckons from what it was told last whether others have any left."""
+        await self._serve(4)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        reservation = await self.tokens.reserve(_TENANT, _REQUEST_TOKENS, 0.01)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        reservation.settle(1_000)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        self.assertEqual(self.control.table.charged(_account(self.control)), 81_000)
+        holder = _account(self.control).holders[0]
+        self.assertEqual((holder.spent, holder.reserved), (81_000, 0))
+
     async def test_a_draw_that_outlasts_its_request_serves_later_ones(self) -> None:
         """Scale-2: 500 requests began draws over a choked link, and none was awaited."""
         self.control.cut()  # control is heard, and answers late
