A gateway's first second promises by what was asked of it until then

Cause: a rate is known after a second only; until then the promise covers 3,000 tokens ahead, and each request waits until the log has a promise for it. A lost gateway is charged no more than a second later at the same rate (in the test).

--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -68,6 +68,14 @@
         """Tokens spent or reserved."""
         return self.spent + self.reserved
 
+    @property
+    def likely_rate(self) -> float:
+        """Tokens asked for a second; before that is measured, what was asked for until now.
+
+        With none, each request of a gateway's first second waits until it is promised.
+        """
+        return self.rate if self._intervals else self._interval_tokens / _RATE_INTERVAL_S
+
     @property
     def sums(self) -> tuple[int, int]:
         """What was given back, and what is used: control reckons from these what is unused."""
@@ -110,11 +118,11 @@
             tokens: Tokens about to be reserved.
             ahead_s: Time to cover, in seconds.
         """
-        ahead = max(_LEAST_AHEAD_TOKENS, int(self.rate * ahead_s))
+        ahead = max(_LEAST_AHEAD_TOKENS, int(self.likely_rate * ahead_s))
         needed = self.used + tokens + int(_ANNOUNCED_AGAIN_BELOW * ahead)
         if needed > self.announced:
             self.announced = self.used + tokens + ahead
-        pace = max(_LEAST_PACE, int(self.rate * _PACE_SHARE))
+        pace = max(_LEAST_PACE, int(self.likely_rate * _PACE_SHARE))
         if pace > self.announced_pace * _PACE_AGAIN_OVER:
             self.announced_pace = pace
 
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -289,3 +289,16 @@
         for tick in range(12):
             balance.take(250, 100.0 + tick / 4)
         self.assertAlmostEqual(balance.rate, 1_000.0)
+
+    def test_in_the_first_second_few_requests_wait_for_a_promise(self) -> None:
+        """Each of them did, at the start and after each restart: 50 to 100 ms over the log."""
+        balance = TokenBalance("t")
+        promises = 0
+        for tick in range(20):
+            if balance.used + _REQUEST_TOKENS > balance.announced:
+                balance.announce(_REQUEST_TOKENS, 1.5)
+                promises += 1
+            balance.take(_REQUEST_TOKENS, 100.0 + tick / 25)
+        self.assertLessEqual(promises, 7)
+        # No more than a second later, at the measured rate: it is charged for a lost gateway.
+        self.assertLessEqual(balance.announced, 100_000 + 1.5 * 100_000)
