Callers whose tokens others hold are told to come back late

Cause: where an account is short, a request waits while others are asked to give back, and its time runs out: 'no tokens came in time', come back after 0.3 s, to be refused again. Change: where control's newest word is that there are too few, the refusal says so and names 5 s, as for what is charged for lost gateways. Test: test_prepaid_tokens, seen to fail without the change.

--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -32,6 +32,7 @@
         unpromised: Tokens of requests that wait until as much is promised.
         rate: Tokens asked for a second, smoothed.
         told: The sums that control was last told; None if it may not have answered.
+        is_short: Whether control had too few for the newest draw.
         refused_minimum: Tokens that were refused last; 0 when none were.
         refused_until_s: How long that refusal is taken to hold.
         next_draw_ahead_s: When tokens may next be asked for ahead of need.
@@ -51,6 +52,7 @@
     unpromised: int = 0
     rate: float = 0.0
     told: tuple[int, int] | None = (0, 0)
+    is_short: bool = False
     refused_minimum: int = 0
     refused_until_s: float = 0.0
     next_draw_ahead_s: float = 0.0
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -18,7 +18,7 @@
 from heronladder_router.tokens.balance import OwnReservation, TokenBalance
 from heronladder_router.tokens.draw_pace import DrawPace
 from heronladder_router.tokens.lenders import Lenders
-from heronladder_router.tokens.refusals import exhausted, unavailable
+from heronladder_router.tokens.refusals import RETRY_LATE_S, exhausted, too_late, unavailable
 from heronladder_router.tokens.window import SpendingWindow
 
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
@@ -35,7 +35,6 @@
 _TRIM_INTERVAL_S = 1.0
 _LEAST_TRIMMED_TOKENS = 50_000
 _TAKEN_IN = (control_pb2.RESULT_CODE_OK, control_pb2.RESULT_CODE_EXHAUSTED)
-_RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 
 
 class HeldTokens:
@@ -191,10 +190,10 @@
         if balance.free >= tokens:
             return
         if self.window.out_of_touch:
-            raise unavailable(tenant.name, "control is out of reach", _RETRY_LATE_S)
+            raise unavailable(tenant.name, "control is out of reach", RETRY_LATE_S)
         left_s = deadline_s - self._environment.monotonic()
         if left_s <= 0:
-            raise unavailable(tenant.name, "no tokens came in time", self._pace.retry_s)
+            raise too_late(balance, self._pace.retry_s)
         drawing = self._drawing.get(tenant.name)
         began_here = drawing is None
         if drawing is None:
@@ -202,7 +201,7 @@
             self._drawing[tenant.name] = drawing
         await asyncio.wait([drawing], timeout=left_s)
         if not drawing.done() or drawing.cancelled():  # cancelled: this gateway ends
-            raise unavailable(tenant.name, "no tokens came in time", self._pace.retry_s)
+            raise too_late(balance, self._pace.retry_s)
         result = drawing.result() if began_here else None
         if result is not None and balance.free < tokens:
             await self._act_on_shortage(balance, tokens, result)
@@ -242,7 +241,7 @@
             raise exhausted(balance.tenant, tokens)
         if not result.recallable:
             why = "what is left is charged for lost routers"
-            raise unavailable(balance.tenant, why, _RETRY_LATE_S)
+            raise unavailable(balance.tenant, why, RETRY_LATE_S)
         await asyncio.sleep(_RECALL_PAUSE_S)
 
     async def _draw(
@@ -279,6 +278,7 @@
         self._pace.note(self._environment.monotonic() - began_s)
         if result.code in _TAKEN_IN:
             balance.told = telling
+        balance.is_short = result.code == control_pb2.RESULT_CODE_EXHAUSTED
         granted = result.granted - balance.granted
         balance.granted = max(balance.granted, result.granted)
         self._log.info(
--- a/packages/heronladder-router/src/heronladder_router/tokens/refusals.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/refusals.py
@@ -1,7 +1,9 @@
 """What a request is told that gets no prepaid tokens."""
 
 from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
+from heronladder_router.tokens.balance import TokenBalance
 
+RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
 _STEP = "reserve_prepaid"
 
 
@@ -15,3 +17,13 @@
 def unavailable(tenant: str, why: str, retry_after_s: float) -> PrepaidUnavailableError:
     """Return the error of a request whose tokens could not be got hold of in time."""
     return PrepaidUnavailableError(why, step=_STEP, peer=tenant, retry_after_s=retry_after_s)
+
+
+def too_late(balance: TokenBalance, retry_s: float) -> PrepaidUnavailableError:
+    """Return the error of a request whose time is out; with a short account, come back late.
+
+    Callers that were told ``retry_s`` then came back to be refused again.
+    """
+    if balance.is_short:
+        return unavailable(balance.tenant, "others hold what is left", RETRY_LATE_S)
+    return unavailable(balance.tenant, "no tokens came in time", retry_s)
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -210,6 +210,19 @@
         holder = _account(self.control).holders[0]
         self.assertEqual((holder.spent, holder.reserved), (81_000, 0))
 
+    async def test_where_the_account_is_short_callers_are_told_to_come_back_late(self) -> None:
+        """Told 0.3 s, they came back to be refused again: the dearest price of a day."""
+        taken = control_pb2.DrawTokens(
+            tenant=_TENANT.name, holder="other", incarnation="1", number=1
+        )
+        taken.wanted = taken.minimum = 999_000  # and it gives nothing back in time
+        self.control.table.draw(taken)
+        self.control.draw_takes_s = 0.02
+        with self.assertRaises(PrepaidUnavailableError) as refused:
+            await self.tokens.reserve(_TENANT, _REQUEST_TOKENS, 0.01)
+        self.assertEqual(refused.exception.message, "others hold what is left")
+        self.assertEqual(refused.exception.retry_after_s, 5.0)
+
     async def test_a_draw_that_outlasts_its_request_serves_later_ones(self) -> None:
         """Scale-2: 500 requests began draws over a choked link, and none was awaited."""
         self.control.cut()  # control is heard, and answers late
