What a loss of much has left goes to small requests first

Change: where over 2 in 100 of a limit was charged beyond use, and under 20 in 100 of it is left, one request gets at most a 32nd of what is left, and always 2,000; nothing is held ahead then. Without such a loss what is left goes to whoever asks, as before. A limit is passed by none of it: less is granted than before. Test: test_prepaid, seen to fail without the change.

--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -18,6 +18,12 @@
 from heronladder_control.results import failure, success
 
 _SCARCE_SHARE = 0.1  # of the limit: with less left after a loss, nothing is held ahead (chosen)
+_MUCH_LOST_SHARE = 0.02  # of the limit: as after a loss of all; one gateway costs less (chosen)
+_SCARCE_AFTER_MUCH_SHARE = 0.2  # of the limit: 12 in 100 were left after a loss of all (measured)
+# Of what no request has, for one request where tokens are scarce: with a larger share the few
+# large ones take what many small ones would have been served with.
+_LARGEST_SHARE = 1 / 32
+_NEVER_LARGE_TOKENS = 2_000  # a common small request at its most (chosen)
 _MOST_HELD = 0.75  # of what is not spent, by all holders together
 
 
@@ -75,7 +81,7 @@
         if order.minimum and not amount:
             result.code = control_pb2.RESULT_CODE_EXHAUSTED
         result.granted = holder.granted
-        if self._unused(account) >= order.minimum:
+        if self._unused(account) >= order.minimum and not self._too_large(account, order.minimum):
             result.recallable = self._unspent_of_others(account, holder)
         result.surely_exhausted = self._surely_exhausted(account, order)
         return result
@@ -110,18 +116,34 @@
         if not account.limited:
             return order.wanted
         available = self.available(account)
-        if available < order.minimum:
+        if available < order.minimum or self._too_large(account, order.minimum):
             return 0
         # All that wait at once: one by one each would wait for the draws of those before it.
         needed = max(order.minimum, order.needed)
-        if self._scarce(account):
-            return min(needed, available)  # tokens held ahead would lie idle where nobody asks
+        if self._scarce(account):  # tokens held ahead would lie idle where nobody asks
+            needed = max(order.minimum, min(needed, self._largest(account)))
+            return min(needed, available)
         return min(order.wanted, available, max(self._may_be_held(account), needed))
 
     def _scarce(self, account: ledger_pb2.PrepaidAccount) -> bool:
         """Whether little is left, and less than there would be without lost routers."""
         lost = account.closed_charge > account.closed_spent
-        return lost and self._unused(account) < account.limit * _SCARCE_SHARE
+        share = _SCARCE_AFTER_MUCH_SHARE if self._lost_much(account) else _SCARCE_SHARE
+        return lost and self._unused(account) < account.limit * share
+
+    @staticmethod
+    def _lost_much(account: ledger_pb2.PrepaidAccount) -> bool:
+        lost = account.closed_charge - account.closed_spent
+        return lost > account.limit * _MUCH_LOST_SHARE
+
+    def _too_large(self, account: ledger_pb2.PrepaidAccount, tokens: int) -> bool:
+        """Whether one request would take too much of what a loss has left."""
+        scarce = self._lost_much(account) and self._scarce(account)
+        return scarce and tokens > self._largest(account)
+
+    def _largest(self, account: ledger_pb2.PrepaidAccount) -> int:
+        """Return the most that one request gets where tokens are scarce."""
+        return max(_NEVER_LARGE_TOKENS, int(self._unused(account) * _LARGEST_SHARE))
 
     def _unused(self, account: ledger_pb2.PrepaidAccount) -> int:
         """Return what no request has or may have used, whoever holds it."""
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -121,6 +121,31 @@
         self.assertEqual(rest.granted, 95)
         self.assertEqual(table.charged(table.accounts[_TENANT]), 1000)
 
+    def test_what_a_loss_left_goes_to_small_requests_first(self) -> None:
+        """The last 10 s of a day: half of all requests refused, most of them small ones.
+
+        What a loss of all had left went to few large requests within some seconds.
+        """
+        table = _table(1_000_000)
+        account = table.accounts[_TENANT]
+        table.draw(_draw("a", 1, wanted=880_000, minimum=880_000))
+        table.draw(_draw("a", 2, spent=800_000))
+        table.close(control_pb2.ClosePrepaidHolder(holder="a", incarnation="1"))
+        refused = table.draw(_draw("b", 1, wanted=12_000, minimum=12_000))
+        self.assertEqual(refused.code, control_pb2.RESULT_CODE_EXHAUSTED)
+        self.assertFalse(refused.surely_exhausted or refused.recallable)
+        self.assertEqual(table.draw(_draw("b", 2, wanted=3_000, minimum=3_000)).granted, 3_000)
+        served = 0
+        for number in range(3, 100):
+            served = table.draw(_draw("b", number, wanted=1_500, minimum=1_500)).granted
+        self.assertEqual(served, 120_000)  # all of it, small request by small request
+        self.assertEqual(table.charged(account), 1_000_000)
+
+    def test_without_a_loss_what_is_left_goes_to_whoever_asks(self) -> None:
+        table = _table(1_000_000)
+        table.draw(_draw("a", 1, wanted=880_000, minimum=880_000))
+        self.assertEqual(table.draw(_draw("b", 1, wanted=99_000, minimum=99_000)).granted, 99_000)
+
     def test_nothing_is_recalled_for_a_request_that_would_not_get_it(self) -> None:
         """After a closing fault each refused request had all gateways give back, many times."""
         table = _table(1000)
