--- a/tests/lending_run.py
+++ b/tests/lending_run.py
@@ -41,6 +41,11 @@
 _BURST_LASTS_S = 0.05
 _SEEN_LENDERS = 6
 _OTHER_VIEWS = 5
+_SCARCE_LIMIT = 1_500_000
+_SCARCE_S = 8.0
+_SCARCE_REQUESTS = 2
+_RECALL_CHANCE = 0.3
+_CRASH_CHANCE = 0.02
 _REGION_CUT_CHANCE = 0.25  # of the troubles
 
 
@@ -214,6 +219,38 @@
         fleet.start(name)
 
 
+async def scarce_run(seed: int) -> LendingFleet:
+    """Play one seed in which all rush for the last tokens; return the fleet, ended.
+
+    Gateways are asked to give back again and again, and some are lost.
+
+    Raises:
+        AssertionError: If callers got more than the limit, or than what was charged.
+    """
+    fleet = LendingFleet(
+        Random(seed), ZONES, _SCARCE_LIMIT, Weather(lost=0.05, doubled=0.05, delay_s=0.05)
+    )
+    for name in ZONES:
+        fleet.start(name)
+    rushing = asyncio.create_task(rush(fleet, _SCARCE_REQUESTS))
+    asking = asyncio.create_task(traffic(fleet, _SCARCE_S, _BUSY_REQUESTS_A_SECOND, (0.5, 1.0)))
+    while not asking.done():
+        await asyncio.sleep(_RUSH_PAUSE_S * fleet.random.random())
+        for process in list(fleet.processes.values()):
+            if fleet.random.random() < _RECALL_CHANCE:
+                process.access.held.recall(TENANT)
+        if fleet.random.random() < _CRASH_CHANCE:
+            name = fleet.random.choice(sorted(ZONES))
+            await fleet.processes[name].crash()
+            fleet.start(name)
+    rushing.cancel()
+    asking.result()
+    handed_out, charged = fleet.handed_out, fleet.charged
+    await fleet.stop()
+    assert handed_out <= charged <= _SCARCE_LIMIT, (handed_out, charged, _SCARCE_LIMIT)
+    return fleet
+
+
 def main() -> int:
     """Play seeds; return how many failed."""
     parser = argparse.ArgumentParser(description=__doc__)
@@ -221,8 +258,10 @@
     parser.add_argument("--first", type=int, default=0)
     parser.add_argument("--losses", action="store_true", help="losses amid silences only")
     parser.add_argument("--regions", action="store_true", help="two regions and cuts between")
+    parser.add_argument("--scarce", action="store_true", help="a rush for the last tokens")
     options = parser.parse_args()
     run = loss_run if options.losses else region_run if options.regions else one_run
+    run = scarce_run if options.scarce else run
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
         try:
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -9,6 +9,7 @@
 from typing import Any
 from unittest.mock import patch
 
+from heronladder_control.prepaid import PrepaidTable
 from heronladder_router.tokens.balance import OwnReservation
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_router.tokens.lending import LoanBook
@@ -16,7 +17,7 @@
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import control_pb2, lending_pb2
 from lending_fleet import GROUP, TENANT, LendingFleet, Process, Weather
-from lending_run import TOKENS, ZONES, one_run, traffic
+from lending_run import TOKENS, ZONES, one_run, scarce_run, traffic
 from prepaid_losses import loss_amid_a_rush
 from support import run_virtual
 
@@ -360,6 +361,23 @@
         ):
             run_virtual(loss_amid_a_rush(0.9, leader_first=True))
 
+    def test_control_that_grants_all_that_wait_whatever_is_left(self) -> None:
+        def grant(table: PrepaidTable, account: Any, order: control_pb2.DrawTokens) -> int:
+            return max(order.minimum, order.needed)
+
+        with (
+            patch.object(PrepaidTable, "_grant", grant),
+            self.assertRaises(AssertionError),
+        ):
+            for seed in range(3):
+                run_virtual(scarce_run(seed))
+
+    def test_a_rush_for_the_last_tokens_passes_no_limit(self) -> None:
+        for seed in range(6):
+            with self.subTest(seed=seed):
+                fleet = run_virtual(scarce_run(seed))
+                self.assertGreater(fleet.handed_out, 300_000)
+
 
 class OrderTest(unittest.TestCase):
     def test_any_order_of_a_loans_messages_ends_alike(self) -> None:
