--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -119,9 +119,21 @@
         await holder.daemon.gateway.stop()
         assert self.fleet.control.control is not None
         table = self.fleet.control.control.state.prepaid
+        account = table.accounts["tenant-a"]
         async with asyncio.timeout(_PATIENCE_S):
-            while table.charged(table.accounts["tenant-a"]) != _PROMPT_TOKENS + _MOST_OUT:
+            # The gateway that holds for the tenant from now on has drawn its stock.
+            while table.charged(account) - self._free_at(others) != _PROMPT_TOKENS + _MOST_OUT:
                 await asyncio.sleep(0.05)
+            while any(
+                entry.holder == holder.daemon.settings.common.name for entry in account.holders
+            ):
+                await asyncio.sleep(0.05)
+        self.assertEqual(account.closed_charge, _PROMPT_TOKENS + _MOST_OUT)
+
+    @staticmethod
+    def _free_at(gateways: "list[StartedGateway]") -> int:
+        roles = [gateway.daemon.gateway for gateway in gateways]
+        return sum(role.tokens.held.free("tenant-a") for role in roles if role is not None)
 
 
 if __name__ == "__main__":
