--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -31,6 +31,8 @@
         waited_for: Tokens that requests wait for just now.
         unpromised: Tokens of requests that wait until as much is promised.
         rate: Tokens asked for a second, smoothed.
+        told: The sums that control was last told; None if it may not have answered.
+        is_short: Whether control had too few for the newest draw.
         refused_minimum: Tokens that were refused last; 0 when none were.
         refused_until_s: How long that refusal is taken to hold.
         next_draw_ahead_s: When tokens may next be asked for ahead of need.
@@ -49,6 +51,8 @@
     waited_for: int = 0
     unpromised: int = 0
     rate: float = 0.0
+    told: tuple[int, int] | None = (0, 0)
+    is_short: bool = False
     refused_minimum: int = 0
     refused_until_s: float = 0.0
     next_draw_ahead_s: float = 0.0
@@ -66,6 +70,24 @@
         """Tokens spent or reserved."""
         return self.spent + self.reserved
 
+    @property
+    def likely_rate(self) -> float:
+        """Tokens asked for a second; before that is measured, what was asked for until now.
+
+        With none, each request of a gateway's first second waits until it is promised.
+        """
+        return self.rate if self._intervals else self._interval_tokens / _RATE_INTERVAL_S
+
+    @property
+    def sums(self) -> tuple[int, int]:
+        """What was given back, and what is used: control reckons from these what is unused."""
+        return (self.returned, self.used)
+
+    @property
+    def is_told(self) -> bool:
+        """Whether control knows what is unused here."""
+        return self.sums == self.told
+
     def take(self, tokens: int, now_s: float) -> None:
         """Reserve tokens."""
         self.reserved += tokens
@@ -98,14 +120,31 @@
             tokens: Tokens about to be reserved.
             ahead_s: Time to cover, in seconds.
         """
-        ahead = max(_LEAST_AHEAD_TOKENS, int(self.rate * ahead_s))
+        ahead = max(_LEAST_AHEAD_TOKENS, int(self.likely_rate * ahead_s))
         needed = self.used + tokens + int(_ANNOUNCED_AGAIN_BELOW * ahead)
         if needed > self.announced:
             self.announced = self.used + tokens + ahead
-        pace = max(_LEAST_PACE, int(self.rate * _PACE_SHARE))
+        pace = max(_LEAST_PACE, int(self.likely_rate * _PACE_SHARE))
         if pace > self.announced_pace * _PACE_AGAIN_OVER:
             self.announced_pace = pace
 
     def give_back(self, tokens: int) -> None:
         """Set free tokens aside for control; a draw tells it."""
         self.returned += tokens
+
+
+@dataclass(frozen=True)
+class OwnReservation:
+    """Tokens set aside for one request, of what is held here."""
+
+    balance: TokenBalance
+    tokens: int
+
+    @property
+    def lender(self) -> str:
+        """Whose tokens they are, for logs: this gateway's own."""
+        return ""
+
+    def settle(self, used: int) -> None:
+        """Note what the request used."""
+        self.balance.settle(self.tokens, used)
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-from dataclasses import dataclass
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
@@ -15,10 +14,11 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
-from heronladder_router.tokens.balance import TokenBalance
+from heronladder_router.errors import PrepaidUnavailableError
+from heronladder_router.tokens.balance import OwnReservation, TokenBalance
 from heronladder_router.tokens.draw_pace import DrawPace
 from heronladder_router.tokens.lenders import Lenders
+from heronladder_router.tokens.refusals import RETRY_LATE_S, exhausted, too_late, unavailable
 from heronladder_router.tokens.window import SpendingWindow
 
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
@@ -34,25 +34,7 @@
 _REFUSAL_HOLDS_S = 0.4
 _TRIM_INTERVAL_S = 1.0
 _LEAST_TRIMMED_TOKENS = 50_000
-_RETRY_LATE_S = 5.0  # a cut from control lasts seconds; an earlier try would be in vain
-_STEP = "reserve_prepaid"
-
-
-@dataclass(frozen=True)
-class OwnReservation:
-    """Tokens set aside for one request, of what is held here."""
-
-    balance: TokenBalance
-    tokens: int
-
-    @property
-    def lender(self) -> str:
-        """Whose tokens they are, for logs: this gateway's own."""
-        return ""
-
-    def settle(self, used: int) -> None:
-        """Note what the request used."""
-        self.balance.settle(self.tokens, used)
+_TAKEN_IN = (control_pb2.RESULT_CODE_OK, control_pb2.RESULT_CODE_EXHAUSTED)
 
 
 class HeldTokens:
@@ -77,6 +59,7 @@
         self._locks: dict[str, asyncio.Lock] = {}
         self._drawing: dict[str, asyncio.Task[control_pb2.CommandResult | None]] = {}
         self._limits: dict[str, int] = {}
+        self._returning: set[str] = set()  # tenants of whom control is about to be told
         self._pace = DrawPace()
         self.window = SpendingWindow(link, environment, self._pace)
         self._stopping = False
@@ -93,6 +76,7 @@
     def drop_all(self) -> None:
         """Forget all tokens: control charged this incarnation for them."""
         self._balances.clear()
+        self._returning.clear()
         self.window.forget()
 
     # ---- reservations -----------------------------------------------------
@@ -145,17 +129,7 @@
     def _refuse_known(self, balance: TokenBalance, tokens: int) -> None:
         held = self._environment.monotonic() < balance.refused_until_s
         if held and balance.free < tokens and balance.refused_minimum <= tokens:
-            raise self._exhausted(balance.tenant, tokens)
-
-    @staticmethod
-    def _exhausted(tenant: str, tokens: int) -> PrepaidExhaustedError:
-        return PrepaidExhaustedError(
-            f"what is left cannot hold {tokens} tokens", step=_STEP, peer=tenant
-        )
-
-    @staticmethod
-    def _unavailable(tenant: str, why: str, retry_after_s: float) -> PrepaidUnavailableError:
-        return PrepaidUnavailableError(why, step=_STEP, peer=tenant, retry_after_s=retry_after_s)
+            raise exhausted(balance.tenant, tokens)
 
     # ---- draws ------------------------------------------------------------
 
@@ -166,8 +140,7 @@
         if not self._lenders.is_holder(balance.tenant):
             return needed
         limit = self._limits.get(balance.tenant, 0)
-        share = limit // (_FIRST_SHARE * self._lenders.holder_count(balance.tenant))
-        return max(needed, share)
+        return max(needed, limit // (_FIRST_SHARE * self._lenders.holder_count(balance.tenant)))
 
     def _holds_ahead(self, balance: TokenBalance) -> bool:
         """Whether tokens are held here ahead of need.
@@ -217,10 +190,10 @@
         if balance.free >= tokens:
             return
         if self.window.out_of_touch:
-            raise self._unavailable(tenant.name, "control is out of reach", _RETRY_LATE_S)
+            raise unavailable(tenant.name, "control is out of reach", RETRY_LATE_S)
         left_s = deadline_s - self._environment.monotonic()
         if left_s <= 0:
-            raise self._unavailable(tenant.name, "no tokens came in time", self._pace.retry_s)
+            raise too_late(balance, self._pace.retry_s)
         drawing = self._drawing.get(tenant.name)
         began_here = drawing is None
         if drawing is None:
@@ -228,7 +201,7 @@
             self._drawing[tenant.name] = drawing
         await asyncio.wait([drawing], timeout=left_s)
         if not drawing.done() or drawing.cancelled():  # cancelled: this gateway ends
-            raise self._unavailable(tenant.name, "no tokens came in time", self._pace.retry_s)
+            raise too_late(balance, self._pace.retry_s)
         result = drawing.result() if began_here else None
         if result is not None and balance.free < tokens:
             await self._act_on_shortage(balance, tokens, result)
@@ -246,8 +219,9 @@
                 missing = tokens - balance.free
                 if missing <= 0 or balance is not self._balances.get(balance.tenant):
                     return None
-                wanted = max(missing, balance.waited_for - balance.free, self._growth(balance))
-                return await self._draw(balance, wanted, missing, _DRAW_TIMEOUT_S)
+                needed = max(missing, balance.waited_for - balance.free)
+                wanted = max(needed, self._growth(balance))
+                return await self._draw(balance, wanted, missing, _DRAW_TIMEOUT_S, needed)
         except PrepaidUnavailableError as error:
             self._log_not_drawn(balance, error)
             return None
@@ -264,14 +238,19 @@
         if result.surely_exhausted:
             balance.refused_minimum = tokens
             balance.refused_until_s = self._environment.monotonic() + _REFUSAL_HOLDS_S
-            raise self._exhausted(balance.tenant, tokens)
+            raise exhausted(balance.tenant, tokens)
         if not result.recallable:
             why = "what is left is charged for lost routers"
-            raise self._unavailable(balance.tenant, why, _RETRY_LATE_S)
+            raise unavailable(balance.tenant, why, RETRY_LATE_S)
         await asyncio.sleep(_RECALL_PAUSE_S)
 
     async def _draw(
-        self, balance: TokenBalance, wanted: int, minimum: int, timeout_s: float
+        self,
+        balance: TokenBalance,
+        wanted: int,
+        minimum: int,
+        timeout_s: float,
+        needed: int = 0,
     ) -> control_pb2.CommandResult:
         balance.draws += 1
         command = control_pb2.Command()
@@ -282,9 +261,11 @@
         draw.number = balance.draws
         draw.wanted = wanted
         draw.minimum = minimum
+        draw.needed = needed
         draw.returned = balance.returned
         draw.spent = balance.spent
         draw.reserved = balance.reserved
+        telling, balance.told = balance.sums, None  # without an answer, more may be granted
         began_s = self._environment.monotonic()
         try:
             result = await self._link.call(command, timeout_s)
@@ -293,8 +274,11 @@
             # spending held right after the cut, which a loss of all machines then costs.
             if not self.window.out_of_touch:
                 self._pace.note(self._environment.monotonic() - began_s)
-            raise self._unavailable(balance.tenant, error.message, self._pace.retry_s) from error
+            raise unavailable(balance.tenant, error.message, self._pace.retry_s) from error
         self._pace.note(self._environment.monotonic() - began_s)
+        if result.code in _TAKEN_IN:
+            balance.told = telling
+        balance.is_short = result.code == control_pb2.RESULT_CODE_EXHAUSTED
         granted = result.granted - balance.granted
         balance.granted = max(balance.granted, result.granted)
         self._log.info(
@@ -321,9 +305,16 @@
         balance.next_draw_ahead_s = now_s + _DRAW_AHEAD_PAUSE_S
         self._tasks.start("draw_ahead", self._exchange(balance, grow=True))
 
+    def stock(self, tenant: resources_pb2.PrepaidTenant) -> None:
+        """Draw what is held of a tenant ahead of need."""
+        balance = self._balance(tenant.name)
+        if self._level(balance):
+            self._draw_ahead(tenant, balance)
+
     async def _exchange(self, balance: TokenBalance, *, grow: bool) -> None:
         """Tell control what was used and given back, and draw more if the balance is to grow."""
         async with self._locks.setdefault(balance.tenant, asyncio.Lock()):
+            self._returning.discard(balance.tenant)
             if balance is not self._balances.get(balance.tenant):
                 return
             wanted = self._growth(balance) if grow else 0
@@ -339,13 +330,24 @@
         balance = self._balances.get(tenant)
         if balance is not None:
             balance.give_back(balance.free)
-            self._tasks.start("return_prepaid", self._exchange(balance, grow=False))
+            self._return(balance)
+
+    def _return(self, balance: TokenBalance) -> None:
+        """Tell control what was given back, unless it knows or is about to be told.
+
+        Askers of an emptied account have all gateways give back, again and again: 900 draws a
+        second that brought and gave nothing kept those from their answers that would have.
+        """
+        if balance.is_told or balance.tenant in self._returning:
+            return
+        self._returning.add(balance.tenant)
+        self._tasks.start("return_prepaid", self._exchange(balance, grow=False))
 
     def control_regained(self) -> None:
         """Give back what was held for the cut that has just ended."""
         for balance in list(self._balances.values()):
             balance.give_back(max(0, balance.free - self._held_after_cut(balance)))
-            self._tasks.start("return_prepaid", self._exchange(balance, grow=False))
+            self._return(balance)
 
     async def return_all(self) -> None:
         """Give everything back before a planned stop; requests must have ended."""
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -82,6 +82,15 @@
         table.draw(_draw("a", 2, spent=850))
         self.assertTrue(table.draw(_draw("b", 2, minimum=200, wanted=200)).surely_exhausted)
 
+    def test_a_request_that_has_part_of_its_tokens_is_exhausted_by_its_whole_size(self) -> None:
+        """With stock at the only holder, 503 was said where nothing could hold the request."""
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=950, minimum=950))
+        refused = table.draw(_draw("a", 2, spent=900, wanted=100, minimum=60))  # and 50 free
+        self.assertTrue(refused.surely_exhausted)
+        fits = table.draw(_draw("a", 3, spent=900, wanted=50, minimum=50))
+        self.assertEqual((fits.granted, fits.surely_exhausted), (1000, False))
+
     def test_what_is_kept_back_makes_up_for_what_was_lost_and_no_more(self) -> None:
         """RECOVER of the locks, hunt-d42f-3: nothing was left after a loss of all routers."""
         table = _table(1000)
@@ -98,6 +107,54 @@
         self.assertEqual(table.draw(_draw("b", 3, wanted=30, minimum=1)).granted, 20)
         self.assertLessEqual(table.charged(account), 1000)
 
+    def test_one_draw_serves_all_that_wait(self) -> None:
+        """113 tries of one tenant were refused in two seconds: each waited for the draws of others.
+
+        Other holders held three quarters of what was left, and a draw brought one request's.
+        """
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=750))
+        result = table.draw(_draw("b", 1, wanted=200, minimum=10, needed=60))
+        self.assertEqual(result.granted, 60)
+        rest = table.draw(_draw("b", 2, wanted=500, minimum=10, needed=500))
+        self.assertEqual(rest.granted, 250)  # all that is left, and never more
+        self.assertEqual(table.charged(table.accounts[_TENANT]), 1000)
+
+    def test_where_tokens_are_scarce_after_a_loss_one_draw_serves_all_that_wait(self) -> None:
+        table = _table(1000)
+        table.draw(_draw("a", 1, wanted=1000, minimum=905))
+        table.draw(_draw("a", 2, spent=890))
+        table.close(control_pb2.ClosePrepaidHolder(holder="a", incarnation="1"))
+        self.assertEqual(table.draw(_draw("b", 1, wanted=90, minimum=7, needed=21)).granted, 21)
+        rest = table.draw(_draw("b", 2, wanted=200, minimum=7, needed=200))
+        self.assertEqual(rest.granted, 95)
+        self.assertEqual(table.charged(table.accounts[_TENANT]), 1000)
+
+    def test_what_a_loss_left_goes_to_small_requests_first(self) -> None:
+        """The last 10 s of a day: half of all requests refused, most of them small ones.
+
+        What a loss of all had left went to few large requests within some seconds.
+        """
+        table = _table(1_000_000)
+        account = table.accounts[_TENANT]
+        table.draw(_draw("a", 1, wanted=880_000, minimum=880_000))
+        table.draw(_draw("a", 2, spent=800_000))
+        table.close(control_pb2.ClosePrepaidHolder(holder="a", incarnation="1"))
+        refused = table.draw(_draw("b", 1, wanted=12_000, minimum=12_000))
+        self.assertEqual(refused.code, control_pb2.RESULT_CODE_EXHAUSTED)
+        self.assertFalse(refused.surely_exhausted or refused.recallable)
+        self.assertEqual(table.draw(_draw("b", 2, wanted=3_000, minimum=3_000)).granted, 3_000)
+        served = 0
+        for number in range(3, 100):
+            served = table.draw(_draw("b", number, wanted=1_500, minimum=1_500)).granted
+        self.assertEqual(served, 120_000)  # all of it, small request by small request
+        self.assertEqual(table.charged(account), 1_000_000)
+
+    def test_without_a_loss_what_is_left_goes_to_whoever_asks(self) -> None:
+        table = _table(1_000_000)
+        table.draw(_draw("a", 1, wanted=880_000, minimum=880_000))
+        self.assertEqual(table.draw(_draw("b", 1, wanted=99_000, minimum=99_000)).granted, 99_000)
+
     def test_nothing_is_recalled_for_a_request_that_would_not_get_it(self) -> None:
         """After a closing fault each refused request had all gateways give back, many times."""
         table = _table(1000)
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -173,6 +173,56 @@
             await asyncio.gather(*waiting)
         self.assertLessEqual(len(self.control.draws) - before, 3)
 
+    async def test_a_recall_with_nothing_to_tell_costs_no_draw(self) -> None:
+        """900 draws a second gave and brought nothing, on a day whose hot tenants ran out."""
+        await self._serve(4)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        self.assertEqual(self.tokens.free(_TENANT.name), 0)
+        self.assertEqual(self.control.table.charged(_account(self.control)), 80_000)
+        before = len(self.control.draws)
+        for _ in range(10):
+            self.tokens.recall(_TENANT.name)
+            await self._settle_tasks()
+        self.assertEqual(len(self.control.draws), before)
+
+    async def test_recalls_that_come_at_once_are_answered_by_one_draw(self) -> None:
+        await self._serve(4)
+        before = len(self.control.draws)
+        for _ in range(10):
+            self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        self.assertEqual(len(self.control.draws) - before, 1)
+        self.assertEqual(self.control.table.charged(_account(self.control)), 80_000)
+
+    async def test_a_recall_tells_what_was_used_since(self) -> None:
+        """Control reckons from what it was told last whether others have any left."""
+        await self._serve(4)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        reservation = await self.tokens.reserve(_TENANT, _REQUEST_TOKENS, 0.01)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        reservation.settle(1_000)
+        self.tokens.recall(_TENANT.name)
+        await self._settle_tasks()
+        self.assertEqual(self.control.table.charged(_account(self.control)), 81_000)
+        holder = _account(self.control).holders[0]
+        self.assertEqual((holder.spent, holder.reserved), (81_000, 0))
+
+    async def test_where_the_account_is_short_callers_are_told_to_come_back_late(self) -> None:
+        """Told 0.3 s, they came back to be refused again: the dearest price of a day."""
+        taken = control_pb2.DrawTokens(
+            tenant=_TENANT.name, holder="other", incarnation="1", number=1
+        )
+        taken.wanted = taken.minimum = 999_000  # and it gives nothing back in time
+        self.control.table.draw(taken)
+        self.control.draw_takes_s = 0.02
+        with self.assertRaises(PrepaidUnavailableError) as refused:
+            await self.tokens.reserve(_TENANT, _REQUEST_TOKENS, 0.01)
+        self.assertEqual(refused.exception.message, "others hold what is left")
+        self.assertEqual(refused.exception.retry_after_s, 5.0)
+
     async def test_a_draw_that_outlasts_its_request_serves_later_ones(self) -> None:
         """Scale-2: 500 requests began draws over a choked link, and none was awaited."""
         self.control.cut()  # control is heard, and answers late
@@ -252,3 +302,16 @@
         for tick in range(12):
             balance.take(250, 100.0 + tick / 4)
         self.assertAlmostEqual(balance.rate, 1_000.0)
+
+    def test_in_the_first_second_few_requests_wait_for_a_promise(self) -> None:
+        """Each of them did, at the start and after each restart: 50 to 100 ms over the log."""
+        balance = TokenBalance("t")
+        promises = 0
+        for tick in range(20):
+            if balance.used + _REQUEST_TOKENS > balance.announced:
+                balance.announce(_REQUEST_TOKENS, 1.5)
+                promises += 1
+            balance.take(_REQUEST_TOKENS, 100.0 + tick / 25)
+        self.assertLessEqual(promises, 7)
+        # No more than a second later, at the measured rate: it is charged for a lost gateway.
+        self.assertLessEqual(balance.announced, 100_000 + 1.5 * 100_000)
