Tests run as two processes, each with every second module

Cause: 644 tests took 364 s beside other work (load 20 to 25) and 335 s for 567 of them at a load of 6 to 10; most of it is waiting over real sockets. Change: run_tests.py takes a part of the modules, and make unit runs two parts beside each other; all tests run, the list of known red tests holds for each. Ruled out: shorter waits in tests.

--- a/Makefile
+++ b/Makefile
@@ -32,8 +32,12 @@
 	$(BIN)/mypy --strict $(addsuffix /src,$(filter packages/%,$(PACKAGE_FOLDERS))) platform/heronladder_platform
 	$(BIN)/lint-imports
 
+# Two processes, each with every second module of the tests: most of their time is waiting.
 unit: setup
-	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning scripts/run_tests.py
+	$(MAKE) --no-print-directory -j2 --output-sync=target unit-1 unit-2
+
+unit-%:
+	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning scripts/run_tests.py $*/2
 
 bench: setup
 	$(BIN)/heronladder bench log $(ARGS)
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,6 +1,7 @@
 """Runs all tests; passes over failures of just the tests that KNOWN-RED.txt lists.
 
-Usage: ``python scripts/run_tests.py``. Each line of the list, at the root of the
+Usage: ``python scripts/run_tests.py [PART/PARTS]``, as in ``1/2`` for every second module from the
+first on; without, all of them. Each line of the list, at the root of the
 repository, is ``test id | cause | issue``; empty lines and lines that begin with
 ``#`` say nothing. Without the file no test may fail.
 """
@@ -151,8 +152,20 @@
     return result.testsRun > 0 and not unlisted and not result.unexpectedSuccesses
 
 
-def run_tests(folder: Path, known_red: Path, stream: TextIO) -> int:
-    """Run the tests of a folder and return the exit code."""
+def read_part(text: str) -> tuple[int, int]:
+    """Return the part and the number of parts that ``1/2`` names.
+
+    Raises:
+        ValueError: It names none.
+    """
+    part, _, parts = text.partition("/")
+    if not 1 <= int(part) <= int(parts):
+        raise ValueError(f"there is no part {text}")
+    return int(part), int(parts)
+
+
+def run_tests(folder: Path, known_red: Path, stream: TextIO, part: tuple[int, int] = (1, 1)) -> int:
+    """Run the tests of a folder, or a part of its modules, and return the exit code."""
     loader = unittest.TestLoader()
     suite = loader.discover(str(folder), top_level_dir=str(folder))
     try:
@@ -161,11 +174,14 @@
     except KnownRedError as error:
         print(*loader.errors, f"{known_red.name}: {error}", sep="\n", file=stream)
         return 1
-    result = run_suite(suite, stream)
+    first, parts = part
+    modules = list(suite)  # a module is in one part only, whatever tests it has
+    result = run_suite(unittest.TestSuite(modules[first - 1 :: parts]), stream)
     for entry in entries:
         print(describe(entry, result), file=stream)
     return 0 if is_accepted(result, entries) else 1
 
 
 if __name__ == "__main__":
-    sys.exit(run_tests(TESTS, KNOWN_RED, sys.stderr))
+    asked = read_part(sys.argv[1]) if len(sys.argv) > 1 else (1, 1)
+    sys.exit(run_tests(TESTS, KNOWN_RED, sys.stderr, asked))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -2,6 +2,7 @@
 
 import importlib.util
 import io
+import re
 import sys
 import tempfile
 import unittest
@@ -73,6 +74,26 @@
         return run_tests.run_tests(self.tests, self.known_red, stream), stream.getvalue()
 
 
+class PartTest(_FolderTest):
+    def test_each_module_is_in_one_part(self) -> None:
+        for name in ("test_first_half", "test_second_half", "test_third_half"):
+            self.addCleanup(sys.modules.pop, name, None)
+            (self.tests / f"{name}.py").write_text(_HEAD + _PASSES)
+        ran = []
+        for part in ((1, 2), (2, 2), (1, 1)):
+            stream = io.StringIO()
+            code = run_tests.run_tests(self.tests, self.known_red, stream, part)
+            self.assertEqual(code, 0)
+            ran.append(re.findall("Ran ([0-9]+) test", stream.getvalue()))
+        self.assertEqual(ran, [["2"], ["1"], ["3"]])
+
+    def test_a_part_that_is_none_is_refused(self) -> None:
+        self.assertEqual(run_tests.read_part("2/3"), (2, 3))
+        for text in ("0/2", "3/2", "1", "a/b", ""):
+            with self.subTest(text=text), self.assertRaises(ValueError):
+                run_tests.read_part(text)
+
+
 class OutcomeTest(_FolderTest):
     def test_passes_when_all_pass_and_keeps_the_closing_lines(self) -> None:
         code, output = self.run_made_up(_HEAD + _PASSES)
