--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -275,6 +275,7 @@
             peer=replica.name,
             software=replica.record.software,
             request_id=request.request_id,
+            fingerprint=request.fingerprint,
             send=sends.count + 1,
             candidates=len(self._parts.replicas.usable(request.wish.service)),
             tried=len(sends.tried),
@@ -315,7 +316,10 @@
             step=error.step,
             peer=replica.name,
             request_id=request.request_id,
+            fingerprint=request.fingerprint,
             kind=type(error).__name__,
+            left_there=replica.in_flight,
+            others_there=replica.others_in_flight,
             why=error.message,
         )
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -1,10 +1,12 @@
 """Requests of a gateway's callers, and the answers of replicas."""
 
 from dataclasses import dataclass, field
+from functools import cached_property
 from typing import Protocol
 
 from heronladder_router.host_routes import MatchedRoute
 from heronladder_router.replica_state import Wish
+from heronladder_router.request_fingerprint import fingerprint_of
 
 Headers = list[tuple[str, str]]
 
@@ -60,6 +62,13 @@
     deadline_s: float
     last_event_id: str = ""
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """What all tries of this request have in common."""
+        tenant = self.matched.tenant
+        name = tenant.name if tenant is not None else ""
+        return fingerprint_of(name, self.method, self.target, self.body)
+
 
 @dataclass
 class ReplicaAnswer:
