Requests that crash replicas are told apart, and refused by all gateways

Cause: what a gateway learned of a lost run was held against the replica, at that gateway alone; the request, which comes again at any gateway, was judged by nobody.

Ruled out: load (five of the ends with 1 to 6 requests under way), repeats by gateways (sends=1).

Change: a gateway tells control what ran at a replica that crashed (nothing listens there any more, or another start is registered). Crashes and runs are in the log; a request that was at three of them, and alone was at all, is refused by all gateways from the configuration on; suspects of two crashes go to one replica that their fingerprint picks, once a try. One that was answered in full is no suspect. A replica's start (its id may come again) names the crash.

--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -7,6 +7,7 @@
 
 from heronladder_runtime.config_packing import PART_BYTES, pack, part, without_document
 from heronladder_runtime.configuration import (
+    CRASHING_REQUEST_KIND,
     EVACUATION_KIND,
     FLEET_KIND,
     REPLICA_KIND,
@@ -41,6 +42,7 @@
         REPLICA_KIND,
         EVACUATION_KIND,
         ROLLOUT_KIND,
+        CRASHING_REQUEST_KIND,
     }
 )
 
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/crashes/table.py
@@ -0,0 +1,147 @@
+"""Requests that crash replicas, as the log carries them; routers hear of them as resources.
+
+A request that was there at two crashes is a suspect: routers are told, so that those that have had
+an answer to it say so, and so that it is sent with care. One that is refused is sent nowhere.
+"""
+
+from heronladder_runtime.configuration import CRASHING_REQUEST_KIND
+from heronladder_schema.v1 import control_pb2, resources_pb2
+
+from heronladder_control.crashes.evidence import CrashEvidence
+from heronladder_control.resources import ResourceTable
+from heronladder_control.results import success
+
+_SUSPECT_AFTER = 2  # crashes; each one makes suspects of all that ran there otherwise (chosen)
+_MOST_NOTED = 256  # suspects and refused ones together; routers hold them all (chosen)
+
+
+class CrashTable:
+    """Applies what routers tell of crashes, and the leader's word on who is refused.
+
+    Args:
+        resources: Where what routers are to know is kept.
+    """
+
+    def __init__(self, resources: ResourceTable) -> None:
+        self._resources = resources
+        self._evidence = CrashEvidence()
+
+    def noted(self, fingerprint: str) -> resources_pb2.CrashingRequest | None:
+        """Return what routers are told of a request, or None."""
+        resource = self._resources.get(CRASHING_REQUEST_KIND, fingerprint)
+        return resource.crashing_request if resource is not None else None
+
+    def _all_noted(self) -> list[tuple[str, resources_pb2.CrashingRequest]]:
+        kept = self._resources.resources[CRASHING_REQUEST_KIND]
+        return [(name, kept[name].crashing_request) for name in sorted(kept)]
+
+    def refused(self) -> dict[str, int]:
+        """Return how often each request was refused that is refused now."""
+        return {name: noted.refusals for name, noted in self._all_noted() if noted.refused}
+
+    def to_refuse(self) -> list[str]:
+        """Return the suspects against which the evidence is enough."""
+        return [
+            name
+            for name, noted in self._all_noted()
+            if not noted.refused
+            and self._evidence.is_enough(name, refused_before=noted.refusals > 0)
+        ]
+
+    # ---- commands ---------------------------------------------------------
+
+    def report(self, index: int, order: control_pb2.ReportCrashes) -> control_pb2.CommandResult:
+        """Take what a router tells; the same again changes nothing."""
+        for fingerprint in order.served:
+            self._clear(index, fingerprint)
+        for told in order.replicas:
+            new = self._evidence.add(told)
+            to_blame = [run for run in new if self._is_refused(run.fingerprint)]
+            if to_blame:
+                for run in to_blame:
+                    self._evidence.explain(run.fingerprint)
+                continue
+            for run in new:
+                self._note_suspect(index, run)
+        result = success()
+        result.revision = self._resources.revision
+        return result
+
+    def refuse(self, index: int, order: control_pb2.RefuseRequest) -> control_pb2.CommandResult:
+        """Refuse a suspect, or end that; void if it stands so, or was cleared meanwhile."""
+        noted = self.noted(order.fingerprint)
+        if noted is not None and noted.refused == order.ended:
+            state = resources_pb2.CrashingRequest()
+            state.CopyFrom(noted)
+            state.refused = not order.ended
+            state.refusals += not order.ended
+            self._write(index, order.fingerprint, state)
+            if state.refused:
+                for other in self._evidence.explain(order.fingerprint):
+                    self._note_fewer(index, other)
+        result = success()
+        result.revision = self._resources.revision
+        return result
+
+    def _is_refused(self, fingerprint: str) -> bool:
+        noted = self.noted(fingerprint)
+        return noted is not None and noted.refused
+
+    def _note_suspect(self, index: int, run: control_pb2.CrashedRun) -> None:
+        known = self.noted(run.fingerprint)
+        crashes = self._evidence.count(run.fingerprint)
+        if known is None and crashes < _SUSPECT_AFTER:
+            return
+        state = resources_pb2.CrashingRequest(
+            tenant=run.tenant, service=run.service, target=run.target, crashes=crashes
+        )
+        if known is not None:
+            state.CopyFrom(known)
+            state.crashes += 1
+        self._write(index, run.fingerprint, state)
+        self._drop_oldest(index)
+
+    def _note_fewer(self, index: int, fingerprint: str) -> None:
+        """Note that a suspect has lost evidence: another request is to blame for it."""
+        known = self.noted(fingerprint)
+        if known is None or known.refusals:
+            return
+        crashes = self._evidence.count(fingerprint)
+        if crashes < _SUSPECT_AFTER:
+            self._resources.erase(index, CRASHING_REQUEST_KIND, fingerprint)
+            return
+        state = resources_pb2.CrashingRequest()
+        state.CopyFrom(known)
+        state.crashes = crashes
+        self._write(index, fingerprint, state)
+
+    def _clear(self, index: int, fingerprint: str) -> None:
+        """Take a request for harmless: a replica has run it to the end."""
+        if not self._is_refused(fingerprint):
+            self._evidence.clear(fingerprint)
+            self._resources.erase(index, CRASHING_REQUEST_KIND, fingerprint)
+
+    def _write(self, index: int, fingerprint: str, state: resources_pb2.CrashingRequest) -> None:
+        resource = resources_pb2.Resource()
+        resource.crashing_request.CopyFrom(state)
+        self._resources.write(index, CRASHING_REQUEST_KIND, fingerprint, resource)
+
+    def _drop_oldest(self, index: int) -> None:
+        """Keep what routers hold bounded: suspects go before those that are refused."""
+        kept = self._resources.resources[CRASHING_REQUEST_KIND]
+        while len(kept) > _MOST_NOTED:
+            oldest = min(
+                kept.values(),
+                key=lambda one: (one.crashing_request.refused, one.metadata.revision),
+            )
+            self._resources.erase(index, CRASHING_REQUEST_KIND, oldest.metadata.name)
+
+    # ---- snapshots --------------------------------------------------------
+
+    def save(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Write the evidence into a snapshot; what routers hold is among the resources."""
+        snapshot.crashes.extend(self._evidence.all())
+
+    def load(self, snapshot: control_pb2.StateSnapshot) -> None:
+        """Take the evidence from a snapshot."""
+        self._evidence.load(snapshot.crashes)
--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -12,6 +12,11 @@
 from heronladder_control.rollouts.table import RolloutTable
 
 
+def is_earlier_start(one: resources_pb2.Replica, other: resources_pb2.Replica) -> bool:
+    """Whether what one tells is of an earlier start than the other; False if either tells none."""
+    return 0 < one.start_ms < other.start_ms
+
+
 class FleetTable:
     """Applies whole configurations and registrations of replicas.
 
@@ -92,20 +97,28 @@
             return False  # the leader has to judge whether it still runs
         return self._merged(known, told, returns=False) == known
 
-    def is_replaced(self, identity: str) -> bool:
-        """Whether another incarnation registered at a replica's address."""
-        known = self.replica(identity)
-        return known is not None and known.replaced
+    def is_replaced(self, told: resources_pb2.Replica) -> bool:
+        """Whether another replica registered at the address of this start of one."""
+        known = self.replica(told.id)
+        return known is not None and known.replaced and not is_earlier_start(known, told)
 
     @staticmethod
     def _merged(
         known: resources_pb2.Replica, told: resources_pb2.Replica, *, returns: bool
     ) -> resources_pb2.Replica:
-        """Return the newer state: a replica never comes back from draining or gone.
+        """Return the newer state: a start never comes back from draining or gone.
 
         But for one that was only taken for replaced, and is proved to run.
         """
         merged = resources_pb2.Replica()
+        if is_earlier_start(told, known):
+            merged.CopyFrom(known)
+            return merged
+        if is_earlier_start(known, told):
+            merged.CopyFrom(told)
+            merged.sequence = 0
+            merged.draining = told.draining or told.gone
+            return merged
         if known.replaced and not returns:
             merged.CopyFrom(known)
             return merged
@@ -113,6 +126,7 @@
         merged.draining = told.draining or told.gone or (known.draining and not known.replaced)
         merged.gone = told.gone or (known.gone and not known.replaced)
         merged.replaced = False
+        merged.start_ms = max(known.start_ms, told.start_ms)
         merged.sequence = 0
         if not told.gone:
             merged.cold_ms = known.cold_ms
@@ -125,9 +139,12 @@
         known = self.replica(told.id)
         if known is None and told.gone and not told.service:
             return success()  # it left before it ever registered
+        if self._is_overtaken(told):
+            return success()
+        starts = known is None or is_earlier_start(known, told)
         before = known if known is not None else resources_pb2.Replica()
         state = self._merged(before, told, returns=order.returns)
-        if (known is None or order.cold_news) and not state.gone:
+        if (starts or order.cold_news) and not state.gone and not is_earlier_start(told, state):
             state.cold_ms = told.cold_ms
             state.cold_revision = index if told.cold_ms else 0
         if known is None or state != known:
@@ -143,6 +160,21 @@
         result.revision = self._resources.resources[REPLICA_KIND][told.id].metadata.revision
         return result
 
+    def _is_overtaken(self, told: resources_pb2.Replica) -> bool:
+        """Whether a later start has a replica's address: its word came late.
+
+        Else a heartbeat that a cut held up would displace the replica that runs there.
+        """
+        others = (self.replica(name) for name in self._ids_at(told.address))
+        return any(
+            other is not None
+            and other.id != told.id
+            and other.address == told.address
+            and not other.gone
+            and is_earlier_start(told, other)
+            for other in others
+        )
+
     def register_all(
         self, index: int, orders: Iterable[control_pb2.RegisterReplica]
     ) -> control_pb2.CommandResult:
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -122,6 +122,10 @@
         """
         leaves = replica.draining or replica.gone
         recorded = self._member.state.fleet.replica(replica.id)
+        if replica.gone and recorded is not None:
+            # It tells no start of its own: it ends the one that is known as it comes, not one
+            # that registers while it waits.
+            replica.start_ms = recorded.start_ms
         cold_news = self._cold_words.is_news(replica, recorded)
         # One that leaves is told so only once its leave is in force, however often it asks.
         if self._member.state.fleet.settled(replica) and not leaves and not cold_news:
@@ -214,7 +218,7 @@
 
         If it is proved to run all the same, the order is marked to bring it back.
         """
-        if order.replica.gone or not self._member.state.fleet.is_replaced(order.replica.id):
+        if order.replica.gone or not self._member.state.fleet.is_replaced(order.replica):
             return False
         order.returns = self._returning.returns(order.replica)
         self._member.metrics.add("replaced_replicas_heard", "back" if order.returns else "late")
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -22,8 +22,10 @@
 from heronladder_control.admission import Admission
 from heronladder_control.allotments import AllotmentKeeper
 from heronladder_control.command_packing import encode_command
+from heronladder_control.crashes.refusals import Refusals
 from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.ended_replicas import EndedReplicas
+from heronladder_control.fleet_commands import FLEET_COMMANDS, RESOURCE_COMMANDS
 from heronladder_control.fleet_service import FleetService
 from heronladder_control.in_force import InForceTracker
 from heronladder_control.prepaid_watch import HolderKey, PrepaidWatch
@@ -33,18 +35,6 @@
 from heronladder_control.sessions import ControlService
 from heronladder_control.state import ControlState
 
-_CONFIGURATION_COMMANDS = frozenset(
-    {
-        "put_resource",
-        "delete_resource",
-        "apply_configuration",
-        "register_replica",
-        "register_replicas",
-        "set_evacuation",
-        "start_rollout",
-        "advance_rollout",
-    }
-)
 _CHORE_INTERVAL_S = 0.5
 # Between two rounds of what costs with the number of daemons, holders and replicas: each
 # heartbeat woke them, 1,000 a second of 300 gateways (chosen).
@@ -139,6 +129,7 @@
         )
         self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
         self.rollouts = RolloutConductor(self)
+        self.refusals = Refusals(self.state.crashes, environment, self.metrics, self.log)
         self.service = ControlService(self)
         self.stubs = stubs
         self.fleet_service = FleetService(self)
@@ -197,9 +188,10 @@
             self.in_force_since_s = self.environment.monotonic()
             self.in_force_changed.give()
         self.fleet_service.applied(command, result)
+        self.refusals.applied(command, is_leader=self.node.is_leader)
         if not self.node.is_leader:
             return
-        if body in _CONFIGURATION_COMMANDS:
+        if body in FLEET_COMMANDS or body in RESOURCE_COMMANDS:
             self.progress.give()
         self.service.applied(command, result)
         self.allotments.applied(command, result)
@@ -239,6 +231,7 @@
         )
         self.fleet_service.begin_term()
         self.rollouts.begin()
+        self.refusals.begin()
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
         for session in self.service.sessions.values():
             self.service.note_connected(session)
@@ -250,6 +243,8 @@
             seen = self.progress.given
             await self._put_in_force()
             await self.rollouts.tend()
+            for order in self.refusals.due():
+                await self.propose(order)
             if self.environment.monotonic() >= next_chores_s:
                 next_chores_s = self.environment.monotonic() + _CHORE_PAUSE_S
                 await self._declare_silent_gone()
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -15,6 +15,7 @@
 from heronladder_control.config_feed import ConfigFeed
 from heronladder_control.daemon_session import DaemonSession
 from heronladder_control.daemons import ROLE_AGENT, ROLE_ROUTER
+from heronladder_control.fleet_commands import FLEET_COMMANDS, RESOURCE_COMMANDS
 from heronladder_control.recalls import recall_leases, recall_prepaid
 from heronladder_control.replica_loads import ReplicaLoads
 
@@ -25,16 +26,6 @@
 # Routers; with more, each hears of a lender with its next heartbeat: 300 that come at once
 # made 90,000 frames (chosen).
 _LENDERS_TOLD_AT_ONCE = 64
-_FLEET_COMMANDS = frozenset(
-    {
-        "apply_configuration",
-        "register_replica",
-        "register_replicas",
-        "set_evacuation",
-        "start_rollout",
-        "advance_rollout",
-    }
-)
 
 
 class ControlService(ControlServicer):
@@ -301,7 +292,7 @@
     def applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
         """Tell daemons what a command that was just applied means for them."""
         body = command.WhichOneof("body")
-        if body in ("put_resource", "delete_resource"):
+        if body in RESOURCE_COMMANDS:
             self._wake_all()
         elif body == "register_daemon" and result.code == control_pb2.RESULT_CODE_OK:
             record = command.register_daemon.daemon
@@ -313,7 +304,7 @@
             role = self._member.state.daemons.daemons[order.name].role
             self._tell_others(role, order.name, order.incarnation, gone=True)
             self._tell_lenders(order.name)
-        elif body in _FLEET_COMMANDS:
+        elif body in FLEET_COMMANDS:
             self._wake_all()
         elif body == "set_in_force":
             self._wake_those_behind(command.set_in_force.revision)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -10,6 +10,7 @@
 
 from heronladder_control.claims import ClaimTable
 from heronladder_control.command_packing import decode_command
+from heronladder_control.crashes.table import CrashTable
 from heronladder_control.daemons import DaemonTable
 from heronladder_control.evacuations import EvacuationTable
 from heronladder_control.fleet import FleetTable
@@ -46,6 +47,7 @@
         self.rollouts = RolloutTable(self.resources)
         self.fleet = FleetTable(self.resources, self.prepaid, self.rollouts)
         self.evacuations = EvacuationTable(self.resources)
+        self.crashes = CrashTable(self.resources)
         self.in_force_revision = 0
         self.applied_index = 0
         self.listeners: list[_AppliedListener] = []
@@ -120,6 +122,10 @@
                 return self.rollouts.advance(index, order.advance_rollout)
             case "note_rollout":
                 return self.rollouts.note(order.note_rollout)
+            case "report_crashes":
+                return self.crashes.report(index, order.report_crashes)
+            case "refuse_request":
+                return self.crashes.refuse(index, order.refuse_request)
             case "draw_tokens":
                 return self._draw(order.draw_tokens)
             case "name_group":
@@ -236,6 +242,7 @@
         self.transfers.save(snapshot)
         self.prepaid.save(snapshot)
         self.rollouts.save(snapshot)
+        self.crashes.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
     def restore(self, data: bytes) -> None:
@@ -252,5 +259,6 @@
         self.transfers.load(snapshot)
         self.prepaid.load(snapshot)
         self.rollouts.load(snapshot)
+        self.crashes.load(snapshot)
         if self.restored is not None:
             self.restored()
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -118,6 +118,8 @@
     pool, lacking = _permitted(view, wish, tried)
     if not pool:
         return Placement(None, lacking)
+    if wish.alone:
+        pool = [_picked(wish.alone, _sound(view, pool) or pool)]
     near, far = split(pool, view.zone, view.zone_regions)
     sound_near, sound_far = _sound(view, near), _sound(view, far)
 
@@ -255,6 +257,12 @@
     return max((replica.name for replica in pool), key=lambda name: _rank(subject, name))
 
 
+def _picked(fingerprint: str, pool: list[FleetReplica]) -> FleetReplica:
+    """Return the replica that all gateways with the same pool send a suspected request to."""
+    subject = fingerprint.encode()
+    return max(pool, key=lambda replica: _rank(subject, replica.name))
+
+
 def _keeps(replica: FleetReplica, wish: Wish) -> bool:
     """Whether a replica is known to keep all shared parts of a prompt, and there are some."""
     shared = wish.shared_tokens
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -184,6 +184,17 @@
     outcome = ledger_pb2.OUTCOME_UNKNOWN
 
 
+class CrashesReplicasError(CallerError):
+    """Replicas crashed under this request before: it is sent to none, and need not come again.
+
+    The status is not one after which clients' libraries commonly send a request again.
+    """
+
+    status = 501
+    code = "request_crashes_replicas"
+    outcome = ledger_pb2.OUTCOME_UNKNOWN  # not sent this time, but replicas began to run it before
+
+
 class TimeLimitError(CallerError):
     """The time for the request ran out while a replica may have been at work."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -78,9 +78,11 @@
         self._replicas = {}
         for record in self._configuration.replicas():
             replica = earlier.get(record.id)
-            if replica is None:
+            # A later start holds and knows nothing of before, nor what was held against it.
+            new = replica is None or replica.record.start_ms < record.start_ms
+            if replica is None or new:
                 replica = FleetReplica(record, KeptParts(self._memory(record.service)))
-            new = record.id not in earlier
+                self._misdirected.pop(record.id, None)
             self._report(replica, record, new=new)
             if record.cold_ms and (new or record.cold_revision != replica.record.cold_revision):
                 self._note_cold(replica, record.cold_ms / MILLISECONDS_PER_SECOND, "told")
@@ -166,6 +168,7 @@
             "replica_known",
             step="replicas",
             peer=record.id,
+            start_ms=record.start_ms,
             address=record.address,
             service=record.service,
             zone=record.zone,
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -1,7 +1,7 @@
 """From a matched request to its answer: tokens, replicas, further sends, the final word."""
 
 import asyncio
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.control_link import ControlLink
@@ -9,12 +9,15 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 
+from heronladder_router.crash_reports import CrashReports
+from heronladder_router.crashing_requests import CrashingRequests
 from heronladder_router.decisions.distance import Way
 from heronladder_router.decisions.placement import Placement, Reason
 from heronladder_router.errors import (
     AnswerLostError,
     BehindError,
     CallerError,
+    CrashesReplicasError,
     EvacuatedError,
     NoBackendError,
     RegionUnservedError,
@@ -29,6 +32,7 @@
 from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import (
     AnswerProgress,
+    ConnectionEndedError,
     NotRunError,
     ReplicaAttempts,
     RunFailedError,
@@ -87,6 +91,8 @@
     attempts: ReplicaAttempts
     allowance: SlidingAllowance
     places: PlaceQueue
+    crashing: CrashingRequests
+    crash_reports: CrashReports
     environment: Environment
     metrics: Metrics
     log: EventLog
@@ -112,6 +118,12 @@
             CallerError: If there is none; nothing was sent to the caller.
             StreamBrokenError: If a stream that had begun cannot go on.
         """
+        if self._parts.crashing.is_refused(request.fingerprint):
+            raise CrashesReplicasError(
+                f"replicas crashed under request {request.fingerprint}",
+                step="serve",
+                peer=request.wish.service,
+            )
         self._parts.allowance.gateways = self._parts.link.routers
         self._parts.allowance.request(request.wish.service)
         reservation = await self._tokens.reserve(request)
@@ -179,6 +191,7 @@
             self._log_send(request, replica, placement, sends, progress)
             try:
                 await self._make_attempt(request, replica, sink, progress)
+                self._parts.crashing.served(request.fingerprint)
                 return
             except NotRunError as error:
                 sends.rejected += 1
@@ -188,11 +201,14 @@
             except RunFailedError as error:
                 sends.runs += 1
                 sends.failure = error.answer
+                self._parts.crashing.served(request.fingerprint)  # it did not crash
                 self._note_failure(request, replica, error)
             except RunLostError as error:
                 sends.runs += 1
                 sends.failure = None
                 self._note_failure(request, replica, error)
+                if isinstance(error, ConnectionEndedError):
+                    self._parts.crash_reports.lost(replica, request)
             sends.tried.add(replica.name)
             if sends.runs and not self._may_run_again(request, sends):
                 break
@@ -217,19 +233,21 @@
         finally:
             self._parts.places.room(service)
 
-    @staticmethod
-    def _may_run_again(request: GatewayRequest, sends: _Sends) -> bool:
+    def _may_run_again(self, request: GatewayRequest, sends: _Sends) -> bool:
+        crashing = self._parts.crashing
+        if crashing.is_suspect(request.fingerprint) or crashing.is_refused(request.fingerprint):
+            return False  # each send may cost a replica
         route = request.matched.route
         return request.matched.may_run_twice and sends.runs < max(1, route.attempts)
 
     async def _next_placement(self, request: GatewayRequest, sends: _Sends) -> Placement:
         replicas = self._parts.replicas
         await self._wait_until_it_may_send(sends)
-        placement = replicas.place(request.wish, sends.tried)
+        placement = self._place(request, sends)
         if placement.reason in _MAY_PASS and not sends.count:
             await replicas.changed.wait(_REPLICA_WAIT_S)
             await self._wait_until_it_may_send(sends)
-            placement = replicas.place(request.wish, sends.tried)
+            placement = self._place(request, sends)
         if placement.replica is None or not sends.count:
             return placement
         if not self._parts.allowance.try_repeat(request.wish.service):
@@ -237,6 +255,12 @@
             return Placement(None, Reason.TRIED)
         return placement
 
+    def _place(self, request: GatewayRequest, sends: _Sends) -> Placement:
+        wish = request.wish
+        if self._parts.crashing.is_suspect(request.fingerprint):
+            wish = replace(wish, alone=request.fingerprint)
+        return self._parts.replicas.place(wish, sends.tried)
+
     async def _wait_until_it_may_send(self, sends: _Sends) -> None:
         """Send by no list of replicas that is known to be superseded.
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -13,6 +13,8 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
+from heronladder_router.crash_reports import CrashReports
+from heronladder_router.crashing_requests import CrashingRequests
 from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
@@ -134,6 +136,10 @@
         handlers.recall_prepaid = self.tokens.held.recall
         handlers.control_regained = self.tokens.held.control_regained
         handlers.lenders = self.tokens.lenders_told
+        self.crashing = CrashingRequests(self.link.configuration, environment, self.log)
+        self.crash_reports = CrashReports(
+            self.link, self.crashing, environment, self.metrics, self.log
+        )
         self._client = ReplicaClient()
         self.server = self._make_server()
         self.link.configuration.listen(self._configuration_changed)
@@ -142,6 +148,7 @@
         self.metrics.gauge("far_sends", lambda: self.replicas.far_sends)
         self.metrics.gauge("requests_waiting_for_places", lambda: self.places.waiting_count)
         self.metrics.gauge("zones_evacuated", lambda: len(self.replicas.evacuated))
+        self.metrics.gauge("crashing_requests_refused", lambda: self.crashing.refused_count)
         self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
     def _record(self) -> ledger_pb2.DaemonRecord:
@@ -226,6 +233,8 @@
                 options.retry_window_s,
             ),
             places=self.places,
+            crashing=self.crashing,
+            crash_reports=self.crash_reports,
             environment=self._environment,
             metrics=self.metrics,
             log=self.log,
@@ -317,5 +326,6 @@
         """End at once, as a crash would."""
         await self.link.abort()
         await self.tokens.stop()
+        await self.crash_reports.stop()
         await self._tasks.stop()
         await self._client.close()
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -54,6 +54,10 @@
     """The replica may have run the request; its answer is lost or broken."""
 
 
+class ConnectionEndedError(RunLostError):
+    """The connection ended in the middle of the answer; the replica may have crashed."""
+
+
 class RunFailedError(HeronladderError):
     """The replica ran the request and failed; ``answer`` says how."""
 
@@ -163,7 +167,9 @@
             raise
         except (ReplicaLostError, aiohttp.ClientError, OSError) as error:
             self._count(seen, failed=True)
-            raise RunLostError(repr(error), step="read_answer", peer=replica.name) from error
+            raise ConnectionEndedError(
+                repr(error), step="read_answer", peer=replica.name
+            ) from error
         except asyncio.CancelledError:
             if seen is not None:
                 seen.given_up(self._environment.monotonic())
@@ -302,7 +308,7 @@
                 progress.passed_on(self._environment.monotonic())
                 await _passed(self._write(response, sink, whole), seen)
         if not cutter.clean:
-            raise RunLostError("the stream ended within an event", step="read_stream")
+            raise ConnectionEndedError("the stream ended within an event", step="read_stream")
         if not sink.started:
             head = ReplicaAnswer(response.status, _passed_headers(response))
             await _passed(sink.start(head), seen)
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -59,6 +59,9 @@
         prompt_tokens: Tokens of the whole prompt.
         regions: Regions it must be in; None: any.
         route: Name of its route.
+        alone: Fingerprint of a request that may crash replicas: it goes to the one that this
+            picks, so that gateways that each get it put one replica at risk, not several, and
+            two such requests mostly do not meet; empty: any replica.
     """
 
     service: str
@@ -66,6 +69,7 @@
     prompt_tokens: int = 0
     regions: frozenset[str] | None = None
     route: str = ""
+    alone: str = ""
 
     @property
     def shared_tokens(self) -> int:
--- a/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/configuration.py
@@ -11,6 +11,7 @@
 REPLICA_KIND = "replica"
 EVACUATION_KIND = "evacuation"
 ROLLOUT_KIND = "rollout"
+CRASHING_REQUEST_KIND = "crashing_request"
 KINDS = (
     "tenant",
     "budget",
@@ -21,6 +22,7 @@
     REPLICA_KIND,
     EVACUATION_KIND,
     ROLLOUT_KIND,
+    CRASHING_REQUEST_KIND,
 )
 Listener = Callable[[], None]
 
@@ -98,6 +100,11 @@
         kept = self._resources[ROLLOUT_KIND].items()
         return {service: resource.rollout for service, resource in kept}
 
+    def crashing_requests(self) -> dict[str, resources_pb2.CrashingRequest]:
+        """Return the requests that crash replicas, or are suspected to, by fingerprint."""
+        kept = self._resources[CRASHING_REQUEST_KIND].items()
+        return {name: resource.crashing_request for name, resource in kept}
+
     def policy(self, name: str) -> resources_pb2.RoutingPolicy | None:
         """Return a routing policy, or None when there is none of that name."""
         resource = self._resources["routing_policy"].get(name)
--- a/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/manifests.py
@@ -23,6 +23,7 @@
     "Replica": "replica",
     "Evacuation": "evacuation",
     "Rollout": "rollout",
+    "CrashingRequest": "crashing_request",
 }
 FIELD_KINDS = {field: kind for kind, field in KIND_FIELDS.items()}
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/validation.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/validation.py
@@ -52,6 +52,8 @@
         pass  # its name is the zone, and it has nothing else to check
     elif kind == "rollout":
         errors.require(False, "kind", "order it with 'heronladder rollout start'")
+    elif kind == "crashing_request":
+        errors.require(False, "kind", "control notes them; delete one to let it through again")
     elif kind == "replica":
         errors.require(False, "kind", "replicas register themselves; they are not declared")
     else:
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -23,11 +23,15 @@
         "replica_trusted",
         "replica_forgotten",
         "replica_cold",
+        "replica_crashed",
         "replica_temperature",
         "zone_evacuated",
         "zone_restored",
         "evacuation_ordered",
         "evacuation_applied",
+        "crash_reported",
+        "crashing_request_judged",
+        "crashing_requests_known",
         "rollout_ordered",
         "rollout_phase",
         "versions_known",
@@ -53,6 +57,8 @@
         "hold_ordered",
         "evacuation_ordered",
         "evacuation_applied",
+        "crash_reported",
+        "crashing_request_judged",
         "rollout_ordered",
         "rollout_phase",
     }
@@ -60,6 +66,7 @@
 _GENERAL = (
     "configuration",
     "control",
+    "crashing_request",
     "daemon",
     "gateway",
     "leader",
@@ -114,12 +121,14 @@
     """Return what the logs tell of a request.
 
     Args:
-        request_id: Its identifier, as the caller sent it.
+        request_id: Its identifier, as the caller sent it; or a fingerprint, for all tries of one
+            request.
         files: Logs, in any order; one may hold the lines of many processes.
     """
     found = Explanation()
-    wanted = f"request_id={request_id}"
-    found.lines = [parse_line(text) for text in _lines(files) if wanted in text]
+    name = re.escape(request_id)
+    wanted = re.compile(rf"\brequest_id={name}(?!\S)|\bfingerprints?=(?:\S*,)?{name}(?![^,\s])")
+    found.lines = [parse_line(text) for text in _lines(files) if wanted.search(text)]
     found.lines.sort(key=lambda line: line.time)
     if not found.lines:
         found.missing.append(f"no line names request {request_id}")
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -82,6 +82,16 @@
     "prepaid_holder_closed": "A gateway is gone: what its tenants were charged for it.",
     "replica_cold": "A gateway takes a replica for cold for `for_s`, and why; its sends are limited"
     " to `share_per_s`.",
+    "replica_crashed": "A replica crashed while requests of this gateway ran there, by which sign"
+    " (`refused`: nothing listens there any more, `replaced`: another start is registered), and"
+    " after how long it was known.",
+    "crash_reported": "Control notes a crash that a gateway told of, and against which requests the"
+    " evidence is enough now.",
+    "crash_not_reported": "A gateway could not tell control of crashes.",
+    "crashing_request_judged": "The leader refuses a request under which replicas crashed, for"
+    " `for_s`, or lets it through again.",
+    "crashing_requests_known": "A gateway learns which requests are refused and suspected.",
+    "suspect_served": "A suspected request was answered in full: nothing is held against it.",
     "replica_forgotten": "A replica left the list.",
     "replica_known": "A replica is new, or its registration changed.",
     "replica_misdirected": "A replica's address answered that it is another's by now: it is left"
@@ -142,6 +152,11 @@
 }
 
 METRIC_MEANINGS = {
+    "crashes_reported": "Crashes of replicas that gateways told control.",
+    "crash_reports_failed": "Such words that control did not take in time.",
+    "crashing_requests": "Requests that the leader refused, or let through again.",
+    "crashing_requests_refused": "Requests that are refused now since replicas crash under them.",
+    "replica_crashes": "Crashes that a gateway noticed, by the sign.",
     "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
     "members_passed_over": "Members from which a replica came back that was sent there.",
     "registrations": "Registrations of replicas that went into the log.",
