Replicas that accept no connections are left out until they do

Cause: a replica that crashed stays registered until another takes its address. It looks idle, so each time its suspicion lapsed (0.4 to 4 s) requests went there first; four dead ones in a row ended a request with «no replica took the request».

Change: a gateway that could not connect looks each 0.3 to 2 s whether anything listens there, and prefers others until then. A connection to a dead port is refused; nothing is sent.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -187,6 +187,12 @@
             self._sort_by_service()
         return self._of_service.get(service, [])
 
+    def has(self, replica: FleetReplica) -> bool:
+        """Whether a start of a replica is registered and not leaving."""
+        record = replica.record
+        is_newest = self._replicas.get(replica.name) is replica
+        return is_newest and not (record.draining or record.gone)
+
     def _serving(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving, nor in evacuated zones."""
         usable = self.usable(service)
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -42,6 +42,7 @@
 from heronladder_router.request_tokens import RequestTokens
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.tokens.access import Reservation, TokenAccess
+from heronladder_router.unreached_replicas import UnreachedReplicas
 
 _REJECTIONS = 3  # sends that were not run, over the route's attempts
 _REPLICA_WAIT_S = 0.2
@@ -93,6 +94,7 @@
     places: PlaceQueue
     crashing: CrashingRequests
     crash_reports: CrashReports
+    unreached: UnreachedReplicas
     environment: Environment
     metrics: Metrics
     log: EventLog
@@ -334,6 +336,8 @@
         else:
             unreached = error.step == "connect"
             self._parts.replicas.failed(replica, error.message, unreached=unreached)
+            if unreached:
+                self._parts.unreached.watch(replica)
         self._parts.metrics.add("sends_failed", type(error).__name__)
         self._parts.log.info(
             "send_failed",
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -28,6 +28,7 @@
 from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
 from heronladder_router.tokens.access import LendingOptions, TokenAccess
+from heronladder_router.unreached_replicas import UnreachedReplicas
 
 _STOP_POLL_S = 0.02
 _LAST_RETURN_S = 0.8
@@ -140,6 +141,7 @@
         self.crash_reports = CrashReports(
             self.link, self.crashing, environment, self.metrics, self.log
         )
+        self.unreached = UnreachedReplicas(self.replicas, environment, self.log)
         self._client = ReplicaClient()
         self.server = self._make_server()
         self.link.configuration.listen(self._configuration_changed)
@@ -149,6 +151,7 @@
         self.metrics.gauge("requests_waiting_for_places", lambda: self.places.waiting_count)
         self.metrics.gauge("zones_evacuated", lambda: len(self.replicas.evacuated))
         self.metrics.gauge("crashing_requests_refused", lambda: self.crashing.refused_count)
+        self.metrics.gauge("replicas_unreached", lambda: self.unreached.count)
         self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
     def _record(self) -> ledger_pb2.DaemonRecord:
@@ -235,6 +238,7 @@
             places=self.places,
             crashing=self.crashing,
             crash_reports=self.crash_reports,
+            unreached=self.unreached,
             environment=self._environment,
             metrics=self.metrics,
             log=self.log,
@@ -327,5 +331,6 @@
         await self.link.abort()
         await self.tokens.stop()
         await self.crash_reports.stop()
+        await self.unreached.stop()
         await self._tasks.stop()
         await self._client.close()
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -24,6 +24,7 @@
         "replica_forgotten",
         "replica_cold",
         "replica_crashed",
+        "replica_looked_after",
         "replica_temperature",
         "zone_evacuated",
         "zone_restored",
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -85,6 +85,7 @@
     "replica_crashed": "A replica crashed while requests of this gateway ran there, by which sign"
     " (`refused`: nothing listens there any more, `replaced`: another start is registered), and"
     " after how long it was known.",
+    "replica_looked_after": "A replica that accepted no connections does again, or left the list.",
     "crash_reported": "Control notes a crash that a gateway told of, and against which requests the"
     " evidence is enough now.",
     "crash_not_reported": "A gateway could not tell control of crashes.",
@@ -157,6 +158,7 @@
     "crashing_requests": "Requests that the leader refused, or let through again.",
     "crashing_requests_refused": "Requests that are refused now since replicas crash under them.",
     "replica_crashes": "Crashes that a gateway noticed, by the sign.",
+    "replicas_unreached": "Replicas left out until they accept connections.",
     "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
     "members_passed_over": "Members from which a replica came back that was sent there.",
     "registrations": "Registrations of replicas that went into the log.",
--- /dev/null
+++ b/tests/test_unreached_replicas.py
@@ -0,0 +1,66 @@
+"""Replicas that accept no connections are left out, and used again once they do."""
+
+import asyncio
+import unittest
+
+from platform_stand_ins import Received, StandInReplica, answer, configuration, start_fleet
+
+_REPLICAS = 7
+_STAYS = 1  # how many go on
+
+
+async def _serve(replica: StandInReplica, received: Received) -> bytes:
+    return answer(received)
+
+
+class UnreachedReplicasTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.fleet = await start_fleet(configuration(1))
+        self.addAsyncCleanup(self.fleet.stop)
+        self.replicas = [
+            await self.fleet.add_replica(f"r{number}", _serve) for number in range(_REPLICAS)
+        ]
+        assert self.fleet.gateway.gateway is not None
+        self.role = self.fleet.gateway.gateway
+
+    async def _ask(self, seconds: float) -> list[int]:
+        """Ask evenly; return the statuses."""
+        statuses = []
+        end_s = asyncio.get_running_loop().time() + seconds
+        while asyncio.get_running_loop().time() < end_s:
+            got = await self.fleet.request("/safe/", body=str(len(statuses)).encode())
+            statuses.append(got.status)
+            await asyncio.sleep(0.02)
+        return statuses
+
+    async def test_dead_replicas_cost_requests_nothing_once_they_are_known(self) -> None:
+        """They look idle: each time their suspicion lapsed, requests went to them first.
+
+        With six of seven dead one request met four of them in a row, and was refused with «no
+        replica took the request», although one replica was idle.
+        """
+        for replica in self.replicas[_STAYS:]:
+            await replica.stop()
+        await self._ask(1.5)
+        failed = self.role.metrics.counters["sends_failed", "NotRunError"]
+        statuses = await self._ask(6.0)
+        self.assertEqual(set(statuses), {200})
+        self.assertEqual(self.role.metrics.counters["sends_failed", "NotRunError"], failed)
+
+    async def test_one_that_accepts_connections_again_is_used(self) -> None:
+        replica = self.replicas[-1]
+        host, port = replica.address.split(":")
+        await replica.stop()
+        await self._ask(1.0)
+        self.assertEqual(self.role.unreached.count, 1)
+        again = StandInReplica(replica.identity, _serve)
+        again._server = await asyncio.start_server(again._serve, host, int(port))
+        self.addAsyncCleanup(again.stop)
+        async with asyncio.timeout(8):
+            while not again.received:
+                await self._ask(0.1)
+        self.assertEqual(self.role.unreached.count, 0)
+
+
+if __name__ == "__main__":
+    unittest.main()
