--- a/tests/test_crowd_of_replicas.py
+++ b/tests/test_crowd_of_replicas.py
@@ -75,7 +75,7 @@
         for one in (state, again):
             _register(one, 99, address="10.0.0.7:80")  # replica-7 was there
         self.assertEqual(state.snapshot(), again.snapshot())
-        self.assertTrue(again.fleet.is_replaced("replica-7"))
+        self.assertTrue(again.fleet.is_replaced(resources_pb2.Replica(id="replica-7")))
         events = again.resources.events_after(19)
         assert events is not None
         self.assertEqual(
@@ -256,11 +256,11 @@
         await service.register(alive)
         await service.register(ghost)
         async with asyncio.timeout(RETURNS_AFTER_S + 6.0):
-            while self.leader.state.fleet.is_replaced(alive.id) or not alive.sequence:
+            while self.leader.state.fleet.is_replaced(alive) or not alive.sequence:
                 alive.sequence += 1
                 await service.register(alive)
                 await asyncio.sleep(0.3)
-        self.assertTrue(self.leader.state.fleet.is_replaced(ghost.id))
+        self.assertTrue(self.leader.state.fleet.is_replaced(ghost))
 
 
 class NoLeaderTest(unittest.IsolatedAsyncioTestCase):
