--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -203,8 +203,11 @@
         return sorted(self._at.get(address, ()))
 
     def _end_others_at(self, index: int, state: resources_pb2.Replica) -> None:
-        """End those that had the address: their late heartbeats must not bring them back."""
-        if state.gone:
+        """End those that had the address: their late heartbeats must not bring them back.
+
+        But for a word of a service that is not declared: another writer's words end nobody.
+        """
+        if state.gone or not self._is_declared(state.service):
             return
         for name in self._ids_at(state.address):
             other = self.replica(name)
@@ -215,6 +218,11 @@
             ended.gone = ended.draining = ended.replaced = True
             self._write(index, ended)
 
+    def _is_declared(self, service: str) -> bool:
+        """Whether a service is declared, or no configuration is yet."""
+        held = self.configuration()
+        return held is None or any(one.name == service for one in held.services)
+
     def ended(self) -> list[str]:
         """Return the replicas that are gone and remembered."""
         kept = self._resources.resources[REPLICA_KIND].items()
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -142,6 +142,11 @@
         )
         return await self._asks.ask(request, _REGISTER_PATIENCE_S, order)
 
+    def unreadable(self, identity: str, why: str) -> None:
+        """Note a heartbeat that cannot be used; what is known of its replica stays as it is."""
+        self._member.metrics.add("heartbeats_unreadable")
+        self._member.log.info("heartbeat_unreadable", step="heartbeat", peer=identity, why=why)
+
     def heartbeat_address(self, replica: resources_pb2.Replica) -> str:
         """Return where a replica is to send its later heartbeats; "" for anywhere."""
         node = self._member.node
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -57,6 +57,8 @@
     " the newest change of its zone, and so has no clear answer.",
     "group_named": "The leader wrote the name of the group into its log.",
     "group_formed": "The first members of a group found each other.",
+    "heartbeat_unreadable": "A heartbeat cannot be used, and why; what is known of its replica"
+    " stays as it is.",
     "hold_ordered": "A change waited long for this daemon, which is in touch: it is told to act by"
     " nothing older until it has the change.",
     "leader_chores_ended": "A leader's periodic work stopped, with its leadership.",
@@ -156,10 +158,9 @@
     "crashes_reported": "Crashes of replicas that gateways told control.",
     "crash_reports_failed": "Such words that control did not take in time.",
     "crashing_requests": "Requests that the leader refused, or let through again.",
-    "crashing_requests_refused": "Requests that are refused now since replicas crash under them.",
     "replica_crashes": "Crashes that a gateway noticed, by the sign.",
-    "replicas_unreached": "Replicas left out until they accept connections.",
     "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
+    "heartbeats_unreadable": "Heartbeats that could not be used.",
     "members_passed_over": "Members from which a replica came back that was sent there.",
     "registrations": "Registrations of replicas that went into the log.",
     "registration_calls_failed": "Calls that passed registrations on to the leader and had no"
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -46,6 +46,7 @@
             routes=None,
             allowance=SimpleNamespace(gateways=1, request=lambda service: None),
             tokens=tokens,
+            crashing=SimpleNamespace(is_refused=lambda fingerprint: False),
             environment=_Clock(),
             log=EventLog("test", "gateway"),
         )
@@ -54,6 +55,7 @@
             link.quickest_round_trip_s = round_trip_s
             request = SimpleNamespace(
                 request_id="r",
+                fingerprint="f",
                 wish=SimpleNamespace(service="model"),
                 bounds=TokenBounds(1000, 100),
                 deadline_s=115.0,
