Daemons judge all times by a clock that counts suspension

Cause: the loop's steady clock stands still while a machine is suspended; leases, promises and silences seemed young on waking.

Change: the event loop's clock is CLOCK_BOOTTIME, and Environment.monotonic() is the loop's.

--- a/packages/heronladder-daemon/src/heronladder_daemon/main.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/main.py
@@ -1,9 +1,9 @@
 """Command line of the daemon, ``heronladderd``."""
 
-import asyncio
 import sys
 
 import typer
+from heronladder_runtime import suspend_aware_loop
 from heronladder_runtime.errors import SettingsError
 from heronladder_runtime.logs import configure_daemon_logging
 from heronladder_runtime.settings import DaemonSettings, build, resolve, with_setting_options
@@ -34,7 +34,8 @@
     """Run a daemon with the roles its settings name."""
     settings = _load(flags)
     configure_daemon_logging(settings.common.log_level)
-    raise typer.Exit(asyncio.run(run_daemon(Daemon(settings), lambda: build(resolve(flags)))))
+    running = run_daemon(Daemon(settings), lambda: build(resolve(flags)))
+    raise typer.Exit(suspend_aware_loop.run(running))
 
 
 def settings(flags: dict[str, str | None]) -> None:
--- a/packages/heronladder-runtime/src/heronladder_runtime/clock.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/clock.py
@@ -5,6 +5,8 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from heronladder_runtime.process_start import boot_time_s
+
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -24,7 +26,7 @@
     Attributes:
         random: Source of every random choice; seeded in simulations.
         virtual: Whether time is the event loop's own (simulations).
-        process_began_s: When the process began, on the clock of ``time.monotonic``; None
+        process_began_s: When the process began, on the clock of ``process_start``; None
             where several daemons share a process.
     """
 
@@ -36,10 +38,14 @@
         """Return how long ago the process began, at least; 0 where that is not known."""
         if self.process_began_s is None:
             return 0.0
-        return max(0.0, time.monotonic() - self.process_began_s)
+        return max(0.0, boot_time_s() - self.process_began_s)
 
     def monotonic(self) -> float:
-        """Return seconds on the event loop's clock, which never goes back."""
+        """Return seconds on the event loop's clock, which never goes back.
+
+        In daemons it goes on while the machine is suspended: whatever a promise, a lease or a
+        silence rests on is judged by it.
+        """
         return asyncio.get_running_loop().time()
 
     def wall_ms(self) -> int:
--- a/packages/heronladder-runtime/src/heronladder_runtime/process_start.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/process_start.py
@@ -2,4 +2,10 @@
 
 import time
 
-BEGAN_S = time.monotonic()  # at the first import of this module: a little late, never early
+
+def boot_time_s() -> float:
+    """Return seconds since the machine's start; they go on while it is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+BEGAN_S = boot_time_s()  # at the first import of this module: a little late, never early
