Control's parts no longer import the member: shared parts in a context of their own

Twelve modules imported ControlMember and were imported by it (a circle of 11 files). They take MemberContext (settings, state, log, streams); the member extends it and hands what is left to whom it concerns (SessionParts). No change of behaviour; 61 tests of control pass.

--- a/packages/heronladder-control/src/heronladder_control/allotments.py
+++ b/packages/heronladder-control/src/heronladder_control/allotments.py
@@ -2,15 +2,11 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from heronladder_runtime.errors import HeronladderError
-from heronladder_runtime.rpc import StubFactory
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
+from heronladder_control.member_context import MemberContext
 
 _ASK_TIMEOUT_S = 2.0
 _ASK_FACTOR = 4  # tokens asked for, as a multiple of what a holder lacked
@@ -22,13 +18,11 @@
     """Moves tokens from other regions' accounts into this region's.
 
     Args:
-        member: The control member; it acts only while it leads.
-        stubs: Makes stubs to members of other regions.
+        member: What the parts of the member share; it acts only while it leads.
     """
 
-    def __init__(self, member: ControlMember, stubs: StubFactory) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
-        self._stubs = stubs
         self._under_way: set[str] = set()
         self._in_vain_s: dict[str, float] = {}  # when all regions last had nothing
 
@@ -97,7 +91,7 @@
         request = control_pb2.AllotmentRequest(transfer=pending)
         for address in self._member.options.region_addresses[region]:
             try:
-                stub = self._stubs.control(address)
+                stub = self._member.stubs.control(address)
                 reply: control_pb2.AllotmentReply = await stub.Allot(
                     request, timeout=_ASK_TIMEOUT_S
                 )
--- a/packages/heronladder-control/src/heronladder_control/api.py
+++ b/packages/heronladder-control/src/heronladder_control/api.py
@@ -26,7 +26,7 @@
 )
 from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
 
-from heronladder_control.member import ControlMember
+from heronladder_control.member_context import MemberContext
 from heronladder_control.rollouts.manifests import command_of
 from heronladder_control.status import status_document
 
@@ -60,11 +60,11 @@
     """Serves operators.
 
     Args:
-        member: The control member.
+        member: What the parts of the member share.
         operators: SHA-256 of each operator's token, by the operator's name.
     """
 
-    def __init__(self, member: ControlMember, operators: dict[str, str]) -> None:
+    def __init__(self, member: MemberContext, operators: dict[str, str]) -> None:
         self._member = member
         self._operators = operators
         self._client: aiohttp.ClientSession | None = None
--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -19,7 +19,7 @@
 
 if TYPE_CHECKING:
     from heronladder_control.daemon_session import DaemonSession
-    from heronladder_control.member import ControlMember
+    from heronladder_control.member_context import MemberContext
 
 # Parts that a daemon has not confirmed yet. What else is to be said waits behind so many on
 # a thin link: 1.6 s at 5 kB/s (chosen: one alone would halve the speed of a link).
@@ -63,7 +63,7 @@
         member: The control member whose state is told.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         # By revisions: already sent, reached. Routers that lag by one or two changes are at
         # different ones: with a single update kept, packing was 16% of a busy leader.
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -8,7 +8,6 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TYPE_CHECKING
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
@@ -19,15 +18,13 @@
 from heronladder_control.evacuations import LateOrders
 from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
 from heronladder_control.leader_asks import FleetOutcome, LeaderAsks, Standing
+from heronladder_control.member_context import MemberContext
 from heronladder_control.order_times import LeaderTimes, OrderTimes
 from heronladder_control.registration_batches import RegistrationBatches
 from heronladder_control.results import failure, success
 from heronladder_control.returning_replicas import ReturningReplicas
 from heronladder_control.rollouts.orders import RolloutOrders
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
-
 _IN_FORCE_WAIT_S = 3.0
 _APPLY_PATIENCE_S = 3.5
 _REGISTER_PATIENCE_S = 0.9
@@ -38,10 +35,10 @@
     """Carries out what operators and replicas ask.
 
     Args:
-        member: The control member.
+        member: What the parts of the member share.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._returning = ReturningReplicas(member.environment)
         self._cold_words = ColdWords(member.environment)
--- a/packages/heronladder-control/src/heronladder_control/leader_asks.py
+++ b/packages/heronladder-control/src/heronladder_control/leader_asks.py
@@ -6,18 +6,15 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
-from typing import TYPE_CHECKING
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
+from heronladder_control.member_context import MemberContext
 from heronladder_control.order_times import OrderTimes
 from heronladder_control.registration_relay import RegistrationRelay
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
-
 Carry = Callable[[control_pb2.CarryRequest], Awaitable[control_pb2.CarryReply]]
 
 
@@ -50,11 +47,11 @@
     """Asks the leader until there is a clear answer, or for as long as the caller waits.
 
     Args:
-        member: The control member.
+        member: What the parts of the member share.
         carry: Carries out a request as the leader.
     """
 
-    def __init__(self, member: ControlMember, carry: Carry) -> None:
+    def __init__(self, member: MemberContext, carry: Carry) -> None:
         self._member = member
         self._carry = carry
         self._relay = RegistrationRelay(member)
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -2,37 +2,28 @@
 
 import asyncio
 from collections.abc import Callable
-from dataclasses import dataclass, field
 
-from heronladder_consensus.members import find_member
 from heronladder_consensus.node import ConsensusNode
 from heronladder_consensus.service import ConsensusService
 from heronladder_consensus.storage import LogStorage
-from heronladder_consensus.timing import ConsensusTiming
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.disk import Disk
 from heronladder_runtime.errors import HeronladderError, SettingsError
-from heronladder_runtime.logs import EventLog
-from heronladder_runtime.metrics import Metrics
-from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.rpc import StubFactory
-from heronladder_runtime.tasks import TaskGroupOwner
-from heronladder_schema.v1 import consensus_pb2, control_pb2, ledger_pb2
+from heronladder_schema.v1 import control_pb2
 
-from heronladder_control.admission import Admission
 from heronladder_control.allotments import AllotmentKeeper
-from heronladder_control.command_packing import encode_command
 from heronladder_control.crashes.refusals import Refusals
 from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.ended_replicas import EndedReplicas
 from heronladder_control.fleet_commands import FLEET_COMMANDS, RESOURCE_COMMANDS
 from heronladder_control.fleet_service import FleetService
-from heronladder_control.in_force import InForceTracker
-from heronladder_control.prepaid_watch import HolderKey, PrepaidWatch
+from heronladder_control.member_context import MemberContext
+from heronladder_control.options import ControlOptions
+from heronladder_control.prepaid_watch import HolderKey
 from heronladder_control.promise_notes import PromiseNotes
 from heronladder_control.rollouts.conductor import RolloutConductor
-from heronladder_control.rollouts.exposure import ExposureLimits
-from heronladder_control.sessions import ControlService
+from heronladder_control.sessions import ControlService, SessionParts
 from heronladder_control.state import ControlState
 
 _CHORE_INTERVAL_S = 0.5
@@ -46,42 +37,7 @@
 _CLAIM_DROP_INTERVAL_S = 600.0
 
 
-@dataclass(frozen=True)
-class ControlOptions:
-    """Settings of a control member.
-
-    Attributes:
-        name: Name of the member.
-        group: Name of its group, wherever its members stand.
-        initial_members: First members of a new group; empty when joining one.
-        timing: Times of the replicated log.
-        freshness_s: Length of a daemon's freshness lease, in seconds.
-        gone_after_s: Silence after which a router is declared gone, in seconds.
-        region_addresses: gRPC addresses of the control members of other regions.
-        me: This member's entry, when it may ask to be taken into a running group.
-        contacts: gRPC addresses that it may ask.
-        zone_names: Zones that may be evacuated; empty: any.
-        named: Whether the group's name was set, and is to stand in its log.
-        rollout_limits: What a version on trial may get; none: no roll-outs.
-        region: Where this member stands; empty: the group stands in one region, of its name.
-    """
-
-    name: str
-    group: str
-    initial_members: list[consensus_pb2.Member]
-    timing: ConsensusTiming = field(default_factory=ConsensusTiming)
-    freshness_s: float = 8.0
-    gone_after_s: float = 15.0
-    region_addresses: dict[str, list[str]] = field(default_factory=dict)
-    me: consensus_pb2.Member | None = None
-    contacts: list[str] = field(default_factory=list)
-    zone_names: list[str] = field(default_factory=list)
-    named: bool = False
-    rollout_limits: ExposureLimits = field(default_factory=ExposureLimits)
-    region: str = ""
-
-
-class ControlMember:
+class ControlMember(MemberContext):
     """A member of a region's control group.
 
     Args:
@@ -100,16 +56,11 @@
         environment: Environment,
         on_failure: Callable[[HeronladderError], None],
     ) -> None:
-        self.options = options
-        self.environment = environment
-        self.metrics = Metrics()
-        self.log = EventLog("control", options.name)
-        self.tasks = TaskGroupOwner(self.log)
-        self.state = ControlState(options.group)
-        self.node = ConsensusNode(
+        state = ControlState(options.group)
+        node = ConsensusNode(
             options.name,
             LogStorage(disk),
-            self.state,
+            state,
             stubs,
             options.initial_members,
             options.timing,
@@ -118,31 +69,19 @@
             options.me,
             options.contacts,
         )
-        self.prepaid_watch = PrepaidWatch(environment)
+        super().__init__(options, node, state, stubs, environment)
         self.promise_notes = PromiseNotes(self)
-        self.in_force = InForceTracker(environment, options.freshness_s)
-        self.progress = Pulse()  # a daemon applied a configuration
-        self.in_force_changed = Pulse()
-        self.in_force_since_s = 0.0  # when this member learned of the revision in force
-        self.admission = Admission(
-            environment, self.tasks, self.metrics, lambda: bool(self.node.leader)
-        )
-        self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
         self.rollouts = RolloutConductor(self)
         self.refusals = Refusals(self.state.crashes, environment, self.metrics, self.log)
-        self.service = ControlService(self)
-        self.stubs = stubs
         self.fleet_service = FleetService(self)
+        self.allotments = AllotmentKeeper(self)
+        self.service = ControlService(
+            self,
+            SessionParts(self.promise_notes, self.rollouts, self.fleet_service, self.allotments),
+        )
         self.consensus_service = ConsensusService(self.node)
-        self.allotments = AllotmentKeeper(self, stubs)
         self.state.listeners.append(self._applied)
         self.state.restored = self._check_group
-        self._tending = False
-
-    @property
-    def freshness_s(self) -> float:
-        """Length of a daemon's freshness lease, in seconds."""
-        return self.options.freshness_s
 
     async def start(self) -> None:
         """Start the member's tasks."""
@@ -153,33 +92,11 @@
 
     async def stop(self) -> None:
         """Stop all tasks and close the data folder."""
-        for session in list(self.service.sessions.values()):
+        for session in list(self.sessions.values()):
             session.close()
         await self.tasks.stop()
         await self.node.stop()
 
-    def leader_address(self) -> str:
-        """Return the gRPC address of the leader, or "" while none is known."""
-        member = self.leader()
-        return member.address if member is not None else ""
-
-    def leader(self) -> consensus_pb2.Member | None:
-        """Return the leader's entry in the membership, if one is known."""
-        return find_member(self.node.membership(), self.node.leader)
-
-    async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
-        """Replicate a command and return its result.
-
-        Raises:
-            NotLeaderError: If this member does not lead.
-            LeadershipLostError: If the command's fate is unknown.
-        """
-        started_s = self.environment.monotonic()
-        result = await self.node.propose(encode_command(command))
-        body = command.WhichOneof("body") or ""
-        self.metrics.observe("command", self.environment.monotonic() - started_s, body)
-        return result
-
     def _applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
         body = command.WhichOneof("body")
         if body == "name_group":
@@ -233,7 +150,7 @@
         self.rollouts.begin()
         self.refusals.begin()
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
-        for session in self.service.sessions.values():
+        for session in self.sessions.values():
             self.service.note_connected(session)
         await self._name_group()
         next_chores_s = 0.0
@@ -313,13 +230,6 @@
                 self.log.warning("router_gone", step="declare_gone", peer=name)
                 await self.declare_gone(record)
 
-    async def declare_gone(self, record: ledger_pb2.DaemonRecord) -> None:
-        """Take the right to act from a daemon's incarnation; collect a router's leases."""
-        command = control_pb2.Command()
-        command.declare_gone.name = record.name
-        command.declare_gone.incarnation = record.incarnation
-        await self.propose(command)
-
     async def _close_prepaid_holders(self) -> None:
         """Charge routers that were replaced or declared gone, and free the rest.
 
--- a/packages/heronladder-control/src/heronladder_control/promise_notes.py
+++ b/packages/heronladder-control/src/heronladder_control/promise_notes.py
@@ -7,7 +7,6 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 from heronladder_runtime.errors import HeronladderError
@@ -15,11 +14,9 @@
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.daemon_session import DaemonSession
+from heronladder_control.member_context import MemberContext
 from heronladder_control.prepaid_watch import HolderKey
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
-
 # Between two entries of the log while promises rise: a request that waits for one waits half of
 # it (chosen; with an entry for each heartbeat 30 gateways would write 100 a second).
 _LEAST_PAUSE_S = 0.02
@@ -33,10 +30,10 @@
     """The leader's task that notes promises.
 
     Args:
-        member: The control member.
+        member: What the parts of the member share.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._risen: dict[HolderKey, dict[str, ledger_pb2.SpendingPromise]] = {}
         # By router: its newest heartbeat with promises.
--- a/packages/heronladder-control/src/heronladder_control/registration_batches.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_batches.py
@@ -9,17 +9,15 @@
 
 import asyncio
 from collections.abc import Iterable
-from typing import TYPE_CHECKING, TypeAlias
+from typing import TypeAlias
 
 from heronladder_consensus.errors import LeadershipLostError
 from heronladder_runtime.errors import HeronladderError
 from heronladder_schema.v1 import control_pb2
 
+from heronladder_control.member_context import MemberContext
 from heronladder_control.results import success
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
-
 # Between two entries, a router: 0.3 s with 300, a third of what a replica that leaves waits at
 # most, and 3 ms with 3 (chosen). The first after a pause goes at once.
 PAUSE_S = 0.001
@@ -32,10 +30,10 @@
     """Proposes registrations in the order in which they came, replicas that leave first.
 
     Args:
-        member: The control member, which leads.
+        member: What the parts of the member share, which leads.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._waiting: dict[_Answer, control_pb2.RegisterReplica] = {}  # in the order they came
         self._leaving: dict[_Answer, str] = {}  # ids of those among them that leave
@@ -95,7 +93,7 @@
                     await asyncio.sleep(pause_s)
                 taken = self._take()
                 if taken:
-                    self._next_s = clock.monotonic() + PAUSE_S * len(self._member.service.sessions)
+                    self._next_s = clock.monotonic() + PAUSE_S * len(self._member.sessions)
                     await self._propose(taken)
         except BaseException as error:
             self._tell_all(list(self._waiting), self._unclear(error))
@@ -157,7 +155,7 @@
                 step="register_replica",
                 count=count,
                 waiting=len(self._waiting),
-                routers=len(self._member.service.sessions),
+                routers=len(self._member.sessions),
                 took_s=took_s,
                 index=self._member.state.applied_index,
             )
--- a/packages/heronladder-control/src/heronladder_control/registration_relay.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_relay.py
@@ -9,16 +9,13 @@
 
 import asyncio
 from collections import deque
-from typing import TYPE_CHECKING
 
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2
 
+from heronladder_control.member_context import MemberContext
 from heronladder_control.registration_batches import MOST_AT_ONCE, MOST_WAITING
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
-
 _GATHER_S = 0.02  # while another call is under way (chosen)
 _CALLS = 4  # under way at once: a leader answers a call in up to 0.3 s before 300 routers (chosen)
 _CALL_S = 0.9  # what a replica waits at most
@@ -29,10 +26,10 @@
     """Registrations at a member that does not lead.
 
     Args:
-        member: The control member.
+        member: What the parts of the member share.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._waiting: deque[_Waiting] = deque()
         self._calls = 0
--- a/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
@@ -24,7 +24,7 @@
 
 if TYPE_CHECKING:
     from heronladder_control.daemon_session import DaemonSession
-    from heronladder_control.member import ControlMember
+    from heronladder_control.member_context import MemberContext
 
 _LOOK_S = 0.2  # between two looks at a roll-out; under a heartbeat (chosen)
 _CLEAR_HOLDS_S = 1.0  # as long as a router that hears nothing stays with a move (chosen alike)
@@ -60,7 +60,7 @@
         member: The member.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._limits = member.options.rollout_limits
         self._conducted: dict[str, _Conducted] = {}
@@ -104,7 +104,7 @@
                 held=word.granted,
                 sent=word.sent,
                 allowance=min(ceiling, self._allowance(record, conducted, conducted.requests)),
-                routers=len(self._member.service.sessions),
+                routers=len(self._member.sessions),
             )
             frame.rollout_grants.add(
                 service=service, ordered_revision=conducted.ordered_revision, total=total
--- a/packages/heronladder-control/src/heronladder_control/rollouts/orders.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/orders.py
@@ -2,16 +2,12 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
 from heronladder_schema.v1 import control_pb2
 
 from heronladder_control.evacuations import LateOrders
+from heronladder_control.member_context import MemberContext
 from heronladder_control.rollouts.table import RUNNING, phase_name
 
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
-
 # An operator repeats an order for 5 s at most; the same order later than this after its end is
 # a new one (chosen: twice that).
 _REPEATS_S = 10.0
@@ -21,10 +17,10 @@
     """Judges orders at the leader.
 
     Args:
-        member: The control member.
+        member: What the parts of the member share.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._late = LateOrders(member.environment)
         self._ended_s: dict[str, float] = {}  # by service, in this term
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 from collections.abc import AsyncIterator
-from typing import TYPE_CHECKING, Any
+from dataclasses import dataclass
+from typing import Any
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
@@ -12,15 +13,17 @@
 from heronladder_schema.v1 import control_pb2
 from heronladder_schema.v1.control_pb2_grpc import ControlServicer
 
+from heronladder_control.allotments import AllotmentKeeper
 from heronladder_control.config_feed import ConfigFeed
 from heronladder_control.daemon_session import DaemonSession
 from heronladder_control.daemons import ROLE_AGENT, ROLE_ROUTER
 from heronladder_control.fleet_commands import FLEET_COMMANDS, RESOURCE_COMMANDS
+from heronladder_control.fleet_service import FleetService
+from heronladder_control.member_context import MemberContext
+from heronladder_control.promise_notes import PromiseNotes
 from heronladder_control.recalls import recall_leases, recall_prepaid
 from heronladder_control.replica_loads import ReplicaLoads
-
-if TYPE_CHECKING:
-    from heronladder_control.member import ControlMember
+from heronladder_control.rollouts.conductor import RolloutConductor
 
 _IDLE_CHECK_S = 1.0
 # Routers; with more, each hears of a lender with its next heartbeat: 300 that come at once
@@ -28,16 +31,35 @@
 _LENDERS_TOLD_AT_ONCE = 64
 
 
+@dataclass(frozen=True)
+class SessionParts:
+    """Parts of a member that streams of daemons are served with.
+
+    Attributes:
+        promise_notes: Hears the promises of routers.
+        rollouts: Hears what routers tell of roll-outs, and grants sends.
+        fleet_service: Carries out what other members pass on.
+        allotments: Knows whether tokens may come from other regions.
+    """
+
+    promise_notes: PromiseNotes
+    rollouts: RolloutConductor
+    fleet_service: FleetService
+    allotments: AllotmentKeeper
+
+
 class ControlService(ControlServicer):
     """The Control service of one member.
 
     Args:
-        member: The member.
+        member: What it shares with the member's other parts.
+        parts: What it passes words of daemons on to.
     """
 
-    def __init__(self, member: ControlMember) -> None:
+    def __init__(self, member: MemberContext, parts: SessionParts) -> None:
         self._member = member
-        self.sessions: dict[str, DaemonSession] = {}
+        self._parts = parts
+        self.sessions = member.sessions
         self._routers = 0  # streams of routers
         self._replica_loads = ReplicaLoads()
         self._config_feed = ConfigFeed(member)
@@ -155,7 +177,7 @@
             self._count_routers()
             self._member.in_force.disconnected(session.record.name)
             self._replica_loads.forget(session.record.name)
-            self._member.promise_notes.forget(session.record.name)
+            self._parts.promise_notes.forget(session.record.name)
 
     def _next_frame(self, session: DaemonSession) -> control_pb2.ControlFrame | None:
         """Return what is to be said next: words first, parts of an update after them."""
@@ -169,7 +191,7 @@
             session.heartbeat_ack = 0
             if session.tells_loads:
                 self._replica_loads.fill(session.record.name, frame)
-            self._member.rollouts.fill(session, frame)
+            self._parts.rollouts.fill(session, frame)
         if session.answers:
             frame.answers.extend(session.answers)
             session.answers.clear()
@@ -249,9 +271,9 @@
         if self.sessions.get(name) is not session or not self._member.node.is_leader:
             return
         if heartbeat.rollouts:
-            self._member.rollouts.told(session, heartbeat.rollouts)
+            self._parts.rollouts.told(session, heartbeat.rollouts)
         if session.record.role == ROLE_ROUTER:
-            self._member.promise_notes.heartbeat(session, heartbeat)
+            self._parts.promise_notes.heartbeat(session, heartbeat)
         if heartbeat.replica_loads or session.tells_loads:
             session.tells_loads = True
             self._replica_loads.told(name, heartbeat.replica_loads)
@@ -275,7 +297,7 @@
         except HeronladderError:
             session.close()  # the daemon finds the new leader and sends it again
             return
-        self._member.allotments.annotate(call.command, result)
+        self._parts.allotments.annotate(call.command, result)
         session.answers.append(control_pb2.DaemonAnswer(call_id=call.call_id, result=result))
         session.wake.give()
 
@@ -348,7 +370,7 @@
     async def Carry(  # noqa: D102 - generated name
         self, request: control_pb2.CarryRequest, context: Any
     ) -> control_pb2.CarryReply:
-        return await self._member.fleet_service.carry(request)
+        return await self._parts.fleet_service.carry(request)
 
     async def Allot(  # noqa: D102 - generated name
         self, request: control_pb2.AllotmentRequest, context: Any
--- a/packages/heronladder-control/src/heronladder_control/status.py
+++ b/packages/heronladder-control/src/heronladder_control/status.py
@@ -2,10 +2,10 @@
 
 from typing import Any
 
-from heronladder_control.member import ControlMember
+from heronladder_control.member_context import MemberContext
 
 
-def status_document(member: ControlMember) -> dict[str, Any]:
+def status_document(member: MemberContext) -> dict[str, Any]:
     """Return the state of the group as the leader knows it."""
     node = member.node
     state = member.state
@@ -42,12 +42,12 @@
     }
 
 
-def _match_index(member: ControlMember, name: str) -> int:
+def _match_index(member: MemberContext, name: str) -> int:
     node = member.node
     return node.log.last_index if name == node.name else node.replication.match_index(name)
 
 
-def _daemons(member: ControlMember) -> list[dict[str, Any]]:
+def _daemons(member: MemberContext) -> list[dict[str, Any]]:
     now = member.environment.monotonic()
     committed = member.state.resources.revision
     documents = []
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -5,7 +5,8 @@
 
 import grpc.aio
 from heronladder_consensus.timing import ConsensusTiming
-from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_control.member import ControlMember
+from heronladder_control.options import ControlOptions
 from heronladder_control.rollouts.exposure import ExposureLimits
 from heronladder_runtime.clock import Environment, seconds
 from heronladder_runtime.disk import FolderDisk
--- a/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
+++ b/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
@@ -103,7 +103,7 @@
             "tasks": len(asyncio.all_tasks()),
             "waiting": len(member.node._waiters),
             "behind": len(member.in_force.behind(member.state.resources.revision)),
-            "streams": len(member.service.sessions),
+            "streams": len(member.sessions),
             "index": member.node.applied_index,
             "revision": member.state.resources.revision,
             "in_force": member.state.in_force_revision,
@@ -121,5 +121,5 @@
         stages.setdefault("first_commit", time.time())
     if member.prepaid_watch.term == member.node.term:
         stages.setdefault("chores", time.time())
-    if member.service.sessions:
+    if member.sessions:
         stages.setdefault("first_stream", time.time())
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/fleet.py
@@ -8,7 +8,8 @@
 
 from heronladder_agent.role import AgentOptions, AgentRole
 from heronladder_consensus.timing import ConsensusTiming
-from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_control.member import ControlMember
+from heronladder_control.options import ControlOptions
 from heronladder_emulator.books import Books
 from heronladder_emulator.engine import EmulatedEngine, EngineOptions
 from heronladder_emulator.memory_disk import MemoryDisk
--- a/tests/test_regions.py
+++ b/tests/test_regions.py
@@ -5,7 +5,8 @@
 import unittest
 
 from heronladder_consensus.timing import ConsensusTiming
-from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_control.member import ControlMember
+from heronladder_control.options import ControlOptions
 from heronladder_emulator.memory_disk import MemoryDisk
 from heronladder_emulator.memory_stubs import MemoryStubs
 from heronladder_emulator.network import Cut, MemoryNetwork, Place, Weather
--- a/tests/test_stretched_group.py
+++ b/tests/test_stretched_group.py
@@ -6,7 +6,8 @@
 from typing import Any
 
 from heronladder_consensus.timing import ConsensusTiming
-from heronladder_control.member import ControlMember, ControlOptions
+from heronladder_control.member import ControlMember
+from heronladder_control.options import ControlOptions
 from heronladder_control.state import ControlState
 from heronladder_daemon.compose_control import compose_control
 from heronladder_daemon.compose_gateway import compose_gateway
