--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -291,6 +291,7 @@
                 self._parts.replicas.spilled()
         elif placement.way is Way.NEAR_SPILL_BOUND:
             self._parts.metrics.add("spills_held_back")
+        progress.suspected = self._parts.crashing.is_suspect(request.fingerprint)
         progress.sends += 1
         progress.replica = replica.name
         if progress.sent_s is None:
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -82,6 +82,7 @@
         handed_out: Whether the caller got any of a replica's success.
         sends: How often it was sent to a replica.
         replica: Identity of the replica it was sent to last.
+        suspected: Whether it may crash replicas: what becomes of it says nothing of a version.
         sent_s: When it was first sent, on the loop's clock; None before.
         first_event_s: When its first event was passed on; None before.
         last_event_s: When its newest event was passed on.
@@ -94,6 +95,7 @@
     handed_out: bool = False
     sends: int = 0
     replica: str = ""
+    suspected: bool = False
     sent_s: float | None = None
     first_event_s: float | None = None
     last_event_s: float = 0.0
@@ -150,6 +152,8 @@
         route = request.matched.route
         objective_s = route.objective_ms / MILLISECONDS_PER_SECOND
         seen = self._replicas.versions.sent(replica, route, objective_s, first=progress.sends == 1)
+        if seen is not None and progress.suspected:
+            seen.spoiled = True
         response: aiohttp.ClientResponse | None = None
         ran_before = progress.ran
         try:
