A stop while the program is loaded is a planned stop; a fault soak over the real programs

The soak (tests/process_soak.py) starts three control members and three gateways as processes from settings files, each on a loopback address of its own, replicas that crash and come back under their id or another, a request that crashes them, an operator that changes routes in series, and callers that keep connections until a process is gone; faults overlap. It checks TWICE, REFUSED, MIXED, what was acknowledged, exits, service once calm, and sends of the crashing request.

Stand-in replicas of the crashing fleet send heartbeats all the time: one that gave up registering after 15 s without a leader (a machine with a load of 17 took 12 s for an election) never came back, and the test blamed gateways.

--- /dev/null
+++ b/tests/process_fleet.py
@@ -0,0 +1,171 @@
+"""The real programs as processes of their own, each on a loopback address of its own."""
+
+import asyncio
+import json
+import os
+import signal
+import subprocess
+import sys
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+CONTROL, GATEWAY = "control", "gateway"
+FRONT_PORT, READY_PORT, CONTROL_PORT = 18080, 18081, 18082
+_INTERNAL_PORTS = (17420, 17435)
+_GRACE_S = 6.0
+_ENDS_WITHIN_S = 12.0
+_LOOK_S = 0.05
+
+
+class Machine:
+    """One machine with one process, as the platform would run it.
+
+    Args:
+        role: ``control`` or ``gateway``.
+        address: Its loopback address.
+        name: Its name.
+        folder: Where its settings, data and output lie.
+        seeds: Addresses of the control machines.
+
+    Attributes:
+        faults: How its process ended though nothing ended it.
+    """
+
+    def __init__(self, role: str, address: str, name: str, folder: Path, seeds: list[str]) -> None:
+        self.role = role
+        self.address = address
+        self.name = name
+        self.faults: list[str] = []
+        self._seeds = seeds
+        self._folder = folder / name
+        self._folder.mkdir(parents=True)
+        self._process: subprocess.Popen[bytes] | None = None
+        self._is_paused = False
+        self._was_started = False
+
+    def _listen(self) -> dict[str, str]:
+        if self.role == CONTROL:
+            return {"control": f"{self.address}:{CONTROL_PORT}"}
+        return {
+            "front": f"{self.address}:{FRONT_PORT}",
+            "readiness": f"{self.address}:{READY_PORT}",
+        }
+
+    def _write_settings(self) -> Path:
+        data = self._folder / "data"
+        data.mkdir(exist_ok=True)
+        document: dict[str, Any] = {
+            "nodeName": self.name,
+            "ip": self.address,
+            "zone": "z1",
+            "region": "r1",
+            "zones": {"z1": "r1", "z2": "r1"},
+            "listen": self._listen(),
+            "internalPorts": list(_INTERNAL_PORTS),
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self._seeds],
+            "bootstrap": not self._was_started,
+            "dataDir": str(data) if self.role == CONTROL else None,
+            "faultTolerance": {"machines": 1},
+            "bounds": {
+                "retryBudgetRatio": 0.2,
+                "budgetSlack": 50,
+                "budgetWindowS": 10,
+                "graceS": _GRACE_S,
+            },
+        }
+        file = self._folder / "settings.json"
+        file.write_text(json.dumps(document))
+        return file
+
+    @property
+    def is_up(self) -> bool:
+        """Whether its process runs and is not paused."""
+        return self.is_running and not self._is_paused
+
+    @property
+    def is_running(self) -> bool:
+        """Whether there is a process."""
+        return self._process is not None and self._process.poll() is None
+
+    def start(self) -> None:
+        """Start the process, anew if it ran before."""
+        self.look()
+        environment = os.environ | {"HERONLADDER_CONFIG": str(self._write_settings())}
+        self._was_started = True
+        with (self._folder / "output.log").open("ab") as output:
+            self._process = subprocess.Popen(
+                [sys.executable, "-m", "heronladder_platform", self.role],
+                env=environment,
+                stdin=subprocess.DEVNULL,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+
+    def look(self) -> None:
+        """Note it if the process has ended by itself."""
+        if self._process is not None and self._process.poll() is not None:
+            self.faults.append(f"{self.name} ended by itself with {self._process.returncode}")
+            self._process = None
+
+    def kill(self) -> None:
+        """End the process at once."""
+        process, self._process = self._process, None
+        if process is not None and process.poll() is None:
+            process.kill()
+            process.wait()
+        self._is_paused = False
+
+    def pause(self) -> None:
+        """Let the process stand still."""
+        if self.is_running and self._process is not None:
+            self._is_paused = True
+            self._process.send_signal(signal.SIGSTOP)
+
+    def go_on(self) -> None:
+        """Let it go on."""
+        if self.is_running and self._process is not None and self._is_paused:
+            self._process.send_signal(signal.SIGCONT)
+        self._is_paused = False
+
+    def reload(self) -> None:
+        """Have it read its settings again."""
+        if self.is_up and self._process is not None:
+            self._process.send_signal(signal.SIGHUP)
+
+    async def stop(self) -> None:
+        """Stop it as planned; a stop that takes too long, or ends badly, is a fault."""
+        process, self._process = self._process, None
+        if process is None:
+            return
+        process.send_signal(signal.SIGTERM)
+        process.send_signal(signal.SIGCONT)
+        self._is_paused = False
+        try:
+            async with asyncio.timeout(_ENDS_WITHIN_S):
+                while process.poll() is None:
+                    await asyncio.sleep(_LOOK_S)
+        except TimeoutError:
+            self.faults.append(f"{self.name} did not stop within {_ENDS_WITHIN_S} s")
+            process.kill()
+            process.wait()
+            return
+        if process.returncode != 0:
+            self.faults.append(f"{self.name} stopped with {process.returncode}")
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        """Whether the platform's balancer would send it callers."""
+        if not self.is_up:
+            return False
+        url = f"http://{self.address}:{READY_PORT}/api/readyz"
+        try:
+            async with session.get(url, timeout=aiohttp.ClientTimeout(total=0.5)) as got:
+                return got.status == 200
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return False
+
+    def output(self) -> str:
+        """Return all it wrote."""
+        file = self._folder / "output.log"
+        return file.read_text(errors="replace") if file.exists() else ""
--- /dev/null
+++ b/tests/process_soak.py
@@ -0,0 +1,446 @@
+"""A fault soak over the real programs: seeded faults that overlap, and what has to hold meanwhile.
+
+Usage: ``python tests/process_soak.py --seeds 1-50 --seconds 20 [--keep FOLDER]``
+"""
+
+import argparse
+import asyncio
+import json
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Coroutine
+from pathlib import Path
+from random import Random
+from typing import Any
+
+import aiohttp
+from platform_stand_ins import (
+    HOST,
+    KEY,
+    Received,
+    StandInReplica,
+    answer,
+    configuration,
+    route,
+)
+from process_fleet import CONTROL, CONTROL_PORT, FRONT_PORT, GATEWAY, Machine
+from replica_calls import tell
+
+_CRASHES = b"crashes whoever runs this"
+_PROMISES = frozenset({408, 421, 429, 503})  # they say: not run, and never will be
+_CONTROLS, _GATEWAYS, _REPLICAS = 3, 3, 5
+_BEAT_S = 0.8
+_ASK_EACH_S = 0.02
+_CALM_S = 6.0  # after the last fault, until all is to be served again
+_LAST_S = 3.0  # of asking, once all is calm
+_SERVED = 0.95  # of what is asked then
+_START_S = 30.0
+_DOWN_S = 1.0
+_CONTACT_S = 3.0
+_MOST_LATE = 3  # sends of a crashing request later than that after its third crash
+_Fault = Callable[[], Awaitable[None]]
+
+
+class SoakReplica:
+    """A replica that may crash and comes back, under its id or another."""
+
+    def __init__(self, soak: "ProcessSoak", number: int) -> None:
+        self._soak = soak
+        self._number = number
+        self._starts = 0
+        self._draining = False
+        self.up: StandInReplica | None = None
+        self._born = 0
+
+    async def start(self) -> None:
+        """Start it."""
+        if self._soak.source.random() < 0.5 or not self._starts:
+            self._starts += 1
+        runner = StandInReplica(f"replica-{self._number}-{self._starts}", self._serve)
+        await runner.start()
+        self._born = int(time.time() * 1000)
+        self._draining = False
+        self.up = runner
+        self._soak.begin(self._beat(runner))
+
+    async def _beat(self, runner: StandInReplica) -> None:
+        sequence = 0
+        while self.up is runner:
+            sequence += 1
+            state = "draining" if self._draining else "ready"
+            told = runner.heartbeat(born=self._born, sequence=sequence, state=state)
+            await self._soak.tell(f"/api/Replicas.Heartbeat/{runner.identity}", told)
+            await asyncio.sleep(_BEAT_S * self._soak.source.uniform(0.5, 1.5))
+
+    async def crash(self, down_s: float = _DOWN_S) -> None:
+        """End it at once; it comes back."""
+        runner, self.up = self.up, None
+        if runner is not None:
+            await runner.stop()
+            await asyncio.sleep(down_s)
+            await self.start()
+
+    async def leave(self) -> None:
+        """Drain, end as planned, and come back later."""
+        runner = self.up
+        if runner is None:
+            return
+        self._draining = True
+        await asyncio.sleep(2.5)
+        if self.up is runner:
+            await self._soak.tell(f"/api/Replicas.Deregister/{runner.identity}", {})
+            await self.crash()
+
+    async def _serve(self, replica: StandInReplica, received: Received) -> bytes:
+        soak = self._soak
+        if received.body == _CRASHES:
+            soak.crashing_s.append(asyncio.get_running_loop().time())
+            if self.up is replica:
+                soak.crashed_s.append(asyncio.get_running_loop().time())
+                soak.begin(self.crash())
+            return b""
+        soak.runs[received.headers["request-id"]] += 1
+        await asyncio.sleep(0.02 * soak.source.uniform(0.5, 3.0))
+        return answer(received, body=received.body)
+
+    async def stop(self) -> None:
+        """End it for good."""
+        runner, self.up = self.up, None
+        if runner is not None:
+            await runner.stop()
+
+
+class ProcessSoak:
+    """One run.
+
+    Args:
+        seed: Draws the faults and what callers do.
+        seconds: How long faults come.
+        folder: Where processes keep their files.
+
+    Attributes:
+        runs: How often each request was run, by its id.
+        crashing_s: When the crashing request reached replicas.
+        crashed_s: When replicas ended under it.
+        broken: What did not hold.
+    """
+
+    def __init__(self, seed: int, seconds: float, folder: Path) -> None:
+        self.source = Random(seed)
+        self.runs: Counter[str] = Counter()
+        self.crashing_s: list[float] = []
+        self.crashed_s: list[float] = []
+        self.broken: list[str] = []
+        self.statuses: Counter[int] = Counter()
+        self._seconds = seconds
+        net = f"127.{10 + seed % 200}.{1 + seed // 200 % 200}"
+        seeds = [f"{net}.{1 + number}" for number in range(_CONTROLS)]
+        self.controls = [
+            Machine(CONTROL, address, f"core-{number}", folder, seeds)
+            for number, address in enumerate(seeds)
+        ]
+        self.gateways = [
+            Machine(GATEWAY, f"{net}.{51 + number}", f"front-{number}", folder, seeds)
+            for number in range(_GATEWAYS)
+        ]
+        self.replicas = [SoakReplica(self, number) for number in range(_REPLICAS)]
+        self.injected: list[str] = []
+        self._orders: set[str] = set()  # ids of requests that may not run twice
+        self._refused: dict[str, int] = {}  # status by request id
+        self._calm_from_s = 0.0
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._asked = 0
+        self._version = 0
+        self._acked = 0
+        self._late: Counter[int] = Counter()  # statuses once all is calm
+        self._is_calm = False
+        self._session: aiohttp.ClientSession
+
+    @property
+    def _machines(self) -> list[Machine]:
+        return [*self.controls, *self.gateways]
+
+    def begin(self, work: Coroutine[Any, Any, None]) -> None:
+        """Have something done beside."""
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    # ---- the run ----------------------------------------------------------
+
+    async def run(self) -> list[str]:
+        """Play the run; return what did not hold."""
+        # Callers keep their connections for as long as the process at the other end lives.
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
+        timeout = aiohttp.ClientTimeout(total=5.0)
+        self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
+        try:
+            await self._start()
+            self.begin(self._operate())
+            self.begin(self._ask_always())
+            self.begin(self._crash_again())
+            await self._inject()
+            await self._be_calm()
+            await self._check()
+        finally:
+            for task in list(self._tasks):
+                task.cancel()
+            await asyncio.gather(*self._tasks, return_exceptions=True)
+            await self._session.close()
+            for replica in self.replicas:
+                await replica.stop()
+            for machine in self._machines:
+                machine.kill()
+        return self.broken
+
+    async def _start(self) -> None:
+        for machine in self._machines:
+            machine.start()
+        for replica in self.replicas:
+            await replica.start()
+        async with asyncio.timeout(_START_S):
+            while not await self._replace():
+                await asyncio.sleep(0.1)
+            while not all([await one.is_ready(self._session) for one in self.gateways]):
+                await asyncio.sleep(0.1)
+
+    async def _inject(self) -> None:
+        """Begin faults that overlap: each takes some seconds, the next one comes sooner."""
+        faults: list[tuple[str, _Fault]] = [
+            ("kill a gateway", self._kill_gateway),
+            ("stop a gateway", self._stop_gateway),
+            ("pause a gateway", self._pause_gateway),
+            ("reload a gateway", self._reload_gateway),
+            ("kill a control member", self._kill_control),
+            ("pause a control member", self._pause_control),
+            ("stop a control member", self._stop_control),
+            ("crash a replica", self._crash_replica),
+            ("crash a replica", self._crash_replica),
+            ("drain a replica", self._drain_replica),
+            ("kill all control members", self._kill_all_controls),
+        ]
+        end_s = asyncio.get_running_loop().time() + self._seconds
+        while asyncio.get_running_loop().time() < end_s:
+            name, fault = self.source.choice(faults)
+            self.injected.append(name)
+            self.begin(self._fault(fault))
+            await asyncio.sleep(self.source.uniform(0.3, 1.5))
+
+    @staticmethod
+    async def _fault(fault: _Fault) -> None:
+        await fault()
+
+    async def _be_calm(self) -> None:
+        await asyncio.sleep(4.0)  # the longest fault is over
+        for machine in self._machines:
+            machine.go_on()
+            if not machine.is_running:
+                machine.start()
+        self._calm_from_s = asyncio.get_running_loop().time() + _CONTACT_S
+        await asyncio.sleep(_CALM_S)
+        self._is_calm = True
+        await asyncio.sleep(_LAST_S)
+
+    # ---- faults -----------------------------------------------------------
+
+    async def _kill_and_start(self, machine: Machine) -> None:
+        if machine.is_up:
+            machine.kill()
+            await asyncio.sleep(self.source.uniform(0.1, 2.0))
+            machine.start()
+
+    async def _pause(self, machine: Machine) -> None:
+        if machine.is_up:
+            machine.pause()
+            await asyncio.sleep(self.source.uniform(0.3, 3.0))
+            machine.go_on()
+
+    async def _stop_and_start(self, machine: Machine) -> None:
+        if machine.is_up:
+            await machine.stop()
+            machine.start()
+
+    async def _kill_gateway(self) -> None:
+        await self._kill_and_start(self.source.choice(self.gateways))
+
+    async def _stop_gateway(self) -> None:
+        await self._stop_and_start(self.source.choice(self.gateways))
+
+    async def _pause_gateway(self) -> None:
+        await self._pause(self.source.choice(self.gateways))
+
+    async def _reload_gateway(self) -> None:
+        self.source.choice(self.gateways).reload()
+
+    async def _kill_control(self) -> None:
+        await self._kill_and_start(self.source.choice(self.controls))
+
+    async def _pause_control(self) -> None:
+        await self._pause(self.source.choice(self.controls))
+
+    async def _stop_control(self) -> None:
+        await self._stop_and_start(self.source.choice(self.controls))
+
+    async def _kill_all_controls(self) -> None:
+        up = [machine for machine in self.controls if machine.is_up]
+        for machine in up:
+            machine.kill()
+        await asyncio.sleep(0.5)
+        for machine in up:
+            machine.start()
+
+    async def _crash_replica(self) -> None:
+        await self.source.choice(self.replicas).crash(self.source.uniform(0.1, 2.0))
+
+    async def _drain_replica(self) -> None:
+        await self.source.choice(self.replicas).leave()
+
+    # ---- operator, replicas, callers --------------------------------------
+
+    async def tell(self, path: str, body: object) -> int:
+        """Make a call at some control machine; return its status, 503 without an answer."""
+        address = f"{self.source.choice(self.controls).address}:{CONTROL_PORT}"
+        return await tell(self._session, address, path, body)
+
+    async def _replace(self) -> bool:
+        self._version += 1
+        version = self._version
+        routes = [route("/safe/"), route("/order/", kind="unsafe", maxAttempts=1)]
+        routes += [route(f"/added-{version}/")]
+        if await self.tell("/api/Config.Replace", configuration(version, *routes)) != 200:
+            return False
+        self._acked = max(self._acked, version)
+        return True
+
+    async def _operate(self) -> None:
+        while True:
+            await self._replace()
+            await asyncio.sleep(self.source.uniform(0.3, 2.0))
+
+    async def _ask_always(self) -> None:
+        while True:
+            path = "/order/" if self.source.random() < 0.5 else "/safe/"
+            self.begin(self._ask(path))
+            await asyncio.sleep(_ASK_EACH_S)
+
+    async def _ask(self, path: str) -> None:
+        machine = self.source.choice(self.gateways)
+        if self._is_calm and not machine.is_up:
+            return
+        self._asked += 1
+        request_id = f"r-{self._asked}"
+        body = f"body of {request_id}".encode()
+        if path == "/order/":
+            self._orders.add(request_id)
+        was_calm = self._is_calm
+        status, got = await self._call(machine, path, request_id, body)
+        self.statuses[status] += 1
+        if status == 200 and got != body:
+            self.broken.append(f"MIXED: {request_id} got {got[:60]!r}")
+        if status in _PROMISES and path == "/order/":
+            self._refused[request_id] = status
+        if was_calm:
+            self._late[status] += 1
+
+    async def _call(
+        self, machine: Machine, path: str, request_id: str, body: bytes
+    ) -> tuple[int, bytes]:
+        headers = {"Host": HOST, "Request-Id": request_id, "Authorization": f"Token {KEY}"}
+        url = f"http://{machine.address}:{FRONT_PORT}{path}"
+        try:
+            async with self._session.post(url, headers=headers, data=body) as got:
+                return got.status, await got.read()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0, b""
+
+    async def _crash_again(self) -> None:
+        number = 0
+        while True:
+            await asyncio.sleep(self.source.uniform(0.3, 1.5))
+            number += 1
+            machine = self.source.choice(self.gateways)
+            self.begin(self._send_crashing(machine, f"crash-{number}"))
+
+    async def _send_crashing(self, machine: Machine, request_id: str) -> None:
+        await self._call(machine, "/safe/", request_id, _CRASHES)
+
+    # ---- what has to hold -------------------------------------------------
+
+    async def _check(self) -> None:
+        for machine in self._machines:
+            machine.look()
+            self.broken.extend(f"ENDED: {fault}" for fault in machine.faults)
+        twice = [name for name in sorted(self._orders) if self.runs[name] > 1]
+        self.broken.extend(f"TWICE: order {name} ran {self.runs[name]} times" for name in twice)
+        for name, status in self._refused.items():
+            if self.runs[name]:
+                self.broken.append(f"REFUSED: {name} was answered {status} and ran")
+        asked = self._late.total()
+        if asked < 20 or self._late[200] < _SERVED * asked:
+            self.broken.append(f"RECOVER: once calm, statuses {dict(self._late)}")
+        self._check_crashing()
+        await self._check_configuration()
+
+    def _check_crashing(self) -> None:
+        # While faults come, gateways are out of touch with each other: judged once that is over.
+        if len(self.crashed_s) > 2:
+            known_s = max(self.crashed_s[2] + _CONTACT_S, self._calm_from_s)
+            late = sum(1 for moment_s in self.crashing_s if moment_s > known_s)
+            if late > _MOST_LATE:
+                self.broken.append(f"CRASHING: sent {late} times, {len(self.crashed_s)} ended")
+
+    async def _check_configuration(self) -> None:
+        for machine in self.controls:
+            url = f"http://{machine.address}:{CONTROL_PORT}/api/Config.Describe"
+            try:
+                async with self._session.get(url) as got:
+                    if got.status != 200:
+                        continue
+                    held = json.loads(await got.read())["version"]
+            except (aiohttp.ClientError, TimeoutError, OSError):
+                continue
+            if held < self._acked:
+                self.broken.append(f"CONFIG: {machine.name} reads {held}, {self._acked} was acked")
+
+
+def play(seed: int, seconds: float, keep: Path | None = None) -> ProcessSoak:
+    """Play a run; keep the files of its processes if something did not hold."""
+    folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
+    soak = ProcessSoak(seed, seconds, folder)
+    try:
+        asyncio.run(soak.run())
+        if soak.broken and keep is not None:
+            shutil.copytree(folder, keep / f"seed-{seed}")
+    finally:
+        shutil.rmtree(folder)
+    return soak
+
+
+def main() -> int:
+    """Play seeds from the command line; return how many broke something."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seeds", default="1-50", help="FIRST-LAST")
+    parser.add_argument("--seconds", type=float, default=20.0)
+    parser.add_argument("--keep", type=Path, help="where files of failed runs go")
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
+    failed = 0
+    for seed in range(int(first), int(last or first) + 1):
+        soak = play(seed, options.seconds, options.keep)
+        failed += bool(soak.broken)
+        print(
+            f"seed {seed}: {'BROKEN' if soak.broken else 'held'}"
+            f" faults={len(soak.injected)} statuses={dict(sorted(soak.statuses.items()))}"
+            f" crashed={len(soak.crashed_s)}",
+            *soak.broken[:10],
+            sep="\n  ",
+            flush=True,
+        )
+    return failed
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/tests/test_early_listeners.py
+++ b/tests/test_early_listeners.py
@@ -306,6 +306,16 @@
         self.assertEqual(process.returncode, 2, told)
         self.assertIn(b"missing or wrong", told)
 
+    async def test_a_stop_during_the_load_is_a_planned_stop(self) -> None:
+        """It ended by the signal, which counts as a failure where exits are watched."""
+        (front, ready) = free_addresses(2)
+        async with asyncio.timeout(20), _gateway_that_loads(front, ready) as process:
+            _, writer = await _connect_once_it_listens(front)
+            process.send_signal(signal.SIGTERM)
+            writer.close()
+            _, told = await process.communicate()
+        self.assertEqual(process.returncode, 0, told)
+
     def test_what_is_loaded_before_listening_is_small(self) -> None:
         """Gateways listened 1.2 s after their start: aiohttp and gRPC were loaded first."""
         command = [sys.executable, "-c", _LOADED_BEFORE_LISTENING]
