--- a/tests/test_registration_batches.py
+++ b/tests/test_registration_batches.py
@@ -36,7 +36,7 @@
         self.log = EventLog("control", "m")
         self.tasks = TaskGroupOwner(self.log)
         self.node = mock.Mock()
-        self.service = SimpleNamespace(sessions=range(_STREAMS))
+        self.sessions = range(_STREAMS)
         fleet = SimpleNamespace(settled=lambda told: False)  # nothing is known yet
         self.state = SimpleNamespace(applied_index=0, fleet=fleet)
         self.registered: list[str] = []
