A late gateway takes no replica for silent; reports of sends and far sends in modules of their own

Cause: a connection that came about while the loop stood still is given up by its own timer; a gateway with too much to do would keep all replicas out.

--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
@@ -0,0 +1,116 @@
+"""The log lines of one request: what each send went by, and how the request ended."""
+
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.logs import EventLog
+
+from heronladder_router.decisions.placement import Placement
+from heronladder_router.fleet_replicas import FleetReplicas
+from heronladder_router.gateway_request import AnswerSink, GatewayRequest
+from heronladder_router.replica_attempt import AnswerProgress
+from heronladder_router.replica_state import FleetReplica
+from heronladder_router.tokens.access import Reservation
+
+
+def _since_ms(start_s: float, moment_s: float | None) -> int | None:
+    """Return the time to a moment in ms; None if it never came."""
+    return None if moment_s is None else int((moment_s - start_s) * MILLISECONDS_PER_SECOND)
+
+
+def report_send(
+    log: EventLog,
+    replicas: FleetReplicas,
+    request: GatewayRequest,
+    replica: FleetReplica,
+    placement: Placement,
+    tried: int,
+    now_s: float,
+) -> None:
+    """Log a send and what the choice of its replica went by.
+
+    Args:
+        log: Where.
+        replicas: All replicas.
+        request: The request.
+        replica: Where it goes.
+        placement: Why there.
+        tried: How often it was sent before.
+        now_s: Time.
+    """
+    log.info(
+        "request_sent",
+        step="send",
+        peer=replica.name,
+        software=replica.record.software,
+        request_id=request.request_id,
+        fingerprint=request.fingerprint,
+        send=tried + 1,
+        candidates=len(replicas.usable(request.wish.service)),
+        tried=tried,
+        in_flight=replica.in_flight,
+        unread_tokens=replica.unread_tokens,
+        others_in_flight=replica.others_in_flight,
+        others_unread_tokens=replica.others_unread_tokens,
+        load_age_s=replicas.load_age_s,
+        kept_tokens=replica.parts.kept_tokens(request.wish.parts),
+        suspect=replica.failures,
+        reason=placement.reason.value,
+        cost_ms=placement.cost_ms,
+        compared=placement.compared,
+        way=placement.way.value,
+        far_sends=replicas.far_sends,
+        slow=replica.pace.factor(now_s),
+        token_ms=replicas.speeds.speed(request.wish.service).token_ms,
+        shared_tokens=request.wish.shared_tokens,
+        again_tokens=placement.again_tokens,
+        cold_s=replica.cold_until_s - now_s,
+        cold_sends=len(replica.cold_sends_s),
+        evacuated=",".join(sorted(replicas.evacuated)),
+    )
+
+
+def report_end(
+    log: EventLog,
+    request: GatewayRequest,
+    sink: AnswerSink,
+    progress: AnswerProgress,
+    reservation: Reservation | None,
+    used: int,
+    now_s: float,
+) -> None:
+    """Log how a request ended.
+
+    Args:
+        log: Where.
+        request: The request.
+        sink: Its caller's connection.
+        progress: How far its answer came.
+        reservation: Tokens that were set aside for it; None if none were.
+        used: Tokens that it cost.
+        now_s: Time.
+    """
+    tenant = request.matched.tenant
+    log.info(
+        "request_ended",
+        step="serve",
+        peer=progress.replica,
+        request_id=request.request_id,
+        route=request.matched.route.name,
+        version=request.matched.version,
+        tenant=tenant.name if tenant is not None else "",
+        service=request.wish.service,
+        sends=progress.sends,
+        ran=progress.ran,
+        finished=progress.finished,
+        started=sink.started,
+        events=progress.cutter.events,
+        last_event=progress.cutter.last_id,
+        reserved=reservation.tokens if reservation is not None else 0,
+        lender=reservation.lender if reservation is not None else "",
+        used=used,
+        objective_ms=request.matched.route.objective_ms,
+        sent_ms=_since_ms(request.arrived_s, progress.sent_s),
+        first_event_ms=_since_ms(request.arrived_s, progress.first_event_s),
+        longest_pause_ms=int(progress.longest_pause_s * MILLISECONDS_PER_SECOND),
+        held_ms=int((now_s - request.arrived_s) * MILLISECONDS_PER_SECOND),
+        left_ms=int((request.deadline_s - now_s) * MILLISECONDS_PER_SECOND),
+    )
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,6 +1,5 @@
 """Replicas of a fleet as a gateway sees them."""
 
-from collections import deque
 from collections.abc import Collection, Mapping
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -14,6 +13,7 @@
 from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
 from heronladder_router.decisions.waiting import ReplicaPlaces
 from heronladder_router.evacuated_zones import EvacuatedZones
+from heronladder_router.far_sends import FarSends
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
@@ -23,7 +23,6 @@
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
 _BUSY_S = 0.15
-_SPILL_WINDOW_S = 1.0
 # How long one is left out whose address answered that it is another's. Each start of a
 # replica is a new incarnation, so it does not come back; a wrong word costs this long (chosen).
 MISDIRECTED_S = 10.0
@@ -66,7 +65,7 @@
             measures_patience=where.measures_patience,
         )
         self._zones = EvacuatedZones()
-        self._far_sends_s: deque[float] = deque()  # of the last second
+        self._far_sends = FarSends(environment)
         self.changed = Pulse()
         self.loads_told_s = float("-inf")  # when control last told the others' load
         self._loads_cut = False  # whether it may have told a part of the replicas only
@@ -227,10 +226,7 @@
     @property
     def far_sends(self) -> int:
         """Requests that spilled to other regions in the last second."""
-        oldest_s = self._environment.monotonic() - _SPILL_WINDOW_S
-        while self._far_sends_s and self._far_sends_s[0] <= oldest_s:
-            self._far_sends_s.popleft()
-        return len(self._far_sends_s)
+        return self._far_sends.count
 
     def places_of(self, wish: Wish) -> tuple[list[ReplicaPlaces], bool]:
         """Return the places of the replicas that a request may go to, and if sums are heard."""
@@ -322,7 +318,7 @@
 
     def spilled(self) -> None:
         """Note that a request goes to another region although this one has replicas for it."""
-        self._far_sends_s.append(self._environment.monotonic())
+        self._far_sends.add()
 
     def _count_cold_send(self, replica: FleetReplica) -> None:
         """Count all sends of the last second: the replica may be known for cold only then."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -3,7 +3,7 @@
 import asyncio
 from dataclasses import dataclass, field, replace
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.logs import EventLog
@@ -13,6 +13,7 @@
 from heronladder_router.crashing_requests import CrashingRequests
 from heronladder_router.decisions.distance import Way
 from heronladder_router.decisions.placement import Placement, Reason
+from heronladder_router.dispatch_reports import report_end, report_send
 from heronladder_router.errors import (
     AnswerLostError,
     BehindError,
@@ -41,7 +42,7 @@
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.request_tokens import RequestTokens
 from heronladder_router.sliding_allowance import SlidingAllowance
-from heronladder_router.tokens.access import Reservation, TokenAccess
+from heronladder_router.tokens.access import TokenAccess
 from heronladder_router.unreached_replicas import UnreachedReplicas
 
 _REJECTIONS = 3  # sends that were not run, over the route's attempts
@@ -56,11 +57,6 @@
 }
 
 
-def _since_ms(start_s: float, moment_s: float | None) -> int | None:
-    """Return the time to a moment in ms; None if it never came."""
-    return None if moment_s is None else int((moment_s - start_s) * MILLISECONDS_PER_SECOND)
-
-
 class StreamBrokenError(HeronladderError):
     """A stream that had begun cannot go on; its connection must be cut."""
 
@@ -140,43 +136,8 @@
             used = self._tokens.used(request, progress)
             if reservation is not None:
                 reservation.settle(used)
-            self._log_end(request, sink, progress, reservation, used)
-
-    def _log_end(
-        self,
-        request: GatewayRequest,
-        sink: AnswerSink,
-        progress: AnswerProgress,
-        reservation: Reservation | None,
-        used: int,
-    ) -> None:
-        now_s = self._parts.environment.monotonic()
-        tenant = request.matched.tenant
-        self._parts.log.info(
-            "request_ended",
-            step="serve",
-            peer=progress.replica,
-            request_id=request.request_id,
-            route=request.matched.route.name,
-            version=request.matched.version,
-            tenant=tenant.name if tenant is not None else "",
-            service=request.wish.service,
-            sends=progress.sends,
-            ran=progress.ran,
-            finished=progress.finished,
-            started=sink.started,
-            events=progress.cutter.events,
-            last_event=progress.cutter.last_id,
-            reserved=reservation.tokens if reservation is not None else 0,
-            lender=reservation.lender if reservation is not None else "",
-            used=used,
-            objective_ms=request.matched.route.objective_ms,
-            sent_ms=_since_ms(request.arrived_s, progress.sent_s),
-            first_event_ms=_since_ms(request.arrived_s, progress.first_event_s),
-            longest_pause_ms=int(progress.longest_pause_s * MILLISECONDS_PER_SECOND),
-            held_ms=int((now_s - request.arrived_s) * MILLISECONDS_PER_SECOND),
-            left_ms=int((request.deadline_s - now_s) * MILLISECONDS_PER_SECOND),
-        )
+            now_s = self._parts.environment.monotonic()
+            report_end(self._parts.log, request, sink, progress, reservation, used, now_s)
 
     # ---- sends ------------------------------------------------------------
 
@@ -296,35 +257,14 @@
         progress.replica = replica.name
         if progress.sent_s is None:
             progress.sent_s = self._parts.environment.monotonic()
-        self._parts.log.info(
-            "request_sent",
-            step="send",
-            peer=replica.name,
-            software=replica.record.software,
-            request_id=request.request_id,
-            fingerprint=request.fingerprint,
-            send=sends.count + 1,
-            candidates=len(self._parts.replicas.usable(request.wish.service)),
-            tried=len(sends.tried),
-            in_flight=replica.in_flight,
-            unread_tokens=replica.unread_tokens,
-            others_in_flight=replica.others_in_flight,
-            others_unread_tokens=replica.others_unread_tokens,
-            load_age_s=self._parts.replicas.load_age_s,
-            kept_tokens=replica.parts.kept_tokens(request.wish.parts),
-            suspect=replica.failures,
-            reason=placement.reason.value,
-            cost_ms=placement.cost_ms,
-            compared=placement.compared,
-            way=placement.way.value,
-            far_sends=self._parts.replicas.far_sends,
-            slow=replica.pace.factor(self._parts.environment.monotonic()),
-            token_ms=self._parts.replicas.speeds.speed(request.wish.service).token_ms,
-            shared_tokens=request.wish.shared_tokens,
-            again_tokens=placement.again_tokens,
-            cold_s=replica.cold_until_s - self._parts.environment.monotonic(),
-            cold_sends=len(replica.cold_sends_s),
-            evacuated=",".join(sorted(self._parts.replicas.evacuated)),
+        report_send(
+            self._parts.log,
+            self._parts.replicas,
+            request,
+            replica,
+            placement,
+            sends.count,
+            self._parts.environment.monotonic(),
         )
 
     def _note_failure(
--- a/packages/heronladder-router/src/heronladder_router/replica_connect.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_connect.py
@@ -4,6 +4,9 @@
 from enum import Enum
 
 _CONNECT_S = 0.3  # to another zone and back, on a busy machine (chosen)
+# A loop that was late by more gives up a connection that came about: a gateway with too much to do
+# took all replicas for silent, and went on refusing when it had caught up.
+_LATE_S = 0.1
 
 
 class Listens(Enum):
@@ -12,6 +15,7 @@
     ACCEPTS = "accepts"
     REFUSES = "refuses"  # the machine says that nothing listens
     SILENT = "silent"  # cut off, without power, or very busy
+    UNCLEAR = "unclear"  # this process was late itself, so it cannot tell
 
 
 async def listens(address: str) -> Listens:
@@ -21,6 +25,8 @@
         address: IP:port.
     """
     host, _, port = address.rpartition(":")
+    loop = asyncio.get_running_loop()
+    due_s = loop.time() + _CONNECT_S
     try:
         async with asyncio.timeout(_CONNECT_S):
             _, writer = await asyncio.open_connection(host, int(port))
@@ -29,5 +35,5 @@
     except ConnectionRefusedError:
         return Listens.REFUSES
     except (OSError, TimeoutError, ValueError):
-        return Listens.SILENT
+        return Listens.UNCLEAR if loop.time() > due_s + _LATE_S else Listens.SILENT
     return Listens.ACCEPTS
--- a/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
@@ -56,13 +56,16 @@
     async def _watch(self, replica: FleetReplica) -> None:
         pause_s = _FIRST_LOOK_S
         began_s = self._environment.monotonic()
+        found = Listens.UNCLEAR
         try:
             while self._replicas.has(replica):
                 until_s = self._environment.monotonic() + 1.5 * pause_s + _SUSPECT_BEYOND_S
                 replica.suspect_until_s = max(replica.suspect_until_s, until_s)
                 await asyncio.sleep(self._environment.jitter(pause_s))
-                if await listens(replica.record.address) is Listens.ACCEPTS:
+                found = await listens(replica.record.address)
+                if found is Listens.ACCEPTS:
                     replica.suspect_until_s = self._environment.monotonic()
+                if found in (Listens.ACCEPTS, Listens.UNCLEAR):
                     break
                 pause_s = min(_LONGEST_LOOK_S, 2 * pause_s)
         finally:
@@ -71,6 +74,6 @@
             "replica_looked_after",
             step="replicas",
             peer=replica.name,
-            back=self._replicas.has(replica),
+            found=found.value,
             after_s=self._environment.monotonic() - began_s,
         )
--- /dev/null
+++ b/tests/test_replica_connect.py
@@ -0,0 +1,44 @@
+"""Whether a replica accepts connections, as a process tells that may be late itself."""
+
+import asyncio
+import time
+import unittest
+from unittest import mock
+
+from heronladder_router.replica_connect import Listens, listens
+from heronladder_tools.demo_fleet import free_addresses
+
+_NEVER_S = 30.0
+
+
+class ListensTest(unittest.IsolatedAsyncioTestCase):
+    async def test_what_accepts_and_what_refuses_is_told_apart(self) -> None:
+        server = await asyncio.start_server(lambda reader, writer: writer.close(), "127.0.0.1", 0)
+        host, port = server.sockets[0].getsockname()
+        self.assertIs(await listens(f"{host}:{port}"), Listens.ACCEPTS)
+        server.close()
+        await server.wait_closed()
+        (address,) = free_addresses(1)
+        self.assertIs(await listens(address), Listens.REFUSES)
+        self.assertIs(await listens("no address"), Listens.SILENT)
+
+    async def test_what_does_not_answer_is_silent(self) -> None:
+        async def never(*_: object) -> None:
+            await asyncio.sleep(_NEVER_S)
+
+        with mock.patch("asyncio.open_connection", never):
+            self.assertIs(await listens("127.0.0.1:9"), Listens.SILENT)
+
+    async def test_a_late_process_does_not_take_a_replica_for_silent(self) -> None:
+        """One with too much to do gave up connections that had come about."""
+
+        async def late(*_: object) -> None:
+            time.sleep(0.6)  # noqa: ASYNC251 - the loop stands still, as under load
+            await asyncio.sleep(_NEVER_S)
+
+        with mock.patch("asyncio.open_connection", late):
+            self.assertIs(await listens("127.0.0.1:9"), Listens.UNCLEAR)
+
+
+if __name__ == "__main__":
+    unittest.main()
