--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -129,6 +129,17 @@
             self._process.send_signal(signal.SIGCONT)
         self._is_paused = False
 
+    def _has_begun(self) -> bool:
+        """Whether its program handles SIGTERM yet; until then the interpreter is being loaded."""
+        if self._process is None:
+            return False
+        try:
+            status = Path(f"/proc/{self._process.pid}/status").read_text()
+        except OSError:
+            return False
+        caught = next(line for line in status.splitlines() if line.startswith("SigCgt:"))
+        return bool(int(caught.split()[1], 16) >> (signal.SIGTERM - 1) & 1)
+
     def reload(self) -> None:
         """Have it read its settings again."""
         if self.is_up and self._process is not None:
@@ -136,6 +147,7 @@
 
     async def stop(self) -> None:
         """Stop it as planned; a stop that takes too long, or ends badly, is a fault."""
+        has_begun = self._has_begun()
         process, self._process = self._process, None
         if process is None:
             return
@@ -151,6 +163,8 @@
             process.kill()
             process.wait()
             return
+        if process.returncode == -signal.SIGTERM and not has_begun:
+            return  # nothing of the program ran yet
         if process.returncode != 0:
             self.faults.append(f"{self.name} stopped with {process.returncode}")
 
