A test that violates an invariant on purpose clears the book after it

With three processes of tests it came before the judge's own test in one of them, which counts the violations of its process.

--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -9,6 +9,7 @@
 from heronladder_router.kept_parts import KeptParts, parse_parts
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.errors import RefusedByInvariantError
+from heronladder_runtime.invariants import BOOK
 from heronladder_runtime.prepaid_window import WINDOW_HOLDS_S
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
@@ -58,6 +59,7 @@
     def test_a_holder_that_tells_more_than_it_was_given_is_refused(self) -> None:
         table = _table(1000)
         table.draw(_draw("a", 1, wanted=100))
+        self.addCleanup(BOOK.clear)  # violated on purpose: not for the judge of later tests
         with self.assertRaises(RefusedByInvariantError):
             table.draw(_draw("a", 2, spent=101))
 
