--- a/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
@@ -1,7 +1,7 @@
 """Keeps replicas out of the choice for as long as they accept no connections.
 
 A replica that crashed stays registered until another one takes its address. It looks idle, so
-each time its suspicion lapsed the next request went there first: with ten such replicas, 3% to 9%
+each time its suspicion lapsed the next request went there first: with ten such replicas, 2% to 11%
 of the requests met four of them in a row and were refused (stand-ins of 8 replicas, 3 gateways).
 """
 
