A gRPC server that was not stopped no longer blocks the process that collects it

Cause: gRPC ends its poller with the last server or channel and joins the poller's thread inside the collection; the thread waits for calls that a server which was not stopped still expects. Ruled out: the poller ends by itself while any reference to it is held.

--- a/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
@@ -29,6 +29,19 @@
     ("grpc.initial_reconnect_backoff_ms", 200),
     ("grpc.max_reconnect_backoff_ms", 500),
 )
+_keeps_poller = False
+
+
+def _keep_poller() -> None:
+    """Keep gRPC's poller for as long as the process lives.
+
+    Without this, the last server or channel that is collected ends the poller, which waits, in
+    the collection, for a server that was not stopped: the process stood still for good.
+    """
+    global _keeps_poller
+    if not _keeps_poller:
+        _keeps_poller = True
+        grpc.aio.init_grpc_aio()
 
 
 class StubFactory(Protocol):
@@ -66,6 +79,7 @@
         return channel
 
     def _open(self, address: str) -> grpc.aio.Channel:
+        _keep_poller()
         if self._credentials is None:
             return grpc.aio.insecure_channel(address, options=_CHANNEL_OPTIONS)
         return grpc.aio.secure_channel(address, self._credentials, options=_CHANNEL_OPTIONS)
@@ -99,4 +113,5 @@
         ("grpc.http2.max_ping_strikes", 0),
         ("grpc.keepalive_permit_without_calls", 1),
     )
+    _keep_poller()
     return grpc.aio.server(options=options)
--- a/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo_fleet.py
@@ -2,7 +2,10 @@
 
 import asyncio
 import hashlib
+import itertools
+import os
 import socket
+from ipaddress import ip_address
 from pathlib import Path
 
 import aiohttp
@@ -23,9 +26,12 @@
 
 OPERATOR_TOKEN = "demo-operator"
 _LOOPBACK = "127.0.0.1"
-# Outgoing connections leave from 127.0.0.1 and would take a port that is free for
-# a moment; listeners that need their port beforehand stand on another number.
-_LISTENERS = "127.0.0.2"
+# Outgoing connections leave from 127.0.0.1 and would take a port that is free for a moment, as
+# would another process that asks at the same time: listeners that need their port beforehand
+# stand on an address of their process, and no port is given out twice.
+_LISTENERS_FROM = int(ip_address("127.1.0.0"))
+_PORTS = itertools.count(10_000)
+_LAST_PORT = 65_535
 _CONTROL_MEMBERS = 3
 _ROUTERS = 3
 _READY_TIMEOUT_S = 30.0
@@ -35,18 +41,31 @@
 
 
 def free_addresses(count: int) -> list[str]:
-    """Return loopback addresses whose ports the kernel gave and that are free."""
-    sockets = []
-    for _ in range(count):
-        holder = socket.socket()
-        holder.bind((_LISTENERS, 0))
-        sockets.append(holder)
-    addresses = [f"{_LISTENERS}:{holder.getsockname()[1]}" for holder in sockets]
-    for holder in sockets:
-        holder.close()
+    """Return loopback addresses that are free, and that no other process is given.
+
+    Raises:
+        HeronladderError: This process has used up its ports.
+    """
+    host = str(ip_address(_LISTENERS_FROM + os.getpid()))
+    addresses: list[str] = []
+    while len(addresses) < count:
+        port = next(_PORTS)
+        if port > _LAST_PORT:
+            raise HeronladderError("no port is left", step="free_addresses", peer=host)
+        if _is_free(host, port):
+            addresses.append(f"{host}:{port}")
     return addresses
 
 
+def _is_free(host: str, port: int) -> bool:
+    with socket.socket() as holder:
+        try:
+            holder.bind((host, port))
+        except OSError:
+            return False
+    return True
+
+
 class DemoFleet:
     """Control members, routers, agents and stand-ins of one profile.
 
