Gateways know the others' load from their first heartbeat on

Cause: control told the load of other gateways only to those that had told some. A gateway with nothing under way at its beats was told nothing, and sent its first burst as if all replicas were idle. Now they are.

--- a/packages/heronladder-control/src/heronladder_control/daemon_session.py
+++ b/packages/heronladder-control/src/heronladder_control/daemon_session.py
@@ -39,7 +39,10 @@
         self.told_addresses: list[str] = []
         self.told_routers = 0
         self.lenders = LenderNews()
-        self.tells_loads = False  # whether it ever told what it has under way at replicas
+        # Whether it is told what others have under way at replicas. Gateways are from the first
+        # heartbeat on: one that had nothing under way at its beats was never told, and sent its
+        # first burst as if all replicas were idle.
+        self.tells_loads = hello.acts_past_lease
 
     def close(self) -> None:
         """End the stream."""
--- a/packages/heronladder-router/src/heronladder_router/place_queue.py
+++ b/packages/heronladder-router/src/heronladder_router/place_queue.py
@@ -20,6 +20,7 @@
     Waiter,
     Waiting,
     WaitingView,
+    Why,
     ahead_of,
     decide,
     next_waiter,
@@ -99,9 +100,11 @@
         waiter = Waiter(self._number, request.matched.priority, in_time_until_s, whole_s)
         ahead = ahead_of(waiter, [other for other, _, _ in queue.waiting.values()])
         decided = self._decide(queue, request.wish, ahead, waiter)
-        if decided.verdict is Verdict.SEND:
+        if decided.why is Why.FREE:
             return
         self._report(request, queue, decided, ahead)
+        if decided.verdict is Verdict.SEND:
+            return
         if decided.verdict is Verdict.TURN_AWAY:
             raise self._turned_away(request, queue, decided)
         await self._wait(request, queue, waiter, decided.last_start_ms)
