A leave told to a member that lags is not acknowledged for an earlier start

A deregistration names no start; the member that is asked adds the one it knows, so that it does not end a start that registers while it waits. A member that lagged added an earlier one: the leader ended nothing, acknowledged it, and the replica went on getting requests (test: 200, still used). Such a deregistration is unclear now (503), and is asked again. Ruled out as mends: the leader's start alone (it would end a start that registered meanwhile); times of registrations (a new leader knows none).

--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -16,6 +16,7 @@
 
 from heronladder_control.cold_words import ColdWords
 from heronladder_control.evacuations import LateOrders
+from heronladder_control.fleet import is_earlier_start
 from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
 from heronladder_control.leader_asks import FleetOutcome, LeaderAsks, Standing
 from heronladder_control.member_context import MemberContext
@@ -177,6 +178,8 @@
             is_replica = request.command.HasField("register_replica")
             if is_replica and self._is_late(request.command.register_replica):
                 return control_pb2.CarryReply(result=success())
+            if is_replica and self._names_an_earlier_start(request.command.register_replica):
+                return control_pb2.CarryReply(unclear=True)
             if self._is_overtaken(request):
                 return control_pb2.CarryReply(unclear=True)
             if request.command.HasField("register_replicas"):
@@ -234,6 +237,26 @@
         )
         return not order.returns
 
+    def _names_an_earlier_start(self, order: control_pb2.RegisterReplica) -> bool:
+        """Whether a deregistration was given an earlier start than the one known here.
+
+        The member that was asked may lag: acknowledged, it would have ended nothing, and the
+        replica that left would be sent requests.
+        """
+        replica = order.replica
+        known = self._member.state.fleet.replica(replica.id)
+        if not replica.gone or known is None or not is_earlier_start(replica, known):
+            return False
+        self._member.metrics.add("leaves_of_earlier_starts")
+        self._member.log.info(
+            "leave_of_earlier_start",
+            step="register_replica",
+            peer=replica.id,
+            start_ms=replica.start_ms,
+            known_start_ms=known.start_ms,
+        )
+        return True
+
     def _is_overtaken(self, request: control_pb2.CarryRequest) -> bool:
         """Whether an order is older than the newest change of what it is for."""
         if request.command.WhichOneof("body") == "start_rollout":
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -134,6 +134,8 @@
     "stream_broken": "An answer that had begun was cut.",
     "task_failed": "A background task ended with an error.",
     "tokens_refused": "A tenant's tokens could not be reserved; `held` is what was here.",
+    "leave_of_earlier_start": "A deregistration was given an earlier start than the one known, by a"
+    " member that lags: it is not acknowledged, and asked again.",
     "replaced_replica_heard": "A heartbeat of a replica whose address another one has: late, or"
     " proof that it runs (`returns`).",
     "torn_write_dropped": "The last write before a crash was torn and dropped.",
@@ -188,6 +190,8 @@
     "order_answered": "Time of an order from its receipt to its answer, by kind and standing.",
     "planned_stop_cuts": "Requests cut by planned stops.",
     "refused": "Refusals, by code.",
+    "leaves_of_earlier_starts": "Deregistrations that were given an earlier start than the one"
+    " known.",
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
     "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
     "retries": "Further sends of routers.",
