--- a/tests/test_restarts_under_failure.py
+++ b/tests/test_restarts_under_failure.py
@@ -1,8 +1,8 @@
 """A replica starts again under its id while leaves wait, heartbeats are held up, members are lost.
 
 A deregistration names no start: the member that is asked added the one that it knew. A member that
-lagged added an earlier one, so the leader ended nothing and acknowledged all the same; the replica had
-left, as it was told, and was sent requests.
+lagged added an earlier one, so the leader ended nothing and acknowledged all the same; the replica
+had left, as it was told, and was sent requests.
 """
 
 import asyncio
