--- a/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
@@ -50,7 +50,7 @@
         unread_tokens=replica.unread_tokens,
         others_in_flight=replica.others_in_flight,
         others_unread_tokens=replica.others_unread_tokens,
-        load_age_s=replicas.load_age_s,
+        load_age_s=replicas.loads.age_s,
         kept_tokens=replica.parts.kept_tokens(request.wish.parts),
         suspect=replica.failures,
         reason=placement.reason.value,
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,12 +1,11 @@
 """Replicas of a fleet as a gateway sees them."""
 
-from collections.abc import Collection, Mapping
+from collections.abc import Collection
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.pulse import Pulse
-from heronladder_runtime.replica_sums import MOST_TOLD
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
@@ -18,6 +17,7 @@
 from heronladder_router.replica_state import FleetReplica, Wish
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
 from heronladder_router.service_speeds import ServiceSpeeds
+from heronladder_router.shared_loads import SharedLoads
 from heronladder_router.surroundings import Surroundings
 
 _FIRST_SUSPICION_S = 0.4
@@ -26,7 +26,6 @@
 # How long one is left out whose address answered that it is another's. Each start of a
 # replica is a new incarnation, so it does not come back; a wrong word costs this long (chosen).
 MISDIRECTED_S = 10.0
-_LOADS_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
 
 
 class FleetReplicas:
@@ -67,8 +66,7 @@
         self._zones = EvacuatedZones()
         self._far_sends = FarSends(environment)
         self.changed = Pulse()
-        self.loads_told_s = float("-inf")  # when control last told the others' load
-        self._loads_cut = False  # whether it may have told a part of the replicas only
+        self.loads = SharedLoads(lambda: self._replicas.values(), environment)
         configuration.listen(self._rebuild)
 
     def _rebuild(self) -> None:
@@ -216,7 +214,7 @@
             evacuated=self.evacuated,
             bears_per_s=self._bears_per_s(service),
             cold_share=self._cold.share,
-            shares_load=self.load_age_s < _LOADS_HOLD_S,
+            shares_load=self.loads.known,
             far_cost_ms=self._where.far_cost_ms,
             may_spill=self.far_sends < self._where.far_sends_per_s,
             speed=self.speeds.speed(service),
@@ -264,43 +262,11 @@
         now_s = self._environment.monotonic()
         return sum(1 for replica in self._replicas.values() if replica.cold_until_s > now_s)
 
-    # ---- load that gateways share through control -------------------------
-
     def fill_heartbeat(self, heartbeat: control_pb2.Heartbeat) -> None:
-        """Tell what this gateway has under way at each replica."""
-        for replica in self._replicas.values():
-            if replica.in_flight > 0:
-                load = heartbeat.replica_loads[replica.name]
-                load.in_flight = replica.in_flight
-                load.unread_tokens = max(0, replica.unread_tokens)
+        """Tell what this gateway has under way, and what it saw of versions on trial."""
+        self.loads.fill_heartbeat(heartbeat)
         self.versions.fill_heartbeat(heartbeat, self._replicas.values())
 
-    @property
-    def load_age_s(self) -> float:
-        """Age of what control told of the others' load, in seconds; inf if it never did."""
-        return self._environment.monotonic() - self.loads_told_s
-
-    def others_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
-        """Take what all other gateways have under way."""
-        self.loads_told_s = self._environment.monotonic()
-        held = {replica.name for replica in self._replicas.values() if replica.in_flight > 0}
-        # Those that only this gateway sends to are among the busiest too, but it is not told them.
-        self._loads_cut = len(held.union(loads)) >= MOST_TOLD
-        for replica in self._replicas.values():
-            known = replica.name in loads
-            replica.others_in_flight = loads[replica.name].in_flight if known else 0
-            replica.others_unread_tokens = loads[replica.name].unread_tokens if known else 0
-
-    def under_way(self) -> tuple[int, int | None]:
-        """Return the requests of this gateway, and of all others, that replicas hold.
-
-        The others' are None where they are not known, or only those of the busiest replicas.
-        """
-        own = sum(replica.in_flight for replica in self._replicas.values())
-        if self.load_age_s >= _LOADS_HOLD_S or self._loads_cut:
-            return own, None
-        return own, sum(replica.others_in_flight for replica in self._replicas.values())
-
     # ---- what was seen of a replica ---------------------------------------
 
     def sent(self, replica: FleetReplica, wish: Wish) -> int:
@@ -328,14 +294,6 @@
             sends.popleft()
         sends.append(now_s)
 
-    def load_now(self, replica: FleetReplica) -> tuple[int, int]:
-        """Return the unread tokens and the requests at a replica, as far as they are known."""
-        tokens, running = replica.unread_tokens, replica.in_flight
-        if self.load_age_s < _LOADS_HOLD_S:
-            tokens += replica.others_unread_tokens
-            running += replica.others_in_flight
-        return tokens, running
-
     @staticmethod
     def began(replica: FleetReplica, unread: int) -> None:
         """Note that the first event of a request came, or that none will."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -124,7 +124,7 @@
         self.taking = Taking(
             options.behind_after_ms,
             self.link,
-            self.replicas,
+            self.replicas.loads,
             environment,
             self.metrics,
             self.log,
@@ -213,7 +213,7 @@
         )
 
     def _loads_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
-        self.replicas.others_told(loads)
+        self.replicas.loads.others_told(loads)
         self.places.loads_told()
         self._look_at_load()
 
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -352,7 +352,7 @@
         self._tokens = tokens
         self._environment = environment
         self._sent_s = environment.monotonic()
-        self._ahead, self._running = replicas.load_now(replica)
+        self._ahead, self._running = replicas.loads.now_at(replica)
         self._counted = False
 
     def read(self) -> None:
--- a/packages/heronladder-router/src/heronladder_router/taking.py
+++ b/packages/heronladder-router/src/heronladder_router/taking.py
@@ -8,7 +8,7 @@
 from heronladder_runtime.metrics import Metrics
 
 from heronladder_router.decisions.take import TakeView, take
-from heronladder_router.fleet_replicas import FleetReplicas
+from heronladder_router.shared_loads import SharedLoads
 
 
 class Taking:
@@ -17,7 +17,7 @@
     Args:
         limit_ms: Behind from there, by link or loop; 0: never.
         link: The link to control, whose heartbeats it goes by.
-        replicas: Tells what gateways have under way.
+        loads: Tells what gateways have under way.
         environment: Time.
         metrics: Where changes are counted.
         log: Where changes are logged.
@@ -27,14 +27,14 @@
         self,
         limit_ms: float,
         link: ControlLink,
-        replicas: FleetReplicas,
+        loads: SharedLoads,
         environment: Environment,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
         self._limit_ms = limit_ms
         self._link = link
-        self._replicas = replicas
+        self._loads = loads
         self._environment = environment
         self._metrics = metrics
         self._log = log
@@ -60,7 +60,7 @@
             return
         now_s = self._environment.monotonic()
         since_s = self._behind_since_s
-        own, others = self._replicas.under_way()
+        own, others = self._loads.under_way()
         view = TakeView(
             limit_ms=self._limit_ms,
             link_ms=self._link.round_trip_s * MILLISECONDS_PER_SECOND,
--- a/tests/test_loads_told.py
+++ b/tests/test_loads_told.py
@@ -21,11 +21,11 @@
         self.addAsyncCleanup(fleet.stop)
         gateway = fleet.gateway.gateway
         assert gateway is not None
-        replicas = gateway.replicas
+        loads = gateway.replicas.loads
         until_s = asyncio.get_running_loop().time() + _TOLD_WITHIN_S
-        while replicas.load_age_s == float("inf") and asyncio.get_running_loop().time() < until_s:
+        while loads.age_s == float("inf") and asyncio.get_running_loop().time() < until_s:
             await asyncio.sleep(_POLL_S)
-        self.assertLess(replicas.load_age_s, _TOLD_WITHIN_S)
+        self.assertLess(loads.age_s, _TOLD_WITHIN_S)
 
 
 if __name__ == "__main__":
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -96,7 +96,7 @@
     def test_what_others_had_under_way_is_old(self) -> None:
         def age_s(fleet: Fleet) -> float:
             assert fleet.gateway.gateway is not None
-            return fleet.gateway.gateway.replicas.load_age_s
+            return fleet.gateway.gateway.replicas.loads.age_s
 
         self.assertGreaterEqual(self._after_waking(age_s), _SUSPENDED_S)
 
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -217,19 +217,19 @@
                 for name in names[told : told + own]:
                     replica = next(one for one in gateway.usable("s") if one.name == name)
                     gateway.sent(replica, Wish("s"))
-                gateway.others_told({name: busy[name] for name in names[:told]})
-                self.assertEqual(gateway.under_way(), (own, 9 * told if known else None))
+                gateway.loads.others_told({name: busy[name] for name in names[:told]})
+                self.assertEqual(gateway.loads.under_way(), (own, 9 * told if known else None))
 
 
 class NewStreamTest(unittest.TestCase):
     def test_a_gateway_is_not_behind_by_the_first_sums_of_a_new_stream(self) -> None:
         link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20, heard_since_s=99.5)
-        replicas = SimpleNamespace(under_way=lambda: (100, 0))
+        loads = SimpleNamespace(under_way=lambda: (100, 0))
         clock = _Clock()
         taking = Taking(
             _LIMIT_MS,
             cast(Any, link),
-            cast(Any, replicas),
+            cast(Any, loads),
             clock,
             Metrics(),
             EventLog("test", "gateway"),
@@ -245,19 +245,19 @@
     def test_a_gateway_is_not_behind_for_ever_while_control_is_silent(self) -> None:
         """Nothing but the answers of control had it look again."""
         link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20, heard_since_s=0.0)
-        replicas = SimpleNamespace(under_way=lambda: (100, 100))
+        loads = SimpleNamespace(under_way=lambda: (100, 100))
         clock = _Clock()
         taking = Taking(
             _LIMIT_MS,
             cast(Any, link),
-            cast(Any, replicas),
+            cast(Any, loads),
             clock,
             Metrics(),
             EventLog("test", "gateway"),
         )
         taking.look()
         self.assertTrue(taking.behind)
-        replicas.under_way = lambda: (100, None)
+        loads.under_way = lambda: (100, None)
         clock.now_s += 4.1
         taking.look()
         self.assertFalse(taking.behind)
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -280,7 +280,7 @@
         got = await asyncio.gather(*(one(number) for number in range(40)))
         refused = [entry for entry in got if entry[0] == 503]
         ran = {received.headers["request-id"] for received in replica.received}
-        load_age_s, link_s = gateway.replicas.load_age_s, gateway.link.round_trip_s
+        load_age_s, link_s = gateway.replicas.loads.age_s, gateway.link.round_trip_s
         self.assertGreater(len(refused), 10, f"loads {load_age_s:.2f} s old, link {link_s:.3f} s")
         self.assertEqual(len(refused) + sum(entry[0] == 200 for entry in got), 40)
         for number, (status, _, after_s, outcome) in enumerate(got):
