--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -20,6 +20,7 @@
         parts: What it is taken to keep of earlier prompts.
         failures: Failures in a row.
         unreached: Whether no connection to it came about the last time.
+        refuses: Whether its machine said, when asked again, that nothing listens there.
         suspect_until_s: Until when others are preferred.
         cold_until_s: Until when it is taken for cold.
         cold_sends_s: When this gateway sent to it while it was cold, for as long as that counts.
@@ -35,6 +36,7 @@
     unread_tokens: int = 0
     failures: int = 0
     unreached: bool = False
+    refuses: bool = False
     suspect_until_s: float = 0.0
     cold_until_s: float = 0.0
     cold_sends_s: deque[float] = field(default_factory=deque)
--- a/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
@@ -63,12 +63,14 @@
                 replica.suspect_until_s = max(replica.suspect_until_s, until_s)
                 await asyncio.sleep(self._environment.jitter(pause_s))
                 found = await listens(replica.record.address)
+                replica.refuses = found is Listens.REFUSES
                 if found is Listens.ACCEPTS:
                     replica.suspect_until_s = self._environment.monotonic()
                 if found in (Listens.ACCEPTS, Listens.UNCLEAR):
                     break
                 pause_s = min(_LONGEST_LOOK_S, 2 * pause_s)
         finally:
+            replica.refuses = False  # nobody looks whether it still does
             self._watched.discard(id(replica))
         self._log.info(
             "replica_looked_after",
--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -144,6 +144,18 @@
         self.assertEqual({one.reason for one in found}, {Reason.SUSPECT})
         self.assertTrue(all(one.replica and one.replica.record.zone[0] == "n" for one in found))
 
+    def test_a_region_where_nothing_listens_goes_elsewhere_whatever_the_bound(self) -> None:
+        """Its replicas had crashed; all but five requests a second were refused."""
+        fleet = _Fleet()
+        for replica in fleet.of_region("n"):
+            replica.suspect_until_s = 20.0
+            replica.refuses = True
+        found = [fleet.place(Wish(_SERVICE), may_spill=False) for _ in range(50)]
+        self.assertEqual({one.way for one in found}, {Way.FAR_NONE_NEAR})
+        for replica in fleet.replicas:
+            replica.refuses = True
+        self.assertIsNotNone(fleet.place(Wish(_SERVICE)).replica)
+
     def test_suspects_of_all_regions_are_compared_as_ever(self) -> None:
         fleet = _Fleet()
         for replica in fleet.replicas:
