Outcomes of a send, hop headers and unread prompts in modules of their own; a try that reached nothing is typed

What step=connect said is a type (NotReachedError), which dispatch and the metric sends_failed name.

--- a/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
@@ -3,10 +3,10 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 from heronladder_runtime.logs import EventLog
 
+from heronladder_router.attempt_outcomes import AnswerProgress
 from heronladder_router.decisions.placement import Placement
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest
-from heronladder_router.replica_attempt import AnswerProgress
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.tokens.access import Reservation
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -9,6 +9,14 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 
+from heronladder_router.attempt_outcomes import (
+    AnswerProgress,
+    ConnectionEndedError,
+    NotReachedError,
+    NotRunError,
+    RunFailedError,
+    RunLostError,
+)
 from heronladder_router.crash_reports import CrashReports
 from heronladder_router.crashing_requests import CrashingRequests
 from heronladder_router.decisions.distance import Way
@@ -31,14 +39,7 @@
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
 from heronladder_router.host_routes import HostRouteTable
 from heronladder_router.place_queue import PlaceQueue
-from heronladder_router.replica_attempt import (
-    AnswerProgress,
-    ConnectionEndedError,
-    NotRunError,
-    ReplicaAttempts,
-    RunFailedError,
-    RunLostError,
-)
+from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.request_tokens import RequestTokens
 from heronladder_router.sliding_allowance import SlidingAllowance
@@ -164,7 +165,7 @@
                 return
             except NotRunError as error:
                 sends.rejected += 1
-                sends.unreached += error.step == "connect"
+                sends.unreached += isinstance(error, NotReachedError)
                 self._note_failure(request, replica, error)
                 if sends.rejected > _REJECTIONS:
                     break
@@ -285,7 +286,7 @@
         elif error.step == "misdirected":
             self._parts.replicas.misdirected(replica)
         else:
-            unreached = error.step == "connect"
+            unreached = isinstance(error, NotReachedError)
             self._parts.replicas.failed(replica, error.message, unreached=unreached)
             if unreached:
                 self._parts.unreached.watch(replica)
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -29,9 +29,9 @@
     TokenBounds,
     parse_bounds,
 )
+from heronladder_router.hop_headers import is_hop_header
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
 from heronladder_router.kept_parts import parse_parts
-from heronladder_router.replica_attempt import is_hop_header
 from heronladder_router.replica_state import Wish
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -2,19 +2,24 @@
 
 import asyncio
 from collections.abc import Coroutine
-from dataclasses import dataclass, field
 from typing import Any
 
 import aiohttp
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
-from heronladder_runtime.errors import HeronladderError
 
+from heronladder_router.attempt_outcomes import (
+    AnswerProgress,
+    ConnectionEndedError,
+    NotReachedError,
+    NotRunError,
+    RunFailedError,
+    RunLostError,
+)
 from heronladder_router.decisions.patience import patience
-from heronladder_router.decisions.speed import FirstEvent
-from heronladder_router.event_stream import EventCutter
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
+from heronladder_router.hop_headers import passed_headers
 from heronladder_router.replica_client import (
     ReplicaClient,
     ReplicaLostError,
@@ -22,6 +27,7 @@
 )
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.version_gates import AnswerSeen
+from heronladder_router.unread_prompt import UnreadPrompt
 
 _EVENT_STREAM = "text/event-stream"
 _MISDIRECTED = 421
@@ -29,88 +35,9 @@
 _FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR = 500
 _FIRST_REDIRECT = 300
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "keep-alive",
-        "proxy-connection",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-length",
-    }
-)
 _LONGEST_GAP_S = 2.0
 
 
-class NotRunError(HeronladderError):
-    """The replica did not run the request, and says so or never got it."""
-
-
-class RunLostError(HeronladderError):
-    """The replica may have run the request; its answer is lost or broken."""
-
-
-class ConnectionEndedError(RunLostError):
-    """The connection ended in the middle of the answer; the replica may have crashed."""
-
-
-class RunFailedError(HeronladderError):
-    """The replica ran the request and failed; ``answer`` says how."""
-
-    def __init__(self, answer: ReplicaAnswer, *, step: str, peer: str) -> None:
-        super().__init__(f"status {answer.status}", step=step, peer=peer)
-        self.answer = answer
-
-
-def is_hop_header(name: str) -> bool:
-    """Whether a header concerns one connection only."""
-    return name.lower() in _HOP_HEADERS
-
-
-@dataclass
-class AnswerProgress:
-    """How far the answer to a request has come, over all its sends.
-
-    Attributes:
-        cutter: Events passed on.
-        ran: Whether a replica may have run it.
-        finished: Whether the whole answer was passed on.
-        handed_out: Whether the caller got any of a replica's success.
-        sends: How often it was sent to a replica.
-        replica: Identity of the replica it was sent to last.
-        suspected: Whether it may crash replicas: what becomes of it says nothing of a version.
-        sent_s: When it was first sent, on the loop's clock; None before.
-        first_event_s: When its first event was passed on; None before.
-        last_event_s: When its newest event was passed on.
-        longest_pause_s: Longest time between two events passed on.
-    """
-
-    cutter: EventCutter = field(default_factory=EventCutter)
-    ran: bool = False
-    finished: bool = False
-    handed_out: bool = False
-    sends: int = 0
-    replica: str = ""
-    suspected: bool = False
-    sent_s: float | None = None
-    first_event_s: float | None = None
-    last_event_s: float = 0.0
-    longest_pause_s: float = 0.0
-
-    def passed_on(self, now_s: float) -> None:
-        """Note that events were passed on."""
-        self.handed_out = True
-        if self.first_event_s is None:
-            self.first_event_s = now_s
-        else:
-            self.longest_pause_s = max(self.longest_pause_s, now_s - self.last_event_s)
-        self.last_event_s = now_s
-
-
 class ReplicaAttempts:
     """Sends requests to replicas.
 
@@ -148,7 +75,7 @@
             RunFailedError: If the replica's answer is a failure that may be tried again.
         """
         unread = self._replicas.sent(replica, request.wish)
-        reading = _UnreadPrompt(self._replicas, replica, unread, self._environment)
+        reading = UnreadPrompt(self._replicas, replica, unread, self._environment)
         route = request.matched.route
         objective_s = route.objective_ms / MILLISECONDS_PER_SECOND
         seen = self._replicas.versions.sent(replica, route, objective_s, first=progress.sends == 1)
@@ -212,7 +139,7 @@
                 f"no answer began in time ({waited_s:.2f} s)", step="send", peer=replica.name
             ) from error
         except ReplicaNotReachedError as error:
-            raise NotRunError(error.message, step="connect", peer=replica.name) from error
+            raise NotReachedError(error.message, step="connect", peer=replica.name) from error
 
     def _patience_s(self, request: GatewayRequest) -> float:
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
@@ -239,7 +166,7 @@
         response: aiohttp.ClientResponse,
         sink: AnswerSink,
         progress: AnswerProgress,
-        reading: "_UnreadPrompt",
+        reading: UnreadPrompt,
         seen: AnswerSeen | None,
     ) -> None:
         identity = response.headers.get(self._names.request_id)
@@ -268,7 +195,7 @@
             return
         if seen is not None:
             seen.came(self._environment.monotonic())
-        answer = ReplicaAnswer(response.status, _passed_headers(response), await response.read())
+        answer = ReplicaAnswer(response.status, passed_headers(response), await response.read())
         if sink.started:
             raise RunLostError("the stream did not go on", step="resume", peer=replica.name)
         if answer.status >= _FIRST_SERVER_ERROR:
@@ -283,7 +210,7 @@
         response: aiohttp.ClientResponse,
         sink: AnswerSink,
         progress: AnswerProgress,
-        reading: "_UnreadPrompt",
+        reading: UnreadPrompt,
         seen: AnswerSeen | None,
     ) -> None:
         cutter = progress.cutter
@@ -314,7 +241,7 @@
         if not cutter.clean:
             raise ConnectionEndedError("the stream ended within an event", step="read_stream")
         if not sink.started:
-            head = ReplicaAnswer(response.status, _passed_headers(response))
+            head = ReplicaAnswer(response.status, passed_headers(response))
             await _passed(sink.start(head), seen)
         progress.finished = True
         progress.handed_out = True
@@ -323,7 +250,7 @@
     @staticmethod
     async def _write(response: aiohttp.ClientResponse, sink: AnswerSink, whole: bytes) -> None:
         if not sink.started:
-            await sink.start(ReplicaAnswer(response.status, _passed_headers(response)))
+            await sink.start(ReplicaAnswer(response.status, passed_headers(response)))
         await sink.write(whole)
 
 
@@ -335,51 +262,3 @@
         if seen is not None:
             seen.spoiled = True
         raise
-
-
-class _UnreadPrompt:
-    """Takes a prompt off its replica's account once, when it has been read."""
-
-    def __init__(
-        self,
-        replicas: FleetReplicas,
-        replica: FleetReplica,
-        tokens: int,
-        environment: Environment,
-    ) -> None:
-        self._replicas = replicas
-        self._replica = replica
-        self._tokens = tokens
-        self._environment = environment
-        self._sent_s = environment.monotonic()
-        self._ahead, self._running = replicas.loads.now_at(replica)
-        self._counted = False
-
-    def read(self) -> None:
-        """Note that events came: the first one tells how fast the replica is."""
-        if self._counted:
-            return
-        self._counted = True
-        took_ms = (self._environment.monotonic() - self._sent_s) * MILLISECONDS_PER_SECOND
-        self._replicas.speeds.first_event(
-            self._replica, FirstEvent(self._ahead, self._running - 1, took_ms)
-        )
-        self.done()
-
-    def given_up(self, after_s: float) -> None:
-        """Note that no event came in so long."""
-        self._replicas.speeds.given_up(self._replica, after_s)
-
-    def done(self) -> None:
-        """Note that the prompt is read, or will not be."""
-        tokens, self._tokens = self._tokens, 0
-        self._replicas.began(self._replica, tokens)
-
-
-def _passed_headers(response: aiohttp.ClientResponse) -> list[tuple[str, str]]:
-    dropped = {name.strip().lower() for name in response.headers.get("Connection", "").split(",")}
-    return [
-        (name, value)
-        for name, value in response.headers.items()
-        if not is_hop_header(name) and name.lower() not in dropped
-    ]
--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -4,10 +4,10 @@
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.logs import EventLog
 
+from heronladder_router.attempt_outcomes import AnswerProgress
 from heronladder_router.errors import CallerError
 from heronladder_router.gateway_request import GatewayRequest
 from heronladder_router.host_routes import HostRouteTable
-from heronladder_router.replica_attempt import AnswerProgress
 from heronladder_router.tokens.access import Reservation, TokenAccess
 
 _LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
--- a/tests/test_unreached_replicas.py
+++ b/tests/test_unreached_replicas.py
@@ -49,10 +49,10 @@
         for replica in self.replicas[_STAYS:]:
             await replica.stop()
         await self._ask(1.5)
-        failed = self.role.metrics.counters["sends_failed", "NotRunError"]
+        failed = self.role.metrics.counters["sends_failed", "NotReachedError"]
         statuses = await self._ask(6.0)
         self.assertEqual(set(statuses), {200})
-        self.assertEqual(self.role.metrics.counters["sends_failed", "NotRunError"], failed)
+        self.assertEqual(self.role.metrics.counters["sends_failed", "NotReachedError"], failed)
 
     async def test_a_try_that_reached_no_replica_needs_no_repeat(self) -> None:
         """«no replica took the request» after one refused connection, with others idle.
@@ -62,14 +62,15 @@
         allowance = self.role.server._dispatcher._parts.allowance
         while allowance.try_repeat(SERVICE):
             pass
-        dead = self.replicas[:3]
+        dead, live = self.replicas[:3], self.replicas[3:]
         for replica in dead:
             await replica.stop()
-        statuses = []
-        for number in range(40):
-            got = await self.fleet.request("/safe/", body=str(number).encode())
-            statuses.append(got.status)
-        failed = self.role.metrics.counters["sends_failed", "NotRunError"]
+        for replica in live[1:]:
+            self.role.replicas.misdirected(self.role.replicas._replicas[replica.identity])
+        # Together, so that they spread over all that are left.
+        asked = (self.fleet.request("/safe/", body=str(number).encode()) for number in range(12))
+        statuses = [got.status for got in await asyncio.gather(*asked)]
+        failed = self.role.metrics.counters["sends_failed", "NotReachedError"]
         self.assertGreater(failed, 0, "some met a dead replica")
         self.assertEqual(set(statuses), {200})
 
