--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -17,7 +17,7 @@
 
 from heronladder_router.errors import PrepaidExhaustedError, PrepaidUnavailableError
 from heronladder_router.tokens.balance import OwnReservation
-from heronladder_router.tokens.borrowing import BorrowedTokens, Loan, LoanRefusal
+from heronladder_router.tokens.borrowing import BorrowedTokens, Loan, LoanRefusal, outcome_name
 from heronladder_router.tokens.first_stock import FirstStock
 from heronladder_router.tokens.held_tokens import HeldTokens
 from heronladder_router.tokens.lenders import Lenders
@@ -144,9 +144,8 @@
 
     @staticmethod
     def _unavailable(tenant: str, got: LoanRefusal) -> PrepaidUnavailableError:
-        outcome = lending_pb2.LoanOutcome.Name(got.outcome).removeprefix("LOAN_OUTCOME_")
         return PrepaidUnavailableError(
-            f"no lender had them: {outcome.lower()} of {len(got.asked)} asked",
+            f"no lender had them: {outcome_name(got.outcome)} of {len(got.asked)} asked",
             step=_STEP,
             peer=tenant,
             retry_after_s=got.retry_after_s or _RETRY_AT_OTHERS_S,
--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -40,6 +40,13 @@
 _NO_ANSWER = lending_pb2.LOAN_OUTCOME_UNSPECIFIED
 
 
+def outcome_name(outcome: lending_pb2.LoanOutcome.ValueType) -> str:
+    """Return an outcome as logs, metrics and refusals name it."""
+    if outcome == _NO_ANSWER:
+        return "no_answer"
+    return lending_pb2.LoanOutcome.Name(outcome).removeprefix("LOAN_OUTCOME_").lower()
+
+
 @dataclass
 class LoanRefusal:
     """Why nothing was borrowed.
@@ -262,10 +269,7 @@
         reply: lending_pb2.LendReply | None,
         took_s: float,
     ) -> None:
-        outcome = "no_answer"
-        if reply is not None:
-            name = lending_pb2.LoanOutcome.Name(reply.outcome)
-            outcome = name.removeprefix("LOAN_OUTCOME_").lower()
+        outcome = outcome_name(_NO_ANSWER if reply is None else reply.outcome)
         self._metrics.add("loans_asked", outcome)
         far = self._lenders.is_far(lender)
         if far:
