--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -15,29 +15,12 @@
 from heronladder_runtime import suspend_aware_loop
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.process_start import boot_time_s
-from heronladder_runtime.suspend_aware_loop import SuspendAwareLoop
 from platform_stand_ins import Fleet, Received, StandInReplica, answer, configuration, start_fleet
+from suspended_machine import SUSPENDED_S, Machine, run_on_machine
 
-_SUSPENDED_S = 30.0
 _VOUCHES_WITHIN_S = 5.0
 
 
-class _Machine:
-    """The clock of a machine that can be suspended."""
-
-    def __init__(self) -> None:
-        self.suspended_s = 0.0
-
-    def now_s(self) -> float:
-        return boot_time_s() + self.suspended_s
-
-
-def _run(work: Callable[[_Machine], Any]) -> Any:
-    machine = _Machine()
-    with asyncio.Runner(loop_factory=lambda: SuspendAwareLoop(machine.now_s)) as runner:
-        return runner.run(work(machine))
-
-
 class LoopTest(unittest.TestCase):
     def test_daemons_judge_times_by_a_clock_that_counts_suspension(self) -> None:
         async def times() -> tuple[float, float]:
@@ -49,15 +32,15 @@
             self.assertIs(module.suspend_aware_loop.run, suspend_aware_loop.run)
 
     def test_what_was_due_meanwhile_is_done_on_waking(self) -> None:
-        async def wait(machine: _Machine) -> float:
+        async def wait(machine: Machine) -> float:
             began_s = time.monotonic()
-            waiting = asyncio.create_task(asyncio.sleep(_SUSPENDED_S - 1))
+            waiting = asyncio.create_task(asyncio.sleep(SUSPENDED_S - 1))
             await asyncio.sleep(0.01)
-            machine.suspended_s = _SUSPENDED_S
+            machine.suspended_s = SUSPENDED_S
             await waiting
             return time.monotonic() - began_s
 
-        self.assertLess(_run(wait), 5.0)
+        self.assertLess(run_on_machine(wait), 5.0)
 
     def test_a_process_was_not_younger_for_having_slept(self) -> None:
         environment = Environment(process_began_s=boot_time_s() - 7.0)
@@ -68,7 +51,7 @@
     """All daemons share one machine here: control is silent while it is suspended, too."""
 
     def _after_waking(self, look: Callable[[Fleet], Any]) -> Any:
-        async def play(machine: _Machine) -> Any:
+        async def play(machine: Machine) -> Any:
             async def serve(replica: StandInReplica, received: Received) -> bytes:
                 return answer(received)
 
@@ -77,12 +60,12 @@
                 await fleet.add_replica("r1", serve)
                 self.assertEqual((await fleet.request("/safe/")).status, 200)
                 await self._vouches(fleet)
-                machine.suspended_s += _SUSPENDED_S
+                machine.suspended_s += SUSPENDED_S
                 return look(fleet)
             finally:
                 await fleet.stop()
 
-        return _run(play)
+        return run_on_machine(play)
 
     async def _vouches(self, fleet: Fleet) -> None:
         """Return once it claims a 404; on a busy machine its lease may be late for a moment."""
@@ -106,7 +89,7 @@
             assert fleet.gateway.gateway is not None
             return fleet.gateway.gateway.replicas.loads.age_s
 
-        self.assertGreaterEqual(self._after_waking(age_s), _SUSPENDED_S)
+        self.assertGreaterEqual(self._after_waking(age_s), SUSPENDED_S)
 
     def test_the_leader_does_not_count_its_silence_as_contact(self) -> None:
         def last_heard_s(fleet: Fleet) -> float:
@@ -115,7 +98,7 @@
             progress = member.in_force.daemons["front-1"]
             return member.environment.monotonic() - progress.last_heard_s
 
-        self.assertGreaterEqual(self._after_waking(last_heard_s), _SUSPENDED_S)
+        self.assertGreaterEqual(self._after_waking(last_heard_s), SUSPENDED_S)
 
 
 if __name__ == "__main__":
