--- a/tests/lending_run.py
+++ b/tests/lending_run.py
@@ -11,7 +11,8 @@
 from random import Random
 
 from heronladder_schema.v1 import control_pb2
-from lending_fleet import TENANT, LendingFleet, Weather
+from lending_fleet import LendingFleet
+from lending_process import TENANT, Weather
 from support import run_virtual
 
 REGIONS = {zone: region for zone, region in zip("abcdef", ("n", "s") * 3, strict=True)}
--- a/tests/prepaid_losses.py
+++ b/tests/prepaid_losses.py
@@ -4,7 +4,8 @@
 from random import Random
 from typing import Any
 
-from lending_fleet import LendingFleet, Weather
+from lending_fleet import LendingFleet
+from lending_process import Weather
 from lending_run import ZONES, rush, traffic
 
 _LIMIT = 20_000_000
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -16,7 +16,8 @@
 from heronladder_router.tokens.window import SpendingWindow
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import control_pb2, lending_pb2
-from lending_fleet import GROUP, TENANT, LendingFleet, Process, Weather
+from lending_fleet import LendingFleet
+from lending_process import GROUP, TENANT, Process, Weather
 from lending_run import TOKENS, ZONES, one_run, scarce_run, traffic
 from prepaid_losses import loss_amid_a_rush
 from support import run_virtual
--- a/tests/test_prepaid_promises.py
+++ b/tests/test_prepaid_promises.py
@@ -13,7 +13,7 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.prepaid_window import PACE_FROM_S, WINDOW_HOLDS_S, paced
 from heronladder_schema.v1 import control_pb2, resources_pb2
-from lending_fleet import TENANT
+from lending_process import TENANT
 from lending_run import loss_run
 from prepaid_losses import (
     lose_all,
--- a/tests/test_region_tokens.py
+++ b/tests/test_region_tokens.py
@@ -10,7 +10,8 @@
 from heronladder_router.request_tokens import RequestTokens
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_schema.v1 import control_pb2
-from lending_fleet import TENANT, LendingFleet, Process, Weather
+from lending_fleet import LendingFleet
+from lending_process import TENANT, Process, Weather
 from lending_run import REGION_ZONES, REGIONS, TOKENS, region_run, traffic
 from support import run_virtual
 
