--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
@@ -25,9 +25,9 @@
 _SLOW_MORE = 0.3  # of its answers come later than the old one's slow ones (chosen)
 _SLOW_QUANTILE = 0.8  # of the old version's times; later than this, times a factor, is slow
 # Requests under way at the same moment share what delays them, such as a machine that has too much
-# to do for 0.2 s. Times that the old version's of the same look do not outnumber so many times
-# cast doubt on the new one, and no more (4 of 12 runs of a good version were sent back beside other
-# programs without it).
+# to do for 0.2 s (4 of 12 runs of a good version were sent back beside other programs). Unless the
+# old version has so many times as many answers in the same look to compare them with, late times
+# add this at most: doubt, and no alarm.
 _OLD_BESIDE = 2
 _MOST_UNCOMPARED = 2.0
 _SLOW_STEPS = 2  # of the histogram: 1.3 times and more
