--- a/tests/test_reconnect_over_a_full_link.py
+++ b/tests/test_reconnect_over_a_full_link.py
@@ -1,9 +1,9 @@
 """A gateway whose own link was full came back to control seconds after all others.
 
-Of 31 gateways that a cut had parted from control, 30 were back within 0.9 s of its end, one after 3.6 s:
-each try to connect was given up after 0.4 to 0.5 s, and over a link whose queue stays full the way
-there and back takes longer («connection attempt timed out before receiving SETTINGS frame», again
-and again). Until then it sent to replicas whose leave had been acknowledged.
+Of 31 gateways that a cut had parted from control, 30 were back within 0.9 s of its end, one after
+3.6 s: each try to connect was given up after 0.4 to 0.5 s, and over a link whose queue stays full
+the way there and back takes longer («connection attempt timed out before receiving SETTINGS frame»,
+again and again). Until then it sent to replicas whose leave had been acknowledged.
 """
 
 import asyncio
