Gateways log what a replica says that it takes, and when that changes

Cause looked for: the logs cannot tell whether gateways read a replica's limit and keep it alone, or do not read it. Ruled out: nothing yet. Change: a typed name of the header, one log line a change (bounded by changes), two metrics, explain; no choice goes by it.

--- a/packages/heronladder-router/src/heronladder_router/gateway_names.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_names.py
@@ -22,6 +22,7 @@
         last_event_id: Last event of a stream that the reader has.
         not_run: Set by a replica that did not run the request.
         signature: Set by a replica in each answer of its own.
+        replica_limit: Requests a second that a replica in need takes from all gateways together.
         key_scheme: Word before the key in Authorization, with its blank.
         engine_orders: Headers by which a replica is told how to run a request (memory
             to pin, to copy or to continue from, a slot set aside). Only the system may
@@ -38,5 +39,6 @@
     last_event_id: str = "Last-Event-ID"
     not_run: str = "Heronladder-Not-Run"
     signature: str = "Heronladder-Replica"
+    replica_limit: str = "Heronladder-Replica-Limit"
     key_scheme: str = "Bearer "
     engine_orders: tuple[str, ...] = ()
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -24,6 +24,7 @@
 from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
+from heronladder_router.replica_limits import ReplicaLimits
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
@@ -141,6 +142,7 @@
         self.crash_reports = CrashReports(
             self.link, self.crashing, environment, self.metrics, self.log
         )
+        self.limits = ReplicaLimits(self.metrics, self.log)
         self.unreached = UnreachedReplicas(self.replicas, environment, self.log)
         self._client = ReplicaClient()
         self.server = self._make_server()
@@ -228,7 +230,9 @@
             routes=self.routes,
             replicas=self.replicas,
             tokens=self.tokens,
-            attempts=ReplicaAttempts(self._client, self.replicas, options.names, self._environment),
+            attempts=ReplicaAttempts(
+                self._client, self.replicas, self.limits, options.names, self._environment
+            ),
             allowance=SlidingAllowance(
                 self._environment,
                 options.retry_ratio,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -25,6 +25,7 @@
     ReplicaLostError,
     ReplicaNotReachedError,
 )
+from heronladder_router.replica_limits import ReplicaLimits
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.version_gates import AnswerSeen
 from heronladder_router.unread_prompt import UnreadPrompt
@@ -44,6 +45,7 @@
     Args:
         client: HTTP to replicas.
         replicas: All replicas.
+        limits: What those in need take.
         names: Header names.
         environment: Time.
     """
@@ -52,11 +54,13 @@
         self,
         client: ReplicaClient,
         replicas: FleetReplicas,
+        limits: ReplicaLimits,
         names: GatewayNames,
         environment: Environment,
     ) -> None:
         self._client = client
         self._replicas = replicas
+        self._limits = limits
         self._names = names
         self._environment = environment
 
@@ -173,6 +177,8 @@
         if identity not in (None, request.request_id):
             # An extra answer to an earlier request, be it a rejection, tells nothing of this one.
             raise RunLostError("the answer is of another request", step="send", peer=replica.name)
+        if response.status != _MISDIRECTED:
+            self._limits.heard(replica, response.headers.get(self._names.replica_limit))
         if response.status == _MISDIRECTED or self._names.not_run in response.headers:
             await response.read()
             raise NotRunError(
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -25,6 +25,7 @@
         "replica_cold",
         "replica_crashed",
         "replica_looked_after",
+        "replica_limit",
         "replica_temperature",
         "zone_evacuated",
         "zone_restored",
