--- /dev/null
+++ b/tests/limited_fleet.py
@@ -0,0 +1,193 @@
+"""A fleet over loopback with replicas in need, and a book that judges what they got in sum."""
+
+import asyncio
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+
+from platform_stand_ins import (
+    END_OF_CHUNKS,
+    Answer,
+    Fleet,
+    Received,
+    StandInReplica,
+    answer,
+    configuration,
+    event,
+    route,
+    start_fleet,
+    stream_head,
+)
+
+WINDOW_S = 4.0
+CONTACT_S = 3.0  # from when a replica first names its limit until the sum is judged
+_TOLD_S = 0.5  # from when a gateway passed such an answer on until its sends count
+_OVER, _SLACK = 1.5, 5
+_SHARED_S = 1.0  # from when a replica first names its limit until all gateways are bound
+_LIMIT_HEADER = "Server-Limit"
+_REPLICA_HEADER = "X-Replica"
+
+
+def allowed(limit_per_s: float) -> float:
+    """Return what a replica may get in any four seconds."""
+    return _OVER * limit_per_s * WINDOW_S + _SLACK
+
+
+def _most(moments_s: list[float], from_s: float) -> int:
+    """Return the most moments in any four seconds that end after ``from_s``."""
+    return max(
+        (
+            sum(1 for at_s in moments_s if end_s - WINDOW_S < at_s <= end_s)
+            for end_s in moments_s
+            if end_s >= from_s
+        ),
+        default=0,
+    )
+
+
+@dataclass
+class NeedyReplica:
+    """A replica that names a limit, and when it got what from whom."""
+
+    identity: str
+    limit: str | None = None  # as it stands in its answers
+    refuses: bool = False  # whether it turns all away unrun
+    work_s: float = 0.02
+    first_named_s: float | None = None
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+
+    async def script(self, _replica: StandInReplica, received: Received) -> bytes:
+        """Answer one request."""
+        now_s = asyncio.get_running_loop().time()
+        self.arrivals.append((now_s, received.headers["x-gateway"]))
+        await asyncio.sleep(self.work_s)
+        named = {_REPLICA_HEADER: self.identity}
+        if self.limit is not None:
+            named[_LIMIT_HEADER] = self.limit
+            self.first_named_s = self.first_named_s or asyncio.get_running_loop().time()
+        if self.refuses:
+            return answer(received, "503 Service Unavailable", Not_Executed="1", **named)
+        if received.target.startswith("/stream/"):
+            lines = "".join(f"{name}: {value}\r\n" for name, value in named.items())
+            head = stream_head(received).removesuffix(b"\r\n") + lines.encode() + b"\r\n"
+            return head + event(1) + END_OF_CHUNKS
+        return answer(received, **named)
+
+
+@dataclass
+class Judged:
+    """What became of a span of requests."""
+
+    statuses: Counter[int] = field(default_factory=Counter)
+    took_s: list[tuple[int, float]] = field(default_factory=list)
+    retry_after: list[float] = field(default_factory=list)
+    unserved_without_retry: int = 0
+
+
+class LimitedFleet:
+    """Gateways, replicas of one service, and callers.
+
+    Args:
+        fleet: The daemons.
+        replicas: The replicas, in need or not.
+    """
+
+    def __init__(self, fleet: Fleet, replicas: list[NeedyReplica]) -> None:
+        self.fleet = fleet
+        self.replicas = replicas
+        self.told_s: dict[tuple[str, str], float] = {}  # gateway, replica: first passed on
+        self._number = 0
+
+    async def call(self, gateway: str, path: str) -> tuple[Answer, float]:
+        """Make one caller's request; return the answer and the time that it took."""
+        loop = asyncio.get_running_loop()
+        began_s = loop.time()
+        self._number += 1
+        got = await self.fleet.request_at(
+            gateway,
+            path,
+            Request_Id=f"r{self._number}",
+            X_Gateway=gateway,
+            Deadline_Ms="3000",
+        )
+        if _LIMIT_HEADER in got.headers:
+            self.told_s.setdefault((gateway, got.headers[_REPLICA_HEADER]), loop.time())
+        return got, loop.time() - began_s
+
+    async def ask(
+        self,
+        per_s: float,
+        for_s: float,
+        path: str = "/safe/",
+        weights: Callable[[int], int] = lambda number: number,
+    ) -> Judged:
+        """Have callers ask evenly over time.
+
+        Args:
+            per_s: Requests a second.
+            for_s: How long.
+            path: What for.
+            weights: Gives the gateway of a request by its number.
+        """
+        loop = asyncio.get_running_loop()
+        judged = Judged()
+        running: list[asyncio.Task[None]] = []
+        gateways = [one.address for one in self.fleet.gateways]
+
+        async def one(gateway: str) -> None:
+            got, took_s = await self.call(gateway, path)
+            judged.statuses[got.status] += 1
+            judged.took_s.append((got.status, took_s))
+            if got.status == 503:
+                after = got.headers.get("Retry-After")
+                judged.unserved_without_retry += after is None
+                judged.retry_after.append(float(after or 0))
+
+        began_s = loop.time()
+        for number in range(int(per_s * for_s)):
+            await asyncio.sleep(max(0.0, began_s + number / per_s - loop.time()))
+            running.append(asyncio.create_task(one(gateways[weights(number) % len(gateways)])))
+        await asyncio.gather(*running)
+        return judged
+
+    def most_of_told(self, replica: NeedyReplica) -> int:
+        """Return the most in four seconds that gateways sent that had passed its word on."""
+        assert replica.first_named_s is not None, "it never named a limit"
+        told = {
+            gateway: told_s + _TOLD_S
+            for (gateway, name), told_s in self.told_s.items()
+            if name == replica.identity
+        }
+        counted = [at_s for at_s, by in replica.arrivals if at_s >= told.get(by, float("inf"))]
+        return _most(counted, replica.first_named_s + CONTACT_S)
+
+    def most_of_all(self, replica: NeedyReplica) -> int:
+        """Return the most in four seconds that all sent once its word could have come round."""
+        assert replica.first_named_s is not None, "it never named a limit"
+        from_s = replica.first_named_s + _SHARED_S
+        return _most([at_s for at_s, _ in replica.arrivals if at_s >= from_s], from_s)
+
+    def sent_since(self, replica: NeedyReplica, since_s: float) -> int:
+        """Return what a replica got since a moment, from all gateways."""
+        return sum(1 for at_s, _ in replica.arrivals if at_s >= since_s)
+
+
+async def start_limited(
+    gateways: int, replicas: int, cleanup: Callable[[Callable[[], Awaitable[None]]], None]
+) -> LimitedFleet:
+    """Start gateways, and replicas that are not in need yet.
+
+    Args:
+        gateways: How many.
+        replicas: How many.
+        cleanup: Registers what ends them.
+    """
+    routes = [route("/safe/"), route("/stream/", kind="streaming", resumable=True, gapAimMs=400)]
+    fleet = await start_fleet(configuration(1, *routes))
+    cleanup(fleet.stop)
+    for number in range(1, gateways):
+        await fleet.add_gateway(f"front-{number + 1}")
+    needy = [NeedyReplica(f"r{number}") for number in range(replicas)]
+    for replica in needy:
+        await fleet.add_replica(replica.identity, replica.script)
+    return LimitedFleet(fleet, needy)
--- /dev/null
+++ b/tests/test_replica_limits.py
@@ -0,0 +1,61 @@
+"""What all gateways together send to replicas that say how much they take.
+
+On a fleet of six gateways two replicas said that they take 1.4 and 1.5 requests a second from all
+gateways together. They got 20 and 15 in four seconds, of which 13 and 14 are allowed: as many as
+before they had said so, from every gateway. All of these were first sends (60 of 60 with `send=1`),
+chosen for their short queue (`in_flight=0 reason=sound`), so no repeat went past a check; there was
+none. No gateway read what the answers said, and none of them can know what the others send.
+"""
+
+import unittest
+
+from limited_fleet import LimitedFleet, allowed, start_limited
+
+
+class SumOverGatewaysTest(unittest.IsolatedAsyncioTestCase):
+    async def start(self, gateways: int, replicas: int) -> LimitedFleet:
+        return await start_limited(gateways, replicas, self.addAsyncCleanup)
+
+    def assert_within(self, limited: LimitedFleet) -> None:
+        for replica in limited.replicas:
+            if replica.limit is not None:
+                most_allowed = allowed(float(replica.limit))
+                self.assertLessEqual(limited.most_of_told(replica), most_allowed, replica.identity)
+                self.assertLessEqual(limited.most_of_all(replica), most_allowed, replica.identity)
+
+    async def test_one_replica_in_need_beside_others(self) -> None:
+        """Three gateways, unevenly called; one of four replicas takes 1.7 a second."""
+        limited = await self.start(3, 4)
+        await limited.ask(30.0, 0.5)
+        needy = limited.replicas[0]
+        needy.limit = "1.7"
+        judged = await limited.ask(30.0, 9.0, weights=lambda number: min(number % 6, 2))
+        self.assert_within(limited)
+        self.assertEqual(set(judged.statuses), {200}, "callers beside it are served")
+        assert needy.first_named_s is not None
+        used = limited.sent_since(needy, needy.first_named_s + 3.0)
+        self.assertGreaterEqual(used, 0.5 * 1.7 * 6.0, "what it takes is used")
+
+    async def test_all_replicas_in_need(self) -> None:
+        """Six gateways, both replicas take 1.7 a second; what is over is refused at once."""
+        limited = await self.start(6, 2)
+        await limited.ask(20.0, 0.5)
+        for replica in limited.replicas:
+            replica.limit = "1.7"
+        judged = await limited.ask(20.0, 9.0)
+        self.assert_within(limited)
+        self.assertEqual(set(judged.statuses), {200, 503})
+        self.assertEqual(judged.unserved_without_retry, 0)
+        self.assertGreater(len(set(judged.retry_after)), 5, "they come back one after another")
+        slow = [took_s for status, took_s in judged.took_s if status == 503 and took_s > 0.35]
+        self.assertLess(len(slow), 5, "a refusal is not held back")
+        ran = sum(len(replica.arrivals) for replica in limited.replicas)
+        self.assertGreaterEqual(ran, judged.statuses[200])
+        for replica in limited.replicas:
+            assert replica.first_named_s is not None
+            used = limited.sent_since(replica, replica.first_named_s + 3.0)
+            self.assertGreaterEqual(used, 0.5 * 1.7 * 6.0, "what it takes is used")
+
+
+if __name__ == "__main__":
+    unittest.main()
