Replicas in need get from all gateways together what they say that they take

Callers saw a replica in need get as many requests as before from every gateway (20 in 4 s where 13 are allowed). Ruled out: repeats past a check (60 of 60 first sends), a check that each gateway makes alone (all six heard 1.7 a second, and sent on). Change: gateways tell the newest word with their heartbeats; the leader alone hands out the limit, in sends that run out 0.8 s after the heartbeat that asked for them; a new leader waits as long. Without a leader a few gateways, by rendezvous, have half of it. What no replica has room for is refused at once with 503 and a moment of its own to come back.

--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/replica_limits.py
@@ -0,0 +1,251 @@
+"""Shares out what replicas in need take: sends that routers may make, granted by the leader.
+
+A replica in need names what it takes from all routers together, and no router knows what the
+others send. So the leader alone hands its requests out, a few at a time, to those that ask. A grant
+runs out soon, so that what is granted in any span of time is close to what is sent in it. All of it
+is soft state: routers tell all that they know with each heartbeat.
+"""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.replica_limit import (
+    ENDED_TOLD_S,
+    GRANT_HOLDS_S,
+    MOST_WORDS,
+    Incarnation,
+    LimitWord,
+    from_message,
+    newest,
+    to_message,
+)
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_control.daemon_session import DaemonSession
+
+# Of what a replica takes; the rest is for sends that nobody granted: those under way when it first
+# named its limit, and those of routers that are cut off (chosen).
+_GRANTED_SHARE = 0.95
+# So much is granted of any limit, 0 too: only an answer tells that the need has ended (chosen).
+_LEAST_PER_S = 0.1
+# What comes together in so long may be granted together: a heartbeat of each router (chosen).
+_SAVED_S = 0.3
+_ASK_HOLDS_S = 0.45  # a router that asked within has its turn kept: a heartbeat and a half (chosen)
+_DROP_PAUSE_S = 1.0  # between two looks for replicas that nobody tells of (chosen)
+_UNTOLD_S = 5.0  # nobody told of a replica for longer: it is forgotten (chosen)
+
+
+@dataclass
+class _Shared:
+    """One replica in need.
+
+    Attributes:
+        word: The newest word on it.
+        version: Rises when what routers go by changes.
+        told_s: When a router told of it last.
+        free: Sends that may be granted now.
+        filled_s: When that was counted.
+        asks: By router: when it asked, and for how many.
+        waits_s: By router: since when it waits, from its first ask or its newest grant.
+    """
+
+    word: LimitWord
+    version: int
+    told_s: float
+    free: float
+    filled_s: float
+    asks: dict[str, tuple[float, int]] = field(default_factory=dict)
+    waits_s: dict[str, float] = field(default_factory=dict)
+
+    @property
+    def rate_per_s(self) -> float:
+        """Sends granted in a second."""
+        return max(_LEAST_PER_S, _GRANTED_SHARE * (self.word.per_s or 0.0))
+
+    def fill(self, now_s: float) -> None:
+        """Add what may be granted since it was counted last."""
+        rate = self.rate_per_s
+        most = max(1.0, rate * _SAVED_S)
+        self.free = min(most, self.free + rate * max(0.0, now_s - self.filled_s))
+        self.filled_s = max(self.filled_s, now_s)
+
+    def grant(self, router: str, now_s: float) -> int:
+        """Return how many sends a router that asked may make."""
+        asked = self.asks.get(router)
+        self.fill(now_s)
+        if asked is None:
+            return 0
+        before = self._before(router, now_s)
+        sends = min(asked[1], int(self.free) - before)
+        if sends <= 0:
+            return 0
+        del self.asks[router]
+        self.free -= sends
+        self.waits_s[router] = now_s
+        return sends
+
+    def _before(self, router: str, now_s: float) -> int:
+        """Return how many others go first: those whose requests waited longer in sum."""
+        own = self._waited(router, now_s)
+        return sum(
+            1
+            for other, (asked_s, _) in self.asks.items()
+            if now_s - asked_s < _ASK_HOLDS_S and self._waited(other, now_s) > own
+        )
+
+    def _waited(self, router: str, now_s: float) -> float:
+        return (now_s - self.waits_s[router]) * self.asks[router][1]
+
+
+class SharedReplicaLimits:
+    """The limits of all replicas in need, as the leader knows them.
+
+    Args:
+        environment: Time.
+        term: Tells the leader's term.
+        metrics: Where it counts.
+        log: Where changes are reported.
+    """
+
+    def __init__(
+        self,
+        environment: Environment,
+        term: Callable[[], int],
+        metrics: Metrics,
+        log: EventLog,
+    ) -> None:
+        self._environment = environment
+        self._term = term
+        self._metrics = metrics
+        self._log = log
+        self._shared: dict[Incarnation, _Shared] = {}
+        self._version = 0
+        self._asked: dict[str, list[Incarnation]] = {}  # by router, with its newest heartbeat
+        self._known_in_term = 0
+        self._grants_from_s = 0.0
+        self._next_drop_s = 0.0
+        metrics.gauge("replicas_limited", lambda: len(self._shared))
+
+    def _begin_term(self) -> None:
+        """Begin anew: what an earlier term knew is void, what it granted may still be used."""
+        if self._known_in_term == self._term():
+            return
+        self._known_in_term = self._term()
+        self._shared.clear()
+        self._asked.clear()
+        self._grants_from_s = self._environment.monotonic() + GRANT_HOLDS_S
+
+    # ---- words of routers -------------------------------------------------
+
+    def heard(self, router: str, words: Iterable[control_pb2.ReplicaLimit]) -> None:
+        """Take in what a router knows of replicas in need, and what it asks for."""
+        self._begin_term()
+        now_s = self._environment.monotonic()
+        self._let_go(router)
+        for message in words:
+            word = from_message(message, now_s)
+            if word is None:
+                self._metrics.add("replica_limits_malformed")
+                continue
+            incarnation = (message.replica, message.start_ms)
+            shared = self._take(incarnation, word, router)
+            shared.told_s = now_s
+            if message.wanted and not shared.word.ended:
+                shared.asks[router] = (now_s, message.wanted)
+                shared.waits_s.setdefault(router, now_s)
+                self._asked.setdefault(router, []).append(incarnation)
+
+    def _let_go(self, router: str) -> None:
+        for incarnation in self._asked.pop(router, ()):
+            if incarnation in self._shared:
+                self._shared[incarnation].asks.pop(router, None)
+
+    def _take(self, incarnation: Incarnation, word: LimitWord, router: str) -> _Shared:
+        now_s = self._environment.monotonic()
+        shared = self._shared.get(incarnation)
+        if shared is None:
+            shared = _Shared(word, 0, now_s, 0.0, now_s)
+            self._shared[incarnation] = shared
+            self._note_change(incarnation, shared, router)
+            return shared
+        earlier = shared.word
+        shared.fill(now_s)
+        shared.word = newest(earlier, word)
+        if shared.word.per_s != earlier.per_s:
+            self._note_change(incarnation, shared, router)
+        return shared
+
+    def _note_change(self, incarnation: Incarnation, shared: _Shared, router: str) -> None:
+        self._version += 1
+        shared.version = self._version
+        if shared.word.ended:
+            shared.asks.clear()
+        self._metrics.add("replica_limits_changed")
+        self._log.info(
+            "replica_limit_shared",
+            step="replica_limits",
+            peer=incarnation[0],
+            start_ms=incarnation[1],
+            limit_per_s=shared.word.per_s,
+            by=router,
+            age_s=self._environment.monotonic() - shared.word.heard_s,
+        )
+
+    def forget(self, router: str) -> None:
+        """Let go of a router's turns: its stream ended."""
+        self._let_go(router)
+        for shared in self._shared.values():
+            shared.waits_s.pop(router, None)
+
+    # ---- words to routers -------------------------------------------------
+
+    def fill(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
+        """Tell a router what changed, and grant it sends; only with an acknowledged heartbeat."""
+        self._begin_term()
+        if not self._shared:
+            return
+        now_s = self._environment.monotonic()
+        self._drop_old(now_s)
+        self._tell_changes(session, frame, now_s)
+        if now_s < self._grants_from_s:
+            return
+        router = session.record.name
+        for replica, start_ms in self._asked.get(router, ()):
+            shared = self._shared.get((replica, start_ms))
+            sends = shared.grant(router, now_s) if shared is not None else 0
+            if sends:
+                frame.replica_grants.add(replica=replica, start_ms=start_ms, sends=sends)
+                self._metrics.add("replica_sends_granted", amount=sends)
+
+    def _tell_changes(
+        self, session: DaemonSession, frame: control_pb2.ControlFrame, now_s: float
+    ) -> None:
+        told = session.told_limits
+        if told == self._version:
+            return
+        news = sorted(
+            (shared.version, incarnation)
+            for incarnation, shared in self._shared.items()
+            if shared.version > told
+        )
+        for _, incarnation in news[:MOST_WORDS]:
+            word = self._shared[incarnation].word
+            frame.replica_limits.append(to_message(incarnation, word, now_s))
+        all_told = len(news) <= MOST_WORDS
+        session.told_limits = self._version if all_told else news[MOST_WORDS - 1][0]
+
+    def _drop_old(self, now_s: float) -> None:
+        if now_s < self._next_drop_s:
+            return
+        self._next_drop_s = now_s + _DROP_PAUSE_S
+        old = [
+            incarnation
+            for incarnation, shared in self._shared.items()
+            if now_s - shared.told_s > _UNTOLD_S
+            or (shared.word.ended and now_s - shared.word.heard_s > 2 * ENDED_TOLD_S)
+        ]
+        for incarnation in old:
+            del self._shared[incarnation]
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -22,6 +22,7 @@
 from heronladder_control.member_context import MemberContext
 from heronladder_control.promise_notes import PromiseNotes
 from heronladder_control.recalls import recall_leases, recall_prepaid
+from heronladder_control.replica_limits import SharedReplicaLimits
 from heronladder_control.replica_loads import ReplicaLoads
 from heronladder_control.rollouts.conductor import RolloutConductor
 
@@ -62,6 +63,9 @@
         self.sessions = member.sessions
         self._routers = 0  # streams of routers
         self._replica_loads = ReplicaLoads()
+        self.replica_limits = SharedReplicaLimits(
+            member.environment, lambda: member.node.term, member.metrics, member.log
+        )
         self._config_feed = ConfigFeed(member)
 
     # ---- one stream -------------------------------------------------------
@@ -177,6 +181,7 @@
             self._count_routers()
             self._member.in_force.disconnected(session.record.name)
             self._replica_loads.forget(session.record.name)
+            self.replica_limits.forget(session.record.name)
             self._parts.promise_notes.forget(session.record.name)
 
     def _next_frame(self, session: DaemonSession) -> control_pb2.ControlFrame | None:
@@ -192,6 +197,7 @@
             if session.tells_loads:
                 self._replica_loads.fill(session.record.name, frame)
             self._parts.rollouts.fill(session, frame)
+            self.replica_limits.fill(session, frame)
         if session.answers:
             frame.answers.extend(session.answers)
             session.answers.clear()
@@ -274,6 +280,7 @@
             self._parts.rollouts.told(session, heartbeat.rollouts)
         if session.record.role == ROLE_ROUTER:
             self._parts.promise_notes.heartbeat(session, heartbeat)
+        self.replica_limits.heard(name, heartbeat.replica_limits)
         if heartbeat.replica_loads or session.tells_loads:
             session.tells_loads = True
             self._replica_loads.told(name, heartbeat.replica_loads)
--- a/packages/heronladder-router/src/heronladder_router/decisions/cold_limit.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/cold_limit.py
@@ -4,38 +4,19 @@
 and cold. Each gateway finds them the least loaded of all, and no gateway hears of the others'
 sends within a second.
 
-Way chosen: a few gateways for each replica, by rendezvous hash over stable names, have equal
-whole shares a second, and the others none. A share of a rate for every gateway is less than one
-request a second where there are many, and its chances add up: with 30 gateways at half a request
-a second each, one second in forty has over 20. Two views of who the gateways are may name two
-groups of senders, so each group gets half of the bound.
+Way chosen: the few senders of ``few_senders``, with equal whole shares a second. Two views of who
+the gateways are may name two groups of senders, so each group gets half of the bound.
 """
 
-from collections.abc import Callable, Collection
-from dataclasses import dataclass
+from collections.abc import Callable
 
-import xxhash
+from heronladder_router.decisions.few_senders import VIEWS, GatewaysKnown, share_of_few
 
-# Groups of gateways, by two views of who there are, that may send at the same time (chosen).
-_VIEWS = 2
 # Sends are counted over a second and a bit: what one machine sends a second apart may be closer
 # together by another's clock (chosen).
 WINDOW_S = 1.05
 
 
-@dataclass(frozen=True)
-class GatewaysKnown:
-    """What a gateway knows of all gateways.
-
-    Attributes:
-        names: Their names, with its own; empty if only their number is known.
-        count: How many there are.
-    """
-
-    names: Collection[str]
-    count: int
-
-
 def bound_per_s(bears_per_s: float, over: float, slack: float) -> float:
     """Return the most requests that a cold replica may get in any second.
 
@@ -56,24 +37,7 @@
         known: All gateways.
         bound: Most requests that the replica may get in any second, from all gateways.
     """
-    total = int(bound / _VIEWS)
-    if gateway in known.names:
-        senders = max(1, min(total, len(known.names)))
-        own = _weight(replica, gateway)
-        before = sum(1 for name in known.names if _weight(replica, name) > own)
-        return total // senders if before < senders else 0
-    # Only their number is known: each sends with the chance that makes as many senders.
-    chance = total / max(1, known.count)
-    if chance >= 1:
-        return int(chance)
-    return 1 if _weight(replica, gateway) < chance * _WEIGHTS else 0
-
-
-_WEIGHTS = 1 << 64
-
-
-def _weight(replica: str, gateway: str) -> int:
-    return xxhash.xxh64_intdigest(f"{replica}\0{gateway}".encode())
+    return share_of_few(replica, gateway, known, int(bound / VIEWS))
 
 
 class ColdLimits:
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -4,8 +4,8 @@
 gateways that see a small part of the load each. The cost of a replica is an estimate of when it
 would begin the answer; the least cost is chosen among a few drawn at random where all gateways
 hear the same sums of load, and among all otherwise. What may not be sent to at all is left out
-first: evacuated zones, other regions than the request's, and cold replicas beyond this gateway's
-share.
+first: evacuated zones, other regions than the request's, and replicas that are cold or in need
+beyond this gateway's share.
 """
 
 import hashlib
@@ -16,6 +16,7 @@
 
 from heronladder_router.decisions.cold_limit import WINDOW_S
 from heronladder_router.decisions.distance import Offer, Way, choose, split
+from heronladder_router.decisions.replica_limit import LimitVerdict
 from heronladder_router.decisions.speed import Speed
 from heronladder_router.replica_state import FleetReplica, Wish
 
@@ -23,6 +24,9 @@
 _READ_AGAIN_COST_MS = 0.15  # for each token of a shared part that another replica keeps
 _MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer (chosen, see decisions)
 _CHOICES = 4  # replicas compared at random where gateways share their load (chosen)
+# A replica in need goes before its equals while a send there is granted: unused, it runs out and is
+# lost to all gateways (chosen, under the cost of another zone).
+_GRANTED_GAIN_MS = 2.0
 _SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
 
 
@@ -46,6 +50,7 @@
     OTHER_REGION = "other_region"
     VERSION = "version_not_admitted"
     COLD = "cold"
+    LIMITED = "limited"
     TRIED = "all_tried"
 
 
@@ -62,6 +67,7 @@
         bears_per_s: Requests a second that a cold replica of the service bears; 0: any number.
         cold_share: Requests that this gateway may send to a cold replica in any second.
         permits: Whether a replica's version may be sent to.
+        limit_verdict: Whether a replica that named a limit may be sent to; None: it named none.
         shares_load: Whether what other gateways have under way is known.
         far_cost_ms: What a send to another region costs, in ms.
         may_spill: Whether more may go there while there are replicas here.
@@ -80,6 +86,7 @@
     may_spill: bool = True
     speed: Speed = field(default_factory=Speed)
     permits: Callable[[FleetReplica], bool] = lambda _replica: True
+    limit_verdict: Callable[[FleetReplica], LimitVerdict | None] = lambda _replica: None
 
 
 @dataclass(frozen=True)
@@ -155,7 +162,7 @@
     """
     keeper = _keeper(wish, pool)
     if view.shares_load:
-        pool = _sample(wish, pool, keeper, source)
+        pool = _sample(view, wish, pool, keeper, source)
     costs = [_cost_ms(view, replica, wish, keeper, source) for replica in pool]
     least = min(range(len(pool)), key=lambda number: costs[number])
     chosen = pool[least]
@@ -173,6 +180,7 @@
         (Reason.VERSION, view.permits),
         (Reason.TRIED, lambda replica: replica.name not in tried),
         (Reason.COLD, lambda replica: may_take_more(view, replica)),
+        (Reason.LIMITED, lambda replica: is_within_limit(view, replica)),
     )
     pool = view.replicas
     lacking = Reason.NONE_KNOWN
@@ -205,10 +213,24 @@
     return sent < view.cold_share(replica.name, view.bears_per_s)
 
 
+def is_within_limit(view: PlacementView, replica: FleetReplica) -> bool:
+    """Whether a replica may be sent to, as far as the limit goes that it named; True for none."""
+    verdict = view.limit_verdict(replica)
+    return verdict is None or verdict.may_send
+
+
+def _is_granted(view: PlacementView, replica: FleetReplica) -> bool:
+    return view.limit_verdict(replica) is LimitVerdict.GRANTED
+
+
 def _sample(
-    wish: Wish, pool: list[FleetReplica], keeper: str, source: Randomness
+    view: PlacementView,
+    wish: Wish,
+    pool: list[FleetReplica],
+    keeper: str,
+    source: Randomness,
 ) -> list[FleetReplica]:
-    """Return some replicas at random, and those that keep parts of the prompt.
+    """Return some replicas at random, those that keep parts of the prompt, and granted ones.
 
     All gateways hear the same sums, some 0.3 s old: if each took the least
     loaded of all, they would all take the same one until they hear again.
@@ -216,7 +238,9 @@
     chosen = source.sample(pool, min(_CHOICES, len(pool)))
     names = {replica.name for replica in chosen}
     for replica in pool:
-        if replica.name not in names and (replica.name == keeper or _keeps(replica, wish)):
+        if replica.name in names:
+            continue
+        if replica.name == keeper or _keeps(replica, wish) or _is_granted(view, replica):
             chosen.append(replica)
     return chosen
 
@@ -233,6 +257,8 @@
         unread += replica.others_unread_tokens
     if replica.record.zone != view.zone:
         cost += _OTHER_ZONE_COST_MS
+    if _is_granted(view, replica):
+        cost -= _GRANTED_GAIN_MS
     if not wish.prompt_tokens:
         return cost + in_flight * _SLOT_COST_MS
     kept = _kept_tokens(replica, wish, keeper)
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
@@ -0,0 +1,102 @@
+"""Whether this gateway may send to a replica in need, and how much of its limit it asks for.
+
+A replica in need names what it takes from all gateways together. Load pattern: some or all replicas
+of a service are in need; callers are uneven, and each gateway sees a part of the answers only.
+
+Way chosen, of three that were compared (docs/design/shared-bounds.md): the leader grants sends that
+run out within a second. While no leader is heard, a few gateways share half of the limit, each of
+two views of who they are; even parts of a small limit are less than one request a gateway, and
+their chances add up beyond it.
+"""
+
+import math
+from collections.abc import Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from heronladder_router.decisions.few_senders import VIEWS, GatewaysKnown, share_of_few
+
+#: Sends without a grant are counted over so long: the span over which users judge them.
+SPAN_S = 4.0
+#: Without a leader's word for longer, gateways go by what they share without one: the newest
+#: grants have run out by then (chosen).
+LEADER_SILENT_S = 1.0
+#: A gateway asks for what it would have sent in so long: until the answer to its next heartbeat
+#: but one (chosen).
+DEMAND_S = 0.6
+_MOST_ASKED = 512  # for one replica; far beyond what one gateway sends in that time (chosen)
+
+
+class LimitVerdict(Enum):
+    """Whether a replica in need may be sent to, and why."""
+
+    GRANTED = "granted"
+    NOT_GRANTED = "not_granted"
+    ONE_OF_FEW = "one_of_few"
+    NONE_OF_FEW = "none_of_few"
+
+    @property
+    def may_send(self) -> bool:
+        """Whether it may be sent to."""
+        return self in (LimitVerdict.GRANTED, LimitVerdict.ONE_OF_FEW)
+
+
+@dataclass(frozen=True)
+class LimitView:
+    """What is known when a replica in need may be chosen.
+
+    Attributes:
+        replica: Its identity.
+        per_s: Requests a second that it takes from all gateways.
+        now_s: Time.
+        grants_s: Until when each send may be made that the leader granted.
+        sends_s: When this gateway sent to it, over ``SPAN_S`` at least.
+        silent_s: How long no leader was heard.
+        gateway: Name of this gateway.
+        known: All gateways.
+    """
+
+    replica: str
+    per_s: float
+    now_s: float
+    grants_s: Sequence[float]
+    sends_s: Sequence[float]
+    silent_s: float
+    gateway: str
+    known: GatewaysKnown
+
+
+def judge(view: LimitView) -> LimitVerdict:
+    """Return whether a replica in need may be sent to."""
+    if any(until_s > view.now_s for until_s in view.grants_s):
+        return LimitVerdict.GRANTED
+    if view.silent_s < LEADER_SILENT_S:
+        return LimitVerdict.NOT_GRANTED
+    sent = sum(1 for moment_s in view.sends_s if moment_s > view.now_s - SPAN_S)
+    may_send = sent < share_without_leader(view.replica, view.gateway, view.known, view.per_s)
+    return LimitVerdict.ONE_OF_FEW if may_send else LimitVerdict.NONE_OF_FEW
+
+
+def share_without_leader(replica: str, gateway: str, known: GatewaysKnown, per_s: float) -> int:
+    """Return the sends that a gateway may make in any ``SPAN_S`` without a grant.
+
+    Args:
+        replica: Identity of the replica.
+        gateway: Name of the gateway.
+        known: All gateways.
+        per_s: Requests a second that the replica takes from all gateways.
+    """
+    # One at least: only an answer tells that the need has ended.
+    total = max(1, int(per_s * SPAN_S / VIEWS))
+    return share_of_few(replica, gateway, known, total)
+
+
+def sends_wanted(requests: int, limited: int, held: int) -> int:
+    """Return how many sends to ask the leader for, at one replica.
+
+    Args:
+        requests: Requests for its service in the last ``DEMAND_S``.
+        limited: Replicas of its service that are in need.
+        held: Sends that are granted and not made yet.
+    """
+    return min(_MOST_ASKED, max(0, math.ceil(requests / max(1, limited)) - held))
--- a/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_reports.py
@@ -36,6 +36,7 @@
         tried: How often it was sent before.
         now_s: Time.
     """
+    verdict = replicas.limits.verdict(replica)
     log.info(
         "request_sent",
         step="send",
@@ -64,6 +65,8 @@
         again_tokens=placement.again_tokens,
         cold_s=replica.cold_until_s - now_s,
         cold_sends=len(replica.cold_sends_s),
+        limit_per_s=replicas.limits.limit_of(replica),
+        limit_verdict=verdict.value if verdict is not None else "",
         evacuated=",".join(sorted(replicas.evacuated)),
     )
 
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -251,6 +251,14 @@
     retry_after_s = 1  # a share is counted over a second
 
 
+class ReplicasLimitedError(CallerError):
+    """All replicas are in need, and this gateway's part of what they take is used up."""
+
+    status = 503
+    code = "replicas_limited"
+    retry_after_s = 1  # where nothing better is known
+
+
 class StaleError(CallerError):
     """This router cannot confirm its configuration; another one may."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -5,15 +5,23 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.pulse import Pulse
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
-from heronladder_router.decisions.placement import Placement, PlacementView, is_at_home, place
+from heronladder_router.decisions.placement import (
+    Placement,
+    PlacementView,
+    is_at_home,
+    is_within_limit,
+    place,
+)
 from heronladder_router.decisions.waiting import ReplicaPlaces
 from heronladder_router.evacuated_zones import EvacuatedZones
 from heronladder_router.far_sends import FarSends
 from heronladder_router.kept_parts import KeptParts
+from heronladder_router.replica_limits import ReplicaLimits
 from heronladder_router.replica_state import FleetReplica, Wish
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
 from heronladder_router.service_speeds import ServiceSpeeds
@@ -37,6 +45,7 @@
         configuration: The gateway's configuration.
         environment: Time and randomness.
         log: Where changes are reported.
+        metrics: Where it counts; None: nowhere.
     """
 
     def __init__(
@@ -46,6 +55,7 @@
         configuration: ConfigurationStore,
         environment: Environment,
         log: EventLog,
+        metrics: Metrics | None = None,
     ) -> None:
         self._where = where
         self._cold = cold
@@ -67,6 +77,9 @@
         self._far_sends = FarSends(environment)
         self.changed = Pulse()
         self.loads = SharedLoads(lambda: self._replicas.values(), environment)
+        self.limits = ReplicaLimits(
+            lambda: self._replicas, self.changed, environment, metrics or Metrics(), log
+        )
         configuration.listen(self._rebuild)
 
     def _rebuild(self) -> None:
@@ -219,6 +232,7 @@
             may_spill=self.far_sends < self._where.far_sends_per_s,
             speed=self.speeds.speed(service),
             permits=permits,
+            limit_verdict=self.limits.verdict,
         )
 
     @property
@@ -242,7 +256,7 @@
             ReplicaPlaces(
                 replica.record.slots,
                 replica.in_flight + replica.others_in_flight,
-                replica.busy_until_s > view.now_s,
+                replica.busy_until_s > view.now_s or not is_within_limit(view, replica),
             )
             for replica in trusted or allowed
         ]
@@ -266,6 +280,7 @@
         """Tell what this gateway has under way, and what it saw of versions on trial."""
         self.loads.fill_heartbeat(heartbeat)
         self.versions.fill_heartbeat(heartbeat, self._replicas.values())
+        self.limits.fill_heartbeat(heartbeat)
 
     # ---- what was seen of a replica ---------------------------------------
 
@@ -280,6 +295,7 @@
         replica.unread_tokens += unread
         replica.parts.note(wish.parts)
         self._count_cold_send(replica)
+        self.limits.sent(replica)
         return unread
 
     def spilled(self) -> None:
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -32,6 +32,7 @@
     RegionUnservedError,
     RejectedEverywhereError,
     ReplicasColdError,
+    ReplicasLimitedError,
     TimeLimitError,
     VersionNotAdmittedError,
 )
@@ -54,6 +55,7 @@
     Reason.EVACUATED: EvacuatedError,
     Reason.OTHER_REGION: RegionUnservedError,
     Reason.COLD: ReplicasColdError,
+    Reason.LIMITED: ReplicasLimitedError,
     Reason.VERSION: VersionNotAdmittedError,
 }
 
@@ -131,6 +133,7 @@
             )
         self._parts.allowance.gateways = self._parts.link.routers
         self._parts.allowance.request(request.wish.service)
+        self._parts.replicas.limits.requested(request.wish.service)
         reservation = await self._tokens.reserve(request)
         progress = AnswerProgress()
         try:
@@ -215,7 +218,7 @@
         replicas = self._parts.replicas
         await self._wait_until_it_may_send(sends)
         placement = self._place(request, sends)
-        if placement.reason in _MAY_PASS and not sends.count:
+        if not sends.count and self._may_pass(placement.reason, request):
             await replicas.changed.wait(_REPLICA_WAIT_S)
             await self._wait_until_it_may_send(sends)
             placement = self._place(request, sends)
@@ -229,6 +232,12 @@
             return Placement(None, Reason.TRIED)
         return placement
 
+    def _may_pass(self, reason: Reason, request: GatewayRequest) -> bool:
+        """Whether what keeps a request from being sent may be over within a moment."""
+        if reason is Reason.LIMITED:
+            return self._parts.replicas.limits.ask_soon(request.wish.service)
+        return reason in _MAY_PASS
+
     def _place(self, request: GatewayRequest, sends: _Sends) -> Placement:
         wish = request.wish
         if self._parts.crashing.is_suspect(request.fingerprint):
@@ -334,7 +343,10 @@
                 error.retry_after_s = self._parts.places.come_back_s(service, error.retry_after_s)
             return error
         kind = _NOT_SENT.get(sends.lacking, NoBackendError)
-        return kind(f"no replica: {sends.lacking.value}", step="give_up", peer=service)
+        error = kind(f"no replica: {sends.lacking.value}", step="give_up", peer=service)
+        if sends.lacking is Reason.LIMITED:
+            error.retry_after_s = self._parts.replicas.limits.come_back_s(service)
+        return error
 
     @staticmethod
     def _time_ran_out(
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -15,7 +15,8 @@
 
 from heronladder_router.crash_reports import CrashReports
 from heronladder_router.crashing_requests import CrashingRequests
-from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.decisions.cold_limit import ColdLimits
+from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
 from heronladder_router.gateway_names import GatewayNames
@@ -24,7 +25,6 @@
 from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
-from heronladder_router.replica_limits import ReplicaLimits
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
@@ -131,6 +131,7 @@
             self.log,
         )
         handlers.replica_loads = self._loads_told
+        self._join_limits(handlers)
         self.replicas.versions.heard_s = lambda: self.link.standing.heard_s
         self.replicas.versions.count = lambda version: self.metrics.add("rollout_sends", version)
         handlers.rollout_grants = self.replicas.versions.granted
@@ -142,7 +143,6 @@
         self.crash_reports = CrashReports(
             self.link, self.crashing, environment, self.metrics, self.log
         )
-        self.limits = ReplicaLimits(self.metrics, self.log)
         self.unreached = UnreachedReplicas(self.replicas, environment, self.log)
         self._client = ReplicaClient()
         self.server = self._make_server()
@@ -179,14 +179,21 @@
         )
         return TokenAccess(lending, self.link, stubs, self._environment, self.metrics, self.log)
 
+    def _join_limits(self, handlers: LinkHandlers) -> None:
+        limits = self.replicas.limits
+        limits.gateway = self.options.name
+        limits.gateways = self._gateways_known
+        limits.heard_s = lambda: self.link.standing.heard_s
+        limits.beat_now = self.link.beat_now
+        handlers.replica_limits = limits.take
+        self.metrics.gauge("replicas_limited", lambda: limits.count)
+
+    def _gateways_known(self) -> GatewaysKnown:
+        return GatewaysKnown(self.tokens.lenders.names, self.link.routers)
+
     def _make_replicas(self) -> FleetReplicas:
         options = self.options
-        cold = ColdLimits(
-            options.name,
-            options.cold_over,
-            options.cold_slack,
-            lambda: GatewaysKnown(self.tokens.lenders.names, self.link.routers),
-        )
+        cold = ColdLimits(options.name, options.cold_over, options.cold_slack, self._gateways_known)
         return FleetReplicas(
             Surroundings(
                 options.zone,
@@ -201,6 +208,7 @@
             self.link.configuration,
             self._environment,
             self.log,
+            self.metrics,
         )
 
     def _make_places(self) -> PlaceQueue:
@@ -230,9 +238,7 @@
             routes=self.routes,
             replicas=self.replicas,
             tokens=self.tokens,
-            attempts=ReplicaAttempts(
-                self._client, self.replicas, self.limits, options.names, self._environment
-            ),
+            attempts=ReplicaAttempts(self._client, self.replicas, options.names, self._environment),
             allowance=SlidingAllowance(
                 self._environment,
                 options.retry_ratio,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -25,7 +25,6 @@
     ReplicaLostError,
     ReplicaNotReachedError,
 )
-from heronladder_router.replica_limits import ReplicaLimits
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.version_gates import AnswerSeen
 from heronladder_router.unread_prompt import UnreadPrompt
@@ -45,7 +44,6 @@
     Args:
         client: HTTP to replicas.
         replicas: All replicas.
-        limits: What those in need take.
         names: Header names.
         environment: Time.
     """
@@ -54,13 +52,11 @@
         self,
         client: ReplicaClient,
         replicas: FleetReplicas,
-        limits: ReplicaLimits,
         names: GatewayNames,
         environment: Environment,
     ) -> None:
         self._client = client
         self._replicas = replicas
-        self._limits = limits
         self._names = names
         self._environment = environment
 
@@ -87,9 +83,10 @@
             seen.spoiled = True
         response: aiohttp.ClientResponse | None = None
         ran_before = progress.ran
+        sent_s = self._environment.monotonic()
         try:
             response = await self._head(request, replica, progress)
-            await self._take(request, replica, response, sink, progress, reading, seen)
+            await self._take(request, replica, response, sink, progress, reading, seen, sent_s)
             self._replicas.succeeded(replica)
             self._count(seen, failed=False)
         except NotRunError:
@@ -172,13 +169,15 @@
         progress: AnswerProgress,
         reading: UnreadPrompt,
         seen: AnswerSeen | None,
+        sent_s: float,
     ) -> None:
         identity = response.headers.get(self._names.request_id)
         if identity not in (None, request.request_id):
             # An extra answer to an earlier request, be it a rejection, tells nothing of this one.
             raise RunLostError("the answer is of another request", step="send", peer=replica.name)
         if response.status != _MISDIRECTED:
-            self._limits.heard(replica, response.headers.get(self._names.replica_limit))
+            named = response.headers.get(self._names.replica_limit)
+            self._replicas.limits.heard(replica, named, sent_s)
         if response.status == _MISDIRECTED or self._names.not_run in response.headers:
             await response.read()
             raise NotRunError(
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -28,7 +28,6 @@
         others_unread_tokens: Prompt tokens of theirs that are not read yet.
         busy_until_s: Until when it is taken for full: it turned a request away unrun.
         pace: How slow it is beside the others of its service.
-        limit_per_s: Requests a second that it says it takes from all gateways; None: any number.
     """
 
     record: resources_pb2.Replica
@@ -45,7 +44,6 @@
     others_unread_tokens: int = 0
     busy_until_s: float = 0.0
     pace: ReplicaPace = field(default_factory=ReplicaPace)
-    limit_per_s: float | None = None
 
     @property
     def name(self) -> str:
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -386,6 +386,8 @@
         if sent is None:
             return
         self.round_trip_s = self._environment.monotonic() - sent
+        if self._handlers.replica_limits is not None:
+            self._handlers.replica_limits(frame, sent)
         quickest_s = self.quickest_round_trip_s or self.round_trip_s
         self.quickest_round_trip_s = min(quickest_s, self.round_trip_s)
         if self._leaving or not frame.freshness_ms:
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
@@ -27,6 +27,8 @@
         lenders: Routers that lend prepaid tokens, as far as that changed.
         rollout_grants: What this router may send to versions on trial.
         replica_loads: What the other routers have under way, by replica.
+        replica_limits: What replicas in need take, and what this router may send there; given
+            with when the heartbeat was sent that the frame acknowledges.
     """
 
     recall: RecallHandler | None = None
@@ -40,3 +42,4 @@
     lenders: Callable[[Iterable[control_pb2.Lender]], None] | None = None
     rollout_grants: Callable[[Iterable[control_pb2.RolloutGrant]], None] | None = None
     replica_loads: Callable[[Mapping[str, control_pb2.ReplicaLoad]], None] | None = None
+    replica_limits: Callable[[control_pb2.ControlFrame, float], None] | None = None
--- /dev/null
+++ b/packages/heronladder-runtime/src/heronladder_runtime/replica_limit.py
@@ -0,0 +1,101 @@
+"""What a replica in need takes from all routers together, and which word on it is the newest.
+
+Each answer of such a replica names its limit, for as long as it is in need. Words of one replica
+reach routers and the leader over different connections, so ages are compared, not orders.
+"""
+
+import math
+from dataclasses import dataclass
+
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+
+#: Words whose ages differ by less came over ways of different length: which one the replica said
+#: last is not known (chosen: beyond a round trip within a region).
+SAME_TIME_S = 0.2
+#: Sends that the leader grants may be made for so long after the heartbeat that asked for them. A
+#: new leader grants nothing for as long, so that none of its predecessor's are left (chosen: two
+#: heartbeats and a round trip).
+GRANT_HOLDS_S = 0.8
+#: An ended need is told for so long: each router hears of it, and then nothing (chosen).
+ENDED_TOLD_S = 5.0
+#: Replicas in one heartbeat or frame: 40 bytes each, 10 KB where a whole fleet is in need (chosen).
+MOST_WORDS = 256
+
+Incarnation = tuple[str, int]  # a replica's id, and the start that it told in ms
+
+
+@dataclass(frozen=True)
+class LimitWord:
+    """What an answer of a replica said.
+
+    Attributes:
+        per_s: Requests a second that it takes from all routers; None: any number.
+        heard_s: When it said so, on the steady clock of whoever holds the word.
+    """
+
+    per_s: float | None
+    heard_s: float
+
+    @property
+    def ended(self) -> bool:
+        """Whether it names no limit."""
+        return self.per_s is None
+
+
+def read_limit(text: str) -> float | None:
+    """Return the requests a second that a text names; None if it names no limit."""
+    try:
+        limit = float(text)
+    except ValueError:
+        return None
+    return limit if math.isfinite(limit) and limit >= 0 else None
+
+
+def newest(held: LimitWord | None, told: LimitWord) -> LimitWord:
+    """Return which of two words is gone by: the later one, or of two at one time the stricter."""
+    if held is None or told.heard_s > held.heard_s + SAME_TIME_S:
+        return told
+    if held.heard_s > told.heard_s + SAME_TIME_S:
+        return held
+    # The stricter keeps its own time: where answers come often, a limit that rises is believed
+    # as soon as nothing stricter was said for a while.
+    return min(held, told, key=lambda word: (_strictness(word), -word.heard_s))
+
+
+def _strictness(word: LimitWord) -> float:
+    return math.inf if word.per_s is None else word.per_s
+
+
+def to_message(incarnation: Incarnation, word: LimitWord, now_s: float) -> control_pb2.ReplicaLimit:
+    """Return a word as a message.
+
+    Args:
+        incarnation: Whose it is.
+        word: The word.
+        now_s: Time, on the clock of ``heard_s``.
+    """
+    replica, start_ms = incarnation
+    age_ms = int(max(0.0, now_s - word.heard_s) * MILLISECONDS_PER_SECOND)
+    message = control_pb2.ReplicaLimit(replica=replica, start_ms=start_ms, age_ms=age_ms)
+    if word.per_s is None:
+        message.ended = True
+    else:
+        message.per_s = word.per_s
+    return message
+
+
+def from_message(message: control_pb2.ReplicaLimit, at_s: float) -> LimitWord | None:
+    """Return the word of a message; None if it is none.
+
+    Args:
+        message: The message.
+        at_s: When it was made, at the latest, on the holder's clock.
+    """
+    heard_s = at_s - message.age_ms / MILLISECONDS_PER_SECOND
+    if message.ended:
+        return LimitWord(None, heard_s)
+    if not (math.isfinite(message.per_s) and message.per_s >= 0):
+        return None
+    return LimitWord(message.per_s, heard_s)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -97,8 +97,11 @@
     "suspect_served": "A suspected request was answered in full: nothing is held against it.",
     "replica_forgotten": "A replica left the list.",
     "replica_known": "A replica is new, or its registration changed.",
-    "replica_limit": "What a replica says that it takes from all gateways together has changed,"
-    " as this gateway heard it: `limit_per_s` requests a second, or None: any number.",
+    "replica_limit": "What a replica takes from all gateways together has changed, as this gateway"
+    " heard it from an `answer` or from `control`: `limit_per_s` requests a second (None: any"
+    " number), what this gateway was `granted` of it, and what it `sent` in the last 4 s.",
+    "replica_limit_shared": "The same at the leader, which grants sends: told by which gateway, and"
+    " how old.",
     "replica_misdirected": "A replica's address answered that it is another's by now: it is left"
     " out for `for_s`.",
     "replica_suspected": "A send failed: others are preferred for `for_s`.",
@@ -162,7 +165,8 @@
     "crashes_reported": "Crashes of replicas that gateways told control.",
     "crash_reports_failed": "Such words that control did not take in time.",
     "crashing_requests": "Requests that the leader refused, or let through again.",
-    "replica_limits_heard": "Changes of what replicas in need say that they take.",
+    "replica_limits_changed": "Changes of what replicas in need take, by how one heard of it.",
+    "replica_sends_granted": "Sends to replicas in need that the leader granted.",
     "replica_limits_malformed": "Answers whose limit was no number: they name none.",
     "replica_crashes": "Crashes that a gateway noticed, by the sign.",
     "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -9,10 +9,10 @@
 from heronladder_router.decisions.cold_limit import (
     WINDOW_S,
     ColdLimits,
-    GatewaysKnown,
     bound_per_s,
     share_per_s,
 )
+from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.placement import PlacementView, Reason, place
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_state import FleetReplica, Wish
--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -4,8 +4,9 @@
 import unittest
 from collections import Counter
 
-from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.decisions.cold_limit import ColdLimits
 from heronladder_router.decisions.distance import Way
+from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.placement import Placement, PlacementView, Reason, place
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import KeptParts, PromptPart
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -4,7 +4,8 @@
 import unittest
 
 from heronladder_control.replica_loads import ReplicaLoads
-from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.decisions.cold_limit import ColdLimits
+from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import parse_parts
 from heronladder_router.replica_state import Wish
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -7,7 +7,8 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.decisions.cold_limit import ColdLimits
+from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.placement import PlacementView, place
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, ReplicaPace, Speed
 from heronladder_router.fleet_replicas import FleetReplicas
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -6,7 +6,8 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
-from heronladder_router.decisions.cold_limit import ColdLimits, GatewaysKnown
+from heronladder_router.decisions.cold_limit import ColdLimits
+from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.take import Standing, TakeView, take
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.replica_state import Wish
