Sends to replicas in need are asked for as requests come, at all of a service together

Callers at thinly used gateways would be refused beside sends that others hold in vain: a send granted ahead and not made is lost to all. Cause: each gateway asked at each replica for what it might need. Ruled out: a limit kept too tightly (the sum stayed at or under it). Change: one ask a service, made as a request waits (0.1 s at most), ahead only as far as requests come surely; a gateway that waited longer goes first; where nobody hears of a replica any more, a send that holds longer, so that the end of a need is noticed.

--- a/packages/heronladder-control/src/heronladder_control/replica_limits.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_limits.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
-from heronladder_runtime.clock import Environment
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.replica_limit import (
@@ -38,6 +38,23 @@
 _UNTOLD_S = 5.0  # nobody told of a replica for longer: it is forgotten (chosen)
 
 
+# Nobody heard of a replica for longer: sends granted there run out unused, at gateways that get too
+# few requests. One that holds longer is granted now and then, so that the end of the need is
+# noticed; two at most are out at a time (chosen).
+_UNHEARD_S = 3.0
+_LONG_HOLDS_S = 10.0
+_LONG_PAUSE_S = 5.0
+
+
+@dataclass(frozen=True)
+class _Ask:
+    """What a router asks for: sends at any of a service's replicas in need."""
+
+    asked_s: float
+    service: str
+    sends: int
+
+
 @dataclass
 class _Shared:
     """One replica in need.
@@ -48,8 +65,9 @@
         told_s: When a router told of it last.
         free: Sends that may be granted now.
         filled_s: When that was counted.
-        asks: By router: when it asked, and for how many.
+        asks: What each router asks for.
         waits_s: By router: since when it waits, from its first ask or its newest grant.
+        long_s: When a send was granted last that holds longer.
     """
 
     word: LimitWord
@@ -57,8 +75,9 @@
     told_s: float
     free: float
     filled_s: float
-    asks: dict[str, tuple[float, int]] = field(default_factory=dict)
+    asks: dict[str, _Ask] = field(default_factory=dict)
     waits_s: dict[str, float] = field(default_factory=dict)
+    long_s: float = float("-inf")
 
     @property
     def rate_per_s(self) -> float:
@@ -72,32 +91,33 @@
         self.free = min(most, self.free + rate * max(0.0, now_s - self.filled_s))
         self.filled_s = max(self.filled_s, now_s)
 
-    def grant(self, router: str, now_s: float) -> int:
-        """Return how many sends a router that asked may make."""
-        asked = self.asks.get(router)
+    def open_to(self, router: str, now_s: float) -> int:
+        """Return how many sends a router may be granted now; those that waited longer go first."""
         self.fill(now_s)
-        if asked is None:
+        if router not in self.asks:
             return 0
-        before = self._before(router, now_s)
-        sends = min(asked[1], int(self.free) - before)
-        if sends <= 0:
-            return 0
-        del self.asks[router]
-        self.free -= sends
-        self.waits_s[router] = now_s
-        return sends
-
-    def _before(self, router: str, now_s: float) -> int:
-        """Return how many others go first: those whose requests waited longer in sum."""
         own = self._waited(router, now_s)
-        return sum(
+        before = sum(
             1
-            for other, (asked_s, _) in self.asks.items()
-            if now_s - asked_s < _ASK_HOLDS_S and self._waited(other, now_s) > own
+            for other, ask in self.asks.items()
+            if now_s - ask.asked_s < _ASK_HOLDS_S and self._waited(other, now_s) > own
         )
+        return max(0, int(self.free) - before)
 
     def _waited(self, router: str, now_s: float) -> float:
-        return (now_s - self.waits_s[router]) * self.asks[router][1]
+        return (now_s - self.waits_s[router]) * self.asks[router].sends
+
+    def grant(self, router: str, sends: int, now_s: float) -> None:
+        """Take sends for a router."""
+        self.free -= sends
+        self.waits_s[router] = now_s
+
+    def holds_s(self, now_s: float) -> float:
+        """Return how long a send that is granted now may be held."""
+        if now_s - self.word.heard_s < _UNHEARD_S or now_s - self.long_s < _LONG_PAUSE_S:
+            return GRANT_HOLDS_S
+        self.long_s = now_s
+        return _LONG_HOLDS_S
 
 
 class SharedReplicaLimits:
@@ -154,7 +174,7 @@
             shared = self._take(incarnation, word, router)
             shared.told_s = now_s
             if message.wanted and not shared.word.ended:
-                shared.asks[router] = (now_s, message.wanted)
+                shared.asks[router] = _Ask(now_s, message.service, message.wanted)
                 shared.waits_s.setdefault(router, now_s)
                 self._asked.setdefault(router, []).append(incarnation)
 
@@ -212,13 +232,31 @@
         self._tell_changes(session, frame, now_s)
         if now_s < self._grants_from_s:
             return
-        router = session.record.name
-        for replica, start_ms in self._asked.get(router, ()):
-            shared = self._shared.get((replica, start_ms))
-            sends = shared.grant(router, now_s) if shared is not None else 0
-            if sends:
-                frame.replica_grants.add(replica=replica, start_ms=start_ms, sends=sends)
-                self._metrics.add("replica_sends_granted", amount=sends)
+        self._grant(session.record.name, frame, now_s)
+
+    def _grant(self, router: str, frame: control_pb2.ControlFrame, now_s: float) -> None:
+        """Grant a router what it asked for, at the replicas of each service that have most left."""
+        left: dict[str, int] = {}
+        asked = [one for one in self._asked.get(router, ()) if one in self._shared]
+        for incarnation in sorted(asked, key=lambda one: -self._shared[one].free):
+            shared = self._shared[incarnation]
+            ask = shared.asks.get(router)
+            if ask is None:
+                continue
+            open_to = shared.open_to(router, now_s)
+            sends = min(left.setdefault(ask.service, ask.sends), open_to)
+            if sends <= 0:
+                continue
+            left[ask.service] -= sends
+            shared.grant(router, sends, now_s)
+            frame.replica_grants.add(
+                replica=incarnation[0],
+                start_ms=incarnation[1],
+                sends=sends,
+                holds_ms=int(shared.holds_s(now_s) * MILLISECONDS_PER_SECOND),
+            )
+            self._metrics.add("replica_sends_granted", amount=sends)
+        self._let_go(router)
 
     def _tell_changes(
         self, session: DaemonSession, frame: control_pb2.ControlFrame, now_s: float
--- a/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
@@ -24,7 +24,7 @@
 #: A gateway asks for what it would have sent in so long: until the answer to its next heartbeat
 #: but one (chosen).
 DEMAND_S = 0.6
-_MOST_ASKED = 512  # for one replica; far beyond what one gateway sends in that time (chosen)
+_MOST_ASKED = 512  # at one service; far beyond what one gateway sends in that time (chosen)
 
 
 class LimitVerdict(Enum):
@@ -91,12 +91,19 @@
     return share_of_few(replica, gateway, known, total)
 
 
-def sends_wanted(requests: int, limited: int, held: int) -> int:
-    """Return how many sends to ask the leader for, at one replica.
+def sends_wanted(requests: int, waiting: int, limited: int, usable: int, held: int) -> int:
+    """Return how many sends to ask the leader for, at all replicas of a service in need.
+
+    A send that is granted and not made is lost to all gateways. So where all replicas are in need
+    one is asked for as its request comes, and ahead of it only as far as requests come surely.
 
     Args:
-        requests: Requests for its service in the last ``DEMAND_S``.
-        limited: Replicas of its service that are in need.
+        requests: Requests for the service in the last ``DEMAND_S``.
+        waiting: Requests that wait for a grant.
+        limited: Replicas of the service that are in need.
+        usable: All replicas of the service.
         held: Sends that are granted and not made yet.
     """
-    return min(_MOST_ASKED, max(0, math.ceil(requests / max(1, limited)) - held))
+    all_limited = limited >= usable
+    ahead = requests - 1 if all_limited else math.ceil(requests * limited / usable)
+    return min(_MOST_ASKED, max(0, waiting + ahead - held))
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -78,7 +78,11 @@
         self.changed = Pulse()
         self.loads = SharedLoads(lambda: self._replicas.values(), environment)
         self.limits = ReplicaLimits(
-            lambda: self._replicas, self.changed, environment, metrics or Metrics(), log
+            lambda name: self._replicas.get(name),
+            self.usable,
+            environment,
+            metrics or Metrics(),
+            log,
         )
         configuration.listen(self._rebuild)
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -215,11 +215,9 @@
         return request.matched.may_run_twice and sends.runs < max(1, route.attempts)
 
     async def _next_placement(self, request: GatewayRequest, sends: _Sends) -> Placement:
-        replicas = self._parts.replicas
         await self._wait_until_it_may_send(sends)
         placement = self._place(request, sends)
-        if not sends.count and self._may_pass(placement.reason, request):
-            await replicas.changed.wait(_REPLICA_WAIT_S)
+        if not sends.count and await self._passes(placement.reason, request):
             await self._wait_until_it_may_send(sends)
             placement = self._place(request, sends)
         # Only what arrives at a replica again is a repeat. Tries at crashed replicas used all
@@ -232,11 +230,15 @@
             return Placement(None, Reason.TRIED)
         return placement
 
-    def _may_pass(self, reason: Reason, request: GatewayRequest) -> bool:
-        """Whether what keeps a request from being sent may be over within a moment."""
+    async def _passes(self, reason: Reason, request: GatewayRequest) -> bool:
+        """Wait a moment for what keeps a request from being sent; return whether it may be over."""
+        replicas = self._parts.replicas
         if reason is Reason.LIMITED:
-            return self._parts.replicas.limits.ask_soon(request.wish.service)
-        return reason in _MAY_PASS
+            return await replicas.limits.wait_for_grant(request.wish.service)
+        if reason in _MAY_PASS:
+            await replicas.changed.wait(_REPLICA_WAIT_S)
+            return True
+        return False
 
     def _place(self, request: GatewayRequest, sends: _Sends) -> Placement:
         wish = request.wish
--- a/packages/heronladder-router/src/heronladder_router/replica_limits.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_limits.py
@@ -1,16 +1,17 @@
 """What replicas in need take from all gateways together, and this gateway's part of it."""
 
+import asyncio
+from bisect import insort
 from collections import deque
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from heronladder_runtime.clock import Environment
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.replica_limit import (
     ENDED_TOLD_S,
-    GRANT_HOLDS_S,
     MOST_WORDS,
     Incarnation,
     LimitWord,
@@ -21,20 +22,21 @@
 )
 from heronladder_schema.v1 import control_pb2
 
-from heronladder_router.decisions.come_back import ComeBackView, come_back
 from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.replica_limit import (
-    DEMAND_S,
+    LEADER_SILENT_S,
     SPAN_S,
     LimitVerdict,
     LimitView,
     judge,
-    sends_wanted,
 )
+from heronladder_router.limit_demand import LimitDemand
 from heronladder_router.replica_state import FleetReplica
 
-_SOON_PAUSE_S = 0.1  # between two heartbeats that ask for sends out of turn (chosen)
-_MOST_COUNTED = 1024  # requests of a service within DEMAND_S (chosen)
+_SOON_PAUSE_S = 0.05  # between two heartbeats that ask for sends out of turn (chosen)
+# The longest that a request waits for the leader's answer: an eighth of the users' objectives, so
+# that a refusal costs its caller little (chosen).
+_GRANT_WAIT_S = 0.1
 _UNKNOWN_S = 10.0  # a word on a replica that is not registered is kept for so long (chosen)
 
 
@@ -51,13 +53,13 @@
 
     word: LimitWord
     named_s: float = float("-inf")
-    grants_s: deque[float] = field(default_factory=deque)
+    grants_s: list[float] = field(default_factory=list)
     sends_s: deque[float] = field(default_factory=deque)
 
     def drop_old(self, now_s: float) -> None:
         """Let go of grants that ran out, and of sends that count no more."""
         while self.grants_s and self.grants_s[0] <= now_s:
-            self.grants_s.popleft()
+            del self.grants_s[0]
         while self.sends_s and self.sends_s[0] <= now_s - SPAN_S:
             self.sends_s.popleft()
 
@@ -66,8 +68,8 @@
     """The replicas in need, as this gateway knows them.
 
     Args:
-        replicas: Gives all replicas that are registered, by name.
-        changed: Given when more may be sent.
+        registered: Gives a replica that is registered, by its name.
+        usable: Gives the replicas of a service that are not leaving.
         environment: Time.
         metrics: Where it counts.
         log: Where changes are reported.
@@ -81,23 +83,22 @@
 
     def __init__(
         self,
-        replicas: Callable[[], Mapping[str, FleetReplica]],
-        changed: Pulse,
+        registered: Callable[[str], FleetReplica | None],
+        usable: Callable[[str], list[FleetReplica]],
         environment: Environment,
         metrics: Metrics,
         log: EventLog,
     ) -> None:
-        self._replicas = replicas
-        self._changed = changed
+        self._registered = registered
+        self._usable = usable
         self._environment = environment
         self._metrics = metrics
         self._log = log
         self._limited: dict[Incarnation, _Limited] = {}
-        self._asked_s: dict[str, deque[float]] = {}  # by service: its newest requests
-        self._told_until_s: dict[str, float] = {}  # by service: the latest Retry-After told
-        self._ask_told_s: dict[str, float] = {}  # by service: when the leader was asked last
+        self._demand = LimitDemand()
         self._beaten_s = float("-inf")
-        self._asked_soon_s = float("inf")  # since when a request waits for the leader's answer
+        self._answered = Pulse()  # given when the leader answered a heartbeat
+        self._answered_s = float("-inf")  # when that heartbeat was sent
         self.gateway = ""
         self.gateways: Callable[[], GatewaysKnown] = lambda: GatewaysKnown((), 1)
         self.heard_s: Callable[[], float] = lambda: float("-inf")
@@ -146,17 +147,25 @@
             word = from_message(message, sent_s)
             if word is not None:
                 self._take((message.replica, message.start_ms), word, "control")
-        until_s = sent_s + GRANT_HOLDS_S
+        now_s = self._environment.monotonic()
+        granted: dict[str, int] = {}
         for grant in frame.replica_grants:
+            replica = self._registered(grant.replica)
             limited = self._limited.get((grant.replica, grant.start_ms))
-            if limited is not None and until_s > self._environment.monotonic():
-                limited.grants_s.extend([until_s] * grant.sends)
-                self._metrics.add("replica_sends_granted", amount=grant.sends)
-        is_answer = sent_s >= self._asked_soon_s
-        if is_answer:
-            self._asked_soon_s = float("inf")
-        if frame.replica_grants or is_answer:
-            self._changed.give()
+            until_s = sent_s + grant.holds_ms / MILLISECONDS_PER_SECOND
+            if replica is None or limited is None or limited.word.ended or until_s <= now_s:
+                continue
+            for _ in range(grant.sends):
+                insort(limited.grants_s, until_s)
+            service = replica.record.service
+            granted[service] = granted.get(service, 0) + grant.sends
+            self._metrics.add("replica_sends_granted", amount=grant.sends)
+        if not self._limited:
+            return
+        for service in self._demand.services():
+            self._demand.answered(service, granted.get(service, 0), now_s)
+        self._answered_s = sent_s
+        self._answered.give()
 
     def _take(self, incarnation: Incarnation, word: LimitWord, how: str) -> None:
         limited = self._limited.get(incarnation)
@@ -188,10 +197,7 @@
             gateways=self.gateways().count,
             leader_silent_s=self._silent_s(),
         )
-        if not earlier.ended and not word.ended:
-            return
-        self._changed.give()
-        if how == "answer":
+        if how == "answer" and earlier.ended is not word.ended:
             self._beat_soon()  # the others know nothing of it yet
 
     # ---- choice -----------------------------------------------------------
@@ -223,8 +229,7 @@
     def requested(self, service: str) -> None:
         """Count a request for a service: what is asked of the leader goes by them."""
         if self._limited:
-            asked_s = self._asked_s.setdefault(service, deque(maxlen=_MOST_COUNTED))
-            asked_s.append(self._environment.monotonic())
+            self._demand.requested(service, self._environment.monotonic())
 
     def sent(self, replica: FleetReplica) -> None:
         """Count a send: it uses up a grant, if there is one."""
@@ -234,7 +239,7 @@
         now_s = self._environment.monotonic()
         limited.drop_old(now_s)
         if limited.grants_s:
-            limited.grants_s.popleft()
+            del limited.grants_s[0]
         limited.sends_s.append(now_s)
 
     def _silent_s(self) -> float:
@@ -242,20 +247,33 @@
 
     # ---- what waits, and who is refused -----------------------------------
 
-    def ask_soon(self, service: str) -> bool:
-        """Ask the leader for sends now; return whether that may bring some.
-
-        It may not if it was asked a moment ago: it gave what there was.
-        """
+    def begin_wait(self, service: str) -> bool:
+        """Have a request ask the leader for a send; return whether that may bring one."""
         now_s = self._environment.monotonic()
-        if now_s - self._ask_told_s.get(service, float("-inf")) < DEMAND_S:
-            return False
-        if self._silent_s() >= SPAN_S:
+        if self._silent_s() >= LEADER_SILENT_S or not self._demand.begin_wait(service, now_s):
             return False
-        self._asked_soon_s = min(self._asked_soon_s, now_s)
         self._beat_soon()
         return True
 
+    def end_wait(self, service: str) -> None:
+        """Note that a request waits no longer."""
+        self._demand.end_wait(service)
+
+    async def wait_for_grant(self, service: str) -> bool:
+        """Ask the leader for a send and wait for its answer; return whether it may have come."""
+        asked_s = self._environment.monotonic()
+        if not self.begin_wait(service):
+            return False
+        try:
+            async with asyncio.timeout(_GRANT_WAIT_S):
+                while self._answered_s < asked_s:
+                    await self._answered.wait()
+        except TimeoutError:
+            self._metrics.add("replica_grants_late")
+        finally:
+            self.end_wait(service)
+        return True
+
     def _beat_soon(self) -> None:
         now_s = self._environment.monotonic()
         if now_s - self._beaten_s >= _SOON_PAUSE_S:
@@ -266,17 +284,7 @@
         """Return when a caller may come back for whom no replica in need had room."""
         per_s = sum(limited.word.per_s or 0.0 for _, limited in self._of_service(service))
         now_s = self._environment.monotonic()
-        turn_s = 1.0 / per_s if per_s > 0 else SPAN_S
-        told = come_back(
-            ComeBackView(
-                now_s,
-                turn_s,
-                turn_s * max(1, self.gateways().count),
-                self._told_until_s.get(service, float("-inf")),
-            )
-        )
-        self._told_until_s[service] = told.told_until_s
-        return told.after_s
+        return self._demand.come_back_s(service, per_s, self.gateways().count, now_s)
 
     # ---- words to the leader ----------------------------------------------
 
@@ -288,38 +296,34 @@
         self._forget_old(now_s)
         wanted = self._wanted(now_s)
         for incarnation, limited in sorted(
-            self._limited.items(), key=lambda item: -wanted.get(item[0], 0)
+            self._limited.items(), key=lambda item: item[0] not in wanted
         )[:MOST_WORDS]:
             message = to_message(incarnation, limited.word, now_s)
-            message.wanted = wanted.get(incarnation, 0)
+            if incarnation in wanted:
+                message.service, message.wanted = wanted[incarnation]
             heartbeat.replica_limits.append(message)
 
-    def _wanted(self, now_s: float) -> dict[Incarnation, int]:
-        """Return the sends to ask for, by replica."""
-        wanted: dict[Incarnation, int] = {}
-        for service, asked_s in list(self._asked_s.items()):
-            while asked_s and asked_s[0] <= now_s - DEMAND_S:
-                asked_s.popleft()
-            if not asked_s:
-                del self._asked_s[service]
-                continue
-            self._ask_told_s[service] = now_s
+    def _wanted(self, now_s: float) -> dict[Incarnation, tuple[str, int]]:
+        """Return the sends to ask for, by replica: those of a service together."""
+        wanted: dict[Incarnation, tuple[str, int]] = {}
+        for service in self._demand.services():
             of_service = self._of_service(service)
-            for incarnation, limited in of_service:
+            for _, limited in of_service:
                 limited.drop_old(now_s)
-                held = len(limited.grants_s)
-                wanted[incarnation] = sends_wanted(len(asked_s), len(of_service), held)
+            held = sum(len(limited.grants_s) for _, limited in of_service)
+            usable = len(self._usable(service))
+            sends = self._demand.ask(service, len(of_service), usable, held, now_s)
+            if sends:
+                wanted |= {incarnation: (service, sends) for incarnation, _ in of_service}
         return wanted
 
     def _of_service(self, service: str) -> list[tuple[Incarnation, _Limited]]:
         """Return the replicas of a service that name a limit."""
-        replicas = self._replicas()
         return [
             (incarnation, limited)
-            for incarnation, limited in self._limited.items()
-            if not limited.word.ended
-            and self._is_registered(incarnation)
-            and replicas[incarnation[0]].record.service == service
+            for replica in self._usable(service)
+            if (limited := self._limited.get(incarnation := _incarnation(replica))) is not None
+            and not limited.word.ended
         ]
 
     def _forget_old(self, now_s: float) -> None:
@@ -328,9 +332,11 @@
             is_ended = limited.word.ended and age_s > ENDED_TOLD_S
             if is_ended or (age_s > _UNKNOWN_S and not self._is_registered(incarnation)):
                 del self._limited[incarnation]
+        if not self._limited:
+            self._demand.clear()
 
     def _is_registered(self, incarnation: Incarnation) -> bool:
-        replica = self._replicas().get(incarnation[0])
+        replica = self._registered(incarnation[0])
         return replica is not None and _incarnation(replica) == incarnation
 
 
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -166,6 +166,7 @@
     "crash_reports_failed": "Such words that control did not take in time.",
     "crashing_requests": "Requests that the leader refused, or let through again.",
     "replica_limits_changed": "Changes of what replicas in need take, by how one heard of it.",
+    "replica_grants_late": "Requests that waited in vain for the leader to answer.",
     "replica_sends_granted": "Sends to replicas in need that the leader granted.",
     "replica_limits_malformed": "Answers whose limit was no number: they name none.",
     "replica_crashes": "Crashes that a gateway noticed, by the sign.",
