--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -32,6 +32,8 @@
     "test_http",
     "test_process_soak",
     "test_crowd_of_replicas",
+    "test_replica_limit_changes",
+    "test_replica_limits",
     "test_rollouts",
     "test_unreached_replicas",
     "test_lending",
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -1,6 +1,7 @@
 """A fleet over loopback with replicas in need, and a book that judges what they got in sum."""
 
 import asyncio
+import unittest
 from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -191,3 +192,17 @@
     for replica in needy:
         await fleet.add_replica(replica.identity, replica.script)
     return LimitedFleet(fleet, needy)
+
+
+class LimitedFleetCase(unittest.IsolatedAsyncioTestCase):
+    """A test of such a fleet."""
+
+    async def start(self, gateways: int, replicas: int) -> LimitedFleet:
+        return await start_limited(gateways, replicas, self.addAsyncCleanup)
+
+    def assert_within(self, limited: LimitedFleet) -> None:
+        for replica in limited.replicas:
+            if replica.limit is not None:
+                most_allowed = allowed(float(replica.limit))
+                self.assertLessEqual(limited.most_of_told(replica), most_allowed, replica.identity)
+                self.assertLessEqual(limited.most_of_all(replica), most_allowed, replica.identity)
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -9,20 +9,10 @@
 
 import unittest
 
-from limited_fleet import LimitedFleet, allowed, start_limited
+from limited_fleet import LimitedFleetCase
 
 
-class SumOverGatewaysTest(unittest.IsolatedAsyncioTestCase):
-    async def start(self, gateways: int, replicas: int) -> LimitedFleet:
-        return await start_limited(gateways, replicas, self.addAsyncCleanup)
-
-    def assert_within(self, limited: LimitedFleet) -> None:
-        for replica in limited.replicas:
-            if replica.limit is not None:
-                most_allowed = allowed(float(replica.limit))
-                self.assertLessEqual(limited.most_of_told(replica), most_allowed, replica.identity)
-                self.assertLessEqual(limited.most_of_all(replica), most_allowed, replica.identity)
-
+class SumOverGatewaysTest(LimitedFleetCase):
     async def test_one_replica_in_need_beside_others(self) -> None:
         """Three gateways, unevenly called; one of four replicas takes 1.7 a second."""
         limited = await self.start(3, 4)
@@ -56,6 +46,17 @@
             used = limited.sent_since(replica, replica.first_named_s + 3.0)
             self.assertGreaterEqual(used, 0.5 * 1.7 * 6.0, "what it takes is used")
 
+    async def test_words_on_heads_of_streams_and_on_refusals(self) -> None:
+        """Four gateways; one replica names 0.5 a second on streams, another as it turns away."""
+        limited = await self.start(4, 4)
+        await limited.ask(20.0, 0.5, "/stream/")
+        streams, turns_away = limited.replicas[:2]
+        streams.limit = turns_away.limit = "0.5"
+        turns_away.refuses = True
+        judged = await limited.ask(20.0, 8.0, "/stream/")
+        self.assert_within(limited)
+        self.assertEqual(set(judged.statuses), {200}, "callers beside them are served")
+
 
 if __name__ == "__main__":
     unittest.main()
