--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -76,7 +76,7 @@
         self._fresh_until = 0.0
         self._session: LinkSession | None = None
         self._hint = ""
-        self._failed_streams = 0  # newest ones in a row that ended without a leader's word
+        self._failed = 0  # newest ones in a row that ended without a leader's word
         self._wordless_streams = 0  # newest ones that were given up before a first word
         self._leaving = False
         self._began_anew = False  # the process goes on under a new incarnation
@@ -180,14 +180,13 @@
         while self.rejected is None:
             address, way_s = self._hint, 0.0
             if not address:
-                failed = self._failed_streams
-                address, way_s = await self._ways.choose(self._addresses, attempt, failed)
+                address, way_s = await self._ways.choose(self._addresses, attempt, self._failed)
             self._hint = ""
             attempt += 1
             try:
                 await self._run_session(address, way_s)
             except RPC_ERRORS as error:
-                self._failed_streams += 1
+                self._failed += 1
                 self._report_loss(address, error)
             if not self._hint:
                 await asyncio.sleep(self._environment.jitter(_RECONNECT_PAUSE_S))
@@ -224,7 +223,7 @@
                     self._hint = frame.leader_address
                     return
                 # A member that names the leader is not the leader.
-                self._failed_streams = self._wordless_streams = 0
+                self._failed = self._wordless_streams = 0
                 if frame.rejected:
                     self._reject(frame.rejected, address)
                     return
