--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -73,10 +73,11 @@
     "daemon",
     "gateway",
     "leader",
+    "replica_limit",  # a request that is refused for all limits names no replica
     "zone",
     "version",
     "rollout",
-)  # about no one replica
+)  # about no one replica, or told also of requests that name none
 _BELIEFS_KEPT = 6  # newest ones of each process before the request
 
 
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -31,6 +31,14 @@
         self.control = Path(self.folder.name) / "c1.log"
         self.control.write_text(_CONTROL)
 
+    def test_a_refusal_for_all_limits_is_told_with_the_limits(self) -> None:
+        limit = (
+            "time=2026-01-01T00:00:02.600 event=replica_limit daemon=g1 peer=i-9 limit_per_s=1.7"
+        )
+        self.gateway.write_text(f"{_GATEWAY}{limit}\n")
+        text = explanation_text(explain_request("r1", [self.gateway]))
+        self.assertIn("limit_per_s=1.7", text)
+
     def test_a_refusal_is_told_with_what_its_gateway_believed(self) -> None:
         found = explain_request("r1", [self.gateway, self.control])
         self.assertEqual(
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -57,6 +57,15 @@
         self.assert_within(limited)
         self.assertEqual(set(judged.statuses), {200}, "callers beside them are served")
 
+    async def test_twelve_gateways_and_a_small_limit(self) -> None:
+        """One of three replicas takes 0.5 a second; its words come on heads of streams."""
+        limited = await self.start(12, 3)
+        await limited.ask(30.0, 0.5, "/stream/")
+        limited.replicas[0].limit = "0.5"
+        judged = await limited.ask(30.0, 8.0, "/stream/")
+        self.assert_within(limited)
+        self.assertEqual(set(judged.statuses), {200}, "callers beside it are served")
+
 
 if __name__ == "__main__":
     unittest.main()
