Ways to control: a member that refuses hands its turn on at once

Gateways came back later than they could after all members had restarted: each turn lasted 0.4 s, also where the connection was refused. Cause: the turn waited for an answer only, not for the end of its try. Ruled out: the way itself. Change: a try that ends hands on after 0.1 s, as streams did before; after a second without an answer a stream is opened all the same.

--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -70,7 +70,7 @@
         self._log = EventLog("control_link", record.name)
         self.standing = ConfigurationStanding(self.configuration, environment, self._log)
         self._tasks = TaskGroupOwner(self._log)
-        self._ways = ControlWays(stubs, self._tasks, environment)
+        self._ways = ControlWays(stubs, self._tasks, environment, self._log)
         self._pending: dict[int, PendingCall] = {}
         self._last_call_id = self._heartbeat_number = 0
         self._fresh_until = 0.0
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_ways.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_ways.py
@@ -9,6 +9,7 @@
 import asyncio
 
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
 from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.rpc import StubFactory
 from heronladder_runtime.rpc_errors import RPC_ERRORS
@@ -19,7 +20,8 @@
 _FAILED_BEFORE_TRIES = 2  # a first failure is mostly a leader that is lost (chosen)
 _TRY_S = 3.0  # the longest way that is waited for (chosen: as long as machines are in touch)
 _NEXT_TRY_S = 0.4  # after a cut has ended nobody waits longer for the next try (chosen)
-_TURNS = 5  # so many are begun before a stream is opened all the same: two seconds (chosen)
+_REFUSED_PAUSE_S = 0.1  # before the next member's turn, where one refuses (chosen)
+_CHOICE_S = 1.0  # after so long without an answer a stream is opened all the same (chosen)
 _ANSWER_HOLDS_S = 1.0  # an answer older than that tells nothing of the way now (chosen)
 
 
@@ -30,14 +32,17 @@
         stubs: Reaches them.
         tasks: Owns the tries.
         environment: Time.
+        log: Where tries that came to nothing are reported.
     """
 
-    def __init__(self, stubs: StubFactory, tasks: TaskGroupOwner, environment: Environment) -> None:
+    def __init__(
+        self, stubs: StubFactory, tasks: TaskGroupOwner, environment: Environment, log: EventLog
+    ) -> None:
         self._stubs = stubs
         self._tasks = tasks
         self._environment = environment
+        self._log = log
         self._answered: dict[str, tuple[float, float]] = {}  # when, and how long the way took
-        self._last_try_s: dict[str, float] = {}
         self._came = Pulse()
 
     async def choose(self, members: list[str], first: int, failed: int) -> tuple[str, float]:
@@ -54,17 +59,29 @@
         addresses = [*members[first:], *members[:first]]
         if failed < _FAILED_BEFORE_TRIES:
             return addresses[0], 0.0
-        for turn in range(_TURNS):
-            self._begin(addresses[turn % len(addresses)])
-            until_s = self._environment.monotonic() + _NEXT_TRY_S
-            answered = True
-            while answered:
-                found = self._open(addresses)
+        until_s = self._environment.monotonic() + _CHOICE_S
+        while self._environment.monotonic() < until_s:
+            for address in addresses:
+                found = await self._try_one(address, addresses)
                 if found is not None:
                     return found
-                answered = await self._came.wait(until_s - self._environment.monotonic())
         return addresses[0], 0.0
 
+    async def _try_one(self, address: str, addresses: list[str]) -> tuple[str, float] | None:
+        """Begin a try at one address; return the first of all that answers before the next try."""
+        ended = self._begin(address)
+        until_s = self._environment.monotonic() + _NEXT_TRY_S
+        answered = True
+        while answered:
+            found = self._open(addresses)
+            if found is not None:
+                return found
+            if ended.is_set():
+                await asyncio.sleep(_REFUSED_PAUSE_S)  # nobody listens there: the next one's turn
+                return self._open(addresses)
+            answered = await self._came.wait(until_s - self._environment.monotonic())
+        return None
+
     def _open(self, addresses: list[str]) -> tuple[str, float] | None:
         for address in addresses:
             came_s, way_s = self._answered.pop(address, (float("-inf"), 0.0))
@@ -72,19 +89,21 @@
                 return address, way_s
         return None
 
-    def _begin(self, address: str) -> None:
-        now_s = self._environment.monotonic()
-        if now_s - self._last_try_s.get(address, float("-inf")) >= _NEXT_TRY_S:
-            self._last_try_s[address] = now_s
-            self._tasks.start(f"way-{address}", self._try(address))
+    def _begin(self, address: str) -> asyncio.Event:
+        """Begin a try; return what is set once it has ended."""
+        ended = asyncio.Event()
+        self._tasks.start(f"way-{address}", self._try(address, ended))
+        return ended
 
-    async def _try(self, address: str) -> None:
+    async def _try(self, address: str, ended: asyncio.Event) -> None:
         began_s = self._environment.monotonic()
         try:
             async with asyncio.timeout(_TRY_S):
                 await self._stubs.greeted(address)
-        except RPC_ERRORS:
-            return  # refused, silent or gone: the next try tells
-        now_s = self._environment.monotonic()
-        self._answered[address] = (now_s, now_s - began_s)
-        self._came.give()
+            now_s = self._environment.monotonic()
+            self._answered[address] = (now_s, now_s - began_s)
+        except RPC_ERRORS as error:
+            self._log.debug("way_not_open", step="connect", peer=address, error=repr(error))
+        finally:
+            ended.set()
+            self._came.give()
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -97,6 +97,8 @@
     "suspect_served": "A suspected request was answered in full: nothing is held against it.",
     "replica_forgotten": "A replica left the list.",
     "replica_known": "A replica is new, or its registration changed.",
+    "way_not_open": "A connection to a control member that was tried after lost streams came to"
+    " nothing.",
     "replica_limit": "What a replica takes from all gateways together has changed, as this gateway"
     " heard it from an `answer` or from `control`: `limit_per_s` requests a second (None: any"
     " number), what this gateway was `granted` of it, and what it `sent` in the last 4 s.",
