Gateways log what an answer of a replica asks for: back-off, leaving

No behaviour changes: the head of an answer is read once (limit, not run, misdirected, back-off, leaving), and a line tells of back-off and leaving, so that a log shows whether a gateway knew and went on.

--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/answer_signals.py
@@ -0,0 +1,119 @@
+"""What a replica says of itself in the head of an answer: read once, for every answer."""
+
+import math
+import re
+from collections.abc import Iterable
+from dataclasses import dataclass
+from datetime import UTC, datetime
+from email.utils import parsedate_to_datetime
+from http import HTTPStatus
+
+from multidict import CIMultiDictProxy
+
+from heronladder_router.gateway_names import GatewayNames
+
+_RETRY_AFTER = "Retry-After"
+_DATE = "Date"
+_SECONDS = re.compile(r"[0-9]+(?:\.[0-9]+)?")
+_TRUE = frozenset({"1", "true"})
+
+
+@dataclass(frozen=True)
+class AnswerSignals:
+    """Signals in the head of one answer.
+
+    Attributes:
+        misdirected: The address is another incarnation's by now: the other signals are that
+            one's, and are left out.
+        not_run: The replica did not run the request.
+        leaving: The replica takes no new requests for the rest of its life.
+        back_off_s: For how long it wants no requests from this gateway, in seconds; 0: it
+            asked for nothing.
+        limit: Requests a second that it takes from all gateways together, as sent; None: it
+            names no limit.
+        malformed: Headers whose values could not be read; they count as not sent.
+    """
+
+    misdirected: bool = False
+    not_run: bool = False
+    leaving: bool = False
+    back_off_s: float = 0.0
+    limit: str | None = None
+    malformed: tuple[str, ...] = ()
+
+
+def read_signals(
+    status: int, headers: CIMultiDictProxy[str], names: GatewayNames, wall_s: float
+) -> AnswerSignals:
+    """Return the signals of an answer.
+
+    Args:
+        status: Its HTTP status.
+        headers: Its headers.
+        names: Header names of the deployment.
+        wall_s: Time of day, for a date that comes without the sender's own time of day.
+    """
+    not_run = names.not_run in headers
+    if status == HTTPStatus.MISDIRECTED_REQUEST:
+        return AnswerSignals(misdirected=True, not_run=not_run)
+    malformed: list[str] = []
+    return AnswerSignals(
+        not_run=not_run,
+        leaving=_leaving(headers, names.leaving, malformed),
+        back_off_s=_back_off_s(headers, wall_s, malformed) if _backs_off(status, not_run) else 0.0,
+        limit=headers.get(names.replica_limit),
+        malformed=tuple(malformed),
+    )
+
+
+def _backs_off(status: int, not_run: bool) -> bool:
+    """Whether a status speaks of the replica, and not only of one request or caller."""
+    unavailable = status == HTTPStatus.SERVICE_UNAVAILABLE
+    return unavailable or (status == HTTPStatus.TOO_MANY_REQUESTS and not_run)
+
+
+def _leaving(headers: CIMultiDictProxy[str], name: str, malformed: list[str]) -> bool:
+    values = headers.getall(name, [])
+    leaving = any(value.strip().lower() in _TRUE for value in values)
+    if values and not leaving:
+        malformed.append(name)
+    return leaving
+
+
+def _back_off_s(headers: CIMultiDictProxy[str], wall_s: float, malformed: list[str]) -> float:
+    """Return the longest of the times that an answer asks for."""
+    values = headers.getall(_RETRY_AFTER, [])
+    if not values:
+        return 0.0
+    now_s = _sent_wall_s(headers.getall(_DATE, []), wall_s)
+    times_s = [time_s for value in values if (time_s := _retry_after_s(value, now_s)) is not None]
+    if len(times_s) < len(values):
+        malformed.append(_RETRY_AFTER)
+    return max(times_s, default=0.0)
+
+
+def _retry_after_s(text: str, now_s: float) -> float | None:
+    """Return the seconds that a ``Retry-After`` (RFC 9110, 10.2.3) asks for.
+
+    Fractions of a second are taken too. None if it is neither a number nor a date.
+    """
+    text = text.strip()
+    if _SECONDS.fullmatch(text):
+        seconds = float(text)
+        return seconds if math.isfinite(seconds) else None
+    until_s = _http_date_s(text)
+    return None if until_s is None else max(0.0, until_s - now_s)
+
+
+def _sent_wall_s(dates: Iterable[str], wall_s: float) -> float:
+    """Return the sender's time of day: its clock may differ from this machine's."""
+    sent_s = [date_s for date in dates if (date_s := _http_date_s(date)) is not None]
+    return sent_s[0] if sent_s else wall_s
+
+
+def _http_date_s(text: str) -> float | None:
+    try:
+        moment: datetime = parsedate_to_datetime(text)
+    except (ValueError, TypeError, OverflowError):
+        return None
+    return moment.replace(tzinfo=moment.tzinfo or UTC).timestamp()
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -9,6 +9,7 @@
 from heronladder_runtime.pulse import Pulse
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
+from heronladder_router.answer_signals import AnswerSignals
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
 from heronladder_router.decisions.placement import (
     Placement,
@@ -335,6 +336,21 @@
         replica.unreached = False
         replica.suspect_until_s = 0.0
 
+    def observe(self, replica: FleetReplica, signals: AnswerSignals, request_id: str) -> None:
+        """Take in what an answer of a replica says of it."""
+        if not (signals.back_off_s or signals.leaving or signals.malformed):
+            return
+        self._log.info(
+            "replica_signals",
+            step="observe",
+            peer=replica.name,
+            start_ms=replica.record.start_ms,
+            request_id=request_id,
+            back_off_s=signals.back_off_s,
+            leaving=signals.leaving,
+            malformed=",".join(signals.malformed),
+        )
+
     def busy(self, replica: FleetReplica) -> None:
         """Note that a replica had no room: others are preferred for a moment."""
         until_s = self._environment.monotonic() + _BUSY_S
--- a/packages/heronladder-router/src/heronladder_router/gateway_names.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_names.py
@@ -23,6 +23,7 @@
         not_run: Set by a replica that did not run the request.
         signature: Set by a replica in each answer of its own.
         replica_limit: Requests a second that a replica in need takes from all gateways together.
+        leaving: Set by a replica that takes no new requests for the rest of its life.
         key_scheme: Word before the key in Authorization, with its blank.
         engine_orders: Headers by which a replica is told how to run a request (memory
             to pin, to copy or to continue from, a slot set aside). Only the system may
@@ -40,5 +41,6 @@
     not_run: str = "Heronladder-Not-Run"
     signature: str = "Heronladder-Replica"
     replica_limit: str = "Heronladder-Replica-Limit"
+    leaving: str = "Heronladder-Leaving"
     key_scheme: str = "Bearer "
     engine_orders: tuple[str, ...] = ()
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -7,6 +7,7 @@
 import aiohttp
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 
+from heronladder_router.answer_signals import read_signals
 from heronladder_router.attempt_outcomes import (
     AnswerProgress,
     ConnectionEndedError,
@@ -30,7 +31,6 @@
 from heronladder_router.unread_prompt import UnreadPrompt
 
 _EVENT_STREAM = "text/event-stream"
-_MISDIRECTED = 421
 _PROMISES = frozenset({408, 429, 503})  # to a caller they say: not run, and never will be
 _FIRST_ERROR_STATUS = 400
 _FIRST_SERVER_ERROR = 500
@@ -175,14 +175,16 @@
         if identity not in (None, request.request_id):
             # An extra answer to an earlier request, be it a rejection, tells nothing of this one.
             raise RunLostError("the answer is of another request", step="send", peer=replica.name)
-        if response.status != _MISDIRECTED:
-            named = response.headers.get(self._names.replica_limit)
-            self._replicas.limits.heard(replica, named, sent_s)
-        if response.status == _MISDIRECTED or self._names.not_run in response.headers:
+        wall_s = self._environment.wall_ms() / MILLISECONDS_PER_SECOND
+        signals = read_signals(response.status, response.headers, self._names, wall_s)
+        self._replicas.observe(replica, signals, request.request_id)
+        if not signals.misdirected:
+            self._replicas.limits.heard(replica, signals.limit, sent_s)
+        if signals.misdirected or signals.not_run:
             await response.read()
             raise NotRunError(
                 f"rejected with {response.status}",
-                step="misdirected" if response.status == _MISDIRECTED else "rejected",
+                step="misdirected" if signals.misdirected else "rejected",
                 peer=replica.name,
             )
         if identity is None:
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -26,6 +26,7 @@
         "replica_crashed",
         "replica_looked_after",
         "replica_limit",
+        "replica_signals",
         "replica_limit_shared",
         "replica_temperature",
         "zone_evacuated",
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,6 +21,8 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
+    "replica_signals": "An answer of a replica asks for back-off (`Retry-After` of a refusal), says that"
+    " the replica leaves, or says one of them in a way that cannot be read.",
     "gateway_taking": "A gateway is not ready because its link or its loop is behind and it has"
     " more under way than twice the mean, or is ready again.",
     "place_decided": "A request for a plain service waits for a place, is sent although places"
