Replicas that ask for back-off get no requests for so long

Callers saw refusals beside idle replicas, and replicas that had asked for rest were sent to again 0.16 s later. Cause: a refusal counted as a moment without room (0.15 s), whatever it asked for; Retry-After of a replica was read by nobody. Ruled out: sends placed before the refusal (they went on to the end of the time asked for), repeats alone. Change: one record an incarnation of the latest end asked for, and one verdict, which is asked when a replica is chosen and again when its connection is there and the head is about to be written. What only such replicas are left for is refused before it waits for tokens or places, with the soonest end, spread. Afterwards others are preferred until its answers show that it takes more. Why it holds: no head is written without the verdict of that moment.

--- a/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
@@ -4,6 +4,7 @@
 
 from heronladder_runtime.errors import HeronladderError
 
+from heronladder_router.decisions.placement import Reason
 from heronladder_router.event_stream import EventCutter
 from heronladder_router.gateway_request import ReplicaAnswer
 
@@ -16,6 +17,10 @@
     """No connection to the replica came about: nothing arrived there."""
 
 
+class HeldBackError(NotRunError):
+    """The replica takes no new requests any more: nothing was sent."""
+
+
 class RunLostError(HeronladderError):
     """The replica may have run the request; its answer is lost or broken."""
 
@@ -32,6 +37,28 @@
         self.answer = answer
 
 
+@dataclass
+class Sends:
+    """Sends of one request so far."""
+
+    tried: set[str] = field(default_factory=set)
+    rejected: int = 0
+    unreached: int = 0  # of those that were rejected: no connection to the replica came about
+    runs: int = 0
+    failure: ReplicaAnswer | None = None
+    lacking: Reason = Reason.NONE_KNOWN  # why no replica was left
+
+    @property
+    def count(self) -> int:
+        """All sends."""
+        return self.rejected + self.runs
+
+    @property
+    def may_have_arrived(self) -> bool:
+        """Whether a replica may have received one."""
+        return self.count > self.unreached
+
+
 @dataclass
 class AnswerProgress:
     """How far the answer to a request has come, over all its sends.
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -4,8 +4,8 @@
 gateways that see a small part of the load each. The cost of a replica is an estimate of when it
 would begin the answer; the least cost is chosen among a few drawn at random where all gateways
 hear the same sums of load, and among all otherwise. What may not be sent to at all is left out
-first: evacuated zones, other regions than the request's, and replicas that are cold or in need
-beyond this gateway's share.
+first: evacuated zones, other regions than the request's, replicas that asked for back-off, and
+those that are cold or in need beyond this gateway's share.
 """
 
 import hashlib
@@ -14,6 +14,7 @@
 from enum import Enum
 from typing import Protocol
 
+from heronladder_router.decisions.availability import Availability
 from heronladder_router.decisions.cold_limit import WINDOW_S
 from heronladder_router.decisions.distance import Offer, Way, choose, split
 from heronladder_router.decisions.replica_limit import LimitVerdict
@@ -51,6 +52,7 @@
     VERSION = "version_not_admitted"
     COLD = "cold"
     LIMITED = "limited"
+    BACKING_OFF = "backing_off"
     TRIED = "all_tried"
 
 
@@ -68,6 +70,8 @@
         cold_share: Requests that this gateway may send to a cold replica in any second.
         permits: Whether a replica's version may be sent to.
         limit_verdict: Whether a replica that named a limit may be sent to; None: it named none.
+        availability: Whether a replica takes new requests, by what it said of itself.
+        is_window_full: Whether a replica that backed off has as much as it gets at first.
         shares_load: Whether what other gateways have under way is known.
         far_cost_ms: What a send to another region costs, in ms.
         may_spill: Whether more may go there while there are replicas here.
@@ -87,6 +91,8 @@
     speed: Speed = field(default_factory=Speed)
     permits: Callable[[FleetReplica], bool] = lambda _replica: True
     limit_verdict: Callable[[FleetReplica], LimitVerdict | None] = lambda _replica: None
+    availability: Callable[[FleetReplica], Availability] = lambda _replica: Availability.AVAILABLE
+    is_window_full: Callable[[FleetReplica], bool] = lambda _replica: False
 
 
 @dataclass(frozen=True)
@@ -152,7 +158,11 @@
 
 
 def _sound(view: PlacementView, pool: list[FleetReplica]) -> list[FleetReplica]:
-    return [replica for replica in pool if replica.suspect_until_s <= view.now_s]
+    return [
+        replica
+        for replica in pool
+        if replica.suspect_until_s <= view.now_s and not view.is_window_full(replica)
+    ]
 
 
 def _best(view: PlacementView, wish: Wish, pool: list[FleetReplica], source: Randomness) -> Offer:
@@ -179,6 +189,7 @@
         (Reason.OTHER_REGION, lambda replica: is_at_home(view, wish, replica)),
         (Reason.VERSION, view.permits),
         (Reason.TRIED, lambda replica: replica.name not in tried),
+        (Reason.BACKING_OFF, lambda replica: is_available(view, replica)),
         (Reason.COLD, lambda replica: may_take_more(view, replica)),
         (Reason.LIMITED, lambda replica: is_within_limit(view, replica)),
     )
@@ -199,6 +210,11 @@
     return view.zone_regions.get(replica.record.zone) in wish.regions
 
 
+def is_available(view: PlacementView, replica: FleetReplica) -> bool:
+    """Whether a replica takes new requests, by what it said of itself."""
+    return view.availability(replica) is Availability.AVAILABLE
+
+
 def is_cold(view: PlacementView, replica: FleetReplica) -> bool:
     """Whether sends to a replica are limited."""
     return view.bears_per_s > 0 and replica.cold_until_s > view.now_s
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -259,6 +259,14 @@
     retry_after_s = 1  # where nothing better is known
 
 
+class ReplicasBackingOffError(CallerError):
+    """All replicas that are left turned requests away and asked for back-off."""
+
+    status = 503
+    code = "replicas_backing_off"
+    retry_after_s = 1  # where none of them is known any more
+
+
 class StaleError(CallerError):
     """This router cannot confirm its configuration; another one may."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -9,12 +9,13 @@
 from heronladder_runtime.pulse import Pulse
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_router.answer_signals import AnswerSignals
+from heronladder_router.decisions.availability import Availability
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
 from heronladder_router.decisions.placement import (
     Placement,
     PlacementView,
     is_at_home,
+    is_available,
     is_within_limit,
     place,
 )
@@ -22,6 +23,7 @@
 from heronladder_router.evacuated_zones import EvacuatedZones
 from heronladder_router.far_sends import FarSends
 from heronladder_router.kept_parts import KeptParts
+from heronladder_router.replica_availability import ReplicaAvailability
 from heronladder_router.replica_limits import ReplicaLimits
 from heronladder_router.replica_state import FleetReplica, Wish
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
@@ -78,12 +80,10 @@
         self._far_sends = FarSends(environment)
         self.changed = Pulse()
         self.loads = SharedLoads(lambda: self._replicas.values(), environment)
+        metrics = metrics or Metrics()
+        self.availability = ReplicaAvailability(environment, metrics, log)
         self.limits = ReplicaLimits(
-            lambda name: self._replicas.get(name),
-            self.usable,
-            environment,
-            metrics or Metrics(),
-            log,
+            lambda name: self._replicas.get(name), self.usable, environment, metrics, log
         )
         configuration.listen(self._rebuild)
 
@@ -208,6 +208,14 @@
         is_newest = self._replicas.get(replica.name) is replica
         return is_newest and not (record.draining or record.gone)
 
+    def availability_of(self, replica: FleetReplica) -> Availability:
+        """Return whether new requests may be sent to a replica, as far as it says itself."""
+        return self.availability.verdict(replica, registered=self.has(replica))
+
+    def back_off_ends_s(self, service: str) -> float | None:
+        """Return in how many seconds a caller may return whom back-off keeps out; None: no such."""
+        return self.availability.come_back_s(service, self.usable(service))
+
     def _serving(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving, nor in evacuated zones."""
         usable = self.usable(service)
@@ -238,6 +246,8 @@
             speed=self.speeds.speed(service),
             permits=permits,
             limit_verdict=self.limits.verdict,
+            availability=self.availability.verdict,
+            is_window_full=self.availability.is_window_full,
         )
 
     @property
@@ -255,6 +265,7 @@
             if replica.record.zone not in view.evacuated
             and is_at_home(view, wish, replica)
             and view.permits(replica)
+            and is_available(view, replica)
         ]
         trusted = [replica for replica in allowed if not replica.failures]
         places = [
@@ -335,21 +346,7 @@
         replica.failures = 0
         replica.unreached = False
         replica.suspect_until_s = 0.0
-
-    def observe(self, replica: FleetReplica, signals: AnswerSignals, request_id: str) -> None:
-        """Take in what an answer of a replica says of it."""
-        if not (signals.back_off_s or signals.leaving or signals.malformed):
-            return
-        self._log.info(
-            "replica_signals",
-            step="observe",
-            peer=replica.name,
-            start_ms=replica.record.start_ms,
-            request_id=request_id,
-            back_off_s=signals.back_off_s,
-            leaving=signals.leaving,
-            malformed=",".join(signals.malformed),
-        )
+        self.availability.succeeded(replica)
 
     def busy(self, replica: FleetReplica) -> None:
         """Note that a replica had no room: others are preferred for a moment."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -1,7 +1,7 @@
 """From a matched request to its answer: tokens, replicas, further sends, the final word."""
 
 import asyncio
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.control_link import ControlLink
@@ -12,10 +12,12 @@
 from heronladder_router.attempt_outcomes import (
     AnswerProgress,
     ConnectionEndedError,
+    HeldBackError,
     NotReachedError,
     NotRunError,
     RunFailedError,
     RunLostError,
+    Sends,
 )
 from heronladder_router.crash_reports import CrashReports
 from heronladder_router.crashing_requests import CrashingRequests
@@ -23,21 +25,14 @@
 from heronladder_router.decisions.placement import Placement, Reason
 from heronladder_router.dispatch_reports import report_end, report_send
 from heronladder_router.errors import (
-    AnswerLostError,
     BehindError,
-    CallerError,
     CrashesReplicasError,
-    EvacuatedError,
-    NoBackendError,
-    RegionUnservedError,
     RejectedEverywhereError,
-    ReplicasColdError,
-    ReplicasLimitedError,
     TimeLimitError,
-    VersionNotAdmittedError,
 )
 from heronladder_router.fleet_replicas import FleetReplicas
-from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
+from heronladder_router.gateway_refusals import GatewayRefusals
+from heronladder_router.gateway_request import AnswerSink, GatewayRequest
 from heronladder_router.host_routes import HostRouteTable
 from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import ReplicaAttempts
@@ -51,41 +46,12 @@
 _REPLICA_WAIT_S = 0.2
 # Within a moment: a replica comes, is warm, or is of a version that has just been admitted.
 _MAY_PASS = frozenset({Reason.NONE_KNOWN, Reason.COLD, Reason.VERSION})
-_NOT_SENT: dict[Reason, type[CallerError]] = {
-    Reason.EVACUATED: EvacuatedError,
-    Reason.OTHER_REGION: RegionUnservedError,
-    Reason.COLD: ReplicasColdError,
-    Reason.LIMITED: ReplicasLimitedError,
-    Reason.VERSION: VersionNotAdmittedError,
-}
 
 
 class StreamBrokenError(HeronladderError):
     """A stream that had begun cannot go on; its connection must be cut."""
 
 
-@dataclass
-class _Sends:
-    """Sends of one request so far."""
-
-    tried: set[str] = field(default_factory=set)
-    rejected: int = 0
-    unreached: int = 0  # of those that were rejected: no connection to the replica came about
-    runs: int = 0
-    failure: ReplicaAnswer | None = None
-    lacking: Reason = Reason.NONE_KNOWN  # why no replica was left
-
-    @property
-    def count(self) -> int:
-        """All sends."""
-        return self.rejected + self.runs
-
-    @property
-    def may_have_arrived(self) -> bool:
-        """Whether a replica may have received one."""
-        return self.count > self.unreached
-
-
 @dataclass
 class GatewayParts:
     """What dispatching works with."""
@@ -117,6 +83,7 @@
         self._tokens = RequestTokens(
             parts.link, parts.routes, parts.tokens, parts.environment, parts.log
         )
+        self._refusals = GatewayRefusals(parts.replicas, parts.places)
 
     async def serve(self, request: GatewayRequest, sink: AnswerSink) -> None:
         """Pass the answer to a request on to its caller.
@@ -134,6 +101,7 @@
         self._parts.allowance.gateways = self._parts.link.routers
         self._parts.allowance.request(request.wish.service)
         self._parts.replicas.limits.requested(request.wish.service)
+        self._refuse_unplaceable(request)
         reservation = await self._tokens.reserve(request)
         progress = AnswerProgress()
         try:
@@ -149,12 +117,24 @@
             now_s = self._parts.environment.monotonic()
             report_end(self._parts.log, request, sink, progress, reservation, used, now_s)
 
+    def _refuse_unplaceable(self, request: GatewayRequest) -> None:
+        """Refuse a request before it waits for tokens or places that it has no use for.
+
+        Raises:
+            ReplicasBackingOffError: If only replicas that back off are left for it.
+        """
+        if not self._parts.replicas.availability.any_backing_off:
+            return
+        reason = self._place(request, Sends()).reason
+        if reason is Reason.BACKING_OFF:
+            raise self._refusals.no_answer(request, Sends(lacking=reason))
+
     # ---- sends ------------------------------------------------------------
 
     async def _send_until_answered(
         self, request: GatewayRequest, sink: AnswerSink, progress: AnswerProgress
     ) -> None:
-        sends = _Sends()
+        sends = Sends()
         while True:
             placement = await self._next_placement(request, sends)
             replica = placement.replica
@@ -166,6 +146,9 @@
                 await self._make_attempt(request, replica, sink, progress)
                 self._parts.crashing.served(request.fingerprint)
                 return
+            except HeldBackError as error:
+                self._note_held_back(request, replica, error)
+                continue  # nothing arrived: it counts as no send
             except NotRunError as error:
                 sends.rejected += 1
                 sends.unreached += isinstance(error, NotReachedError)
@@ -207,14 +190,14 @@
         finally:
             self._parts.places.room(service)
 
-    def _may_run_again(self, request: GatewayRequest, sends: _Sends) -> bool:
+    def _may_run_again(self, request: GatewayRequest, sends: Sends) -> bool:
         crashing = self._parts.crashing
         if crashing.is_suspect(request.fingerprint) or crashing.is_refused(request.fingerprint):
             return False  # each send may cost a replica
         route = request.matched.route
         return request.matched.may_run_twice and sends.runs < max(1, route.attempts)
 
-    async def _next_placement(self, request: GatewayRequest, sends: _Sends) -> Placement:
+    async def _next_placement(self, request: GatewayRequest, sends: Sends) -> Placement:
         await self._wait_until_it_may_send(sends)
         placement = self._place(request, sends)
         if not sends.count and await self._passes(placement.reason, request):
@@ -240,13 +223,13 @@
             return True
         return False
 
-    def _place(self, request: GatewayRequest, sends: _Sends) -> Placement:
+    def _place(self, request: GatewayRequest, sends: Sends) -> Placement:
         wish = request.wish
         if self._parts.crashing.is_suspect(request.fingerprint):
             wish = replace(wish, alone=request.fingerprint)
         return self._parts.replicas.place(wish, sends.tried)
 
-    async def _wait_until_it_may_send(self, sends: _Sends) -> None:
+    async def _wait_until_it_may_send(self, sends: Sends) -> None:
         """Send by no list of replicas that is known to be superseded.
 
         Raises:
@@ -264,7 +247,7 @@
         request: GatewayRequest,
         replica: FleetReplica,
         placement: Placement,
-        sends: _Sends,
+        sends: Sends,
         progress: AnswerProgress,
     ) -> None:
         if placement.way.is_far:
@@ -314,6 +297,18 @@
             why=error.message,
         )
 
+    def _note_held_back(
+        self, request: GatewayRequest, replica: FleetReplica, error: HeldBackError
+    ) -> None:
+        self._parts.metrics.add("sends_held_back", error.message)
+        self._parts.log.info(
+            "send_held_back",
+            step=error.step,
+            peer=replica.name,
+            request_id=request.request_id,
+            availability=error.message,
+        )
+
     # ---- the final word ---------------------------------------------------
 
     async def _give_up(
@@ -321,7 +316,7 @@
         request: GatewayRequest,
         sink: AnswerSink,
         progress: AnswerProgress,
-        sends: _Sends,
+        sends: Sends,
     ) -> None:
         if sink.started:
             raise StreamBrokenError(
@@ -331,24 +326,7 @@
             progress.finished = True
             await sink.whole(sends.failure)
             return
-        raise self._no_answer(request, sends)
-
-    def _no_answer(self, request: GatewayRequest, sends: _Sends) -> CallerError:
-        service = request.wish.service
-        if sends.runs:
-            return AnswerLostError("the answer was lost", step="give_up", peer=service)
-        if sends.rejected:
-            error: CallerError = RejectedEverywhereError(
-                "no replica took the request", step="give_up", peer=service
-            )
-            if request.bounds is None:
-                error.retry_after_s = self._parts.places.come_back_s(service, error.retry_after_s)
-            return error
-        kind = _NOT_SENT.get(sends.lacking, NoBackendError)
-        error = kind(f"no replica: {sends.lacking.value}", step="give_up", peer=service)
-        if sends.lacking is Reason.LIMITED:
-            error.retry_after_s = self._parts.replicas.limits.come_back_s(service)
-        return error
+        raise self._refusals.no_answer(request, sends)
 
     @staticmethod
     def _time_ran_out(
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -180,12 +180,14 @@
         return TokenAccess(lending, self.link, stubs, self._environment, self.metrics, self.log)
 
     def _join_limits(self, handlers: LinkHandlers) -> None:
+        self.replicas.availability.gateways = lambda: self.link.routers
         limits = self.replicas.limits
         limits.gateway = self.options.name
         limits.gateways = self._gateways_known
         limits.heard_s = lambda: self.link.standing.heard_s
         limits.beat_now = self.link.beat_now
         handlers.replica_limits = limits.take
+        self.metrics.gauge("replicas_backing_off", lambda: self.replicas.availability.backing_off)
         self.metrics.gauge("replicas_limited", lambda: limits.count)
 
     def _gateways_known(self) -> GatewaysKnown:
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -11,17 +11,20 @@
 from heronladder_router.attempt_outcomes import (
     AnswerProgress,
     ConnectionEndedError,
+    HeldBackError,
     NotReachedError,
     NotRunError,
     RunFailedError,
     RunLostError,
 )
+from heronladder_router.decisions.availability import Availability
 from heronladder_router.decisions.patience import patience
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
 from heronladder_router.hop_headers import passed_headers
 from heronladder_router.replica_client import (
+    HeadHeldBackError,
     ReplicaClient,
     ReplicaLostError,
     ReplicaNotReachedError,
@@ -126,6 +129,7 @@
             self._headers(request, replica, progress),
             request.body,
             may_run_twice=request.matched.may_run_twice,
+            may_write=lambda: self._replicas.availability_of(replica) is Availability.AVAILABLE,
         )
         progress.ran = True
         try:
@@ -139,6 +143,9 @@
             raise RunLostError(
                 f"no answer began in time ({waited_s:.2f} s)", step="send", peer=replica.name
             ) from error
+        except HeadHeldBackError as error:
+            verdict = self._replicas.availability_of(replica).value
+            raise HeldBackError(verdict, step="held_back", peer=replica.name) from error
         except ReplicaNotReachedError as error:
             raise NotReachedError(error.message, step="connect", peer=replica.name) from error
 
@@ -171,13 +178,13 @@
         seen: AnswerSeen | None,
         sent_s: float,
     ) -> None:
+        wall_s = self._environment.wall_ms() / MILLISECONDS_PER_SECOND
+        signals = read_signals(response.status, response.headers, self._names, wall_s)
+        self._replicas.availability.observe(replica, signals, request.request_id)
         identity = response.headers.get(self._names.request_id)
         if identity not in (None, request.request_id):
-            # An extra answer to an earlier request, be it a rejection, tells nothing of this one.
+            # An extra answer to an earlier request tells of its replica, and nothing of this one.
             raise RunLostError("the answer is of another request", step="send", peer=replica.name)
-        wall_s = self._environment.wall_ms() / MILLISECONDS_PER_SECOND
-        signals = read_signals(response.status, response.headers, self._names, wall_s)
-        self._replicas.observe(replica, signals, request.request_id)
         if not signals.misdirected:
             self._replicas.limits.heard(replica, signals.limit, sent_s)
         if signals.misdirected or signals.not_run:
--- /dev/null
+++ b/packages/heronladder-router/src/heronladder_router/replica_availability.py
@@ -0,0 +1,166 @@
+"""What replicas said of whether they take new requests: one record an incarnation."""
+
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.replica_limit import Incarnation
+
+from heronladder_router.answer_signals import AnswerSignals
+from heronladder_router.decisions.availability import Availability, AvailabilityView, judge
+from heronladder_router.decisions.come_back import ComeBackView, come_back
+from heronladder_router.replica_state import FleetReplica
+
+_MOST_RECORDS = 4096
+#: Between two callers of one gateway that are told to return as a back-off ends, times gateways.
+_RETURN_PAUSE_S = 0.02
+_FIRST_WINDOW = 1
+_WINDOW_GROWTH = 2
+_FULL_WINDOW = 64  # requests under way, where a replica does not tell its slots
+
+
+@dataclass
+class _Record:
+    """What one incarnation said.
+
+    Attributes:
+        back_off_until_s: Until when it wants no requests of this gateway.
+        window: Requests of this gateway that it gets at once before others are preferred; None:
+            any number.
+    """
+
+    back_off_until_s: float = -math.inf
+    window: int | None = None
+
+
+class ReplicaAvailability:
+    """Back-off that replicas asked this gateway for.
+
+    Args:
+        environment: Time.
+        metrics: Where it counts.
+        log: Where changes are reported.
+
+    Attributes:
+        gateways: Tells how many gateways there are.
+    """
+
+    def __init__(self, environment: Environment, metrics: Metrics, log: EventLog) -> None:
+        self._environment = environment
+        self._metrics = metrics
+        self._log = log
+        self._records: dict[Incarnation, _Record] = {}
+        self._latest_end_s = -math.inf
+        self._latest_return_s: dict[str, float] = {}  # by service: as told to a refused caller
+        self.gateways: Callable[[], int] = lambda: 1
+
+    @property
+    def any_backing_off(self) -> bool:
+        """Whether any incarnation backs off now."""
+        return self._environment.monotonic() < self._latest_end_s
+
+    @property
+    def backing_off(self) -> int:
+        """How many incarnations back off now."""
+        now_s = self._environment.monotonic()
+        return sum(1 for record in self._records.values() if record.back_off_until_s > now_s)
+
+    # ---- signals ----------------------------------------------------------
+
+    def observe(self, replica: FleetReplica, signals: AnswerSignals, request_id: str) -> None:
+        """Take in what an answer of a replica says.
+
+        Args:
+            replica: The replica.
+            signals: The signals of the answer.
+            request_id: The request that it answers.
+        """
+        for header in signals.malformed:
+            self._metrics.add("replica_signals_malformed", header)
+        if signals.back_off_s:
+            self._back_off(replica, signals.back_off_s)
+        if signals.back_off_s or signals.leaving or signals.malformed:
+            self._log.info(
+                "replica_signals",
+                step="observe",
+                peer=replica.name,
+                start_ms=replica.record.start_ms,
+                request_id=request_id,
+                back_off_s=signals.back_off_s,
+                leaving=signals.leaving,
+                malformed=",".join(signals.malformed),
+            )
+
+    def _back_off(self, replica: FleetReplica, for_s: float) -> None:
+        record = self._record(replica)
+        # Answers overtake each other: a shorter time that is heard later ends no longer one.
+        until_s = self._environment.monotonic() + for_s
+        record.back_off_until_s = max(record.back_off_until_s, until_s)
+        self._latest_end_s = max(self._latest_end_s, until_s)
+        record.window = _FIRST_WINDOW
+        self._metrics.add("replica_back_offs", replica.record.service)
+
+    def _record(self, replica: FleetReplica) -> _Record:
+        record = self._records.pop(replica.incarnation, None) or _Record()
+        self._records[replica.incarnation] = record  # the newest last
+        while len(self._records) > _MOST_RECORDS:
+            del self._records[next(iter(self._records))]
+        return record
+
+    def succeeded(self, replica: FleetReplica) -> None:
+        """Note a whole answer: one that backed off gets more at once."""
+        record = self._records.get(replica.incarnation)
+        if record is None or record.window is None:
+            return
+        record.window *= _WINDOW_GROWTH
+        if record.window >= (replica.record.slots or _FULL_WINDOW):
+            record.window = None
+
+    # ---- verdicts ---------------------------------------------------------
+
+    def verdict(self, replica: FleetReplica, *, registered: bool = True) -> Availability:
+        """Return whether a replica may be sent new requests."""
+        record = self._records.get(replica.incarnation)
+        until_s = record.back_off_until_s if record is not None else -math.inf
+        return judge(AvailabilityView(self._environment.monotonic(), registered, until_s))
+
+    def is_window_full(self, replica: FleetReplica) -> bool:
+        """Whether others are preferred to one that is just back from a back-off."""
+        record = self._records.get(replica.incarnation) if self._records else None
+        return (
+            record is not None
+            and record.window is not None
+            and (replica.in_flight >= record.window)
+        )
+
+    def come_back_s(self, service: str, replicas: Iterable[FleetReplica]) -> float | None:
+        """Return when a caller may come back for whom only replicas that back off are left.
+
+        Callers are told moments of their own from the first end on, so that they do not all return
+        in the instant in which a replica takes requests again.
+
+        Args:
+            service: The service.
+            replicas: Its replicas.
+
+        Returns:
+            Seconds from now; None if no replica backs off.
+        """
+        now_s = self._environment.monotonic()
+        ends_s = [
+            record.back_off_until_s
+            for replica in replicas
+            if (record := self._records.get(replica.incarnation)) is not None
+            and record.back_off_until_s > now_s
+        ]
+        if not ends_s:
+            return None
+        first_end_s = min(ends_s)
+        latest_s = self._latest_return_s.get(service, -math.inf)
+        turn_s = _RETURN_PAUSE_S * max(1, self.gateways())
+        told = come_back(ComeBackView(first_end_s, 0.0, turn_s, latest_s))
+        self._latest_return_s[service] = told.told_until_s
+        return first_end_s - now_s + told.after_s
--- a/packages/heronladder-router/src/heronladder_router/replica_client.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_client.py
@@ -8,12 +8,16 @@
 
 import asyncio
 import socket
+from collections.abc import Callable
+from contextvars import ContextVar
 from functools import partial
 from typing import Any
 
 import aiohttp
 from aiohttp.client_exceptions import ClientPayloadError
 from aiohttp.client_proto import ResponseHandler
+from aiohttp.connector import Connection
+from aiohttp.tracing import Trace
 from heronladder_runtime.errors import HeronladderError
 from yarl import URL
 
@@ -31,6 +35,10 @@
     """No connection came about: nothing was sent."""
 
 
+class HeadHeldBackError(HeronladderError):
+    """The replica may not be sent to any more: nothing was written."""
+
+
 class ReplicaLostError(HeronladderError):
     """The connection failed after something may have been sent."""
 
@@ -64,7 +72,28 @@
         super().connection_lost(exc)
 
 
+#: Whether the head of the request that this task sends may be written.
+_may_write: ContextVar[Callable[[], bool]] = ContextVar("may_write")
+
+
 class _StrictConnector(aiohttp.TCPConnector):
+    """Judges again, once a connection is there, whether the request may be sent.
+
+    A connection takes its time to come about, and the replica may have answered others meanwhile.
+    """
+
+    async def connect(
+        self,
+        req: aiohttp.ClientRequest,
+        traces: list[Trace],
+        timeout: aiohttp.ClientTimeout,
+    ) -> Connection:
+        connection = await super().connect(req, traces, timeout)
+        if not _may_write.get()():
+            connection.release()
+            raise HeadHeldBackError("held back", step="send", peer=str(req.url.authority))
+        return connection
+
     def __init__(self, *, keep: bool) -> None:
         super().__init__(
             limit=0,
@@ -128,6 +157,7 @@
         body: bytes,
         *,
         may_run_twice: bool,
+        may_write: Callable[[], bool] = lambda: True,
     ) -> aiohttp.ClientResponse:
         """Send a request and return the head of its answer.
 
@@ -138,12 +168,15 @@
             headers: All headers but those of the connection.
             body: The whole body.
             may_run_twice: Whether a kept connection may be used.
+            may_write: Whether the head may be written, asked as the connection is there.
 
         Raises:
+            HeadHeldBackError: If it may not; nothing was sent.
             ReplicaNotReachedError: If nothing was sent.
             ReplicaLostError: If something may have been.
         """
         url = URL(f"http://{address}{target}", encoded=True)
+        _may_write.set(may_write)
         try:
             return await self._session(keep=may_run_twice).request(
                 method, url, headers=headers, data=body or None, allow_redirects=False
--- a/packages/heronladder-router/src/heronladder_router/replica_limits.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_limits.py
@@ -122,7 +122,7 @@
         per_s = None if text is None else read_limit(text)
         if text is not None and per_s is None:
             self._metrics.add("replica_limits_malformed")
-        incarnation = _incarnation(replica)
+        incarnation = replica.incarnation
         limited = self._limited.get(incarnation)
         now_s = self._environment.monotonic()
         if per_s is not None:
@@ -204,7 +204,7 @@
 
     def verdict(self, replica: FleetReplica) -> LimitVerdict | None:
         """Return whether a replica may be sent to, and why; None if it names no limit."""
-        limited = self._limited.get(_incarnation(replica)) if self._limited else None
+        limited = self._limited.get(replica.incarnation) if self._limited else None
         if limited is None or limited.word.per_s is None:
             return None
         limited.drop_old(self._environment.monotonic())
@@ -223,7 +223,7 @@
 
     def limit_of(self, replica: FleetReplica) -> float | None:
         """Return the requests a second that a replica takes; None: any number."""
-        limited = self._limited.get(_incarnation(replica)) if self._limited else None
+        limited = self._limited.get(replica.incarnation) if self._limited else None
         return limited.word.per_s if limited is not None else None
 
     def requested(self, service: str) -> None:
@@ -233,7 +233,7 @@
 
     def sent(self, replica: FleetReplica) -> None:
         """Count a send: it uses up a grant, if there is one."""
-        limited = self._limited.get(_incarnation(replica)) if self._limited else None
+        limited = self._limited.get(replica.incarnation) if self._limited else None
         if limited is None:
             return
         now_s = self._environment.monotonic()
@@ -322,7 +322,7 @@
         return [
             (incarnation, limited)
             for replica in self._usable(service)
-            if (limited := self._limited.get(incarnation := _incarnation(replica))) is not None
+            if (limited := self._limited.get(incarnation := replica.incarnation)) is not None
             and not limited.word.ended
         ]
 
@@ -337,8 +337,4 @@
 
     def _is_registered(self, incarnation: Incarnation) -> bool:
         replica = self._registered(incarnation[0])
-        return replica is not None and _incarnation(replica) == incarnation
-
-
-def _incarnation(replica: FleetReplica) -> Incarnation:
-    return (replica.record.id, replica.record.start_ms)
+        return replica is not None and replica.incarnation == incarnation
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -3,6 +3,7 @@
 from collections import deque
 from dataclasses import dataclass, field
 
+from heronladder_runtime.replica_limit import Incarnation
 from heronladder_schema.v1 import resources_pb2
 
 from heronladder_router.decisions.speed import ReplicaPace
@@ -50,6 +51,11 @@
         """Identity of the incarnation."""
         return self.record.id
 
+    @property
+    def incarnation(self) -> Incarnation:
+        """The incarnation, also where a replica keeps its id over starts."""
+        return (self.record.id, self.record.start_ms)
+
 
 @dataclass(frozen=True)
 class Wish:
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,8 +21,10 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
-    "replica_signals": "An answer of a replica asks for back-off (`Retry-After` of a refusal), says that"
-    " the replica leaves, or says one of them in a way that cannot be read.",
+    "replica_signals": "An answer of a replica asks for back-off (`Retry-After` of a refusal),"
+    " says that the replica leaves, or says one of them in a way that cannot be read.",
+    "send_held_back": "A request was not sent although its replica had been chosen: while a"
+    " connection came about the replica asked for back-off or left.",
     "gateway_taking": "A gateway is not ready because its link or its loop is behind and it has"
     " more under way than twice the mean, or is ready again.",
     "place_decided": "A request for a plain service waits for a place, is sent although places"
@@ -172,6 +174,9 @@
     "replica_limits_changed": "Changes of what replicas in need take, by how one heard of it.",
     "replica_grants_late": "Requests that waited in vain for the leader to answer.",
     "replica_sends_granted": "Sends to replicas in need that the leader granted.",
+    "replica_back_offs": "Answers that asked this gateway for back-off, by service.",
+    "replica_signals_malformed": "Answers with a header on their replica that cannot be read.",
+    "sends_held_back": "Requests not sent after their replica had been chosen, by why.",
     "replica_limits_malformed": "Answers whose limit was no number: they name none.",
     "replica_crashes": "Crashes that a gateway noticed, by the sign.",
     "asks_refused": "Heartbeats told at once to ask elsewhere: too many waited for a leader.",
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -31,6 +31,7 @@
     "test_gateway",
     "test_http",
     "test_process_soak",
+    "test_replica_back_off",
     "test_crowd_of_replicas",
     "test_replica_limit_changes",
     "test_replica_limits",
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -45,7 +45,11 @@
             link=link,
             routes=None,
             allowance=SimpleNamespace(gateways=1, request=lambda service: None),
-            replicas=SimpleNamespace(limits=SimpleNamespace(requested=lambda service: None)),
+            replicas=SimpleNamespace(
+                availability=SimpleNamespace(any_backing_off=False),
+                limits=SimpleNamespace(requested=lambda service: None),
+            ),
+            places=None,
             tokens=tokens,
             crashing=SimpleNamespace(is_refused=lambda fingerprint: False),
             environment=_Clock(),
