Replicas whose answers say that they leave get nothing new

Callers' requests were sent to replicas that were about to end, and cut with them. Cause: gateways knew of a leave by heartbeats alone; the header of an answer was read by nobody. The same class as back-off, and the same record: the verdict of an incarnation is leaving from the first answer on, for its life, whatever its heartbeats say, and whoever leads. It counts as room for nobody (placement, waiting, limits, roll-outs); its failures say nothing of its version; where all of a service leave, requests are refused at once as not run. One copy less: what was kept of misdirected replicas moves into this record. Extra answers tell of their replica too, but for a 421, whose request may have been meant for another incarnation.

--- a/packages/heronladder-router/src/heronladder_router/decisions/availability.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/availability.py
@@ -15,6 +15,8 @@
 
     AVAILABLE = "available"
     BACKING_OFF = "backing_off"
+    LEAVING = "leaving"
+    MISDIRECTED = "misdirected"
     UNREGISTERED = "unregistered"
 
 
@@ -26,17 +28,26 @@
         now_s: Time, on a clock that goes on while the machine is suspended.
         registered: Whether the incarnation is registered and not draining.
         back_off_until_s: Until when it wants no requests of this gateway.
+        leaving: Whether it said that it leaves; for the rest of its life, whatever its heartbeats
+            say.
+        misdirected: Whether its address answered a moment ago that it is another's.
     """
 
     now_s: float
     registered: bool = True
     back_off_until_s: float = -math.inf
+    leaving: bool = False
+    misdirected: bool = False
 
 
 def judge(view: AvailabilityView) -> Availability:
     """Return whether a replica may be sent new requests."""
     if not view.registered:
         return Availability.UNREGISTERED
+    if view.leaving:
+        return Availability.LEAVING
+    if view.misdirected:
+        return Availability.MISDIRECTED
     if view.now_s < view.back_off_until_s:
         return Availability.BACKING_OFF
     return Availability.AVAILABLE
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -53,6 +53,7 @@
     COLD = "cold"
     LIMITED = "limited"
     BACKING_OFF = "backing_off"
+    LEAVING = "leaving"
     TRIED = "all_tried"
 
 
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -267,6 +267,14 @@
     retry_after_s = 1  # where none of them is known any more
 
 
+class ReplicasLeavingError(CallerError):
+    """All replicas of the service said that they leave, and no other is known yet."""
+
+    status = 503
+    code = "replicas_leaving"
+    retry_after_s = 1
+
+
 class StaleError(CallerError):
     """This router cannot confirm its configuration; another one may."""
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -14,6 +14,7 @@
 from heronladder_router.decisions.placement import (
     Placement,
     PlacementView,
+    Reason,
     is_at_home,
     is_available,
     is_within_limit,
@@ -34,9 +35,6 @@
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
 _BUSY_S = 0.15
-# How long one is left out whose address answered that it is another's. Each start of a
-# replica is a new incarnation, so it does not come back; a wrong word costs this long (chosen).
-MISDIRECTED_S = 10.0
 
 
 class FleetReplicas:
@@ -69,7 +67,6 @@
         self._replicas: dict[str, FleetReplica] = {}
         self._of_service: dict[str, list[FleetReplica]] = {}
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
-        self._misdirected: dict[str, float] = {}  # until when, of those that are left out
         self.speeds = ServiceSpeeds(
             where.link_s,
             environment,
@@ -81,7 +78,7 @@
         self.changed = Pulse()
         self.loads = SharedLoads(lambda: self._replicas.values(), environment)
         metrics = metrics or Metrics()
-        self.availability = ReplicaAvailability(environment, metrics, log)
+        self.availability = ReplicaAvailability(environment, metrics, log, self._usable_changed)
         self.limits = ReplicaLimits(
             lambda name: self._replicas.get(name), self.usable, environment, metrics, log
         )
@@ -97,32 +94,27 @@
             new = replica is None or replica.record.start_ms < record.start_ms
             if replica is None or new:
                 replica = FleetReplica(record, KeptParts(self._memory(record.service)))
-                self._misdirected.pop(record.id, None)
             self._report(replica, record, new=new)
             if record.cold_ms and (new or record.cold_revision != replica.record.cold_revision):
                 self._note_cold(replica, record.cold_ms / MILLISECONDS_PER_SECOND, "told")
-            if replica.record.address != record.address:
-                self._misdirected.pop(record.id, None)
             replica.record = record
             self._replicas[record.id] = replica
-        self._sort_by_service()
         for name in earlier.keys() - self._replicas.keys():
             self._log.info("replica_forgotten", step="replicas", peer=name)
+        self._sort_by_service()
         self._read_evacuations()
+        self._usable_changed()
+
+    def _usable_changed(self) -> None:
         self.versions.rebuild(self._serving)
         self.changed.give()
 
     def _sort_by_service(self) -> None:
-        """Sort the replicas that may be sent to."""
-        self._misdirected = {
-            name: until_s
-            for name, until_s in self._misdirected.items()
-            if name in self._replicas and until_s > self._environment.monotonic()
-        }
+        """Sort the replicas that are not draining."""
         self._of_service = {}
         for replica in self._replicas.values():
             record = replica.record
-            if not (record.draining or record.gone or replica.name in self._misdirected):
+            if not (record.draining or record.gone):
                 self._of_service.setdefault(record.service, []).append(replica)
 
     def _read_services(self) -> None:
@@ -197,10 +189,7 @@
 
     def usable(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving."""
-        now_s = self._environment.monotonic()
-        if self._misdirected and min(self._misdirected.values()) <= now_s:
-            self._sort_by_service()
-        return self._of_service.get(service, [])
+        return self.availability.kept(self._of_service.get(service, []))
 
     def has(self, replica: FleetReplica) -> bool:
         """Whether a start of a replica is registered and not leaving."""
@@ -229,8 +218,18 @@
             placement = place(view, wish, tried, self._environment.random)
             if placement.replica is not None:
                 break
+        if placement.reason is Reason.NONE_KNOWN and self._all_leave(wish.service):
+            return Placement(None, Reason.LEAVING)
         return placement
 
+    def _all_leave(self, service: str) -> bool:
+        """Whether replicas of a service are registered that said that they leave."""
+        return any(
+            self.availability.is_leaving(replica)
+            for replica in self._replicas.values()
+            if replica.record.service == service and not replica.record.gone
+        )
+
     def _view(self, service: str, permits: Permits) -> PlacementView:
         return PlacementView(
             replicas=self.usable(service),
@@ -354,19 +353,6 @@
         replica.suspect_until_s = max(replica.suspect_until_s, until_s)
         replica.busy_until_s = until_s
 
-    def misdirected(self, replica: FleetReplica) -> None:
-        """Leave out an incarnation: its address said that it is another's by now."""
-        self._misdirected[replica.name] = self._environment.monotonic() + MISDIRECTED_S
-        self._sort_by_service()
-        self._log.info(
-            "replica_misdirected",
-            step="replicas",
-            peer=replica.name,
-            address=replica.record.address,
-            service=replica.record.service,
-            for_s=MISDIRECTED_S,
-        )
-
     def failed(self, replica: FleetReplica, why: str, *, unreached: bool = False) -> None:
         """Note a failure: others are preferred for a while, longer each time.
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -121,12 +121,12 @@
         """Refuse a request before it waits for tokens or places that it has no use for.
 
         Raises:
-            ReplicasBackingOffError: If only replicas that back off are left for it.
+            CallerError: If only replicas that back off or leave are left for it.
         """
-        if not self._parts.replicas.availability.any_backing_off:
+        if not self._parts.replicas.availability.any_unavailable:
             return
         reason = self._place(request, Sends()).reason
-        if reason is Reason.BACKING_OFF:
+        if reason in (Reason.BACKING_OFF, Reason.LEAVING):
             raise self._refusals.no_answer(request, Sends(lacking=reason))
 
     # ---- sends ------------------------------------------------------------
@@ -277,9 +277,7 @@
     ) -> None:
         if error.step == "rejected":
             self._parts.replicas.busy(replica)
-        elif error.step == "misdirected":
-            self._parts.replicas.misdirected(replica)
-        else:
+        elif error.step != "misdirected":
             unreached = isinstance(error, NotReachedError)
             self._parts.replicas.failed(replica, error.message, unreached=unreached)
             if unreached:
--- a/packages/heronladder-router/src/heronladder_router/gateway_refusals.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_refusals.py
@@ -11,6 +11,7 @@
     RejectedEverywhereError,
     ReplicasBackingOffError,
     ReplicasColdError,
+    ReplicasLeavingError,
     ReplicasLimitedError,
     VersionNotAdmittedError,
 )
@@ -24,6 +25,7 @@
     Reason.COLD: ReplicasColdError,
     Reason.LIMITED: ReplicasLimitedError,
     Reason.BACKING_OFF: ReplicasBackingOffError,
+    Reason.LEAVING: ReplicasLeavingError,
     Reason.VERSION: VersionNotAdmittedError,
 }
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -187,6 +187,7 @@
         limits.heard_s = lambda: self.link.standing.heard_s
         limits.beat_now = self.link.beat_now
         handlers.replica_limits = limits.take
+        self.metrics.gauge("replicas_leaving", lambda: self.replicas.availability.leaving)
         self.metrics.gauge("replicas_backing_off", lambda: self.replicas.availability.backing_off)
         self.metrics.gauge("replicas_limited", lambda: limits.count)
 
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -180,11 +180,16 @@
     ) -> None:
         wall_s = self._environment.wall_ms() / MILLISECONDS_PER_SECOND
         signals = read_signals(response.status, response.headers, self._names, wall_s)
-        self._replicas.availability.observe(replica, signals, request.request_id)
         identity = response.headers.get(self._names.request_id)
-        if identity not in (None, request.request_id):
-            # An extra answer to an earlier request tells of its replica, and nothing of this one.
+        is_own = identity in (None, request.request_id)
+        # An extra answer to an earlier request tells of its replica, and nothing of this request.
+        # The earlier one may have been meant for another incarnation.
+        if is_own or not signals.misdirected:
+            self._replicas.availability.observe(replica, signals, request.request_id)
+        if not is_own:
             raise RunLostError("the answer is of another request", step="send", peer=replica.name)
+        if signals.leaving and seen is not None:
+            seen.spoiled = True  # what a replica fails as it ends says nothing of its version
         if not signals.misdirected:
             self._replicas.limits.heard(replica, signals.limit, sent_s)
         if signals.misdirected or signals.not_run:
--- a/packages/heronladder-router/src/heronladder_router/replica_availability.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_availability.py
@@ -14,6 +14,9 @@
 from heronladder_router.decisions.come_back import ComeBackView, come_back
 from heronladder_router.replica_state import FleetReplica
 
+#: For so long one is left out whose address answered that it is another's. Each start of a replica
+#: is a new incarnation, so it does not come back; an answer in error costs no more than this.
+MISDIRECTED_S = 10.0
 _MOST_RECORDS = 4096
 #: Between two callers of one gateway that are told to return as a back-off ends, times gateways.
 _RETURN_PAUSE_S = 0.02
@@ -30,37 +33,56 @@
         back_off_until_s: Until when it wants no requests of this gateway.
         window: Requests of this gateway that it gets at once before others are preferred; None:
             any number.
+        leaving: Whether it said that it leaves.
+        misdirected_until_s: Until when its address is taken for another incarnation's.
+        misdirected_address: That address: at another one it is sent to.
     """
 
     back_off_until_s: float = -math.inf
     window: int | None = None
+    leaving: bool = False
+    misdirected_until_s: float = -math.inf
+    misdirected_address: str = ""
+
+
+_NOTHING = _Record()
+_LEFT_OUT_VERDICTS = frozenset({Availability.LEAVING, Availability.MISDIRECTED})
 
 
 class ReplicaAvailability:
-    """Back-off that replicas asked this gateway for.
+    """Which replicas asked this gateway for back-off, leave, or are no longer at their address.
 
     Args:
         environment: Time.
         metrics: Where it counts.
         log: Where changes are reported.
+        changed: Called when a replica is to be left out of its service's.
 
     Attributes:
         gateways: Tells how many gateways there are.
     """
 
-    def __init__(self, environment: Environment, metrics: Metrics, log: EventLog) -> None:
+    def __init__(
+        self,
+        environment: Environment,
+        metrics: Metrics,
+        log: EventLog,
+        changed: Callable[[], None] = lambda: None,
+    ) -> None:
         self._environment = environment
         self._metrics = metrics
         self._log = log
+        self._changed = changed
         self._records: dict[Incarnation, _Record] = {}
         self._latest_end_s = -math.inf
+        self._left_out: set[Incarnation] = set()  # leaving or misdirected
         self._latest_return_s: dict[str, float] = {}  # by service: as told to a refused caller
         self.gateways: Callable[[], int] = lambda: 1
 
     @property
-    def any_backing_off(self) -> bool:
-        """Whether any incarnation backs off now."""
-        return self._environment.monotonic() < self._latest_end_s
+    def any_unavailable(self) -> bool:
+        """Whether any incarnation may back off now, or is left out."""
+        return bool(self._left_out) or self._environment.monotonic() < self._latest_end_s
 
     @property
     def backing_off(self) -> int:
@@ -68,6 +90,11 @@
         now_s = self._environment.monotonic()
         return sum(1 for record in self._records.values() if record.back_off_until_s > now_s)
 
+    @property
+    def leaving(self) -> int:
+        """How many incarnations said that they leave, of those that are remembered."""
+        return sum(1 for record in self._records.values() if record.leaving)
+
     # ---- signals ----------------------------------------------------------
 
     def observe(self, replica: FleetReplica, signals: AnswerSignals, request_id: str) -> None:
@@ -82,6 +109,10 @@
             self._metrics.add("replica_signals_malformed", header)
         if signals.back_off_s:
             self._back_off(replica, signals.back_off_s)
+        if signals.leaving and not self.is_leaving(replica):
+            self._leave(replica)
+        if signals.misdirected:
+            self.misdirected(replica)
         if signals.back_off_s or signals.leaving or signals.malformed:
             self._log.info(
                 "replica_signals",
@@ -103,18 +134,46 @@
         record.window = _FIRST_WINDOW
         self._metrics.add("replica_back_offs", replica.record.service)
 
+    def _leave(self, replica: FleetReplica) -> None:
+        self._record(replica).leaving = True
+        self._metrics.add("replicas_left", replica.record.service)
+        self._leave_out(replica)
+
+    def misdirected(self, replica: FleetReplica) -> None:
+        """Leave out an incarnation: its address said that it is another's by now."""
+        record = self._record(replica)
+        record.misdirected_until_s = self._environment.monotonic() + MISDIRECTED_S
+        record.misdirected_address = replica.record.address
+        self._log.info(
+            "replica_misdirected",
+            step="observe",
+            peer=replica.name,
+            address=replica.record.address,
+            service=replica.record.service,
+            for_s=MISDIRECTED_S,
+        )
+        self._leave_out(replica)
+
+    def _leave_out(self, replica: FleetReplica) -> None:
+        self._left_out.add(replica.incarnation)
+        self._changed()
+
     def _record(self, replica: FleetReplica) -> _Record:
         record = self._records.pop(replica.incarnation, None) or _Record()
         self._records[replica.incarnation] = record  # the newest last
         while len(self._records) > _MOST_RECORDS:
-            del self._records[next(iter(self._records))]
+            oldest = next(iter(self._records))
+            del self._records[oldest]
+            self._left_out.discard(oldest)
         return record
 
     def succeeded(self, replica: FleetReplica) -> None:
         """Note a whole answer: one that backed off gets more at once."""
-        record = self._records.get(replica.incarnation)
+        record = self._records.get(replica.incarnation) if self._records else None
         if record is None or record.window is None:
             return
+        if self._environment.monotonic() < record.back_off_until_s:
+            return  # it was sent before the replica asked for back-off
         record.window *= _WINDOW_GROWTH
         if record.window >= (replica.record.slots or _FULL_WINDOW):
             record.window = None
@@ -123,9 +182,27 @@
 
     def verdict(self, replica: FleetReplica, *, registered: bool = True) -> Availability:
         """Return whether a replica may be sent new requests."""
-        record = self._records.get(replica.incarnation)
-        until_s = record.back_off_until_s if record is not None else -math.inf
-        return judge(AvailabilityView(self._environment.monotonic(), registered, until_s))
+        record = self._records.get(replica.incarnation, _NOTHING) if self._records else _NOTHING
+        now_s = self._environment.monotonic()
+        is_elsewhere = (
+            now_s < record.misdirected_until_s
+            and record.misdirected_address == replica.record.address
+        )
+        return judge(
+            AvailabilityView(
+                now_s, registered, record.back_off_until_s, record.leaving, is_elsewhere
+            )
+        )
+
+    def is_leaving(self, replica: FleetReplica) -> bool:
+        """Whether a replica said that it leaves."""
+        return self.verdict(replica) is Availability.LEAVING
+
+    def kept(self, replicas: list[FleetReplica]) -> list[FleetReplica]:
+        """Return the replicas that neither leave nor are misdirected: the others serve nobody."""
+        if not self._left_out:
+            return replicas
+        return [replica for replica in replicas if self.verdict(replica) not in _LEFT_OUT_VERDICTS]
 
     def is_window_full(self, replica: FleetReplica) -> bool:
         """Whether others are preferred to one that is just back from a back-off."""
--- a/tests/test_address_reuse.py
+++ b/tests/test_address_reuse.py
@@ -7,7 +7,7 @@
 import asyncio
 import unittest
 
-from heronladder_router.fleet_replicas import MISDIRECTED_S
+from heronladder_router.replica_availability import MISDIRECTED_S
 from platform_stand_ins import (
     END_OF_CHUNKS,
     Fleet,
@@ -70,10 +70,11 @@
         replica.identity = "i-1"
         gateway = self.fleet.gateway.gateway
         assert gateway is not None
-        until_s = gateway.replicas._misdirected["i-1"]
-        left_s = until_s - asyncio.get_running_loop().time()
+        known = gateway.replicas._replicas["i-1"]
+        record = gateway.replicas.availability._records[known.incarnation]
+        left_s = record.misdirected_until_s - asyncio.get_running_loop().time()
         self.assertLessEqual(left_s, MISDIRECTED_S)
-        gateway.replicas._misdirected["i-1"] = asyncio.get_running_loop().time()
+        record.misdirected_until_s = asyncio.get_running_loop().time()
         self.assertEqual((await self.fleet.request("/once/", Request_Id="b")).status, 200)
 
     async def test_every_send_names_the_incarnation_also_those_of_a_resumed_stream(self) -> None:
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -46,7 +46,7 @@
             routes=None,
             allowance=SimpleNamespace(gateways=1, request=lambda service: None),
             replicas=SimpleNamespace(
-                availability=SimpleNamespace(any_backing_off=False),
+                availability=SimpleNamespace(any_unavailable=False),
                 limits=SimpleNamespace(requested=lambda service: None),
             ),
             places=None,
--- a/tests/test_unreached_replicas.py
+++ b/tests/test_unreached_replicas.py
@@ -66,7 +66,8 @@
         for replica in dead:
             await replica.stop()
         for replica in live[1:]:
-            self.role.replicas.misdirected(self.role.replicas._replicas[replica.identity])
+            known = self.role.replicas._replicas[replica.identity]
+            self.role.replicas.availability.misdirected(known)
         # Together, so that they spread over all that are left.
         asked = (self.fleet.request("/safe/", body=str(number).encode()) for number in range(12))
         statuses = [got.status for got in await asyncio.gather(*asked)]
