Gateways keep to their part of the connections that a replica accepts

Callers got 502 for requests that were never sent. Cause: what a service says that a replica accepts in connections from all callers was read and used nowhere; the replica resets those beyond, and a request on a connection that is reset may have run. Change: equal parts of nine tenths for each gateway, one at the least. A request waits its turn for one, as long as its answer can still be in time, and is refused at once as not run where none is expected by then; replicas whose part is used up come after others. A connection that is closed after use counts a moment longer where the part is used up, since its replica may accept the next one before it has noticed. Why it holds: parts are whole and their sum is within the bound for every number of gateways up to it (test_replica_connections). Where there are more gateways than connections each has one, and the bound can be passed: open.

--- a/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
@@ -21,6 +21,10 @@
     """The replica takes no new requests any more: nothing was sent."""
 
 
+class NoConnectionError(NotRunError):
+    """All connections that this gateway may have to the replica are in use: nothing was sent."""
+
+
 class RunLostError(HeronladderError):
     """The replica may have run the request; its answer is lost or broken."""
 
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -72,7 +72,8 @@
         permits: Whether a replica's version may be sent to.
         limit_verdict: Whether a replica that named a limit may be sent to; None: it named none.
         availability: Whether a replica takes new requests, by what it said of itself.
-        is_window_full: Whether a replica that backed off has as much as it gets at first.
+        is_saturated: Whether a replica has as much of this gateway as it gets by now: all
+            connections that it may have open, or what one gets that is just back from a back-off.
         shares_load: Whether what other gateways have under way is known.
         far_cost_ms: What a send to another region costs, in ms.
         may_spill: Whether more may go there while there are replicas here.
@@ -93,7 +94,7 @@
     permits: Callable[[FleetReplica], bool] = lambda _replica: True
     limit_verdict: Callable[[FleetReplica], LimitVerdict | None] = lambda _replica: None
     availability: Callable[[FleetReplica], Availability] = lambda _replica: Availability.AVAILABLE
-    is_window_full: Callable[[FleetReplica], bool] = lambda _replica: False
+    is_saturated: Callable[[FleetReplica], bool] = lambda _replica: False
 
 
 @dataclass(frozen=True)
@@ -162,7 +163,7 @@
     return [
         replica
         for replica in pool
-        if replica.suspect_until_s <= view.now_s and not view.is_window_full(replica)
+        if replica.suspect_until_s <= view.now_s and not view.is_saturated(replica)
     ]
 
 
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -11,6 +11,7 @@
 
 from heronladder_router.decisions.availability import Availability
 from heronladder_router.decisions.cold_limit import WINDOW_S, ColdLimits
+from heronladder_router.decisions.connection_share import connection_share
 from heronladder_router.decisions.placement import (
     Placement,
     PlacementView,
@@ -205,6 +206,18 @@
         """Return in how many seconds a caller may return whom back-off keeps out; None: no such."""
         return self.availability.come_back_s(service, self.usable(service))
 
+    def connection_share(self, replica: FleetReplica) -> int | None:
+        """Return how many connections may be open to a replica; None: any number."""
+        declared = self._services.get(replica.record.service)
+        accepted = declared.max_connections if declared is not None else 0
+        return connection_share(accepted, self.availability.gateways())
+
+    def _is_saturated(self, replica: FleetReplica) -> bool:
+        """Whether others are preferred: it has as much of this gateway as it gets by now."""
+        share = self.connection_share(replica)
+        is_share_used = share is not None and replica.in_flight >= share
+        return is_share_used or self.availability.is_window_full(replica)
+
     def _serving(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving, nor in evacuated zones."""
         usable = self.usable(service)
@@ -246,7 +259,7 @@
             permits=permits,
             limit_verdict=self.limits.verdict,
             availability=self.availability.verdict,
-            is_window_full=self.availability.is_window_full,
+            is_saturated=self._is_saturated,
         )
 
     @property
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -13,6 +13,7 @@
     AnswerProgress,
     ConnectionEndedError,
     HeldBackError,
+    NoConnectionError,
     NotReachedError,
     NotRunError,
     RunFailedError,
@@ -151,7 +152,7 @@
                 continue  # nothing arrived: it counts as no send
             except NotRunError as error:
                 sends.rejected += 1
-                sends.unreached += isinstance(error, NotReachedError)
+                sends.unreached += isinstance(error, NotReachedError | NoConnectionError)
                 self._note_failure(request, replica, error)
                 if sends.rejected > _REJECTIONS:
                     break
@@ -277,7 +278,7 @@
     ) -> None:
         if error.step == "rejected":
             self._parts.replicas.busy(replica)
-        elif error.step != "misdirected":
+        elif not (error.step == "misdirected" or isinstance(error, NoConnectionError)):
             unreached = isinstance(error, NotReachedError)
             self._parts.replicas.failed(replica, error.message, unreached=unreached)
             if unreached:
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -25,6 +25,7 @@
 from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
+from heronladder_router.replica_connections import ReplicaConnections
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
@@ -145,6 +146,7 @@
         )
         self.unreached = UnreachedReplicas(self.replicas, environment, self.log)
         self._client = ReplicaClient()
+        self._connections = ReplicaConnections(environment, self.metrics)
         self.server = self._make_server()
         self.link.configuration.listen(self._configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
@@ -153,6 +155,7 @@
         self.metrics.gauge("requests_waiting_for_places", lambda: self.places.waiting_count)
         self.metrics.gauge("zones_evacuated", lambda: len(self.replicas.evacuated))
         self.metrics.gauge("crashing_requests_refused", lambda: self.crashing.refused_count)
+        self.metrics.gauge("requests_waiting_for_connections", lambda: self._connections.waiting)
         self.metrics.gauge("replicas_unreached", lambda: self.unreached.count)
         self.metrics.gauge("revision_in_force", lambda: self.link.standing.in_force_revision)
 
@@ -241,7 +244,9 @@
             routes=self.routes,
             replicas=self.replicas,
             tokens=self.tokens,
-            attempts=ReplicaAttempts(self._client, self.replicas, options.names, self._environment),
+            attempts=ReplicaAttempts(
+                self._client, self._connections, self.replicas, options.names, self._environment
+            ),
             allowance=SlidingAllowance(
                 self._environment,
                 options.retry_ratio,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -29,6 +29,7 @@
     ReplicaLostError,
     ReplicaNotReachedError,
 )
+from heronladder_router.replica_connections import ReplicaConnections
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.version_gates import AnswerSeen
 from heronladder_router.unread_prompt import UnreadPrompt
@@ -39,6 +40,7 @@
 _FIRST_SERVER_ERROR = 500
 _FIRST_REDIRECT = 300
 _LONGEST_GAP_S = 2.0
+_CONNECTION_WAIT_SHARE = 0.75  # of the objective
 
 
 class ReplicaAttempts:
@@ -46,6 +48,7 @@
 
     Args:
         client: HTTP to replicas.
+        connections: Hands out connections to replicas.
         replicas: All replicas.
         names: Header names.
         environment: Time.
@@ -54,11 +57,13 @@
     def __init__(
         self,
         client: ReplicaClient,
+        connections: ReplicaConnections,
         replicas: FleetReplicas,
         names: GatewayNames,
         environment: Environment,
     ) -> None:
         self._client = client
+        self._connections = connections
         self._replicas = replicas
         self._names = names
         self._environment = environment
@@ -77,6 +82,28 @@
             RunLostError: If it may have been run and the answer is not whole.
             RunFailedError: If the replica's answer is a failure that may be tried again.
         """
+        connection = self._connections.use(
+            replica.record.address,
+            self._replicas.connection_share(replica),
+            self._connection_wait_s(request),
+            keeps=request.matched.may_run_twice,
+        )
+        async with connection:
+            await self._make(request, replica, sink, progress)
+
+    def _connection_wait_s(self, request: GatewayRequest) -> float:
+        """Return how long a connection may be waited for, so that an answer is still in time."""
+        objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
+        last_s = min(request.deadline_s, request.arrived_s + _CONNECTION_WAIT_SHARE * objective_s)
+        return max(0.0, last_s - self._environment.monotonic())
+
+    async def _make(
+        self,
+        request: GatewayRequest,
+        replica: FleetReplica,
+        sink: AnswerSink,
+        progress: AnswerProgress,
+    ) -> None:
         unread = self._replicas.sent(replica, request.wish)
         reading = UnreadPrompt(self._replicas, replica, unread, self._environment)
         route = request.matched.route
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -177,6 +177,7 @@
     "replica_back_offs": "Answers that asked this gateway for back-off, by service.",
     "replica_signals_malformed": "Answers with a header on their replica that cannot be read.",
     "replicas_left": "Replicas that said in an answer that they leave, by service.",
+    "connections_not_had": "Requests for which no connection to their replica came free in time.",
     "sends_held_back": "Requests not sent after their replica had been chosen, by why.",
     "replica_limits_malformed": "Answers whose limit was no number: they name none.",
     "replica_crashes": "Crashes that a gateway noticed, by the sign.",
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -32,6 +32,8 @@
     "test_http",
     "test_process_soak",
     "test_replica_back_off",
+    "test_replica_leaving",
+    "test_connections_of_all",
     "test_crowd_of_replicas",
     "test_replica_limit_changes",
     "test_replica_limits",
