A replica that turns away request after request is left to its others for longer

Callers were refused beside idle replicas where others shed all without asking for back-off: each refusal counted for 0.15 s, so each gateway sent there again some six times a second and used up the service's repeats. Change: the time in which others are preferred doubles with each refusal in a row, up to 2.4 s, and ends with the next whole answer. It is a preference: where all shed, all are still tried. Failed before: test_two_of_four_ask_for_nothing (under 0.98 served); passes now.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -36,6 +36,7 @@
 _FIRST_SUSPICION_S = 0.4
 _LONGEST_SUSPICION_S = 4.0
 _BUSY_S = 0.15
+_LONGEST_REJECTING_S = 2.4
 
 
 class FleetReplicas:
@@ -355,16 +356,18 @@
         if replica.unreached:
             # It may have been without power: its first heartbeat since has yet to come.
             self._note_cold(replica, self._cold_start_s(replica.record.service), "reached_again")
-        replica.failures = 0
+        replica.failures = replica.rejections = 0
         replica.unreached = False
         replica.suspect_until_s = 0.0
         self.availability.succeeded(replica)
 
     def busy(self, replica: FleetReplica) -> None:
-        """Note that a replica had no room: others are preferred for a moment."""
-        until_s = self._environment.monotonic() + _BUSY_S
-        replica.suspect_until_s = max(replica.suspect_until_s, until_s)
-        replica.busy_until_s = until_s
+        """Note that a replica had no room: others are preferred, longer with each time in a row."""
+        now_s = self._environment.monotonic()
+        pause_s = min(_LONGEST_REJECTING_S, _BUSY_S * 2**replica.rejections)
+        replica.rejections += 1
+        replica.suspect_until_s = max(replica.suspect_until_s, now_s + pause_s)
+        replica.busy_until_s = now_s + _BUSY_S
 
     def failed(self, replica: FleetReplica, why: str, *, unreached: bool = False) -> None:
         """Note a failure: others are preferred for a while, longer each time.
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -20,6 +20,7 @@
         unread_tokens: Prompt tokens sent to it whose first event has not come.
         parts: What it is taken to keep of earlier prompts.
         failures: Failures in a row.
+        rejections: Requests in a row that it turned away unrun.
         unreached: Whether no connection to it came about the last time.
         refuses: Whether its machine said, when asked again, that nothing listens there.
         suspect_until_s: Until when others are preferred.
@@ -36,6 +37,7 @@
     in_flight: int = 0
     unread_tokens: int = 0
     failures: int = 0
+    rejections: int = 0
     unreached: bool = False
     refuses: bool = False
     suspect_until_s: float = 0.0
--- a/tests/signalling_fleet.py
+++ b/tests/signalling_fleet.py
@@ -51,7 +51,8 @@
 
     Attributes:
         identity: Its id.
-        retry_after: What its refusals ask for; None: it refuses nothing.
+        retry_after: What its refusals ask for; "": they ask for nothing; None: it refuses
+            nothing.
         served_of_ten: How many of ten requests it serves all the same.
         leaving: Whether its answers say that it leaves.
         work_s: Time that it takes for an answer.
@@ -75,8 +76,10 @@
         if self.leaving:
             named[_LEAVING_HEADER] = "1"
         if self.retry_after is not None and len(self.arrivals) % 10 >= self.served_of_ten:
-            self.asked.append(BackOffAsked(loop.time(), gateway, float(self.retry_after)))
-            named |= {"Not_Executed": "1", "Retry_After": self.retry_after}
+            named["Not_Executed"] = "1"
+            if self.retry_after:
+                self.asked.append(BackOffAsked(loop.time(), gateway, float(self.retry_after)))
+                named["Retry_After"] = self.retry_after
             return answer(received, "503 Service Unavailable", **named)
         if received.target.startswith("/stream/"):
             return stream_head(received, **named) + event(1) + END_OF_CHUNKS
--- a/tests/test_replica_back_off.py
+++ b/tests/test_replica_back_off.py
@@ -53,6 +53,16 @@
         served = judged.statuses[200] / judged.statuses.total()
         self.assertGreaterEqual(served, 0.98, "two replicas stand idle")
 
+    async def test_two_of_four_ask_for_nothing(self) -> None:
+        """Two replicas turn all away without a time: each refusal in vain is longer remembered."""
+        fleet = await self.start(6, 4)
+        await fleet.ask(30.0, 0.5)
+        for replica in fleet.replicas[:2]:
+            replica.retry_after = ""
+        judged = await fleet.ask(180.0, 4.5)
+        served = judged.statuses[200] / judged.statuses.total()
+        self.assertGreaterEqual(served, 0.98, "two replicas stand idle")
+
     async def test_all_ask_for_back_off(self) -> None:
         """What cannot be served is refused at once, and told when to return."""
         fleet = await self.start(4, 2)
