--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -14,7 +14,7 @@
 # Of the election timeout, besides a random share of it, wide enough that two of nine
 # members seldom stand together. Short until the first leader since the start was heard
 # of: a vain pre-vote disturbs nobody, and a member that waits long after one keeps the
-# whole group waiting (chosen; nine members start within 0.5 s of each other).
+# whole group waiting.
 _FIRST_PATIENCE = 0.3
 _PATIENCE = 1.0
 # Of the election timeout: how long a member that voted gives no pre-vote to others.
--- a/packages/heronladder-control/src/heronladder_control/admission.py
+++ b/packages/heronladder-control/src/heronladder_control/admission.py
@@ -15,14 +15,14 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.tasks import TaskGroupOwner
 
-LOOK_S = 0.05  # between two looks (as each that asked had; chosen)
-# At each look, 1,300 a second: half of the registrations that one core bears (chosen).
+LOOK_S = 0.05  # between two looks (as each that asked had)
+# At each look, 1,300 a second: half of the registrations that one core bears.
 LET_IN_AT_ONCE = 64
-MOST_WAITING = 1_024  # a second's worth; who comes over it asks another member (chosen)
+MOST_WAITING = 1_024  # a second's worth; who comes over it asks another member
 # Streams refused in a second, over which they wait here instead of coming again: 30 gateways
-# make 100 on three members, 100 gateways 300 (chosen).
+# make 100 on three members, 100 gateways 300.
 _REFUSED_LATELY = 128
-_STREAM_WAIT_S = 0.5  # under the 0.9 s after which a gateway gives a silent stream up (chosen)
+_STREAM_WAIT_S = 0.5  # under the 0.9 s after which a gateway gives a silent stream up
 
 
 class Admission:
--- a/packages/heronladder-control/src/heronladder_control/cold_words.py
+++ b/packages/heronladder-control/src/heronladder_control/cold_words.py
@@ -9,7 +9,7 @@
 from heronladder_schema.v1 import resources_pb2
 
 # A heartbeat is under way for so long, and clocks of two machines differ: no longer time is
-# told anew for it (chosen).
+# told anew for it.
 _SLACK_S = 0.3
 
 
--- a/packages/heronladder-control/src/heronladder_control/command_packing.py
+++ b/packages/heronladder-control/src/heronladder_control/command_packing.py
@@ -10,7 +10,7 @@
 
 from heronladder_schema.v1 import control_pb2
 
-PACK_OVER_BYTES = 4_096  # smaller commands gain nothing (chosen: three network packets)
+PACK_OVER_BYTES = 4_096  # smaller commands gain nothing
 _PACKED = b"\x00"  # no command begins with it: field numbers begin at 1
 _LEVEL = 1  # the fastest: routes are alike, higher levels save little
 
--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -22,16 +22,16 @@
     from heronladder_control.member_context import MemberContext
 
 # Parts that a daemon has not confirmed yet. What else is to be said waits behind so many on
-# a thin link: 1.6 s at 5 kB/s (chosen: one alone would halve the speed of a link).
+# a thin link: 1.6 s at 5 kB/s: one alone would halve the speed of a link.
 _PARTS_UNDER_WAY = 2
 # A part that is confirmed so soon is followed by one twice as large, up to the most; after one
 # that took long they are small again. 100 kB to each of 300 routers that begin anew were 15,000
 # frames. The most is 50 ms of a link of 5 Mbit/s; a part twice as large as a quick one still
-# ends within a router's patience of 0.9 s (chosen).
+# ends within a router's patience of 0.9 s.
 _QUICK_S = 0.25
 _SLOW_S = 0.5
 _MOST_PART_BYTES = 32 * 1024
-_UPDATES_KEPT = 8  # packed; a whole one is some 100 kB at 3,000 replicas (chosen)
+_UPDATES_KEPT = 8  # packed; a whole one is some 100 kB at 3,000 replicas
 _ROUTER_KINDS = frozenset(
     {
         "tenant",
--- a/packages/heronladder-control/src/heronladder_control/crashes/evidence.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/evidence.py
@@ -11,14 +11,12 @@
 
 from heronladder_schema.v1 import control_pb2
 
-REFUSED_AFTER = (
-    3  # crashes; with two, a caller's repeat beside the one to blame is refused (chosen)
-)
+REFUSED_AFTER = 3  # crashes; with two, a caller's repeat beside the one to blame is refused
 # Crashes after which it no longer matters that another request was there each time: what may
-# still crash replicas is bounded, and two that always come together are alike (chosen).
+# still crash replicas is bounded, and two that always come together are alike.
 REFUSED_ANYWAY_AFTER = 5
 # The oldest evidence goes first. A day of 89 failed machines fits, with 46 runs at each; all of it
-# is some 400 kB of a snapshot (chosen).
+# is some 400 kB of a snapshot.
 _MOST_CRASHES = 128
 _MOST_RUNS = 4_096
 
--- a/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
@@ -8,9 +8,9 @@
 from heronladder_control.crashes.table import CrashTable
 
 # For so long all routers in touch can say that they have had an answer to a suspect, which clears
-# it: it was told to them as one, and a heartbeat takes 0.3 s (chosen).
+# it: it was told to them as one, and a heartbeat takes 0.3 s.
 _ASKED_S = 0.4
-# Of the first refusal, an hour; each later one is four times as long, a month at most (chosen). A
+# Of the first refusal, an hour; each later one is four times as long, a month at most. A
 # caller's mended service or replicas of a new version are let through in the end; one send that
 # crashes a replica refuses it again.
 _FIRST_REFUSAL_S = 3_600.0
--- a/packages/heronladder-control/src/heronladder_control/crashes/table.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/table.py
@@ -11,8 +11,8 @@
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import success
 
-_SUSPECT_AFTER = 2  # crashes; each one makes suspects of all that ran there otherwise (chosen)
-_MOST_NOTED = 256  # suspects and refused ones together; routers hold them all (chosen)
+_SUSPECT_AFTER = 2  # crashes; each one makes suspects of all that ran there otherwise
+_MOST_NOTED = 256  # suspects and refused ones together; routers hold them all
 
 
 class CrashTable:
--- a/packages/heronladder-control/src/heronladder_control/ended_replicas.py
+++ b/packages/heronladder-control/src/heronladder_control/ended_replicas.py
@@ -4,7 +4,7 @@
 
 from heronladder_runtime.clock import Environment
 
-ENDS_KEPT_S = 600.0  # a heartbeat held up by a cut comes within minutes (chosen)
+ENDS_KEPT_S = 600.0  # a heartbeat held up by a cut comes within minutes
 
 
 class EndedReplicas:
--- a/packages/heronladder-control/src/heronladder_control/heartbeat_spread.py
+++ b/packages/heronladder-control/src/heronladder_control/heartbeat_spread.py
@@ -15,10 +15,10 @@
 from heronladder_schema.v1 import consensus_pb2, resources_pb2
 
 SPREAD_OVER = 256  # replicas: 200 heartbeats a second, 4% of a core (measured: 5,000 are one core)
-# Replicas that one member sends elsewhere in a second: each makes a new connection (chosen).
+# Replicas that one member sends elsewhere in a second: each makes a new connection.
 MOVES_A_SECOND = 50
-PASSED_OVER_S = 30.0  # a member from which a replica came back gets none for so long (chosen)
-_LOST_AFTER_S = 2.0  # a member that heard of no leader for so long sends its replicas on (chosen)
+PASSED_OVER_S = 30.0  # a member from which a replica came back gets none for so long
+_LOST_AFTER_S = 2.0  # a member that heard of no leader for so long sends its replicas on
 _MOST_SENT = 4_096  # replicas remembered as sent elsewhere
 
 
--- a/packages/heronladder-control/src/heronladder_control/in_force.py
+++ b/packages/heronladder-control/src/heronladder_control/in_force.py
@@ -23,13 +23,13 @@
 _CLOCK_RATE_MARGIN = 1.1  # daemons' clocks may run this much slower than ours
 _RENEWAL_PATIENCE_SHARE = 0.5  # of the freshness time, before a laggard is not renewed
 # Before a laggard must hold: a whole large update at 5 Mbit/s, and under the 3 s that an
-# operator's call waits (chosen).
+# operator's call waits.
 _HOLD_PATIENCE_S = 2.0
 # One that is heard but shows no sign of hearing us, on all its streams: nothing that waits
-# for its word would end (chosen: what the users call out of touch, 3 to 5 s).
+# for its word would end.
 _DEAF_LIMIT_S = 4.0
 # Between two looks at who is behind, twice the longest pause of the leader's chores: what
-# is over it was our own lateness, not their silence (chosen).
+# is over it was our own lateness, not their silence.
 _OWN_LATENESS_S = 1.0
 
 
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -28,11 +28,11 @@
 
 _CHORE_INTERVAL_S = 0.5
 # Between two rounds of what costs with the number of daemons, holders and replicas: each
-# heartbeat woke them, 1,000 a second of 300 gateways (chosen).
+# heartbeat woke them, 1,000 a second of 300 gateways.
 _CHORE_PAUSE_S = 0.1
-_IN_FORCE_PAUSE_S = 0.00005  # a daemon, between two looks at all of them: 15 ms at 300 (chosen)
-_CLOSED_AT_ONCE = 32  # holders; what puts changes in force waits for one such round (chosen)
-_LEFT_OUT_NAMED = 8  # daemons named in a log line, so that it stays short (chosen)
+_IN_FORCE_PAUSE_S = 0.00005  # a daemon, between two looks at all of them: 15 ms at 300
+_CLOSED_AT_ONCE = 32  # holders; what puts changes in force waits for one such round
+_LEFT_OUT_NAMED = 8  # daemons named in a log line, so that it stays short
 _CLAIM_AGE_MS = 24 * 3600 * 1000
 _CLAIM_DROP_INTERVAL_S = 600.0
 
--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -17,13 +17,13 @@
 
 from heronladder_control.results import failure, success
 
-_SCARCE_SHARE = 0.1  # of the limit: with less left after a loss, nothing is held ahead (chosen)
-_MUCH_LOST_SHARE = 0.02  # of the limit: as after a loss of all; one gateway costs less (chosen)
+_SCARCE_SHARE = 0.1  # of the limit: with less left after a loss, nothing is held ahead
+_MUCH_LOST_SHARE = 0.02  # of the limit: as after a loss of all; one gateway costs less
 _SCARCE_AFTER_MUCH_SHARE = 0.2  # of the limit: 12 in 100 were left after a loss of all (measured)
 # Of what no request has, for one request where tokens are scarce: with a larger share the few
 # large ones take what many small ones would have been served with.
 _LARGEST_SHARE = 1 / 32
-_NEVER_LARGE_TOKENS = 2_000  # a common small request at its most (chosen)
+_NEVER_LARGE_TOKENS = 2_000  # a common small request at its most
 _MOST_HELD = 0.75  # of what is not spent, by all holders together
 
 
--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -24,11 +24,11 @@
 from heronladder_control.prepaid import PrepaidTable
 
 _CLOCK_RATE_MARGIN_S = 0.1  # two steady clocks may differ by this over the time they hold
-_LEAST_WITNESSES = 2  # wall clocks; one alone may have been set (chosen)
+_LEAST_WITNESSES = 2  # wall clocks; one alone may have been set
 # A new leader hears wall clocks of most routers within a heartbeat and a stream's start; those
-# of machines that were restarted come later. Until then what was held stays charged (chosen).
+# of machines that were restarted come later. Until then what was held stays charged.
 _WITNESSES_PATIENCE_S = 3.0
-_KNOWN_STARTS = 4  # of one router, the newest (chosen)
+_KNOWN_STARTS = 4  # of one router, the newest
 HolderKey = tuple[str, str]  # router, incarnation
 
 
--- a/packages/heronladder-control/src/heronladder_control/promise_notes.py
+++ b/packages/heronladder-control/src/heronladder_control/promise_notes.py
@@ -18,12 +18,12 @@
 from heronladder_control.prepaid_watch import HolderKey
 
 # Between two entries of the log while promises rise: a request that waits for one waits half of
-# it (chosen; with an entry for each heartbeat 30 gateways would write 100 a second).
+# it: with an entry for each heartbeat 30 gateways would write 100 a second.
 _LEAST_PAUSE_S = 0.02
-# Without any that rose: how long ago the newest notes were made is charged at the pace (chosen).
+# Without any that rose: how long ago the newest notes were made is charged at the pace.
 _LONGEST_PAUSE_S = 0.25
-_SILENT_AFTER_S = 1.0  # three heartbeats without a word that it heard us (chosen)
-_WITNESSES = 16  # routers whose wall clocks are noted; half of them must be heard again (chosen)
+_SILENT_AFTER_S = 1.0  # three heartbeats without a word that it heard us
+_WITNESSES = 16  # routers whose wall clocks are noted; half of them must be heard again
 
 
 class PromiseNotes:
--- a/packages/heronladder-control/src/heronladder_control/recalls.py
+++ b/packages/heronladder-control/src/heronladder_control/recalls.py
@@ -8,7 +8,7 @@
 from heronladder_control.daemons import ROLE_ROUTER
 
 # Of the least that is asked for; with fewer tokens in all, a fair share for each holder would
-# leave too little for anyone (chosen).
+# leave too little for anyone.
 _SCARCE_ASKS = 4
 
 
--- a/packages/heronladder-control/src/heronladder_control/registration_batches.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_batches.py
@@ -19,10 +19,10 @@
 from heronladder_control.results import success
 
 # Between two entries, a router: 0.3 s with 300, a third of what a replica that leaves waits at
-# most, and 3 ms with 3 (chosen). The first after a pause goes at once.
+# most, and 3 ms with 3. The first after a pause goes at once.
 PAUSE_S = 0.001
 MOST_AT_ONCE = 512  # one entry is applied without a break: 0.1 s (0.19 ms each, test machine)
-MOST_WAITING = 4_096  # some five entries; who asks over it is told at once to ask again (chosen)
+MOST_WAITING = 4_096  # some five entries; who asks over it is told at once to ask again
 _Answer: TypeAlias = "asyncio.Future[control_pb2.CommandResult]"
 
 
--- a/packages/heronladder-control/src/heronladder_control/registration_relay.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_relay.py
@@ -16,8 +16,8 @@
 from heronladder_control.member_context import MemberContext
 from heronladder_control.registration_batches import MOST_AT_ONCE, MOST_WAITING
 
-_GATHER_S = 0.02  # while another call is under way (chosen)
-_CALLS = 4  # under way at once: a leader answers a call in up to 0.3 s before 300 routers (chosen)
+_GATHER_S = 0.02  # while another call is under way
+_CALLS = 4  # under way at once: a leader answers a call in up to 0.3 s before 300 routers
 _CALL_S = 0.9  # what a replica waits at most
 _Waiting = tuple[control_pb2.RegisterReplica, "asyncio.Future[control_pb2.CarryReply | None]"]
 
--- a/packages/heronladder-control/src/heronladder_control/replica_limits.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_limits.py
@@ -27,23 +27,23 @@
 from heronladder_control.daemon_session import DaemonSession
 
 # Of what a replica takes; the rest is for sends that nobody granted: those under way when it first
-# named its limit, and those of routers that are cut off (chosen).
+# named its limit, and those of routers that are cut off.
 _GRANTED_SHARE = 0.95
-# So much is granted of any limit, 0 too: only an answer tells that the need has ended (chosen).
+# So much is granted of any limit, 0 too: only an answer tells that the need has ended.
 _LEAST_PER_S = 0.1
-# What comes together in so long may be granted together: a heartbeat of each router (chosen).
+# What comes together in so long may be granted together: a heartbeat of each router.
 _SAVED_S = 0.3
 # A router that asked in vain within that time keeps its turn: until its next heartbeat, and a half
-# (chosen). Only where a replica takes a request a heartbeat or more: below, a turn kept for callers
+# . Only where a replica takes a request a heartbeat or more: below, a turn kept for callers
 # that have given up costs others (virtual time, 30 gateways, 1.7 a second: 0.58 to 0.61 of it used,
 # 0.72 to 0.75 without; 20 a second: least served gateway 0.19 to 0.21 of its requests, 0.06 to 0.12
 # without turns).
 _ASK_HOLDS_S = 0.45
-_DROP_PAUSE_S = 1.0  # between two looks for replicas that nobody tells of (chosen)
-_UNTOLD_S = 5.0  # nobody told of a replica for longer: it is forgotten (chosen)
+_DROP_PAUSE_S = 1.0  # between two looks for replicas that nobody tells of
+_UNTOLD_S = 5.0  # nobody told of a replica for longer: it is forgotten
 # Nobody heard of a replica for longer: sends granted there run out unused, at gateways that get too
 # few requests. One that holds longer is granted now and then, so that the end of the need is
-# noticed; two at most are out at a time (chosen).
+# noticed; two at most are out at a time.
 _UNHEARD_S = 3.0
 _LONG_HOLDS_S = 10.0
 _LONG_PAUSE_S = 5.0
--- a/packages/heronladder-control/src/heronladder_control/replica_loads.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_loads.py
@@ -12,7 +12,7 @@
 from heronladder_schema.v1 import control_pb2
 
 # The busiest are chosen anew so often while all routers tell once: at each word of 300 routers
-# it sorted 3,000 sums 1,000 times a second (chosen).
+# it sorted 3,000 sums 1,000 times a second.
 _CHOSEN_A_ROUND = 4
 
 _Loads = dict[str, tuple[int, int]]  # by replica: requests, unread tokens
--- a/packages/heronladder-control/src/heronladder_control/returning_replicas.py
+++ b/packages/heronladder-control/src/heronladder_control/returning_replicas.py
@@ -8,8 +8,8 @@
 from heronladder_runtime.clock import Environment
 from heronladder_schema.v1 import resources_pb2
 
-RETURNS_AFTER_S = 2.0  # heartbeats come each 1.2 s: two of one that runs (chosen)
-_FORGOTTEN_AFTER_S = 30.0  # without another heartbeat (chosen)
+RETURNS_AFTER_S = 2.0  # heartbeats come each 1.2 s: two of one that runs
+_FORGOTTEN_AFTER_S = 30.0  # without another heartbeat
 
 
 class ReturningReplicas:
--- a/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
@@ -26,10 +26,10 @@
     from heronladder_control.daemon_session import DaemonSession
     from heronladder_control.member_context import MemberContext
 
-_LOOK_S = 0.2  # between two looks at a roll-out; under a heartbeat (chosen)
-_CLEAR_HOLDS_S = 1.0  # as long as a router that hears nothing stays with a move (chosen alike)
-_NOTE_S = 0.5  # between two notes in the log (chosen: two entries a second while one runs)
-_NOTE_AHEAD_S = 1.0  # the ceiling is as high as the allowance will be so much later (chosen)
+_LOOK_S = 0.2  # between two looks at a roll-out; under a heartbeat
+_CLEAR_HOLDS_S = 1.0  # as long as a router that hears nothing stays with a move
+_NOTE_S = 0.5  # between two notes in the log
+_NOTE_AHEAD_S = 1.0  # the ceiling is as high as the allowance will be so much later
 
 
 @dataclass
--- a/packages/heronladder-control/src/heronladder_control/rollouts/exposure.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/exposure.py
@@ -3,17 +3,17 @@
 from dataclasses import dataclass
 
 # What a trial may use of the bound in any case. The rest is for the move, in which a version that
-# turns bad gets all requests until that is noticed (chosen).
+# turns bad gets all requests until that is noticed.
 _TRIAL_SHARE = 0.5
 _TRIAL_SLACK = 0.4
 # Of a service with few requests a trial may use more: all but what the service gets in so many
-# seconds, and but a tenth for what is under way (chosen).
+# seconds, and but a tenth for what is under way.
 _KEPT_S = 1.0
 _USABLE = 0.9
-_AT_ONCE = 0.4  # of that, from the start; the rest evenly until the move (chosen)
-_RATE_KNOWN_S = 1.0  # an estimate of the requests a second needs so long (chosen)
-_NEWCOMER_PART = 0.5  # of a trial's, for a version that no order has named (chosen)
-_MOST_AT_ONCE = 8  # sends that one router holds beyond those it has made (chosen)
+_AT_ONCE = 0.4  # of that, from the start; the rest evenly until the move
+_RATE_KNOWN_S = 1.0  # an estimate of the requests a second needs so long
+_NEWCOMER_PART = 0.5  # of a trial's, for a version that no order has named
+_MOST_AT_ONCE = 8  # sends that one router holds beyond those it has made
 
 
 @dataclass(frozen=True)
--- a/packages/heronladder-control/src/heronladder_control/rollouts/orders.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/orders.py
@@ -9,7 +9,7 @@
 from heronladder_control.rollouts.table import RUNNING, phase_name
 
 # An operator repeats an order for 5 s at most; the same order later than this after its end is
-# a new one (chosen: twice that).
+# a new one.
 _REPEATS_S = 10.0
 
 
--- a/packages/heronladder-control/src/heronladder_control/rollouts/pace.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/pace.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-_WINDOW_S = 1.0  # a jump of the traffic counts after so long (chosen: three heartbeats)
+_WINDOW_S = 1.0  # a jump of the traffic counts after so long: three heartbeats
 _LEAST_S = 0.2  # no rate is known of less: one look of the leader
 
 
--- a/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
@@ -16,18 +16,18 @@
 )
 
 # From the order to move until all routers hold it, and from the last answer elsewhere until
-# `completed` is in the log (chosen: 3 heartbeats each way and a commit of a slow disk).
+# `completed` is in the log: three heartbeats each way and a commit of a slow disk.
 _WAY_S = 1.0
-_LONGEST_MORE = 1.1  # the longest answer still to come, against the longest seen (chosen)
-_MOST_OF_TIME = 0.4  # of an order's time, that is kept for the move at most (chosen)
+_LONGEST_MORE = 1.1  # the longest answer still to come, against the longest seen
+_MOST_OF_TIME = 0.4  # of an order's time, that is kept for the move at most
 # There is no way back from `completed`: it is written so long before the deadline, and what all
-# requests show at the target is watched until then (chosen: two heartbeats).
+# requests show at the target is watched until then: two heartbeats.
 _COMPLETE_BEFORE_S = 0.6
-_SAFE_PART = 0.7  # of what is left, planned with: the load may rise (chosen)
+_SAFE_PART = 0.7  # of what is left, planned with: the load may rise
 # In a service's whole traffic, until a version that turns bad is noticed and left; see the table
 # in docs/measurements/rollouts.md.
 _NOTICED_S = 0.6
-_LATEST = 3.0  # times an order's time, after which a move ends whose old answers do not (chosen)
+_LATEST = 3.0  # times an order's time, after which a move ends whose old answers do not
 _ORDER_REPEATS_S = 8.0  # operators repeat an order for 5 s; a newcomer is admitted after this
 
 
--- a/packages/heronladder-daemon/src/heronladder_daemon/early_answers.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_answers.py
@@ -29,13 +29,13 @@
     from collections.abc import Sequence
     from types import ModuleType
 
-_POLL_EVERY_S = 0.005  # at most so often (chosen; most imports take less)
-_LONGEST_POLL_S = 0.02  # of many callers, the rest wait for the next poll (chosen)
-_MOST_CONNECTIONS = 1_000  # more are closed unread (chosen, a quarter of the descriptors)
+_POLL_EVERY_S = 0.005  # at most so often: most imports take less
+_LONGEST_POLL_S = 0.02  # of many callers, the rest wait for the next poll
+_MOST_CONNECTIONS = 1_000  # more are closed unread: a quarter of the descriptors
 _MOST_BYTES = 8 * 1024 * 1024  # of a request; larger ones are closed (twice the usual limit)
 _CHUNK_BYTES = 65_536
 _MOST_NOTED = 1_000  # identifiers kept for the log
-_MOST_FAILURE_CHARACTERS = 200  # of an error's text kept for the log (chosen)
+_MOST_FAILURE_CHARACTERS = 200  # of an error's text kept for the log
 _HEAD_END = b"\r\n\r\n"
 _LAST_CHUNK = b"0\r\n\r\n"
 _BODY = b'{"error":{"message":"this gateway is starting","type":"not_ready","code":"not_ready"}}'
--- a/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
@@ -9,7 +9,7 @@
 
 from heronladder_daemon.early_answers import EarlyAnswers
 
-BACKLOG = 1024  # connections that may wait; chosen, the kernel caps it
+BACKLOG = 1024  # connections that may wait; the kernel caps it
 
 _opened: dict[str, socket.socket] = {}
 _answering: list[EarlyAnswers] = []
--- a/packages/heronladder-router/src/heronladder_router/crash_reports.py
+++ b/packages/heronladder-router/src/heronladder_router/crash_reports.py
@@ -22,13 +22,13 @@
 from heronladder_router.replica_state import FleetReplica
 
 # Connections of a replica that ends are noticed to end within the first of these pauses; on a busy
-# machine, or where a connection is cut off, after the others (chosen).
+# machine, or where a connection is cut off, after the others.
 _LOOKS_AFTER_S = (0.05, 0.2, 0.5)
-_OPEN_S = 10.0  # a replica that crashed is registered anew within seconds (chosen)
-_GATHER_S = 0.05  # a zone that is lost is one report, not one for each replica (chosen)
-_TELL_S = 30.0  # without control for longer, others have told it, or the callers are gone (chosen)
-_MOST_OPEN = 64  # replicas; the oldest goes first (chosen)
-_MOST_TARGET = 80  # characters of a path that operators are shown (chosen)
+_OPEN_S = 10.0  # a replica that crashed is registered anew within seconds
+_GATHER_S = 0.05  # a zone that is lost is one report, not one for each replica
+_TELL_S = 30.0  # without control for longer, others have told it, or the callers are gone
+_MOST_OPEN = 64  # replicas; the oldest goes first
+_MOST_TARGET = 80  # characters of a path that operators are shown
 _Incarnation = tuple[str, int]
 
 
--- a/packages/heronladder-router/src/heronladder_router/crashing_requests.py
+++ b/packages/heronladder-router/src/heronladder_router/crashing_requests.py
@@ -8,9 +8,9 @@
 from heronladder_runtime.logs import EventLog
 
 # Fingerprints of requests that a replica has run to the end here. One that many callers send, as
-# a page that all ask for, is among the newest; each is some 150 B (chosen).
+# a page that all ask for, is among the newest; each is some 150 B.
 _SERVED_KEPT = 1_024
-_SERVED_HOLDS_S = 60.0  # replicas of another version may fail where earlier ones did not (chosen)
+_SERVED_HOLDS_S = 60.0  # replicas of another version may fail where earlier ones did not
 
 
 class CrashingRequests:
--- a/packages/heronladder-router/src/heronladder_router/decisions/cold_limit.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/cold_limit.py
@@ -13,7 +13,7 @@
 from heronladder_router.decisions.few_senders import VIEWS, GatewaysKnown, share_of_few
 
 # Sends are counted over a second and a bit: what one machine sends a second apart may be closer
-# together by another's clock (chosen).
+# together by another's clock.
 WINDOW_S = 1.05
 
 
--- a/packages/heronladder-router/src/heronladder_router/decisions/come_back.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/come_back.py
@@ -9,9 +9,9 @@
 from dataclasses import dataclass
 
 # Later than this a caller has given up or is served late anyway: the shortest deadlines of the
-# users' sheets are 3 s (chosen).
+# users' sheets are 3 s.
 _LATEST_S = 1.5
-_SOONEST_S = 0.05  # of a round trip and a new connection (chosen)
+_SOONEST_S = 0.05  # of a round trip and a new connection
 
 
 @dataclass(frozen=True)
--- a/packages/heronladder-router/src/heronladder_router/decisions/few_senders.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/few_senders.py
@@ -11,7 +11,7 @@
 
 import xxhash
 
-VIEWS = 2  # groups of gateways that may send at the same time (chosen)
+VIEWS = 2  # groups of gateways that may send at the same time
 _WEIGHTS = 1 << 64
 
 
--- a/packages/heronladder-router/src/heronladder_router/decisions/patience.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/patience.py
@@ -14,15 +14,15 @@
 from enum import Enum
 
 _OBJECTIVES = 3.0  # while little is measured, and at most
-_SHORTEST_S = 1.0  # nothing is given up sooner (chosen)
+_SHORTEST_S = 1.0  # nothing is given up sooner
 # Objectives, before which nothing is given up: long prompts at slow engines took over 1 s where
 # most first events take 0.1 s (25 sends were given up before 2 s in a trial, 18 at 1 s).
 _LEAST_OBJECTIVES = 2.0
-_TIMES = 4.0  # of what most first events take (chosen)
-# Up to a fifth of the answers may be lost without patience growing (chosen).
+_TIMES = 4.0  # of what most first events take
+# Up to a fifth of the answers may be lost without patience growing.
 _MOST = 0.8
-_RATE = 0.1  # of the value, by which it moves: up by 0.08 of it, down by 0.02 (chosen)
-_LEAST_SEEN = 20  # first events before they are believed (chosen)
+_RATE = 0.1  # of the value, by which it moves: up by 0.08 of it, down by 0.02
+_LEAST_SEEN = 20  # first events before they are believed
 
 
 class Measure(Enum):
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -23,10 +23,10 @@
 
 _OTHER_ZONE_COST_MS = 4.0
 _READ_AGAIN_COST_MS = 0.15  # for each token of a shared part that another replica keeps
-_MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer (chosen, see decisions)
-_CHOICES = 4  # replicas compared at random where gateways share their load (chosen)
+_MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer
+_CHOICES = 4  # replicas compared at random where gateways share their load
 # A replica in need goes before its equals while a send there is granted: unused, it runs out and is
-# lost to all gateways (chosen, under the cost of another zone).
+# lost to all gateways; less than the cost of another zone.
 _GRANTED_GAIN_MS = 2.0
 _SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
 
--- a/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
@@ -19,12 +19,12 @@
 #: Sends without a grant are counted over so long: the span over which users judge them.
 SPAN_S = 4.0
 #: Without a leader's word for longer, gateways go by what they share without one: the newest
-#: grants have run out by then (chosen).
+#: grants have run out by then.
 LEADER_SILENT_S = 1.0
 #: A gateway asks for what it would have sent in so long: until the answer to its next heartbeat
-#: but one (chosen).
+#: but one.
 DEMAND_S = 0.6
-_MOST_ASKED = 512  # at one service; far beyond what one gateway sends in that time (chosen)
+_MOST_ASKED = 512  # at one service; far beyond what one gateway sends in that time
 
 
 class LimitVerdict(Enum):
--- a/packages/heronladder-router/src/heronladder_router/decisions/speed.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/speed.py
@@ -16,18 +16,18 @@
 _TOKEN_MS = 1 / 50.0  # before any is measured
 _RUNNING_MS = 3.0
 _FIRST_STEP_MS = 20.0  # of a first event, whatever was asked (the users' sheets: work of 20 ms)
-_BOUND = 4.0  # of the constants, either way (chosen)
-_KEEP = 0.995  # of earlier streams of a service with each new one: some 200 count (chosen)
-# The constants count as much as 20 streams of 2,000 unread tokens beside five others (chosen).
+_BOUND = 4.0  # of the constants, either way
+_KEEP = 0.995  # of earlier streams of a service with each new one: some 200 count
+# The constants count as much as 20 streams of 2,000 unread tokens beside five others.
 _TOKEN_WEIGHT = 20 * 2_000.0**2
 _RUNNING_WEIGHT = 20 * 5.0**2
-_REPLICA_KEEP = 0.7  # of earlier streams of a replica: some three count (chosen)
-_REPLICA_WEIGHT_MS = 100.0  # of first events at the pace of the service that count beside (chosen)
+_REPLICA_KEEP = 0.7  # of earlier streams of a replica: some three count
+_REPLICA_WEIGHT_MS = 100.0  # of first events at the pace of the service that count beside
 # A factor below is taken for chance: each passing over of a replica that keeps a shared part has
 # it read again elsewhere (0.031 of worth for that on an own day where it was 0.024 by constants).
 _SLOW_FROM = 1.5
 _SLOWEST = 4.0
-_FORGET_S = 2.0  # half of what a factor says is forgotten in that time (chosen)
+_FORGET_S = 2.0  # half of what a factor says is forgotten in that time
 
 
 @dataclass(frozen=True)
--- a/packages/heronladder-router/src/heronladder_router/decisions/take.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/take.py
@@ -19,14 +19,14 @@
 
 # Of the mean of all gateways. Fewer than one in so many can have more (by arithmetic).
 _MEANS = 2.0
-_LEAST_IN_FLIGHT = 8  # fewer fill no link (chosen)
-_BACK_SHARE = 0.5  # of the limit: nearer to it, a gateway would go back and forth (chosen)
+_LEAST_IN_FLIGHT = 8  # fewer fill no link
+_BACK_SHARE = 0.5  # of the limit: nearer to it, a gateway would go back and forth
 # Then it is ready again whatever its times say: they may be long for another reason, and an
-# eighth of all time unready is a duty missed (chosen).
+# eighth of all time unready is a duty missed.
 _LONGEST_S = 4.0
-# Of a stream to control, before its sums are whole: three heartbeats of all the others (chosen).
+# Of a stream to control, before its sums are whole: three heartbeats of all the others.
 _SUMS_WHOLE_S = 1.0
-_REST_S = 4.0  # ready at least so long in between: half of the time at the worst (chosen)
+_REST_S = 4.0  # ready at least so long in between: half of the time at the worst
 
 
 class Standing(Enum):
--- a/packages/heronladder-router/src/heronladder_router/decisions/waiting.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/waiting.py
@@ -22,21 +22,21 @@
 from enum import Enum
 
 # Times of an answer that are left beside those that run before it: for its own run, and for what
-# the sums do not tell yet (chosen: the model of the tests serves most with it, of 1.5, 2 and 3).
+# the sums do not tell yet.
 _MARGIN = 2.0
-# Each so manieth place goes to whoever waited longest, whatever its rank (chosen).
+# Each so manieth place goes to whoever waited longest, whatever its rank.
 _OLDEST_TURN = 4
-_NEWEST_SHARE = 0.3  # of the newest answer in the newest times (chosen: some three answers)
-_FALL_SHARE = 0.3  # of a quicker answer in the least time (chosen)
-_RISE_SHARE = 0.02  # of a slower one (chosen: a burst of seconds hardly moves it)
+_NEWEST_SHARE = 0.3  # of the newest answer in the newest times
+_FALL_SHARE = 0.3  # of a quicker answer in the least time
+_RISE_SHARE = 0.02  # of a slower one: a burst of seconds hardly moves it
 # Requests whose answers are lost count as taken until their time runs out. While the newest
-# answers took less than this share of the time left, such sums are not believed (chosen).
+# answers took less than this share of the time left, such sums are not believed.
 _DOUBT_SHARE = 0.35
 # Of the time left: where the gateway's own link takes more, what is under way and how long answers
-# take tell of the link and not of the service (chosen).
+# take tell of the link and not of the service.
 _LINK_SHARE = 0.25
 _MS = 1000.0  # in a second
-_SHORTEST_MS = 5.0  # no answer is taken for faster (chosen)
+_SHORTEST_MS = 5.0  # no answer is taken for faster
 
 
 class Verdict(Enum):
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -131,7 +131,7 @@
 
     status = 503
     code = "configuration_behind"
-    retry_after_s = 0.2  # an update of many routes takes so long at 5 Mbit/s (chosen)
+    retry_after_s = 0.2  # an update of many routes takes so long at 5 Mbit/s
 
 
 class UnconfirmedError(CallerError):
@@ -139,7 +139,7 @@
 
     status = 503
     code = "configuration_unconfirmed"
-    retry_after_s = 0.2  # callers come back to another gateway, which may know more (chosen)
+    retry_after_s = 0.2  # callers come back to another gateway, which may know more
 
 
 class StoppingError(CallerError):
@@ -224,7 +224,7 @@
 
     status = 503
     code = "service_evacuated"
-    retry_after_s = 2  # an evacuation lasts for seconds at least (chosen)
+    retry_after_s = 2  # an evacuation lasts for seconds at least
 
 
 class VersionNotAdmittedError(CallerError):
@@ -232,7 +232,7 @@
 
     status = 503
     code = "version_not_admitted"
-    retry_after_s = 1  # a roll-out goes on or back within moments (chosen)
+    retry_after_s = 1  # a roll-out goes on or back within moments
 
 
 class RegionUnservedError(CallerError):
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -34,7 +34,7 @@
 
 _STOP_POLL_S = 0.02
 _LAST_RETURN_S = 0.8
-_LOANS_WAIT_S = 0.3  # of it, for others to settle what they borrowed (chosen)
+_LOANS_WAIT_S = 0.3  # of it, for others to settle what they borrowed
 
 
 @dataclass(frozen=True)
--- a/packages/heronladder-router/src/heronladder_router/limit_demand.py
+++ b/packages/heronladder-router/src/heronladder_router/limit_demand.py
@@ -7,8 +7,8 @@
 from heronladder_router.decisions.come_back import ComeBackView, come_back
 from heronladder_router.decisions.replica_limit import DEMAND_S, SPAN_S, sends_wanted
 
-_MOST_COUNTED = 1024  # requests of a service within DEMAND_S (chosen)
-_SHORT_S = 0.3  # the leader that gave less than was asked has no more for a heartbeat (chosen)
+_MOST_COUNTED = 1024  # requests of a service within DEMAND_S
+_SHORT_S = 0.3  # the leader that gave less than was asked has no more for a heartbeat
 
 
 @dataclass
--- a/packages/heronladder-router/src/heronladder_router/replica_connect.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_connect.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import Enum
 
-_CONNECT_S = 0.3  # to another zone and back, on a busy machine (chosen)
+_CONNECT_S = 0.3  # to another zone and back, on a busy machine
 # A loop that was late by more gives up a connection that came about: a gateway with too much to do
 # took all replicas for silent, and went on refusing when it had caught up.
 _LATE_S = 0.1
--- a/packages/heronladder-router/src/heronladder_router/replica_limits.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_limits.py
@@ -33,11 +33,11 @@
 from heronladder_router.limit_demand import LimitDemand
 from heronladder_router.replica_state import FleetReplica
 
-_SOON_PAUSE_S = 0.05  # between two heartbeats that ask for sends out of turn (chosen)
+_SOON_PAUSE_S = 0.05  # between two heartbeats that ask for sends out of turn
 # The longest that a request waits for the leader's answer: an eighth of the users' objectives, so
-# that a refusal costs its caller little (chosen).
+# that a refusal costs its caller little.
 _GRANT_WAIT_S = 0.1
-_UNKNOWN_S = 10.0  # a word on a replica that is not registered is kept for so long (chosen)
+_UNKNOWN_S = 10.0  # a word on a replica that is not registered is kept for so long
 
 
 @dataclass
--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -13,15 +13,15 @@
 _LATE_TOKENS = 40  # an engine may make them before it notices that its reader left
 _RESERVE_SHARE = 0.2  # of the objective, waited at most for tokens: a refusal must come early
 # Of the objective, also where control is far (172 ms of 415 were waited): a refusal must reach its
-# caller within a quarter (chosen).
+# caller within a quarter.
 _MOST_RESERVE_SHARE = 0.23
 _SHORTEST_RESERVE_S = 0.1
 # Tokens may take a draw and a promise, each there and back and over to a quorum, and control may
-# stand in another region: so many of the ways there and back are waited for besides (chosen), of
+# stand in another region: so many of the ways there and back are waited for besides, of
 # what a way takes beyond that within a region.
 _RESERVE_ROUND_TRIPS = 4
-_NEAR_ROUND_TRIP_S = 0.006  # within a region, on a busy machine (chosen)
-_MOST_ADDED_S = 0.12  # a refusal must come early all the same (chosen)
+_NEAR_ROUND_TRIP_S = 0.006  # within a region, on a busy machine
+_MOST_ADDED_S = 0.12  # a refusal must come early all the same
 
 
 class RequestTokens:
--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -13,14 +13,14 @@
 from heronladder_router.replica_state import FleetReplica
 
 # Without a word of control for so long, nothing goes to a version on trial: a fifth of the
-# shortest bound on going back that users set (chosen).
+# shortest bound on going back that users set.
 _SILENCE_S = 1.0
 # `completed` comes 0.6 s before an order's time at the earliest, and a gateway learns of the order
-# so much after control: until then the old replicas stay (0.4 s chosen).
+# so much after control: until then the old replicas stay.
 _OLD_STAY_S = 1.0
-# A grant waits so long for a request of the route that the trial has seen least (chosen).
+# A grant waits so long for a request of the route that the trial has seen least.
 _RARE_ROUTE_WAIT_S = 0.5
-_JUDGE_S = 0.2  # between two looks at what it saw itself: as long as a stall may hit (chosen)
+_JUDGE_S = 0.2  # between two looks at what it saw itself: as long as a stall may hit
 _TRIAL = resources_pb2.ROLLOUT_PHASE_TRIAL
 _MOVING = resources_pb2.ROLLOUT_PHASE_MOVING
 _RUNNING = frozenset({resources_pb2.ROLLOUT_PHASE_WAITING, _TRIAL, _MOVING})
@@ -246,7 +246,7 @@
 
 
 # Of the old version's replicas, so many of the new get the trial's share: with the share that a
-# trial uses of a bound of 0.1, each bears what an old one bears (chosen).
+# trial uses of a bound of 0.1, each bears what an old one bears.
 _TRIAL_REPLICAS = 0.05
 
 
--- a/packages/heronladder-router/src/heronladder_router/service_speeds.py
+++ b/packages/heronladder-router/src/heronladder_router/service_speeds.py
@@ -8,7 +8,7 @@
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, Speed
 from heronladder_router.replica_state import FleetReplica
 
-_LINK_SHARE = 0.25  # of a first event, from which it tells of the link (chosen)
+_LINK_SHARE = 0.25  # of a first event, from which it tells of the link
 
 
 class ServiceSpeeds:
--- a/packages/heronladder-router/src/heronladder_router/shared_loads.py
+++ b/packages/heronladder-router/src/heronladder_router/shared_loads.py
@@ -8,7 +8,7 @@
 
 from heronladder_router.replica_state import FleetReplica
 
-_HOLD_S = 1.0  # three heartbeats; older sums tell nothing (chosen)
+_HOLD_S = 1.0  # three heartbeats; older sums tell nothing
 
 
 class SharedLoads:
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -25,7 +25,7 @@
 from heronladder_router.tokens.peer_key import PeerKey
 
 _STEP = "reserve_prepaid"
-_RETRY_AT_OTHERS_S = 0.3  # no lender answered: another gateway may reach one (chosen)
+_RETRY_AT_OTHERS_S = 0.3  # no lender answered: another gateway may reach one
 _STOP_POLL_S = 0.02
 Reservation = OwnReservation | Loan
 
--- a/packages/heronladder-router/src/heronladder_router/tokens/balance.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/balance.py
@@ -6,8 +6,8 @@
 # tenants use little: with 6,000 the promises of a gateway came to more than it held.
 _LEAST_AHEAD_TOKENS = 3_000
 _ANNOUNCED_AGAIN_BELOW = 0.8  # of what is to be covered
-_LEAST_PACE = 1_000  # tokens a second: a common small request each two seconds (chosen)
-_PACE_SHARE = 1.25  # of the rate: a quarter for chance (chosen)
+_LEAST_PACE = 1_000  # tokens a second: a common small request each two seconds
+_PACE_SHARE = 1.25  # of the rate: a quarter for chance
 _PACE_AGAIN_OVER = 1.2  # times what was promised
 _RATE_SMOOTHING = 0.3
 _RATE_INTERVAL_S = 1.0
--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -21,14 +21,14 @@
 from heronladder_router.tokens.lenders import Lender, Lenders
 from heronladder_router.tokens.peer_key import PeerKey
 
-_MOST_ASKED = 3  # lenders for one request (chosen)
-_SHARE_OF_WAIT = 0.5  # of what is left of the wait, for each lender but the last (chosen)
-_LEAST_WAIT_S = 0.03  # an answer within a zone takes so long on a busy machine (chosen)
-_FAR_ROUND_TRIPS = 2.5  # time that a lender in another region gets (chosen)
-_FAR_FIRST_WAIT_S = 0.06  # the same before one answered: two ways of 12 ms (chosen)
-_ANSWER_MARGIN_S = 0.01  # a lender answers so much before its answer is given up (chosen)
-_SET_ASIDE_S = 1.0  # a lender that did not answer is asked last (chosen)
-_SETTLE_PAUSE_S = 0.1  # over which settlements of one lender are gathered (chosen)
+_MOST_ASKED = 3  # lenders for one request
+_SHARE_OF_WAIT = 0.5  # of what is left of the wait, for each lender but the last
+_LEAST_WAIT_S = 0.03  # an answer within a zone takes so long on a busy machine
+_FAR_ROUND_TRIPS = 2.5  # time that a lender in another region gets
+_FAR_FIRST_WAIT_S = 0.06  # the same before one answered: two ways of 12 ms
+_ANSWER_MARGIN_S = 0.01  # a lender answers so much before its answer is given up
+_SET_ASIDE_S = 1.0  # a lender that did not answer is asked last
+_SETTLE_PAUSE_S = 0.1  # over which settlements of one lender are gathered
 _SETTLE_TIMEOUT_S = 1.0
 _SETTLE_AGAIN_S = 0.5
 _REFUSAL_HOLDS_S = 0.4  # a shortage costs no storm of messages (as for draws)
--- a/packages/heronladder-router/src/heronladder_router/tokens/draw_pace.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/draw_pace.py
@@ -1,7 +1,7 @@
 """How long draws of prepaid tokens take at this gateway, and what follows from it."""
 
-_SMOOTHING = 0.3  # weight of the newest draw (chosen: three draws tell a change)
-_HELD_DRAWS = 8  # draws' duration that tokens held right after a cut cover (chosen)
+_SMOOTHING = 0.3  # weight of the newest draw
+_HELD_DRAWS = 8  # draws' duration that tokens held right after a cut cover
 _LEAST_HELD_S = 0.7  # spending held right after a cut where draws are quick (measured)
 _LEAST_RETRY_S = 0.3  # control is in touch and was only slow
 _RETRY_DRAWS = 2  # the draw under way and the one that follows
--- a/packages/heronladder-router/src/heronladder_router/tokens/first_stock.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/first_stock.py
@@ -13,7 +13,7 @@
 from heronladder_router.tokens.held_tokens import HeldTokens
 from heronladder_router.tokens.lenders import Lenders
 
-_STOCKED = 64  # tenants, the largest: each costs an entry of control's log (chosen)
+_STOCKED = 64  # tenants, the largest: each costs an entry of control's log
 
 
 class FirstStock:
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -23,7 +23,7 @@
 
 _HORIZON_S = 12.0  # spending that the tokens held are to cover, without control
 # Expected spending over the horizon from which a gateway stocks its own callers: ten requests
-# of the largest that are common, 12,000 tokens (chosen).
+# of the largest that are common, 12,000 tokens.
 _OWN_STOCK_TOKENS = 120_000
 _FIRST_SHARE = 4  # all holders together hold one part in four before a rate is known
 _AFTER_CUT_S = 6.0  # for so long no more is held than is needed
--- a/packages/heronladder-router/src/heronladder_router/tokens/lender_account.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lender_account.py
@@ -6,7 +6,7 @@
 
 from heronladder_schema.v1 import lending_pb2
 
-_SETTLEMENTS_KEPT = 4_096  # for each lender; beyond it the oldest stay charged (chosen)
+_SETTLEMENTS_KEPT = 4_096  # for each lender; beyond it the oldest stay charged
 
 
 @dataclass
--- a/packages/heronladder-router/src/heronladder_router/tokens/lenders.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lenders.py
@@ -19,7 +19,7 @@
 # (docs/design/token-pools.md).
 _HOLDERS = 3
 # Of each region, where there are several: one may be down, and more would each draw over the
-# link between regions (chosen).
+# link between regions.
 _HOLDERS_IN_REGION = 2
 
 
--- a/packages/heronladder-router/src/heronladder_router/tokens/lending.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lending.py
@@ -24,8 +24,8 @@
 from heronladder_router.tokens.held_tokens import HeldTokens
 from heronladder_router.tokens.peer_key import PeerKey
 
-_ENDED_KEPT = 16  # incarnations of a borrower that may not borrow any more (chosen)
-_LONGEST_WAIT_S = 2.0  # for tokens, whatever a borrower asks (chosen)
+_ENDED_KEPT = 16  # incarnations of a borrower that may not borrow any more
+_LONGEST_WAIT_S = 2.0  # for tokens, whatever a borrower asks
 TenantFinder = Callable[[str], resources_pb2.PrepaidTenant | None]
 
 
--- a/packages/heronladder-router/src/heronladder_router/tokens/window.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/window.py
@@ -19,11 +19,11 @@
 from heronladder_router.tokens.draw_pace import DrawPace
 
 # Spending that is promised ahead: the silence before the pace counts, and a way to the log and
-# back over a thin link (chosen). All of it is charged for a lost gateway.
+# back over a thin link. All of it is charged for a lost gateway.
 _ANNOUNCED_AHEAD_S = PACE_FROM_S + 0.9
-_WINDOW_WAIT_S = 0.5  # the window opens so soon that a request may wait for it (chosen)
+_WINDOW_WAIT_S = 0.5  # the window opens so soon that a request may wait for it
 _POLL_S = 0.01
-_OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain (chosen)
+_OUT_OF_TOUCH_S = 1.2  # without a word of control, waiting for tokens is in vain
 
 
 class SpendingWindow:
--- a/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/unreached_replicas.py
@@ -15,10 +15,10 @@
 from heronladder_router.replica_connect import Listens, listens
 from heronladder_router.replica_state import FleetReplica
 
-_FIRST_LOOK_S = 0.3  # less than the shortest suspicion, so that it does not lapse unseen (chosen)
-_LONGEST_LOOK_S = 2.0  # one that is back is used again within that (chosen)
-_SUSPECT_BEYOND_S = 1.0  # past the next look (chosen)
-_MOST_WATCHED = 256  # a whole region of replicas, for a gateway (chosen)
+_FIRST_LOOK_S = 0.3  # less than the shortest suspicion, so that it does not lapse unseen
+_LONGEST_LOOK_S = 2.0  # one that is back is used again within that
+_SUSPECT_BEYOND_S = 1.0  # past the next look
+_MOST_WATCHED = 256  # a whole region of replicas, for a gateway
 
 
 class UnreachedReplicas:
--- a/packages/heronladder-runtime/src/heronladder_runtime/config_packing.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/config_packing.py
@@ -14,10 +14,10 @@
 
 from heronladder_runtime.configuration import FLEET_KIND
 
-PACK_OVER_BYTES = 4_096  # smaller updates gain nothing (chosen: three network packets)
-PART_BYTES = 4_096  # 0.9 s, a router's patience with silence, at 36 kbit/s (chosen)
+PACK_OVER_BYTES = 4_096  # smaller updates gain nothing
+PART_BYTES = 4_096  # 0.9 s, a router's patience with silence, at 36 kbit/s
 _LEVEL = 1  # the fastest: routes are alike, higher levels save little
-_MOST_UNPACKED_BYTES = 256 * 1024 * 1024  # what a sound peer never sends (chosen)
+_MOST_UNPACKED_BYTES = 256 * 1024 * 1024  # what a sound peer never sends
 
 
 def without_document(event: control_pb2.ConfigEvent) -> control_pb2.ConfigEvent:
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_ways.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_ways.py
@@ -15,14 +15,14 @@
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_runtime.tasks import TaskGroupOwner
 
-#: A way that took longer gets longer tries to connect (chosen: over a region's, in calm).
+#: A way that took longer gets longer tries to connect.
 LONG_WAY_S = 0.15
-_FAILED_BEFORE_TRIES = 2  # a first failure is mostly a leader that is lost (chosen)
-_TRY_S = 3.0  # the longest way that is waited for (chosen: as long as machines are in touch)
-_NEXT_TRY_S = 0.4  # after a cut has ended nobody waits longer for the next try (chosen)
-_REFUSED_PAUSE_S = 0.1  # before the next member's turn, where one refuses (chosen)
-_CHOICE_S = 1.0  # after so long without an answer a stream is opened all the same (chosen)
-_ANSWER_HOLDS_S = 1.0  # an answer older than that tells nothing of the way now (chosen)
+_FAILED_BEFORE_TRIES = 2  # a first failure is mostly a leader that is lost
+_TRY_S = 3.0  # the longest way that is waited for
+_NEXT_TRY_S = 0.4  # after a cut has ended nobody waits longer for the next try
+_REFUSED_PAUSE_S = 0.1  # before the next member's turn, where one refuses
+_CHOICE_S = 1.0  # after so long without an answer a stream is opened all the same
+_ANSWER_HOLDS_S = 1.0  # an answer older than that tells nothing of the way now
 
 
 class ControlWays:
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -10,9 +10,9 @@
 
 _SILENT_HEARTBEATS = 3  # without a word, after which a stream is given up
 # Times as much for a new stream, after so many in a row without a word: 300 gateways gave theirs
-# up before a crowded leader came to them, and each cost it as much as one that lasts (chosen).
+# up before a crowded leader came to them, and each cost it as much as one that lasts.
 _MOST_PATIENCE = 4
-_WAYS_TO_A_WORD = 6  # there and back for a connection, and for a first word (chosen)
+_WAYS_TO_A_WORD = 6  # there and back for a connection, and for a first word
 
 
 class SessionRejectedError(HeronladderError):
--- a/packages/heronladder-runtime/src/heronladder_runtime/prepaid_window.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/prepaid_window.py
@@ -10,7 +10,7 @@
 # replaced within 3 to 3.5 s (by the logs of played days): with 2 s none was charged by what it
 # had announced.
 WINDOW_HOLDS_S = 4.5
-# Silence before the pace counts: two heartbeats of 0.3 s, which what is promised covers (chosen).
+# Silence before the pace counts: two heartbeats of 0.3 s, which what is promised covers.
 PACE_FROM_S = 0.6
 
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/replica_limit.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/replica_limit.py
@@ -12,15 +12,15 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 
 #: Words whose ages differ by less came over ways of different length: which one the replica said
-#: last is not known (chosen: beyond a round trip within a region).
+#: last is not known: this is beyond a round trip within a region.
 SAME_TIME_S = 0.2
 #: Sends that the leader grants may be made for so long after the heartbeat that asked for them. A
-#: new leader grants nothing for as long, so that none of its predecessor's are left (chosen: two
-#: heartbeats and a round trip).
+#: new leader grants nothing for as long, so that none of its predecessor's are left: two heartbeats
+#: and a round trip.
 GRANT_HOLDS_S = 0.8
-#: An ended need is told for so long: each router hears of it, and then nothing (chosen).
+#: An ended need is told for so long: each router hears of it, and then nothing.
 ENDED_TOLD_S = 5.0
-#: Replicas in one heartbeat or frame: 40 bytes each, 10 KB where a whole fleet is in need (chosen).
+#: Replicas in one heartbeat or frame: 40 bytes each, 10 KB where a whole fleet is in need.
 MOST_WORDS = 256
 
 Incarnation = tuple[str, int]  # a replica's id, and the start that it told in ms
--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/evidence.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/evidence.py
@@ -10,7 +10,7 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 
 # Each step of a histogram is longer by this factor: a version 1.5 times slower moves by three
-# (chosen; 80 steps reach a minute, and some 15 of them are in use for one route).
+#: 80 steps reach a minute, and some 15 of them are in use for one route.
 STEP_FACTOR = 1.15
 _LOG_STEP = math.log(STEP_FACTOR)
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
@@ -15,14 +15,14 @@
 
 from heronladder_runtime.rollouts.evidence import Answers, Evidence
 
-# The sum at which a version is taken for bad (chosen: see docs/measurements/rollouts.md).
+# The sum at which a version is taken for bad.
 _ALARM = 4.5
 _FEW_ANSWERS = 50  # of the target; with more, a sum must be higher by their logarithm
-_DOUBT = 2.0  # the sum over which it is not taken for sound either (chosen likewise)
+_DOUBT = 2.0  # the sum over which it is not taken for sound either
 # Of a bad version's answers fail so many beyond the old one's share; the smaller one finds few
-# failures of a service that has none, the larger one many of a service that often fails (chosen).
+# failures of a service that has none, the larger one many of a service that often fails.
 _FAILS_MORE = (0.04, 0.08, 0.2)
-_SLOW_MORE = 0.3  # of its answers come later than the old one's slow ones (chosen)
+_SLOW_MORE = 0.3  # of its answers come later than the old one's slow ones
 _SLOW_QUANTILE = 0.8  # of the old version's times; later than this, times a factor, is slow
 # Requests under way at the same moment share what delays them, such as a machine that has too much
 # to do for 0.2 s (4 of 12 runs of a good version were sent back beside other programs). Unless the
@@ -31,41 +31,41 @@
 _OLD_BESIDE = 2
 _MOST_UNCOMPARED = 2.0
 _SLOW_STEPS = 2  # of the histogram: 1.3 times and more
-_ALONE_STEPS = 4  # more, while no other version runs beside it: 1.75 times (chosen)
+_ALONE_STEPS = 4  # more, while no other version runs beside it: 1.75 times
 # First bytes of prompts whose shared parts the new replicas have not read yet: as many steps more
-# as make a prompt three times as long to read (chosen: 9,190 tokens against 2,890).
+# as make a prompt three times as long to read.
 _UNREAD_STEPS = 8
 # No share is taken for rarer than this part of what is looked for: two failures close to each
-# other, of a service that never failed, are chance (chosen).
+# other, of a service that never failed, are chance.
 _LEAST_OF_MORE = 0.125
-_LEAST_SLOW = 0.05  # the old version's slow times are known from few answers (chosen)
+_LEAST_SLOW = 0.05  # the old version's slow times are known from few answers
 _UNSEEN = 1.0  # answers of each kind that count as seen beforehand
 _MOST_SHARE = 0.97
 _OLD_ANSWERS = 30  # of a route at the old version, before it is a measure
-_WHOLE_SAMPLE = 15  # answers of each version, before all of them are compared at once (chosen)
-_LEAST_TIMES = 5  # of the old version, before any time of the target is slow beside them (chosen)
-_LEAST_OLD_TIMES = 15  # of a route at the old version, before its times are a measure (chosen)
-_LEAST_OLD_ANSWERS = 10  # in all, before it is a measure; until then a prior stands in (chosen)
-# The prior: a service that is hardly known fails 5 in 100, as if seen in 2 answers (chosen).
+_WHOLE_SAMPLE = 15  # answers of each version, before all of them are compared at once
+_LEAST_TIMES = 5  # of the old version, before any time of the target is slow beside them
+_LEAST_OLD_TIMES = 15  # of a route at the old version, before its times are a measure
+_LEAST_OLD_ANSWERS = 10  # in all, before it is a measure; until then a prior stands in
+# The prior: a service that is hardly known fails 5 in 100, as if seen in 2 answers.
 _PRIOR_FAILED = 0.1
 _PRIOR_ANSWERS = 2.0
 # So many failures more than the old version's share explains end it whatever the tests say: half
-# of what is borne of a bad version, since what is under way comes on top (chosen).
+# of what is borne of a bad version, since what is under way comes on top.
 _STOP_FAILURES = 25.0
-_STOP_ERRORS = 3.0  # and so many standard errors of that share, which few answers tell (chosen)
+_STOP_ERRORS = 3.0  # and so many standard errors of that share, which few answers tell
 # The old version's newest answers count beside so many that are as all of its were: what hits both
-# versions now, such as a burst, is no fault of the new one (chosen).
+# versions now, such as a burst, is no fault of the new one.
 _ALL_ALONG = 30.0
-_ENOUGH_ANSWERS = 25  # of the target in all, before it may be moved to (chosen)
+_ENOUGH_ANSWERS = 25  # of the target in all, before it may be moved to
 _ENOUGH_OF_ROUTE = 6  # of a route, before it may be moved to, unless the route is rare
 _RARE_ROUTE = 0.02  # of all answers
 # A service with few requests shows less than that in an order's time, and little is harmed: this
-# part of its answers so far is enough then, of the target and of the old version (chosen).
+# part of its answers so far is enough then, of the target and of the old version.
 _ENOUGH_PART = 0.25
-_ENOUGH_PART_OF_ROUTE = 0.15  # routes that are asked often get less of the trial (chosen)
+_ENOUGH_PART_OF_ROUTE = 0.15  # routes that are asked often get less of the trial
 
 # Of fewer answers than are enough elsewhere, one and so many times the usual may have failed: the
-# tests tell too little of so few (chosen; a version that failed half passed with 3 of 11).
+# tests tell too little of so few.
 _FEW_FAILED = 2.0
 
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
@@ -22,7 +22,7 @@
     ("grpc.keepalive_timeout_ms", 1_000),
     # Without it an open connection that went silent is kept for a minute where only pings
     # can show it: gRPC 1.85 takes no keep-alive's time-out for them (measured: calls failed
-    # for over 14 s). Longer than a session's own patience, for links that are full (chosen).
+    # for over 14 s). Longer than a session's own patience, for links that are full.
     ("grpc.http2.ping_timeout_ms", 1_500),
     ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.http2.max_pings_without_data", 0),
--- a/packages/heronladder-runtime/src/heronladder_runtime/standing.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/standing.py
@@ -13,10 +13,10 @@
 
 # From a state's coming into force until nobody acts by an older one. An update takes a
 # quarter of a second at 5 Mbit/s; the shortest bound of the users, 2 s, also covers 0.6 s in
-# which a request may still be connecting to its replica (chosen).
+# which a request may still be connecting to its replica.
 _BEHIND_GRACE_S = 1.0
 # A daemon that is cut off while it waits for an update goes on by what it holds; a stream
-# that is lost is opened anew in less where there is a way to control (chosen). One that was
+# that is lost is opened anew in less where there is a way to control. One that was
 # silent for longer has the grace from learning of it: its callers are not bound meanwhile.
 _OUT_OF_TOUCH_S = 2.5
 
--- a/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
+++ b/packages/heronladder-tools/src/heronladder_tools/crowd_member.py
@@ -26,7 +26,7 @@
 
 _LOOK_S = 0.1
 _SAMPLE_S = 0.005
-_TOP = 6  # functions named a line (chosen)
+_TOP = 6  # functions named a line
 REGISTER_PATH = "/register"
 
 
