--- a/packages/heronladder-control/src/heronladder_control/cold_words.py
+++ b/packages/heronladder-control/src/heronladder_control/cold_reports.py
@@ -13,7 +13,7 @@
 _SLACK_S = 0.3
 
 
-class ColdWords:
+class ColdReports:
     """Follows until when the gateways take each replica for cold.
 
     Args:
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -14,7 +14,7 @@
 from heronladder_runtime.configuration import EVACUATION_KIND, REPLICA_KIND
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_control.cold_words import ColdWords
+from heronladder_control.cold_reports import ColdReports
 from heronladder_control.evacuations import LateOrders
 from heronladder_control.fleet import is_earlier_start
 from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
@@ -42,7 +42,7 @@
     def __init__(self, member: MemberContext) -> None:
         self._member = member
         self._returning = ReturningReplicas(member.environment)
-        self._cold_words = ColdWords(member.environment)
+        self._cold_reports = ColdReports(member.environment)
         self._late_orders = LateOrders(member.environment)
         self._spread = HeartbeatSpread(member.environment)
         member.metrics.gauge("heartbeats_moved", lambda: self._spread.moved)
@@ -124,7 +124,7 @@
             # It tells no start of its own: it ends the one that is known as it comes, not one
             # that registers while it waits.
             replica.start_ms = recorded.start_ms
-        cold_news = self._cold_words.is_news(replica, recorded)
+        cold_news = self._cold_reports.is_news(replica, recorded)
         # One that leaves is told so only once its leave is in force, however often it asks.
         if self._member.state.fleet.settled(replica) and not leaves and not cold_news:
             return FleetOutcome(Standing.DONE)
@@ -312,9 +312,9 @@
             return
         is_cold_word = recorded.cold_revision == self._member.state.applied_index
         if is_cold_word or not recorded.cold_ms:
-            self._cold_words.known(recorded)
+            self._cold_reports.known(recorded)
         if (is_cold_word or order.cold_news) and self._member.node.is_leader:
-            self._member.metrics.add("cold_words", "cold" if recorded.cold_ms else "warm")
+            self._member.metrics.add("cold_reports", "cold" if recorded.cold_ms else "warm")
             self._member.log.info(
                 "replica_temperature",
                 step="register_replica",
--- a/packages/heronladder-control/src/heronladder_control/replica_limits.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_limits.py
@@ -1,6 +1,6 @@
-"""Shares out what replicas in need take: sends that routers may make, granted by the leader.
+"""Shares out what rate-limited replicas take: sends that routers may make, granted by the leader.
 
-A replica in need names what it takes from all routers together, and no router knows what the
+A rate-limited replica names what it takes from all routers together, and no router knows what the
 others send. So the leader alone hands its requests out, a few at a time, to those that ask. A grant
 runs out soon, so that what is granted in any span of time is close to what is sent in it. All of it
 is soft state: routers tell all that they know with each heartbeat.
@@ -13,11 +13,11 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.replica_limit import (
-    ENDED_TOLD_S,
+    ENDED_REPORTED_S,
     GRANT_HOLDS_S,
-    MOST_WORDS,
+    MOST_REPORTS,
     Incarnation,
-    LimitWord,
+    LimitReport,
     from_message,
     newest,
     to_message,
@@ -40,18 +40,18 @@
 # without turns).
 _ASK_HOLDS_S = 0.45
 _DROP_PAUSE_S = 1.0  # between two looks for replicas that nobody tells of
-_UNTOLD_S = 5.0  # nobody told of a replica for longer: it is forgotten
+_UNREPORTED_S = 5.0  # nobody told of a replica for longer: it is forgotten
 # Nobody heard of a replica for longer: sends granted there run out unused, at gateways that get too
 # few requests. One that holds longer is granted now and then, so that the end of the need is
 # noticed; two at most are out at a time.
-_UNHEARD_S = 3.0
+_UNOBSERVED_S = 3.0
 _LONG_HOLDS_S = 10.0
 _LONG_PAUSE_S = 5.0
 
 
 @dataclass(frozen=True)
 class _Ask:
-    """What a router asks for: sends at any of a service's replicas in need."""
+    """What a router asks for: sends at any of a service's rate-limited replicas."""
 
     asked_s: float
     service: str
@@ -60,12 +60,12 @@
 
 @dataclass
 class _Shared:
-    """One replica in need.
+    """One rate-limited replica.
 
     Attributes:
-        word: The newest word on it.
+        report: The newest report on it.
         version: Rises when what routers go by changes.
-        told_s: When a router told of it last.
+        reported_s: When a router told of it last.
         free: Sends that may be granted now.
         filled_s: When that was counted.
         asks: What each router asks for.
@@ -73,9 +73,9 @@
         long_s: When a send was granted last that holds longer.
     """
 
-    word: LimitWord
+    report: LimitReport
     version: int
-    told_s: float
+    reported_s: float
     free: float
     filled_s: float
     asks: dict[str, _Ask] = field(default_factory=dict)
@@ -85,7 +85,7 @@
     @property
     def rate_per_s(self) -> float:
         """Sends granted in a second."""
-        return max(_LEAST_PER_S, _GRANTED_SHARE * (self.word.per_s or 0.0))
+        return max(_LEAST_PER_S, _GRANTED_SHARE * (self.report.per_s or 0.0))
 
     @property
     def most_saved(self) -> float:
@@ -127,14 +127,14 @@
 
     def holds_s(self, now_s: float) -> float:
         """Return how long a send that is granted now may be held."""
-        if now_s - self.word.heard_s < _UNHEARD_S or now_s - self.long_s < _LONG_PAUSE_S:
+        if now_s - self.report.observed_s < _UNOBSERVED_S or now_s - self.long_s < _LONG_PAUSE_S:
             return GRANT_HOLDS_S
         self.long_s = now_s
         return _LONG_HOLDS_S
 
 
 class SharedReplicaLimits:
-    """The limits of all replicas in need, as the leader knows them.
+    """The limits of all rate-limited replicas, as the leader knows them.
 
     Args:
         environment: Time.
@@ -171,22 +171,22 @@
         self._asked.clear()
         self._grants_from_s = self._environment.monotonic() + GRANT_HOLDS_S
 
-    # ---- words of routers -------------------------------------------------
+    # ---- reports of routers -------------------------------------------------
 
-    def heard(self, router: str, words: Iterable[control_pb2.ReplicaLimit]) -> None:
-        """Take in what a router knows of replicas in need, and what it asks for."""
+    def observe(self, router: str, reports: Iterable[control_pb2.ReplicaLimit]) -> None:
+        """Take in what a router knows of rate-limited replicas, and what it asks for."""
         self._begin_term()
         now_s = self._environment.monotonic()
         self._let_go(router)
-        for message in words:
-            word = from_message(message, now_s)
-            if word is None:
+        for message in reports:
+            report = from_message(message, now_s)
+            if report is None:
                 self._metrics.add("replica_limits_malformed")
                 continue
             incarnation = (message.replica, message.start_ms)
-            shared = self._take(incarnation, word, router)
-            shared.told_s = now_s
-            if message.wanted and not shared.word.ended:
+            shared = self._take(incarnation, report, router)
+            shared.reported_s = now_s
+            if message.wanted and not shared.report.ended:
                 shared.asks[router] = _Ask(now_s, message.service, message.wanted)
                 shared.waits_s.setdefault(router, now_s)
                 self._asked.setdefault(router, []).append(incarnation)
@@ -196,25 +196,25 @@
             if incarnation in self._shared:
                 self._shared[incarnation].asks.pop(router, None)
 
-    def _take(self, incarnation: Incarnation, word: LimitWord, router: str) -> _Shared:
+    def _take(self, incarnation: Incarnation, report: LimitReport, router: str) -> _Shared:
         now_s = self._environment.monotonic()
         shared = self._shared.get(incarnation)
         if shared is None:
-            shared = _Shared(word, 0, now_s, 0.0, now_s)
+            shared = _Shared(report, 0, now_s, 0.0, now_s)
             self._shared[incarnation] = shared
             self._note_change(incarnation, shared, router)
             return shared
-        earlier = shared.word
+        earlier = shared.report
         shared.fill(now_s)
-        shared.word = newest(earlier, word)
-        if shared.word.per_s != earlier.per_s:
+        shared.report = newest(earlier, report)
+        if shared.report.per_s != earlier.per_s:
             self._note_change(incarnation, shared, router)
         return shared
 
     def _note_change(self, incarnation: Incarnation, shared: _Shared, router: str) -> None:
         self._version += 1
         shared.version = self._version
-        if shared.word.ended:
+        if shared.report.ended:
             shared.asks.clear()
         self._metrics.add("replica_limits_changed")
         self._log.info(
@@ -222,9 +222,9 @@
             step="replica_limits",
             peer=incarnation[0],
             start_ms=incarnation[1],
-            limit_per_s=shared.word.per_s,
+            limit_per_s=shared.report.per_s,
             by=router,
-            age_s=self._environment.monotonic() - shared.word.heard_s,
+            age_s=self._environment.monotonic() - shared.report.observed_s,
         )
 
     def forget(self, router: str) -> None:
@@ -233,7 +233,7 @@
         for shared in self._shared.values():
             shared.waits_s.pop(router, None)
 
-    # ---- words to routers -------------------------------------------------
+    # ---- reports to routers -------------------------------------------------
 
     def fill(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
         """Tell a router what changed, and grant it sends; only with an acknowledged heartbeat."""
@@ -274,7 +274,7 @@
     def _tell_changes(
         self, session: DaemonSession, frame: control_pb2.ControlFrame, now_s: float
     ) -> None:
-        told = session.told_limits
+        told = session.sent_limits
         if told == self._version:
             return
         news = sorted(
@@ -282,11 +282,11 @@
             for incarnation, shared in self._shared.items()
             if shared.version > told
         )
-        for _, incarnation in news[:MOST_WORDS]:
-            word = self._shared[incarnation].word
-            frame.replica_limits.append(to_message(incarnation, word, now_s))
-        all_told = len(news) <= MOST_WORDS
-        session.told_limits = self._version if all_told else news[MOST_WORDS - 1][0]
+        for _, incarnation in news[:MOST_REPORTS]:
+            report = self._shared[incarnation].report
+            frame.replica_limits.append(to_message(incarnation, report, now_s))
+        all_told = len(news) <= MOST_REPORTS
+        session.sent_limits = self._version if all_told else news[MOST_REPORTS - 1][0]
 
     def _drop_old(self, now_s: float) -> None:
         if now_s < self._next_drop_s:
@@ -295,8 +295,8 @@
         old = [
             incarnation
             for incarnation, shared in self._shared.items()
-            if now_s - shared.told_s > _UNTOLD_S
-            or (shared.word.ended and now_s - shared.word.heard_s > 2 * ENDED_TOLD_S)
+            if now_s - shared.reported_s > _UNREPORTED_S
+            or (shared.report.ended and now_s - shared.report.observed_s > 2 * ENDED_REPORTED_S)
         ]
         for incarnation in old:
             del self._shared[incarnation]
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -280,7 +280,7 @@
             self._parts.rollouts.told(session, heartbeat.rollouts)
         if session.record.role == ROLE_ROUTER:
             self._parts.promise_notes.heartbeat(session, heartbeat)
-        self.replica_limits.heard(name, heartbeat.replica_limits)
+        self.replica_limits.observe(name, heartbeat.replica_limits)
         if heartbeat.replica_loads or session.tells_loads:
             session.tells_loads = True
             self._replica_loads.told(name, heartbeat.replica_loads)
--- a/packages/heronladder-emulator/src/heronladder_emulator/engine.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/engine.py
@@ -111,8 +111,8 @@
 
 def answer_length(prompt: bytes, max_tokens: int) -> int:
     """Return how many tokens the engine answers to a prompt."""
-    wish = 8 + xxhash.xxh3_64_intdigest(prompt) % 56
-    return min(max_tokens, wish)
+    length = 8 + xxhash.xxh3_64_intdigest(prompt) % 56
+    return min(max_tokens, length)
 
 
 def answer_token(prompt: bytes, position: int) -> str:
--- a/packages/heronladder-router/src/heronladder_router/crash_reports.py
+++ b/packages/heronladder-router/src/heronladder_router/crash_reports.py
@@ -93,7 +93,7 @@
         loss.runs[request.fingerprint] = control_pb2.CrashedRun(
             fingerprint=request.fingerprint,
             tenant=tenant.name if tenant is not None else "",
-            service=request.wish.service,
+            service=request.profile.service,
             target=request.target[:_MOST_TARGET],
         )
 
--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -5,7 +5,7 @@
 would begin the answer; the least cost is chosen among a few drawn at random where all gateways
 hear the same sums of load, and among all otherwise. What may not be sent to at all is left out
 first: evacuated zones, other regions than the request's, replicas that asked for back-off, and
-those that are cold or in need beyond this gateway's share.
+those that are cold or rate-limited beyond this gateway's share.
 """
 
 import hashlib
@@ -19,14 +19,14 @@
 from heronladder_router.decisions.distance import Offer, Way, choose, split
 from heronladder_router.decisions.replica_limit import LimitVerdict
 from heronladder_router.decisions.speed import Speed
-from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.replica_state import FleetReplica, RequestProfile
 
 _OTHER_ZONE_COST_MS = 4.0
 _READ_AGAIN_COST_MS = 0.15  # for each token of a shared part that another replica keeps
 _MOST_READ_AGAIN_COST_MS = 600.0  # a keeper's queue may be so much longer
 _CHOICES = 4  # replicas compared at random where gateways share their load
-# A replica in need goes before its equals while a send there is granted: unused, it runs out and is
-# lost to all gateways; less than the cost of another zone.
+# A rate-limited replica goes before its equals while a send there is granted: unused, it runs out
+# and is lost to all gateways. Less than the cost of another zone.
 _GRANTED_GAIN_MS = 2.0
 _SLOT_COST_MS = 30.0  # for each slot that is taken, at a plain service
 
@@ -118,7 +118,9 @@
     way: Way = Way.NEAR
 
 
-def place(view: PlacementView, wish: Wish, tried: Collection[str], source: Randomness) -> Placement:
+def place(
+    view: PlacementView, profile: RequestProfile, tried: Collection[str], source: Randomness
+) -> Placement:
     """Return the replica that would begin first.
 
     Suspected replicas come only after all others of their region, and after those of other
@@ -126,24 +128,24 @@
 
     Args:
         view: What is known.
-        wish: What is asked.
+        profile: What is asked.
         tried: Replicas that the request was sent to before.
         source: Randomnessness.
     """
-    pool, lacking = _permitted(view, wish, tried)
+    pool, lacking = _permitted(view, profile, tried)
     if not pool:
         return Placement(None, lacking)
     # One where nothing listens is none that may be sent to: it looks idle, and while it stood for a
     # replica of the own region, what may go to others was bound (stand-ins, the region's three
     # replicas crash, others idle: 12 to 25 refusals in each of ten runs, 1 to 4 without).
     pool = [replica for replica in pool if not replica.refuses] or pool
-    if wish.alone:
-        pool = [_picked(wish.alone, _sound(view, pool) or pool)]
+    if profile.alone:
+        pool = [_picked(profile.alone, _sound(view, pool) or pool)]
     near, far = split(pool, view.zone, view.zone_regions)
     sound_near, sound_far = _sound(view, near), _sound(view, far)
 
     def best(some: list[FleetReplica]) -> Offer:
-        return _best(view, wish, some, source)
+        return _best(view, profile, some, source)
 
     offer, way = choose(
         sound_near or near,
@@ -167,28 +169,30 @@
     ]
 
 
-def _best(view: PlacementView, wish: Wish, pool: list[FleetReplica], source: Randomness) -> Offer:
+def _best(
+    view: PlacementView, profile: RequestProfile, pool: list[FleetReplica], source: Randomness
+) -> Offer:
     """Return the replica of one region that would begin first.
 
     What keeps shared parts, and the sample, are drawn within it: parts are kept once in each.
     """
-    keeper = _keeper(wish, pool)
+    keeper = _keeper(profile, pool)
     if view.shares_load:
-        pool = _sample(view, wish, pool, keeper, source)
-    costs = [_cost_ms(view, replica, wish, keeper, source) for replica in pool]
+        pool = _sample(view, profile, pool, keeper, source)
+    costs = [_cost_ms(view, replica, profile, keeper, source) for replica in pool]
     least = min(range(len(pool)), key=lambda number: costs[number])
     chosen = pool[least]
-    again = wish.shared_tokens - _kept_tokens(chosen, wish, keeper)
+    again = profile.shared_tokens - _kept_tokens(chosen, profile, keeper)
     return Offer(chosen, costs[least], max(0, again), len(pool))
 
 
 def _permitted(
-    view: PlacementView, wish: Wish, tried: Collection[str]
+    view: PlacementView, profile: RequestProfile, tried: Collection[str]
 ) -> tuple[list[FleetReplica], Reason]:
     """Return the replicas that may be sent to; if none, what kept the last ones out."""
     filters: tuple[tuple[Reason, Callable[[FleetReplica], bool]], ...] = (
         (Reason.EVACUATED, lambda replica: replica.record.zone not in view.evacuated),
-        (Reason.OTHER_REGION, lambda replica: is_at_home(view, wish, replica)),
+        (Reason.OTHER_REGION, lambda replica: is_at_home(view, profile, replica)),
         (Reason.VERSION, view.permits),
         (Reason.TRIED, lambda replica: replica.name not in tried),
         (Reason.BACKING_OFF, lambda replica: is_available(view, replica)),
@@ -205,11 +209,11 @@
     return pool, lacking
 
 
-def is_at_home(view: PlacementView, wish: Wish, replica: FleetReplica) -> bool:
+def is_at_home(view: PlacementView, profile: RequestProfile, replica: FleetReplica) -> bool:
     """Whether a replica is in a region in which the request may be served."""
-    if wish.regions is None:
+    if profile.regions is None:
         return True
-    return view.zone_regions.get(replica.record.zone) in wish.regions
+    return view.zone_regions.get(replica.record.zone) in profile.regions
 
 
 def is_available(view: PlacementView, replica: FleetReplica) -> bool:
@@ -243,7 +247,7 @@
 
 def _sample(
     view: PlacementView,
-    wish: Wish,
+    profile: RequestProfile,
     pool: list[FleetReplica],
     keeper: str,
     source: Randomness,
@@ -258,13 +262,17 @@
     for replica in pool:
         if replica.name in names:
             continue
-        if replica.name == keeper or _keeps(replica, wish) or _is_granted(view, replica):
+        if replica.name == keeper or _keeps(replica, profile) or _is_granted(view, replica):
             chosen.append(replica)
     return chosen
 
 
 def _cost_ms(
-    view: PlacementView, replica: FleetReplica, wish: Wish, keeper: str, source: Randomness
+    view: PlacementView,
+    replica: FleetReplica,
+    profile: RequestProfile,
+    keeper: str,
+    source: Randomness,
 ) -> float:
     """Estimate when a replica would begin the answer, in ms; with a random tie-break."""
     cost = source.random()
@@ -277,29 +285,29 @@
         cost += _OTHER_ZONE_COST_MS
     if _is_granted(view, replica):
         cost -= _GRANTED_GAIN_MS
-    if not wish.prompt_tokens:
+    if not profile.prompt_tokens:
         return cost + in_flight * _SLOT_COST_MS
-    kept = _kept_tokens(replica, wish, keeper)
-    again = max(0, wish.shared_tokens - kept)
+    kept = _kept_tokens(replica, profile, keeper)
+    again = max(0, profile.shared_tokens - kept)
     cost += min(_MOST_READ_AGAIN_COST_MS, again * _READ_AGAIN_COST_MS)
-    unread += max(0, wish.prompt_tokens - kept)
+    unread += max(0, profile.prompt_tokens - kept)
     slow = replica.pace.factor(view.now_s)
     return cost + slow * view.speed.first_event_ms(unread, in_flight)
 
 
-def _kept_tokens(replica: FleetReplica, wish: Wish, keeper: str) -> int:
+def _kept_tokens(replica: FleetReplica, profile: RequestProfile, keeper: str) -> int:
     """Return the tokens of a prompt that a replica is expected to keep."""
-    kept = replica.parts.kept_tokens(wish.parts)
-    return max(kept, wish.shared_tokens) if replica.name == keeper else kept
+    kept = replica.parts.kept_tokens(profile.parts)
+    return max(kept, profile.shared_tokens) if replica.name == keeper else kept
 
 
-def _keeper(wish: Wish, pool: list[FleetReplica]) -> str:
+def _keeper(profile: RequestProfile, pool: list[FleetReplica]) -> str:
     """Return the replica at which all gateways expect the shared parts to be kept.
 
     None is expected if this gateway knows of one that keeps them.
     """
-    shared = wish.parts[:-1]
-    if not shared or any(_keeps(replica, wish) for replica in pool):
+    shared = profile.parts[:-1]
+    if not shared or any(_keeps(replica, profile) for replica in pool):
         return ""
     subject = shared[-1].identity.encode()
     return max((replica.name for replica in pool), key=lambda name: _rank(subject, name))
@@ -311,10 +319,10 @@
     return max(pool, key=lambda replica: _rank(subject, replica.name))
 
 
-def _keeps(replica: FleetReplica, wish: Wish) -> bool:
+def _keeps(replica: FleetReplica, profile: RequestProfile) -> bool:
     """Whether a replica is known to keep all shared parts of a prompt, and there are some."""
-    shared = wish.shared_tokens
-    return shared > 0 and replica.parts.kept_tokens(wish.parts[:-1]) == shared
+    shared = profile.shared_tokens
+    return shared > 0 and replica.parts.kept_tokens(profile.parts[:-1]) == shared
 
 
 def _rank(subject: bytes, name: str) -> bytes:
--- a/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/replica_limit.py
@@ -1,7 +1,7 @@
-"""Whether this gateway may send to a replica in need, and how much of its limit it asks for.
+"""Whether this gateway may send to a rate-limited replica, and how much of its limit it asks for.
 
-A replica in need names what it takes from all gateways together. Load pattern: some or all replicas
-of a service are in need; callers are uneven, and each gateway sees a part of the answers only.
+A rate-limited replica names what it takes from all gateways together. Load pattern: some or all
+replicas of a service are; callers are uneven, and each gateway sees a part of the answers only.
 
 Way chosen, of three that were compared (docs/design/shared-bounds.md): the leader grants sends that
 run out within a second. While no leader is heard, a few gateways share half of the limit, each of
@@ -28,7 +28,7 @@
 
 
 class LimitVerdict(Enum):
-    """Whether a replica in need may be sent to, and why."""
+    """Whether a rate-limited replica may be sent to, and why."""
 
     GRANTED = "granted"
     NOT_GRANTED = "not_granted"
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True)
 class LimitView:
-    """What is known when a replica in need may be chosen.
+    """What is known when a rate-limited replica may be chosen.
 
     Attributes:
         replica: Its identity.
@@ -67,7 +67,7 @@
 
 
 def judge(view: LimitView) -> LimitVerdict:
-    """Return whether a replica in need may be sent to."""
+    """Return whether a rate-limited replica may be sent to."""
     if any(until_s > view.now_s for until_s in view.grants_s):
         return LimitVerdict.GRANTED
     if view.silent_s < LEADER_SILENT_S:
@@ -92,15 +92,16 @@
 
 
 def sends_wanted(requests: int, waiting: int, limited: int, usable: int, held: int) -> int:
-    """Return how many sends to ask the leader for, at all replicas of a service in need.
+    """Return how many sends to ask the leader for, at all rate-limited replicas of a service.
 
-    A send that is granted and not made is lost to all gateways. So where all replicas are in need
-    one is asked for as its request comes, and ahead of it only as far as requests come surely.
+    A send that is granted and not made is lost to all gateways. So where all replicas are
+    rate-limited one is asked for as its request comes, and ahead of it only as far as requests
+    come surely.
 
     Args:
         requests: Requests for the service in the last ``DEMAND_S``.
         waiting: Requests that wait for a grant.
-        limited: Replicas of the service that are in need.
+        limited: Replicas of the service that are rate-limited.
         usable: All replicas of the service.
         held: Sends that are granted and not made yet.
     """
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -252,7 +252,7 @@
 
 
 class ReplicasLimitedError(CallerError):
-    """All replicas are in need, and this gateway's part of what they take is used up."""
+    """All replicas are rate-limited, and this gateway's part of what they take is used up."""
 
     status = 503
     code = "replicas_limited"
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -27,7 +27,7 @@
 from heronladder_router.kept_parts import KeptParts
 from heronladder_router.replica_availability import ReplicaAvailability
 from heronladder_router.replica_limits import ReplicaLimits
-from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.replica_state import FleetReplica, RequestProfile
 from heronladder_router.rollouts.version_gates import Permits, VersionGates
 from heronladder_router.service_speeds import ServiceSpeeds
 from heronladder_router.shared_loads import SharedLoads
@@ -224,15 +224,15 @@
         usable = self.usable(service)
         return [replica for replica in usable if replica.record.zone not in self.evacuated]
 
-    def place(self, wish: Wish, tried: Collection[str]) -> Placement:
+    def place(self, profile: RequestProfile, tried: Collection[str]) -> Placement:
         """Return the replica that would begin first, or why there is none."""
-        usable = self.usable(wish.service)
-        for permits in self.versions.choices(wish.service, wish.route, tried, usable):
-            view = self._view(wish.service, permits)
-            placement = place(view, wish, tried, self._environment.random)
+        usable = self.usable(profile.service)
+        for permits in self.versions.choices(profile.service, profile.route, tried, usable):
+            view = self._view(profile.service, permits)
+            placement = place(view, profile, tried, self._environment.random)
             if placement.replica is not None:
                 break
-        if placement.reason is Reason.NONE_KNOWN and self._all_leave(wish.service):
+        if placement.reason is Reason.NONE_KNOWN and self._all_leave(profile.service):
             return Placement(None, Reason.LEAVING)
         return placement
 
@@ -268,15 +268,15 @@
         """Requests that spilled to other regions in the last second."""
         return self._far_sends.count
 
-    def places_of(self, wish: Wish) -> tuple[list[ReplicaPlaces], bool]:
+    def places_of(self, profile: RequestProfile) -> tuple[list[ReplicaPlaces], bool]:
         """Return the places of the replicas that a request may go to, and if sums are heard."""
-        usable = self.usable(wish.service)
-        view = self._view(wish.service, self.versions.admitted(wish.service, usable))
+        usable = self.usable(profile.service)
+        view = self._view(profile.service, self.versions.admitted(profile.service, usable))
         allowed = [
             replica
             for replica in view.replicas
             if replica.record.zone not in view.evacuated
-            and is_at_home(view, wish, replica)
+            and is_at_home(view, profile, replica)
             and view.permits(replica)
             and is_available(view, replica)
         ]
@@ -313,16 +313,16 @@
 
     # ---- what was seen of a replica ---------------------------------------
 
-    def sent(self, replica: FleetReplica, wish: Wish) -> int:
+    def sent(self, replica: FleetReplica, profile: RequestProfile) -> int:
         """Note that a request goes to a replica.
 
         Returns:
             Tokens that it has to read, to be given to ``began``.
         """
-        unread = max(0, wish.prompt_tokens - replica.parts.kept_tokens(wish.parts))
+        unread = max(0, profile.prompt_tokens - replica.parts.kept_tokens(profile.parts))
         replica.in_flight += 1
         replica.unread_tokens += unread
-        replica.parts.note(wish.parts)
+        replica.parts.note(profile.parts)
         self._count_cold_send(replica)
         self.limits.sent(replica)
         return unread
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -97,11 +97,11 @@
             raise CrashesReplicasError(
                 f"replicas crashed under request {request.fingerprint}",
                 step="serve",
-                peer=request.wish.service,
+                peer=request.profile.service,
             )
         self._parts.allowance.gateways = self._parts.link.routers
-        self._parts.allowance.request(request.wish.service)
-        self._parts.replicas.limits.requested(request.wish.service)
+        self._parts.allowance.request(request.profile.service)
+        self._parts.replicas.limits.requested(request.profile.service)
         self._refuse_unplaceable(request)
         reservation = await self._tokens.reserve(request)
         progress = AnswerProgress()
@@ -183,7 +183,7 @@
         if request.bounds is not None:
             await self._parts.attempts.make(request, replica, sink, progress)
             return
-        service = request.wish.service
+        service = request.profile.service
         sent_s = self._parts.environment.monotonic()
         try:
             await self._parts.attempts.make(request, replica, sink, progress)
@@ -209,8 +209,8 @@
         # lost each 2 s: 76 refusals in a traced run; 12 to 25 in each of ten without).
         if placement.replica is None or not sends.may_have_arrived:
             return placement
-        if not self._parts.allowance.try_repeat(request.wish.service):
-            self._parts.metrics.add("repeats_not_allowed", request.wish.service)
+        if not self._parts.allowance.try_repeat(request.profile.service):
+            self._parts.metrics.add("repeats_not_allowed", request.profile.service)
             return Placement(None, Reason.TRIED)
         return placement
 
@@ -218,17 +218,17 @@
         """Wait a moment for what keeps a request from being sent; return whether it may be over."""
         replicas = self._parts.replicas
         if reason is Reason.LIMITED:
-            return await replicas.limits.wait_for_grant(request.wish.service)
+            return await replicas.limits.wait_for_grant(request.profile.service)
         if reason in _MAY_PASS:
             await replicas.changed.wait(_REPLICA_WAIT_S)
             return True
         return False
 
     def _place(self, request: GatewayRequest, sends: Sends) -> Placement:
-        wish = request.wish
+        profile = request.profile
         if self._parts.crashing.is_suspect(request.fingerprint):
-            wish = replace(wish, alone=request.fingerprint)
-        return self._parts.replicas.place(wish, sends.tried)
+            profile = replace(profile, alone=request.fingerprint)
+        return self._parts.replicas.place(profile, sends.tried)
 
     async def _wait_until_it_may_send(self, sends: Sends) -> None:
         """Send by no list of replicas that is known to be superseded.
--- a/packages/heronladder-router/src/heronladder_router/gateway_names.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_names.py
@@ -22,7 +22,7 @@
         last_event_id: Last event of a stream that the reader has.
         not_run: Set by a replica that did not run the request.
         signature: Set by a replica in each answer of its own.
-        replica_limit: Requests a second that a replica in need takes from all gateways together.
+        replica_limit: Requests a second that a replica takes from all gateways together.
         leaving: Set by a replica that takes no new requests for the rest of its life.
         key_scheme: Word before the key in Authorization, with its blank.
         engine_orders: Headers by which a replica is told how to run a request (memory
--- a/packages/heronladder-router/src/heronladder_router/gateway_refusals.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_refusals.py
@@ -44,7 +44,7 @@
 
     def no_answer(self, request: GatewayRequest, sends: Sends) -> CallerError:
         """Return what to tell the caller, and when it may come back."""
-        service = request.wish.service
+        service = request.profile.service
         if sends.runs:
             return AnswerLostError("the answer was lost", step="give_up", peer=service)
         if sends.rejected:
@@ -61,7 +61,7 @@
         self, request: GatewayRequest, sends: Sends, otherwise_s: float | None
     ) -> float | None:
         """Return when a caller may come back: when what kept its request out is expected to end."""
-        service = request.wish.service
+        service = request.profile.service
         if sends.lacking is Reason.BACKING_OFF:
             return self._replicas.back_off_ends_s(service) or otherwise_s
         if sends.rejected and request.bounds is None:
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -5,7 +5,7 @@
 from typing import Protocol
 
 from heronladder_router.host_routes import MatchedRoute
-from heronladder_router.replica_state import Wish
+from heronladder_router.replica_state import RequestProfile
 from heronladder_router.request_fingerprint import fingerprint_of
 
 Headers = list[tuple[str, str]]
@@ -43,7 +43,7 @@
         headers: Headers that go on to the replica.
         body: The whole body.
         matched: Its route and tenant.
-        wish: What is asked of a replica.
+        profile: What is asked of a replica.
         bounds: Token bounds; None for a plain request.
         arrived_s: When its head was read, on the loop's clock.
         deadline_s: When it is given up: the caller's deadline or the route's limit.
@@ -56,7 +56,7 @@
     headers: Headers
     body: bytes
     matched: MatchedRoute
-    wish: Wish
+    profile: RequestProfile
     bounds: TokenBounds | None
     arrived_s: float
     deadline_s: float
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -187,7 +187,7 @@
         limits = self.replicas.limits
         limits.gateway = self.options.name
         limits.gateways = self._gateways_known
-        limits.heard_s = lambda: self.link.standing.heard_s
+        limits.leader_heard_s = lambda: self.link.standing.heard_s
         limits.beat_now = self.link.beat_now
         handlers.replica_limits = limits.take
         self.metrics.gauge("replicas_leaving", lambda: self.replicas.availability.leaving)
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -32,7 +32,7 @@
 from heronladder_router.hop_headers import is_hop_header
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
 from heronladder_router.kept_parts import parse_parts
-from heronladder_router.replica_state import Wish
+from heronladder_router.replica_state import RequestProfile
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _LAST_PRIORITY = 9
@@ -218,7 +218,9 @@
             headers=self._passed_on(request, matched),
             body=body,
             matched=matched,
-            wish=self._wish(service, headers.get(self._names.prompt_parts, ""), bounds, matched),
+            profile=self._profile(
+                service, headers.get(self._names.prompt_parts, ""), bounds, matched
+            ),
             bounds=bounds,
             arrived_s=arrived_s,
             deadline_s=self._deadline_s(request, matched, arrived_s),
@@ -226,11 +228,13 @@
         )
 
     @staticmethod
-    def _wish(service: str, parts: str, bounds: TokenBounds | None, matched: MatchedRoute) -> Wish:
+    def _profile(
+        service: str, parts: str, bounds: TokenBounds | None, matched: MatchedRoute
+    ) -> RequestProfile:
         route = matched.route.name
         if bounds is None:
-            return Wish(service, regions=matched.regions, route=route)
-        return Wish(service, parse_parts(parts), bounds.prompt, matched.regions, route)
+            return RequestProfile(service, regions=matched.regions, route=route)
+        return RequestProfile(service, parse_parts(parts), bounds.prompt, matched.regions, route)
 
     def _deadline_s(
         self, request: web.BaseRequest, matched: MatchedRoute, arrived_s: float
--- a/packages/heronladder-router/src/heronladder_router/limit_demand.py
+++ b/packages/heronladder-router/src/heronladder_router/limit_demand.py
@@ -1,4 +1,4 @@
-"""What a gateway asks the leader for, at replicas in need, and which requests wait for it."""
+"""What a gateway asks the leader for, at rate-limited replicas, and which requests wait for it."""
 
 import math
 from collections import deque
@@ -31,7 +31,7 @@
 
 
 class LimitDemand:
-    """Requests for services of which replicas are in need."""
+    """Requests for services of which replicas are rate-limited."""
 
     def __init__(self) -> None:
         self._services: dict[str, _ServiceDemand] = {}
@@ -44,7 +44,7 @@
         return list(self._services)
 
     def clear(self) -> None:
-        """Forget all: no replica is in need."""
+        """Forget all: no replica is rate-limited."""
         self._services.clear()
 
     def requested(self, service: str, now_s: float) -> None:
@@ -56,7 +56,7 @@
 
         Args:
             service: The service.
-            limited: Its replicas that are in need.
+            limited: Its replicas that are rate-limited.
             usable: All of its replicas.
             held: Sends that are granted and not made yet.
             now_s: Time.
--- a/packages/heronladder-router/src/heronladder_router/limbo.py
+++ b/packages/heronladder-router/src/heronladder_router/outcome_queries.py
@@ -42,7 +42,7 @@
     already_billed: bool = False
 
 
-class Limbo:
+class OutcomeQueries:
     """Resolves attempts whose outcome is unknown.
 
     Args:
@@ -81,7 +81,7 @@
         self.unresolved += 1
         self._log.info(
             "outcome_unknown",
-            step="limbo",
+            step="query_outcome",
             peer=attempt.agent,
             request_id=attempt.dispatch.request_id,
         )
--- a/packages/heronladder-router/src/heronladder_router/parts.py
+++ b/packages/heronladder-router/src/heronladder_router/parts.py
@@ -15,7 +15,7 @@
 from heronladder_router.claims import ClaimClient
 from heronladder_router.errors import CallerError
 from heronladder_router.leases import LeaseManager
-from heronladder_router.limbo import Limbo, UnresolvedAttempt
+from heronladder_router.outcome_queries import OutcomeQueries, UnresolvedAttempt
 from heronladder_router.replicas import ReplicaDirectory
 from heronladder_router.requests import CallerRequest
 from heronladder_router.selection import ReplicaSelector
@@ -52,7 +52,7 @@
     settler: Settler
     bookkeeper: Bookkeeper
     claims: ClaimClient
-    limbo: Limbo
+    outcome_queries: OutcomeQueries
     environment: Environment
     metrics: Metrics
     log: EventLog
@@ -62,9 +62,9 @@
         return max(0.0, request.deadline_s - self.environment.monotonic())
 
     def await_outcome(self, attempt: Attempt) -> None:
-        """Leave an attempt whose outcome is unknown to limbo, which settles it."""
+        """Leave an attempt whose outcome is unknown to outcome_queries, which settles it."""
         attempt.settled = True
-        self.limbo.add(
+        self.outcome_queries.add(
             UnresolvedAttempt(
                 attempt.dispatch,
                 attempt.reservation,
--- a/packages/heronladder-router/src/heronladder_router/place_queue.py
+++ b/packages/heronladder-router/src/heronladder_router/place_queue.py
@@ -28,18 +28,20 @@
 )
 from heronladder_router.errors import PlacesTakenError
 from heronladder_router.gateway_request import GatewayRequest
-from heronladder_router.replica_state import Wish
+from heronladder_router.replica_state import RequestProfile
 
 _LEAST_WAIT_S = 0.001
 #: Replicas that a request may be sent to, and whether the others' load is known.
-PlacesOf = Callable[[Wish], tuple[list[ReplicaPlaces], bool]]
+PlacesOf = Callable[[RequestProfile], tuple[list[ReplicaPlaces], bool]]
 
 
 @dataclass
 class _ServiceQueue:
     """What a gateway keeps of one service."""
 
-    waiting: dict[int, tuple[Waiter, "asyncio.Future[None]", Wish]] = field(default_factory=dict)
+    waiting: dict[int, tuple[Waiter, "asyncio.Future[None]", RequestProfile]] = field(
+        default_factory=dict
+    )
     given: int = 0
     told_until_s: float = -math.inf
     measured: AnswerTimes = field(default_factory=AnswerTimes)
@@ -93,13 +95,13 @@
         """
         if not self._waits or request.bounds is not None:
             return
-        queue = self._services.setdefault(request.wish.service, _ServiceQueue())
+        queue = self._services.setdefault(request.profile.service, _ServiceQueue())
         in_time_until_s = self._in_time_until_s(request)
         whole_s = in_time_until_s - request.arrived_s
         self._number += 1
         waiter = Waiter(self._number, request.matched.priority, in_time_until_s, whole_s)
         ahead = ahead_of(waiter, [other for other, _, _ in queue.waiting.values()])
-        decided = self._decide(queue, request.wish, ahead, waiter)
+        decided = self._decide(queue, request.profile, ahead, waiter)
         if decided.why is Why.FREE:
             return
         self._report(request, queue, decided, ahead)
@@ -117,8 +119,10 @@
         in_time_s = request.arrived_s + objective_ms / MILLISECONDS_PER_SECOND
         return min(request.deadline_s, in_time_s)
 
-    def _decide(self, queue: _ServiceQueue, wish: Wish, ahead: int, waiter: Waiter) -> Waiting:
-        replicas, heard = self._places_of(wish)
+    def _decide(
+        self, queue: _ServiceQueue, profile: RequestProfile, ahead: int, waiter: Waiter
+    ) -> Waiting:
+        replicas, heard = self._places_of(profile)
         left_ms, whole_ms = waiter.times_ms(self._environment.monotonic())
         view = WaitingView(
             replicas,
@@ -138,7 +142,7 @@
         self, request: GatewayRequest, queue: _ServiceQueue, waiter: Waiter, wait_ms: float
     ) -> None:
         room: asyncio.Future[None] = asyncio.get_running_loop().create_future()
-        queue.waiting[waiter.number] = (waiter, room, request.wish)
+        queue.waiting[waiter.number] = (waiter, room, request.profile)
         began_s = self._environment.monotonic()
         wait_s = max(_LEAST_WAIT_S, wait_ms / MILLISECONDS_PER_SECOND)
         try:
@@ -150,11 +154,11 @@
         finally:
             queue.waiting.pop(waiter.number, None)
         waited_s = self._environment.monotonic() - began_s
-        self._metrics.observe("place_wait", waited_s, request.wish.service)
+        self._metrics.observe("place_wait", waited_s, request.profile.service)
         self._log.info(
             "place_waited",
             step="wait",
-            peer=request.wish.service,
+            peer=request.profile.service,
             request_id=request.request_id,
             waited_ms=int(waited_s * MILLISECONDS_PER_SECOND),
             outcome=outcome,
@@ -168,9 +172,9 @@
         granted = 0
         while queue.waiting:
             chosen = next_waiter([waiter for waiter, _, _ in queue.waiting.values()], queue.given)
-            _, room, wish = queue.waiting[chosen.number]
+            _, room, profile = queue.waiting[chosen.number]
             # What was granted just now is not under way yet.
-            decided = self._decide(queue, wish, granted, chosen)
+            decided = self._decide(queue, profile, granted, chosen)
             if decided.verdict is not Verdict.SEND:
                 return
             granted += 1
@@ -198,7 +202,7 @@
         return PlacesTakenError(
             f"places are expected in {decided.expected_ms:.0f} ms",
             step="wait",
-            peer=request.wish.service,
+            peer=request.profile.service,
             retry_after_s=self._told_s(queue, decided.expected_ms),
         )
 
@@ -234,7 +238,7 @@
         self._log.info(
             "place_decided",
             step="wait",
-            peer=request.wish.service,
+            peer=request.profile.service,
             request_id=request.request_id,
             verdict=decided.verdict.value,
             reason=decided.why.value,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -104,7 +104,7 @@
         sink: AnswerSink,
         progress: AnswerProgress,
     ) -> None:
-        unread = self._replicas.sent(replica, request.wish)
+        unread = self._replicas.sent(replica, request.profile)
         reading = UnreadPrompt(self._replicas, replica, unread, self._environment)
         route = request.matched.route
         objective_s = route.objective_ms / MILLISECONDS_PER_SECOND
@@ -178,7 +178,9 @@
 
     def _patience_s(self, request: GatewayRequest) -> float:
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        return patience(objective_s, self._replicas.speeds.first_events(request.wish.service)).for_s
+        return patience(
+            objective_s, self._replicas.speeds.first_events(request.profile.service)
+        ).for_s
 
     def _headers(
         self, request: GatewayRequest, replica: FleetReplica, progress: AnswerProgress
@@ -218,7 +220,7 @@
         if signals.leaving and seen is not None:
             seen.spoiled = True  # what a replica fails as it ends says nothing of its version
         if not signals.misdirected:
-            self._replicas.limits.heard(replica, signals.limit, sent_s)
+            self._replicas.limits.observe(replica, signals.limit, sent_s)
         if signals.misdirected or signals.not_run:
             await response.read()
             raise NotRunError(
--- a/packages/heronladder-router/src/heronladder_router/replica_limits.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_limits.py
@@ -1,4 +1,4 @@
-"""What replicas in need take from all gateways together, and this gateway's part of it."""
+"""What rate-limited replicas take from all gateways together, and this gateway's part of it."""
 
 import asyncio
 from bisect import insort
@@ -11,10 +11,10 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.pulse import Pulse
 from heronladder_runtime.replica_limit import (
-    ENDED_TOLD_S,
-    MOST_WORDS,
+    ENDED_REPORTED_S,
+    MOST_REPORTS,
     Incarnation,
-    LimitWord,
+    LimitReport,
     from_message,
     newest,
     read_limit,
@@ -37,7 +37,7 @@
 # The longest that a request waits for the leader's answer: an eighth of the users' objectives, so
 # that a refusal costs its caller little.
 _GRANT_WAIT_S = 0.1
-_UNKNOWN_S = 10.0  # a word on a replica that is not registered is kept for so long
+_UNKNOWN_S = 10.0  # a report on a replica that is not registered is kept for so long
 
 
 @dataclass
@@ -45,13 +45,13 @@
     """One replica that named a limit lately.
 
     Attributes:
-        word: The newest word on it.
+        report: The newest report on it.
         named_s: When this gateway last learned that it names a limit.
         grants_s: Until when each send may be made that the leader granted, the earliest first.
         sends_s: When this gateway sent to it, over the newest ``SPAN_S``.
     """
 
-    word: LimitWord
+    report: LimitReport
     named_s: float = float("-inf")
     grants_s: list[float] = field(default_factory=list)
     sends_s: deque[float] = field(default_factory=deque)
@@ -65,7 +65,7 @@
 
 
 class ReplicaLimits:
-    """The replicas in need, as this gateway knows them.
+    """The rate-limited replicas, as this gateway knows them.
 
     Args:
         registered: Gives a replica that is registered, by its name.
@@ -77,7 +77,7 @@
     Attributes:
         gateway: Name of this gateway.
         gateways: Tells what is known of all gateways.
-        heard_s: Tells when a leader was heard last.
+        leader_heard_s: Tells when a leader was heard last.
         beat_now: Sends a heartbeat out of turn.
     """
 
@@ -101,17 +101,17 @@
         self._answered_s = float("-inf")  # when that heartbeat was sent
         self.gateway = ""
         self.gateways: Callable[[], GatewaysKnown] = lambda: GatewaysKnown((), 1)
-        self.heard_s: Callable[[], float] = lambda: float("-inf")
+        self.leader_heard_s: Callable[[], float] = lambda: float("-inf")
         self.beat_now: Callable[[], None] = lambda: None
 
     @property
     def count(self) -> int:
         """How many replicas name a limit."""
-        return sum(1 for limited in self._limited.values() if not limited.word.ended)
+        return sum(1 for limited in self._limited.values() if not limited.report.ended)
 
-    # ---- words ------------------------------------------------------------
+    # ---- reports ------------------------------------------------------------
 
-    def heard(self, replica: FleetReplica, text: str | None, sent_s: float) -> None:
+    def observe(self, replica: FleetReplica, text: str | None, sent_s: float) -> None:
         """Take in what an answer of a replica says.
 
         Args:
@@ -126,34 +126,34 @@
         limited = self._limited.get(incarnation)
         now_s = self._environment.monotonic()
         if per_s is not None:
-            self._take(incarnation, LimitWord(per_s, now_s), "answer")
+            self._take(incarnation, LimitReport(per_s, now_s), "answer")
             self._limited[incarnation].named_s = now_s
             return
-        if text is not None or limited is None or limited.word.ended:
+        if text is not None or limited is None or limited.report.ended:
             return
-        # An answer begun before the newest word that named a limit came late: it ends nothing.
+        # An answer begun before the newest report that named a limit came late: it ends nothing.
         if sent_s > limited.named_s:
-            self._set(incarnation, limited, LimitWord(None, now_s), "answer")
+            self._set(incarnation, limited, LimitReport(None, now_s), "answer")
 
     def take(self, frame: control_pb2.ControlFrame, sent_s: float) -> None:
         """Take in what the leader says with the answer to a heartbeat.
 
         Args:
             frame: What it says.
-            sent_s: When the heartbeat was sent: all in the frame was said later, so a word is no
+            sent_s: When the heartbeat was sent: all in the frame was said later, so a report is no
                 younger than it seems, and a grant runs out before the leader counts on it.
         """
         for message in frame.replica_limits:
-            word = from_message(message, sent_s)
-            if word is not None:
-                self._take((message.replica, message.start_ms), word, "control")
+            report = from_message(message, sent_s)
+            if report is not None:
+                self._take((message.replica, message.start_ms), report, "control")
         now_s = self._environment.monotonic()
         granted: dict[str, int] = {}
         for grant in frame.replica_grants:
             replica = self._registered(grant.replica)
             limited = self._limited.get((grant.replica, grant.start_ms))
             until_s = sent_s + grant.holds_ms / MILLISECONDS_PER_SECOND
-            if replica is None or limited is None or limited.word.ended or until_s <= now_s:
+            if replica is None or limited is None or limited.report.ended or until_s <= now_s:
                 continue
             for _ in range(grant.sends):
                 insort(limited.grants_s, until_s)
@@ -167,19 +167,21 @@
         self._answered_s = sent_s
         self._answered.give()
 
-    def _take(self, incarnation: Incarnation, word: LimitWord, how: str) -> None:
+    def _take(self, incarnation: Incarnation, report: LimitReport, how: str) -> None:
         limited = self._limited.get(incarnation)
         if limited is not None:
-            self._set(incarnation, limited, newest(limited.word, word), how)
-        elif not word.ended:
-            limited = self._limited[incarnation] = _Limited(LimitWord(None, float("-inf")))
-            self._set(incarnation, limited, word, how)
-
-    def _set(self, incarnation: Incarnation, limited: _Limited, word: LimitWord, how: str) -> None:
-        earlier, limited.word = limited.word, word
-        if word.per_s == earlier.per_s:
+            self._set(incarnation, limited, newest(limited.report, report), how)
+        elif not report.ended:
+            limited = self._limited[incarnation] = _Limited(LimitReport(None, float("-inf")))
+            self._set(incarnation, limited, report, how)
+
+    def _set(
+        self, incarnation: Incarnation, limited: _Limited, report: LimitReport, how: str
+    ) -> None:
+        earlier, limited.report = limited.report, report
+        if report.per_s == earlier.per_s:
             return
-        if word.ended:
+        if report.ended:
             limited.grants_s.clear()
         else:
             limited.named_s = self._environment.monotonic()
@@ -189,15 +191,15 @@
             step="replicas",
             peer=incarnation[0],
             start_ms=incarnation[1],
-            limit_per_s=word.per_s,
+            limit_per_s=report.per_s,
             how=how,
-            age_s=self._environment.monotonic() - word.heard_s,
+            age_s=self._environment.monotonic() - report.observed_s,
             granted=len(limited.grants_s),
             sent=len(limited.sends_s),
             gateways=self.gateways().count,
             leader_silent_s=self._silent_s(),
         )
-        if how == "answer" and earlier.ended is not word.ended:
+        if how == "answer" and earlier.ended is not report.ended:
             self._beat_soon()  # the others know nothing of it yet
 
     # ---- choice -----------------------------------------------------------
@@ -205,13 +207,13 @@
     def verdict(self, replica: FleetReplica) -> LimitVerdict | None:
         """Return whether a replica may be sent to, and why; None if it names no limit."""
         limited = self._limited.get(replica.incarnation) if self._limited else None
-        if limited is None or limited.word.per_s is None:
+        if limited is None or limited.report.per_s is None:
             return None
         limited.drop_old(self._environment.monotonic())
         return judge(
             LimitView(
                 replica.name,
-                limited.word.per_s,
+                limited.report.per_s,
                 self._environment.monotonic(),
                 limited.grants_s,
                 limited.sends_s,
@@ -224,7 +226,7 @@
     def limit_of(self, replica: FleetReplica) -> float | None:
         """Return the requests a second that a replica takes; None: any number."""
         limited = self._limited.get(replica.incarnation) if self._limited else None
-        return limited.word.per_s if limited is not None else None
+        return limited.report.per_s if limited is not None else None
 
     def requested(self, service: str) -> None:
         """Count a request for a service: what is asked of the leader goes by them."""
@@ -243,7 +245,7 @@
         limited.sends_s.append(now_s)
 
     def _silent_s(self) -> float:
-        return self._environment.monotonic() - self.heard_s()
+        return self._environment.monotonic() - self.leader_heard_s()
 
     # ---- what waits, and who is refused -----------------------------------
 
@@ -281,15 +283,15 @@
             self.beat_now()
 
     def come_back_s(self, service: str) -> float:
-        """Return when a caller may come back for whom no replica in need had room."""
-        per_s = sum(limited.word.per_s or 0.0 for _, limited in self._of_service(service))
+        """Return when a caller may come back for whom no rate-limited replica had room."""
+        per_s = sum(limited.report.per_s or 0.0 for _, limited in self._of_service(service))
         now_s = self._environment.monotonic()
         return self._demand.come_back_s(service, per_s, self.gateways().count, now_s)
 
-    # ---- words to the leader ----------------------------------------------
+    # ---- reports to the leader ----------------------------------------------
 
     def fill_heartbeat(self, heartbeat: control_pb2.Heartbeat) -> None:
-        """Tell what is known of replicas in need, and ask for sends."""
+        """Tell what is known of rate-limited replicas, and ask for sends."""
         if not self._limited:
             return
         now_s = self._environment.monotonic()
@@ -297,8 +299,8 @@
         wanted = self._wanted(now_s)
         for incarnation, limited in sorted(
             self._limited.items(), key=lambda item: item[0] not in wanted
-        )[:MOST_WORDS]:
-            message = to_message(incarnation, limited.word, now_s)
+        )[:MOST_REPORTS]:
+            message = to_message(incarnation, limited.report, now_s)
             if incarnation in wanted:
                 message.service, message.wanted = wanted[incarnation]
             heartbeat.replica_limits.append(message)
@@ -323,13 +325,13 @@
             (incarnation, limited)
             for replica in self._usable(service)
             if (limited := self._limited.get(incarnation := replica.incarnation)) is not None
-            and not limited.word.ended
+            and not limited.report.ended
         ]
 
     def _forget_old(self, now_s: float) -> None:
         for incarnation, limited in list(self._limited.items()):
-            age_s = now_s - limited.word.heard_s
-            is_ended = limited.word.ended and age_s > ENDED_TOLD_S
+            age_s = now_s - limited.report.observed_s
+            is_ended = limited.report.ended and age_s > ENDED_REPORTED_S
             if is_ended or (age_s > _UNKNOWN_S and not self._is_registered(incarnation)):
                 del self._limited[incarnation]
         if not self._limited:
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -60,7 +60,7 @@
 
 
 @dataclass(frozen=True)
-class Wish:
+class RequestProfile:
     """What is asked of a replica.
 
     Attributes:
--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -96,7 +96,7 @@
         bounds = request.bounds
         if bounds is None or not progress.handed_out:
             return 0
-        service = self._routes.services.get(request.wish.service)
+        service = self._routes.services.get(request.profile.service)
         per_event = service.engine.tokens_per_event if service is not None else 0
         if not (per_event and progress.cutter.events):
             return bounds.total  # a whole answer, whose tokens are not told
--- a/packages/heronladder-router/src/heronladder_router/role.py
+++ b/packages/heronladder-router/src/heronladder_router/role.py
@@ -27,7 +27,7 @@
 from heronladder_router.forwarding import Forwarder
 from heronladder_router.intake import Intake
 from heronladder_router.leases import LeaseManager
-from heronladder_router.limbo import Limbo
+from heronladder_router.outcome_queries import OutcomeQueries
 from heronladder_router.parts import ForwardingOptions, ForwardingParts
 from heronladder_router.platform_watch import PlatformWatch
 from heronladder_router.replicas import ReplicaDirectory
@@ -118,7 +118,7 @@
         )
         self.claims = ClaimClient(self.link, environment)
         self.bookkeeper = self._make_bookkeeper()
-        self.limbo = Limbo(
+        self.outcome_queries = OutcomeQueries(
             channel, self.directory, self.leases, self.bookkeeper, environment, self.log
         )
         self.forwarder = self._make_forwarder()
@@ -144,7 +144,7 @@
             settler=self.settler,
             bookkeeper=self.bookkeeper,
             claims=self.claims,
-            limbo=self.limbo,
+            outcome_queries=self.outcome_queries,
             environment=self.environment,
             metrics=self.metrics,
             log=self.log,
@@ -218,7 +218,7 @@
         if self.platform is not None:
             await self.platform.stop()
         await self.forwarder.stop()
-        await self.limbo.stop()
+        await self.outcome_queries.stop()
         await self.confirmations.stop()
         await self.leases.stop()
         await self.settler.stop()
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_handlers.py
@@ -27,7 +27,7 @@
         lenders: Routers that lend prepaid tokens, as far as that changed.
         rollout_grants: What this router may send to versions on trial.
         replica_loads: What the other routers have under way, by replica.
-        replica_limits: What replicas in need take, and what this router may send there; given
+        replica_limits: What rate-limited replicas take, and what this router may send there; given
             with when the heartbeat was sent that the frame acknowledges.
     """
 
--- a/packages/heronladder-tools/src/heronladder_tools/demo.py
+++ b/packages/heronladder-tools/src/heronladder_tools/demo.py
@@ -120,7 +120,7 @@
     while asyncio.get_running_loop().time() < deadline_s:
         routers = [d.router for d in fleet.routers.values() if d.router is not None]
         agents = [d.agent for d in fleet.agents.values() if d.agent is not None]
-        unsettled = sum(router.limbo.unresolved for router in routers)
+        unsettled = sum(router.outcome_queries.unresolved for router in routers)
         if not unsettled and not any(len(agent.records) for agent in agents):
             return
         await asyncio.sleep(0.1)
--- a/packages/heronladder-tools/src/heronladder_tools/main.py
+++ b/packages/heronladder-tools/src/heronladder_tools/main.py
@@ -56,7 +56,7 @@
     chosen = profile_of(profile)
     if serve:
         try:
-            asyncio.run(demo_module.serve)
+            asyncio.run(demo_module.serve(chosen))
         except KeyboardInterrupt:
             return
     options = demo_module.DemoOptions(chosen, seconds, rate, seed, kill, kill_leader)
--- a/packages/heronladder-tools/src/heronladder_tools/simulation/run.py
+++ b/packages/heronladder-tools/src/heronladder_tools/simulation/run.py
@@ -260,7 +260,9 @@
         until_s = loop.time() + _CALM_TIMEOUT_S
         while loop.time() < until_s:
             await asyncio.sleep(1.0)
-            unresolved = sum(role.limbo.unresolved for role in self._fleet.routers.values())
+            unresolved = sum(
+                role.outcome_queries.unresolved for role in self._fleet.routers.values()
+            )
             held = sum(len(role.records) for role in self._fleet.agents.values())
             if not unresolved and not held and self._fleet.leader() is not None:
                 return
--- a/tests/limit_run.py
+++ b/tests/limit_run.py
@@ -1,4 +1,4 @@
-"""Gateways, a leader and replicas in need in virtual time, with the product's own decisions.
+"""Gateways, a leader and rate-limited replicas in virtual time, with the product's own decisions.
 
 Way there and back take some milliseconds; the book counts what each replica gets in sum.
 """
@@ -40,7 +40,7 @@
 
     Attributes:
         gateways: How many.
-        limits: Requests a second of each replica that is in need.
+        limits: Requests a second of each replica that is rate-limited.
         healthy: Replicas beside them.
         per_s: Requests of all callers a second.
         seconds: How long.
@@ -86,7 +86,7 @@
         self.leader = self._make_leader()
         self.sessions: dict[int, DaemonSession] = {}
         self.replicas: dict[int, dict[str, FleetReplica]] = {}
-        self.heard_s: dict[int, float] = {}
+        self.observed_s: dict[int, float] = {}
         self.limited: dict[int, ReplicaLimits] = {}
         for number in range(self.gateways):
             self._add_gateway(number)
@@ -113,10 +113,10 @@
         limits.gateway = f"g{number}"
         names = frozenset(f"g{other}" for other in range(self.gateways))
         limits.gateways = lambda: GatewaysKnown(names, self.gateways)
-        limits.heard_s = lambda: self.heard_s[number]
+        limits.leader_heard_s = lambda: self.observed_s[number]
         limits.beat_now = lambda: self._at(0.0, lambda: self._beat(number))
         self.replicas[number], self.limited[number] = replicas, limits
-        self.heard_s[number] = self.clock.now_s
+        self.observed_s[number] = self.clock.now_s
         record = ledger_pb2.DaemonRecord(name=f"g{number}")
         self.sessions[number] = DaemonSession(control_pb2.Hello(daemon=record))
 
@@ -178,7 +178,7 @@
             self._at(self._way_s(), lambda: self._answer(number, heartbeat, sent_s))
 
     def _answer(self, number: int, heartbeat: control_pb2.Heartbeat, sent_s: float) -> None:
-        self.leader.heard(f"g{number}", heartbeat.replica_limits)
+        self.leader.observe(f"g{number}", heartbeat.replica_limits)
         frame = control_pb2.ControlFrame()
         self.leader.fill(self.sessions[number], frame)
         self.frame_bytes += frame.ByteSize()
@@ -187,7 +187,7 @@
     def _take(self, number: int, frame: control_pb2.ControlFrame, sent_s: float) -> None:
         if self._is_away(number):
             return
-        self.heard_s[number] = self.clock.now_s
+        self.observed_s[number] = self.clock.now_s
         self.limited[number].take(frame, sent_s)
 
     def _request(self) -> None:
@@ -240,14 +240,14 @@
 
     def _hear(self, number: int, replica: FleetReplica, text: str | None, sent_s: float) -> None:
         if not self._is_still(number):
-            self.limited[number].heard(replica, text, sent_s)
+            self.limited[number].observe(replica, text, sent_s)
 
     # ---- the book ---------------------------------------------------------
 
     def _judged(self, name: str, excused: frozenset[int]) -> list[tuple[float, int, float]]:
         """Return what a replica got in the four seconds up to each send, and what it may get.
 
-        A word takes a second to come round. So while it changes the larger limit counts, and
+        A report takes a second to come round. So while it changes the larger limit counts, and
         nothing is judged until a second after the replica named one again.
         """
         counted = [
@@ -282,7 +282,7 @@
         return max(limit for limit in [*limits, *before, 0.0] if limit is not None)
 
     def most(self, name: str, excused: frozenset[int] = frozenset()) -> int:
-        """Return the most that a replica got in four seconds, once its word could be round."""
+        """Return the most that a replica got in four seconds, once its report could be round."""
         return max((got for _, got, _ in self._judged(name, excused)), default=0)
 
     def broken(self, excused: frozenset[int] = frozenset()) -> list[str]:
--- a/tests/limited_fleet.py
+++ b/tests/limited_fleet.py
@@ -1,4 +1,4 @@
-"""A fleet over loopback with replicas in need, and a book that judges what they got in sum."""
+"""A fleet over loopback with rate-limited replicas, and a book that judges what they got in sum."""
 
 import asyncio
 import unittest
@@ -47,7 +47,7 @@
 
 
 @dataclass
-class NeedyReplica:
+class RateLimitedReplica:
     """A replica that names a limit, and when it got what from whom."""
 
     identity: str
@@ -78,38 +78,38 @@
 
     Args:
         fleet: The daemons.
-        replicas: The replicas, in need or not.
+        replicas: The replicas, rate-limited or not.
     """
 
-    def __init__(self, fleet: Fleet, replicas: list[NeedyReplica]) -> None:
+    def __init__(self, fleet: Fleet, replicas: list[RateLimitedReplica]) -> None:
         super().__init__(fleet)
         self.replicas = replicas
-        self.told_s: dict[tuple[str, str], float] = {}  # gateway, replica: first passed on
+        self.reported_s: dict[tuple[str, str], float] = {}  # gateway, replica: first passed on
 
     def answered(self, gateway: str, got: Answer) -> None:
         """Note when a gateway first passed a limit on."""
         if _LIMIT_HEADER in got.headers:
             now_s = asyncio.get_running_loop().time()
-            self.told_s.setdefault((gateway, got.headers[_REPLICA_HEADER]), now_s)
+            self.reported_s.setdefault((gateway, got.headers[_REPLICA_HEADER]), now_s)
 
-    def most_of_told(self, replica: NeedyReplica) -> int:
-        """Return the most in four seconds that gateways sent that had passed its word on."""
+    def most_of_told(self, replica: RateLimitedReplica) -> int:
+        """Return the most in four seconds that gateways sent that had passed its report on."""
         assert replica.first_named_s is not None, "it never named a limit"
         told = {
-            gateway: told_s + _TOLD_S
-            for (gateway, name), told_s in self.told_s.items()
+            gateway: reported_s + _TOLD_S
+            for (gateway, name), reported_s in self.reported_s.items()
             if name == replica.identity
         }
         counted = [at_s for at_s, by in replica.arrivals if at_s >= told.get(by, float("inf"))]
         return _most(counted, replica.first_named_s + CONTACT_S)
 
-    def most_of_all(self, replica: NeedyReplica) -> int:
-        """Return the most in four seconds that all sent once its word could have come round."""
+    def most_of_all(self, replica: RateLimitedReplica) -> int:
+        """Return the most in four seconds that all sent once its report could have come round."""
         assert replica.first_named_s is not None, "it never named a limit"
         from_s = replica.first_named_s + _SHARED_S
         return _most([at_s for at_s, _ in replica.arrivals if at_s >= from_s], from_s)
 
-    def sent_since(self, replica: NeedyReplica, since_s: float) -> int:
+    def sent_since(self, replica: RateLimitedReplica, since_s: float) -> int:
         """Return what a replica got since a moment, from all gateways."""
         return sum(1 for at_s, _ in replica.arrivals if at_s >= since_s)
 
@@ -117,7 +117,7 @@
 async def start_limited(
     gateways: int, replicas: int, cleanup: Callable[[Callable[[], Awaitable[None]]], None]
 ) -> LimitedFleet:
-    """Start gateways, and replicas that are not in need yet.
+    """Start gateways, and replicas that are not rate-limited yet.
 
     Args:
         gateways: How many.
@@ -129,10 +129,10 @@
     cleanup(fleet.stop)
     for number in range(1, gateways):
         await fleet.add_gateway(f"front-{number + 1}")
-    needy = [NeedyReplica(f"r{number}") for number in range(replicas)]
-    for replica in needy:
+    bounded = [RateLimitedReplica(f"r{number}") for number in range(replicas)]
+    for replica in bounded:
         await fleet.add_replica(replica.identity, replica.script)
-    return LimitedFleet(fleet, needy)
+    return LimitedFleet(fleet, bounded)
 
 
 class LimitedFleetCase(unittest.IsolatedAsyncioTestCase):
--- a/tests/test_cold_replicas.py
+++ b/tests/test_cold_replicas.py
@@ -5,7 +5,7 @@
 import unittest
 from typing import Any
 
-from heronladder_control.cold_words import ColdWords
+from heronladder_control.cold_reports import ColdReports
 from heronladder_router.decisions.cold_limit import (
     WINDOW_S,
     ColdLimits,
@@ -15,7 +15,7 @@
 from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.placement import PlacementView, Reason, place
 from heronladder_router.kept_parts import KeptParts
-from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.replica_state import FleetReplica, RequestProfile
 from heronladder_runtime.clock import Environment
 from heronladder_schema.v1 import resources_pb2
 from platform_stand_ins import SERVICE, Fleet, Received, answer, configuration, start_fleet
@@ -100,7 +100,7 @@
             cold_share=self.cold.share,
             shares_load=True,
         )
-        chosen = place(view, Wish(SERVICE, [], 100), (), self.random).replica
+        chosen = place(view, RequestProfile(SERVICE, [], 100), (), self.random).replica
         assert chosen is not None
         chosen.cold_sends_s.append(now_s)
         return chosen.name
@@ -145,7 +145,7 @@
         view = PlacementView(
             gateway.replicas, 100.0, "z0", {}, (), _BEARS_PER_S, lambda *_: 0, False
         )
-        placement = place(view, Wish(SERVICE), (), gateway.random)
+        placement = place(view, RequestProfile(SERVICE), (), gateway.random)
         self.assertEqual(placement.reason, Reason.COLD)
         self.assertIsNone(placement.replica)
 
@@ -166,7 +166,7 @@
             cold_share=lambda *_: 0,
             shares_load=False,
         )
-        placement = place(view, Wish(SERVICE, regions=regions), (), random.Random(1))
+        placement = place(view, RequestProfile(SERVICE, regions=regions), (), random.Random(1))
         return placement.replica.name if placement.replica is not None else None
 
     def test_a_request_stays_in_its_regions(self) -> None:
@@ -180,10 +180,10 @@
     return resources_pb2.Replica(id="r", cold_ms=cold_ms)
 
 
-class ColdWordsTest(unittest.TestCase):
+class ColdReportsTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = _Clock()
-        self.words = ColdWords(self.clock)
+        self.words = ColdReports(self.clock)
         self.recorded = _replica(3000)
         self.words.known(self.recorded)
 
@@ -206,7 +206,7 @@
         self.assertTrue(self.words.is_news(_replica(0), self.recorded))
 
     def test_a_new_leader_counts_from_its_first_word(self) -> None:
-        words = ColdWords(self.clock)
+        words = ColdReports(self.clock)
         self.assertFalse(words.is_news(_replica(0), self.recorded))
         self.clock.now_s += 3.0
         self.assertTrue(words.is_news(_replica(0), self.recorded))
--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -10,7 +10,7 @@
 from heronladder_router.decisions.placement import Placement, PlacementView, Reason, place
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import KeptParts, PromptPart
-from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.replica_state import FleetReplica, RequestProfile
 from heronladder_router.surroundings import Surroundings
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
@@ -41,7 +41,7 @@
 
     def place(
         self,
-        wish: Wish,
+        profile: RequestProfile,
         zone: str = "n-a",
         *,
         may_spill: bool = True,
@@ -60,29 +60,29 @@
             far_cost_ms=_FAR_MS,
             may_spill=may_spill,
         )
-        return place(view, wish, (), self.random)
+        return place(view, profile, (), self.random)
 
-    def ways(self, wish: Wish, tries: int = 200) -> Counter[Way]:
-        return Counter(self.place(wish).way for _ in range(tries))
+    def ways(self, profile: RequestProfile, tries: int = 200) -> Counter[Way]:
+        return Counter(self.place(profile).way for _ in range(tries))
 
 
 class OwnRegionTest(unittest.TestCase):
     def test_a_calm_region_keeps_its_requests(self) -> None:
         """About half of all requests went to the other region, at 24 ms and dear bytes."""
         fleet = _Fleet()
-        for wish in (Wish(_SERVICE), Wish(_SERVICE, _SHARED, 9_190)):
-            found = [fleet.place(wish) for _ in range(200)]
+        for profile in (RequestProfile(_SERVICE), RequestProfile(_SERVICE, _SHARED, 9_190)):
+            found = [fleet.place(profile) for _ in range(200)]
             regions = {_REGIONS[one.replica.record.zone] for one in found if one.replica}
             self.assertEqual(regions, {"n"})
             self.assertEqual({one.way for one in found}, {Way.NEAR})
 
     def test_shared_parts_are_kept_once_in_each_region(self) -> None:
         fleet = _Fleet()
-        wish = Wish(_SERVICE, _SHARED, 9_190)
+        profile = RequestProfile(_SERVICE, _SHARED, 9_190)
         keepers = set()
         for zone in _REGIONS:
             for _ in range(20):
-                placement = fleet.place(wish, zone)
+                placement = fleet.place(profile, zone)
                 assert placement.replica is not None
                 self.assertEqual(placement.again_tokens, 0)
                 keepers.add(placement.replica.name)
@@ -91,7 +91,7 @@
     def test_a_zone_of_no_known_region_is_taken_for_near(self) -> None:
         fleet = _Fleet(0)
         fleet.replicas = [FleetReplica(resources_pb2.Replica(id="r", zone="?"), KeptParts(0))]
-        self.assertEqual(fleet.place(Wish(_SERVICE)).way, Way.NEAR)
+        self.assertEqual(fleet.place(RequestProfile(_SERVICE)).way, Way.NEAR)
 
 
 class SpillTest(unittest.TestCase):
@@ -99,40 +99,40 @@
         fleet = _Fleet()
         for replica in fleet.of_region("n"):
             replica.others_in_flight = 7  # 210 ms of a plain service
-        self.assertEqual(fleet.ways(Wish(_SERVICE)), {Way.FAR_NEAR_BUSY: 200})
+        self.assertEqual(fleet.ways(RequestProfile(_SERVICE)), {Way.FAR_NEAR_BUSY: 200})
 
     def test_a_region_as_busy_as_the_other_keeps_its_requests(self) -> None:
         fleet = _Fleet()
         for replica in fleet.replicas:
             replica.others_in_flight = 9
-        self.assertEqual(fleet.ways(Wish(_SERVICE)), {Way.NEAR: 200})
+        self.assertEqual(fleet.ways(RequestProfile(_SERVICE)), {Way.NEAR: 200})
 
     def test_past_the_bound_a_busy_region_keeps_its_requests(self) -> None:
         fleet = _Fleet()
         for replica in fleet.of_region("n"):
             replica.others_in_flight = 7
-        placement = fleet.place(Wish(_SERVICE), may_spill=False)
+        placement = fleet.place(RequestProfile(_SERVICE), may_spill=False)
         assert placement.replica is not None
         self.assertEqual(placement.way, Way.NEAR_SPILL_BOUND)
         self.assertEqual(_REGIONS[placement.replica.record.zone], "n")
 
     def test_an_evacuated_region_goes_elsewhere_whatever_the_bound(self) -> None:
         zones = tuple(zone for zone, region in _REGIONS.items() if region == "n")
-        placement = _Fleet().place(Wish(_SERVICE), evacuated=zones, may_spill=False)
+        placement = _Fleet().place(RequestProfile(_SERVICE), evacuated=zones, may_spill=False)
         self.assertEqual(placement.way, Way.FAR_NONE_NEAR)
 
     def test_a_cold_region_goes_elsewhere(self) -> None:
         fleet = _Fleet()
         for replica in fleet.of_region("n"):
             replica.cold_until_s = 20.0
-        placement = fleet.place(Wish(_SERVICE), cold=True)
+        placement = fleet.place(RequestProfile(_SERVICE), cold=True)
         self.assertEqual(placement.way, Way.FAR_NONE_NEAR)
 
     def test_a_region_that_seems_lost_goes_elsewhere(self) -> None:
         fleet = _Fleet()
         for replica in fleet.of_region("n"):
             replica.suspect_until_s = 20.0
-        self.assertEqual(fleet.place(Wish(_SERVICE)).way, Way.FAR_NEAR_SUSPECT)
+        self.assertEqual(fleet.place(RequestProfile(_SERVICE)).way, Way.FAR_NEAR_SUSPECT)
 
     def test_past_the_bound_a_region_of_suspects_keeps_its_requests(self) -> None:
         """All replicas here had no room for a moment: 50 of 50 sends crossed past the bound."""
@@ -140,7 +140,7 @@
         for replica in fleet.of_region("n"):
             replica.suspect_until_s = 10.15
             replica.busy_until_s = 10.15
-        found = [fleet.place(Wish(_SERVICE), may_spill=False) for _ in range(50)]
+        found = [fleet.place(RequestProfile(_SERVICE), may_spill=False) for _ in range(50)]
         self.assertEqual({one.way for one in found}, {Way.NEAR_SPILL_BOUND})
         self.assertEqual({one.reason for one in found}, {Reason.SUSPECT})
         self.assertTrue(all(one.replica and one.replica.record.zone[0] == "n" for one in found))
@@ -151,25 +151,25 @@
         for replica in fleet.of_region("n"):
             replica.suspect_until_s = 20.0
             replica.refuses = True
-        found = [fleet.place(Wish(_SERVICE), may_spill=False) for _ in range(50)]
+        found = [fleet.place(RequestProfile(_SERVICE), may_spill=False) for _ in range(50)]
         self.assertEqual({one.way for one in found}, {Way.FAR_NONE_NEAR})
         for replica in fleet.replicas:
             replica.refuses = True
-        self.assertIsNotNone(fleet.place(Wish(_SERVICE)).replica)
+        self.assertIsNotNone(fleet.place(RequestProfile(_SERVICE)).replica)
 
     def test_suspects_of_all_regions_are_compared_as_ever(self) -> None:
         fleet = _Fleet()
         for replica in fleet.replicas:
             replica.suspect_until_s = 20.0
-        placement = fleet.place(Wish(_SERVICE), may_spill=False)
+        placement = fleet.place(RequestProfile(_SERVICE), may_spill=False)
         self.assertEqual((placement.way, placement.reason), (Way.NEAR, Reason.SUSPECT))
 
     def test_homes_come_before_any_cost(self) -> None:
         fleet = _Fleet()
         for replica in fleet.of_region("n"):
             replica.others_in_flight = 50
-        wish = Wish(_SERVICE, regions=frozenset({"n"}))
-        self.assertEqual(fleet.ways(wish), {Way.NEAR: 200})
+        profile = RequestProfile(_SERVICE, regions=frozenset({"n"}))
+        self.assertEqual(fleet.ways(profile), {Way.NEAR: 200})
 
 
 class _Clock(Environment):
@@ -202,14 +202,14 @@
         replicas.loads.others_told(
             {f"n-{zone}": control_pb2.ReplicaLoad(in_flight=50) for zone in "abc"}
         )
-        wish = Wish(_SERVICE)
+        profile = RequestProfile(_SERVICE)
 
         def send() -> Way:
-            placement = replicas.place(wish, ())
+            placement = replicas.place(profile, ())
             assert placement.replica is not None
             if placement.way.is_spill:
                 replicas.spilled()
-            replicas.began(placement.replica, replicas.sent(placement.replica, wish))
+            replicas.began(placement.replica, replicas.sent(placement.replica, profile))
             replicas.ended(placement.replica)
             return placement.way
 
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -8,7 +8,7 @@
 from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import parse_parts
-from heronladder_router.replica_state import Wish
+from heronladder_router.replica_state import RequestProfile
 from heronladder_router.surroundings import Surroundings
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
@@ -46,16 +46,16 @@
     return replicas
 
 
-def _plan(subject: int, request: int, subject_tokens: int = 4_870) -> Wish:
+def _plan(subject: int, request: int, subject_tokens: int = 4_870) -> RequestProfile:
     parts = parse_parts(f"menu:512,{subject:x}:{subject_tokens},own{request}:6000")
-    return Wish(_SERVICE, parts, 6_512 + subject_tokens)
+    return RequestProfile(_SERVICE, parts, 6_512 + subject_tokens)
 
 
-def _send(gateway: FleetReplicas, wish: Wish) -> str:
+def _send(gateway: FleetReplicas, profile: RequestProfile) -> str:
     """Choose a replica and have it finish at once."""
-    replica = gateway.place(wish, ()).replica
+    replica = gateway.place(profile, ()).replica
     assert replica is not None
-    unread = gateway.sent(replica, wish)
+    unread = gateway.sent(replica, profile)
     gateway.began(replica, unread)
     gateway.ended(replica)
     return replica.name
@@ -69,8 +69,8 @@
             _send(first, _plan(1_000 + request, request))
             _send(second, _plan(2_000 + request, request))
         for subject in range(50):
-            wish = _plan(subject, subject)
-            self.assertEqual(_send(first, wish), _send(second, wish))
+            profile = _plan(subject, subject)
+            self.assertEqual(_send(first, profile), _send(second, profile))
 
     def test_a_replica_that_is_known_to_keep_it_goes_before_the_expected_one(self) -> None:
         gateway = _gateway("zone-0", 1)
@@ -105,10 +105,10 @@
         self.gateway.loads.others_told(told)
 
     def test_a_replica_that_others_keep_busy_is_passed_over(self) -> None:
-        wish = Wish(_SERVICE, parse_parts("own1:600"), 600)
+        profile = RequestProfile(_SERVICE, parse_parts("own1:600"), 600)
         busy = {f"replica_{number}": 40_000 for number in range(8)}
         self._told(**busy)
-        chosen = [_send(self.gateway, wish) for _ in range(200)]
+        chosen = [_send(self.gateway, profile) for _ in range(200)]
         # The idle one is among four of nine drawn at random in 4 of 9 cases.
         self.assertGreater(chosen.count("replica-8"), 60)
         self.assertLess(chosen.count("replica-8"), 130)  # and is not taken by all at once
@@ -126,9 +126,11 @@
         self.assertEqual(_send(self.gateway, _plan(7, 2)), owner)
 
     def test_a_gateway_tells_what_it_has_under_way(self) -> None:
-        replica = self.gateway.place(Wish(_SERVICE, parse_parts("own1:600"), 600), ()).replica
+        replica = self.gateway.place(
+            RequestProfile(_SERVICE, parse_parts("own1:600"), 600), ()
+        ).replica
         assert replica is not None
-        self.gateway.sent(replica, Wish(_SERVICE, parse_parts("own1:600"), 600))
+        self.gateway.sent(replica, RequestProfile(_SERVICE, parse_parts("own1:600"), 600))
         heartbeat = control_pb2.Heartbeat()
         self.gateway.fill_heartbeat(heartbeat)
         self.assertEqual(list(heartbeat.replica_loads), [replica.name])
--- a/tests/test_foreign_configurations.py
+++ b/tests/test_foreign_configurations.py
@@ -15,7 +15,7 @@
 from heronladder_control.state import ControlState
 from heronladder_platform.configuration import read_configuration
 from heronladder_platform.documents import DocumentError
-from heronladder_platform.replica_words import read_replica
+from heronladder_platform.replica_heartbeats import read_replica
 from heronladder_schema.v1 import control_pb2, resources_pb2
 from platform_stand_ins import configuration, route
 
--- a/tests/test_foreign_words.py
+++ b/tests/test_foreign_words.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from heronladder_platform.documents import DocumentError
-from heronladder_platform.replica_words import read_replica
+from heronladder_platform.replica_heartbeats import read_replica
 from platform_stand_ins import Received, StandInReplica, answer, configuration, start_fleet
 
 _GOOD: dict[str, Any] = {
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -61,7 +61,7 @@
             request = SimpleNamespace(
                 request_id="r",
                 fingerprint="f",
-                wish=SimpleNamespace(service="model"),
+                profile=SimpleNamespace(service="model"),
                 bounds=TokenBounds(1000, 100),
                 deadline_s=115.0,
                 matched=SimpleNamespace(
--- a/tests/test_limit_runs.py
+++ b/tests/test_limit_runs.py
@@ -1,4 +1,4 @@
-"""What replicas in need get in sum in random runs, and breakages that these notice."""
+"""What rate-limited replicas get in sum in random runs, and breakages that these notice."""
 
 import random
 import unittest
@@ -19,11 +19,11 @@
     source = random.Random(seed)
     count = gateways or source.choice((3, 6, 12, 30, 30))
     limit = source.choice((0.3, 0.5, 1.7, 5.0, 20.0))
-    needy = source.choice((1, 2, 4))
+    bounded = source.choice((1, 2, 4))
     more: dict[str, Any] = {
-        "limits": [limit] * needy,
+        "limits": [limit] * bounded,
         "healthy": source.choice((0, 0, 3, 8)),
-        "per_s": limit * needy * source.choice((0.5, 2, 8)) + 10,
+        "per_s": limit * bounded * source.choice((0.5, 2, 8)) + 10,
     }
     skew = source.choice((0, 1, 2))
     if source.random() < 0.4:
@@ -69,7 +69,7 @@
             self.assertEqual(run.run().broken(troubled), [], f"seed {seed}")
 
     def test_what_is_taken_is_used(self) -> None:
-        """At 6 and 30 gateways, all replicas in need: the callers ask for three times as much."""
+        """At 6 and 30 gateways, all replicas rate-limited: callers ask for three times as much."""
         for gateways in (6, 30):
             run = LimitRun(gateways, [1.7] * 6, 0, 30.0).run()
             used = sum(run.used_share(name) for name in run.named) / len(run.named)
@@ -87,11 +87,11 @@
     def test_each_gateway_by_itself(self) -> None:
         def alone(limits: ReplicaLimits, replica: Any) -> LimitVerdict | None:
             limited = limits._limited.get((replica.record.id, replica.record.start_ms))
-            if limited is None or limited.word.per_s is None:
+            if limited is None or limited.report.per_s is None:
                 return None
             now_s = limits._environment.monotonic()
             sent = sum(1 for moment_s in limited.sends_s if moment_s > now_s - 1.0)
-            return LimitVerdict.ONE_OF_FEW if sent < limited.word.per_s else None
+            return LimitVerdict.ONE_OF_FEW if sent < limited.report.per_s else None
 
         with mock.patch.object(ReplicaLimits, "verdict", alone):
             self.assertGreater(broken(_SEEDS), 10)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,7 +7,7 @@
 
 from heronladder_platform.configuration import read_configuration
 from heronladder_platform.documents import DocumentError
-from heronladder_platform.replica_words import read_replica
+from heronladder_platform.replica_heartbeats import read_replica
 from heronladder_platform.settings import CONTROL, GATEWAY, translate
 from heronladder_runtime.errors import SettingsError
 from heronladder_schema.v1 import resources_pb2
--- a/tests/test_replica_limit_changes.py
+++ b/tests/test_replica_limit_changes.py
@@ -1,4 +1,4 @@
-"""What replicas in need get while leaders, gateways and their limits come and go."""
+"""What rate-limited replicas get while leaders, gateways and their limits come and go."""
 
 import asyncio
 import unittest
@@ -11,8 +11,8 @@
         """Six gateways; control is gone while one of three replicas takes 1.7 a second."""
         limited = await self.start(6, 3)
         await limited.ask(30.0, 0.5)
-        needy = limited.replicas[0]
-        needy.limit = "1.7"
+        bounded = limited.replicas[0]
+        bounded.limit = "1.7"
         await limited.ask(30.0, 2.0)
         await limited.fleet.control.stop()
         judged = await limited.ask(30.0, 7.0)
@@ -21,24 +21,24 @@
 
     async def test_a_need_that_ends_and_returns(self) -> None:
         limited = await self.start(3, 2)
-        needy = limited.replicas[0]
-        needy.limit = "1.7"
+        bounded = limited.replicas[0]
+        bounded.limit = "1.7"
         await limited.ask(20.0, 3.0)
-        needy.limit = None
+        bounded.limit = None
         await limited.ask(20.0, 3.0)
         ended_s = asyncio.get_running_loop().time()
         await limited.ask(20.0, 2.0)
-        self.assertGreater(limited.sent_since(needy, ended_s), 10, "used as the other one")
-        needy.limit = "1.7"
-        needy.first_named_s = None
-        needy.arrivals.clear()
+        self.assertGreater(limited.sent_since(bounded, ended_s), 10, "used as the other one")
+        bounded.limit = "1.7"
+        bounded.first_named_s = None
+        bounded.arrivals.clear()
         await limited.ask(20.0, 6.0)
-        self.assertLessEqual(limited.most_of_all(needy), allowed(1.7))
+        self.assertLessEqual(limited.most_of_all(bounded), allowed(1.7))
 
     async def test_a_gateway_that_starts_meanwhile(self) -> None:
         limited = await self.start(3, 2)
-        needy = limited.replicas[0]
-        needy.limit = "1.7"
+        bounded = limited.replicas[0]
+        bounded.limit = "1.7"
         await limited.ask(20.0, 2.0)
         added = await limited.fleet.add_gateway("front-late")
         async with asyncio.timeout(5):
@@ -50,9 +50,9 @@
 
     async def test_what_is_no_number_names_no_limit(self) -> None:
         limited = await self.start(1, 2)
-        needy = limited.replicas[0]
+        bounded = limited.replicas[0]
         for text in ("nan", "inf", "-1", "soon", "1,7"):
-            needy.limit = text
+            bounded.limit = text
             await limited.ask(20.0, 0.5)
         role = limited.fleet.gateway.gateway
         assert role is not None
--- a/tests/test_replica_limit_words.py
+++ b/tests/test_replica_limit_reports.py
@@ -1,4 +1,4 @@
-"""Which word on a replica's limit is gone by, and how long what was granted holds."""
+"""Which report on a replica's limit is gone by, and how long what was granted holds."""
 
 import unittest
 
@@ -19,8 +19,8 @@
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.replica_limit import (
     GRANT_HOLDS_S,
-    MOST_WORDS,
-    LimitWord,
+    MOST_REPORTS,
+    LimitReport,
     newest,
     read_limit,
 )
@@ -38,23 +38,23 @@
 
 class NewestWordTest(unittest.TestCase):
     def test_the_later_one_counts(self) -> None:
-        early, late = LimitWord(1.0, 5.0), LimitWord(3.0, 6.0)
+        early, late = LimitReport(1.0, 5.0), LimitReport(3.0, 6.0)
         self.assertEqual(newest(early, late), late)
         self.assertEqual(newest(late, early), late)
-        self.assertEqual(newest(early, LimitWord(None, 6.0)), LimitWord(None, 6.0))
+        self.assertEqual(newest(early, LimitReport(None, 6.0)), LimitReport(None, 6.0))
         self.assertEqual(newest(None, early), early)
 
     def test_of_two_at_one_time_the_stricter(self) -> None:
         """Over ways of different length it is not known which one was said last."""
-        low, high, none = LimitWord(1.0, 5.0), LimitWord(3.0, 5.1), LimitWord(None, 5.1)
+        low, high, none = LimitReport(1.0, 5.0), LimitReport(3.0, 5.1), LimitReport(None, 5.1)
         for first, second in ((low, high), (high, low), (low, none), (none, low)):
             self.assertEqual(newest(first, second), low)
 
     def test_a_rising_limit_is_believed_where_answers_come_often(self) -> None:
-        word = LimitWord(1.0, 5.0)
+        report = LimitReport(1.0, 5.0)
         for number in range(30):
-            word = newest(word, LimitWord(3.0, 5.0 + 0.01 * number))
-        self.assertEqual(word.per_s, 3.0)
+            report = newest(report, LimitReport(3.0, 5.0 + 0.01 * number))
+        self.assertEqual(report.per_s, 3.0)
 
     def test_numbers(self) -> None:
         self.assertEqual([read_limit(text) for text in ("1.7", "0", " 20 ")], [1.7, 0.0, 20.0])
@@ -81,8 +81,8 @@
         )
         self.limits.gateway = "g0"
         self.limits.gateways = lambda: GatewaysKnown(frozenset({"g0"}), 1)
-        self.limits.heard_s = lambda: self.heard_s
-        self.heard_s = self.clock.now_s
+        self.limits.leader_heard_s = lambda: self.leader_heard_s
+        self.leader_heard_s = self.clock.now_s
         self.term = 1
         self.metrics = Metrics()
         self.leader = SharedReplicaLimits(
@@ -101,16 +101,16 @@
         self.limits.requested(_SERVICE)
         self.limits.fill_heartbeat(heartbeat)
         sent_s = self.clock.now_s
-        self.leader.heard("g0", heartbeat.replica_limits)
+        self.leader.observe("g0", heartbeat.replica_limits)
         self.leader.fill(self.session, frame)
         self.clock.now_s += late_s
-        self.heard_s = self.clock.now_s
+        self.leader_heard_s = self.clock.now_s
         self.limits.take(frame, sent_s)
         return frame
 
     def grant_one(self) -> None:
         """Have the first replica name a limit, and the leader grant a send there."""
-        self.limits.heard(self.first, "1.7", self.clock.now_s)
+        self.limits.observe(self.first, "1.7", self.clock.now_s)
         for _ in range(8):
             self.clock.now_s += 0.3
             self.beat()
@@ -127,7 +127,7 @@
         self.assertIsNone(self.limits.verdict(self.first))
 
     def test_nothing_goes_to_a_replica_in_need_before_the_leader_grants_it(self) -> None:
-        self.limits.heard(self.first, "1.7", self.clock.now_s)
+        self.limits.observe(self.first, "1.7", self.clock.now_s)
         self.assertIs(self.limits.verdict(self.first), LimitVerdict.NOT_GRANTED)
         self.assertIsNone(self.limits.verdict(self.parts.replicas["r1"]))
 
@@ -144,15 +144,15 @@
         self.parts.grant_one()
         self.assertIs(self.limits.verdict(self.first), LimitVerdict.GRANTED)
         self.clock.now_s += GRANT_HOLDS_S
-        self.parts.heard_s = self.clock.now_s
+        self.parts.leader_heard_s = self.clock.now_s
         self.assertIs(self.limits.verdict(self.first), LimitVerdict.NOT_GRANTED)
 
     def test_a_grant_that_came_late_is_void(self) -> None:
         """Frames that a cut held up came with what the leader had granted seconds before."""
-        self.limits.heard(self.first, "1.7", self.clock.now_s)
+        self.limits.observe(self.first, "1.7", self.clock.now_s)
         for _ in range(4):
             self.clock.now_s += 0.3
-            self.limits.heard(self.first, "1.7", self.clock.now_s)
+            self.limits.observe(self.first, "1.7", self.clock.now_s)
             frame = self.parts.beat(late_s=GRANT_HOLDS_S)
         self.assertTrue(frame.replica_grants)
         self.assertIs(self.limits.verdict(self.first), LimitVerdict.NOT_GRANTED)
@@ -167,7 +167,7 @@
 
     def test_where_nobody_hears_of_a_replica_a_send_is_granted_that_holds_longer(self) -> None:
         """Sends ran out unused at gateways with few requests, and the end was never noticed."""
-        self.limits.heard(self.first, "1.7", self.clock.now_s)
+        self.limits.observe(self.first, "1.7", self.clock.now_s)
         longest_ms = 0
         for _ in range(40):
             self.clock.now_s += 0.3
@@ -176,7 +176,7 @@
         self.assertGreater(longest_ms, 5_000)
 
     def test_a_limit_of_zero_lets_the_end_of_the_need_be_noticed(self) -> None:
-        self.limits.heard(self.first, "0", self.clock.now_s)
+        self.limits.observe(self.first, "0", self.clock.now_s)
         sends = 0
         for _ in range(200):
             self.clock.now_s += 0.3
@@ -187,24 +187,24 @@
         self.assertIn(sends, range(2, 8))  # in 60 s
 
     def test_more_replicas_than_go_into_one_frame_are_told_one_after_another(self) -> None:
-        words = [
+        reports = [
             control_pb2.ReplicaLimit(replica=f"x{number}", per_s=1.0)
-            for number in range(2 * MOST_WORDS + 1)
+            for number in range(2 * MOST_REPORTS + 1)
         ]
-        self.parts.leader.heard("g1", words)
+        self.parts.leader.observe("g1", reports)
         told: set[str] = set()
         for _ in range(3):
             frame = control_pb2.ControlFrame()
             self.parts.leader.fill(self.parts.session, frame)
-            self.assertLessEqual(len(frame.replica_limits), MOST_WORDS)
+            self.assertLessEqual(len(frame.replica_limits), MOST_REPORTS)
             told |= {message.replica for message in frame.replica_limits}
-        self.assertEqual(len(told), 2 * MOST_WORDS + 1)
+        self.assertEqual(len(told), 2 * MOST_REPORTS + 1)
 
     def test_a_number_that_is_none_is_not_taken_from_a_gateway(self) -> None:
         bad = [
             control_pb2.ReplicaLimit(replica="r0", per_s=value) for value in (-1.0, float("nan"))
         ]
-        self.parts.leader.heard("g1", bad)
+        self.parts.leader.observe("g1", bad)
         self.assertEqual(self.parts.metrics.counters["replica_limits_malformed", ""], 2)
 
 
@@ -212,24 +212,24 @@
     def setUp(self) -> None:
         self.parts = _Parts()
         self.clock, self.limits, self.first = self.parts.clock, self.parts.limits, self.parts.first
-        self.limits.heard(self.first, "1.7", self.clock.now_s)
+        self.limits.observe(self.first, "1.7", self.clock.now_s)
 
     def test_an_answer_begun_after_the_last_that_named_it_ends_it(self) -> None:
         sent_s = self.clock.now_s + 0.1
         self.clock.now_s += 0.3
-        self.limits.heard(self.first, None, sent_s)
+        self.limits.observe(self.first, None, sent_s)
         self.assertIsNone(self.limits.verdict(self.first))
 
     def test_a_late_answer_to_an_earlier_request_does_not(self) -> None:
         """The head of a slow stream came after answers that named the limit."""
         sent_s = self.clock.now_s - 0.1
         self.clock.now_s += 5.0
-        self.limits.heard(self.first, None, sent_s)
+        self.limits.observe(self.first, None, sent_s)
         self.assertIsNotNone(self.limits.verdict(self.first))
 
     def test_a_malformed_number_does_not(self) -> None:
         self.clock.now_s += 1.0
-        self.limits.heard(self.first, "soon", self.clock.now_s - 0.1)
+        self.limits.observe(self.first, "soon", self.clock.now_s - 0.1)
         self.assertIsNotNone(self.limits.verdict(self.first))
 
     def test_all_gateways_hear_of_it_and_of_its_return(self) -> None:
@@ -245,11 +245,11 @@
         self.parts.beat()
         self.assertEqual(told(), [False])
         self.clock.now_s += 1.0
-        self.limits.heard(self.first, None, self.clock.now_s - 0.1)
+        self.limits.observe(self.first, None, self.clock.now_s - 0.1)
         self.parts.beat()
         self.assertEqual(told(), [True])
         self.clock.now_s += 1.0
-        self.limits.heard(self.first, "0.5", self.clock.now_s - 0.1)
+        self.limits.observe(self.first, "0.5", self.clock.now_s - 0.1)
         self.parts.beat()
         self.assertEqual(told(), [False])
         self.assertEqual(told(), [])
--- a/tests/test_replica_limits.py
+++ b/tests/test_replica_limits.py
@@ -17,13 +17,13 @@
         """Three gateways, unevenly called; one of four replicas takes 1.7 a second."""
         limited = await self.start(3, 4)
         await limited.ask(30.0, 0.5)
-        needy = limited.replicas[0]
-        needy.limit = "1.7"
+        bounded = limited.replicas[0]
+        bounded.limit = "1.7"
         judged = await limited.ask(30.0, 9.0, weights=lambda number: min(number % 6, 2))
         self.assert_within(limited)
         self.assertEqual(set(judged.statuses), {200}, "callers beside it are served")
-        assert needy.first_named_s is not None
-        used = limited.sent_since(needy, needy.first_named_s + 3.0)
+        assert bounded.first_named_s is not None
+        used = limited.sent_since(bounded, bounded.first_named_s + 3.0)
         self.assertGreaterEqual(used, 0.5 * 1.7 * 6.0, "what it takes is used")
 
     async def test_all_replicas_in_need(self) -> None:
@@ -58,7 +58,7 @@
         self.assertEqual(set(judged.statuses), {200}, "callers beside them are served")
 
     async def test_twelve_gateways_and_a_small_limit(self) -> None:
-        """One of three replicas takes 0.5 a second; its words come on heads of streams."""
+        """One of three replicas takes 0.5 a second; its reports come on heads of streams."""
         limited = await self.start(12, 3)
         await limited.ask(30.0, 0.5, "/stream/")
         limited.replicas[0].limit = "0.5"
--- a/tests/test_speed.py
+++ b/tests/test_speed.py
@@ -13,7 +13,7 @@
 from heronladder_router.decisions.speed import FirstEvent, MeasuredSpeed, ReplicaPace, Speed
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.kept_parts import KeptParts
-from heronladder_router.replica_state import FleetReplica, Wish
+from heronladder_router.replica_state import FleetReplica, RequestProfile
 from heronladder_router.surroundings import Surroundings
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import ConfigurationStore
@@ -106,7 +106,7 @@
         view = PlacementView(
             gateway.replicas, self.now_s, "z", {}, (), 0.0, lambda *_: 0, True, speed
         )
-        chosen = place(view, Wish(_SERVICE, [], tokens), (), self._random).replica
+        chosen = place(view, RequestProfile(_SERVICE, [], tokens), (), self._random).replica
         assert chosen is not None
         self._send(gateway, chosen, tokens)
         next_s = self.now_s + self._random.expovariate(self._per_s)
--- a/tests/test_taking.py
+++ b/tests/test_taking.py
@@ -10,7 +10,7 @@
 from heronladder_router.decisions.few_senders import GatewaysKnown
 from heronladder_router.decisions.take import Standing, TakeView, take
 from heronladder_router.fleet_replicas import FleetReplicas
-from heronladder_router.replica_state import Wish
+from heronladder_router.replica_state import RequestProfile
 from heronladder_router.surroundings import Surroundings
 from heronladder_router.taking import Taking
 from heronladder_runtime.clock import Environment
@@ -217,7 +217,7 @@
                 gateway = self._gateway(names)
                 for name in names[told : told + own]:
                     replica = next(one for one in gateway.usable("s") if one.name == name)
-                    gateway.sent(replica, Wish("s"))
+                    gateway.sent(replica, RequestProfile("s"))
                 gateway.loads.others_told({name: busy[name] for name in names[:told]})
                 self.assertEqual(gateway.loads.under_way(), (own, 9 * told if known else None))
 
--- a/tests/test_waiting.py
+++ b/tests/test_waiting.py
@@ -18,7 +18,7 @@
 )
 from heronladder_router.gateway_request import GatewayRequest
 from heronladder_router.place_queue import PlaceQueue
-from heronladder_router.replica_state import Wish
+from heronladder_router.replica_state import RequestProfile
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
@@ -125,7 +125,7 @@
         """It stayed with 250 of 415 ms left, and one that came afterwards was sent."""
         clock, taken = _Clock(), [18]
         queue = PlaceQueue(
-            lambda wish: ([ReplicaPlaces(6, taken[0])], True),
+            lambda profile: ([ReplicaPlaces(6, taken[0])], True),
             lambda: 1,
             lambda: 0.0,
             clock,
@@ -145,7 +145,7 @@
                 SimpleNamespace(
                     request_id=f"q{number}",
                     matched=matched,
-                    wish=Wish("s"),
+                    profile=RequestProfile("s"),
                     bounds=None,
                     arrived_s=clock.now_s,
                     deadline_s=clock.now_s + 3.0,
