What a gateway looks at for each choice of a replica costs nothing while no replica signals anything

Replicas that leave or are misdirected are sorted out when that changes, not at each look; the share of connections is worked out once a choice; a record ends with its back-off. No behaviour changes.

--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -72,8 +72,9 @@
         permits: Whether a replica's version may be sent to.
         limit_verdict: Whether a replica that named a limit may be sent to; None: it named none.
         availability: Whether a replica takes new requests, by what it said of itself.
-        is_saturated: Whether a replica has as much of this gateway as it gets by now: all
-            connections that it may have open, or what one gets that is just back from a back-off.
+        is_window_full: Whether a replica that is back from a back-off has as much of this gateway
+            as it gets at first.
+        connection_share: Connections that may be open to each replica; None: any number.
         shares_load: Whether what other gateways have under way is known.
         far_cost_ms: What a send to another region costs, in ms.
         may_spill: Whether more may go there while there are replicas here.
@@ -94,7 +95,8 @@
     permits: Callable[[FleetReplica], bool] = lambda _replica: True
     limit_verdict: Callable[[FleetReplica], LimitVerdict | None] = lambda _replica: None
     availability: Callable[[FleetReplica], Availability] = lambda _replica: Availability.AVAILABLE
-    is_saturated: Callable[[FleetReplica], bool] = lambda _replica: False
+    is_window_full: Callable[[FleetReplica], bool] = lambda _replica: False
+    connection_share: int | None = None
 
 
 @dataclass(frozen=True)
@@ -165,7 +167,7 @@
     return [
         replica
         for replica in pool
-        if replica.suspect_until_s <= view.now_s and not view.is_saturated(replica)
+        if replica.suspect_until_s <= view.now_s and not is_saturated(view, replica)
     ]
 
 
@@ -216,6 +218,12 @@
     return view.zone_regions.get(replica.record.zone) in profile.regions
 
 
+def is_saturated(view: PlacementView, replica: FleetReplica) -> bool:
+    """Whether others are preferred: a replica has as much of this gateway as it gets by now."""
+    share = view.connection_share
+    return (share is not None and replica.in_flight >= share) or view.is_window_full(replica)
+
+
 def is_available(view: PlacementView, replica: FleetReplica) -> bool:
     """Whether a replica takes new requests, by what it said of itself."""
     return view.availability(replica) is Availability.AVAILABLE
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,5 +1,6 @@
 """Replicas of a fleet as a gateway sees them."""
 
+import math
 from collections.abc import Collection
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -68,6 +69,7 @@
         self._log = log
         self._replicas: dict[str, FleetReplica] = {}
         self._of_service: dict[str, list[FleetReplica]] = {}
+        self._sorted_until_s = math.inf
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
         self.speeds = ServiceSpeeds(
             where.link_s,
@@ -103,21 +105,25 @@
             self._replicas[record.id] = replica
         for name in earlier.keys() - self._replicas.keys():
             self._log.info("replica_forgotten", step="replicas", peer=name)
-        self._sort_by_service()
         self._read_evacuations()
         self._usable_changed()
 
     def _usable_changed(self) -> None:
+        self._sort_by_service()
         self.versions.rebuild(self._serving)
         self.changed.give()
 
     def _sort_by_service(self) -> None:
-        """Sort the replicas that are not draining."""
+        """Sort the replicas that neither leave nor are misdirected."""
+        running = [
+            replica
+            for replica in self._replicas.values()
+            if not (replica.record.draining or replica.record.gone)
+        ]
         self._of_service = {}
-        for replica in self._replicas.values():
-            record = replica.record
-            if not (record.draining or record.gone):
-                self._of_service.setdefault(record.service, []).append(replica)
+        for replica in self.availability.kept(running):
+            self._of_service.setdefault(replica.record.service, []).append(replica)
+        self._sorted_until_s = self.availability.next_return_s
 
     def _read_services(self) -> None:
         fleet = self._configuration.fleet()
@@ -191,7 +197,9 @@
 
     def usable(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving."""
-        return self.availability.kept(self._of_service.get(service, []))
+        if self._environment.monotonic() >= self._sorted_until_s:
+            self._sort_by_service()
+        return self._of_service.get(service, [])
 
     def has(self, replica: FleetReplica) -> bool:
         """Whether a start of a replica is registered and not leaving."""
@@ -207,18 +215,12 @@
         """Return in how many seconds a caller may return whom back-off keeps out; None: no such."""
         return self.availability.come_back_s(service, self.usable(service))
 
-    def connection_share(self, replica: FleetReplica) -> int | None:
-        """Return how many connections may be open to a replica; None: any number."""
-        declared = self._services.get(replica.record.service)
+    def connection_share(self, service: str) -> int | None:
+        """Return how many connections may be open to each replica; None: any number."""
+        declared = self._services.get(service)
         accepted = declared.max_connections if declared is not None else 0
         return connection_share(accepted, self.availability.gateways())
 
-    def _is_saturated(self, replica: FleetReplica) -> bool:
-        """Whether others are preferred: it has as much of this gateway as it gets by now."""
-        share = self.connection_share(replica)
-        is_share_used = share is not None and replica.in_flight >= share
-        return is_share_used or self.availability.is_window_full(replica)
-
     def _serving(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are not leaving, nor in evacuated zones."""
         usable = self.usable(service)
@@ -260,7 +262,8 @@
             permits=permits,
             limit_verdict=self.limits.verdict,
             availability=self.availability.verdict,
-            is_saturated=self._is_saturated,
+            is_window_full=self.availability.is_window_full,
+            connection_share=self.connection_share(service),
         )
 
     @property
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -84,7 +84,7 @@
         """
         connection = self._connections.use(
             replica.record.address,
-            self._replicas.connection_share(replica),
+            self._replicas.connection_share(request.profile.service),
             self._connection_wait_s(request),
             keeps=request.matched.may_run_twice,
         )
--- a/packages/heronladder-router/src/heronladder_router/replica_availability.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_availability.py
@@ -177,12 +177,16 @@
         record.window *= _WINDOW_GROWTH
         if record.window >= (replica.record.slots or _FULL_WINDOW):
             record.window = None
+            if replica.incarnation not in self._left_out:
+                del self._records[replica.incarnation]
 
     # ---- verdicts ---------------------------------------------------------
 
     def verdict(self, replica: FleetReplica, *, registered: bool = True) -> Availability:
         """Return whether a replica may be sent new requests."""
-        record = self._records.get(replica.incarnation, _NOTHING) if self._records else _NOTHING
+        if registered and not self._records:
+            return Availability.AVAILABLE
+        record = self._records.get(replica.incarnation, _NOTHING)
         now_s = self._environment.monotonic()
         is_elsewhere = (
             now_s < record.misdirected_until_s
@@ -204,6 +208,13 @@
             return replicas
         return [replica for replica in replicas if self.verdict(replica) not in _LEFT_OUT_VERDICTS]
 
+    @property
+    def next_return_s(self) -> float:
+        """When a replica that was taken for misdirected is sent to again; inf: none is left out."""
+        now_s = self._environment.monotonic()
+        ends_s = (self._records[incarnation].misdirected_until_s for incarnation in self._left_out)
+        return min((end_s for end_s in ends_s if end_s > now_s), default=math.inf)
+
     def is_window_full(self, replica: FleetReplica) -> bool:
         """Whether others are preferred to one that is just back from a back-off."""
         record = self._records.get(replica.incarnation) if self._records else None
--- a/tests/test_address_reuse.py
+++ b/tests/test_address_reuse.py
@@ -75,6 +75,7 @@
         left_s = record.misdirected_until_s - asyncio.get_running_loop().time()
         self.assertLessEqual(left_s, MISDIRECTED_S)
         record.misdirected_until_s = asyncio.get_running_loop().time()
+        gateway.replicas._sorted_until_s = record.misdirected_until_s
         self.assertEqual((await self.fleet.request("/once/", Request_Id="b")).status, 200)
 
     async def test_every_send_names_the_incarnation_also_those_of_a_resumed_stream(self) -> None:
