--- a/tests/test_replica_back_off.py
+++ b/tests/test_replica_back_off.py
@@ -18,7 +18,9 @@
 from unittest import mock
 
 from aiohttp import TCPConnector
-from signalling_fleet import SignallingFleetCase, SignallingReplica
+from platform_stand_ins import StandInReplica
+from shaped_link import ShapedLink
+from signalling_fleet import SignallingFleet, SignallingFleetCase, SignallingReplica
 
 
 class BackOffTest(SignallingFleetCase):
@@ -113,6 +115,35 @@
         assert role is not None
         self.assertGreater(role.metrics.counters["sends_held_back", "backing_off"], 2)
 
+    async def test_over_a_slow_link(self) -> None:
+        """0.2 s each way: a refusal is known 0.2 s late, what left before arrives 0.4 s late."""
+        fleet = await self.start(3, 0)
+        for number in range(4):
+            await self._add_behind_link(fleet, f"far{number}")
+        await fleet.ask(30.0, 1.0, "/unsafe/")
+        fleet.replicas[0].retry_after = "3"
+        judged = await fleet.ask(30.0, 4.0, "/unsafe/")
+        self.assertGreater(len(fleet.replicas[0].asked), 0)
+        self.assert_backed_off(fleet)
+        self.assertEqual(set(judged.statuses), {200}, "callers beside it are served")
+
+    async def _add_behind_link(self, fleet: SignallingFleet, name: str) -> None:
+        signalling = SignallingReplica(name)
+        replica = StandInReplica(name, signalling.script)
+        await replica.start()
+        self.addAsyncCleanup(replica.stop)
+        link = ShapedLink([replica.address])
+        link.there.delay_s = link.back.delay_s = 0.2
+        await link.start()
+        self.addAsyncCleanup(link.stop)
+        body = replica.heartbeat(address=link.address_to(replica.address))
+        path = f"/api/Replicas.Heartbeat/{name}"
+        await fleet.fleet.call(fleet.fleet.control_address, "POST", path, body)
+        async with asyncio.timeout(5):
+            while not all(gateway.knows(name) for gateway in fleet.fleet.gateways):
+                await asyncio.sleep(0.02)
+        fleet.replicas.append(signalling)
+
     async def test_a_new_incarnation_is_bound_by_nothing(self) -> None:
         fleet = await self.start(1, 1)
         fleet.replicas[0].retry_after = "30"
