--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -74,7 +74,8 @@
     "daemon",
     "gateway",
     "leader",
-    "replica_limit",  # a request that is refused for all limits names no replica
+    "replica_limit",  # a request that is refused for what all replicas ask names none
+    "replica_signals",
     "zone",
     "version",
     "rollout",
