Soak of the real programs in which replicas ask for back-off and leave by answers

Each gateway is judged by the replicas' clock; what was done to its process in that time excuses it.

--- a/tests/play_soak.py
+++ b/tests/play_soak.py
@@ -1,6 +1,6 @@
 """Plays seeds of the fault soak over the real programs.
 
-Usage: ``python tests/play_soak.py --seeds 1-50 --seconds 20 [--wide] [--keep FOLDER]``
+Usage: ``python tests/play_soak.py --seeds 1-50 --seconds 20 [--wide | --signals] [--keep FOLDER]``
 """
 
 import argparse
@@ -11,6 +11,7 @@
 from pathlib import Path
 
 from process_soak import ProcessSoak
+from signal_soak import SignalSoak
 from wide_soak import WideSoak
 
 
@@ -36,10 +37,11 @@
     parser.add_argument("--seconds", type=float, default=20.0)
     parser.add_argument("--keep", type=Path, help="where files of failed runs go")
     parser.add_argument("--wide", action="store_true", help="streams, prepaid tokens, lost disks")
+    parser.add_argument("--signals", action="store_true", help="replicas ask for back-off, leave")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     failed = 0
-    kind = WideSoak if options.wide else ProcessSoak
+    kind = WideSoak if options.wide else SignalSoak if options.signals else ProcessSoak
     for seed in range(int(first), int(last or first) + 1):
         soak = play(seed, options.seconds, options.keep, kind)
         failed += bool(soak.broken)
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -6,6 +6,7 @@
 import signal
 import subprocess
 import sys
+import time
 from pathlib import Path
 from typing import Any
 
@@ -31,6 +32,7 @@
 
     Attributes:
         faults: How its process ended though nothing ended it.
+        disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
     """
 
     def __init__(self, role: str, address: str, name: str, folder: Path, seeds: list[str]) -> None:
@@ -38,6 +40,7 @@
         self.address = address
         self.name = name
         self.faults: list[str] = []
+        self.disturbed_s: list[float] = []
         self._seeds = seeds
         self._folder = folder / name
         self._folder.mkdir(parents=True)
@@ -95,6 +98,7 @@
 
     def start(self) -> None:
         """Start the process, anew if it ran before."""
+        self._disturb()
         self.look()
         environment = os.environ | {"HERONLADDER_CONFIG": str(self._write_settings())}
         self._was_started = True
@@ -113,8 +117,16 @@
             self.faults.append(f"{self.name} ended by itself with {self._process.returncode}")
             self._process = None
 
+    def _disturb(self) -> None:
+        self.disturbed_s.append(time.monotonic())
+
+    def was_disturbed(self, from_s: float, until_s: float) -> bool:
+        """Whether anything was done to its process in a span of time."""
+        return any(from_s <= moment_s <= until_s for moment_s in self.disturbed_s)
+
     def kill(self) -> None:
         """End the process at once."""
+        self._disturb()
         process, self._process = self._process, None
         if process is not None and process.poll() is None:
             process.kill()
@@ -123,12 +135,14 @@
 
     def pause(self) -> None:
         """Let the process stand still."""
+        self._disturb()
         if self.is_running and self._process is not None:
             self._is_paused = True
             self._process.send_signal(signal.SIGSTOP)
 
     def go_on(self) -> None:
         """Let it go on."""
+        self._disturb()
         if self.is_running and self._process is not None and self._is_paused:
             self._process.send_signal(signal.SIGCONT)
         self._is_paused = False
@@ -151,6 +165,7 @@
 
     async def stop(self) -> None:
         """Stop it as planned; a stop that takes too long, or ends badly, is a fault."""
+        self._disturb()
         has_begun = self._has_begun()
         process, self._process = self._process, None
         if process is None:
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -6,12 +6,13 @@
 import asyncio
 import json
 from collections import Counter
-from collections.abc import Awaitable, Callable, Coroutine
+from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from pathlib import Path
 from random import Random
 from typing import Any
 
 import aiohttp
+from called_fleet import GATEWAY_HEADER
 from platform_stand_ins import (
     HOST,
     KEY,
@@ -306,13 +307,22 @@
         self, machine: Machine, path: str, request_id: str, body: bytes
     ) -> tuple[int, bytes]:
         headers = {"Host": HOST, "Request-Id": request_id, "Authorization": f"Token {KEY}"}
+        headers[GATEWAY_HEADER] = machine.name
         url = f"http://{machine.address}:{FRONT_PORT}{path}"
+        self.asked(request_id)
         try:
             async with self._session.post(url, headers=headers, data=body) as got:
+                self.answered(machine, got.headers)
                 return got.status, await got.read()
         except (aiohttp.ClientError, TimeoutError, OSError):
             return 0, b""
 
+    def asked(self, request_id: str) -> None:
+        """Note that a caller makes a request."""
+
+    def answered(self, machine: Machine, headers: Mapping[str, str]) -> None:
+        """Note the head of an answer that a caller got from a gateway."""
+
     async def _crash_again(self) -> None:
         number = 0
         while True:
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -8,11 +8,13 @@
 from pathlib import Path
 
 from play_soak import play
+from signal_soak import SignalSoak
 from wide_soak import WideSoak
 
 _SEEDS = Path(__file__).with_name("soak-seeds.txt")
 _SECONDS = 8.0
 _WIDE_SEED = 400
+_SIGNAL_SEED = 702
 
 
 class ProcessSoakTest(unittest.TestCase):
@@ -29,6 +31,13 @@
         self.assertEqual(soak.broken, [], soak.injected)
         self.assertGreater(soak.statuses[200], 100)
 
+    def test_what_replicas_signal_is_kept_to(self) -> None:
+        soak = play(_SIGNAL_SEED, _SECONDS, kind=SignalSoak)
+        self.assertEqual(soak.broken, [], soak.injected)
+        self.assertGreater(soak.statuses[200], 100)
+        self.assertIn("ask for back-off", soak.injected)
+        self.assertIn("leave by an answer", soak.injected)
+
 
 if __name__ == "__main__":
     unittest.main()
