--- /dev/null
+++ b/tests/back_off_run.py
@@ -0,0 +1,279 @@
+"""Gateways and replicas that shed for a while in virtual time, with the product's own decisions.
+
+All replicas of a plain service turn requests away for three seconds and ask for back-off; after
+that they shed only what is over their places and a short queue. A refused caller comes back once,
+when it was told to. Links take a millisecond each way; gateways hear nothing of each other's load.
+"""
+
+import heapq
+import random
+from collections import Counter
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from itertools import count
+
+from heronladder_router.answer_signals import AnswerSignals
+from heronladder_router.decisions.availability import Availability
+from heronladder_router.decisions.placement import PlacementView, place
+from heronladder_router.kept_parts import KeptParts
+from heronladder_router.replica_availability import ReplicaAvailability
+from heronladder_router.replica_state import FleetReplica, RequestProfile
+from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
+from heronladder_runtime.metrics import Metrics
+from heronladder_schema.v1 import resources_pb2
+
+SERVICE = "app"
+SHEDS_S = (2.0, 5.0)
+UNDER_WAY_S = 0.5
+_WAY_S = 0.001
+_WORK_S = 0.1
+_QUEUE = 6
+_SENDS = 3
+_TRIES = 2
+_FULL_ASKS_S = 0.5
+
+
+class Clock(Environment):
+    """Virtual time."""
+
+    now_s = 0.0
+
+    def monotonic(self) -> float:
+        return self.now_s
+
+
+@dataclass
+class _Replica:
+    """A replica, its work, and what it asked whom for."""
+
+    name: str
+    slots: int
+    running: int = 0
+    waiting: list[tuple["_Gateway", "_Request"]] = field(default_factory=list)
+    asked: list[tuple[float, str, float]] = field(default_factory=list)
+    arrivals: list[tuple[float, str]] = field(default_factory=list)
+
+
+@dataclass
+class _Gateway:
+    """What one gateway knows."""
+
+    name: str
+    availability: ReplicaAvailability
+    replicas: dict[str, FleetReplica]
+
+
+@dataclass
+class _Request:
+    """One try of a caller."""
+
+    number: int
+    tries: int = 1
+    sends: int = 0
+    tried: set[str] = field(default_factory=set)
+
+
+@dataclass
+class BackOffRun:
+    """One run.
+
+    Attributes:
+        gateways: How many.
+        replicas: How many.
+        slots: Requests that a replica runs at once.
+        load: Requests that come, as a share of what the replicas bear.
+        asks_s: Time that shedding replicas ask for.
+        seconds: How long.
+        seed: Of all choices.
+        is_spread: Whether refused callers are told moments of their own, and a replica that is
+            back gets one request at first.
+        is_kept: Whether back-off is kept at all.
+    """
+
+    gateways: int = 6
+    replicas: int = 6
+    slots: int = 6
+    load: float = 0.7
+    asks_s: float = 3.0
+    seconds: float = 12.0
+    seed: int = 1
+    is_spread: bool = True
+    is_kept: bool = True
+
+    def __post_init__(self) -> None:
+        self.source = random.Random(self.seed)
+        self.clock = Clock(random=self.source)
+        self._events: list[tuple[float, int, Callable[[], None]]] = []
+        self._order = count()
+        self._numbers = count()
+        self.all = {
+            f"r{number}": _Replica(f"r{number}", self.slots) for number in range(self.replicas)
+        }
+        self.fleet = [self._gateway(f"g{number}") for number in range(self.gateways)]
+        self.served_s: list[float] = []
+        self.outcomes: Counter[str] = Counter()
+        self.shed_after = 0
+
+    def _gateway(self, name: str) -> _Gateway:
+        availability = ReplicaAvailability(self.clock, Metrics(), EventLog("gateway", name))
+        availability.gateways = lambda: self.gateways
+        records = (
+            resources_pb2.Replica(id=one, service=SERVICE, zone="z", slots=self.slots)
+            for one in self.all
+        )
+        replicas = {record.id: FleetReplica(record, KeptParts(0)) for record in records}
+        return _Gateway(name, availability, replicas)
+
+    @property
+    def per_s(self) -> float:
+        """Requests of new callers a second."""
+        return self.load * self.replicas * self.slots / _WORK_S
+
+    # ---- time -------------------------------------------------------------
+
+    def _at(self, after_s: float, event: Callable[[], None]) -> None:
+        heapq.heappush(self._events, (self.clock.now_s + after_s, next(self._order), event))
+
+    def run(self) -> "BackOffRun":
+        """Play the run."""
+        self._arrive()
+        while self._events:
+            self.clock.now_s, _, event = heapq.heappop(self._events)
+            event()
+        return self
+
+    # ---- callers ----------------------------------------------------------
+
+    def _arrive(self) -> None:
+        if self.clock.now_s > self.seconds:
+            return
+        self._try(_Request(next(self._numbers)))
+        self._at(self.source.expovariate(self.per_s), self._arrive)
+
+    def _try(self, request: _Request) -> None:
+        self._send(self.source.choice(self.fleet), request)
+
+    def _refuse(self, request: _Request, after_s: float) -> None:
+        if request.tries >= _TRIES:
+            self.outcomes["refused"] += 1
+            return
+        again = _Request(request.number, request.tries + 1)
+        self._at(after_s, lambda: self._try(again))
+
+    # ---- a gateway --------------------------------------------------------
+
+    def _send(self, gateway: _Gateway, request: _Request) -> None:
+        view = PlacementView(
+            replicas=list(gateway.replicas.values()),
+            now_s=self.clock.now_s,
+            zone="z",
+            zone_regions={"z": "r"},
+            evacuated=(),
+            bears_per_s=0.0,
+            cold_share=lambda *_: 0,
+            shares_load=False,
+            availability=self._verdict(gateway),
+            is_window_full=self._is_window_full(gateway),
+        )
+        chosen = place(view, RequestProfile(SERVICE), request.tried, self.source).replica
+        if chosen is None or request.sends >= _SENDS:
+            self._refuse(request, self._return_s(gateway))
+            return
+        request.sends += 1
+        request.tried.add(chosen.name)
+        chosen.in_flight += 1
+        self._at(_WAY_S, lambda: self._reach(self.all[chosen.name], gateway, request))
+
+    def _verdict(self, gateway: _Gateway) -> Callable[[FleetReplica], Availability]:
+        if not self.is_kept:
+            return lambda _replica: Availability.AVAILABLE
+        return gateway.availability.verdict
+
+    def _is_window_full(self, gateway: _Gateway) -> Callable[[FleetReplica], bool]:
+        if not (self.is_kept and self.is_spread):
+            return lambda _replica: False
+        return gateway.availability.is_window_full
+
+    def _return_s(self, gateway: _Gateway) -> float:
+        told_s = gateway.availability.come_back_s(SERVICE, gateway.replicas.values())
+        if told_s is None or not self.is_kept:
+            return 0.3
+        if self.is_spread:
+            return told_s
+        records = gateway.availability._records.values()
+        now_s = self.clock.now_s
+        return min(one.back_off_until_s for one in records if one.back_off_until_s > now_s) - now_s
+
+    # ---- a replica --------------------------------------------------------
+
+    def _reach(self, replica: _Replica, gateway: _Gateway, request: _Request) -> None:
+        now_s = self.clock.now_s
+        replica.arrivals.append((now_s, gateway.name))
+        if SHEDS_S[0] <= now_s < SHEDS_S[1]:
+            self._shed(replica, gateway, request, self.asks_s)
+        elif replica.running < replica.slots:
+            self._begin(replica, gateway, request)
+        elif len(replica.waiting) < _QUEUE:
+            replica.waiting.append((gateway, request))
+        else:
+            self._shed(replica, gateway, request, _FULL_ASKS_S)
+
+    def _shed(self, replica: _Replica, gateway: _Gateway, request: _Request, asks_s: float) -> None:
+        self.shed_after += self.clock.now_s >= SHEDS_S[1]
+        replica.asked.append((self.clock.now_s, gateway.name, asks_s))
+        self._at(_WAY_S, lambda: self._rejected(replica, gateway, request, asks_s))
+
+    def _rejected(
+        self, replica: _Replica, gateway: _Gateway, request: _Request, asks_s: float
+    ) -> None:
+        known = gateway.replicas[replica.name]
+        known.in_flight -= 1
+        signals = AnswerSignals(not_run=True, back_off_s=asks_s)
+        gateway.availability.observe(known, signals, str(request.number))
+        self._send(gateway, request)
+
+    def _begin(self, replica: _Replica, gateway: _Gateway, request: _Request) -> None:
+        replica.running += 1
+        took_s = _WORK_S * self.source.uniform(0.8, 1.2)
+        self._at(took_s, lambda: self._ran(replica, gateway, request))
+
+    def _ran(self, replica: _Replica, gateway: _Gateway, request: _Request) -> None:
+        replica.running -= 1
+        known = gateway.replicas[replica.name]
+        known.in_flight -= 1
+        gateway.availability.succeeded(known)
+        self.outcomes["served"] += 1
+        self.served_s.append(self.clock.now_s)
+        if replica.waiting:
+            self._begin(replica, *replica.waiting.pop(0))
+
+    # ---- what is judged ---------------------------------------------------
+
+    def most_while_backed_off(self) -> int:
+        """Return the most requests that a gateway sent in one of the times it was asked for."""
+        return max(
+            (
+                self._sent_in(replica, *asked)
+                for replica in self.all.values()
+                for asked in replica.asked
+            ),
+            default=0,
+        )
+
+    @staticmethod
+    def _sent_in(replica: _Replica, at_s: float, gateway: str, asks_s: float) -> int:
+        return sum(
+            1
+            for arrived_s, by in replica.arrivals
+            if by == gateway and at_s + UNDER_WAY_S < arrived_s < at_s + asks_s
+        )
+
+    def used_again_s(self, share: float = 0.9) -> float:
+        """Return how long after the shedding ended so much of what comes is served a second."""
+        for step in range(80):
+            from_s = SHEDS_S[1] + step * 0.1
+            served = sum(1 for moment_s in self.served_s if from_s <= moment_s < from_s + 0.5)
+            if served >= share * self.per_s * 0.5:
+                return step * 0.1
+        return float("inf")
