Kept connections are closed where an order that runs once needs their place

Callers got 502 where orders and repeatable requests share a replica of few connections: an order opens a connection of its own beside those that are kept, and the replica resets it. Cause: the share counted connections in use, not those at rest. Change: before such a connection is opened, kept ones at rest are closed until it has room, and the replica gets a moment to notice. Connections and their rules move into a module of their own.

--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -24,12 +24,12 @@
 from heronladder_router.gateway_request import AnswerSink, GatewayRequest, ReplicaAnswer
 from heronladder_router.hop_headers import passed_headers
 from heronladder_router.replica_client import (
-    HeadHeldBackError,
     ReplicaClient,
     ReplicaLostError,
     ReplicaNotReachedError,
 )
 from heronladder_router.replica_connections import ReplicaConnections
+from heronladder_router.replica_connector import HeadHeldBackError
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.rollouts.version_gates import AnswerSeen
 from heronladder_router.unread_prompt import UnreadPrompt
@@ -157,6 +157,7 @@
             request.body,
             may_run_twice=request.matched.may_run_twice,
             may_write=lambda: self._replicas.availability_of(replica) is Availability.AVAILABLE,
+            most_open=self._replicas.connection_share(request.profile.service),
         )
         progress.ran = True
         try:
--- a/tests/test_connections_of_all.py
+++ b/tests/test_connections_of_all.py
@@ -64,6 +64,13 @@
         served = statuses.count(200) / _SECONDS
         self.assertGreater(served, 0.7 * _CONNECTIONS / _WORK_S)
 
+    async def test_orders_beside_repeatable_requests(self) -> None:
+        """Connections that are kept for the one leave none to the other unless they are closed."""
+        statuses, replica = await self._played("/safe/", _GATEWAYS, "/unsafe/")
+        self._assert_within(statuses, replica)
+        served = statuses.count(200) / _SECONDS
+        self.assertGreater(served, 0.5 * _CONNECTIONS / _WORK_S)
+
     async def test_three_gateways(self) -> None:
         statuses, replica = await self._played("/safe/", 3)
         self._assert_within(statuses, replica)
@@ -74,7 +81,9 @@
         self.assertLess(replica.resets, offered / 20, "under one in twenty is reset")
         self.assertNotIn(502, statuses, "what was not sent is told so")
 
-    async def _played(self, path: str, gateways: int) -> tuple[list[int], "_FewConnections"]:
+    async def _played(
+        self, path: str, gateways: int, other_path: str = ""
+    ) -> tuple[list[int], "_FewConnections"]:
         """Return what callers got, and the replica that they shared."""
         asyncio.get_running_loop().set_debug(False)  # six gateways share it
         declared = configuration(1, route("/safe/"), route("/unsafe/", kind="unsafe"))
@@ -87,7 +96,7 @@
         await replica.start()
         self.addAsyncCleanup(replica.stop)
         await self._register(fleet, replica)
-        return await self._ask(fleet, path), replica
+        return await self._ask(fleet, [path, other_path or path]), replica
 
     async def _register(self, fleet: Fleet, replica: StandInReplica) -> None:
         path = f"/api/Replicas.Heartbeat/{replica.identity}"
@@ -98,7 +107,7 @@
             while not all(gateway.knows(replica.identity) for gateway in fleet.gateways):
                 await asyncio.sleep(0.02)
 
-    async def _ask(self, fleet: Fleet, path: str) -> list[int]:
+    async def _ask(self, fleet: Fleet, paths: list[str]) -> list[int]:
         """Have callers ask one after the other; return the statuses."""
         statuses: list[int] = []
         loop = asyncio.get_running_loop()
@@ -108,7 +117,7 @@
             gateway = fleet.gateways[number % len(fleet.gateways)].address
             while loop.time() < end_s:
                 named = {"Request_Id": f"c{number}-{len(statuses)}"}
-                got = await fleet.request_at(gateway, path, **named)
+                got = await fleet.request_at(gateway, paths[len(statuses) % 2], **named)
                 statuses.append(got.status)
                 if got.status != 200:
                     await asyncio.sleep(float(got.headers.get("Retry-After", _WORK_S)))
