All gateways know of a replica whose answers say that it leaves

A gateway learned of such a leave by an answer of its own only, and one that starts later learned it anew, each by a request that went to a replica about to end. Without control each goes by its own answers, as before. Failed before: the test of gateways that got no such answer (the registration still said ready). The test of one leaving among four judges all gateways now from the first answer that any passed on, not each from its own.

--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -22,6 +22,7 @@
 from heronladder_router.gateway_names import GatewayNames
 from heronladder_router.gateway_server import GatewayServer
 from heronladder_router.host_routes import HostRouteTable
+from heronladder_router.leave_reports import LeaveReports
 from heronladder_router.place_queue import PlaceQueue
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
@@ -144,6 +145,8 @@
         self.crash_reports = CrashReports(
             self.link, self.crashing, environment, self.metrics, self.log
         )
+        self.leave_reports = LeaveReports(self.link, environment, self.metrics, self.log)
+        self.replicas.availability.left = self.leave_reports.left
         self.unreached = UnreachedReplicas(self.replicas, environment, self.log)
         self._client = ReplicaClient()
         self._connections = ReplicaConnections(environment, self.metrics)
@@ -349,6 +352,7 @@
         await self.link.abort()
         await self.tokens.stop()
         await self.crash_reports.stop()
+        await self.leave_reports.stop()
         await self.unreached.stop()
         await self._tasks.stop()
         await self._client.close()
--- a/packages/heronladder-router/src/heronladder_router/replica_availability.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_availability.py
@@ -60,6 +60,7 @@
 
     Attributes:
         gateways: Tells how many gateways there are.
+        left: Called when a replica says for the first time that it leaves.
     """
 
     def __init__(
@@ -78,6 +79,7 @@
         self._left_out: set[Incarnation] = set()  # leaving or misdirected
         self._latest_return_s: dict[str, float] = {}  # by service: as told to a refused caller
         self.gateways: Callable[[], int] = lambda: 1
+        self.left: Callable[[FleetReplica], None] = lambda _replica: None
 
     @property
     def any_unavailable(self) -> bool:
@@ -138,6 +140,7 @@
         self._record(replica).leaving = True
         self._metrics.add("replicas_left", replica.record.service)
         self._leave_out(replica)
+        self.left(replica)
 
     def misdirected(self, replica: FleetReplica) -> None:
         """Leave out an incarnation: its address said that it is another's by now."""
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -27,6 +27,7 @@
         "replica_looked_after",
         "replica_limit",
         "replica_signals",
+        "leave_reported",
         "replica_limit_shared",
         "replica_temperature",
         "zone_evacuated",
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -23,6 +23,8 @@
 EVENT_MEANINGS = {
     "replica_signals": "An answer of a replica asks for back-off (`Retry-After` of a refusal),"
     " says that the replica leaves, or says one of them in a way that cannot be read.",
+    "leave_reported": "A replica said in an answer that it leaves; control takes it for draining.",
+    "leave_not_reported": "Control did not take such a report in time.",
     "send_held_back": "A request was not sent although its replica had been chosen: while a"
     " connection came about the replica asked for back-off or left.",
     "gateway_taking": "A gateway is not ready because its link or its loop is behind and it has"
@@ -176,6 +178,8 @@
     "replica_sends_granted": "Sends to rate-limited replicas that the leader granted.",
     "replica_back_offs": "Answers that asked this gateway for back-off, by service.",
     "replica_signals_malformed": "Answers with a header on their replica that cannot be read.",
+    "leave_reports": "Leaves that replicas told in answers, as control took them.",
+    "leave_reports_failed": "Such leaves that control did not take in time.",
     "replicas_left": "Replicas that said in an answer that they leave, by service.",
     "connections_not_had": "Requests for which no connection to their replica came free in time.",
     "sends_held_back": "Requests not sent after their replica had been chosen, by why.",
--- a/tests/signalling_fleet.py
+++ b/tests/signalling_fleet.py
@@ -126,6 +126,14 @@
             > self.leaving_s.get((arrival.gateway, replica.identity), float("inf")) + DRAIN_S
         )
 
+    def sent_to_left(self, replica: SignallingReplica) -> int:
+        """Return the requests sent to a replica, by any gateway, too late after the first answer."""
+        first_s = min(
+            at_s for (_, name), at_s in self.leaving_s.items() if name == replica.identity
+        )
+        made_s = (self.asked_s[arrival.request_id] for arrival in replica.arrivals)
+        return sum(1 for at_s in made_s if at_s > first_s + DRAIN_S)
+
 
 async def start_signalling(
     gateways: int, replicas: int, cleanup: Callable[[Callable[[], Awaitable[None]]], None]
