--- a/tests/signalling_fleet.py
+++ b/tests/signalling_fleet.py
@@ -127,7 +127,7 @@
         )
 
     def sent_to_left(self, replica: SignallingReplica) -> int:
-        """Return the requests sent to a replica, by any gateway, too late after the first answer."""
+        """Return the requests made too late after any gateway passed on that a replica leaves."""
         first_s = min(
             at_s for (_, name), at_s in self.leaving_s.items() if name == replica.identity
         )
