Each process measures how late it runs; a stream's silence does not count it

A process that gets no processor, or whose loop has too much to do, takes what it has not read yet for a peer's silence, and no log line told the two apart. One typed value, `Silence`, holds how long a peer was silent and for how much of that this process was late; its one decision, `outlasts`, leaves own lateness out up to the patience again, so that a process that is always late still comes to a verdict. A stream to control is the first to be judged by it. `within` waits by the same rule.

Safety rests on none of it: leases, promises and terms go by the clock as before.

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -51,6 +51,7 @@
         self.settings = settings
         self._environment = environment or Environment()
         self._log = EventLog("daemon", settings.common.name)
+        self._metrics = Metrics()  # of the process; each role has its own
         self._stubs = GrpcStubs()
         self._grpc_server: grpc.aio.Server | None = None
         self._lending_server: grpc.aio.Server | None = None
@@ -74,6 +75,7 @@
             HeronladderError: If one cannot be started; names the step.
         """
         self.failed = asyncio.get_running_loop().create_future()
+        self._environment.lateness.start(self._log, self._metrics)
         roles = self.settings.roles
         if "control" in roles:
             await self._start_control()
@@ -84,7 +86,7 @@
         if "gateway" in roles:
             await self._start_gateway()
         every = (self.control, self.agent, self.router, self.gateway)
-        metrics = [role.metrics for role in every if role is not None]
+        metrics = [self._metrics, *(role.metrics for role in every if role is not None)]
         await self._start_admin(metrics)
         self._log.info("daemon_started", step="start", roles=self.settings.common.roles)
         self._log_early_answers()
@@ -253,4 +255,5 @@
             if server is not None:
                 await server.stop(_GRPC_STOP_GRACE_S)
         await self._stubs.close()
+        self._environment.lateness.stop()
         self._log.info("daemon_stopped", step="stop")
--- a/packages/heronladder-runtime/src/heronladder_runtime/clock.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/clock.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import time
+from collections.abc import Awaitable
 from dataclasses import dataclass, field
 from random import Random
+from typing import TypeVar
 
+from heronladder_runtime.loop_lateness import LoopLateness, Silence
 from heronladder_runtime.process_start import boot_time_s
 
 MILLISECONDS_PER_SECOND = 1000
+_Result = TypeVar("_Result")
 
 
 def seconds(milliseconds: float) -> float:
@@ -28,11 +32,13 @@
         virtual: Whether time is the event loop's own (simulations).
         process_began_s: When the process began, on the clock of ``process_start``; None
             where several daemons share a process.
+        lateness: How late the process runs; 0 where it is not measured.
     """
 
     random: Random = field(default_factory=Random)
     virtual: bool = False
     process_began_s: float | None = None
+    lateness: LoopLateness = field(default_factory=LoopLateness)
 
     def process_age_s(self) -> float:
         """Return how long ago the process began, at least; 0 where that is not known."""
@@ -61,3 +67,58 @@
     def jitter(self, seconds: float) -> float:
         """Return a duration between half and one and a half of ``seconds``."""
         return seconds * (0.5 + self.random.random())
+
+
+class SilenceWatch:
+    """Follows when a peer was heard last.
+
+    Args:
+        environment: Time, and how late this process runs.
+    """
+
+    def __init__(self, environment: Environment) -> None:
+        self._environment = environment
+        self.heard()
+
+    def heard(self) -> None:
+        """Note that the peer is heard now."""
+        self._heard_s = self._environment.monotonic()
+        self._late_before_s = self._environment.lateness.total_s()
+
+    def silence(self) -> Silence:
+        """Return how long it has not been heard."""
+        return Silence(
+            self._environment.monotonic() - self._heard_s,
+            self._environment.lateness.total_s() - self._late_before_s,
+        )
+
+
+async def within(environment: Environment, timeout_s: float, work: Awaitable[_Result]) -> _Result:
+    """Return the result of what is awaited; time for which this process was late is not counted.
+
+    Args:
+        environment: Time, and how late this process runs.
+        timeout_s: Longest time, in seconds; twice as much where the process is late throughout.
+        work: What is awaited, and cancelled when the time is over.
+
+    Raises:
+        TimeoutError: The time was over.
+    """
+    loop = asyncio.get_running_loop()
+    watch = SilenceWatch(environment)
+    timer: asyncio.TimerHandle | None = None
+    async with asyncio.timeout(None) as limit:
+
+        def check() -> None:
+            nonlocal timer
+            left_s = watch.silence().left_s(timeout_s)
+            if left_s > 0:
+                timer = loop.call_later(left_s, check)
+            else:
+                limit.reschedule(loop.time())
+
+        timer = loop.call_later(timeout_s, check)
+        try:
+            return await work
+        finally:
+            timer.cancel()
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -10,7 +10,7 @@
 
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment, SilenceWatch
 from heronladder_runtime.config_packing import unpack
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.control_ways import LONG_WAY_S, ControlWays
@@ -87,6 +87,7 @@
         self.regained_s = float("-inf")  # end of the newest long silence of control
         self.quickest_round_trip_s = 0.0  # of the heartbeats on this stream; 0: none yet
         self.round_trip_s = 0.0  # of the newest heartbeat that was acknowledged
+        self._late_ms = 0  # of the silence that ended the newest stream
         self.loop_late_s = 0.0  # how late the timer between heartbeats woke last
         self.routers = 1  # routers that control counts, this one among them
 
@@ -198,12 +199,13 @@
             step="session",
             peer=address,
             silent_s=silent_s,
+            late_ms=self._late_ms,
             revision=self.configuration.revision,
             error=repr(error),
         )
 
     async def _run_session(self, address: str, way_s: float) -> None:
-        session = LinkSession(last_received=self._environment.monotonic(), way_s=way_s)
+        session = LinkSession(SilenceWatch(self._environment), way_s=way_s)
         self._session = session
         if self._handlers.session_began is not None:
             self._handlers.session_began()
@@ -215,9 +217,8 @@
         watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
         try:
             async for frame in stream:
-                session.last_received = self._environment.monotonic()
-                session.has_word = True
-                self.heard_since_s = min(self.heard_since_s, session.last_received)
+                session.heard()
+                self.heard_since_s = min(self.heard_since_s, self._environment.monotonic())
                 self.bytes_received += frame.ByteSize()
                 if frame.not_leader:
                     self._hint = frame.leader_address
@@ -236,6 +237,7 @@
             raise TimeoutError("control was silent") from None
         finally:
             watchdog.cancel()
+            self._late_ms = session.received.silence().late_ms
             session.closed = True
             session.wake.set()
             self._session = None
@@ -259,13 +261,12 @@
             await asyncio.sleep(self._heartbeat_interval_s)
             self.loop_late_s = self._environment.monotonic() - due_s
             patience_s = session.patience_s(limit_s, self._wordless_streams)
-            if self._environment.monotonic() - session.last_received > patience_s:
+            if session.received.silence().outlasts(patience_s):
                 session.given_up = True
                 self._wordless_streams += not session.has_word
                 stream.cancel()  # type: ignore[attr-defined]
                 return
-            session.heartbeat_due = True
-            session.wake.set()
+            session.beat()
 
     async def _frames(self, session: LinkSession) -> AsyncIterator[control_pb2.DaemonFrame]:
         yield control_pb2.DaemonFrame(hello=self._hello())
@@ -318,8 +319,7 @@
     def beat_now(self) -> None:
         """Send a heartbeat without waiting for the next interval."""
         if self._session is not None:
-            self._session.heartbeat_due = True
-            self._wake()
+            self._session.beat()
 
     def _wake(self) -> None:
         if self._session is not None:
@@ -335,8 +335,7 @@
             self._control_time_ms = frame.control_time_ms
             self._note_heard()
         if frame.HasField("config") and self._apply_configuration(session, frame.config):
-            session.heartbeat_due = True  # tells control at once that it is applied
-            session.wake.set()
+            session.beat()  # tells control at once that it is applied
         if frame.in_force_revision or frame.hold_below:
             self._take_standing(session, frame)
         if frame.heartbeat_ack:
@@ -366,8 +365,7 @@
         age_s = frame.in_force_age_ms / MILLISECONDS_PER_SECOND
         self.standing.told(frame.in_force_revision, frame.hold_below, age_s)
         if frame.hold_below:
-            session.heartbeat_due = True  # control waits for the promise
-            session.wake.set()
+            session.beat()  # control waits for the promise
 
     def _note_heard(self) -> None:
         now_s = self._environment.monotonic()
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -5,6 +5,7 @@
 
 from heronladder_schema.v1 import control_pb2
 
+from heronladder_runtime.clock import SilenceWatch
 from heronladder_runtime.config_packing import PartJoiner
 from heronladder_runtime.errors import HeronladderError
 
@@ -36,19 +37,29 @@
 class LinkSession:
     """One stream: frames to send, and the heartbeats sent on it."""
 
+    received: SilenceWatch  # frames of control
     wake: asyncio.Event = field(default_factory=asyncio.Event)
     sent_calls: set[int] = field(default_factory=set)
     heartbeat_times: dict[int, float] = field(default_factory=dict)
     parts: PartJoiner = field(default_factory=PartJoiner)
     parts_received: int = 0
     parts_told: int = 0
-    last_received: float = 0.0
     heartbeat_due: bool = True  # at once: a new leader does not know how far we are
     closed: bool = False
     given_up: bool = False  # control was silent: the stream was cancelled here
     way_s: float = 0.0  # how long the way there took when it was tried; 0: it was not
     has_word: bool = False  # whether control said anything on it
 
+    def heard(self) -> None:
+        """Note a frame of control."""
+        self.received.heard()
+        self.has_word = True
+
+    def beat(self) -> None:
+        """Have a heartbeat sent now."""
+        self.heartbeat_due = True
+        self.wake.set()
+
     def patience_s(self, limit_s: float, wordless: int) -> float:
         """Return how long it may be silent.
 
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -42,7 +42,10 @@
     " below, is newer than what it holds.",
     "configuration_caught_up": "It holds it now.",
     "configuration_in_use": "A gateway acts on this version from now on.",
-    "control_lost": "A stream to control ended or could not be opened; `silent_s` since a frame.",
+    "control_lost": "A stream to control ended or could not be opened; `silent_s` since a heartbeat"
+    " was answered, `late_ms` of the stream's silence in which this process was late.",
+    "loop_late": "The process ran late by `late_ms`: what it judged by a time-out then may be its"
+    " own lateness. At most once each five seconds; the histogram `loop_late` has all.",
     "control_regained": "Control is heard again after a long silence.",
     "daemon_failed": "A daemon ends by itself.",
     "daemon_started": "All roles of a daemon are up.",
@@ -170,6 +173,7 @@
 }
 
 METRIC_MEANINGS = {
+    "loop_late": "How late the event loop came to a timer, of 10 a second, if by over 10 ms.",
     "crashes_reported": "Crashes of replicas that gateways told control.",
     "crash_reports_failed": "Such words that control did not take in time.",
     "crashing_requests": "Requests that the leader refused, or let through again.",
