Members wait for votes and answers as long as their peers take

Cause: vote and append calls had a fixed time-out of two fifths of the election timeout, 0.32 s. Answers took 0.35 to 0.45 s: each call was given up, and each try began anew after a pause, with a new term after the votes. A timer that woke late was believed before what lay unread was read, and a leader counted its own lateness as its followers' silence. Evidence: a trace of one copy, 21 vote calls given up at 0.36 to 0.47 s by time-out and 5 answered, in 30 s and four terms. A lost machine (refused at once), the disk (not written until the vote) and the network (loopback) are ruled out by the same trace.

Change: one way of calling a peer, whose time-out follows what its answers take and doubles after each that did not come, as TCP's does, between the old time-out and twice the election timeout. Votes are waited for one and a half election timeouts while no member refuses. Of two that ask for the same term one goes before the other. A member that woke late reads first. A leader does not count its own lateness, up to its patience again.

Why it holds: at rest nothing is slower (the first time-outs are the old ones, a majority is not waited past), and a peer that is always late is waited for as long as it takes, within the bound.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -35,6 +35,7 @@
         self._elected = elected
         self._lock = asyncio.Lock()
         self._knew_a_leader = False  # since this process started
+        self._asks_for_term = 0  # of its pre-vote that is under way; 0: of none
         self._voted_s = float("-inf")  # when it gave its newest vote
         self._overtaken = Pulse()
 
@@ -45,9 +46,13 @@
             patience = _PATIENCE if self._knew_a_leader else _FIRST_PATIENCE
             chance = node.environment.random.random()
             timeout_s = node.timing.election_timeout_s * (patience + chance)
+            due_s = node.environment.monotonic() + timeout_s
             if await self._overtaken.wait(timeout_s):
                 await self._lead_again()
                 continue
+            if node.environment.monotonic() - due_s > node.timing.heartbeat_s:
+                # This member was late: what its leader sent meanwhile is read first.
+                await asyncio.sleep(node.timing.heartbeat_s)
             silent_s = node.environment.monotonic() - node.last_heard_s
             if node.is_leader or not node.may_vote() or silent_s < timeout_s:
                 continue
@@ -58,6 +63,7 @@
         node.leader = ""
         try:
             term = node.term
+            self._asks_for_term = term + 1
             if not await self._collect(pre_vote=True):
                 return
             if not node.leader and await self.stand(term):
@@ -65,6 +71,8 @@
                 self._elected()
         except StorageError:
             return  # the disk refuses: others may stand
+        finally:
+            self._asks_for_term = 0
 
     def overtaken(self) -> None:
         """Note that this member led until it heard of a newer term."""
@@ -131,25 +139,41 @@
         """Ask all, and return as soon as a majority agreed.
 
         Members that do not answer are not waited for: meanwhile another candidate
-        may win, and standing against it would end its leadership at once.
+        may win, and standing against it would end its leadership at once. After a refusal
+        there is another candidate or a leader, so that late votes are waited for no longer.
         """
         node = self._node
-        asked = [node.tasks.start("request_vote", self._ask(member, request)) for member in others]
+        pending = {
+            node.tasks.start("request_vote", self._ask(member, request)) for member in others
+        }
+        began_s = node.environment.monotonic()
+        patience_s = node.timing.longest_call_s
         granted = 1
-        for answer in asyncio.as_completed(asked):
-            member, reply = await answer
-            if reply is None:
-                continue
-            if reply.term > node.term and not reply.granted:
-                async with self._lock:
-                    if reply.term > node.term:
-                        await node.enter_term(reply.term)
-                return False
-            granted += self._counts(member, reply)
-            if granted >= node.quorum():
+        while granted < node.quorum() and pending:
+            left_s = began_s + patience_s - node.environment.monotonic()
+            answered, pending = await asyncio.wait(
+                pending, timeout=max(0.0, left_s), return_when=asyncio.FIRST_COMPLETED
+            )
+            if not answered:
                 break
+            for answer in answered:
+                member, reply = answer.result()
+                if reply is None:
+                    continue
+                if reply.term > node.term and not reply.granted:
+                    await self._enter_newer_term(reply.term)
+                    return False
+                if self._counts(member, reply):
+                    granted += 1
+                else:
+                    patience_s = node.timing.call_timeout_s
         return granted >= node.quorum()
 
+    async def _enter_newer_term(self, term: int) -> None:
+        async with self._lock:
+            if term > self._node.term:
+                await self._node.enter_term(term)
+
     @staticmethod
     def _counts(member: consensus_pb2.Member, reply: consensus_pb2.VoteReply) -> bool:
         """Whether a vote counts: it is from the data folder that the group knows."""
@@ -160,13 +184,9 @@
     ) -> tuple[consensus_pb2.Member, consensus_pb2.VoteReply | None]:
         node = self._node
         try:
-            stub = node.stubs.consensus(member.address)
-            reply: consensus_pb2.VoteReply = await stub.RequestVote(
-                request, timeout=node.timing.call_timeout_s
-            )
+            return member, await node.peer_calls.request_vote(member, request)
         except RPC_ERRORS:
             return member, None
-        return member, reply
 
     async def answer(self, request: consensus_pb2.VoteRequest) -> consensus_pb2.VoteReply:
         """Grant or refuse a vote."""
@@ -192,6 +212,8 @@
         if request.pre_vote:
             if self._voted_lately() and node.leader != request.candidate:
                 return False
+            if self._goes_before(request):
+                return False
             return request.term > node.term and self._up_to_date(request)
         if request.term > node.term:
             await node.enter_term(request.term)
@@ -204,6 +226,17 @@
         await node.enter_term(node.term, voted_for=request.candidate)
         return True
 
+    def _goes_before(self, request: consensus_pb2.VoteRequest) -> bool:
+        """Whether this member asks for the same term, and is the one to get it.
+
+        Two that let each other stand would each vote for itself, and both lose.
+        """
+        node = self._node
+        if request.term != self._asks_for_term or request.candidate == node.name:
+            return False
+        own = (node.log.last_term, node.log.last_index, node.name)
+        return own > (request.last_term, request.last_index, request.candidate)
+
     def _voted_lately(self) -> bool:
         silent_s = self._node.environment.monotonic() - self._voted_s
         return silent_s < _VOTE_HOLDS * self._node.timing.election_timeout_s
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -20,6 +20,7 @@
 from heronladder_consensus.errors import NotLeaderError
 from heronladder_consensus.log import MemoryLog
 from heronladder_consensus.members import find_member, voters
+from heronladder_consensus.peer_calls import PeerCalls
 from heronladder_consensus.storage import LoadedState, LogStorage
 from heronladder_consensus.timing import ConsensusTiming
 
@@ -49,6 +50,7 @@
         applied_index: Newest entry applied.
         leader: The leader it follows; empty while none is known.
         last_heard_s: When it last heard of a leader, or gave a vote.
+        peer_calls: Calls to other members, with time-outs that follow their answers.
         changed: Given when commit index, role or acknowledgements changed.
         appended: Given when the log grew.
         write_lock: Held while the log is changed or written, except for a leader's appends.
@@ -69,6 +71,7 @@
         self.timing = timing
         self.environment = environment
         self.event_log = EventLog("consensus", name)
+        self.peer_calls = PeerCalls(stubs, timing, environment, self.event_log)
         self.tasks = TaskGroupOwner(self.event_log)
         self.disk = DiskWatch(self.event_log, environment)
         self.failure: HeronladderError | None = None
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -1,6 +1,7 @@
 """Replication: one task a peer while leading, and the followers' side."""
 
 import asyncio
+from collections import deque
 from dataclasses import dataclass
 
 from heronladder_runtime.errors import StorageError
@@ -76,12 +77,21 @@
             node.tasks.start(f"replicate-{member.name}", self._replicate(member.name, node.term))
 
     async def _check_quorum(self, term: int) -> None:
-        """Step down when no quorum answered for an election timeout."""
+        """Step down when no quorum answered for an election timeout.
+
+        Answers that came while this member was late itself may not have been read yet.
+        """
         node = self._node
+        patience_s = node.timing.quorum_timeout_s
+        looks: deque[tuple[float, float]] = deque()  # when, and how late it had been by then
         while node.is_leader and node.term == term:
             await asyncio.sleep(node.timing.heartbeat_s)
             now = node.environment.monotonic()
-            oldest = now - node.timing.quorum_timeout_s
+            looks.append((now, node.environment.lateness.total_s()))
+            while looks[0][0] < now - patience_s:
+                looks.popleft()
+            late_s = looks[-1][1] - looks[0][1]
+            oldest = now - patience_s - min(late_s, patience_s)
             if self._leading_since_s > oldest:
                 continue
             answered = sum(
@@ -134,10 +144,7 @@
             entries=node.log.slice(progress.next_index, _BATCH_BYTES),
         )
         sent_round = self._round
-        stub = node.stubs.consensus(member.address)
-        reply: consensus_pb2.AppendReply = await stub.AppendEntries(
-            request, timeout=node.timing.call_timeout_s
-        )
+        reply = await node.peer_calls.append_entries(member, request)
         if reply.disk_refuses:
             # Not an answer that counts: nothing it says would outlive a restart.
             await asyncio.sleep(node.timing.heartbeat_s)
@@ -166,10 +173,7 @@
             previous_term=node.log.last_term,
             commit_index=node.commit_index,
         )
-        stub = node.stubs.consensus(member.address)
-        reply: consensus_pb2.AppendReply = await stub.AppendEntries(
-            request, timeout=node.timing.call_timeout_s
-        )
+        reply = await node.peer_calls.append_entries(member, request)
         if reply.term > node.term:
             await self._election.observe_leader(reply.term, "")
             return
--- a/packages/heronladder-consensus/src/heronladder_consensus/timing.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/timing.py
@@ -36,9 +36,19 @@
 
     @property
     def call_timeout_s(self) -> float:
-        """Time a peer has for an answer: one lost call must not cost leadership."""
+        """Least time a peer has for an answer: one lost call must not cost leadership."""
         return self.election_timeout_s * 2 / 5
 
+    @property
+    def vote_timeout_s(self) -> float:
+        """Time a peer has for its vote, while no other peer has refused one."""
+        return self.election_timeout_s * 3 / 2
+
+    @property
+    def longest_call_s(self) -> float:
+        """Most time a peer has for an answer, however late its answers come."""
+        return self.election_timeout_s * 2
+
     @property
     def snapshot_retry_s(self) -> float:
         """Time after a snapshot that a disk refused, here or at a peer, before the next."""
--- a/packages/heronladder-emulator/src/heronladder_emulator/network.py
+++ b/packages/heronladder-emulator/src/heronladder_emulator/network.py
@@ -22,6 +22,8 @@
 _CONNECT_S = 1.0
 _OPEN_SHARE = 0.5
 _LOCAL_DELAY_S = 0.0001
+_LEAST_WAIT_S = 1e-6  # a shorter one is no wait on a virtual clock
+_TURN_S = 0.005  # in which a process whose loop is late reads what has arrived
 
 
 @dataclass
@@ -80,6 +82,7 @@
         alive: Whether it runs.
         servers: What it serves, by kind.
         tasks: Work it does for others.
+        reads_from_s: When its event loop comes to what has arrived.
     """
 
     name: str
@@ -88,6 +91,7 @@
     alive: bool = False
     servers: dict[str, Any] = field(default_factory=dict)
     tasks: dict[asyncio.Task[Any], None] = field(default_factory=dict)
+    reads_from_s: float = 0.0
 
 
 class MemoryNetwork:
@@ -145,6 +149,33 @@
         host = address.split(":")[0]
         return self.names.get(host, host)
 
+    async def stall(self, name: str, each_s: float, for_s: float) -> None:
+        """Have a process's event loop run late, again and again.
+
+        Its timers fire in time: what it decides by them, it decides before it has read what
+        its peers sent.
+
+        Args:
+            name: The process.
+            each_s: How long each of its turns takes, in seconds.
+            for_s: For how long this goes on, in seconds.
+        """
+        endpoint = self.endpoints[name]
+        loop = asyncio.get_running_loop()
+        until_s = loop.time() + for_s
+        await asyncio.sleep(self.random.random() * each_s)  # not all processes at once
+        while loop.time() < until_s:
+            endpoint.reads_from_s = loop.time() + each_s
+            await asyncio.sleep(each_s + _TURN_S)
+
+    async def _wait_until_read(self, name: str) -> None:
+        endpoint = self.endpoints.get(name)
+        if endpoint is None:
+            return
+        loop = asyncio.get_running_loop()
+        while (left_s := endpoint.reads_from_s - loop.time()) > 0:
+            await asyncio.sleep(max(left_s, _LEAST_WAIT_S))
+
     # ---- links ------------------------------------------------------------
 
     def cut(self, cut: Cut) -> None:
@@ -189,6 +220,7 @@
             silent_s += _RESEND_S
             if silent_s >= BREAK_AFTER_S:
                 raise NetworkError(f"{source} to {target}: connection timed out")
+        await self._wait_until_read(target)
 
     async def connect(self, source: str, target: str) -> None:
         """Take the time of opening a connection; half of all calls find one open.
