A request that crashes replicas is refused without waiting for the leader's other chores

What callers saw, beside busy programs: replicas crashed on under a request against which the evidence was there (6 to 19 replicas).

Cause: refusals were proposed in a row with what puts changes in force, roll-outs and holders of tokens, each of which waits for the log. Change: a loop of its own, woken by a report, that proposes all that are due at once.

--- a/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
@@ -3,6 +3,7 @@
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.pulse import Pulse
 from heronladder_schema.v1 import control_pb2
 
 from heronladder_control.crashes.table import CrashTable
@@ -10,6 +11,8 @@
 # For so long all routers in touch can say that they have had an answer to a suspect, which clears
 # it: it was told to them as one, and a heartbeat takes 0.3 s.
 _ASKED_S = 0.4
+_LOOK_S = 0.1  # while there are suspects
+_IDLE_LOOK_S = 1.0
 # Of the first refusal, an hour; each later one is four times as long, a month at most. A
 # caller's mended service or replicas of a new version are let through in the end; one send that
 # crashes a replica refuses it again.
@@ -36,6 +39,9 @@
         environment: Time.
         metrics: Where it counts.
         log: Where decisions are reported.
+
+    Attributes:
+        reported: Given when crashes were reported.
     """
 
     def __init__(
@@ -47,8 +53,14 @@
         self._log = log
         self._enough_since_s: dict[str, float] = {}
         self._refused_since_s: dict[str, float] = {}
+        self.reported = Pulse()
         metrics.gauge("crashing_requests_refused", lambda: len(table.refused()))
 
+    @property
+    def look_s(self) -> float:
+        """Time until the next look, without a report before, in seconds."""
+        return _LOOK_S if self._enough_since_s else _IDLE_LOOK_S
+
     def begin(self) -> None:
         """Begin as the leader."""
         self._enough_since_s.clear()
@@ -88,6 +100,7 @@
         if body == "refuse_request":
             self._report_refusal(command.refuse_request)
         elif body == "report_crashes":
+            self.reported.give()
             for crash in command.report_crashes.replicas:
                 self._metrics.add("crashes_reported")
                 self._log.info(
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -89,6 +89,7 @@
         self._check_group()
         self.tasks.start("leader_chores", self._tend_leadership())
         self.tasks.start("promise_notes", self.promise_notes.run())
+        self.tasks.start("refusals", self._refuse_crashing())
 
     async def stop(self) -> None:
         """Stop all tasks and close the data folder."""
@@ -126,6 +127,21 @@
             except HeronladderError as error:
                 self.log.info("leader_chores_ended", step=error.step, reason=error.message)
 
+    async def _refuse_crashing(self) -> None:
+        """Refuse requests that crash replicas, apart from the other chores.
+
+        Each of those waits for the log: meanwhile the request would crash more replicas.
+        """
+        while True:
+            if not self.node.is_leader:
+                await self.node.changed.wait()
+                continue
+            try:
+                await asyncio.gather(*(self.propose(order) for order in self.refusals.due()))
+            except HeronladderError as error:
+                self.log.info("refusals_not_noted", step=error.step, reason=error.message)
+            await self.refusals.reported.wait(self.refusals.look_s)
+
     def _check_group(self) -> None:
         """End if the log names another group: this member's state would not be the others'."""
         named = self.state.named_group
@@ -160,8 +176,6 @@
             seen = self.progress.given
             await self._put_in_force()
             await self.rollouts.tend()
-            for order in self.refusals.due():
-                await self.propose(order)
             if self.environment.monotonic() >= next_chores_s:
                 next_chores_s = self.environment.monotonic() + _CHORE_PAUSE_S
                 await self._declare_silent_gone()
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -46,6 +46,10 @@
     " was answered, `late_ms` of the stream's silence in which this process was late.",
     "loop_late": "The process ran late by `late_ms`: what it judged by a time-out then may be its"
     " own lateness. At most once each five seconds; the histogram `loop_late` has all.",
+    "peer_call_expired": "Another member did not answer in `timeout_ms`, of which this process was"
+    " late for `late_ms`: a vote (`step=RequestVote`) or entries (`step=AppendEntries`).",
+    "refusals_not_noted": "Refusals of requests that crash replicas did not come into the log; the"
+    " next look proposes them again.",
     "control_regained": "Control is heard again after a long silence.",
     "daemon_failed": "A daemon ends by itself.",
     "daemon_started": "All roles of a daemon are up.",
