A version that was moved to, and only lacks answers at its deadline, gets half of its time more

Cause: what is not proved at the deadline went back, whatever was missing. Where replicas and words of routers come late, the move begins with «0 answers of 12», and ends with «9 answers of 16». Evidence: ten copies with the reason of each decision: nine went back, all of them for want of answers, none in doubt; the target's replicas were known 2.2 to 3.6 s into an order of 5 s, the first grants came at 4 s.

Change: the verdict says when nothing speaks against a version but that its answers are too few, none of them failed; in the move it has until one and a half times its order then. Doubt goes back at the deadline as before, and so does a trial. The bound on exposure counts until the deadline, and a verdict on failures ends the move at once.

Test: `test_a_move_that_only_lacks_answers_gets_more_time` (failed before: rolled back).

--- a/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/plan.py
@@ -27,6 +27,7 @@
 # In a service's whole traffic, until a version that turns bad is noticed and left; see the table
 # in docs/measurements/rollouts.md.
 _NOTICED_S = 0.6
+_PROVED_WITHIN = 1.5  # times an order's time, for a version that only lacks answers
 _LATEST = 3.0  # times an order's time, after which a move ends whose old answers do not
 _ORDER_REPEATS_S = 8.0  # operators repeat an order for 5 s; a newcomer is admitted after this
 
@@ -74,6 +75,17 @@
         fits = self.per_s * min(_NOTICED_S, rest_s) <= self.left
         return fits and self.verdict.decision is Decision.SOUND
 
+    @property
+    def move_is_over(self) -> bool:
+        """Whether what was moved to and is not proved by now goes back.
+
+        A version against which nothing speaks but that its answers are too few gets more time:
+        its replicas, or what routers tell of it, may have come late.
+        """
+        if self.verdict.lacks_answers:
+            return self.elapsed_s >= _PROVED_WITHIN * self.duration_s
+        return self.elapsed_s >= self.duration_s
+
     @property
     def move_after_s(self) -> float:
         """When to move: as late as what runs elsewhere can end in time.
@@ -139,7 +151,7 @@
     if view.elapsed_s >= _LATEST * view.duration_s:
         return Step(ROLLED_BACK, f"old answers ran on for {_LATEST:g} times its time")
     is_sound = view.verdict.decision is Decision.SOUND
-    if view.elapsed_s >= view.duration_s and not is_sound:
+    if view.move_is_over and not is_sound:
         return Step(ROLLED_BACK, f"not proved in its time: {view.verdict.reason}")
     is_time = view.elapsed_s >= view.duration_s - _COMPLETE_BEFORE_S
     if is_time and view.all_clear and is_sound:
--- a/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rollouts/verdict.py
@@ -84,10 +84,12 @@
     Attributes:
         decision: What to do.
         reason: Which test says so, of which route, and its figures.
+        lacks_answers: Whether nothing speaks against it but that there are too few answers.
     """
 
     decision: Decision
     reason: str
+    lacks_answers: bool = False
 
 
 class Watch:
@@ -119,7 +121,7 @@
             return Verdict(Decision.GO_BACK, f"{unexplained:.0f} failures too many; {figures}")
         if whole_old.answers < _LEAST_OLD_ANSWERS and not alone:
             # More come: what the target answered is kept for then.
-            return Verdict(Decision.GO_ON, f"{whole_old.answers} answers of the old version")
+            return _too_few(f"{whole_old.answers} answers of the old version", whole_new)
         worst = (0.0, "")
         failures = dict.fromkeys(_FAILS_MORE, 0.0)  # of all routes
         for route in evidence.routes():
@@ -186,7 +188,7 @@
         count = old.answers + new.answers
         wanted = min(_ENOUGH_ANSWERS, math.ceil(_ENOUGH_PART * count))
         if new.answers < wanted:
-            return Verdict(Decision.GO_ON, f"{new.answers} answers of {wanted}")
+            return _too_few(f"{new.answers} answers of {wanted}", new)
         allowed = 1 + _FEW_FAILED * _prior(old) * new.answers
         if new.answers < _ENOUGH_ANSWERS and new.failed > allowed:
             return Verdict(Decision.GO_ON, f"{new.failed} of only {new.answers} answers failed")
@@ -198,12 +200,16 @@
                 continue
             # Alone, the old version answers nothing more: waiting for it would end a good one.
             if old_answers < min(_LEAST_OLD_TIMES, part) and not alone:
-                return Verdict(Decision.GO_ON, f"{old_answers} answers of {route}, old version")
+                return _too_few(f"{old_answers} answers of {route}, old version", new)
             if answers < min(_ENOUGH_OF_ROUTE, part):
-                return Verdict(Decision.GO_ON, f"{answers} answers of {route}")
+                return _too_few(f"{answers} answers of {route}", new)
         return Verdict(Decision.SOUND, f"sound in {new.answers} answers, {new.failed} failed")
 
 
+def _too_few(reason: str, new: Answers) -> Verdict:
+    return Verdict(Decision.GO_ON, reason, lacks_answers=not new.failed)
+
+
 def _prior(old: Answers) -> float:
     """Return the share that fails of an old version that is hardly known."""
     return (old.failed + _PRIOR_FAILED) / (old.answers + _PRIOR_ANSWERS)
--- a/tests/test_rollout_decisions.py
+++ b/tests/test_rollout_decisions.py
@@ -331,6 +331,14 @@
         self.assertEqual(self._phase(**late, verdict=doubt), ROLLED_BACK)
         self.assertIsNone(self._phase(**late))  # it waits for what runs elsewhere
 
+    def test_a_move_that_only_lacks_answers_gets_more_time(self) -> None:
+        """A good one was sent back at the deadline: «not proved in its time: 9 answers of 16»."""
+        few = Verdict(Decision.GO_ON, "9 answers of 16", lacks_answers=True)
+        self.assertIsNone(self._phase(phase=MOVING, elapsed_s=10.0, verdict=few))
+        self.assertIsNone(self._phase(phase=MOVING, elapsed_s=14.9, verdict=few))
+        self.assertEqual(self._phase(phase=MOVING, elapsed_s=15.0, verdict=few), ROLLED_BACK)
+        self.assertEqual(self._phase(phase=TRIAL, elapsed_s=10.0, verdict=few), ROLLED_BACK)
+
     def test_what_does_not_fit_into_the_bound_is_not_moved_to(self) -> None:
         self.assertIsNone(self._phase(elapsed_s=9.0, left=20))
 
