A crowd of registrations is not given up in the turn of the loop that takes it in

Cause: each waits 0.9 s, counted from its own start, and the turn of the loop in which all 400 were taken in took 0.8 to 0.97 s, before the first was proposed. The timers of that turn fired before what they waited for could come.

Change: time for which the member itself was late is not counted against the wait, up to as much again, and the wait at the leader is no task of its own, so that a registration costs one task less.

--- a/packages/heronladder-control/src/heronladder_control/leader_asks.py
+++ b/packages/heronladder-control/src/heronladder_control/leader_asks.py
@@ -2,12 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, SilenceWatch, within
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
@@ -78,20 +77,19 @@
     async def _ask_until_clear(
         self, request: control_pb2.CarryRequest, patience_s: float, order: OrderTimes | None
     ) -> control_pb2.CarryReply | None:
-        clock = self._member.environment
-        began_s = clock.monotonic()
+        asked = SilenceWatch(self._member.environment)
         while True:
-            age_s = clock.monotonic() - began_s
-            left_s = patience_s - age_s
+            waited = asked.silence()
+            left_s = waited.left_s(patience_s)
             if left_s <= 0:
                 return None
-            request.age_ms = int(age_s * MILLISECONDS_PER_SECOND)
+            request.age_ms = int(waited.silent_s * MILLISECONDS_PER_SECOND)
             if order is not None:
                 order.sent()
             reply = await self._ask_once(request, left_s)
             if reply is not None and not reply.not_leader:
                 return reply
-            left_s = patience_s - (clock.monotonic() - began_s)
+            left_s = asked.silence().left_s(patience_s)
             is_replica = request.command.HasField("register_replica")
             if not await self._member.admission.ask(max(0.0, left_s), first=not is_replica):
                 return None
@@ -101,7 +99,7 @@
     ) -> control_pb2.CarryReply | None:
         if self._member.node.is_leader:
             try:
-                return await asyncio.wait_for(self._carry(request), left_s)
+                return await within(self._member.environment, left_s, self._carry(request))
             except TimeoutError:
                 return None
         address = self._member.leader_address()
--- a/packages/heronladder-control/src/heronladder_control/registration_relay.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_relay.py
@@ -10,6 +10,7 @@
 import asyncio
 from collections import deque
 
+from heronladder_runtime.clock import within
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2
 
@@ -55,7 +56,7 @@
             self._running = True
             self._member.tasks.start("registration_relay", self._run())
         try:
-            return await asyncio.wait_for(answer, left_s)
+            return await within(self._member.environment, left_s, answer)
         except TimeoutError:
             return None
 
