On a thin link parts of an update get smaller, so that orders pass soon

Cause: whatever is to be said to a gateway waits behind two parts of 4 KiB, over a second at 8 kB/s: the order to hold arrived 0.65 to 0.9 s after it was given, a change was in force 3.0 to 3.3 s after its commit, past the 3.0 s for which the operator's call waits, and the second call had to be read once more. Silence for 0.9 s ends a stream. The operator's document (read within 0.5 s) and the chores (the order is given 0.1 to 0.24 s late) are a smaller part.

Change: a part that took over half a second is followed by one half as large, down to 1 KiB; quick links are not touched. Test: parts on a slow stream end at 1 KiB (failed before: 4 KiB).

--- a/packages/heronladder-control/src/heronladder_control/config_feed.py
+++ b/packages/heronladder-control/src/heronladder_control/config_feed.py
@@ -31,6 +31,9 @@
 _QUICK_S = 0.25
 _SLOW_S = 0.5
 _MOST_PART_BYTES = 32 * 1024
+# Orders and answers to heartbeats wait behind parts: over a thin link two parts of 4 KiB each took
+# as long as a stream may be silent.
+_LEAST_PART_BYTES = 1024
 _UPDATES_KEPT = 8  # packed; a whole one is some 100 kB at 3,000 replicas
 _ROUTER_KINDS = frozenset(
     {
@@ -105,7 +108,9 @@
             if took_s <= _QUICK_S:
                 session.part_bytes = min(2 * session.part_bytes, _MOST_PART_BYTES)
             elif took_s > _SLOW_S:
-                session.part_bytes = PART_BYTES
+                session.part_bytes = max(
+                    _LEAST_PART_BYTES, min(session.part_bytes // 2, PART_BYTES)
+                )
         session.parts_received = max(session.parts_received, parts)
 
     def _update_for(self, session: DaemonSession) -> control_pb2.ConfigUpdate:
--- a/tests/test_part_sizes.py
+++ b/tests/test_part_sizes.py
@@ -63,6 +63,12 @@
     def test_on_a_thin_link_parts_stay_small(self) -> None:
         self.assertEqual(max(self._sizes(0.8)), PART_BYTES)
 
+    def test_on_a_thin_link_they_get_smaller_so_that_orders_pass_soon(self) -> None:
+        """An order to hold waited a second behind two parts of 4 KiB, and silence counted it."""
+        sizes = self._sizes(0.8)[:-1]
+        self.assertEqual(sizes[0], PART_BYTES)
+        self.assertLessEqual(max(sizes[8:]), PART_BYTES // 4)
+
 
 if __name__ == "__main__":
     unittest.main()
