gRPC's wake-ups are read at once, not one call of its reader each

Now all bytes are read at once, and its reader is called once; it takes in all completions that there are.

--- a/packages/heronladder-runtime/src/heronladder_runtime/grpc_poller.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/grpc_poller.py
@@ -7,13 +7,14 @@
 """
 
 import asyncio
+import socket
 import weakref
 from collections.abc import Callable
 from typing import Any
 
 import grpc.aio
 
-_MOST_A_TURN = 128  # others of the loop have their turn after so many
+_MOST_WAKES = 4096  # more than the socket holds
 _is_kept = False
 _bound: weakref.WeakSet[asyncio.AbstractEventLoop] = weakref.WeakSet()
 
@@ -48,8 +49,10 @@
 def _bind(loop: asyncio.AbstractEventLoop) -> None:
     add_reader = loop.add_reader
 
-    def add_draining_reader(fd: Any, callback: Callable[..., Any], *arguments: Any) -> None:
-        add_reader(fd, _take_in, callback, arguments)
+    def add_draining_reader(
+        wakes: socket.socket, callback: Callable[..., Any], *arguments: Any
+    ) -> None:
+        add_reader(wakes, _take_in, wakes, callback, arguments)
 
     # gRPC adds its one reader now, and nobody else does meanwhile.
     loop.add_reader = add_draining_reader  # type: ignore[method-assign, assignment]
@@ -59,10 +62,12 @@
         del loop.add_reader
 
 
-def _take_in(callback: Callable[..., Any], arguments: tuple[Any, ...]) -> None:
-    """Read until nothing is left, or enough for one turn."""
+def _take_in(
+    wakes: socket.socket, callback: Callable[..., Any], arguments: tuple[Any, ...]
+) -> None:
+    """Read all wake-ups; gRPC's reader then takes in all completions that there are."""
     try:
-        for _ in range(_MOST_A_TURN):
-            callback(*arguments)
+        wakes.recv(_MOST_WAKES)
     except BlockingIOError:
-        return
+        return  # another loop of the process was first
+    callback(*arguments)
