--- a/packages/heronladder-consensus/src/heronladder_consensus/peer_calls.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/peer_calls.py
@@ -19,7 +19,7 @@
 _MOST_DOUBLINGS = 8  # the longest time-out ends them much sooner
 
 
-class AnswerTimes:
+class AdaptiveTimeout:
     """How long answers of one peer take, and so how long to wait for the next.
 
     As TCP's retransmission time-out: longer than answers take, and twice as long after each that
@@ -70,7 +70,7 @@
         self._timing = timing
         self._environment = environment
         self._log = log
-        self._times: dict[str, AnswerTimes] = {}  # by address
+        self._timeouts: dict[str, AdaptiveTimeout] = {}  # by address
 
     async def request_vote(
         self, peer: consensus_pb2.Member, request: consensus_pb2.VoteRequest
@@ -99,11 +99,11 @@
     async def _call(
         self, peer: consensus_pb2.Member, method: str, request: object, least_s: float
     ) -> Any:
-        times = self._times.setdefault(
+        adaptive = self._timeouts.setdefault(
             peer.address,
-            AnswerTimes(self._timing.call_timeout_s, self._timing.longest_call_s),
+            AdaptiveTimeout(self._timing.call_timeout_s, self._timing.longest_call_s),
         )
-        timeout_s = max(least_s, times.timeout_s)
+        timeout_s = max(least_s, adaptive.timeout_s)
         began_s = self._environment.monotonic()
         late_before_s = self._environment.lateness.total_s()
         stub = self._stubs.consensus(peer.address)
@@ -111,11 +111,11 @@
             reply = await getattr(stub, method)(request, timeout=timeout_s)
         except RPC_ERRORS:
             if self._environment.monotonic() - began_s >= timeout_s:
-                times.expired()
+                adaptive.expired()
                 late_s = self._environment.lateness.total_s() - late_before_s
                 self._report(peer.name, method, timeout_s, late_s)
             raise
-        times.answered(self._environment.monotonic() - began_s)
+        adaptive.answered(self._environment.monotonic() - began_s)
         return reply
 
     def _report(self, peer: str, method: str, timeout_s: float, late_s: float) -> None:
--- a/tests/test_late_members.py
+++ b/tests/test_late_members.py
@@ -8,7 +8,7 @@
 import statistics
 import unittest
 
-from heronladder_consensus.peer_calls import AnswerTimes
+from heronladder_consensus.peer_calls import AdaptiveTimeout
 from heronladder_consensus.timing import ConsensusTiming
 from support import Group, run_virtual
 
@@ -92,9 +92,9 @@
                 self.check(_losses(5, late_s))
 
 
-class AnswerTimesTest(unittest.TestCase):
+class AdaptiveTimeoutTest(unittest.TestCase):
     def setUp(self) -> None:
-        self.times = AnswerTimes(_LEAST_S, _MOST_S)
+        self.times = AdaptiveTimeout(_LEAST_S, _MOST_S)
 
     def test_a_peer_that_answers_soon_has_the_least_time(self) -> None:
         for _ in range(20):
