A late leader is gone before its successor stops counting on it; refusals begin with the term

A leader left out its own lateness up to its patience again, 2.4 s in all; a new leader counts on an earlier one for two election timeouts, 1.6 s after its own election, so that a change could have come into force while a lease of the earlier leader still ran. Refusals of crashing requests were looked for before the new leader had applied the log; they begin and end with its term now.

--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -91,7 +91,7 @@
             while looks[0][0] < now - patience_s:
                 looks.popleft()
             late_s = looks[-1][1] - looks[0][1]
-            oldest = now - patience_s - min(late_s, patience_s)
+            oldest = now - min(patience_s + late_s, node.timing.longest_quorum_timeout_s)
             if self._leading_since_s > oldest:
                 continue
             answered = sum(
--- a/packages/heronladder-consensus/src/heronladder_consensus/timing.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/timing.py
@@ -29,6 +29,15 @@
         """Time without answers from a quorum after which a leader steps down."""
         return self.election_timeout_s * 3 / 2
 
+    @property
+    def longest_quorum_timeout_s(self) -> float:
+        """The same for a leader that was late itself.
+
+        Short of two election timeouts after another may be elected: for so long a new leader
+        takes an earlier one to go on.
+        """
+        return self.election_timeout_s * 9 / 4
+
     @property
     def heartbeat_s(self) -> float:
         """Time between a leader's messages to each peer when nothing happens."""
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -89,7 +89,6 @@
         self._check_group()
         self.tasks.start("leader_chores", self._tend_leadership())
         self.tasks.start("promise_notes", self.promise_notes.run())
-        self.tasks.start("refusals", self._refuse_crashing())
 
     async def stop(self) -> None:
         """Stop all tasks and close the data folder."""
@@ -123,7 +122,12 @@
                 continue
             try:
                 await self.node.read_barrier()
-                await self._lead()
+                self._begin_term()
+                refusing = self.tasks.start("refusals", self._refuse_crashing())
+                try:
+                    await self._lead()
+                finally:
+                    refusing.cancel()
             except HeronladderError as error:
                 self.log.info("leader_chores_ended", step=error.step, reason=error.message)
 
@@ -132,10 +136,7 @@
 
         Each of those waits for the log: meanwhile the request would crash more replicas.
         """
-        while True:
-            if not self.node.is_leader:
-                await self.node.changed.wait()
-                continue
+        while self.node.is_leader:
             try:
                 await asyncio.gather(*(self.propose(order) for order in self.refusals.due()))
             except HeronladderError as error:
@@ -157,7 +158,8 @@
         await self.propose(command)
         self.log.info("group_named", step="name_group", peer=self.options.group)
 
-    async def _lead(self) -> None:
+    def _begin_term(self) -> None:
+        """Begin as the leader: what an earlier term knew beside the log is void."""
         self.in_force.begin(
             sorted(name for name, record in self.state.daemons.daemons.items() if not record.gone),
             earlier_leader_s=2 * self.options.timing.election_timeout_s,
@@ -168,6 +170,8 @@
         self.prepaid_watch.begin(self.node.term, self.state.prepaid.last_promises)
         for session in self.sessions.values():
             self.service.note_connected(session)
+
+    async def _lead(self) -> None:
         await self._name_group()
         next_chores_s = 0.0
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
--- a/tests/test_late_members.py
+++ b/tests/test_late_members.py
@@ -92,6 +92,15 @@
                 self.check(_losses(5, late_s))
 
 
+class EarlierLeaderTest(unittest.TestCase):
+    def test_a_leader_that_was_late_is_gone_by_the_time_its_successor_counts_on_it(self) -> None:
+        """A new leader waits two election timeouts for what an earlier one may have promised."""
+        timing = ConsensusTiming(_ELECTION_TIMEOUT_S)
+        elected_s = timing.election_timeout_s  # after the earlier one was heard last, at least
+        gone_s = timing.longest_quorum_timeout_s + timing.heartbeat_s
+        self.assertLess(gone_s - elected_s, 2 * timing.election_timeout_s)
+
+
 class AdaptiveTimeoutTest(unittest.TestCase):
     def setUp(self) -> None:
         self.times = AdaptiveTimeout(_LEAST_S, _MOST_S)
