explain shows how late the processes of a request were, and members' calls without an answer

A request refused while its gateway was late was told with «control_lost» alone: the lines that tell a silent peer from a late process were not among what a process believed. Test: both lines are in the explanation (failed before).

--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -47,6 +47,8 @@
         "daemon_stopping",
         "leader_elected",
         "leader_stepped_down",
+        "loop_late",
+        "peer_call_expired",
         "change_in_force",
         "hold_ordered",
         "configuration_behind",
@@ -58,6 +60,7 @@
     {
         "leader_elected",
         "leader_stepped_down",
+        "peer_call_expired",
         "change_in_force",
         "hold_ordered",
         "evacuation_ordered",
@@ -75,6 +78,7 @@
     "daemon",
     "gateway",
     "leader",
+    "loop",
     "replica_limit",  # a request that is refused for what all replicas ask names none
     "replica_signals",
     "zone",
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -39,6 +39,15 @@
         text = explanation_text(explain_request("r1", [self.gateway]))
         self.assertIn("limit_per_s=1.7", text)
 
+    def test_what_was_lost_is_told_with_how_late_the_process_was(self) -> None:
+        late = "time=2026-01-01T00:00:01.900 level=warning event=loop_late daemon=g1 late_ms=889"
+        call = "time=2026-01-01T00:00:00.900 level=info event=peer_call_expired daemon=c1 late_ms=0"
+        self.gateway.write_text(f"{_GATEWAY}{late}\n")
+        self.control.write_text(f"{_CONTROL}{call}\n")
+        text = explanation_text(explain_request("r1", [self.gateway, self.control]))
+        self.assertIn("late_ms=889", text)
+        self.assertIn("peer_call_expired daemon=c1 late_ms=0", text)
+
     def test_a_refusal_is_told_with_what_its_gateway_believed(self) -> None:
         found = explain_request("r1", [self.gateway, self.control])
         self.assertEqual(
