Names: a peer's activity and a frame of control are noted, not heard

Nothing else changes: types and linter clean, 20 tests of the link, of lateness, of late members and of the events page pass.

--- a/packages/heronladder-runtime/src/heronladder_runtime/clock.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/clock.py
@@ -78,9 +78,9 @@
 
     def __init__(self, environment: Environment) -> None:
         self._environment = environment
-        self.heard()
+        self.note_activity()
 
-    def heard(self) -> None:
+    def note_activity(self) -> None:
         """Note that the peer is heard now."""
         self._heard_s = self._environment.monotonic()
         self._late_before_s = self._environment.lateness.total_s()
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -217,7 +217,7 @@
         watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
         try:
             async for frame in stream:
-                session.heard()
+                session.note_frame()
                 self.heard_since_s = min(self.heard_since_s, self._environment.monotonic())
                 self.bytes_received += frame.ByteSize()
                 if frame.not_leader:
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -50,9 +50,9 @@
     way_s: float = 0.0  # how long the way there took when it was tried; 0: it was not
     has_word: bool = False  # whether control said anything on it
 
-    def heard(self) -> None:
+    def note_frame(self) -> None:
         """Note a frame of control."""
-        self.received.heard()
+        self.received.note_activity()
         self.has_word = True
 
     def beat(self) -> None:
