Members' logs tell whether their states agree, and what an entry that can't be read holds

No logic changes. Ruled out: digests in each heartbeat, since a state of megabytes is not to be read that often. test_event_reference passes.

--- a/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/snapshots.py
@@ -1,5 +1,6 @@
 """Snapshots of one member: its own, and those that a leader sends."""
 
+import zlib
 from typing import Any
 
 from heronladder_runtime.errors import StorageError
@@ -52,7 +53,12 @@
         if kept_from > node.log.base_index:
             node.log.compact(self._meta(kept_from))
         node.event_log.info(
-            "snapshot_saved", step="snapshot", index=index, bytes=len(snapshot.data)
+            "snapshot_saved",
+            step="snapshot",
+            index=index,
+            bytes=len(snapshot.data),
+            digest=f"{zlib.crc32(snapshot.data):08x}",
+            **self._machine.digests(),
         )
         return True
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
@@ -25,6 +25,10 @@
     def snapshot(self) -> bytes:
         """Return the whole state in serialised form."""
 
+    def digests(self) -> dict[str, str]:
+        """Return a digest of each part of the state that members compare in their logs."""
+        return {}
+
     @abstractmethod
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot's."""
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -8,7 +8,11 @@
 from heronladder_consensus.storage import LogStorage
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.disk import Disk
-from heronladder_runtime.errors import HeronladderError, SettingsError
+from heronladder_runtime.errors import (
+    HeronladderError,
+    RefusedByInvariantError,
+    SettingsError,
+)
 from heronladder_runtime.rpc import StubFactory
 from heronladder_schema.v1 import control_pb2
 
@@ -82,6 +86,7 @@
         self.consensus_service = ConsensusService(self.node)
         self.state.listeners.append(self._applied)
         self.state.restored = self._check_group
+        self.state.refused = self._report_refusal
 
     async def start(self) -> None:
         """Start the member's tasks."""
@@ -113,6 +118,20 @@
         self.service.applied(command, result)
         self.allotments.applied(command, result)
 
+    def _report_refusal(self, command: control_pb2.Command, error: RefusedByInvariantError) -> None:
+        """Log a command that this state does not allow: its sender's account may be another."""
+        body = command.WhichOneof("body") or ""
+        self.metrics.add("commands_refused", body)
+        if self.node.is_leader:
+            self.log.warning(
+                "command_refused",
+                step=error.step,
+                peer=error.peer,
+                command=body,
+                index=self.state.applied_index,
+                reason=error.message,
+            )
+
     # ---- the leader's chores ----------------------------------------------
 
     async def _tend_leadership(self) -> None:
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -1,7 +1,9 @@
 """The replicated state of a region's control group."""
 
+import zlib
 from collections.abc import Callable
 
+from google.protobuf.unknown_fields import UnknownFieldSet
 from heronladder_consensus.state_machine import StateMachine
 from heronladder_runtime.configuration import FLEET_KIND
 from heronladder_runtime.errors import RefusedByInvariantError
@@ -23,6 +25,7 @@
 from heronladder_control.transfers import TransferTable
 
 _AppliedListener = Callable[[control_pb2.Command, control_pb2.CommandResult], None]
+_RefusalListener = Callable[[control_pb2.Command, RefusedByInvariantError], None]
 
 
 class ControlState(StateMachine[control_pb2.CommandResult]):
@@ -52,6 +55,7 @@
         self.applied_index = 0
         self.listeners: list[_AppliedListener] = []
         self.restored: Callable[[], None] | None = None  # called after a snapshot was taken in
+        self.refused: _RefusalListener | None = None  # called when an invariant refuses a command
 
     def apply(self, index: int, command: bytes) -> control_pb2.CommandResult:
         """Carry out one committed command."""
@@ -62,6 +66,8 @@
         except RefusedByInvariantError as error:
             # Every member refuses it alike, and nothing was changed.
             result = failure(control_pb2.RESULT_CODE_INVALID, error.message)
+            if self.refused is not None:
+                self.refused(order, error)
         for listener in self.listeners:
             listener(order, result)
         return result
@@ -139,7 +145,11 @@
                 result = success()
                 result.charged = self.prepaid.closed_charges - charged
                 return result
-        invariant(False, "commands_are_known", step="apply", detail=f"{body} at {index}")
+        unknown = UnknownFieldSet(order)
+        fields = [unknown[place].field_number for place in range(len(unknown))]
+        invariant(
+            False, "commands_are_known", step="apply", detail=f"{body} at {index}, fields {fields}"
+        )
         return success()
 
     def _put(self, index: int, order: control_pb2.PutResource) -> control_pb2.CommandResult:
@@ -245,6 +255,13 @@
         self.crashes.save(snapshot)
         return snapshot.SerializeToString(deterministic=True)
 
+    def digests(self) -> dict[str, str]:
+        """Return a digest of the prepaid accounts: equal at members that agree on them."""
+        accounts = control_pb2.StateSnapshot()
+        self.prepaid.save(accounts)
+        data = accounts.SerializeToString(deterministic=True)
+        return {"accounts": f"{zlib.crc32(data):08x}"}
+
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot's."""
         snapshot = control_pb2.StateSnapshot.FromString(data)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -148,7 +148,10 @@
     "settings_reloaded": "New settings are in use.",
     "snapshot_installed": "A member took a snapshot from the leader.",
     "snapshot_not_saved": "A snapshot could not be written; the log is kept.",
-    "snapshot_saved": "A snapshot was written; the log before it may go.",
+    "snapshot_saved": "A snapshot was written; the log before it may go. Members that save one at"
+    " the same `index` have the same `digest`, and the same of the prepaid `accounts`.",
+    "command_refused": "An invariant refused a command while it was applied: its sender's account"
+    " is not this member's.",
     "start_failed": "A daemon could not start.",
     "stopped_without_control": "Tokens could not be given back in a planned stop.",
     "stream_broken": "An answer that had begun was cut.",
@@ -211,6 +214,7 @@
     "callers_gone": "Callers that left before their answer's end.",
     "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
+    "commands_refused": "Commands that an invariant refused while they were applied, by kind.",
     "cold_reports": "Words of replicas on being cold that were news, by what they said.",
     "daemons_left_out": "Daemons that changes in force did not wait for.",
     "hold_orders": "Orders to daemons that lag to act by nothing older.",
