Commands that an earlier build can't read stay out of the log until all builds support them

Control's log has a cluster version now, 0 where none was written. Each field of the schema that production does not know carries the version from which the log holds it (versions.proto); commands that need a later one are refused before they are appended, as not done, and newer fields are left out, at the leader, at members that pass orders on, and at daemons. The leader raises the version by an entry once all members and all daemons in touch support it, for 5 s, at once in a new group. Until then registrations go one by one, as production takes them.

Tests wait for the version of a new group where they need what came with it.

--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -82,7 +82,8 @@
         try:
             stub = self._node.stubs.consensus(address)
             reply: consensus_pb2.JoinReply = await stub.Join(
-                consensus_pb2.JoinRequest(member=me), timeout=self._node.timing.call_timeout_s
+                consensus_pb2.JoinRequest(member=me, highest_version=self._node.highest_version),
+                timeout=self._node.timing.call_timeout_s,
             )
         except RPC_ERRORS:
             return None
@@ -94,6 +95,15 @@
         known = find_member(node.membership(), request.member.name)
         if node.is_leader and known is not None:
             return consensus_pb2.JoinReply(accepted=True)
+        if node.is_leader and request.highest_version < node.cluster_version:
+            node.event_log.warning(
+                "join_refused",
+                step="join",
+                peer=request.member.name,
+                highest_version=request.highest_version,
+                cluster_version=node.cluster_version,
+            )
+            return consensus_pb2.JoinReply()
         try:
             await self._membership.add(request.member)
         except (MembershipChangeError, NotLeaderError):
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -102,6 +102,16 @@
         """Whether this member leads, as far as it knows."""
         return self.role is Role.LEADER
 
+    @property
+    def highest_version(self) -> int:
+        """Newest cluster version that this build supports."""
+        return 0
+
+    @property
+    def cluster_version(self) -> int:
+        """The cluster version in force."""
+        return 0
+
     def membership(self) -> consensus_pb2.Membership:
         """Return the membership in force: the newest in the log."""
         found = self.log.membership()
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -75,6 +75,16 @@
         self.membership_keeper = MembershipKeeper(self, self.replication)
         self.joiner = Joiner(self, self.bootstrap, self.membership_keeper, me, contacts or [])
 
+    @property
+    def highest_version(self) -> int:
+        """Newest cluster version that this build supports."""
+        return self.machine.highest_version
+
+    @property
+    def cluster_version(self) -> int:
+        """The cluster version in force."""
+        return self.machine.cluster_version
+
     # ---- life -------------------------------------------------------------
 
     async def start(self) -> None:
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -29,6 +29,7 @@
         acknowledged_round: Newest read round whose message it answered.
         last_answer_s: When it last answered, on the loop's clock.
         incarnation: Identity of its data folder, as it said itself.
+        highest_version: Cluster version that its build supports, by its newest answer.
         snapshot_due_s: When it may be sent a snapshot again, after its disk refused one.
     """
 
@@ -37,6 +38,7 @@
     acknowledged_round: int = 0
     last_answer_s: float = float("-inf")
     incarnation: str = ""
+    highest_version: int = 0
     snapshot_due_s: float = float("-inf")
 
 
@@ -151,6 +153,7 @@
             return
         if not await self._accept_answer(progress, reply.term, reply.incarnation, term):
             return
+        progress.highest_version = reply.highest_version
         if not reply.success:
             progress.next_index = max(1, min(reply.conflict_index, node.log.last_index + 1))
             return
@@ -309,6 +312,13 @@
         answered = progress.last_answer_s if progress is not None else float("-inf")
         return max(answered, self._leading_since_s)
 
+    def highest_version(self, name: str) -> int | None:
+        """Return the cluster version that a peer's build supports; None if it does not answer."""
+        progress = self._peers.get(name)
+        if progress is None or not self.reachable(name):
+            return None
+        return progress.highest_version
+
     def reachable(self, name: str) -> bool:
         """Whether a peer answered within an election timeout."""
         node = self._node
@@ -322,7 +332,9 @@
     ) -> consensus_pb2.AppendReply:
         """Take in entries from the leader; they are synced when this returns."""
         node = self._node
-        reply = consensus_pb2.AppendReply(incarnation=node.hard_state.incarnation)
+        reply = consensus_pb2.AppendReply(
+            incarnation=node.hard_state.incarnation, highest_version=node.highest_version
+        )
         try:
             if await self._election.observe_leader(request.term, request.leader):
                 async with node.write_lock:
--- a/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
@@ -7,7 +7,18 @@
 
 
 class StateMachine(ABC, Generic[Result]):
-    """A state that depends on nothing but the commands applied, in their order."""
+    """A state that depends on nothing but the commands applied, in their order.
+
+    Attributes:
+        highest_version: Newest cluster version that this build can apply.
+    """
+
+    highest_version = 0
+
+    @property
+    def cluster_version(self) -> int:
+        """The cluster version in force, by the commands applied."""
+        return 0
 
     @abstractmethod
     def apply(self, index: int, command: bytes) -> Result:
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/cluster_version.py
@@ -0,0 +1,125 @@
+"""The leader raises the cluster version once all members and daemons in touch support it.
+
+Builds run side by side while a release goes out. What a build before it could not read, or would
+apply by other rules, is kept out of the log until then; until then that build can be put back.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from heronladder_runtime.cluster_versions import LATEST_VERSION
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_control.command_packing import encode_command
+from heronladder_control.member_context import MemberContext
+
+_NEW_GROUP_LOOK_S = 0.02
+_NAMED_HOLDUPS = 8  # in a log line, so that it stays short
+
+
+@dataclass(frozen=True)
+class Holdup:
+    """What keeps the version from being raised.
+
+    Attributes:
+        kind: ``member``, ``daemon`` or ``setting``.
+        name: Which one.
+        highest_version: What its build supports; None if it does not answer.
+    """
+
+    kind: str
+    name: str
+    highest_version: int | None
+
+    def __str__(self) -> str:
+        known = "silent" if self.highest_version is None else str(self.highest_version)
+        return f"{self.kind} {self.name}: {known}"
+
+
+class ClusterVersionKeeper:
+    """Raises the cluster version while this member leads.
+
+    Args:
+        member: What the parts of the member share.
+    """
+
+    def __init__(self, member: MemberContext) -> None:
+        self._member = member
+        self._is_new_group = False
+        self._ready_since_s: float | None = None
+        self._reported: tuple[str, ...] = ()
+
+    def begin(self) -> None:
+        """Begin as the leader of a term."""
+        self._is_new_group = self._member.state.applied_index == 0
+        self._ready_since_s = None
+        self._reported = ()
+
+    @property
+    def look_s(self) -> float:
+        """Time until the next look while a new group waits for its version, in seconds; else 0."""
+        is_below = self._member.state.cluster_version < self.target
+        return _NEW_GROUP_LOOK_S if self._is_new_group and is_below else 0.0
+
+    @property
+    def target(self) -> int:
+        """The version to raise to: what this build supports, as far as the setting lets it."""
+        return min(LATEST_VERSION, self._member.options.most_cluster_version)
+
+    def holdups(self) -> list[Holdup]:
+        """Return what keeps the version from being raised to what this build supports."""
+        found = []
+        if self.target < LATEST_VERSION:
+            found.append(Holdup("setting", "most_cluster_version", self.target))
+        node = self._member.node
+        for entry in node.membership().members:
+            version = node.replication.highest_version(entry.name)
+            if entry.name != node.name and (version is None or version < LATEST_VERSION):
+                found.append(Holdup("member", entry.name, version))
+        for name, session in sorted(self._member.sessions.items()):
+            if session.hello.highest_version < LATEST_VERSION:
+                found.append(Holdup("daemon", name, session.hello.highest_version))
+        return found
+
+    async def tend(self) -> None:
+        """Raise the version if nothing holds it up, and has not for some time."""
+        version = self._member.state.cluster_version
+        if version >= self.target:
+            return
+        holdups = [holdup for holdup in self.holdups() if holdup.kind != "setting"]
+        self._report(version, holdups)
+        now_s = self._member.environment.monotonic()
+        if holdups:
+            self._ready_since_s = None
+            return
+        if self._ready_since_s is None:
+            self._ready_since_s = now_s
+        # Nothing was ever written by another build: there is none to go back to.
+        hold_s = 0.0 if self._is_new_group else self._member.options.cluster_version_hold_s
+        if now_s - self._ready_since_s >= hold_s:
+            await self._raise(version)
+
+    async def _raise(self, version: int) -> None:
+        command = control_pb2.Command()
+        command.set_cluster_version.version = self.target
+        # Not by way of the member's gate, which this command lifts.
+        await self._member.node.propose(encode_command(command))
+        self._member.log.info(
+            "cluster_version_raised", step="cluster_version", before=version, version=self.target
+        )
+
+    def _report(self, version: int, holdups: list[Holdup]) -> None:
+        """Log what holds the version up, once a change of that."""
+        names = tuple(str(holdup) for holdup in holdups)
+        if names == self._reported:
+            return
+        self._reported = names
+        self._member.log.info(
+            "cluster_version_held_up",
+            step="cluster_version",
+            version=version,
+            target=self.target,
+            held_up_by="; ".join(names[:_NAMED_HOLDUPS]),
+            count=len(names),
+        )
--- a/packages/heronladder-control/src/heronladder_control/daemon_session.py
+++ b/packages/heronladder-control/src/heronladder_control/daemon_session.py
@@ -38,6 +38,7 @@
         self.promises_noted = 0  # newest heartbeat whose promises are in the log
         self.told_addresses: list[str] = []
         self.told_routers = 0
+        self.told_version = 0  # cluster version
         self.sent_limits = 0  # changes of replicas' limits up to this number were told
         self.lenders = LenderNews()
         # Whether it is told what others have under way at replicas. Gateways are from the first
--- a/packages/heronladder-control/src/heronladder_control/leader_asks.py
+++ b/packages/heronladder-control/src/heronladder_control/leader_asks.py
@@ -2,18 +2,22 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from enum import Enum
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, SilenceWatch, within
+from heronladder_runtime.cluster_versions import at_version, is_allowed
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_control.member_context import MemberContext
 from heronladder_control.order_times import OrderTimes
 from heronladder_control.registration_relay import RegistrationRelay
+from heronladder_control.results import failure
 
+_VERSION_LOOK_S = 0.1  # between two looks whether the cluster version allows an order
 Carry = Callable[[control_pb2.CarryRequest], Awaitable[control_pb2.CarryReply]]
 
 
@@ -87,9 +91,14 @@
             if order is not None:
                 order.sent()
             reply = await self._ask_once(request, left_s)
-            if reply is not None and not reply.not_leader:
+            if reply is not None and not (reply.not_leader or self._is_too_early(reply)):
                 return reply
             left_s = asked.silence().left_s(patience_s)
+            if reply is not None and self._is_too_early(reply):
+                if left_s <= _VERSION_LOOK_S:
+                    return reply
+                await asyncio.sleep(_VERSION_LOOK_S)
+                continue
             is_replica = request.command.HasField("register_replica")
             if not await self._member.admission.ask(max(0.0, left_s), first=not is_replica):
                 return None
@@ -105,8 +114,13 @@
         address = self._member.leader_address()
         if not address:
             return control_pb2.CarryReply(not_leader=True)
-        if request.command.HasField("register_replica") and not request.in_force_wait_ms:
-            return await self._relay.ask(request.command.register_replica, left_s)
+        if request.HasField("command"):
+            version = self._member.state.cluster_version
+            if not is_allowed(request.command, version):
+                return self._not_in_force(request.command)
+            if self._may_be_batched(request, version):
+                return await self._relay.ask(request.command.register_replica, left_s)
+            request = self._at_version(request, version)
         try:
             stub = self._member.stubs.control(address)
             reply: control_pb2.CarryReply = await stub.Carry(request, timeout=left_s)
@@ -114,6 +128,34 @@
             return None
         return reply
 
+    @staticmethod
+    def _is_too_early(reply: control_pb2.CarryReply) -> bool:
+        """Whether the cluster version does not allow it yet: it is raised soon after a start."""
+        return reply.result.code == control_pb2.RESULT_CODE_VERSION_TOO_LOW
+
+    @staticmethod
+    def _may_be_batched(request: control_pb2.CarryRequest, version: int) -> bool:
+        """Whether the leader surely knows registrations that are passed on together."""
+        batch = control_pb2.Command(register_replicas=control_pb2.RegisterReplicas())
+        is_replica = request.command.HasField("register_replica")
+        return is_replica and not request.in_force_wait_ms and is_allowed(batch, version)
+
+    @staticmethod
+    def _at_version(request: control_pb2.CarryRequest, version: int) -> control_pb2.CarryRequest:
+        """Return a request that an earlier build at the other end writes into the log as it is."""
+        reduced = control_pb2.CarryRequest()
+        reduced.CopyFrom(request)
+        reduced.command.CopyFrom(at_version(request.command, version))
+        return reduced
+
+    @staticmethod
+    def _not_in_force(command: control_pb2.Command) -> control_pb2.CarryReply:
+        kind = command.WhichOneof("body") or ""
+        message = f"{kind} needs a later cluster version than the one in force; nothing was done"
+        return control_pb2.CarryReply(
+            result=failure(control_pb2.RESULT_CODE_VERSION_TOO_LOW, message)
+        )
+
     @staticmethod
     def _outcome(reply: control_pb2.CarryReply) -> FleetOutcome:
         if reply.unclear:
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -7,6 +7,7 @@
 from heronladder_consensus.service import ConsensusService
 from heronladder_consensus.storage import LogStorage
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.cluster_versions import is_allowed
 from heronladder_runtime.disk import Disk
 from heronladder_runtime.errors import (
     HeronladderError,
@@ -17,6 +18,7 @@
 from heronladder_schema.v1 import control_pb2
 
 from heronladder_control.allotments import AllotmentKeeper
+from heronladder_control.cluster_version import ClusterVersionKeeper
 from heronladder_control.crashes.refusals import Refusals
 from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.ended_replicas import EndedReplicas
@@ -60,7 +62,7 @@
         environment: Environment,
         on_failure: Callable[[HeronladderError], None],
     ) -> None:
-        state = ControlState(options.group)
+        state = ControlState(options.earlier_group or options.group)
         node = ConsensusNode(
             options.name,
             LogStorage(disk),
@@ -74,6 +76,7 @@
             options.contacts,
         )
         super().__init__(options, node, state, stubs, environment)
+        self.cluster_versions = ClusterVersionKeeper(self)
         self.promise_notes = PromiseNotes(self)
         self.rollouts = RolloutConductor(self)
         self.refusals = Refusals(self.state.crashes, environment, self.metrics, self.log)
@@ -106,6 +109,13 @@
         body = command.WhichOneof("body")
         if body == "name_group":
             self._check_group()
+        if body == "set_cluster_version":
+            self.log.info(
+                "cluster_version_in_force",
+                step="cluster_version",
+                version=self.state.cluster_version,
+                index=self.state.applied_index,
+            )
         if body == "set_in_force":
             self.in_force_since_s = self.environment.monotonic()
             self.in_force_changed.give()
@@ -174,11 +184,14 @@
             return
         command = control_pb2.Command()
         command.name_group.name = self.options.group
+        if not is_allowed(command, self.state.cluster_version):
+            return
         await self.propose(command)
         self.log.info("group_named", step="name_group", peer=self.options.group)
 
     def _begin_term(self) -> None:
         """Begin as the leader: what an earlier term knew beside the log is void."""
+        self.cluster_versions.begin()
         self.in_force.begin(
             sorted(name for name, record in self.state.daemons.daemons.items() if not record.gone),
             earlier_leader_s=2 * self.options.timing.election_timeout_s,
@@ -191,12 +204,13 @@
             self.service.note_connected(session)
 
     async def _lead(self) -> None:
-        await self._name_group()
         next_chores_s = 0.0
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
         ended = EndedReplicas(self.environment)
         while self.node.is_leader:
             seen = self.progress.given
+            await self.cluster_versions.tend()
+            await self._name_group()
             await self._put_in_force()
             await self.rollouts.tend()
             if self.environment.monotonic() >= next_chores_s:
@@ -209,7 +223,7 @@
                 await self._drop_old_claims()
             await asyncio.sleep(_IN_FORCE_PAUSE_S * len(self.in_force.daemons))
             if self.progress.given == seen:
-                await self.progress.wait(_CHORE_INTERVAL_S)
+                await self.progress.wait(self.cluster_versions.look_s or _CHORE_INTERVAL_S)
 
     async def _put_in_force(self) -> None:
         committed = self.state.resources.revision
--- a/packages/heronladder-control/src/heronladder_control/member_context.py
+++ b/packages/heronladder-control/src/heronladder_control/member_context.py
@@ -6,6 +6,7 @@
 from heronladder_consensus.members import find_member
 from heronladder_consensus.node import ConsensusNode
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.cluster_versions import ClusterVersionError, at_version, require_allowed
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.pulse import Pulse
@@ -19,6 +20,7 @@
 from heronladder_control.in_force import InForceTracker
 from heronladder_control.options import ControlOptions
 from heronladder_control.prepaid_watch import PrepaidWatch
+from heronladder_control.results import failure
 from heronladder_control.state import ControlState
 
 
@@ -64,6 +66,7 @@
         self.admission = Admission(
             environment, self.tasks, self.metrics, lambda: bool(self.node.leader)
         )
+        self.metrics.gauge("cluster_version", lambda: state.cluster_version)
         self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
 
     @property
@@ -83,13 +86,24 @@
     async def propose(self, command: control_pb2.Command) -> control_pb2.CommandResult:
         """Replicate a command and return its result.
 
+        What the cluster version in force does not allow is refused, and nothing of it is done.
+
         Raises:
             NotLeaderError: If this member does not lead.
             LeadershipLostError: If the command's fate is unknown.
         """
-        started_s = self.environment.monotonic()
-        result = await self.node.propose(encode_command(command))
         body = command.WhichOneof("body") or ""
+        version = self.state.cluster_version
+        try:
+            require_allowed(command, version)
+        except ClusterVersionError as error:
+            self.metrics.add("commands_not_in_force", body)
+            return failure(control_pb2.RESULT_CODE_VERSION_TOO_LOW, error.message)
+        started_s = self.environment.monotonic()
+        order = control_pb2.Command()
+        order.CopyFrom(command)
+        order.DiscardUnknownFields()
+        result = await self.node.propose(encode_command(at_version(order, version)))
         self.metrics.observe("command", self.environment.monotonic() - started_s, body)
         return result
 
--- a/packages/heronladder-control/src/heronladder_control/options.py
+++ b/packages/heronladder-control/src/heronladder_control/options.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from heronladder_consensus.timing import ConsensusTiming
+from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_control.rollouts.exposure import ExposureLimits
@@ -25,6 +26,9 @@
         zone_names: Zones that may be evacuated; empty: any.
         named: Whether the group's name was set, and is to stand in its log.
         rollout_limits: What a version on trial may get; none: no roll-outs.
+        earlier_group: Its name until the log names it; empty: ``group``.
+        most_cluster_version: Highest cluster version that a leader raises to.
+        cluster_version_hold_s: How long all support a version before it is raised, in seconds.
         region: Where this member stands; empty: the group stands in one region, of its name.
     """
 
@@ -41,3 +45,6 @@
     named: bool = False
     rollout_limits: ExposureLimits = field(default_factory=ExposureLimits)
     region: str = ""
+    earlier_group: str = ""
+    most_cluster_version: int = LATEST_VERSION
+    cluster_version_hold_s: float = 5.0
--- a/packages/heronladder-control/src/heronladder_control/registration_batches.py
+++ b/packages/heronladder-control/src/heronladder_control/registration_batches.py
@@ -12,6 +12,7 @@
 from typing import TypeAlias
 
 from heronladder_consensus.errors import LeadershipLostError
+from heronladder_runtime.cluster_versions import is_allowed
 from heronladder_runtime.errors import HeronladderError
 from heronladder_schema.v1 import control_pb2
 
@@ -116,16 +117,21 @@
             self._forget(answer)
         return taken
 
-    async def _propose(self, taken: dict[_Answer, control_pb2.RegisterReplica]) -> None:
+    async def _replicate(
+        self, orders: list[control_pb2.RegisterReplica]
+    ) -> Iterable[control_pb2.CommandResult]:
+        """Return the result of each: of one entry of the log where it may hold them together."""
         command = control_pb2.Command()
-        if len(taken) == 1:
-            command.register_replica.CopyFrom(*taken.values())
-        else:
-            command.register_replicas.orders.extend(taken.values())
+        command.register_replicas.orders.extend(orders)
+        if len(orders) > 1 and is_allowed(command, self._member.state.cluster_version):
+            return (await self._member.propose(command)).each
+        singly = [control_pb2.Command(register_replica=order) for order in orders]
+        return await asyncio.gather(*(self._member.propose(command) for command in singly))
+
+    async def _propose(self, taken: dict[_Answer, control_pb2.RegisterReplica]) -> None:
         began_s = self._member.environment.monotonic()
         try:
-            result = await self._member.propose(command)
-            each = [result] if len(taken) == 1 else result.each
+            each = await self._replicate(list(taken.values()))
             for answer, own in zip(taken, each, strict=True):
                 if not answer.done():
                     answer.set_result(own)
--- a/packages/heronladder-control/src/heronladder_control/resources.py
+++ b/packages/heronladder-control/src/heronladder_control/resources.py
@@ -26,7 +26,7 @@
     """
 
     def __init__(self, region: str) -> None:
-        self._region = region
+        self.region = region
         self.resources: dict[str, dict[str, resources_pb2.Resource]] = {kind: {} for kind in KINDS}
         # In their order, by a number of our own: thousands of replicas register at once, and
         # with a list each had all 4,000 kept events looked through (10% of a busy leader).
@@ -105,7 +105,7 @@
         resource.metadata.version = known.metadata.version + 1 if known is not None else 1
         resource.metadata.revision = index
         if not resource.metadata.region:
-            resource.metadata.region = self._region
+            resource.metadata.region = self.region
         self._set(order.kind, resource.metadata.name, resource)
         self._record(index, order.kind, resource.metadata.name, resource)
         result = control_pb2.CommandResult(
@@ -141,7 +141,7 @@
         """Write a resource that replaces its earlier state; only its newest event is kept."""
         known = self.get(kind, name)
         resource.metadata.name = name
-        resource.metadata.region = self._region
+        resource.metadata.region = self.region
         resource.metadata.version = known.metadata.version + 1 if known is not None else 1
         resource.metadata.revision = index
         self._set(kind, name, resource)
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -15,6 +15,7 @@
 
 from heronladder_control.allotments import AllotmentKeeper
 from heronladder_control.config_feed import ConfigFeed
+from heronladder_control.daemon_builds import DaemonBuilds
 from heronladder_control.daemon_session import DaemonSession
 from heronladder_control.daemons import ROLE_AGENT, ROLE_ROUTER
 from heronladder_control.fleet_commands import FLEET_COMMANDS, RESOURCE_COMMANDS
@@ -67,6 +68,7 @@
             member.environment, lambda: member.node.term, member.metrics, member.log
         )
         self._config_feed = ConfigFeed(member)
+        self._builds = DaemonBuilds(member)
 
     # ---- one stream -------------------------------------------------------
 
@@ -101,15 +103,16 @@
             self._close(session)
 
     def _not_leader(self) -> control_pb2.ControlFrame:
-        return control_pb2.ControlFrame(
-            not_leader=True, leader_address=self._member.leader_address()
-        )
+        leader = self._member.leader_address()
+        return control_pb2.ControlFrame(not_leader=True, leader_address=leader)
 
     async def _register(self, hello: control_pb2.Hello) -> control_pb2.ControlFrame | None:
         """Make the daemon's incarnation known; return a frame that refuses it, or None."""
         record = hello.daemon
         try:
             await self._member.node.read_barrier()
+            if (refusal := self._builds.refusal(hello)) is not None:
+                return refusal
             known = self._member.state.daemons.daemons.get(record.name)
             if known is not None and record.incarnation not in known.previous:
                 # Before it is proposed: once that is applied, its predecessor is charged.
@@ -222,7 +225,8 @@
         return int(self._member.environment.monotonic() * MILLISECONDS_PER_SECOND)
 
     def _add_group(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
-        """Tell which members there are, and how many routers share what is shared."""
+        """Tell the cluster version, which members there are, and how many routers there are."""
+        self._builds.fill(session, frame)
         members = self._member.node.membership().members
         addresses = sorted(member.address for member in members)
         if addresses != session.told_addresses:
@@ -333,6 +337,8 @@
             role = self._member.state.daemons.daemons[order.name].role
             self._tell_others(role, order.name, order.incarnation, gone=True)
             self._tell_lenders(order.name)
+        elif body == "set_cluster_version":
+            self._builds.version_raised()
         elif body in FLEET_COMMANDS:
             self._wake_all()
         elif body == "set_in_force":
@@ -387,9 +393,8 @@
         try:
             result = await self._member.propose(command)
         except HeronladderError:
-            return control_pb2.AllotmentReply(
-                not_leader=True, leader_address=self._member.leader_address()
-            )
+            leader = self._member.leader_address()
+            return control_pb2.AllotmentReply(not_leader=True, leader_address=leader)
         reply = control_pb2.AllotmentReply()
         if result.code == control_pb2.RESULT_CODE_OK:
             reply.transfer.CopyFrom(result.transfer)
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -5,6 +5,11 @@
 
 from google.protobuf.unknown_fields import UnknownFieldSet
 from heronladder_consensus.state_machine import StateMachine
+from heronladder_runtime.cluster_versions import (
+    FIRST_VERSION,
+    LATEST_VERSION,
+    ClusterVersionError,
+)
 from heronladder_runtime.configuration import FLEET_KIND
 from heronladder_runtime.errors import RefusedByInvariantError
 from heronladder_runtime.invariants import invariant
@@ -24,6 +29,9 @@
 from heronladder_control.rollouts.table import RolloutTable
 from heronladder_control.transfers import TransferTable
 
+# No message begins with it: a build that knows no cluster version can't read such a snapshot, where
+# it would take it for one without a version and apply what follows by other rules.
+_VERSIONED = b"\x00"
 _AppliedListener = Callable[[control_pb2.Command, control_pb2.CommandResult], None]
 _RefusalListener = Callable[[control_pb2.Command, RefusedByInvariantError], None]
 
@@ -31,17 +39,19 @@
 class ControlState(StateMachine[control_pb2.CommandResult]):
     """Applies commands to resources, ledger, claims and daemons.
 
-    It depends on nothing but the commands and the group's name, which all members share: no
-    clock, no randomness, and not where a member stands.
+    It depends on nothing but the commands: no clock and no randomness. Until the log names the
+    group, what is written carries the name of the region, as production's build writes it.
 
     Args:
-        group: Name of the control group.
+        region: Name of the region.
     """
 
-    def __init__(self, group: str) -> None:
-        self.region = group
-        self.resources = ResourceTable(group)
-        self.ledger = Ledger(group)
+    highest_version = LATEST_VERSION
+
+    def __init__(self, region: str) -> None:
+        self.region = region
+        self.resources = ResourceTable(region)
+        self.ledger = Ledger(region)
         self.named_group = ""  # by the log; empty: the group was never named
         self.claims = ClaimTable(self.ledger)
         self.daemons = DaemonTable(self.ledger)
@@ -52,11 +62,17 @@
         self.evacuations = EvacuationTable(self.resources)
         self.crashes = CrashTable(self.resources)
         self.in_force_revision = 0
+        self._cluster_version = FIRST_VERSION
         self.applied_index = 0
         self.listeners: list[_AppliedListener] = []
         self.restored: Callable[[], None] | None = None  # called after a snapshot was taken in
         self.refused: _RefusalListener | None = None  # called when an invariant refuses a command
 
+    @property
+    def cluster_version(self) -> int:
+        """What the log may hold, and by which rules it is applied."""
+        return self._cluster_version
+
     def apply(self, index: int, command: bytes) -> control_pb2.CommandResult:
         """Carry out one committed command."""
         order = decode_command(command)
@@ -135,7 +151,10 @@
             case "draw_tokens":
                 return self._draw(order.draw_tokens)
             case "name_group":
-                self.named_group = self.named_group or order.name_group.name
+                self._name_group(self.named_group or order.name_group.name)
+                return success()
+            case "set_cluster_version":
+                self._set_cluster_version(order.set_cluster_version.version)
                 return success()
             case "note_promises":
                 return self.prepaid.note_promises(order.note_promises, self.is_current)
@@ -152,6 +171,20 @@
         )
         return success()
 
+    def _name_group(self, name: str) -> None:
+        self.named_group = name
+        if name:
+            self.region = self.resources.region = self.ledger.region = name
+
+    def _set_cluster_version(self, version: int) -> None:
+        if version > LATEST_VERSION:
+            raise ClusterVersionError(
+                f"cluster version {version} is in force, this build supports up to"
+                f" {LATEST_VERSION}: start a newer build",
+                step="apply",
+            )
+        self._cluster_version = max(self._cluster_version, version)
+
     def _put(self, index: int, order: control_pb2.PutResource) -> control_pb2.CommandResult:
         first = self.resources.first_outcome(order.change_id)
         if first is not None:
@@ -243,6 +276,7 @@
         snapshot = control_pb2.StateSnapshot(
             applied_index=self.applied_index,
             in_force_revision=self.in_force_revision,
+            cluster_version=self.cluster_version,
             group=self.named_group,
         )
         self.resources.save(snapshot)
@@ -253,7 +287,8 @@
         self.prepaid.save(snapshot)
         self.rollouts.save(snapshot)
         self.crashes.save(snapshot)
-        return snapshot.SerializeToString(deterministic=True)
+        data = snapshot.SerializeToString(deterministic=True)
+        return data if self.cluster_version == FIRST_VERSION else _VERSIONED + data
 
     def digests(self) -> dict[str, str]:
         """Return a digest of the prepaid accounts: equal at members that agree on them."""
@@ -264,10 +299,10 @@
 
     def restore(self, data: bytes) -> None:
         """Replace the whole state by a snapshot's."""
-        snapshot = control_pb2.StateSnapshot.FromString(data)
+        snapshot = control_pb2.StateSnapshot.FromString(data.removeprefix(_VERSIONED))
+        self._set_cluster_version(snapshot.cluster_version)
         self.applied_index = snapshot.applied_index
         self.in_force_revision = snapshot.in_force_revision
-        self.named_group = snapshot.group
         self.resources.load(snapshot)
         self.fleet.loaded()
         self.ledger.load(snapshot)
@@ -277,5 +312,6 @@
         self.prepaid.load(snapshot)
         self.rollouts.load(snapshot)
         self.crashes.load(snapshot)
+        self._name_group(snapshot.group)
         if self.restored is not None:
             self.restored()
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -42,6 +42,9 @@
         group=common.group or common.region,
         named=bool(common.group),
         region=common.region,
+        earlier_group=control.earlier_group,
+        most_cluster_version=control.most_cluster_version,
+        cluster_version_hold_s=seconds(control.cluster_version_hold_ms),
         initial_members=parse_members(control.initial_members),
         timing=ConsensusTiming(
             seconds(control.election_timeout_ms),
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -11,6 +11,7 @@
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment, SilenceWatch
+from heronladder_runtime.cluster_versions import FIRST_VERSION, at_version, require_allowed
 from heronladder_runtime.config_packing import unpack
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_runtime.control_ways import LONG_WAY_S, ControlWays
@@ -21,6 +22,7 @@
     LinkSession,
     PendingCall,
     SessionRejectedError,
+    hello,
     longest_silence_s,
 )
 from heronladder_runtime.logs import EventLog
@@ -90,6 +92,7 @@
         self._late_ms = 0  # of the silence that ended the newest stream
         self.loop_late_s = 0.0  # how late the timer between heartbeats woke last
         self.routers = 1  # routers that control counts, this one among them
+        self.cluster_version = FIRST_VERSION  # as control told it last; it never falls
 
     def add_addresses(self, addresses: list[str]) -> None:
         """Learn of further addresses of control members."""
@@ -155,7 +158,9 @@
         Raises:
             PeerUnavailableError: If no answer came in time. The command may
                 still be carried out.
+            ClusterVersionError: If the cluster version in force does not allow it.
         """
+        require_allowed(command, self.cluster_version)
         self._last_call_id += 1
         call_id = self._last_call_id
         answer: asyncio.Future[control_pb2.CommandResult] = (
@@ -269,7 +274,10 @@
             session.beat()
 
     async def _frames(self, session: LinkSession) -> AsyncIterator[control_pb2.DaemonFrame]:
-        yield control_pb2.DaemonFrame(hello=self._hello())
+        age_s = 0.0 if self._began_anew else self._environment.process_age_s()
+        revision = self.configuration.revision
+        first = hello(self.record, revision, age_s, acts_past_lease=self._acts_past_lease)
+        yield control_pb2.DaemonFrame(hello=first)
         while not session.closed:
             frame = self._next_frame(session)
             if frame is not None:
@@ -281,21 +289,13 @@
             session.wake.clear()
             await session.wake.wait()
 
-    def _hello(self) -> control_pb2.Hello:
-        age_s = 0.0 if self._began_anew else self._environment.process_age_s()
-        return control_pb2.Hello(
-            daemon=self.record,
-            applied_revision=self.configuration.revision,
-            acts_past_lease=self._acts_past_lease,
-            process_age_ms=int(age_s * MILLISECONDS_PER_SECOND),
-        )
-
     def _next_frame(self, session: LinkSession) -> control_pb2.DaemonFrame | None:
         frame = control_pb2.DaemonFrame()
         for call_id, call in self._pending.items():
             if call_id not in session.sent_calls:
                 session.sent_calls.add(call_id)
-                frame.calls.add(call_id=call_id, command=call.command)
+                command = at_version(call.command, self.cluster_version)
+                frame.calls.add(call_id=call_id, command=command)
         if session.heartbeat_due:
             session.heartbeat_due = False
             self._heartbeat_number += 1
@@ -331,6 +331,7 @@
             self._addresses = list(frame.control_addresses)
         if frame.routers:
             self.routers = frame.routers
+        self.cluster_version = max(self.cluster_version, frame.cluster_version)
         if frame.control_time_ms:
             self._control_time_ms = frame.control_time_ms
             self._note_heard()
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -3,9 +3,10 @@
 import asyncio
 from dataclasses import dataclass, field
 
-from heronladder_schema.v1 import control_pb2
+from heronladder_schema.v1 import control_pb2, ledger_pb2
 
-from heronladder_runtime.clock import SilenceWatch
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, SilenceWatch
+from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_runtime.config_packing import PartJoiner
 from heronladder_runtime.errors import HeronladderError
 
@@ -20,6 +21,26 @@
     """Control refused the daemon for good: another incarnation took its name."""
 
 
+def hello(
+    record: ledger_pb2.DaemonRecord, revision: int, age_s: float, *, acts_past_lease: bool
+) -> control_pb2.Hello:
+    """Return what a daemon says first on a stream.
+
+    Args:
+        record: Who it is.
+        revision: Newest configuration that it holds.
+        age_s: How long ago its process began, at least, in seconds; 0: not known.
+        acts_past_lease: Whether it goes on by what it holds while control is silent.
+    """
+    return control_pb2.Hello(
+        daemon=record,
+        applied_revision=revision,
+        acts_past_lease=acts_past_lease,
+        process_age_ms=int(age_s * MILLISECONDS_PER_SECOND),
+        highest_version=LATEST_VERSION,
+    )
+
+
 def longest_silence_s(heartbeat_interval_s: float) -> float:
     """Return how long a stream that has had a word may be silent, in seconds."""
     return _SILENT_HEARTBEATS * heartbeat_interval_s
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -150,6 +150,14 @@
     "snapshot_not_saved": "A snapshot could not be written; the log is kept.",
     "snapshot_saved": "A snapshot was written; the log before it may go. Members that save one at"
     " the same `index` have the same `digest`, and the same of the prepaid `accounts`.",
+    "cluster_version_raised": "The leader raised the cluster version: all members and daemons in"
+    " touch support it.",
+    "cluster_version_in_force": "A member applies commands by this cluster version from now on; an"
+    " earlier build can't be put back.",
+    "cluster_version_held_up": "Who keeps the leader from raising the cluster version, with the"
+    " highest version that its build supports; none once nothing does.",
+    "join_refused": "A machine whose build does not support the cluster version in force asked to"
+    " be a member.",
     "command_refused": "An invariant refused a command while it was applied: its sender's account"
     " is not this member's.",
     "start_failed": "A daemon could not start.",
@@ -214,6 +222,10 @@
     "callers_gone": "Callers that left before their answer's end.",
     "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
+    "commands_not_in_force": "Commands refused before they came into the log, since the cluster"
+    " version does not allow them, by kind.",
+    "sessions_of_earlier_builds_refused": "Streams of daemons whose builds do not support the"
+    " cluster version in force.",
     "commands_refused": "Commands that an invariant refused while they were applied, by kind.",
     "cold_reports": "Words of replicas on being cold that were news, by what they said.",
     "daemons_left_out": "Daemons that changes in force did not wait for.",
--- a/tests/apply_history.py
+++ b/tests/apply_history.py
@@ -1,7 +1,8 @@
 """Applies histories of commands with whichever build is on the module path.
 
-Usage: ``python tests/apply_history.py REGION < HISTORIES``. Each line is a history as a JSON list of
-commands, in base64; for each one a line is written: what each command gave, and the state after it.
+Usage: ``python tests/apply_history.py REGION < HISTORIES``. Each line is a history as a JSON list
+of commands, in base64; for each one a line is written: what each command gave, and the state after
+it.
 """
 
 import base64
--- a/tests/control_group.py
+++ b/tests/control_group.py
@@ -8,6 +8,7 @@
 from heronladder_daemon.daemon import Daemon
 from heronladder_platform import settings as platform_settings
 from heronladder_platform.control_api import ControlApi
+from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_runtime.settings import DaemonSettings
 from heronladder_tools.demo_fleet import free_addresses
 from platform_stand_ins import settings_document, with_rollouts
@@ -63,13 +64,19 @@
         return self.operators[source.choice(sorted(self.running) or range(self.size))]
 
     async def start(self) -> None:
-        """Start all members; return once one leads."""
+        """Start all members; return once one leads and the cluster version is in force at all."""
         for number in range(self.size):
             await self.start_member(number)
         async with asyncio.timeout(_PATIENCE_S):
-            while self.leader is None:
+            while self.leader is None or not self._is_version_in_force:
                 await asyncio.sleep(_LOOK_S)
 
+    @property
+    def _is_version_in_force(self) -> bool:
+        members = [daemon.control for daemon in self.running.values()]
+        versions = {member.state.cluster_version for member in members if member is not None}
+        return versions == {LATEST_VERSION}
+
     async def start_member(self, number: int) -> None:
         """Start a member, from its folder if it ran before."""
         daemon = Daemon(self._settings(number))
--- a/tests/test_builds_apply_alike.py
+++ b/tests/test_builds_apply_alike.py
@@ -1,4 +1,4 @@
-"""Tokens granted twice by members of two builds: one log, applied by both, has to give one state."""
+"""Tokens granted twice by members of two builds: both have to make one state of one log."""
 
 import argparse
 import base64
--- a/tests/test_registration_batches.py
+++ b/tests/test_registration_batches.py
@@ -16,6 +16,7 @@
 )
 from heronladder_control.results import success
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, resources_pb2
@@ -38,7 +39,7 @@
         self.node = mock.Mock()
         self.sessions = range(_STREAMS)
         fleet = SimpleNamespace(settled=lambda told: False)  # nothing is known yet
-        self.state = SimpleNamespace(applied_index=0, fleet=fleet)
+        self.state = SimpleNamespace(applied_index=0, fleet=fleet, cluster_version=LATEST_VERSION)
         self.registered: list[str] = []
         self.commit_s = 0.1
         self.failure: Exception | None = None
