Gateways of two builds lend to each other while a release goes out

Cause: a build names the group in a loan message as the settings do, production's build by its region, in the same field. Until the log may name the group, a lender of the same region is asked by the region's name, and either name is taken for the own one.

--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -178,6 +178,7 @@
         lending = LendingOptions(
             name=options.name,
             group=options.group or options.region,
+            region=options.region,
             zone=options.zone,
             address=options.lending_address,
             key_file=options.lending_key_file,
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -22,6 +22,7 @@
 from heronladder_router.tokens.held_tokens import HeldTokens
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_router.tokens.lending import LoanBook
+from heronladder_router.tokens.lending_group import LendingGroup
 from heronladder_router.tokens.peer_key import PeerKey
 
 _STEP = "reserve_prepaid"
@@ -37,6 +38,7 @@
     Attributes:
         name: The gateway.
         group: Its control group.
+        region: Its region.
         zone: Its zone.
         address: IP:port at which it lends; empty: it neither lends nor borrows.
         key_file: File with the keys that prove messages; empty: they are not proved.
@@ -45,6 +47,7 @@
 
     name: str
     group: str
+    region: str
     zone: str
     address: str = ""
     key_file: str = ""
@@ -81,7 +84,8 @@
         self.held = HeldTokens(link, self.lenders, environment, log)
         self._first_stock = FirstStock(self.held, self.lenders, link)
         incarnation = environment.new_id(options.name)
-        who = (options.name, options.group, incarnation)
+        group = LendingGroup(options.group, options.region, lambda: link.cluster_version)
+        who = (options.name, group, incarnation)
         self.book = LoanBook(*who, self.held, self._tenant, self.key, metrics, log)
         self.borrowed = BorrowedTokens(
             *who, self.lenders, stubs, self.key, environment, metrics, log
--- a/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/borrowing.py
@@ -19,6 +19,7 @@
 
 from heronladder_router.tokens.lender_account import LenderAccount
 from heronladder_router.tokens.lenders import Lender, Lenders
+from heronladder_router.tokens.lending_group import LendingGroup
 from heronladder_router.tokens.peer_key import PeerKey
 
 _MOST_ASKED = 3  # lenders for one request
@@ -114,7 +115,7 @@
 
     Args:
         name: This gateway.
-        group: Its control group.
+        group: What its group is called.
         incarnation: Of this process.
         lenders: Whom to ask.
         stubs: Makes stubs to them.
@@ -127,7 +128,7 @@
     def __init__(
         self,
         name: str,
-        group: str,
+        group: LendingGroup,
         incarnation: str,
         lenders: Lenders,
         stubs: StubFactory,
@@ -299,7 +300,7 @@
         """Send a message to a lender; return its answer, or None if none came."""
         sent = list(account.unsettled)
         request = lending_pb2.LendRequest(
-            group=self._group,
+            group=self._group.name_for(far=self._lenders.is_far(lender)),
             borrower=self._name,
             borrower_incarnation=self._incarnation,
             lender=lender.name,
--- a/packages/heronladder-router/src/heronladder_router/tokens/lending.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/lending.py
@@ -22,6 +22,7 @@
 from heronladder_router.errors import CallerError, PrepaidExhaustedError, PrepaidUnavailableError
 from heronladder_router.tokens.balance import OwnReservation
 from heronladder_router.tokens.held_tokens import HeldTokens
+from heronladder_router.tokens.lending_group import LendingGroup
 from heronladder_router.tokens.peer_key import PeerKey
 
 _ENDED_KEPT = 16  # incarnations of a borrower that may not borrow any more
@@ -46,7 +47,7 @@
 
     Args:
         name: This gateway.
-        group: Its control group.
+        group: What its group is called.
         incarnation: Of this process.
         held: The tokens held here.
         find_tenant: Finds a tenant of the configuration in use.
@@ -58,7 +59,7 @@
     def __init__(
         self,
         name: str,
-        group: str,
+        group: LendingGroup,
         incarnation: str,
         held: HeldTokens,
         find_tenant: TenantFinder,
@@ -119,7 +120,7 @@
         """Return why a message is not acted on; empty if it is."""
         if not self._key.proves(request):
             return "not_proved"
-        if request.lender != self._name or request.group != self._group:
+        if request.lender != self._name or not self._group.is_own(request.group):
             return "meant_for_another"
         if not (request.borrower and request.borrower_incarnation):
             return "no_borrower"
--- a/tests/lending_process.py
+++ b/tests/lending_process.py
@@ -11,6 +11,7 @@
 from heronladder_router.errors import CallerError
 from heronladder_router.tokens.access import LendingOptions, Reservation, TokenAccess
 from heronladder_router.tokens.borrowing import Loan
+from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.errors import PeerUnavailableError
 from heronladder_runtime.logs import EventLog
@@ -69,6 +70,7 @@
         options = LendingOptions(
             name,
             GROUP,
+            GROUP,
             zone,
             address=name,
             key_file=key_file,
@@ -145,6 +147,7 @@
         self.regained_s = float("-inf")
         self.routers = len(fleet.zones)
         self.control_time_ms = 0
+        self.cluster_version = LATEST_VERSION
         self._beats = 0
         self._stream = 0  # term of the control it is open to; 0: none
         self._session: DaemonSession | None = None
@@ -199,6 +202,7 @@
     def _open_stream(self) -> None:
         self._stream = self._fleet.term
         self.control_time_ms = 0
+        self.cluster_version = LATEST_VERSION
         self._process.access.held.session_began()
         self._session = self._fleet.control.open_session(self.record)
         self._process.tasks.start("noted", self._pass_notes_on(self._session, self._stream))
