Tokens are granted by the leader's decision, which the log carries

Cause: what a draw gets was worked out by each member while it applied the draw, by rules that differ between the builds (what is scarce, what is too large, what requests wait for).

The leader decides, on the account as it will be with the draws under way, and the draw carries what it gets; members only check that the account has it. The same for a registration of a service that is not declared: whether it ends others at its address is the leader's decision. Tests of the tables decide and apply, as a leader does.

--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -137,7 +137,7 @@
         """Take what a replica tells of itself; an address has one replica only."""
         told = order.replica
         known = self.replica(told.id)
-        if known is None and told.gone and not told.service:
+        if known is None and told.gone:
             return success()  # it left before it ever registered
         if self._is_overtaken(told):
             return success()
@@ -150,7 +150,8 @@
         if known is None or state != known:
             watches = order.watch_newcomers and not (state.gone or state.draining)
             versions = self._rollouts.versions(state.service) if watches else set()
-            self._end_others_at(index, state)
+            if not order.keeps_others:
+                self._end_others_at(index, state)
             self._write(index, state)
             if watches:
                 self._rollouts.watch_newcomer(index, state.service, state.software, versions)
@@ -203,11 +204,8 @@
         return sorted(self._at.get(address, ()))
 
     def _end_others_at(self, index: int, state: resources_pb2.Replica) -> None:
-        """End those that had the address: their late heartbeats must not bring them back.
-
-        But for a word of a service that is not declared: another writer's words end nobody.
-        """
-        if state.gone or not self._is_declared(state.service):
+        """End those that had the address: their late heartbeats must not bring them back."""
+        if state.gone:
             return
         for name in self._ids_at(state.address):
             other = self.replica(name)
@@ -218,7 +216,7 @@
             ended.gone = ended.draining = ended.replaced = True
             self._write(index, ended)
 
-    def _is_declared(self, service: str) -> bool:
+    def is_declared(self, service: str) -> bool:
         """Whether a service is declared, or no configuration is yet."""
         held = self.configuration()
         return held is None or any(one.name == service for one in held.services)
--- /dev/null
+++ b/packages/heronladder-control/src/heronladder_control/leader_decisions.py
@@ -0,0 +1,60 @@
+"""What the leader decides before a command goes into the log, so that members only carry it out.
+
+A rule that decides while a command is applied can't change without a new cluster version: members
+of two builds would hold different states of one log. What is decided here can.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+
+from heronladder_runtime.cluster_versions import since
+from heronladder_schema.v1 import control_pb2
+
+from heronladder_control.draw_decisions import DrawDecisions
+from heronladder_control.state import ControlState
+
+_DECIDED_SINCE = since(control_pb2.DrawTokens.DESCRIPTOR.fields_by_name["decided"])
+
+
+class LeaderDecisions:
+    """Adds the leader's decisions to commands.
+
+    Args:
+        state: What they rest on, as it is applied.
+    """
+
+    def __init__(self, state: ControlState) -> None:
+        self._state = state
+        self._draws = DrawDecisions(state.prepaid)
+        state.listeners.append(lambda command, _: self._draws.applied(command))
+
+    @contextmanager
+    def made(self, command: control_pb2.Command) -> Iterator[None]:
+        """Decide a command that is about to go into the log; ends once its fate is known."""
+        if self._state.cluster_version < _DECIDED_SINCE:
+            yield
+            return
+        for order in self._registrations(command):
+            order.keeps_others = not self._state.fleet.is_declared(order.replica.service)
+        draw = command.draw_tokens
+        if not command.HasField("draw_tokens") or not self._decide(draw):
+            yield
+            return
+        try:
+            yield
+        finally:
+            self._draws.ended(draw)
+
+    def _decide(self, draw: control_pb2.DrawTokens) -> bool:
+        """Decide a draw; return whether it counts as under way."""
+        if not self._state.is_current(draw.holder, draw.incarnation):
+            return False
+        return self._draws.decide(draw)
+
+    @staticmethod
+    def _registrations(command: control_pb2.Command) -> list[control_pb2.RegisterReplica]:
+        if command.HasField("register_replica"):
+            return [command.register_replica]
+        if command.HasField("register_replicas"):
+            return list(command.register_replicas.orders)
+        return []
--- a/packages/heronladder-control/src/heronladder_control/member_context.py
+++ b/packages/heronladder-control/src/heronladder_control/member_context.py
@@ -18,6 +18,7 @@
 from heronladder_control.command_packing import encode_command
 from heronladder_control.daemon_session import DaemonSession
 from heronladder_control.in_force import InForceTracker
+from heronladder_control.leader_decisions import LeaderDecisions
 from heronladder_control.options import ControlOptions
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_control.results import failure
@@ -66,6 +67,7 @@
         self.admission = Admission(
             environment, self.tasks, self.metrics, lambda: bool(self.node.leader)
         )
+        self._decisions = LeaderDecisions(state)
         self.metrics.gauge("cluster_version", lambda: state.cluster_version)
         self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
 
@@ -103,7 +105,8 @@
         order = control_pb2.Command()
         order.CopyFrom(command)
         order.DiscardUnknownFields()
-        result = await self.node.propose(encode_command(at_version(order, version)))
+        with self._decisions.made(order):
+            result = await self.node.propose(encode_command(at_version(order, version)))
         self.metrics.observe("command", self.environment.monotonic() - started_s, body)
         return result
 
--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -15,16 +15,41 @@
 from heronladder_runtime.invariants import invariant
 from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
 
+from heronladder_control import grant_rules
 from heronladder_control.results import failure, success
 
-_SCARCE_SHARE = 0.1  # of the limit: with less left after a loss, nothing is held ahead
-_MUCH_LOST_SHARE = 0.02  # of the limit: as after a loss of all; one gateway costs less
-_SCARCE_AFTER_MUCH_SHARE = 0.2  # of the limit: 12 in 100 were left after a loss of all (measured)
-# Of what no request has, for one request where tokens are scarce: with a larger share the few
-# large ones take what many small ones would have been served with.
-_LARGEST_SHARE = 1 / 32
-_NEVER_LARGE_TOKENS = 2_000  # a common small request at its most
-_MOST_HELD = 0.75  # of what is not spent, by all holders together
+
+def find_or_add_holder(
+    account: ledger_pb2.PrepaidAccount, name: str, incarnation: str
+) -> ledger_pb2.PrepaidHolder:
+    """Return the entry of one incarnation of a router, a new one if it has none."""
+    for holder in account.holders:
+        if (holder.holder, holder.incarnation) == (name, incarnation):
+            return holder
+    added = account.holders.add()
+    added.holder = name
+    added.incarnation = incarnation
+    return added
+
+
+def take_report(holder: ledger_pb2.PrepaidHolder, order: control_pb2.DrawTokens) -> None:
+    """Take what a holder reports with a draw.
+
+    Raises:
+        RefusedByInvariantError: If it reports more than it was granted; nothing has changed then.
+    """
+    used = order.returned + order.spent + order.reserved
+    invariant(
+        used <= holder.granted,
+        "prepaid_holder_within_grant",
+        step="draw",
+        peer=order.holder,
+        detail=f"{order.tenant}: tells {used} of {holder.granted}",
+        refuses=True,
+    )
+    holder.returned = max(holder.returned, order.returned)
+    holder.spent = max(holder.spent, order.spent)
+    holder.reserved = order.reserved
 
 
 class PrepaidTable:
@@ -47,22 +72,6 @@
             account.limited = tenant.limited
             account.kept_back = min(tenant.kept_back_tokens, tenant.prepaid_tokens)
 
-    @staticmethod
-    def charged(account: ledger_pb2.PrepaidAccount) -> int:
-        """Return the tokens that are used or that a holder may still use."""
-        held = sum(holder.granted - holder.returned for holder in account.holders)
-        return account.closed_charge + held
-
-    def available(self, account: ledger_pb2.PrepaidAccount) -> int:
-        """Return the tokens that can be granted; 0 when the limit was lowered below.
-
-        What is kept back makes up for tokens charged for lost holders and not
-        known to be used.
-        """
-        lost = account.closed_charge - account.closed_spent
-        usable = account.limit - max(0, account.kept_back - lost)
-        return max(0, usable - self.charged(account))
-
     # ---- draws ------------------------------------------------------------
 
     def draw(self, order: control_pb2.DrawTokens) -> control_pb2.CommandResult:
@@ -70,115 +79,40 @@
         account = self.accounts.get(order.tenant)
         if account is None:
             return failure(control_pb2.RESULT_CODE_NOT_FOUND, f"there is no tenant {order.tenant}")
-        holder = self._holder(account, order.holder, order.incarnation)
+        holder = find_or_add_holder(account, order.holder, order.incarnation)
         amount = 0
         if order.number > holder.last_number:
             holder.last_number = order.number
-            self._take_report(holder, order)
+            take_report(holder, order)
             amount = self._grant(account, order)
             holder.granted += amount
-        result = success(available=self.available(account))
+        result = success(available=grant_rules.available(account))
         if order.minimum and not amount:
             result.code = control_pb2.RESULT_CODE_EXHAUSTED
         result.granted = holder.granted
-        if self._unused(account) >= order.minimum and not self._too_large(account, order.minimum):
+        is_too_large = grant_rules.is_too_large(account, order.minimum)
+        if grant_rules.unused(account) >= order.minimum and not is_too_large:
             result.recallable = self._unspent_of_others(account, holder)
         result.surely_exhausted = not amount and self._surely_exhausted(account, order, holder)
         return result
 
     @staticmethod
-    def _take_report(holder: ledger_pb2.PrepaidHolder, order: control_pb2.DrawTokens) -> None:
-        used = order.returned + order.spent + order.reserved
+    def _grant(account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
+        """Return what a draw gets: as decided, as far as the account has it."""
+        left = grant_rules.available(account)
+        if order.HasField("decided"):
+            amount = min(order.decided, left) if account.limited else order.decided
+        else:
+            amount = grant_rules.grant_size_of_version_0(account, order)
         invariant(
-            used <= holder.granted,
-            "prepaid_holder_within_grant",
-            step="draw",
-            peer=order.holder,
-            detail=f"{order.tenant}: tells {used} of {holder.granted}",
-            refuses=True,
-        )
-        holder.returned = max(holder.returned, order.returned)
-        holder.spent = max(holder.spent, order.spent)
-        holder.reserved = order.reserved
-
-    def _grant(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
-        amount = self._grant_size(account, order)
-        invariant(
-            amount == 0 or not account.limited or amount <= self.available(account),
+            amount == 0 or not account.limited or amount <= left,
             "prepaid_within_limit",
             step="draw",
             peer=order.tenant,
-            detail=f"{amount} of {self.available(account)}",
+            detail=f"{amount} of {left}",
         )
         return amount
 
-    def _grant_size(self, account: ledger_pb2.PrepaidAccount, order: control_pb2.DrawTokens) -> int:
-        if not account.limited:
-            return order.wanted
-        available = self.available(account)
-        if available < order.minimum or self._too_large(account, order.minimum):
-            return 0
-        # All that wait at once: one by one each would wait for the draws of those before it.
-        needed = max(order.minimum, order.needed)
-        if self._scarce(account):  # tokens held ahead would lie idle where nobody asks
-            needed = max(order.minimum, min(needed, self._largest(account)))
-            return min(needed, available)
-        return min(order.wanted, available, max(self._may_be_held(account), needed))
-
-    def _scarce(self, account: ledger_pb2.PrepaidAccount) -> bool:
-        """Whether little is left, and less than there would be without lost routers."""
-        lost = account.closed_charge > account.closed_spent
-        share = _SCARCE_AFTER_MUCH_SHARE if self._lost_much(account) else _SCARCE_SHARE
-        return lost and self._unused(account) < account.limit * share
-
-    @staticmethod
-    def _lost_much(account: ledger_pb2.PrepaidAccount) -> bool:
-        lost = account.closed_charge - account.closed_spent
-        return lost > account.limit * _MUCH_LOST_SHARE
-
-    def _too_large(self, account: ledger_pb2.PrepaidAccount, tokens: int) -> bool:
-        """Whether one request would take too much of what a loss has left."""
-        scarce = self._lost_much(account) and self._scarce(account)
-        return scarce and tokens > self._largest(account)
-
-    def _largest(self, account: ledger_pb2.PrepaidAccount) -> int:
-        """Return the most that one request gets where tokens are scarce."""
-        return max(_NEVER_LARGE_TOKENS, int(self._unused(account) * _LARGEST_SHARE))
-
-    def _unused(self, account: ledger_pb2.PrepaidAccount) -> int:
-        """Return what no request has or may have used, whoever holds it."""
-        held = sum(
-            holder.granted - holder.returned - holder.spent - holder.reserved
-            for holder in account.holders
-        )
-        return self.available(account) + held
-
-    @staticmethod
-    def _may_be_held(account: ledger_pb2.PrepaidAccount) -> int:
-        """Return how much more all holders together may hold ahead of need.
-
-        What is held carries them, and those they lend to, through a cut from control, and is
-        lost with a holder that is not soon replaced. Whoever asks gets it: holders lend to
-        each other, and one whose callers ask little asks for little. With a share for each,
-        a sixth of a limit stayed at control while its holders ran dry in a cut (68 gateways).
-        """
-        spent = account.closed_charge + sum(entry.spent for entry in account.holders)
-        rest = max(0, account.limit - spent)
-        held = sum(entry.granted - entry.returned - entry.spent for entry in account.holders)
-        return max(0, int(rest * _MOST_HELD) - held)
-
-    @staticmethod
-    def _holder(
-        account: ledger_pb2.PrepaidAccount, name: str, incarnation: str
-    ) -> ledger_pb2.PrepaidHolder:
-        for holder in account.holders:
-            if (holder.holder, holder.incarnation) == (name, incarnation):
-                return holder
-        added = account.holders.add()
-        added.holder = name
-        added.incarnation = incarnation
-        return added
-
     @staticmethod
     def _unspent_of_others(
         account: ledger_pb2.PrepaidAccount, own: ledger_pb2.PrepaidHolder
@@ -219,7 +153,7 @@
             account = self.accounts.get(told.tenant)
             if account is None or not is_current(told.holder, told.incarnation):
                 continue
-            promise = self._holder(account, told.holder, told.incarnation).promise
+            promise = find_or_add_holder(account, told.holder, told.incarnation).promise
             promise.most = max(promise.most, told.promise.most)
             promise.pace = max(promise.pace, told.promise.pace)
         self.last_promises.CopyFrom(order)
--- a/tests/lending_control.py
+++ b/tests/lending_control.py
@@ -9,9 +9,9 @@
 from types import SimpleNamespace
 from typing import Any, cast
 
+from decided_draws import DecidedPrepaidTable
 from heronladder_control.daemon_session import DaemonSession
 from heronladder_control.member import ControlMember
-from heronladder_control.prepaid import PrepaidTable
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_control.promise_notes import PromiseNotes
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -45,7 +45,11 @@
     """
 
     def __init__(
-        self, environment: Environment, table: PrepaidTable, term: int, current: dict[str, str]
+        self,
+        environment: Environment,
+        table: DecidedPrepaidTable,
+        term: int,
+        current: dict[str, str],
     ) -> None:
         self.environment = LeaderClock(environment.random, virtual=True)
         self.environment.ahead_s = environment.random.random() * 1000
--- a/tests/lending_fleet.py
+++ b/tests/lending_fleet.py
@@ -7,7 +7,7 @@
 import asyncio
 from random import Random
 
-from heronladder_control.prepaid import PrepaidTable
+from decided_draws import DecidedPrepaidTable
 from heronladder_control.results import failure
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.errors import RefusedByInvariantError
@@ -57,7 +57,7 @@
         self.weather = weather
         self._key_file = key_file
         self.tasks = TaskGroupOwner(EventLog("test", "network"))
-        table = PrepaidTable()
+        table = DecidedPrepaidTable()
         table.set_limits([Configuration(limit).tenant])
         self.current: dict[str, str] = {}  # incarnation of each gateway that may act
         self.control = ControlStandIn(self.environment, table, 1, self.current)
@@ -80,7 +80,7 @@
     # ---- control ----------------------------------------------------------
 
     @property
-    def table(self) -> PrepaidTable:
+    def table(self) -> DecidedPrepaidTable:
         """All accounts."""
         return self.control.table
 
@@ -155,7 +155,7 @@
         """Let another leader begin from a snapshot: what was not in the log is lost."""
         snapshot = control_pb2.StateSnapshot()
         self.table.save(snapshot)
-        table = PrepaidTable()
+        table = DecidedPrepaidTable()
         table.load(control_pb2.StateSnapshot.FromString(snapshot.SerializeToString()))
         self.tasks.start("end_leader", self.control.end())
         self.control.ended = True
--- a/tests/test_gateway_lending.py
+++ b/tests/test_gateway_lending.py
@@ -4,6 +4,7 @@
 import itertools
 import unittest
 
+from heronladder_control import grant_rules
 from platform_stand_ins import (
     KEY,
     SERVICE,
@@ -130,11 +131,12 @@
         used = holder.daemon.gateway.tokens.held._balances["tenant-a"].spent
         await holder.daemon.gateway.stop()
         assert self.fleet.control.control is not None
-        table = self.fleet.control.control.state.prepaid
-        account = table.accounts["tenant-a"]
+        account = self.fleet.control.control.state.prepaid.accounts["tenant-a"]
         async with asyncio.timeout(_PATIENCE_S):
             # The gateway that holds for the tenant from now on has drawn its stock.
-            while table.charged(account) - self._free_at(others) != _PROMPT_TOKENS + _MOST_OUT:
+            while (
+                grant_rules.charged(account) - self._free_at(others) != _PROMPT_TOKENS + _MOST_OUT
+            ):
                 await asyncio.sleep(0.05)
             while any(
                 entry.holder == holder.daemon.settings.common.name for entry in account.holders
--- a/tests/test_lending.py
+++ b/tests/test_lending.py
@@ -9,7 +9,7 @@
 from typing import Any
 from unittest.mock import patch
 
-from heronladder_control.prepaid import PrepaidTable
+from decided_draws import DecidedPrepaidTable
 from heronladder_router.tokens.balance import OwnReservation
 from heronladder_router.tokens.lenders import Lenders
 from heronladder_router.tokens.lending import LoanBook
@@ -363,11 +363,11 @@
             run_virtual(loss_amid_a_rush(0.9, leader_first=True))
 
     def test_control_that_grants_all_that_wait_whatever_is_left(self) -> None:
-        def grant(table: PrepaidTable, account: Any, order: control_pb2.DrawTokens) -> int:
+        def grant(table: DecidedPrepaidTable, account: Any, order: control_pb2.DrawTokens) -> int:
             return max(order.minimum, order.needed)
 
         with (
-            patch.object(PrepaidTable, "_grant", grant),
+            patch.object(DecidedPrepaidTable, "_grant", grant),
             self.assertRaises(AssertionError),
         ):
             for seed in range(3):
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -3,7 +3,7 @@
 import random
 import unittest
 
-from heronladder_control.prepaid import PrepaidTable
+from decided_draws import DecidedPrepaidTable
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_router.event_stream import EventCutter
 from heronladder_router.kept_parts import KeptParts, parse_parts
@@ -16,8 +16,8 @@
 _TENANT = "t"
 
 
-def _table(limit: int) -> PrepaidTable:
-    table = PrepaidTable()
+def _table(limit: int) -> DecidedPrepaidTable:
+    table = DecidedPrepaidTable()
     table.set_limits(
         [resources_pb2.PrepaidTenant(name=_TENANT, prepaid_tokens=limit, limited=True)]
     )
--- a/tests/test_prepaid_promises.py
+++ b/tests/test_prepaid_promises.py
@@ -5,8 +5,8 @@
 from typing import Any
 from unittest.mock import patch
 
+from decided_draws import DecidedPrepaidTable
 from heronladder_control import prepaid_watch
-from heronladder_control.prepaid import PrepaidTable
 from heronladder_control.prepaid_watch import HolderKey, PrepaidWatch
 from heronladder_control.promise_notes import PromiseNotes
 from heronladder_router.tokens.window import SpendingWindow
@@ -136,8 +136,8 @@
         return self.now_s
 
 
-def _table() -> PrepaidTable:
-    table = PrepaidTable()
+def _table() -> DecidedPrepaidTable:
+    table = DecidedPrepaidTable()
     tenant = resources_pb2.PrepaidTenant(name=TENANT, prepaid_tokens=1000, limited=True)
     table.set_limits([tenant])
     table.draw(
@@ -146,7 +146,7 @@
     return table
 
 
-def _note(table: PrepaidTable, most: int, pace: int, *, current: str = "1") -> None:
+def _note(table: DecidedPrepaidTable, most: int, pace: int, *, current: str = "1") -> None:
     order = control_pb2.NotePromises()
     told = order.promises.add(holder="a", incarnation="1", tenant=TENANT)
     told.promise.most = most
@@ -173,7 +173,7 @@
         table.last_promises.leader_time_ms = 7
         snapshot = control_pb2.StateSnapshot()
         table.save(snapshot)
-        restored = PrepaidTable()
+        restored = DecidedPrepaidTable()
         restored.load(control_pb2.StateSnapshot.FromString(snapshot.SerializeToString()))
         self.assertEqual(restored.accounts, table.accounts)
         self.assertEqual(restored.last_promises.leader_time_ms, 7)
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from heronladder_control.prepaid import PrepaidTable
+from decided_draws import DecidedPrepaidTable
 from heronladder_router.errors import PrepaidUnavailableError
 from heronladder_router.tokens.balance import TokenBalance
 from heronladder_router.tokens.held_tokens import HeldTokens
@@ -58,7 +58,7 @@
         self._clock = clock
         self.draws: list[control_pb2.DrawTokens] = []
         self.tokens: HeldTokens | None = None
-        self.table = PrepaidTable()
+        self.table = DecidedPrepaidTable()
         self.table.set_limits([_TENANT])
         self._waiting = asyncio.Event()
 
--- a/tests/test_replica_incarnations.py
+++ b/tests/test_replica_incarnations.py
@@ -4,9 +4,9 @@
 from random import Random
 from typing import Any
 
+from decided_draws import DecidedPrepaidTable
 from heronladder_control.ended_replicas import EndedReplicas
 from heronladder_control.fleet import FleetTable
-from heronladder_control.prepaid import PrepaidTable
 from heronladder_control.resources import ResourceTable
 from heronladder_control.returning_replicas import RETURNS_AFTER_S, ReturningReplicas
 from heronladder_runtime.clock import Environment
@@ -32,7 +32,7 @@
 
     def setUp(self) -> None:
         self.resources = ResourceTable("r")
-        self.fleet = FleetTable(self.resources, PrepaidTable())
+        self.fleet = FleetTable(self.resources, DecidedPrepaidTable())
         self.index = 0
 
     def _register(self, told: resources_pb2.Replica, *, returns: bool = False) -> None:
