A replica whose start becomes known has not started anew

What callers would see: as the cluster version rises, the records of all replicas tell starts that no build wrote before, and each gateway would forget what all replicas hold, how busy they are and what is held against them, all at once; a lost run that is being looked into would count as a crash of its replica. Cause: gateways compared starts by themselves, and took none for an earlier one. One comparison now, control's, which says nothing where either start is unknown. Evidence: the new test fails on the code before (kept is empty after the first update), and passes.

--- a/packages/heronladder-control/src/heronladder_control/fleet.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet.py
@@ -4,6 +4,7 @@
 
 from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME, REPLICA_KIND
 from heronladder_runtime.fleet_validation import validate_fleet
+from heronladder_runtime.replica_starts import is_earlier_start
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_control.prepaid import PrepaidTable
@@ -12,11 +13,6 @@
 from heronladder_control.rollouts.table import RolloutTable
 
 
-def is_earlier_start(one: resources_pb2.Replica, other: resources_pb2.Replica) -> bool:
-    """Whether what one tells is of an earlier start than the other; False if either tells none."""
-    return 0 < one.start_ms < other.start_ms
-
-
 class FleetTable:
     """Applies whole configurations and registrations of replicas.
 
--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -12,11 +12,11 @@
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
 from heronladder_runtime.configuration import EVACUATION_KIND, REPLICA_KIND
+from heronladder_runtime.replica_starts import is_earlier_start
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_control.cold_reports import ColdReports
 from heronladder_control.evacuations import LateOrders
-from heronladder_control.fleet import is_earlier_start
 from heronladder_control.heartbeat_spread import HeartbeatSpread, SpreadView
 from heronladder_control.leader_asks import FleetOutcome, LeaderAsks, Standing
 from heronladder_control.member_context import MemberContext
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -8,6 +8,7 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_runtime.pulse import Pulse
+from heronladder_runtime.replica_starts import is_earlier_start
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.decisions.availability import Availability
@@ -95,7 +96,7 @@
         for record in self._configuration.replicas():
             replica = earlier.get(record.id)
             # A later start holds and knows nothing of before, nor what was held against it.
-            new = replica is None or replica.record.start_ms < record.start_ms
+            new = replica is None or is_earlier_start(replica.record, record)
             if replica is None or new:
                 replica = FleetReplica(record, KeptParts(self._memory(record.service)))
             self._report(replica, record, new=new)
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -61,6 +61,29 @@
     return replica.name
 
 
+def _learn_starts(gateway: FleetReplicas, start_ms: int) -> None:
+    """Have all replicas' records tell when they started."""
+    configuration = gateway._configuration
+    update = control_pb2.ConfigUpdate(revision=start_ms)
+    for record in configuration.replicas():
+        event = update.events.add(kind=REPLICA_KIND, name=record.id, revision=start_ms)
+        event.resource.replica.CopyFrom(record)
+        event.resource.replica.start_ms = start_ms
+    configuration.apply(update)
+
+
+class StartsTest(unittest.TestCase):
+    def test_a_replica_whose_start_becomes_known_keeps_what_it_holds(self) -> None:
+        """A release raises the cluster version: all replicas tell starts that were not known."""
+        gateway = _gateway("zone-0", 1)
+        profile = _plan(1, 1)
+        _send(gateway, profile)
+        for start_ms, is_kept in ((5, True), (6, False)):  # with 6 all have started again
+            _learn_starts(gateway, start_ms)
+            kept = [one.parts.kept_tokens(profile.parts) for one in gateway._replicas.values()]
+            self.assertEqual(any(kept), is_kept)
+
+
 class SharedPartsTest(unittest.TestCase):
     def test_gateways_send_a_shared_part_to_one_replica(self) -> None:
         """191 of 258 thousand tokens read again on a quiet day: its head was kept elsewhere too."""
