status, members and explain show the cluster version, and what keeps it from rising

Operators could not see that a release was not finished, nor which process held it up, before a build was put back. status has the version, what holds it up and what each member's build supports; members list has the last; explain takes in the three events. test_status, test_explain and test_tools pass.

--- a/packages/heronladder-control/src/heronladder_control/api.py
+++ b/packages/heronladder-control/src/heronladder_control/api.py
@@ -28,7 +28,7 @@
 
 from heronladder_control.member_context import MemberContext
 from heronladder_control.rollouts.manifests import command_of
-from heronladder_control.status import status_document
+from heronladder_control.status import highest_version, status_document
 
 CHANGE_ID_HEADER = "Heronladder-Change-Id"
 _FORWARDED_HEADER = "Heronladder-Forwarded-By"
@@ -309,7 +309,9 @@
 
     async def _list_members(self, request: web.Request) -> web.Response:
         members = [
-            json_format.MessageToDict(member) for member in self._member.node.membership().members
+            json_format.MessageToDict(member)
+            | {"highestVersion": highest_version(self._member, member.name)}
+            for member in self._member.node.membership().members
         ]
         return _json({"items": members, "leader": self._member.node.leader})
 
--- a/packages/heronladder-control/src/heronladder_control/cluster_version.py
+++ b/packages/heronladder-control/src/heronladder_control/cluster_version.py
@@ -37,6 +37,29 @@
         return f"{self.kind} {self.name}: {known}"
 
 
+def target_version(member: MemberContext) -> int:
+    """Return the version to raise to: what this build supports, as far as the setting lets it."""
+    return min(LATEST_VERSION, member.options.most_cluster_version)
+
+
+def find_holdups(member: MemberContext) -> list[Holdup]:
+    """Return what keeps the leader from raising the version to what its build supports."""
+    if member.state.cluster_version >= LATEST_VERSION:
+        return []
+    found = []
+    if target_version(member) < LATEST_VERSION:
+        found.append(Holdup("setting", "most_cluster_version", target_version(member)))
+    node = member.node
+    for entry in node.membership().members:
+        version = node.replication.highest_version(entry.name)
+        if entry.name != node.name and (version is None or version < LATEST_VERSION):
+            found.append(Holdup("member", entry.name, version))
+    for name, session in sorted(member.sessions.items()):
+        if session.hello.highest_version < LATEST_VERSION:
+            found.append(Holdup("daemon", name, session.hello.highest_version))
+    return found
+
+
 class ClusterVersionKeeper:
     """Raises the cluster version while this member leads.
 
@@ -59,35 +82,15 @@
     @property
     def look_s(self) -> float:
         """Time until the next look while a new group waits for its version, in seconds; else 0."""
-        is_below = self._member.state.cluster_version < self.target
+        is_below = self._member.state.cluster_version < target_version(self._member)
         return _NEW_GROUP_LOOK_S if self._is_new_group and is_below else 0.0
 
-    @property
-    def target(self) -> int:
-        """The version to raise to: what this build supports, as far as the setting lets it."""
-        return min(LATEST_VERSION, self._member.options.most_cluster_version)
-
-    def holdups(self) -> list[Holdup]:
-        """Return what keeps the version from being raised to what this build supports."""
-        found = []
-        if self.target < LATEST_VERSION:
-            found.append(Holdup("setting", "most_cluster_version", self.target))
-        node = self._member.node
-        for entry in node.membership().members:
-            version = node.replication.highest_version(entry.name)
-            if entry.name != node.name and (version is None or version < LATEST_VERSION):
-                found.append(Holdup("member", entry.name, version))
-        for name, session in sorted(self._member.sessions.items()):
-            if session.hello.highest_version < LATEST_VERSION:
-                found.append(Holdup("daemon", name, session.hello.highest_version))
-        return found
-
     async def tend(self) -> None:
         """Raise the version if nothing holds it up, and has not for some time."""
         version = self._member.state.cluster_version
-        if version >= self.target:
+        if version >= target_version(self._member):
             return
-        holdups = [holdup for holdup in self.holdups() if holdup.kind != "setting"]
+        holdups = [holdup for holdup in find_holdups(self._member) if holdup.kind != "setting"]
         self._report(version, holdups)
         now_s = self._member.environment.monotonic()
         if holdups:
@@ -101,12 +104,13 @@
             await self._raise(version)
 
     async def _raise(self, version: int) -> None:
+        target = target_version(self._member)
         command = control_pb2.Command()
-        command.set_cluster_version.version = self.target
+        command.set_cluster_version.version = target
         # Not by way of the member's gate, which this command lifts.
         await self._member.node.propose(encode_command(command))
         self._member.log.info(
-            "cluster_version_raised", step="cluster_version", before=version, version=self.target
+            "cluster_version_raised", step="cluster_version", before=version, version=target
         )
 
     def _report(self, version: int, holdups: list[Holdup]) -> None:
@@ -119,7 +123,7 @@
             "cluster_version_held_up",
             step="cluster_version",
             version=version,
-            target=self.target,
+            target=target_version(self._member),
             held_up_by="; ".join(names[:_NAMED_HOLDUPS]),
             count=len(names),
         )
--- a/packages/heronladder-control/src/heronladder_control/status.py
+++ b/packages/heronladder-control/src/heronladder_control/status.py
@@ -2,6 +2,7 @@
 
 from typing import Any
 
+from heronladder_control.cluster_version import find_holdups
 from heronladder_control.member_context import MemberContext
 
 
@@ -18,6 +19,8 @@
         "commitIndex": node.commit_index,
         "committedRevision": committed,
         "inForceRevision": state.in_force_revision,
+        "clusterVersion": state.cluster_version,
+        "versionHeldUpBy": [str(holdup) for holdup in find_holdups(member)],
         "heldUpBy": member.in_force.holding_up(committed),
         "members": [
             {
@@ -26,6 +29,7 @@
                 "zone": entry.zone,
                 "voter": entry.voter,
                 "lag": node.log.last_index - _match_index(member, entry.name),
+                "highestVersion": highest_version(member, entry.name),
                 "reachable": entry.name == node.name or node.replication.reachable(entry.name),
             }
             for entry in node.membership().members
@@ -42,6 +46,12 @@
     }
 
 
+def highest_version(member: MemberContext, name: str) -> int | None:
+    """Return the cluster version that a member's build supports; None if it does not answer."""
+    node = member.node
+    return node.highest_version if name == node.name else node.replication.highest_version(name)
+
+
 def _match_index(member: MemberContext, name: str) -> int:
     node = member.node
     return node.log.last_index if name == node.name else node.replication.match_index(name)
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -45,6 +45,9 @@
         "prepaid_holder_closed",
         "daemon_started",
         "daemon_stopping",
+        "cluster_version_held_up",
+        "cluster_version_in_force",
+        "command_refused",
         "leader_elected",
         "leader_stepped_down",
         "loop_late",
@@ -58,6 +61,9 @@
 )
 _OF_CONTROL = frozenset(
     {
+        "cluster_version_held_up",
+        "cluster_version_in_force",
+        "command_refused",
         "leader_elected",
         "leader_stepped_down",
         "peer_call_expired",
--- a/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
+++ b/packages/heronladder-tools/src/heronladder_tools/operator_commands.py
@@ -228,6 +228,11 @@
     run_command(work())
 
 
+def _version(known: int | None) -> str:
+    """Return the cluster version that a build supports, as tables show it."""
+    return "?" if known is None else str(known)
+
+
 def status(api: Api = DEFAULT_API, token: Token = "", output: Output = "table") -> None:
     """Show members, daemons, who is behind, and what holds a change up."""
     document = run_command(make_client(api, token).call("GET", "/v1/status"))
@@ -239,6 +244,9 @@
         f"leader {document['leader']}  term {document['term']}  "
         f"committed {document['committedRevision']}  in force {document['inForceRevision']}"
     )
+    print(f"cluster version {document['clusterVersion']}")
+    if document["versionHeldUpBy"]:
+        print(f"it is not raised for: {', '.join(document['versionHeldUpBy'])}")
     if document["heldUpBy"]:
         print(f"changes are held up by: {', '.join(document['heldUpBy'])}")
     members = [
@@ -248,10 +256,12 @@
             "voter" if member["voter"] else "learner",
             str(member["lag"]),
             "yes" if member["reachable"] else "NO",
+            _version(member["highestVersion"]),
         ]
         for member in document["members"]
     ]
-    print(format_table(["member", "address", "role", "lag", "reachable"], members))
+    titles = ["member", "address", "role", "lag", "reachable", "highest version"]
+    print(format_table(titles, members))
     daemons = [
         [
             daemon["name"],
@@ -279,10 +289,11 @@
             member["address"],
             "voter" if member.get("voter") else "learner",
             "leader" if member["name"] == document["leader"] else "",
+            _version(member.get("highestVersion")),
         ]
         for member in document["items"]
     ]
-    print(format_table(["member", "address", "role", ""], rows))
+    print(format_table(["member", "address", "role", "", "highest version"], rows))
 
 
 @members_application.command("list")
