--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -215,11 +215,11 @@
             try:
                 self._apply_committed()
             except HeronladderError as error:
-                self.fail(error)
+                self._fail_to_apply(error)
                 return
             except Exception as error:
                 # A member that cannot apply must not go on as if it had.
-                self.fail(HeronladderError(repr(error), step="apply", peer=self.name))
+                self._fail_to_apply(HeronladderError(repr(error), step="apply", peer=self.name))
                 return
             self.changed.give()
             is_due = self.applied_index - self.log.base_index >= self.timing.snapshot_entries
@@ -228,6 +228,21 @@
                 self._saving_snapshot = True
                 self.tasks.start("snapshot", self._save_snapshot())
 
+    def _fail_to_apply(self, error: HeronladderError) -> None:
+        """Stop taking part at an entry that ends each member of this build."""
+        entry = self.log.entry(self.applied_index)
+        self.event_log.error(
+            "entry_not_applied",
+            step="apply",
+            index=entry.index,
+            term=entry.term,
+            kind=self.machine.describe(entry.command),
+            bytes=len(entry.command),
+            cluster_version=self.cluster_version,
+            highest_version=self.highest_version,
+        )
+        self.fail(error)
+
     async def _save_snapshot(self) -> None:
         try:
             if not await self.snapshots.save():
--- a/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/state_machine.py
@@ -32,6 +32,10 @@
             What the proposer is told.
         """
 
+    def describe(self, command: bytes) -> str:
+        """Return what kind of command it is, for logs; it may be one that can't be read."""
+        return f"{len(command)} bytes"
+
     @abstractmethod
     def snapshot(self) -> bytes:
         """Return the whole state in serialised form."""
--- a/packages/heronladder-control/src/heronladder_control/state.py
+++ b/packages/heronladder-control/src/heronladder_control/state.py
@@ -3,6 +3,7 @@
 import zlib
 from collections.abc import Callable
 
+from google.protobuf.message import DecodeError
 from google.protobuf.unknown_fields import UnknownFieldSet
 from heronladder_consensus.state_machine import StateMachine
 from heronladder_runtime.cluster_versions import (
@@ -36,6 +37,11 @@
 _RefusalListener = Callable[[control_pb2.Command, RefusedByInvariantError], None]
 
 
+def _unknown_fields(order: control_pb2.Command) -> list[int]:
+    unknown = UnknownFieldSet(order)
+    return [unknown[place].field_number for place in range(len(unknown))]
+
+
 class ControlState(StateMachine[control_pb2.CommandResult]):
     """Applies commands to resources, ledger, claims and daemons.
 
@@ -88,6 +94,14 @@
             listener(order, result)
         return result
 
+    def describe(self, command: bytes) -> str:
+        """Return the kind of a command; the numbers of its fields where it is not known."""
+        try:
+            order = decode_command(command)
+        except (DecodeError, zlib.error) as error:
+            return f"unreadable: {error}"
+        return order.WhichOneof("body") or f"fields {_unknown_fields(order)}"
+
     def _dispatch(self, index: int, order: control_pb2.Command) -> control_pb2.CommandResult:
         body = order.WhichOneof("body")
         match body:
@@ -164,11 +178,8 @@
                 result = success()
                 result.charged = self.prepaid.closed_charges - charged
                 return result
-        unknown = UnknownFieldSet(order)
-        fields = [unknown[place].field_number for place in range(len(unknown))]
-        invariant(
-            False, "commands_are_known", step="apply", detail=f"{body} at {index}, fields {fields}"
-        )
+        detail = f"{body} at {index}, fields {_unknown_fields(order)}"
+        invariant(False, "commands_are_known", step="apply", detail=detail)
         return success()
 
     def _name_group(self, name: str) -> None:
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -158,6 +158,8 @@
     " highest version that its build supports; none once nothing does.",
     "join_refused": "A machine whose build does not support the cluster version in force asked to"
     " be a member.",
+    "entry_not_applied": "An entry of the log can't be applied by this build: each member of it"
+    " ends there, at each start.",
     "command_refused": "An invariant refused a command while it was applied: its sender's account"
     " is not this member's.",
     "start_failed": "A daemon could not start.",
