--- a/tests/play_soak.py
+++ b/tests/play_soak.py
@@ -1,7 +1,7 @@
 """Plays seeds of the fault soak over the real programs.
 
 Usage: ``python tests/play_soak.py --seeds 1-50 --seconds 20 [KIND] [--keep FOLDER]``, KIND being
-``--wide``, ``--signals`` or ``--upgrade``.
+``--wide``, ``--signals``, ``--upgrade`` or ``--same-build``.
 """
 
 import argparse
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from process_soak import ProcessSoak
+from same_build_soak import SameBuildSoak
 from signal_soak import SignalSoak
 from upgrade_soak import UpgradeSoak
 from wide_soak import WideSoak
@@ -33,11 +34,13 @@
 
 
 def _kind(options: argparse.Namespace) -> type[ProcessSoak]:
-    if options.wide:
-        return WideSoak
-    if options.signals:
-        return SignalSoak
-    return UpgradeSoak if options.upgrade else ProcessSoak
+    kinds = {
+        WideSoak: options.wide,
+        SignalSoak: options.signals,
+        UpgradeSoak: options.upgrade,
+        SameBuildSoak: options.same_build,
+    }
+    return next((kind for kind, is_asked in kinds.items() if is_asked), ProcessSoak)
 
 
 def main() -> int:
@@ -49,6 +52,7 @@
     parser.add_argument("--wide", action="store_true", help="streams, prepaid tokens, lost disks")
     parser.add_argument("--signals", action="store_true", help="replicas ask for back-off, leave")
     parser.add_argument("--upgrade", action="store_true", help="production's build is replaced")
+    parser.add_argument("--same-build", action="store_true", help="this build replaces itself")
     options = parser.parse_args()
     first, _, last = options.seeds.partition("-")
     failed = 0
--- a/tests/upgrade_soak.py
+++ b/tests/upgrade_soak.py
@@ -36,7 +36,12 @@
         self.raised_s: float | None = None
         self.injected.append(self.order)
         for machine in self._machines:
-            machine.module_path = module_path()
+            machine.module_path = self._build_before()
+
+    @staticmethod
+    def _build_before() -> str:
+        """Return the module path of the build that is replaced; empty: this build."""
+        return module_path()
 
     def _begin_callers(self) -> None:
         super()._begin_callers()
@@ -102,7 +107,7 @@
         while not machine.is_up:  # a fault has it, or it is started again
             await asyncio.sleep(_LOOK_S)
         await machine.stop()
-        machine.module_path = "" if machine.module_path else module_path()
+        machine.module_path = "" if machine.module_path else self._build_before()
         machine.start()
 
     def _faults(self) -> list[tuple[str, Fault]]:
