A wait whose rest is too short to move the clock ends

A run of a control group in virtual time never ended (seed 28 of the runs with members of two versions): the rest of a time-out, less own lateness, came out as some 1e-17 s, and the timer for it was due again at once, for ever. With a real clock it is one more turn of the loop. A timer waits for a millisecond at least.

--- a/packages/heronladder-runtime/src/heronladder_runtime/clock.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/clock.py
@@ -11,6 +11,7 @@
 from heronladder_runtime.process_start import boot_time_s
 
 MILLISECONDS_PER_SECOND = 1000
+_LEAST_TIMER_S = 0.001  # less may not move a clock at all: the timer would be due again at once
 _Result = TypeVar("_Result")
 
 
@@ -113,7 +114,7 @@
             nonlocal timer
             left_s = watch.silence().left_s(timeout_s)
             if left_s > 0:
-                timer = loop.call_later(left_s, check)
+                timer = loop.call_later(max(left_s, _LEAST_TIMER_S), check)
             else:
                 limit.reschedule(loop.time())
 
