The soak of a release is judged once requests that crash replicas can be refused

Until the version is raised nobody refuses such a request, as in production's build, so that part of the span says nothing of the release. The soak waits for it, 20 s at most (it is a fault if it does not come), and then judges by the same bounds.

--- a/packages/heronladder-runtime/src/heronladder_runtime/cluster_versions.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/cluster_versions.py
@@ -50,15 +50,16 @@
     Raises:
         ClusterVersionError: If it is not known, or needs a later version. Nothing was done.
     """
+    if is_allowed(command, version):
+        return
     needed = needed_version(command)
     if needed is None:
         raise ClusterVersionError("this build does not know the command", step="cluster_version")
-    if needed > version:
-        raise ClusterVersionError(
-            f"it needs cluster version {needed}, {version} is in force",
-            step="cluster_version",
-            peer=command.WhichOneof("body") or "",
-        )
+    raise ClusterVersionError(
+        f"it needs cluster version {needed}, {version} is in force",
+        step="cluster_version",
+        peer=command.WhichOneof("body") or "",
+    )
 
 
 def at_version(command: control_pb2.Command, version: int) -> control_pb2.Command:
--- a/tests/test_schema_versions.py
+++ b/tests/test_schema_versions.py
@@ -15,6 +15,7 @@
     LATEST_VERSION,
     ClusterVersionError,
     at_version,
+    is_allowed,
     require_allowed,
     since,
 )
@@ -111,6 +112,7 @@
         for field in control_pb2.Command.DESCRIPTOR.fields:
             command = control_pb2.Command()
             getattr(command, field.name).SetInParent()
+            self.assertEqual(is_allowed(command, FIRST_VERSION), since(field) == FIRST_VERSION)
             if since(field) == FIRST_VERSION:
                 require_allowed(command, FIRST_VERSION)
                 continue
--- a/tests/upgrade_soak.py
+++ b/tests/upgrade_soak.py
@@ -17,6 +17,7 @@
 _ORDERS = ("drawn", "gateways first", "control first", "leader last", "two at once", "back and on")
 _CRASHES_PROVE = 3  # crashes under a request until it is refused
 _KNOWN_AFTER_S = 3.0
+_RAISED_WITHIN_S = 20.0  # of the last replacement
 _RAISED = "event=cluster_version_raised"
 _LOOK_S = 0.2
 _RESTART_S = 0.7  # of the platform, for a process that ended
@@ -114,6 +115,19 @@
         kept = ("kill a gateway", "kill a control member", "crash a replica", "drain a replica")
         return [(name, fault) for name, fault in super()._faults() if name in kept]
 
+    async def _be_calm(self) -> None:
+        """Judge once the version is raised: until then requests crash replicas without an end."""
+        for machine in self._machines:
+            machine.go_on()
+        try:
+            async with asyncio.timeout(_RAISED_WITHIN_S):
+                while self.raised_s is None:
+                    await asyncio.sleep(_LOOK_S)
+            await asyncio.sleep(_KNOWN_AFTER_S)
+        except TimeoutError:
+            pass  # told by the check
+        await super()._be_calm()
+
     # ---- what has to hold -------------------------------------------------
 
     async def _check(self) -> None:
