--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -31,6 +31,9 @@
         seeds: Addresses of the control machines.
 
     Attributes:
+        zone: Where it stands.
+        zones: Region of each zone of the deployment.
+        contracts: Parts of the rules in force, as settings name them.
         module_path: Where its build's packages lie, as PYTHONPATH; empty: this build's.
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
@@ -40,6 +43,9 @@
         self.role = role
         self.address = address
         self.name = name
+        self.zone = "z1"
+        self.zones = {"z1": "r1", "z2": "r1"}
+        self.contracts: list[str] = []
         self.module_path = ""
         self.faults: list[str] = []
         self.disturbed_s: list[float] = []
@@ -63,9 +69,10 @@
         document: dict[str, Any] = {
             "nodeName": self.name,
             "ip": self.address,
-            "zone": "z1",
-            "region": "r1",
-            "zones": {"z1": "r1", "z2": "r1"},
+            "zone": self.zone,
+            "region": self.zones[self.zone],
+            "zones": self.zones,
+            "contracts": self.contracts,
             "listen": self._listen(),
             "internalPorts": list(_INTERNAL_PORTS),
             "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self._seeds],
@@ -77,6 +84,8 @@
                 "budgetSlack": 50,
                 "budgetWindowS": 10,
                 "graceS": _GRACE_S,
+                "exposeShare": 0.1,
+                "exposeSlack": 50,
             },
         }
         file = self._folder / "settings.json"
--- a/tests/upgrade_soak.py
+++ b/tests/upgrade_soak.py
@@ -14,6 +14,8 @@
 
 _BUILD_ON_S = 2.0  # of production's build alone, and of the mixture once it is whole
 _GAP_S = 1.0  # between two replacements
+_IN_TWO_REGIONS = 0.3  # of the seeds
+_CONTRACTS = ("rollout",)
 _ORDERS = ("drawn", "gateways first", "control first", "leader last", "two at once", "back and on")
 _CRASHES_PROVE = 3  # crashes under a request until it is refused
 _KNOWN_AFTER_S = 3.0
@@ -36,9 +38,20 @@
         self.order = self.source.choice(_ORDERS)
         self.raised_s: float | None = None
         self.injected.append(self.order)
+        if self.source.random() < _IN_TWO_REGIONS:
+            self._stretch()
         for machine in self._machines:
+            machine.contracts = list(_CONTRACTS)
             machine.module_path = self._build_before()
 
+    def _stretch(self) -> None:
+        """Have every second machine stand in another region."""
+        self.injected.append("two regions")
+        for machine in self._machines:
+            machine.zones = {"z1": "r1", "z2": "r2"}
+        for machine in [*self.controls[::2], *self.gateways[::2]]:
+            machine.zone = "z2"
+
     @staticmethod
     def _build_before() -> str:
         """Return the module path of the build that is replaced; empty: this build."""
