Names: a gateway's readiness is judged, contacts and reports are noted, a roll-out is reported

Taking, take and TakeView are GatewayReadiness, judge_readiness and ReadinessView (event gateway_readiness); ConfigurationStanding notes contacts and what is in force; loads and roll-outs of a heartbeat are observed; a gate reports; the message RolloutTold is RolloutReport, with the same numbers.

--- a/packages/heronladder-control/src/heronladder_control/draw_decisions.py
+++ b/packages/heronladder-control/src/heronladder_control/draw_decisions.py
@@ -10,7 +10,7 @@
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control import grant_rules
-from heronladder_control.prepaid import PrepaidTable, find_or_add_holder, take_report
+from heronladder_control.prepaid import PrepaidTable, apply_report, find_or_add_holder
 
 _CHANGES_ACCOUNTS = frozenset({"close_prepaid_holder", "apply_configuration", "put_resource"})
 
@@ -56,7 +56,7 @@
             return 0
         holder.last_number = order.number
         try:
-            take_report(holder, order)
+            apply_report(holder, order)
         except RefusedByInvariantError:
             return 0  # refused again where it is applied, and reported there
         size = grant_rules.grant_size(account, order)
--- a/packages/heronladder-control/src/heronladder_control/prepaid.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid.py
@@ -32,7 +32,7 @@
     return added
 
 
-def take_report(holder: ledger_pb2.PrepaidHolder, order: control_pb2.DrawTokens) -> None:
+def apply_report(holder: ledger_pb2.PrepaidHolder, order: control_pb2.DrawTokens) -> None:
     """Take what a holder reports with a draw.
 
     Raises:
@@ -83,7 +83,7 @@
         amount = 0
         if order.number > holder.last_number:
             holder.last_number = order.number
-            take_report(holder, order)
+            apply_report(holder, order)
             amount = self._grant(account, order)
             holder.granted += amount
         result = success(available=grant_rules.available(account))
--- a/packages/heronladder-control/src/heronladder_control/replica_loads.py
+++ b/packages/heronladder-control/src/heronladder_control/replica_loads.py
@@ -27,7 +27,7 @@
         self._busiest: list[str] = []
         self._told_since = 0
 
-    def told(self, router: str, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
+    def observe(self, router: str, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         """Take what a router has under way now; it replaces what it told before."""
         self.forget(router)
         told = {name: (load.in_flight, load.unread_tokens) for name, load in loads.items()}
--- a/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
+++ b/packages/heronladder-control/src/heronladder_control/rollouts/conductor.py
@@ -40,7 +40,7 @@
     began_s: float  # on this member's clock, as far as is known
     book: GrantBook
     watch: Watch
-    told: dict[str, control_pb2.RolloutTold] = field(default_factory=dict)  # by incarnation
+    told: dict[str, control_pb2.RolloutReport] = field(default_factory=dict)  # by incarnation
     told_s: dict[str, float] = field(default_factory=dict)  # when a word came last
     pace: RequestPace = field(default_factory=RequestPace)
     noted_s: float = float("-inf")
@@ -73,7 +73,7 @@
 
     # ---- words of routers -------------------------------------------------
 
-    def told(self, session: DaemonSession, words: Iterable[control_pb2.RolloutTold]) -> None:
+    def observe(self, session: DaemonSession, words: Iterable[control_pb2.RolloutReport]) -> None:
         """Take what a router did since the order; a repeat or an older word changes nothing."""
         for word in words:
             conducted = self._conducted_for(word.service)
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -281,13 +281,13 @@
         if self.sessions.get(name) is not session or not self._member.node.is_leader:
             return
         if heartbeat.rollouts:
-            self._parts.rollouts.told(session, heartbeat.rollouts)
+            self._parts.rollouts.observe(session, heartbeat.rollouts)
         if session.record.role == ROLE_ROUTER:
             self._parts.promise_notes.heartbeat(session, heartbeat)
         self.replica_limits.observe(name, heartbeat.replica_limits)
         if heartbeat.replica_loads or session.tells_loads:
             session.tells_loads = True
-            self._replica_loads.told(name, heartbeat.replica_loads)
+            self._replica_loads.observe(name, heartbeat.replica_loads)
         in_force = self._member.state.in_force_revision
         applied = heartbeat.applied_revision
         session.renewed = self._member.in_force.heartbeat(
--- a/packages/heronladder-router/src/heronladder_router/decisions/readiness.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/readiness.py
@@ -42,7 +42,7 @@
 
 
 @dataclass(frozen=True)
-class TakeView:
+class ReadinessView:
     """What a gateway knows of itself.
 
     Attributes:
@@ -69,7 +69,7 @@
 
 
 @dataclass(frozen=True)
-class Take:
+class Readiness:
     """Whether a gateway says that it is ready.
 
     Attributes:
@@ -85,23 +85,23 @@
     mean: float = 0.0
 
 
-def take(view: TakeView) -> Take:
+def judge_readiness(view: ReadinessView) -> Readiness:
     """Return whether a gateway is ready for new connections."""
     late_ms = max(view.link_ms, view.loop_ms)
     if not view.limit_ms:
-        return Take(True, Standing.OFF, late_ms)
+        return Readiness(True, Standing.OFF, late_ms)
     if view.behind_s is not None:
         if late_ms < _BACK_SHARE * view.limit_ms:
-            return Take(True, Standing.IN_TIME, late_ms)
+            return Readiness(True, Standing.IN_TIME, late_ms)
         ready = view.behind_s > _LONGEST_S
-        return Take(ready, Standing.LONG_ENOUGH if ready else Standing.BEHIND, late_ms)
+        return Readiness(ready, Standing.LONG_ENOUGH if ready else Standing.BEHIND, late_ms)
     if view.others is None or view.heard_s < _SUMS_WHOLE_S or view.gateways < _MEANS:
-        return Take(True, Standing.UNKNOWN, late_ms)
+        return Readiness(True, Standing.UNKNOWN, late_ms)
     mean = (view.own + view.others) / view.gateways
     if late_ms <= view.limit_ms:
-        return Take(True, Standing.IN_TIME, late_ms, mean)
+        return Readiness(True, Standing.IN_TIME, late_ms, mean)
     if view.own < _LEAST_IN_FLIGHT or view.own <= _MEANS * mean:
-        return Take(True, Standing.SHARED, late_ms, mean)
+        return Readiness(True, Standing.SHARED, late_ms, mean)
     if view.ready_s < _REST_S:
-        return Take(True, Standing.RESTS, late_ms, mean)
-    return Take(False, Standing.BEHIND, late_ms, mean)
+        return Readiness(True, Standing.RESTS, late_ms, mean)
+    return Readiness(False, Standing.BEHIND, late_ms, mean)
--- a/packages/heronladder-router/src/heronladder_router/gateway_readiness.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_readiness.py
@@ -7,11 +7,11 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 
-from heronladder_router.decisions.take import TakeView, take
+from heronladder_router.decisions.readiness import ReadinessView, judge_readiness
 from heronladder_router.shared_loads import SharedLoads
 
 
-class Taking:
+class GatewayReadiness:
     """Whether new connections are wanted, as far as link and loop go.
 
     Args:
@@ -61,7 +61,7 @@
         now_s = self._environment.monotonic()
         since_s = self._behind_since_s
         own, others = self._loads.under_way()
-        view = TakeView(
+        view = ReadinessView(
             limit_ms=self._limit_ms,
             link_ms=self._link.round_trip_s * MILLISECONDS_PER_SECOND,
             loop_ms=self._link.loop_late_s * MILLISECONDS_PER_SECOND,
@@ -72,7 +72,7 @@
             ready_s=now_s - self._ready_since_s,
             heard_s=now_s - self._link.heard_since_s,
         )
-        decided = take(view)
+        decided = judge_readiness(view)
         if decided.ready is not self.behind:
             return
         if decided.ready:
@@ -81,8 +81,8 @@
             self._behind_since_s = now_s
         self._metrics.add("gateway_behind_changes", decided.standing.value)
         self._log.info(
-            "gateway_taking",
-            step="take",
+            "gateway_readiness",
+            step="readiness",
             ready=decided.ready,
             reason=decided.standing.value,
             link_ms=int(view.link_ms),
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -20,6 +20,7 @@
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_dispatch import GatewayDispatcher, GatewayParts
 from heronladder_router.gateway_names import GatewayNames
+from heronladder_router.gateway_readiness import GatewayReadiness
 from heronladder_router.gateway_server import GatewayServer
 from heronladder_router.host_routes import HostRouteTable
 from heronladder_router.leave_reports import LeaveReports
@@ -29,7 +30,6 @@
 from heronladder_router.replica_connections import ReplicaConnections
 from heronladder_router.sliding_allowance import SlidingAllowance
 from heronladder_router.surroundings import Surroundings
-from heronladder_router.taking import Taking
 from heronladder_router.tokens.access import LendingOptions, TokenAccess
 from heronladder_router.unreached_replicas import UnreachedReplicas
 
@@ -124,7 +124,7 @@
         handlers.session_began = self.tokens.held.session_began
         handlers.fill_heartbeat = self._fill_heartbeat
         self.places = self._make_places()
-        self.taking = Taking(
+        self.readiness = GatewayReadiness(
             options.behind_after_ms,
             self.link,
             self.replicas.loads,
@@ -134,7 +134,7 @@
         )
         handlers.replica_loads = self._loads_told
         self._join_limits(handlers)
-        self.replicas.versions.heard_s = lambda: self.link.standing.heard_s
+        self.replicas.versions.heard_s = lambda: self.link.standing.last_contact_s
         self.replicas.versions.count = lambda version: self.metrics.add("rollout_sends", version)
         handlers.rollout_grants = self.replicas.versions.granted
         handlers.promises_noted = self.tokens.held.confirmed
@@ -191,7 +191,7 @@
         limits = self.replicas.limits
         limits.gateway = self.options.name
         limits.gateways = self._gateways_known
-        limits.leader_heard_s = lambda: self.link.standing.heard_s
+        limits.leader_heard_s = lambda: self.link.standing.last_contact_s
         limits.beat_now = self.link.beat_now
         handlers.replica_limits = limits.take
         self.metrics.gauge("replicas_leaving", lambda: self.replicas.availability.leaving)
@@ -238,8 +238,8 @@
         self._look_at_load()
 
     def _look_at_load(self) -> None:
-        self.taking.look()
-        self.server.moving = self.taking.behind
+        self.readiness.look()
+        self.server.moving = self.readiness.behind
 
     def _make_server(self) -> GatewayServer:
         options = self.options
@@ -302,7 +302,7 @@
 
     def ready(self) -> bool:
         """Whether new connections are wanted."""
-        if self.taking.behind:
+        if self.readiness.behind:
             self._look_at_load()
         silent_s = self._environment.monotonic() - self.link.last_heard_s
         heard = silent_s < self.options.stale_limit_s
--- a/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/service_gate.py
@@ -219,7 +219,9 @@
 
     # ---- what control is told ---------------------------------------------
 
-    def told(self, service: str, elsewhere: int, now_s: float) -> control_pb2.RolloutTold | None:
+    def report(
+        self, service: str, elsewhere: int, now_s: float
+    ) -> control_pb2.RolloutReport | None:
         """Return what control is to know; None if the record asks for nothing.
 
         Args:
@@ -231,7 +233,7 @@
             return None
         # Withdrawn when it went back while it heard nothing: old replicas are stopped on it.
         self.clear = self.moves and not elsewhere
-        return control_pb2.RolloutTold(
+        return control_pb2.RolloutReport(
             service=service,
             ordered_revision=self.ordered_revision,
             requests=self.requests,
--- a/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
+++ b/packages/heronladder-router/src/heronladder_router/rollouts/version_gates.py
@@ -112,7 +112,7 @@
         self._environment = environment
         self._log = log
         self._gates: dict[str, ServiceGate] = {}
-        self._stops_told: set[str] = set()
+        self._stops_reported: set[str] = set()
         self.heard_s: Callable[[], float] = lambda: float("-inf")
         self.count: Callable[[str], None] = lambda version: None
 
@@ -132,7 +132,7 @@
             if gate is None or gate.ordered_revision != record.ordered_revision:
                 gate = ServiceGate(record, self._environment.monotonic(), self._unread_routes())
                 self._gates[service] = gate
-                self._stops_told.discard(service)
+                self._stops_reported.discard(service)
                 self._report(service, record)
             elif gate.record != record:
                 gate.take(record)
@@ -261,14 +261,14 @@
             was_clear = gate.clear
             now_s = self._environment.monotonic()
             gate.note_silence(now_s - self.heard_s(), now_s)
-            word = gate.told(service, elsewhere, now_s)
-            if word is None:
+            report = gate.report(service, elsewhere, now_s)
+            if report is None:
                 continue
-            heartbeat.rollouts.append(word)
-            if word.stopped and service not in self._stops_told:
-                self._stops_told.add(service)
+            heartbeat.rollouts.append(report)
+            if report.stopped and service not in self._stops_reported:
+                self._stops_reported.add(service)
                 self._log.warning(
-                    "version_stopped", step="rollout", peer=service, reason=word.stopped
+                    "version_stopped", step="rollout", peer=service, reason=report.stopped
                 )
             if gate.clear and not was_clear:
                 self._log.info("versions_clear", step="rollout", peer=service)
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -326,7 +326,7 @@
             self._session.wake.set()
 
     def _take(self, session: LinkSession, frame: control_pb2.ControlFrame) -> None:
-        self.standing.heard()
+        self.standing.note_contact()
         if frame.control_addresses:
             self._addresses = list(frame.control_addresses)
         if frame.routers:
@@ -364,7 +364,7 @@
 
     def _take_standing(self, session: LinkSession, frame: control_pb2.ControlFrame) -> None:
         age_s = frame.in_force_age_ms / MILLISECONDS_PER_SECOND
-        self.standing.told(frame.in_force_revision, frame.hold_below, age_s)
+        self.standing.note_in_force(frame.in_force_revision, frame.hold_below, age_s)
         if frame.hold_below:
             session.beat()  # control waits for the promise
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/standing.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/standing.py
@@ -38,7 +38,7 @@
         self._log = log
         self.in_force_revision = 0  # newest one that control said is in force
         self.hold_below = 0  # newest promise to act by nothing older
-        self.heard_s = float("-inf")  # newest frame of a leader
+        self.last_contact_s = float("-inf")  # newest frame of a leader
         self._back_s = float("-inf")  # when the newest silence of control ended
         self._behind_since_s: float | None = None
         self._act_until_s = float("inf")  # while it is behind
@@ -58,7 +58,7 @@
         if self._behind_since_s is None:
             return False
         now_s = self._environment.monotonic()
-        in_touch = now_s - self.heard_s < _OUT_OF_TOUCH_S
+        in_touch = now_s - self.last_contact_s < _OUT_OF_TOUCH_S
         return in_touch and now_s >= self._act_until_s
 
     async def wait_until_it_may_act(self) -> None:
@@ -66,14 +66,16 @@
         while self.must_hold:
             await self.changed.wait(_BEHIND_GRACE_S)
 
-    def heard(self) -> None:
+    def note_contact(self) -> None:
         """Note a frame of a leader."""
         now_s = self._environment.monotonic()
-        if now_s - self.heard_s >= _OUT_OF_TOUCH_S:
+        if now_s - self.last_contact_s >= _OUT_OF_TOUCH_S:
             self._back_s = now_s
-        self.heard_s = now_s
+        self.last_contact_s = now_s
 
-    def told(self, in_force_revision: int, hold_below: int, in_force_age_s: float = 0.0) -> None:
+    def note_in_force(
+        self, in_force_revision: int, hold_below: int, in_force_age_s: float = 0.0
+    ) -> None:
         """Note what control says is in force, and below what it asks not to act.
 
         Args:
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -56,7 +56,7 @@
         "hold_ordered",
         "configuration_behind",
         "configuration_caught_up",
-        "gateway_taking",
+        "gateway_readiness",
     }
 )
 _OF_CONTROL = frozenset(
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -27,7 +27,7 @@
     "leave_not_reported": "Control did not take such a report in time.",
     "send_held_back": "A request was not sent although its replica had been chosen: while a"
     " connection came about the replica asked for back-off or left.",
-    "gateway_taking": "A gateway is not ready because its link or its loop is behind and it has"
+    "gateway_readiness": "A gateway is not ready because its link or its loop is behind and it has"
     " more under way than twice the mean, or is ready again.",
     "place_decided": "A request for a plain service waits for a place, is sent although places"
     " seem taken, or is turned away; with what decided it.",
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -177,7 +177,7 @@
                 for name in source.sample(["r1", "r2", "r3"], source.randrange(4))
             }
             newest[router] = told
-            sums.told(
+            sums.observe(
                 router,
                 {
                     name: control_pb2.ReplicaLoad(in_flight=count, unread_tokens=tokens)
@@ -196,9 +196,9 @@
         """Only after a quarter of the routers had told: a request went where it had to wait."""
         sums = ReplicaLoads()
         for router in range(40):
-            sums.told(f"g{router}", {"r0": control_pb2.ReplicaLoad(in_flight=1)})
+            sums.observe(f"g{router}", {"r0": control_pb2.ReplicaLoad(in_flight=1)})
         sums.fill("g0", control_pb2.ControlFrame())
-        sums.told("g1", {"r1": control_pb2.ReplicaLoad(in_flight=7)})
+        sums.observe("g1", {"r1": control_pb2.ReplicaLoad(in_flight=7)})
         frame = control_pb2.ControlFrame()
         sums.fill("g0", frame)
         self.assertEqual(frame.replica_loads["r1"].in_flight, 7)
@@ -206,7 +206,7 @@
     def test_only_the_busiest_replicas_are_told(self) -> None:
         sums = ReplicaLoads()
         told = {f"r{n}": control_pb2.ReplicaLoad(in_flight=n + 1) for n in range(MOST_TOLD + 9)}
-        sums.told("a", told)
+        sums.observe("a", told)
         frame = control_pb2.ControlFrame()
         sums.fill("b", frame)
         self.assertEqual(len(frame.replica_loads), MOST_TOLD)
--- a/tests/test_gateway_readiness.py
+++ b/tests/test_gateway_readiness.py
@@ -8,11 +8,11 @@
 
 from heronladder_router.decisions.cold_limit import ColdLimits
 from heronladder_router.decisions.few_senders import GatewaysKnown
-from heronladder_router.decisions.take import Standing, TakeView, take
+from heronladder_router.decisions.readiness import ReadinessView, Standing, judge_readiness
 from heronladder_router.fleet_replicas import FleetReplicas
+from heronladder_router.gateway_readiness import GatewayReadiness
 from heronladder_router.replica_state import RequestProfile
 from heronladder_router.surroundings import Surroundings
-from heronladder_router.taking import Taking
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.configuration import REPLICA_KIND, ConfigurationStore
 from heronladder_runtime.logs import EventLog
@@ -85,8 +85,8 @@
         ]
         for number, link in enumerate(links):
             since_s = link.behind_since_s
-            decided = take(
-                TakeView(
+            decided = judge_readiness(
+                ReadinessView(
                     limit_ms,
                     2 * link.wait_s * 1000,
                     0.0,
@@ -119,8 +119,10 @@
     gateways: int = 20,
     behind_s: float | None = None,
     heard_s: float = 60.0,
-) -> TakeView:
-    return TakeView(limit_ms, link_ms, loop_ms, own, others, gateways, behind_s, heard_s=heard_s)
+) -> ReadinessView:
+    return ReadinessView(
+        limit_ms, link_ms, loop_ms, own, others, gateways, behind_s, heard_s=heard_s
+    )
 
 
 class TakeTest(unittest.TestCase):
@@ -129,31 +131,41 @@
             behind = [
                 own
                 for own in loads
-                if not take(_view(link_ms=9_000, own=own, others=sum(loads) - own)).ready
+                if not judge_readiness(_view(link_ms=9_000, own=own, others=sum(loads) - own)).ready
             ]
             self.assertLess(len(behind), len(loads) / 2)
 
     def test_fewer_than_half_can_be_behind_while_a_new_leader_has_parts_of_the_sums(self) -> None:
         """All 20 were: each of them heard of few others at a leader that had just begun."""
-        partial = [take(_view(link_ms=9_000, own=50, others=0, heard_s=0.9)) for _ in range(20)]
+        partial = [
+            judge_readiness(_view(link_ms=9_000, own=50, others=0, heard_s=0.9)) for _ in range(20)
+        ]
         self.assertEqual({one.standing for one in partial}, {Standing.UNKNOWN})
         self.assertTrue(all(one.ready for one in partial))
-        self.assertFalse(take(_view(link_ms=9_000, own=50, others=0, heard_s=1.0)).ready)
+        self.assertFalse(judge_readiness(_view(link_ms=9_000, own=50, others=0, heard_s=1.0)).ready)
 
     def test_a_late_loop_counts_as_a_full_link_does(self) -> None:
-        self.assertFalse(take(_view(loop_ms=400)).ready)
-        self.assertFalse(take(_view(link_ms=400)).ready)
-        self.assertTrue(take(_view(link_ms=300)).ready)
+        self.assertFalse(judge_readiness(_view(loop_ms=400)).ready)
+        self.assertFalse(judge_readiness(_view(link_ms=400)).ready)
+        self.assertTrue(judge_readiness(_view(link_ms=300)).ready)
 
     def test_it_is_ready_where_it_cannot_compare_itself(self) -> None:
-        self.assertEqual(take(_view(link_ms=900, others=None)).standing, Standing.UNKNOWN)
-        self.assertEqual(take(_view(link_ms=900, others=0, gateways=1)).standing, Standing.UNKNOWN)
-        self.assertEqual(take(_view(link_ms=900, own=7, others=0)).standing, Standing.SHARED)
+        self.assertEqual(
+            judge_readiness(_view(link_ms=900, others=None)).standing, Standing.UNKNOWN
+        )
+        self.assertEqual(
+            judge_readiness(_view(link_ms=900, others=0, gateways=1)).standing, Standing.UNKNOWN
+        )
+        self.assertEqual(
+            judge_readiness(_view(link_ms=900, own=7, others=0)).standing, Standing.SHARED
+        )
 
     def test_it_comes_back_with_a_margin_or_after_a_while(self) -> None:
-        self.assertFalse(take(_view(link_ms=200, behind_s=1.0)).ready)
-        self.assertTrue(take(_view(link_ms=149, behind_s=1.0)).ready)
-        self.assertEqual(take(_view(link_ms=900, behind_s=4.1)).standing, Standing.LONG_ENOUGH)
+        self.assertFalse(judge_readiness(_view(link_ms=200, behind_s=1.0)).ready)
+        self.assertTrue(judge_readiness(_view(link_ms=149, behind_s=1.0)).ready)
+        self.assertEqual(
+            judge_readiness(_view(link_ms=900, behind_s=4.1)).standing, Standing.LONG_ENOUGH
+        )
 
     def test_it_is_ready_for_half_of_the_time_whatever_its_times_say(self) -> None:
         """An eighth of all time unready is a duty missed; it was behind again after 0.3 s."""
@@ -162,8 +174,8 @@
         for beat in range(200):
             now_s = beat * _BEAT_S
             behind_s = None if behind_since_s is None else now_s - behind_since_s
-            decided = take(
-                TakeView(_LIMIT_MS, 900, 0.0, 100, 100, 20, behind_s, now_s - ready_since_s)
+            decided = judge_readiness(
+                ReadinessView(_LIMIT_MS, 900, 0.0, 100, 100, 20, behind_s, now_s - ready_since_s)
             )
             ready_beats += decided.ready
             if decided.ready and behind_since_s is not None:
@@ -173,7 +185,7 @@
         self.assertGreater(ready_beats, 90)
 
     def test_it_can_be_turned_off(self) -> None:
-        self.assertEqual(take(_view(limit_ms=0.0, link_ms=9_000)).standing, Standing.OFF)
+        self.assertEqual(judge_readiness(_view(limit_ms=0.0, link_ms=9_000)).standing, Standing.OFF)
 
 
 class _Clock(Environment):
@@ -227,7 +239,7 @@
         link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20, heard_since_s=99.5)
         loads = SimpleNamespace(under_way=lambda: (100, 0))
         clock = _Clock()
-        taking = Taking(
+        taking = GatewayReadiness(
             _LIMIT_MS,
             cast(Any, link),
             cast(Any, loads),
@@ -248,7 +260,7 @@
         link = SimpleNamespace(round_trip_s=0.9, loop_late_s=0.0, routers=20, heard_since_s=0.0)
         loads = SimpleNamespace(under_way=lambda: (100, 100))
         clock = _Clock()
-        taking = Taking(
+        taking = GatewayReadiness(
             _LIMIT_MS,
             cast(Any, link),
             cast(Any, loads),
@@ -325,10 +337,10 @@
             heard_s = gateway.link.last_heard_s
             await asyncio.sleep(0.2)
         gateway.link.round_trip_s = 0.9
-        gateway.taking._behind_since_s = gateway._environment.monotonic()
+        gateway.readiness._behind_since_s = gateway._environment.monotonic()
         gateway.server.moving = True
         self.assertFalse(await self._ready(self.busy))
-        gateway.taking._behind_since_s -= 4.1
+        gateway.readiness._behind_since_s -= 4.1
         self.assertTrue(await self._ready(self.busy))
 
 
--- a/tests/test_in_force.py
+++ b/tests/test_in_force.py
@@ -207,9 +207,9 @@
         async def scenario() -> None:
             standing, store = self._standing()
             await self._hear(standing)
-            standing.told(_HELD, 0)
+            standing.note_in_force(_HELD, 0)
             self.assertFalse(standing.behind)
-            standing.told(_CHANGE, 0)
+            standing.note_in_force(_CHANGE, 0)
             self.assertTrue(standing.behind)
             self.assertFalse(standing.must_hold)
             await asyncio.sleep(1.0)
@@ -225,10 +225,10 @@
         async def scenario() -> None:
             standing, _ = self._standing()
             await self._hear(standing)
-            standing.told(_CHANGE, 0, in_force_age_s=0.7)
+            standing.note_in_force(_CHANGE, 0, in_force_age_s=0.7)
             self.assertFalse(standing.must_hold)
             await asyncio.sleep(0.2)
-            standing.told(_LATER, 0, in_force_age_s=0.0)  # gives no further grace
+            standing.note_in_force(_LATER, 0, in_force_age_s=0.0)  # gives no further grace
             await asyncio.sleep(0.1)
             self.assertTrue(standing.must_hold)
 
@@ -237,10 +237,10 @@
     def test_one_that_was_out_of_touch_has_a_second_from_being_back(self) -> None:
         async def scenario() -> None:
             standing, _ = self._standing()
-            standing.heard()
+            standing.note_contact()
             await asyncio.sleep(9.0)
-            standing.heard()
-            standing.told(_CHANGE, 0, in_force_age_s=6.0)
+            standing.note_contact()
+            standing.note_in_force(_CHANGE, 0, in_force_age_s=6.0)
             self.assertFalse(standing.must_hold)
             await asyncio.sleep(1.0)
             self.assertTrue(standing.must_hold)
@@ -250,15 +250,15 @@
     @staticmethod
     async def _hear(standing: ConfigurationStanding) -> None:
         """Have it be in touch for long."""
-        standing.heard()
+        standing.note_contact()
         for _ in range(4):
             await asyncio.sleep(1.0)
-            standing.heard()
+            standing.note_contact()
 
     def test_what_it_promised_holds_at_once_and_through_any_silence(self) -> None:
         async def scenario() -> None:
             standing, store = self._standing()
-            standing.told(0, _CHANGE)
+            standing.note_in_force(0, _CHANGE)
             self.assertTrue(standing.must_hold)
             await asyncio.sleep(60.0)
             self.assertTrue(standing.must_hold)
@@ -271,7 +271,7 @@
         async def scenario() -> None:
             standing, _ = self._standing()
             await self._hear(standing)
-            standing.told(_CHANGE, 0)
+            standing.note_in_force(_CHANGE, 0)
             await asyncio.sleep(1.0)
             self.assertTrue(standing.must_hold)
             await asyncio.sleep(2.0)
--- a/tests/test_rollout_gates.py
+++ b/tests/test_rollout_gates.py
@@ -91,15 +91,15 @@
         """No number runs out in the move: it sent on to a version of which it heard nothing."""
         gate = self._gate(_MOVING)
         gate.note_silence(0.1, 9.0)
-        word = gate.told("app", 0, 9.0)
-        assert word is not None
-        self.assertTrue(word.clear)
+        report = gate.report("app", 0, 9.0)
+        assert report is not None
+        self.assertTrue(report.clear)
         gate.note_silence(1.2, 10.0)
         self.assertTrue(gate.admits(self.old))
         self.assertFalse(gate.admits(self.new))
-        word = gate.told("app", 1, 10.0)
-        assert word is not None
-        self.assertFalse(word.clear)
+        report = gate.report("app", 1, 10.0)
+        assert report is not None
+        self.assertFalse(report.clear)
 
     def test_cut_off_when_old_replicas_may_be_gone_it_stays(self) -> None:
         gate = self._gate(_MOVING)
--- a/tests/test_version_gates.py
+++ b/tests/test_version_gates.py
@@ -51,7 +51,7 @@
         self.assertFalse(self._send())
         self.gate.take_grant(3, 1.0)
         self.assertEqual([self._send() for _ in range(5)], [True] * 3 + [False] * 2)
-        self.gate.take_grant(2, 1.0)  # an older word
+        self.gate.take_grant(2, 1.0)  # an older grant
         self.assertFalse(self._send())
 
     def test_without_a_word_of_control_nothing_goes_to_it(self) -> None:
@@ -88,9 +88,9 @@
     def test_one_that_is_clear_goes_back_alone_only_when_cut_off(self) -> None:
         """It kept sending to a bad version for as long as it was cut off."""
         self.gate.take(self._record(_MOVING))
-        word = self.gate.told("app", 0, 2.0)
-        assert word is not None
-        self.assertTrue(word.clear)
+        report = self.gate.report("app", 0, 2.0)
+        assert report is not None
+        self.assertTrue(report.clear)
         self.gate.stopped = "bad here"
         self.assertTrue(self.gate.admits(self.new[0]))
         self.gate.note_silence(1.1, 2.0)
@@ -99,9 +99,9 @@
 
     def test_it_is_clear_only_with_nothing_elsewhere(self) -> None:
         self.gate.take(self._record(_MOVING))
-        word = self.gate.told("app", 1, 2.0)
-        assert word is not None
-        self.assertFalse(word.clear)
+        report = self.gate.report("app", 1, 2.0)
+        assert report is not None
+        self.assertFalse(report.clear)
 
     def test_phases_admit_what_they_say(self) -> None:
         expected = {
