A gateway that is cut off keeps the cluster version from rising until it is declared gone

What callers would see: a gateway of the build before is cut off while the others are replaced; the version rises without it, and once it is back control refuses it until its own turn comes, so that its callers get 503 meanwhile. Cause: only daemons in touch were counted. Routers that are registered and not declared gone count as well. The test failed before and passes.

--- a/packages/heronladder-control/src/heronladder_control/cluster_version.py
+++ b/packages/heronladder-control/src/heronladder_control/cluster_version.py
@@ -12,6 +12,7 @@
 from heronladder_schema.v1 import control_pb2
 
 from heronladder_control.command_packing import encode_command
+from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.member_context import MemberContext
 
 _NEW_GROUP_LOOK_S = 0.02
@@ -54,9 +55,21 @@
         version = node.replication.highest_version(entry.name)
         if entry.name != node.name and (version is None or version < LATEST_VERSION):
             found.append(Holdup("member", entry.name, version))
-    for name, session in sorted(member.sessions.items()):
-        if session.hello.highest_version < LATEST_VERSION:
-            found.append(Holdup("daemon", name, session.hello.highest_version))
+    return found + _find_daemons(member)
+
+
+def _find_daemons(member: MemberContext) -> list[Holdup]:
+    """Return the daemons whose builds do not support the version, or may not.
+
+    A router that is cut off may be of an earlier build: it is waited for until it is declared gone.
+    """
+    found = []
+    for name, record in sorted(member.state.daemons.daemons.items()):
+        session = member.sessions.get(name)
+        version = session.hello.highest_version if session is not None else None
+        is_lost = version is None and (record.gone or record.role != ROLE_ROUTER)
+        if not is_lost and (version is None or version < LATEST_VERSION):
+            found.append(Holdup("daemon", name, version))
     return found
 
 
--- a/tests/test_cluster_version.py
+++ b/tests/test_cluster_version.py
@@ -9,6 +9,7 @@
 from heronladder_consensus.state_machine import StateMachine
 from heronladder_control.cluster_version import find_holdups
 from heronladder_control.daemon_builds import DaemonBuilds
+from heronladder_control.daemons import ROLE_ROUTER
 from heronladder_control.member import ControlMember
 from heronladder_control.state import ControlState
 from heronladder_runtime.cluster_versions import LATEST_VERSION, ClusterVersionError
@@ -76,6 +77,18 @@
         self.assertEqual(self.leader.state.cluster_version, LATEST_VERSION)
         self.assertEqual(find_holdups(self.leader), [])
 
+    async def test_a_gateway_that_is_cut_off_is_waited_for_until_it_is_gone(self) -> None:
+        """It would be refused once it is back, and its callers with it."""
+        command = control_pb2.Command()
+        command.register_daemon.daemon.name = "front"
+        command.register_daemon.daemon.role = ROLE_ROUTER
+        command.register_daemon.daemon.incarnation = "one"
+        await self.leader.propose(command)
+        self.leader.state._cluster_version = 0
+        self.assertEqual([str(one) for one in find_holdups(self.leader)], ["daemon front: silent"])
+        await self.leader.declare_gone(self.leader.state.daemons.daemons["front"])
+        self.assertEqual(find_holdups(self.leader), [])
+
     async def test_an_unsupported_command_is_refused_and_nothing_appended(self) -> None:
         index = self.leader.node.log.last_index
         result = await self.leader.propose(control_pb2.Command())
