Heartbeats of replicas write nothing more to the log while a release goes out

What callers would see: control that writes an entry for each heartbeat of each replica, a thousand a second at a thousand replicas, for as long as two builds run. Cause: below cluster version 1 the log holds no start of a replica, so a heartbeat that tells one never matched what is known. What the log can't hold is taken out before it is compared. The test failed before (10 entries for 10 heartbeats) and passes.

--- a/packages/heronladder-control/src/heronladder_control/fleet_service.py
+++ b/packages/heronladder-control/src/heronladder_control/fleet_service.py
@@ -11,6 +11,7 @@
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.cluster_versions import at_version
 from heronladder_runtime.configuration import EVACUATION_KIND, REPLICA_KIND
 from heronladder_runtime.replica_starts import is_earlier_start
 from heronladder_schema.v1 import control_pb2, resources_pb2
@@ -118,6 +119,7 @@
 
         A replica that leaves is done once the routers in touch know.
         """
+        replica = self._as_recorded(replica)
         leaves = replica.draining or replica.gone
         recorded = self._member.state.fleet.replica(replica.id)
         if replica.gone and recorded is not None:
@@ -140,6 +142,12 @@
         )
         return await self._asks.ask(request, _REGISTER_PATIENCE_S, order)
 
+    def _as_recorded(self, replica: resources_pb2.Replica) -> resources_pb2.Replica:
+        """Return what the log may hold of a replica: the rest would count as news each time."""
+        command = control_pb2.Command()
+        command.register_replica.replica.CopyFrom(replica)
+        return at_version(command, self._member.state.cluster_version).register_replica.replica
+
     def unreadable(self, identity: str, why: str) -> None:
         """Note a heartbeat that cannot be used; what is known of its replica stays as it is."""
         self._member.metrics.add("heartbeats_unreadable")
--- a/tests/test_cluster_version.py
+++ b/tests/test_cluster_version.py
@@ -3,18 +3,20 @@
 import asyncio
 import random
 import unittest
+from unittest import mock
 
 from control_group import ControlGroup
 from google.protobuf.message import DecodeError
 from heronladder_consensus.state_machine import StateMachine
-from heronladder_control.cluster_version import find_holdups
+from heronladder_control.cluster_version import Holdup, find_holdups
 from heronladder_control.daemon_builds import DaemonBuilds
 from heronladder_control.daemons import ROLE_ROUTER
+from heronladder_control.leader_asks import Standing
 from heronladder_control.member import ControlMember
 from heronladder_control.state import ControlState
 from heronladder_runtime.cluster_versions import LATEST_VERSION, ClusterVersionError
 from heronladder_runtime.errors import InvariantViolationError
-from heronladder_schema.v1 import consensus_pb2, control_pb2
+from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
 
 _PATIENCE_S = 10.0
 
@@ -89,6 +91,22 @@
         await self.leader.declare_gone(self.leader.state.daemons.daemons["front"])
         self.assertEqual(find_holdups(self.leader), [])
 
+    async def test_heartbeats_that_tell_a_start_write_nothing_more_below_its_version(self) -> None:
+        """Each was news, as the log could not hold the start: an entry a heartbeat and replica."""
+        replica = resources_pb2.Replica(
+            id="a", service="s", address="10.0.0.1:80", start_ms=5, sequence=1
+        )
+        self.leader.state._cluster_version = 0
+        held_up = [Holdup("member", "other", 0)]
+        with mock.patch("heronladder_control.cluster_version.find_holdups", lambda _: held_up):
+            await self.leader.fleet_service.register(replica)
+            index = self.leader.node.log.last_index
+            for sequence in range(2, 12):
+                replica.sequence = sequence
+                outcome = await self.leader.fleet_service.register(replica)
+                self.assertEqual(outcome.standing, Standing.DONE)
+        self.assertLessEqual(self.leader.node.log.last_index - index, 1)  # what is in force
+
     async def test_an_unsupported_command_is_refused_and_nothing_appended(self) -> None:
         index = self.leader.node.log.last_index
         result = await self.leader.propose(control_pb2.Command())
