--- a/packages/heronladder-control/src/heronladder_control/grant_rules.py
+++ b/packages/heronladder-control/src/heronladder_control/grant_rules.py
@@ -1,7 +1,8 @@
 """How many tokens a draw gets: by the leader's rules, and by those of cluster version 0.
 
 The leader's rules may change with each build, since what they decide stands in the log. Those of
-version 0 are worked out by each member while it applies a draw, and never change.
+version 0 are worked out by each member while it applies a draw, and never change: production's
+build holds accounts by them.
 """
 
 from heronladder_schema.v1 import control_pb2, ledger_pb2
