A new group raises the cluster version at once, also where its first leader is lost

Cause: only the first leader of an empty log took the group for new; where it was lost before all first members had answered, the next one held the version for 5 s, and began again with each process that restarted. Whether a group is new is known when it is formed: first members tell the version that they support, and each keeps the least of them with its term. The test failed before (the version stays at 0).

--- a/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/bootstrap.py
@@ -43,6 +43,7 @@
         if node.hard_state.voting_allowed or not self._initial:
             return
         incarnations = {node.name: node.hard_state.incarnation}
+        version = node.highest_version
         while len(incarnations) < len(self._initial):
             if node.log.last_index > 0 or node.hard_state.voting_allowed:
                 return  # a leader has taken this member in
@@ -61,8 +62,9 @@
                     )
                     return
                 incarnations[member.name] = reply.incarnation
+                version = min(version, reply.highest_version)
             await asyncio.sleep(_PAUSE_S)
-        await self._form_group(incarnations)
+        await self._form_group(incarnations, version)
 
     async def _ask(self, member: consensus_pb2.Member) -> consensus_pb2.HelloReply | None:
         node = self._node
@@ -82,7 +84,7 @@
         known = [member for member in reply.membership.members if member.name == self._node.name]
         return not known or known[0].incarnation != self._node.hard_state.incarnation
 
-    async def _form_group(self, incarnations: dict[str, str]) -> None:
+    async def _form_group(self, incarnations: dict[str, str], version: int) -> None:
         node = self._node
         hard_state = node.hard_state
         if hard_state.voting_allowed or node.log.last_index > 0:
@@ -93,6 +95,7 @@
             added.voter = True
             added.incarnation = incarnations[member.name]
         hard_state.voting_allowed = True
+        hard_state.formed_version = version
         await node.save_hard_state()
         node.event_log.info("group_formed", step="bootstrap", members=len(incarnations))
 
@@ -104,4 +107,5 @@
             incarnation=node.hard_state.incarnation,
             voting_allowed=node.hard_state.voting_allowed,
             membership=node.membership(),
+            highest_version=node.highest_version,
         )
--- a/packages/heronladder-control/src/heronladder_control/cluster_version.py
+++ b/packages/heronladder-control/src/heronladder_control/cluster_version.py
@@ -82,21 +82,25 @@
 
     def __init__(self, member: MemberContext) -> None:
         self._member = member
-        self._is_new_group = False
         self._ready_since_s: float | None = None
         self._reported: tuple[str, ...] = ()
 
     def begin(self) -> None:
         """Begin as the leader of a term."""
-        self._is_new_group = self._member.state.applied_index == 0
         self._ready_since_s = None
         self._reported = ()
 
+    @property
+    def _is_formed_at_target(self) -> bool:
+        """Whether the group's first members all supported the version to raise to."""
+        formed_version = self._member.node.hard_state.formed_version
+        return formed_version >= target_version(self._member)
+
     @property
     def look_s(self) -> float:
         """Time until the next look while a new group waits for its version, in seconds; else 0."""
         is_below = self._member.state.cluster_version < target_version(self._member)
-        return _NEW_GROUP_LOOK_S if self._is_new_group and is_below else 0.0
+        return _NEW_GROUP_LOOK_S if self._is_formed_at_target and is_below else 0.0
 
     async def tend(self) -> None:
         """Raise the version if nothing holds it up, and has not for some time."""
@@ -111,8 +115,9 @@
             return
         if self._ready_since_s is None:
             self._ready_since_s = now_s
-        # Nothing was ever written by another build: there is none to go back to.
-        hold_s = 0.0 if self._is_new_group else self._member.options.cluster_version_hold_s
+        # A group that no earlier build formed has none to go back to.
+        is_held = not self._is_formed_at_target
+        hold_s = self._member.options.cluster_version_hold_s if is_held else 0.0
         if now_s - self._ready_since_s >= hold_s:
             await self._raise(version)
 
--- a/tests/test_cluster_version.py
+++ b/tests/test_cluster_version.py
@@ -79,6 +79,16 @@
         self.assertEqual(self.leader.state.cluster_version, LATEST_VERSION)
         self.assertEqual(find_holdups(self.leader), [])
 
+    async def test_a_new_group_whose_first_leader_is_lost_at_once_waits_for_nothing_more(
+        self,
+    ) -> None:
+        """Its next leader held the version for 5 s, and again after each process that restarted."""
+        self.assertEqual(self.leader.node.hard_state.formed_version, LATEST_VERSION)
+        self.leader.state._cluster_version = 0
+        self.leader.cluster_versions.begin()  # of a later term, with entries applied
+        await self.leader.cluster_versions.tend()
+        self.assertEqual(self.leader.state.cluster_version, LATEST_VERSION)
+
     async def test_a_gateway_that_is_cut_off_is_waited_for_until_it_is_gone(self) -> None:
         """It would be refused once it is back, and its callers with it."""
         command = control_pb2.Command()
