--- a/packages/heronladder-control/src/heronladder_control/in_force.py
+++ b/packages/heronladder-control/src/heronladder_control/in_force.py
@@ -40,7 +40,7 @@
     Attributes:
         applied_revision: Configuration it said it has applied; 0 while unknown.
         fresh_until_s: When its freshness lease has run out for certain.
-        last_heard_s: When its last word came.
+        last_contact_s: When it was last heard of.
         connected: Whether it has a stream open.
         acts_past_lease: Whether it goes on by what it holds while control is silent.
         hears_us_s: Newest time from which it has shown a word of ours.
@@ -50,7 +50,7 @@
 
     applied_revision: int = 0
     fresh_until_s: float = 0.0
-    last_heard_s: float = 0.0
+    last_contact_s: float = 0.0
     connected: bool = False
     acts_past_lease: bool = False
     hears_us_s: float = 0.0
@@ -117,11 +117,11 @@
         self._commits.clear()
         self._looked_s = now
 
-    def heard(self, name: str) -> None:
+    def note_contact(self, name: str) -> None:
         """Note a sign of a daemon whose stream is not open yet."""
         progress = self.daemons.get(name)
         if progress is not None:
-            progress.last_heard_s = self._environment.monotonic()
+            progress.last_contact_s = self._environment.monotonic()
 
     def connected(
         self, name: str, applied_revision: int = 0, *, acts_past_lease: bool = False
@@ -136,7 +136,7 @@
         now = self._environment.monotonic()
         progress = self.daemons.setdefault(name, DaemonProgress())
         progress.connected = True
-        progress.last_heard_s = now
+        progress.last_contact_s = now
         if not progress.hello_unanswered:
             progress.hears_us_s = now
             progress.hello_unanswered = True
@@ -181,7 +181,7 @@
         progress = self.daemons.setdefault(name, DaemonProgress())
         progress.applied_revision = max(progress.applied_revision, applied_revision)
         progress.held_below = max(progress.held_below, held_below)
-        progress.last_heard_s = now
+        progress.last_contact_s = now
         if heard_from_us_s:
             progress.hears_us_s = max(progress.hears_us_s, heard_from_us_s)
             progress.hello_unanswered = False
@@ -222,8 +222,8 @@
             return True
         if not progress.acts_past_lease:
             return False
-        is_heard = now_s - progress.last_heard_s < self._freshness_s * _CLOCK_RATE_MARGIN
-        return is_heard and now_s - progress.hears_us_s < _DEAF_LIMIT_S
+        is_in_contact = now_s - progress.last_contact_s < self._freshness_s * _CLOCK_RATE_MARGIN
+        return is_in_contact and now_s - progress.hears_us_s < _DEAF_LIMIT_S
 
     def _forgive_own_lateness(self) -> None:
         """Take no time for silence in which this member itself did not look."""
@@ -233,7 +233,7 @@
         if late_s < _OWN_LATENESS_S:
             return
         for progress in self.daemons.values():
-            progress.last_heard_s = min(now, progress.last_heard_s + late_s)
+            progress.last_contact_s = min(now, progress.last_contact_s + late_s)
             progress.hears_us_s = min(now, progress.hears_us_s + late_s)
 
     def _note_commits(self, committed_revision: int, in_force_revision: int) -> None:
@@ -289,7 +289,7 @@
         now = self._environment.monotonic()
         for name in self.behind(revision):
             progress = self.daemons[name]
-            silent_s = now - progress.last_heard_s
+            silent_s = now - progress.last_contact_s
             yield LeftOut(name, progress.applied_revision, silent_s, progress.connected)
 
     @property
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -277,7 +277,7 @@
             record = self.state.daemons.daemons.get(name)
             if record is None or record.gone or record.role != ROLE_ROUTER:
                 continue
-            if progress.last_heard_s < oldest:
+            if progress.last_contact_s < oldest:
                 self.log.warning("router_gone", step="declare_gone", peer=name)
                 await self.declare_gone(record)
 
--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -33,7 +33,7 @@
 
 
 @dataclass
-class _Heard:
+class _Contact:
     """What one incarnation of a router told on its newest stream."""
 
     # Leader's clock on the newest frame it received. Never, until it tells of one: on a machine
@@ -59,10 +59,10 @@
     def __init__(self, environment: Environment) -> None:
         self._environment = environment
         self.term = 0  # whose leader's notes are known; 0: none
-        self._heard_term = 0
+        self._contact_term = 0
         self._began_s = 0.0
         self._earlier = control_pb2.NotePromises()  # newest notes of an earlier leader
-        self._heard: dict[HolderKey, _Heard] = {}
+        self._contacts: dict[HolderKey, _Contact] = {}
         self._starts: dict[str, list[_Start]] = {}
         self._wall_ahead_ms: dict[str, float] = {}  # at most, by router
 
@@ -81,14 +81,14 @@
     def opened(self, holder: HolderKey, term: int) -> None:
         """Note that a router opened a stream in a term, which may begin only then."""
         self._enter(term)
-        self._heard[holder] = _Heard()
+        self._contacts[holder] = _Contact()
 
     def _enter(self, term: int) -> None:
         """Forget what was told of the clocks of an earlier term."""
-        if term == self._heard_term:
+        if term == self._contact_term:
             return
-        self._heard_term = term
-        self._heard.clear()
+        self._contact_term = term
+        self._contacts.clear()
         self._wall_ahead_ms.clear()
         self._earlier.Clear()
 
@@ -101,22 +101,22 @@
         known_ms = self._wall_ahead_ms.get(router, math.inf)
         self._wall_ahead_ms[router] = min(known_ms, ahead_ms)
 
-    def heard(self, holder: HolderKey, heartbeat: control_pb2.Heartbeat) -> None:
+    def note_contact(self, holder: HolderKey, heartbeat: control_pb2.Heartbeat) -> None:
         """Take in when a router heard this leader.
 
         Only once what the heartbeat promises is in the log: by then the router may have used
         as much as its silence before allowed, which earlier promises do not cover.
         """
-        heard = self._heard.get(holder)
-        if heard is None or not heartbeat.control_time_ms:
+        contact = self._contacts.get(holder)
+        if contact is None or not heartbeat.control_time_ms:
             return
         heard_s = heartbeat.control_time_ms / MILLISECONDS_PER_SECOND
-        heard.control_s = max(heard.control_s, heard_s)
+        contact.control_s = max(contact.control_s, heard_s)
 
-    def heard_s(self, holder: HolderKey) -> float:
+    def last_contact_s(self, holder: HolderKey) -> float:
         """Return when a router surely heard this leader, on its clock; -inf if never."""
-        heard = self._heard.get(holder)
-        return heard.control_s if heard is not None else float("-inf")
+        contact = self._contacts.get(holder)
+        return contact.control_s if contact is not None else float("-inf")
 
     def replaced(self, holder: str, incarnation: str, process_age_s: float = 0.0) -> None:
         """Note that a new incarnation of a router was heard of: the others have ended.
@@ -139,7 +139,7 @@
         """Whether wall clocks that tell what a lost router is charged may yet be heard."""
         if self._environment.monotonic() - self._began_s > _WITNESSES_PATIENCE_S:
             return False
-        if self.heard_s(holder) > float("-inf") or not self._earlier.wall_ahead_ms:
+        if self.last_contact_s(holder) > float("-inf") or not self._earlier.wall_ahead_ms:
             return False
         return len(self._witnesses()) < self._needed_witnesses()
 
@@ -162,7 +162,7 @@
     def lived_on_s(self, holder: HolderKey) -> float | None:
         """Return how long a lost router can have lived without control; None if unknown."""
         ended_s = self._ended_s(holder)
-        heard_s = max(self.heard_s(holder), self._heard_earlier_s(holder))
+        heard_s = max(self.last_contact_s(holder), self._earlier_contact_s(holder))
         if ended_s is None or heard_s == float("-inf"):
             return None
         return max(0.0, ended_s - heard_s + _CLOCK_RATE_MARGIN_S)
@@ -174,7 +174,7 @@
         later = starts[own[0] + 1 :] if own else starts
         return later[0].began_s if later else None
 
-    def _heard_earlier_s(self, holder: HolderKey) -> float:
+    def _earlier_contact_s(self, holder: HolderKey) -> float:
         """Return when a router surely heard an earlier leader, on this one's clock."""
         notes = self._earlier
         witnesses = self._witnesses()
@@ -204,4 +204,4 @@
 
     def forget(self, holder: HolderKey) -> None:
         """Forget a holder whose accounts are closed."""
-        self._heard.pop(holder, None)
+        self._contacts.pop(holder, None)
--- a/packages/heronladder-control/src/heronladder_control/promise_notes.py
+++ b/packages/heronladder-control/src/heronladder_control/promise_notes.py
@@ -49,7 +49,7 @@
         self._wall_ahead_ms[name] = heartbeat.wall_ms - now_ms
         self._member.prepaid_watch.wall_clock(name, heartbeat)
         if not heartbeat.promises:  # all that it promised is in the log
-            self._member.prepaid_watch.heard((name, session.record.incarnation), heartbeat)
+            self._member.prepaid_watch.note_contact((name, session.record.incarnation), heartbeat)
             return
         risen = self._risen.setdefault((name, session.record.incarnation), {})
         for tenant, promise in heartbeat.promises.items():
@@ -100,7 +100,7 @@
             # One that was declared gone meanwhile must not rely on what was not taken.
             if self._member.state.is_current(record.name, record.incarnation):
                 holder = (record.name, record.incarnation)
-                self._member.prepaid_watch.heard(holder, heartbeat)
+                self._member.prepaid_watch.note_contact(holder, heartbeat)
                 session.promises_noted = heartbeat.number
                 session.wake.give()
 
@@ -111,7 +111,7 @@
         notes.leader_time_ms = int(now_s * MILLISECONDS_PER_SECOND)
         longest_s = 0.0
         for holder in sorted(self._member.state.prepaid.holders()):
-            age_s = now_s - self._member.prepaid_watch.heard_s(holder)
+            age_s = now_s - self._member.prepaid_watch.last_contact_s(holder)
             if age_s > _SILENT_AFTER_S:
                 notes.silent.append(holder[1])
             else:
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -80,7 +80,7 @@
             return  # it was given up before its first word came
         if not self._member.leader_address():
             await self._member.admission.stream()
-        self._member.in_force.heard(first.hello.daemon.name)
+        self._member.in_force.note_contact(first.hello.daemon.name)
         refusal = await self._register(first.hello)
         if refusal is not None:
             yield refusal
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -233,7 +233,7 @@
         )
 
     def _loads_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
-        self.replicas.loads.others_told(loads)
+        self.replicas.loads.update_others(loads)
         self.places.loads_told()
         self._look_at_load()
 
--- a/packages/heronladder-router/src/heronladder_router/shared_loads.py
+++ b/packages/heronladder-router/src/heronladder_router/shared_loads.py
@@ -24,13 +24,13 @@
     ) -> None:
         self._replicas = replicas
         self._environment = environment
-        self.told_s = float("-inf")  # when control last told the others' load
+        self.updated_s = float("-inf")  # when control last told the others' load
         self._cut = False  # whether it may have told a part of the replicas only
 
     @property
     def age_s(self) -> float:
         """Age of what control told of the others' load, in seconds; inf if it never did."""
-        return self._environment.monotonic() - self.told_s
+        return self._environment.monotonic() - self.updated_s
 
     @property
     def known(self) -> bool:
@@ -45,9 +45,9 @@
                 load.in_flight = replica.in_flight
                 load.unread_tokens = max(0, replica.unread_tokens)
 
-    def others_told(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
+    def update_others(self, loads: Mapping[str, control_pb2.ReplicaLoad]) -> None:
         """Take what all other gateways have under way."""
-        self.told_s = self._environment.monotonic()
+        self.updated_s = self._environment.monotonic()
         replicas = list(self._replicas())
         held = {replica.name for replica in replicas if replica.in_flight > 0}
         # Those that only this gateway sends to are among the busiest too, but it is not told them.
--- a/tests/test_distance.py
+++ b/tests/test_distance.py
@@ -199,7 +199,7 @@
                 resources_pb2.Replica(id=zone, service=_SERVICE, zone=zone)
             )
         configuration.apply(update)
-        replicas.loads.others_told(
+        replicas.loads.update_others(
             {f"n-{zone}": control_pb2.ReplicaLoad(in_flight=50) for zone in "abc"}
         )
         profile = RequestProfile(_SERVICE)
@@ -219,7 +219,7 @@
         clock.now_s += 0.5
         self.assertEqual(send(), Way.NEAR_SPILL_BOUND)
         clock.now_s += 0.49
-        replicas.loads.others_told(
+        replicas.loads.update_others(
             {f"n-{zone}": control_pb2.ReplicaLoad(in_flight=50) for zone in "abc"}
         )
         clock.now_s += 0.02
--- a/tests/test_fleet_replicas.py
+++ b/tests/test_fleet_replicas.py
@@ -125,7 +125,7 @@
             name.replace("_", "-"): control_pb2.ReplicaLoad(in_flight=1, unread_tokens=tokens)
             for name, tokens in loads.items()
         }
-        self.gateway.loads.others_told(told)
+        self.gateway.loads.update_others(told)
 
     def test_a_replica_that_others_keep_busy_is_passed_over(self) -> None:
         profile = RequestProfile(_SERVICE, parse_parts("own1:600"), 600)
@@ -145,7 +145,7 @@
     def test_old_sums_are_not_used(self) -> None:
         owner = _send(self.gateway, _plan(7, 1))
         self._told(**{owner.replace("-", "_"): 60_000})
-        self.gateway.loads.told_s -= 5
+        self.gateway.loads.updated_s -= 5
         self.assertEqual(_send(self.gateway, _plan(7, 2)), owner)
 
     def test_a_gateway_tells_what_it_has_under_way(self) -> None:
--- a/tests/test_gateway_readiness.py
+++ b/tests/test_gateway_readiness.py
@@ -230,7 +230,7 @@
                 for name in names[told : told + own]:
                     replica = next(one for one in gateway.usable("s") if one.name == name)
                     gateway.sent(replica, RequestProfile("s"))
-                gateway.loads.others_told({name: busy[name] for name in names[:told]})
+                gateway.loads.update_others({name: busy[name] for name in names[:told]})
                 self.assertEqual(gateway.loads.under_way(), (own, 9 * told if known else None))
 
 
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -211,7 +211,7 @@
             told.promise.most = most
             self.table.note_promises(order, lambda *_: True)
         heartbeat = control_pb2.Heartbeat(control_time_ms=heard_ms)
-        self.watch.heard(("a", "1"), heartbeat)
+        self.watch.note_contact(("a", "1"), heartbeat)
 
     def _charge(self) -> int:
         self.table.close(self.watch.charges(("a", "1"), self.table))
--- a/tests/test_prepaid_promises.py
+++ b/tests/test_prepaid_promises.py
@@ -87,7 +87,7 @@
 
     def test_the_newest_that_any_clock_tells(self) -> None:
         with (
-            patch.object(PrepaidWatch, "_heard_earlier_s", _newest_of_clocks),
+            patch.object(PrepaidWatch, "_earlier_contact_s", _newest_of_clocks),
             self.assertRaises(AssertionError),
         ):
             run_virtual(loss_amid_a_rush(3.4, leader_first=True, clock_ahead_s=4.0))
@@ -107,7 +107,7 @@
 
         def heartbeat(notes: PromiseNotes, session: Any, told: control_pb2.Heartbeat) -> None:
             holder = (session.record.name, session.record.incarnation)
-            notes._member.prepaid_watch.heard(holder, told)
+            notes._member.prepaid_watch.note_contact(holder, told)
             real(notes, session, told)
 
         with patch.object(PromiseNotes, "heartbeat", heartbeat), self.assertRaises(AssertionError):
--- a/tests/test_suspension.py
+++ b/tests/test_suspension.py
@@ -96,7 +96,7 @@
             assert fleet.control.control is not None
             member = fleet.control.control
             progress = member.in_force.daemons["front-1"]
-            return member.environment.monotonic() - progress.last_heard_s
+            return member.environment.monotonic() - progress.last_contact_s
 
         self.assertGreaterEqual(self._after_waking(last_heard_s), SUSPENDED_S)
 
