--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -28,8 +28,7 @@
 from heronladder_control.rollouts.conductor import RolloutConductor
 
 _IDLE_CHECK_S = 1.0
-# Routers; with more, each hears of a lender with its next heartbeat: 300 that come at once
-# made 90,000 frames.
+# Routers; with more, each learns of a lender with its next heartbeat.
 _LENDERS_TOLD_AT_ONCE = 64
 
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/cluster_versions.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/cluster_versions.py
@@ -28,7 +28,7 @@
     return version
 
 
-def needed_version(command: control_pb2.Command) -> int | None:
+def required_version(command: control_pb2.Command) -> int | None:
     """Return the cluster version from which a kind of command is allowed; None: it is not known."""
     body = command.WhichOneof("body")
     return None if body is None else since(_COMMAND.fields_by_name[body])
@@ -36,7 +36,7 @@
 
 def is_allowed(command: control_pb2.Command, version: int) -> bool:
     """Whether the log may hold a kind of command at a cluster version."""
-    needed = needed_version(command)
+    needed = required_version(command)
     return needed is not None and needed <= version
 
 
@@ -52,7 +52,7 @@
     """
     if is_allowed(command, version):
         return
-    needed = needed_version(command)
+    needed = required_version(command)
     if needed is None:
         raise ClusterVersionError("this build does not know the command", step="cluster_version")
     raise ClusterVersionError(
--- a/tests/mixed_group.py
+++ b/tests/mixed_group.py
@@ -11,7 +11,7 @@
 from heronladder_emulator.memory_stubs import MemoryStubs
 from heronladder_emulator.network import MemoryNetwork, Place, Weather
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.cluster_versions import FIRST_VERSION, LATEST_VERSION, needed_version
+from heronladder_runtime.cluster_versions import FIRST_VERSION, LATEST_VERSION, required_version
 from heronladder_runtime.errors import HeronladderError
 from heronladder_schema.v1 import consensus_pb2, control_pb2, resources_pb2
 
@@ -83,7 +83,7 @@
         member.state.highest_version = FIRST_VERSION
 
         def note(command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
-            if needed_version(command) != FIRST_VERSION:
+            if required_version(command) != FIRST_VERSION:
                 self.in_old_logs.append(command.WhichOneof("body") or "")
 
         member.state.listeners.append(note)
