Log and count what the retry budget decides

Callers whose request was not repeated saw a 502 or 503, and nothing told whether the budget was used up, by how many retries, or divided by how many gateways: repeats_not_allowed counts refusals only. Each refused retry now writes one line (retry_refused: requests, retries, budget, share, gateways), and retries_sent counts those that are allowed. No decision changes.

--- a/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
@@ -8,6 +8,7 @@
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_request import GatewayRequest, ResponseSink
 from heronladder_router.replica_state import FleetReplica
+from heronladder_router.sliding_retry_budget import RetryDecision
 from heronladder_router.tokens.access import Reservation
 
 
@@ -117,3 +118,27 @@
         held_ms=int((now_s - request.arrived_s) * MILLISECONDS_PER_SECOND),
         left_ms=int((request.deadline_s - now_s) * MILLISECONDS_PER_SECOND),
     )
+
+
+def log_retry_refused(
+    log: EventLog, request: GatewayRequest, decision: RetryDecision, gateways: int
+) -> None:
+    """Log that the retry budget allowed no further attempt, and why.
+
+    Args:
+        log: Log to write to.
+        request: The request.
+        decision: Decision of the retry budget.
+        gateways: Number of gateways that share the budget, as this gateway knows it.
+    """
+    log.info(
+        "retry_refused",
+        step="retry_budget",
+        peer=request.profile.service,
+        request_id=request.request_id,
+        requests=decision.requests,
+        retries=decision.retries,
+        budget=round(decision.budget, 2),
+        share=round(decision.share, 2),
+        gateways=gateways,
+    )
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -24,7 +24,7 @@
 from heronladder_router.crashing_requests import CrashingRequests
 from heronladder_router.decisions.placement import Placement, PlacementReason
 from heronladder_router.decisions.region_choice import RegionChoice
-from heronladder_router.dispatch_logging import log_attempt, log_request_end
+from heronladder_router.dispatch_logging import log_attempt, log_request_end, log_retry_refused
 from heronladder_router.errors import (
     BehindError,
     CrashesReplicasError,
@@ -236,10 +236,13 @@
         # crashing every 2 s, and 76 with tracing on.
         if placement.replica is None or not history.may_have_arrived:
             return placement
-        if not self._context.retry_budget.try_spend(request.profile.service):
-            self._context.metrics.add("repeats_not_allowed", request.profile.service)
-            return Placement(None, PlacementReason.ALL_TRIED)
-        return placement
+        decision = self._context.retry_budget.try_spend(request.profile.service)
+        if decision.allowed:
+            self._context.metrics.add("retries_sent", request.profile.service)
+            return placement
+        self._context.metrics.add("repeats_not_allowed", request.profile.service)
+        log_retry_refused(self._context.log, request, decision, self._context.retry_budget.gateways)
+        return Placement(None, PlacementReason.ALL_TRIED)
 
     async def _wait_for_replica(self, reason: PlacementReason, request: GatewayRequest) -> bool:
         """Wait briefly for a replica if the reason for having none may be transient.
--- a/packages/heronladder-router/src/heronladder_router/sliding_retry_budget.py
+++ b/packages/heronladder-router/src/heronladder_router/sliding_retry_budget.py
@@ -1,6 +1,7 @@
 """Retry budget of a gateway: how many retries it may send within a sliding window."""
 
 from collections import deque
+from dataclasses import dataclass
 
 from heronladder_runtime.clock import Environment
 
@@ -9,6 +10,25 @@
 _SAFETY_FRACTION = 0.75
 
 
+@dataclass(frozen=True)
+class RetryDecision:
+    """Whether a retry may be sent, and the numbers that decided it.
+
+    Attributes:
+        allowed: Whether it may be sent.
+        requests: Requests for the service in the window.
+        retries: Retries in the window, including this one if it is allowed.
+        budget: Retries that this gateway may send in the window.
+        share: Part of the budget that does not depend on the requests.
+    """
+
+    allowed: bool
+    requests: int
+    retries: int
+    budget: float
+    share: float
+
+
 class SlidingRetryBudget:
     """Limits the retries of each service to a fraction of its requests plus a constant.
 
@@ -35,15 +55,16 @@
         """Count a caller's request."""
         self._times_in_window(self._requests, service).append(self._environment.monotonic())
 
-    def try_spend(self, service: str) -> bool:
-        """Take one retry out of the budget; return whether one was left."""
+    def try_spend(self, service: str) -> RetryDecision:
+        """Take one retry out of the budget if one is left."""
         retries = self._times_in_window(self._retries, service)
         requests = self._times_in_window(self._requests, service)
-        allowed = self._ratio * len(requests) + self._slack / max(1, self.gateways)
-        if len(retries) + 1 > _SAFETY_FRACTION * allowed:
-            return False
-        retries.append(self._environment.monotonic())
-        return True
+        share = _SAFETY_FRACTION * self._slack / max(1, self.gateways)
+        budget = _SAFETY_FRACTION * self._ratio * len(requests) + share
+        allowed = len(retries) + 1 <= budget
+        if allowed:
+            retries.append(self._environment.monotonic())
+        return RetryDecision(allowed, len(requests), len(retries), budget, share)
 
     def _times_in_window(self, table: dict[str, deque[float]], service: str) -> deque[float]:
         """Return a service's times in a table after dropping those older than the window."""
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -142,6 +142,8 @@
     " order before, `overtaken` if another order for the service was taken since it came.",
     "rollout_phase": "A phase of a roll-out, or a version that no order named, is in the log.",
     "router_gone": "A router is declared gone; its leases are collected.",
+    "retry_refused": "The retry budget of this gateway allowed no further attempt: requests and"
+    " retries in the window, what was allowed, and the number of gateways that share it.",
     "send_failed": "A send gave no whole answer; `kind` says whether it may have run.",
     "session_rejected": "Control knows another incarnation of this daemon.",
     "settings_not_reloaded": "The new settings are wrong; the earlier ones stay.",
@@ -244,6 +246,7 @@
     " known.",
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
     "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
+    "retries_sent": "Attempts taken out of the retry budget, by service.",
     "retries": "Further sends of routers.",
     "rollout_phases": "Phases of roll-outs that were written, by phase.",
     "rollout_sends": "Sends to versions on trial or moved to, by version.",
--- a/tests/retry_budget_simulation.py
+++ b/tests/retry_budget_simulation.py
@@ -197,7 +197,7 @@
             for _ in range(_MAX_RETRIES):
                 if not rejects or self._source.random() >= self._scenario.rejected_fraction:
                     break
-                if not budget.try_spend(_SERVICE):
+                if not budget.try_spend(_SERVICE).allowed:
                     self.refused += 1
                     break
                 delay_s = self._source.uniform(0.0, _MAX_ARRIVAL_DELAY_S)
--- a/tests/test_suspension_held.py
+++ b/tests/test_suspension_held.py
@@ -113,11 +113,11 @@
             gateway = fleet.gateway.gateway
             assert gateway is not None
             retry_budget = gateway.server._dispatcher._context.retry_budget
-            while retry_budget.try_spend(SERVICE):
+            while retry_budget.try_spend(SERVICE).allowed:
                 pass
 
         def may_retry(gateway: GatewayRole) -> bool:
-            return gateway.server._dispatcher._context.retry_budget.try_spend(SERVICE)
+            return gateway.server._dispatcher._context.retry_budget.try_spend(SERVICE).allowed
 
         self.assertEqual(self._before_and_after(exhaust_budget, may_retry), (False, True))
 
--- a/tests/test_unreached_replicas.py
+++ b/tests/test_unreached_replicas.py
@@ -61,7 +61,7 @@
         the request" after one refused connection although other replicas are idle.
         """
         retry_budget = self.role.server._dispatcher._context.retry_budget
-        while retry_budget.try_spend(SERVICE):
+        while retry_budget.try_spend(SERVICE).allowed:
             pass
         dead, live = self.replicas[:3], self.replicas[3:]
         for replica in dead:
