Divide the retry budget by the gateways that may serve, and keep a part for new processes

Cause: a bound of the whole fleet was divided by the number of streams open at one leader at the moment, which starts from 1, and spent from a memory that ended with the process.

Control tells how many routers may be serving, from the replicated state, with the first frame and each change (serving_routers, first_of_name, both ignorable by earlier builds). FleetMembership keeps the largest recent number, its age, and whether it has been valid for so long that no gateway's use by an earlier number is left in the window. Connections, turns after back-off, slots in the queue, cold shares and tokens held ahead are divided by the same number.

--- a/packages/heronladder-control/src/heronladder_control/daemon_session.py
+++ b/packages/heronladder-control/src/heronladder_control/daemon_session.py
@@ -38,6 +38,7 @@
         self.promises_noted = 0  # newest heartbeat whose promises are in the log; 0: none
         self.sent_addresses: list[str] = []
         self.sent_router_count = 0
+        self.sent_serving_count = 0
         self.sent_cluster_version = 0
         self.sent_limits = 0  # changes of replica limits up to this number were sent
         self.lenders = LenderUpdates()
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -26,6 +26,7 @@
 from heronladder_control.replica_limits import SharedReplicaLimits
 from heronladder_control.replica_loads import ReplicaLoads
 from heronladder_control.rollouts.controller import RolloutController
+from heronladder_control.router_counts import RouterCounts
 
 _IDLE_CHECK_INTERVAL_S = 1.0
 # With more sessions, routers learn of a changed lender with their next heartbeat only.
@@ -61,7 +62,7 @@
         self._member = member
         self._services = services
         self.sessions = member.sessions
-        self._routers = 0  # number of open streams of routers
+        self._router_counts = RouterCounts(member)
         self._replica_loads = ReplicaLoads()
         self.replica_limits = SharedReplicaLimits(
             member.environment, lambda: member.node.term, member.metrics, member.log
@@ -134,7 +135,7 @@
             earlier.close()
         session = DaemonSession(hello)
         self.sessions[name] = session
-        self._count_routers()
+        self._router_counts.update()
         self.note_connected(session)
         self._member.prepaid_watch.note_stream_opened(
             (name, hello.daemon.incarnation), self._member.node.term
@@ -180,7 +181,7 @@
         session.closed = True
         if self.sessions.get(session.record.name) is session:
             del self.sessions[session.record.name]
-            self._count_routers()
+            self._router_counts.update()
             self._member.in_force.disconnected(session.record.name)
             self._replica_loads.forget(session.record.name)
             self.replica_limits.forget(session.record.name)
@@ -224,20 +225,14 @@
         return int(self._member.environment.monotonic() * MILLISECONDS_PER_SECOND)
 
     def _add_membership(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
-        """Add the cluster version, the members' addresses and the number of routers."""
+        """Add the cluster version, the members' addresses and the numbers of routers."""
         self._builds.fill(session, frame)
         members = self._member.node.membership().members
         addresses = sorted(member.address for member in members)
         if addresses != session.sent_addresses:
             session.sent_addresses = addresses
             frame.control_addresses.extend(addresses)
-        if self._routers != session.sent_router_count:
-            session.sent_router_count = self._routers
-            frame.routers = self._routers
-
-    def _count_routers(self) -> None:
-        """Count the routers' streams when they change rather than for each frame."""
-        self._routers = sum(one.record.role == ROLE_ROUTER for one in self.sessions.values())
+        self._router_counts.fill(session, frame)
 
     def _add_in_force(self, session: DaemonSession, frame: control_pb2.ControlFrame) -> None:
         """Add the revision in force (at once where it is not applied) and the hold order."""
@@ -328,11 +323,13 @@
             self._wake_all()
         elif body == "register_daemon" and result.code == control_pb2.RESULT_CODE_OK:
             record = command.register_daemon.daemon
+            self._router_counts.update()
             self._member.prepaid_watch.note_successor(record.name, record.incarnation)
             self._notify_other_role(record.role, record.name, record.incarnation, gone=False)
             self._update_lenders(record.name)
         elif body == "declare_gone" and result.code == control_pb2.RESULT_CODE_OK:
             order = command.declare_gone
+            self._router_counts.update()
             role = self._member.state.daemons.daemons[order.name].role
             self._notify_other_role(role, order.name, order.incarnation, gone=True)
             self._update_lenders(order.name)
--- a/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
@@ -120,16 +120,13 @@
     )
 
 
-def log_retry_refused(
-    log: EventLog, request: GatewayRequest, decision: RetryDecision, gateways: int
-) -> None:
+def log_retry_refused(log: EventLog, request: GatewayRequest, decision: RetryDecision) -> None:
     """Log that the retry budget allowed no further attempt, and why.
 
     Args:
         log: Log to write to.
         request: The request.
         decision: Decision of the retry budget.
-        gateways: Number of gateways that share the budget, as this gateway knows it.
     """
     log.info(
         "retry_refused",
@@ -138,7 +135,9 @@
         request_id=request.request_id,
         requests=decision.requests,
         retries=decision.retries,
-        budget=round(decision.budget, 2),
-        share=round(decision.share, 2),
-        gateways=gateways,
+        allowed=round(decision.allowance.retries, 2),
+        share=round(decision.allowance.share, 2),
+        gateways=decision.membership.count,
+        view_age_s=round(decision.membership.age_s, 2),
+        settled=decision.membership.settled,
     )
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -122,7 +122,6 @@
                 step="serve",
                 peer=request.profile.service,
             )
-        self._context.retry_budget.gateways = self._context.link.routers
         self._context.retry_budget.request(request.profile.service)
         self._context.replicas.limits.requested(request.profile.service)
         self._refuse_unplaceable(request)
@@ -241,7 +240,7 @@
             self._context.metrics.add("retries_sent", request.profile.service)
             return placement
         self._context.metrics.add("repeats_not_allowed", request.profile.service)
-        log_retry_refused(self._context.log, request, decision, self._context.retry_budget.gateways)
+        log_retry_refused(self._context.log, request, decision)
         return Placement(None, PlacementReason.ALL_TRIED)
 
     async def _wait_for_replica(self, reason: PlacementReason, request: GatewayRequest) -> bool:
--- a/packages/heronladder-router/src/heronladder_router/gateway_readiness.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_readiness.py
@@ -73,7 +73,7 @@
             loop_ms=self._link.timer_lag_s * MILLISECONDS_PER_SECOND,
             own=own,
             others=others,
-            gateways=self._link.routers,
+            gateways=self._link.membership.connected,
             behind_s=None if since_s is None else now_s - since_s,
             ready_s=now_s - self._ready_since_s,
             heard_s=now_s - self._link.first_frame_s,
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -160,9 +160,18 @@
         self.unreached = UnreachableReplicas(self.replicas, environment, self.log)
         self._client = ReplicaClient()
         self._connections = ReplicaConnections(environment, self.metrics)
+        self.retry_budget = SlidingRetryBudget(
+            environment,
+            options.retry_ratio,
+            options.retry_slack,
+            options.retry_window_s,
+            self.link.membership,
+        )
         self.server = self._make_server()
         self.link.configuration.listen(self._on_configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
+        self.metrics.gauge("gateways_sharing", lambda: self.link.membership.sharing)
+        self.metrics.gauge("membership_age_seconds", lambda: self.link.membership.age_s)
         self.metrics.gauge("replicas_cold", lambda: self.replicas.cold_count)
         self.metrics.gauge("far_sends", lambda: self.replicas.far_sends)
         self.metrics.gauge("requests_waiting_for_places", lambda: self.slot_queue.waiting_count)
@@ -199,7 +208,7 @@
         return TokenAccess(lending, self.link, stubs, self._environment, self.metrics, self.log)
 
     def _connect_replica_limits(self, handlers: ControlLinkHandlers) -> None:
-        self.replicas.availability.gateways = lambda: self.link.routers
+        self.replicas.availability.gateways = lambda: self.link.membership.sharing
         limits = self.replicas.limits
         limits.gateway = self.options.name
         limits.gateways = self._gateways_known
@@ -211,7 +220,7 @@
         self.metrics.gauge("replicas_limited", lambda: limits.count)
 
     def _gateways_known(self) -> KnownGateways:
-        return KnownGateways(self.tokens.lenders.names, self.link.routers)
+        return KnownGateways(self.tokens.lenders.names, self.link.membership.sharing)
 
     def _make_replicas(self) -> FleetReplicas:
         options = self.options
@@ -236,7 +245,7 @@
     def _make_slot_queue(self) -> ReplicaSlotQueue:
         return ReplicaSlotQueue(
             self.replicas.slots_of,
-            lambda: self.link.routers,
+            lambda: self.link.membership.sharing,
             lambda: self.link.round_trip_s,
             self._environment,
             self.metrics,
@@ -263,12 +272,7 @@
             attempts=ReplicaAttempts(
                 self._client, self._connections, self.replicas, options.names, self._environment
             ),
-            retry_budget=SlidingRetryBudget(
-                self._environment,
-                options.retry_ratio,
-                options.retry_slack,
-                options.retry_window_s,
-            ),
+            retry_budget=self.retry_budget,
             slot_queue=self.slot_queue,
             crashing=self.crashing,
             crash_reports=self.crash_reports,
@@ -312,6 +316,7 @@
 
     async def start(self) -> None:
         """Start to connect to control and to obtain tokens."""
+        self.retry_budget.start()
         self.link.start()
         self.tokens.start()
 
--- a/packages/heronladder-router/src/heronladder_router/sliding_retry_budget.py
+++ b/packages/heronladder-router/src/heronladder_router/sliding_retry_budget.py
@@ -1,75 +1,103 @@
 """Retry budget of a gateway: how many retries it may send within a sliding window."""
 
-from collections import deque
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.fleet_membership import FleetMembership, MembershipView
 
-# Fraction of the budget that is used. The windows of the gateways and of whoever checks the limit
-# do not align, so retries of two windows can fall into one.
-_SAFETY_FRACTION = 0.75
+from heronladder_router.decisions.retry_allowance import (
+    RetryAllowance,
+    RetryView,
+    retry_allowance,
+)
+from heronladder_router.sliding_counter import SlidingCounter
 
 
 @dataclass(frozen=True)
 class RetryDecision:
-    """Whether a retry may be sent, and the numbers that decided it.
+    """Whether a retry may be sent, and what decided it.
 
     Attributes:
         allowed: Whether it may be sent.
         requests: Requests for the service in the window.
         retries: Retries in the window, including this one if it is allowed.
-        budget: Retries that this gateway may send in the window.
-        share: Part of the budget that does not depend on the requests.
+        allowance: Retries that this gateway may send in the window.
+        membership: What it knows of the number of gateways.
     """
 
     allowed: bool
     requests: int
     retries: int
-    budget: float
-    share: float
+    allowance: RetryAllowance
+    membership: MembershipView
+
+
+@dataclass
+class _ServiceWindow:
+    """Requests and retries of one service."""
+
+    window_s: float
+    requests: SlidingCounter = field(init=False)
+    retries: SlidingCounter = field(init=False)
+
+    def __post_init__(self) -> None:
+        self.requests = SlidingCounter(self.window_s)
+        self.retries = SlidingCounter(self.window_s)
 
 
 class SlidingRetryBudget:
-    """Limits the retries of each service to a fraction of its requests plus a constant.
+    """Limits the retries of each service to a fraction of its requests plus a share of the slack.
 
     Args:
         environment: Source of time.
         ratio: Retries allowed per request.
         slack: Retries that all gateways together may send in addition.
         window_s: Length of the window, in seconds.
-
-    Attributes:
-        gateways: Number of gateways that share ``slack``.
+        membership: Tracks the number of gateways that share the slack.
     """
 
-    def __init__(self, environment: Environment, ratio: float, slack: int, window_s: float) -> None:
+    def __init__(
+        self,
+        environment: Environment,
+        ratio: float,
+        slack: int,
+        window_s: float,
+        membership: FleetMembership,
+    ) -> None:
         self._environment = environment
         self._ratio = ratio
         self._slack = slack
         self._window_s = window_s
-        self._requests: dict[str, deque[float]] = {}
-        self._retries: dict[str, deque[float]] = {}
-        self.gateways = 1
+        self._membership = membership
+        self._started_s: float | None = None
+        self._windows: dict[str, _ServiceWindow] = {}
+
+    def start(self) -> None:
+        """Record that the process starts; call this before the first request."""
+        self._started_s = self._environment.monotonic()
 
     def request(self, service: str) -> None:
         """Count a caller's request."""
-        self._times_in_window(self._requests, service).append(self._environment.monotonic())
+        self._window(service).requests.add(self._environment.monotonic())
 
     def try_spend(self, service: str) -> RetryDecision:
         """Take one retry out of the budget if one is left."""
-        retries = self._times_in_window(self._retries, service)
-        requests = self._times_in_window(self._requests, service)
-        share = _SAFETY_FRACTION * self._slack / max(1, self.gateways)
-        budget = _SAFETY_FRACTION * self._ratio * len(requests) + share
-        allowed = len(retries) + 1 <= budget
+        now_s = self._environment.monotonic()
+        window = self._window(service)
+        requests = window.requests.at_least(now_s)
+        retries = window.retries.at_most(now_s)
+        membership = self._membership.view(self._window_s)
+        running_s = 0.0 if self._started_s is None else now_s - self._started_s
+        allowance = retry_allowance(
+            RetryView(requests, self._ratio, self._slack, self._window_s, running_s, membership)
+        )
+        allowed = retries + 1 <= allowance.retries
         if allowed:
-            retries.append(self._environment.monotonic())
-        return RetryDecision(allowed, len(requests), len(retries), budget, share)
-
-    def _times_in_window(self, table: dict[str, deque[float]], service: str) -> deque[float]:
-        """Return a service's times in a table after dropping those older than the window."""
-        times_s = table.setdefault(service, deque())
-        oldest_s = self._environment.monotonic() - self._window_s
-        while times_s and times_s[0] < oldest_s:
-            times_s.popleft()
-        return times_s
+            window.retries.add(now_s)
+        return RetryDecision(allowed, requests, retries + allowed, allowance, membership)
+
+    def _window(self, service: str) -> _ServiceWindow:
+        window = self._windows.get(service)
+        if window is None:
+            window = self._windows[service] = _ServiceWindow(self._window_s)
+        return window
--- a/packages/heronladder-router/src/heronladder_router/tokens/access.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/access.py
@@ -118,7 +118,7 @@
             PrepaidExhaustedError: If the tenant's remaining tokens cannot cover the request.
             PrepaidUnavailableError: If the tokens could not be reserved in time.
         """
-        self.lenders.gateway_count = self._link.routers
+        self.lenders.gateway_count = self._link.membership.sharing
         if not self.lenders.is_participating:
             return await self.held.reserve(tenant, tokens, wait_s)
         deadline_s = self._environment.monotonic() + wait_s
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -17,6 +17,7 @@
 from heronladder_runtime.configuration_status import ConfigurationStatus
 from heronladder_runtime.control_member_prober import LONG_CONNECT_TIME_S, ControlMemberProber
 from heronladder_runtime.errors import PeerUnavailableError, StaleConfigurationError
+from heronladder_runtime.fleet_membership import FleetMembership
 from heronladder_runtime.link_handlers import ControlLinkHandlers
 from heronladder_runtime.link_session import (
     LinkSession,
@@ -91,7 +92,7 @@
         self.round_trip_s = 0.0  # of the newest acknowledged heartbeat
         self._last_loop_lag_ms = 0  # during the silence that ended the newest stream
         self.timer_lag_s = 0.0  # lag of the last timer between two heartbeats
-        self.routers = 1  # routers that control counts, this one included
+        self.membership = FleetMembership(environment, self._log)
         self.cluster_version = INITIAL_VERSION  # newest one reported; it never falls
 
     def add_addresses(self, addresses: list[str]) -> None:
@@ -329,8 +330,7 @@
         self.configuration_status.record_leader_contact()
         if frame.control_addresses:
             self._addresses = list(frame.control_addresses)
-        if frame.routers:
-            self.routers = frame.routers
+        self.membership.record_report(frame)
         self.cluster_version = max(self.cluster_version, frame.cluster_version)
         if frame.control_time_ms:
             self._control_time_ms = frame.control_time_ms
@@ -388,6 +388,7 @@
         if sent is None:
             return
         self.round_trip_s = self._environment.monotonic() - sent
+        self.membership.confirm(sent)
         if self._handlers.replica_limits is not None:
             self._handlers.replica_limits(frame, sent)
         quickest_s = self.min_round_trip_s or self.round_trip_s
--- a/packages/heronladder-runtime/src/heronladder_runtime/fleet_membership.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/fleet_membership.py
@@ -1,119 +1,138 @@
 """Number of routers that share the bounds of the fleet, as reported by control.
 
-Each router divides such a bound by this number. If the number is too small, all routers together
-exceed the bound, so the view errs on the large side: control reports all registered routers, also
-those that are disconnected from it, and the largest recent report counts.
-
-The view says how far it can be trusted. A router that joins is reported to all routers that are
-connected to the leader. A disconnected router does not learn of it, so its view is valid for only
-a short time, and routers whose view was not valid use no shared allowance until everything that
-others may have used by an older view is out of the window of the bound.
+Each router divides such a bound by this number. If it is too small, all routers together exceed
+the bound. Control therefore reports all registered routers, also those that are disconnected from
+it, and the largest recent report counts.
+
+Reports reach connected routers only. While a router is disconnected, others may join, so its view
+is valid for a short time. A view is settled once it has been valid for so long that all that other
+routers may have used by an earlier view has left the window of the bound.
 """
 
 import math
 from collections import deque
 from dataclasses import dataclass
 
+from heronladder_schema.v1 import control_pb2
+
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.logs import EventLog
 
-#: Time for which a view is valid after the last confirmation by a leader.
+#: Time for which a view is valid after a heartbeat was sent that a leader acknowledged.
 VIEW_VALIDITY_S = 4.0
-#: Time for which a deposed leader may go on confirming: two election timeouts.
+#: Time for which a deposed leader may continue to acknowledge heartbeats.
 _LEADER_OVERLAP_S = 2.0
-_RECENT_S = 10.0  # over which the largest report counts
+_DEFAULT_WINDOW_S = 10.0
+_LOGGED_CHANGE = 0.5  # fraction of the number of routers
+
+
+def settling_time_s(window_s: float) -> float:
+    """Return for how long a view must be valid until it is settled.
+
+    Args:
+        window_s: Window over which the bound applies, in seconds.
+    """
+    return window_s + VIEW_VALIDITY_S + _LEADER_OVERLAP_S
 
 
 @dataclass(frozen=True)
 class MembershipView:
-    """State of the membership view of one router.
+    """What one router knows of the number of routers.
 
     Attributes:
-        connected: Routers with a stream to the leader; 1 before the first report.
-        serving: Upper bound on the routers that may be serving: the largest recent report; 0 if
-            no leader has reported it.
-        age_s: Time since the leader last confirmed it; inf if it never did.
-        valid_for_s: Time for which it has been valid without interruption; 0 if it is not valid.
+        count: Upper bound on the routers that may be serving; 0 if no leader has reported it.
+        age_s: Time since the newest acknowledged heartbeat was sent; inf if there is none.
+        settled: Whether no router can have used the bound by an earlier view within the window.
+        first_of_name: Whether no other process of the same name ran before.
     """
 
-    connected: int
-    serving: int
+    count: int
     age_s: float
-    valid_for_s: float
-
-    def is_settled(self, window_s: float) -> bool:
-        """Return whether no router can have used a bound by an older view within a window.
-
-        Args:
-            window_s: Window over which the bound applies, in seconds.
-        """
-        return self.valid_for_s >= window_s + VIEW_VALIDITY_S + _LEADER_OVERLAP_S
+    settled: bool
+    first_of_name: bool = False
 
 
 class FleetMembership:
-    """Tracks the reports of control about the number of routers.
+    """Records the reports of control.
 
     Args:
         environment: Source of time.
+        log: Receives large changes.
+
+    Attributes:
+        connected: Routers with a stream to the leader; 1 before the first report.
+        first_of_name: Whether control knows of no earlier process of the same name.
     """
 
-    def __init__(self, environment: Environment) -> None:
+    def __init__(self, environment: Environment, log: EventLog) -> None:
         self._environment = environment
-        self._connected = 1
+        self._log = log
+        self.connected = 1
+        self.first_of_name = False
         self._serving = 0
-        # Larger earlier reports with the times at which they ended, largest and oldest first.
+        # Larger earlier reports with the times at which they ended, the largest and oldest first.
         self._earlier: deque[tuple[float, int]] = deque()
         self._confirmed_s = -math.inf
-        self._valid_since_s = -math.inf
+        self._valid_since_s = math.inf
 
-    def record_report(self, connected: int, serving: int) -> None:
-        """Record the numbers in a frame from the leader; 0 for an unchanged number."""
-        self._connected = connected or self._connected
+    def record_report(self, frame: control_pb2.ControlFrame) -> None:
+        """Record what a frame of the leader says; fields that are unset are unchanged."""
+        self.connected = frame.routers or self.connected
+        self.first_of_name = self.first_of_name or frame.first_of_name
+        serving = frame.serving_routers
         if not serving or serving == self._serving:
             return
         while self._earlier and self._earlier[-1][1] <= self._serving:
             self._earlier.pop()
         self._earlier.append((self._environment.monotonic(), self._serving))
+        if abs(serving - self._serving) > _LOGGED_CHANGE * self._serving:
+            self._log.info(
+                "membership_changed",
+                step="membership",
+                serving=serving,
+                earlier=self._serving,
+                connected=self.connected,
+                first_of_name=self.first_of_name,
+            )
         self._serving = serving
 
     def confirm(self, sent_s: float) -> None:
-        """Record that a leader acknowledged a heartbeat, after all its reports so far.
+        """Record that a leader acknowledged a heartbeat; its reports until then are recorded.
 
         Args:
-            sent_s: Time at which the heartbeat was sent.
+            sent_s: Time at which the heartbeat was sent. The acknowledgement may have been delayed
+                for long.
         """
         if sent_s - self._confirmed_s > VIEW_VALIDITY_S:
             self._valid_since_s = sent_s
         self._confirmed_s = max(self._confirmed_s, sent_s)
 
-    def view(self, window_s: float = _RECENT_S) -> MembershipView:
-        """Return the current view.
+    def view(self, window_s: float) -> MembershipView:
+        """Return the view for a bound over a window.
 
         Args:
-            window_s: Time over which the largest report counts, in seconds.
+            window_s: Length of the window, in seconds.
         """
         now_s = self._environment.monotonic()
-        age_s = now_s - self._confirmed_s
-        is_valid = age_s <= VIEW_VALIDITY_S
-        return MembershipView(
-            self._connected,
-            self._largest_since(now_s - window_s),
-            age_s,
-            now_s - self._valid_since_s if is_valid else 0.0,
-        )
+        age_s = self.age_s
+        settling_s = settling_time_s(window_s)
+        settled = age_s <= VIEW_VALIDITY_S and now_s - self._valid_since_s >= settling_s
+        count = self._largest_since(now_s - settling_s)
+        return MembershipView(count, age_s, settled, self.first_of_name)
+
+    @property
+    def age_s(self) -> float:
+        """Time in seconds since the newest acknowledged heartbeat was sent; inf if none was."""
+        return self._environment.monotonic() - self._confirmed_s
 
     @property
     def sharing(self) -> int:
-        """Number of routers by which a bound of the fleet is divided, at least 1.
+        """Number of routers by which a bound without a window is divided, at least 1.
 
-        A leader of an earlier build reports connected routers only.
+        Leaders of earlier builds report the connected routers only.
         """
-        since_s = self._environment.monotonic() - _RECENT_S
-        return max(1, self._largest_since(since_s) or self._connected)
-
-    @property
-    def connected(self) -> int:
-        """Routers with a stream to the leader; 1 before the first report."""
-        return self._connected
+        since_s = self._environment.monotonic() - _DEFAULT_WINDOW_S
+        return max(1, self._largest_since(since_s) or self.connected)
 
     def _largest_since(self, since_s: float) -> int:
         for ended_s, count in self._earlier:
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -28,6 +28,7 @@
         "replica_limit",
         "replica_signals",
         "leave_reported",
+        "membership_changed",
         "replica_limit_shared",
         "replica_temperature",
         "zone_evacuated",
@@ -85,6 +86,7 @@
     "gateway",
     "leader",
     "loop",
+    "membership",
     "replica_limit",  # a request that is refused for what all replicas ask names none
     "replica_signals",
     "zone",
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -142,6 +142,7 @@
     " order before, `overtaken` if another order for the service was taken since it came.",
     "rollout_phase": "A phase of a roll-out, or a version that no order named, is in the log.",
     "router_gone": "A router is declared gone; its leases are collected.",
+    "membership_changed": "Control reported a number of gateways that differs by more than half.",
     "retry_refused": "The retry budget of this gateway allowed no further attempt: requests and"
     " retries in the window, what was allowed, and the number of gateways that share it.",
     "send_failed": "A send gave no whole answer; `kind` says whether it may have run.",
--- a/tests/lending_process.py
+++ b/tests/lending_process.py
@@ -5,6 +5,7 @@
 import asyncio
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import TYPE_CHECKING, Any, cast
 
 from heronladder_control.daemon_session import DaemonSession
@@ -151,7 +152,7 @@
         self.record = ledger_pb2.DaemonRecord(name=process.name, incarnation=process.incarnation)
         self.last_heard_s = fleet.environment.monotonic()
         self.reconnected_s = float("-inf")
-        self.routers = len(fleet.zones)
+        self.membership = SimpleNamespace(sharing=len(fleet.zones))
         self.control_time_ms = 0
         self.cluster_version = LATEST_VERSION
         self._heartbeats_sent = 0
--- a/tests/retry_budget_simulation.py
+++ b/tests/retry_budget_simulation.py
@@ -5,15 +5,20 @@
 the retries of each window with those that the settings allow for all gateways together.
 """
 
+import argparse
 import random
 from dataclasses import dataclass, field
 from itertools import accumulate
 
 from heronladder_router.sliding_retry_budget import SlidingRetryBudget
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.fleet_membership import FleetMembership
+from heronladder_runtime.logs import EventLog
+from heronladder_schema.v1 import control_pb2
 
 RATIO = 0.2
 WINDOW_S = 10.0
+_LOG = EventLog("test", "gateway")
 _SERVICE = "app"
 _STEP_S = 0.1
 _STEPS_PER_WINDOW = round(WINDOW_S / _STEP_S)
@@ -84,6 +89,8 @@
 
     Attributes:
         budget: Retry budget of the running process; None while it does not run.
+        membership: Membership view of that process.
+        earlier_process: Whether a process of this name ran before.
         connected: Whether it has a stream to the leader.
         registered: Whether control's log holds it and it is not declared gone.
         connects_s: Time from which it can open a stream.
@@ -93,6 +100,8 @@
 
     number: int
     budget: SlidingRetryBudget | None = None
+    membership: FleetMembership | None = None
+    earlier_process: bool = False
     connected: bool = False
     registered: bool = False
     connects_s: float = 0.0
@@ -146,12 +155,19 @@
         for gateway in self._gateways:
             runs = self._runs(gateway, at_s)
             if runs and gateway.budget is None:
+                gateway.membership = FleetMembership(self._clock, _LOG)
                 gateway.budget = SlidingRetryBudget(
-                    self._clock, RATIO, round(self._scenario.slack), WINDOW_S
+                    self._clock,
+                    RATIO,
+                    round(self._scenario.slack),
+                    WINDOW_S,
+                    gateway.membership,
                 )
+                gateway.budget.start()
                 gateway.connects_s = at_s + self._source.uniform(0.0, 1.0)
             elif not runs and gateway.budget is not None:
                 gateway.budget = None
+                gateway.earlier_process = True
                 gateway.connected = False
                 if at_s >= self._scenario.leaves.get(gateway.number, self._scenario.length_s):
                     gateway.registered = False
@@ -177,8 +193,14 @@
 
     def _answer_heartbeat(self, gateway: _Gateway) -> None:
         """Tell a gateway how many gateways there are, as control does."""
-        assert gateway.budget is not None
-        gateway.budget.gateways = sum(other.connected for other in self._gateways)
+        assert gateway.membership is not None
+        connected = sum(other.connected for other in self._gateways)
+        serving = sum(other.connected or other.registered for other in self._gateways)
+        frame = control_pb2.ControlFrame(
+            routers=connected, serving_routers=serving, first_of_name=not gateway.earlier_process
+        )
+        gateway.membership.record_report(frame)
+        gateway.membership.confirm(self._clock.now_s)
 
     # ---- requests ---------------------------------------------------------
 
@@ -282,3 +304,25 @@
         scenario.burst = Outage(start_s, start_s + source.uniform(1.0, 8.0))
         scenario.burst_factor = source.choice((2.0, 4.0))
     return scenario
+
+
+def main() -> None:
+    """Play random scenarios, and print those in which a window has too many retries."""
+    parser = argparse.ArgumentParser(description="Plays random scenarios of the retry budget.")
+    parser.add_argument("--seeds", type=int, default=10_000, help="number of scenarios")
+    options = parser.parse_args()
+    found = 0
+    largest = 0.0
+    for seed in range(options.seeds):
+        start_s, sent, allowed = (
+            RetryBudgetSimulation(random_scenario(seed), seed).run().worst_window()
+        )
+        largest = max(largest, sent / max(1.0, allowed))
+        if sent > allowed:
+            found += 1
+            print(f"seed {seed}: {sent:.0f} of {allowed:.0f} from {start_s:.1f} s", flush=True)
+    print(f"{found} of {options.seeds} over the budget, at most {largest:.2f} of it")
+
+
+if __name__ == "__main__":
+    main()
--- a/tests/test_gateway_readiness.py
+++ b/tests/test_gateway_readiness.py
@@ -248,7 +248,12 @@
 
 class NewStreamTest(unittest.TestCase):
     def test_first_totals_of_a_new_stream_do_not_put_a_gateway_behind(self) -> None:
-        link = SimpleNamespace(round_trip_s=0.9, timer_lag_s=0.0, routers=20, first_frame_s=99.5)
+        link = SimpleNamespace(
+            round_trip_s=0.9,
+            timer_lag_s=0.0,
+            membership=SimpleNamespace(connected=20),
+            first_frame_s=99.5,
+        )
         loads = SimpleNamespace(in_flight_totals=lambda: (100, 0))
         clock = _Clock()
         readiness = GatewayReadiness(
@@ -269,7 +274,12 @@
 class SilentControlTest(unittest.TestCase):
     def test_gateway_does_not_stay_behind_while_control_is_silent(self) -> None:
         """Readiness was only recomputed when control responded."""
-        link = SimpleNamespace(round_trip_s=0.9, timer_lag_s=0.0, routers=20, first_frame_s=0.0)
+        link = SimpleNamespace(
+            round_trip_s=0.9,
+            timer_lag_s=0.0,
+            membership=SimpleNamespace(connected=20),
+            first_frame_s=0.0,
+        )
         loads = SimpleNamespace(in_flight_totals=lambda: (100, 100))
         clock = _Clock()
         readiness = GatewayReadiness(
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -41,11 +41,11 @@
     ) -> None:
         """A fixed wait of 0.3 s exceeded a quarter of short objectives, such as 0.2 s of 0.8 s."""
         tokens = _NoTokens()
-        link = SimpleNamespace(routers=1, min_round_trip_s=0.0)
+        link = SimpleNamespace(min_round_trip_s=0.0)
         parts = SimpleNamespace(
             link=link,
             routes=None,
-            retry_budget=SimpleNamespace(gateways=1, request=lambda service: None),
+            retry_budget=SimpleNamespace(request=lambda service: None),
             replicas=SimpleNamespace(
                 availability=SimpleNamespace(any_unavailable=False),
                 limits=SimpleNamespace(requested=lambda service: None),
--- a/tests/test_prepaid_tokens.py
+++ b/tests/test_prepaid_tokens.py
@@ -4,6 +4,7 @@
 import unittest
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from types import SimpleNamespace
 from typing import cast
 
 from decided_prepaid_table import DecidedPrepaidTable
@@ -49,7 +50,7 @@
     def __init__(self, clock: _FakeClock) -> None:
         self.configuration = _FakeConfiguration()
         self.record = ledger_pb2.DaemonRecord(name="gateway", incarnation="1")
-        self.routers = 1
+        self.membership = SimpleNamespace(sharing=1)
         self.last_heard_s = clock.now_s
         self.reconnected_s = float("-inf")
         self.is_connected = True
