Explain a retry that the budget refused, with a worked case

A caller got 502 or 503 although other replicas were idle, and heronladder explain did not name the number of gateways by which the budget was divided.

--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -48,6 +48,19 @@
         self.assertIn("late_ms=889", text)
         self.assertIn("peer_call_expired daemon=c1 late_ms=0", text)
 
+    def test_refused_retry_shows_the_number_of_gateways(self) -> None:
+        changed = (
+            "time=2026-01-01T00:00:01.500 event=membership_changed daemon=g1 serving=6 earlier=1"
+        )
+        refused = (
+            "time=2026-01-01T00:00:02.900 event=retry_refused daemon=g1 peer=app request_id=r1"
+            " requests=25 retries=1 allowed=1.1 gateways=6"
+        )
+        self.gateway.write_text(f"{_GATEWAY}{changed}\n{refused}\n")
+        text = explanation_text(explain_request("r1", [self.gateway]))
+        self.assertIn("membership_changed daemon=g1 serving=6", text)
+        self.assertIn("retries=1 allowed=1.1 gateways=6", text)
+
     def test_refusal_shows_the_state_known_to_the_gateway(self) -> None:
         found = explain_request("r1", [self.gateway, self.control])
         self.assertEqual(
