Reword the scripts that run and reproduce tests

What is accepted and printed is as before, and test_known_red, which runs both against lists and failing tests, passes.

--- a/scripts/provoke.py
+++ b/scripts/provoke.py
@@ -1,7 +1,7 @@
-"""Runs several copies of a test at a time beside programs that keep processors busy.
+"""Runs several copies of a test concurrently while other programs keep the processors busy.
 
 Usage: ``python scripts/provoke.py TEST [--copies N] [--busy N] [--within-s S] [--logs FOLDER]``.
-Prints how many copies failed and why; exits 1 if any did. Each copy is a process of its own.
+Prints how many copies failed and why; exits with 1 if any failed. Each copy is a separate process.
 """
 
 import argparse
@@ -14,8 +14,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 _BUSY_PROGRAM = "while True: pass"
-_LOOK_S = 0.1
-_ENDED_BY_TIME = 124  # as timeout(1) says it
+_POLL_INTERVAL_S = 0.1
+_EXIT_TIMED_OUT = 124  # as in timeout(1)
 
 
 def _start_copy(test: str, output: Path) -> subprocess.Popen[bytes]:
@@ -32,32 +32,32 @@
 
 
 def _wait_all(copies: list[subprocess.Popen[bytes]], within_s: float) -> list[int]:
-    """Return exit codes; copies that are not done in time are ended."""
+    """Wait for all copies, kill those that exceed the time limit, and return the exit codes."""
     until_s = time.monotonic() + within_s
     while time.monotonic() < until_s and any(copy.poll() is None for copy in copies):
-        time.sleep(_LOOK_S)
+        time.sleep(_POLL_INTERVAL_S)
     codes = []
     for copy in copies:
         code = copy.poll()
         if code is None:
             copy.kill()
             copy.wait()
-            code = _ENDED_BY_TIME
+            code = _EXIT_TIMED_OUT
         codes.append(code)
     return codes
 
 
-def _why(output: Path, code: int) -> str:
-    """Return the line that says why a copy failed."""
-    if code == _ENDED_BY_TIME:
-        return "not done in time"
+def _failure_reason(output: Path, code: int) -> str:
+    """Return the last error line of a copy's output."""
+    if code == _EXIT_TIMED_OUT:
+        return "timed out"
     lines = output.read_text(errors="replace").splitlines()
     errors = [line for line in lines if line.partition(":")[0].endswith(("Error", "Exception"))]
     return (errors or lines or ["no output"])[-1]
 
 
 def provoke(test: str, copies: int, busy: int, within_s: float, logs: Path) -> int:
-    """Run copies of a test beside busy programs; return how many failed."""
+    """Run copies of a test while busy programs run; return the number that failed."""
     logs.mkdir(parents=True, exist_ok=True)
     programs = [subprocess.Popen([sys.executable, "-c", _BUSY_PROGRAM]) for _ in range(busy)]
     try:
@@ -69,19 +69,21 @@
             program.wait()
     failed = [(output, code) for output, code in zip(outputs, codes, strict=True) if code]
     for output, code in failed:
-        print(f"  {output.name}: {_why(output, code)}")
+        print(f"  {output.name}: {_failure_reason(output, code)}")
     print(f"{test}: {len(failed)} of {copies} failed beside {busy} busy programs", flush=True)
     return len(failed)
 
 
 def main() -> int:
-    """Read the command line and run."""
+    """Parse the command line and run the copies."""
     parser = argparse.ArgumentParser(description=__doc__.partition("\n")[0])
-    parser.add_argument("test", help="as unittest takes it: module.Class.method")
+    parser.add_argument("test", help="test id: module.Class.method")
     parser.add_argument("--copies", type=int, default=8)
     parser.add_argument("--busy", type=int, default=5, help="programs that keep a processor busy")
-    parser.add_argument("--within-s", type=float, default=120.0, help="copies are ended then")
-    parser.add_argument("--logs", type=Path, help="folder for what the copies print")
+    parser.add_argument(
+        "--within-s", type=float, default=120.0, help="time limit of a copy, in seconds"
+    )
+    parser.add_argument("--logs", type=Path, help="folder for the output of the copies")
     options = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
         logs = options.logs or Path(folder)
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,11 +1,11 @@
-"""Runs all tests; passes over failures of just the tests that KNOWN-RED.txt lists.
+"""Runs all tests; only failures of the tests listed in KNOWN-RED.txt are accepted.
 
-Usage: ``python scripts/run_tests.py [PART/PARTS]``, as in ``1/2`` for one of two parts that take
-about as long as each other; without, all of them. Each line of the list, at the root of the
+Usage: ``python scripts/run_tests.py [PART/PARTS]``, for example ``1/2`` for one of two parts of
+similar duration; without an argument, all tests are run. Each line of the list, at the root of the
 repository, is ``test id | command | seed | what was seen | open issue``; empty lines and lines that
-begin with ``#`` say nothing. The command provokes the failure from a fresh clone, so it names the
-test or its module; the seed is a number, or ``none`` where nothing is drawn. Without the file no
-test may fail.
+begin with ``#`` are ignored. The command reproduces the failure in a fresh clone, so it names the
+test or its module; the seed is a number, or ``none`` if nothing is random. If the file does not
+exist, no test may fail.
 """
 
 import sys
@@ -22,8 +22,8 @@
 _FIELDS = ("test id", "command", "seed", "what was seen", "open issue")
 _NO_SEED = "none"
 _COMMENT = "#"
-# Modules that take over 10 s, the longest first (measured: 55 to 10 s). Dealt out first, so that no
-# part takes twice as long as another: 282 and 88 s where modules were dealt by their names alone.
+# Modules that take over 10 s, the longest first. They are assigned to parts first; if modules are
+# assigned by name, one part takes three times as long as another (282 and 88 s).
 _LONG_MODULES = (
     "test_rollout_failures",
     "test_crashing_requests",
@@ -46,11 +46,11 @@
     "test_restarted_replicas",
     "test_promised_refusals",
 )
-_LOAD_ERRORS = "unittest.loader."  # what stands in for a module that could not be loaded
+_LOAD_ERRORS = "unittest.loader."  # prefix of placeholders for modules that failed to load
 
 
 class KnownRedError(Exception):
-    """The list of known red tests is wrong."""
+    """The list of known red tests is invalid."""
 
 
 @dataclass(frozen=True)
@@ -59,10 +59,10 @@
 
     Attributes:
         test: Its id, as ``module.Class.method``.
-        command: What provokes the failure.
-        seed: What the command draws from; None where nothing is drawn.
+        command: Command that reproduces the failure.
+        seed: Seed of the command; None if nothing is random.
         seen: How it failed.
-        issue: Number of the open issue that follows the fault.
+        issue: Number of the open issue that tracks the fault.
     """
 
     test: str
@@ -77,12 +77,12 @@
         return f" {_SEPARATOR} ".join(fields)
 
 
-class NotingResult(unittest.TextTestResult):
-    """Ordinary result that notes the ids of tests that failed or passed.
+class RecordingResult(unittest.TextTestResult):
+    """Test result that also records the ids of tests that failed or passed.
 
     Attributes:
-        failed: What had a failure or an error, in itself or in a subtest.
-        passed: What was called a success.
+        failed: Tests with a failure or an error, also in a subtest.
+        passed: Tests that succeeded.
     """
 
     def __init__(self, *arguments: Any, **options: Any) -> None:
@@ -91,23 +91,23 @@
         self.passed: set[str] = set()
 
     def addError(self, test: unittest.TestCase, err: Any) -> None:
-        """Note an error."""
+        """Record an error."""
         super().addError(test, err)
         self.failed.add(test.id())
 
     def addFailure(self, test: unittest.TestCase, err: Any) -> None:
-        """Note a failure."""
+        """Record a failure."""
         super().addFailure(test, err)
         self.failed.add(test.id())
 
     def addSubTest(self, test: unittest.TestCase, subtest: unittest.TestCase, err: Any) -> None:
-        """Note a failure or an error of a subtest as one of its test."""
+        """Record a failure or an error of a subtest for its test."""
         super().addSubTest(test, subtest, err)
         if err is not None:
             self.failed.add(test.id())
 
     def addSuccess(self, test: unittest.TestCase) -> None:
-        """Note a success."""
+        """Record a success."""
         super().addSuccess(test)
         self.passed.add(test.id())
 
@@ -143,10 +143,10 @@
 
 
 def check_entries(entries: Iterable[KnownRed], discovered: set[str]) -> None:
-    """Check that each entry names a test, and each another one.
+    """Check that each entry names an existing test, and that no test is listed twice.
 
     Raises:
-        KnownRedError: An entry names no discovered test, or one that is listed already.
+        KnownRedError: An entry names an unknown test, or one that is already listed.
     """
     listed: set[str] = set()
     for entry in entries:
@@ -158,7 +158,7 @@
 
 
 def discovered_tests(suite: unittest.TestSuite) -> Iterator[str]:
-    """Yield the ids of the tests of a suite; load errors are none."""
+    """Yield the ids of the tests of a suite, without load errors."""
     for test in suite:
         if isinstance(test, unittest.TestSuite):
             yield from discovered_tests(test)
@@ -166,17 +166,17 @@
             yield test.id()
 
 
-def run_suite(suite: unittest.TestSuite, stream: TextIO) -> NotingResult:
+def run_suite(suite: unittest.TestSuite, stream: TextIO) -> RecordingResult:
     """Run a suite with the warnings and the verbosity of ``python -m unittest``."""
     warnings = None if sys.warnoptions else "default"
-    runner = unittest.TextTestRunner(stream, resultclass=NotingResult, warnings=warnings)
+    runner = unittest.TextTestRunner(stream, resultclass=RecordingResult, warnings=warnings)
     result = runner.run(suite)
-    assert isinstance(result, NotingResult)
+    assert isinstance(result, RecordingResult)
     return result
 
 
-def describe(entry: KnownRed, result: NotingResult) -> str:
-    """Return the line that says what became of a listed test."""
+def describe(entry: KnownRed, result: RecordingResult) -> str:
+    """Return a line with the outcome of a listed test."""
     if entry.test in result.failed:
         return f"known red: {entry}"
     if entry.test in result.passed:
@@ -184,17 +184,17 @@
     return f"known red, neither failed nor passed this time: {entry}"
 
 
-def is_accepted(result: NotingResult, entries: Iterable[KnownRed]) -> bool:
-    """Return whether a test ran and nothing but listed tests failed."""
+def is_accepted(result: RecordingResult, entries: Iterable[KnownRed]) -> bool:
+    """Return whether any test ran and only listed tests failed."""
     unlisted = result.failed - {entry.test for entry in entries}
     return result.testsRun > 0 and not unlisted and not result.unexpectedSuccesses
 
 
 def read_part(text: str) -> tuple[int, int]:
-    """Return the part and the number of parts that ``1/2`` names.
+    """Parse ``PART/PARTS``; return the part and the number of parts.
 
     Raises:
-        ValueError: It names none.
+        ValueError: The text names no part.
     """
     part, _, parts = text.partition("/")
     if not 1 <= int(part) <= int(parts):
@@ -202,10 +202,13 @@
     return int(part), int(parts)
 
 
-def deal(modules: list[unittest.TestSuite], part: tuple[int, int]) -> list[unittest.TestSuite]:
-    """Return the modules of a part: there and back again, the long ones first.
+def select_modules(
+    modules: list[unittest.TestSuite], part: tuple[int, int]
+) -> list[unittest.TestSuite]:
+    """Return the modules of a part.
 
-    A module is in one part only, whatever tests it has.
+    Modules are assigned to the parts in alternating order, the long ones first. All tests of a
+    module are in the same part.
     """
     number, parts = part
     ranks = {name: rank for rank, name in enumerate(_LONG_MODULES)}
@@ -217,7 +220,7 @@
 
 
 def _name(module: unittest.TestSuite) -> str:
-    """Return a module's name, "" of one without tests."""
+    """Return the name of a module; "" if it has no tests."""
     first = next(discovered_tests(module), "")
     return first.partition(".")[0]
 
@@ -233,7 +236,7 @@
         print(*loader.errors, f"{known_red.name}: {error}", sep="\n", file=stream)
         return 1
     modules = [module for module in suite if isinstance(module, unittest.TestSuite)]
-    result = run_suite(unittest.TestSuite(deal(modules, part)), stream)
+    result = run_suite(unittest.TestSuite(select_modules(modules, part)), stream)
     for entry in entries:
         print(describe(entry, result), file=stream)
     return 0 if is_accepted(result, entries) else 1
