--- a/tests/test_retries_of_restarted_gateways.py
+++ b/tests/test_retries_of_restarted_gateways.py
@@ -5,6 +5,7 @@
 import unittest
 from collections import Counter
 
+import aiohttp
 from platform_stand_ins import (
     Fleet,
     Received,
@@ -50,7 +51,7 @@
             await self.fleet.request_at(
                 address, "/safe/", Request_Id=f"q{number}", Deadline_Ms="2000"
             )
-        except OSError:
+        except (OSError, aiohttp.ClientError):
             pass  # the gateway was lost with the connection
 
     async def _call_evenly(self) -> None:
