Bound the exponent of a replica's suspicion

Once a replica had rejected or failed 1,025 requests of a gateway in a row, each further one ended for its caller in an unexpected OverflowError instead of another replica or a refusal with Retry-After. A service whose replicas all reject comes to that within minutes.

Cause: the suspicion doubles with each rejection and was worked out as 2 to the power of their number before it was limited to 2.4 or 4 s. The number of doublings is limited now, and both durations have a module of their own.

--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -12,6 +12,7 @@
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
 from heronladder_router.cached_prompt_parts import CachedPromptParts
+from heronladder_router.decisions import suspicion
 from heronladder_router.decisions.availability import Availability
 from heronladder_router.decisions.cold_limit import COLD_WINDOW_S, ColdLimits
 from heronladder_router.decisions.connection_share import connection_share
@@ -35,11 +36,6 @@
 from heronladder_router.service_speeds import ServiceSpeeds
 from heronladder_router.shared_loads import SharedLoads
 
-_MIN_SUSPICION_S = 0.4
-_MAX_SUSPICION_S = 4.0
-_BUSY_S = 0.15
-_MAX_REJECTION_SUSPICION_S = 2.4
-
 
 class FleetReplicas:
     """All registered replicas.
@@ -373,10 +369,10 @@
     def record_rejection(self, replica: FleetReplica) -> None:
         """Record a rejection: other replicas are preferred for a time that doubles each time."""
         now_s = self._environment.monotonic()
-        pause_s = min(_MAX_REJECTION_SUSPICION_S, _BUSY_S * 2**replica.rejections)
         replica.rejections += 1
-        replica.suspect_until_s = max(replica.suspect_until_s, now_s + pause_s)
-        replica.busy_until_s = now_s + _BUSY_S
+        until_s = now_s + suspicion.after_rejections_s(replica.rejections)
+        replica.suspect_until_s = max(replica.suspect_until_s, until_s)
+        replica.busy_until_s = now_s + suspicion.BUSY_S
 
     def failed(self, replica: FleetReplica, why: str, *, unreached: bool = False) -> None:
         """Record a failure: other replicas are preferred for a time that doubles each time.
@@ -388,7 +384,7 @@
         """
         replica.failures += 1
         replica.unreached = replica.unreached or unreached
-        pause_s = min(_MAX_SUSPICION_S, _MIN_SUSPICION_S * 2 ** (replica.failures - 1))
+        pause_s = suspicion.after_failures_s(replica.failures)
         replica.suspect_until_s = self._environment.monotonic() + pause_s
         self._log.info(
             "replica_suspected",
