Send requests without a retry left to replicas that did not fail last

Cause: a replica that rejected a request is tried again after 0.15 s, then after twice as long, by each gateway. Such a trial costs a retry. A gateway with no retry left, or with one for several requests in flight, still sent them there, and the callers got the rejection. Traced by printing each placement with the budget left: requests to replicas with one to four rejections in a row, two at a time, with one retry left.

Where the budget holds no retry for it, a request goes to replicas that served their last one; requests in flight at doubtful replicas count as if each needed a retry. Where no other replica is healthy, nothing changes. The line request_sent says reason=no_retry_left and the rejections in a row; sends_without_retry_left counts. The choice of the replica that caches shared parts has a module of its own, for the length of placement.

--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -11,13 +11,18 @@
 so that they do not all choose the same replica; otherwise all replicas are compared.
 """
 
-import hashlib
 from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 from enum import Enum
 from typing import Protocol
 
 from heronladder_router.decisions.availability import Availability
+from heronladder_router.decisions.cache_owner import (
+    cache_owner,
+    cached_tokens,
+    has_shared_parts,
+    rendezvous_weight,
+)
 from heronladder_router.decisions.cold_limit import COLD_WINDOW_S
 from heronladder_router.decisions.region_choice import (
     Candidate,
@@ -56,6 +61,7 @@
 
     HEALTHY = "sound"
     SUSPECT = "only_suspects"
+    NO_RETRY_LEFT = "no_retry_left"
     NONE_KNOWN = "none_known"
     EVACUATED = "evacuated"
     OTHER_REGION = "other_region"
@@ -94,6 +100,8 @@
             requests of this gateway in flight as it may get at first.
         connection_share: Connections that this gateway may have open to each replica; None for no
             limit.
+        has_retries: Returns whether the retry budget allows a number of attempts after the one to
+            be placed.
     """
 
     replicas: list[FleetReplica]
@@ -112,6 +120,7 @@
     availability: Callable[[FleetReplica], Availability] = lambda _replica: Availability.AVAILABLE
     is_window_full: Callable[[FleetReplica], bool] = lambda _replica: False
     connection_share: int | None = None
+    has_retries: Callable[[int], bool] = lambda _count: True
 
 
 @dataclass(frozen=True)
@@ -146,7 +155,8 @@
     """Choose the replica that is expected to begin its response first.
 
     Suspected replicas are chosen only after all other replicas of their region, and after healthy
-    replicas of remote regions as far as the spillover limit allows.
+    replicas of remote regions as far as the spillover limit allows. A request that would be
+    refused if its replica fails, since no retry is left, goes to one that did not fail last.
 
     Args:
         view: State from which the replica is chosen.
@@ -161,10 +171,18 @@
     # the local region, requests to idle remote regions would remain subject to the spillover limit:
     # with all three local replicas crashed, that caused 12 to 25 rejections instead of 1 to 4.
     pool = [replica for replica in pool if not replica.refuses_connections] or pool
+    needs_reliable = _needs_reliable(view, pool)
+
+    def preferred(some: list[FleetReplica]) -> list[FleetReplica]:
+        healthy = _healthy(view, some)
+        if not needs_reliable:
+            return healthy
+        return [replica for replica in healthy if not _failed_last(replica)] or healthy
+
     if profile.isolation_key:
-        pool = [_pinned_replica(profile.isolation_key, _healthy(view, pool) or pool)]
+        pool = [_pinned_replica(profile.isolation_key, preferred(pool) or pool)]
     local, remote = split_by_region(pool, view.zone, view.zone_regions)
-    healthy_local, healthy_remote = _healthy(view, local), _healthy(view, remote)
+    healthy_local, healthy_remote = preferred(local), preferred(remote)
 
     def best(some: list[FleetReplica]) -> Candidate:
         return _best(view, profile, some, random_source)
@@ -179,6 +197,8 @@
     )
     suspect = best_candidate.replica.suspect_until_s > view.now_s
     reason = PlacementReason.SUSPECT if suspect else PlacementReason.HEALTHY
+    if needs_reliable and not _failed_last(best_candidate.replica):
+        reason = PlacementReason.NO_RETRY_LEFT
     cost_ms = best_candidate.cost_ms + (view.remote_cost_ms if region.is_remote else 0.0)
     return Placement(
         best_candidate.replica,
@@ -198,6 +218,21 @@
     ]
 
 
+def _needs_reliable(view: PlacementView, pool: list[FleetReplica]) -> bool:
+    """Return whether the request would be refused, for lack of a retry, if its replica fails.
+
+    Requests in flight at replicas that failed last may need a retry as well.
+    """
+    if not any(_failed_last(replica) for replica in pool):
+        return False
+    at_risk = sum(replica.in_flight for replica in view.replicas if _failed_last(replica))
+    return not view.has_retries(1 + at_risk)
+
+
+def _failed_last(replica: FleetReplica) -> bool:
+    return replica.rejections > 0 or replica.failures > 0
+
+
 def _best(
     view: PlacementView,
     profile: RequestProfile,
@@ -209,13 +244,13 @@
     The sample and the owner of the shared prompt parts are chosen within the region, so each
     region caches the parts once.
     """
-    owner = _cache_owner(profile, pool)
+    owner = cache_owner(profile, pool)
     if view.shares_load:
         pool = _sample(view, profile, pool, owner, random_source)
     costs = [_cost_ms(view, replica, profile, owner, random_source) for replica in pool]
     least = min(range(len(pool)), key=lambda number: costs[number])
     chosen = pool[least]
-    again = profile.shared_tokens - _cached_tokens(chosen, profile, owner)
+    again = profile.shared_tokens - cached_tokens(chosen, profile, owner)
     return Candidate(chosen, costs[least], max(0, again), len(pool))
 
 
@@ -311,7 +346,7 @@
             continue
         if (
             replica.name == owner
-            or _has_shared_parts(replica, profile)
+            or has_shared_parts(replica, profile)
             or _is_granted(view, replica)
         ):
             chosen.append(replica)
@@ -338,7 +373,7 @@
         cost -= _GRANT_BONUS_MS
     if not profile.prompt_tokens:
         return cost + in_flight * _IN_FLIGHT_COST_MS
-    kept = _cached_tokens(replica, profile, owner)
+    kept = cached_tokens(replica, profile, owner)
     again = max(0, profile.shared_tokens - kept)
     cost += min(_MAX_REPROCESS_COST_MS, again * _REPROCESS_COST_MS_PER_TOKEN)
     unread += max(0, profile.prompt_tokens - kept)
@@ -346,45 +381,10 @@
     return cost + slow * view.speed.first_event_ms(unread, in_flight)
 
 
-def _cached_tokens(replica: FleetReplica, profile: RequestProfile, owner: str) -> int:
-    """Return how many tokens of a prompt a replica is expected to have cached."""
-    kept = replica.parts.cached_prefix_tokens(profile.parts)
-    return max(kept, profile.shared_tokens) if replica.name == owner else kept
-
-
-def _cache_owner(profile: RequestProfile, pool: list[FleetReplica]) -> str:
-    """Return the name of the replica that all gateways choose to cache the shared prompt parts.
-
-    Returns:
-        The name; empty if the prompt has no shared parts, or if this gateway knows of a replica
-        that has cached them.
-    """
-    shared = profile.parts[:-1]
-    if not shared or any(_has_shared_parts(replica, profile) for replica in pool):
-        return ""
-    subject = shared[-1].identity.encode()
-    return max(
-        (replica.name for replica in pool), key=lambda name: _rendezvous_weight(subject, name)
-    )
-
-
 def _pinned_replica(fingerprint: str, pool: list[FleetReplica]) -> FleetReplica:
     """Return the replica to which all gateways with the same pool send a request.
 
     Used for a request that is suspected to crash replicas, so that it puts only one at risk.
     """
     subject = fingerprint.encode()
-    return max(pool, key=lambda replica: _rendezvous_weight(subject, replica.name))
-
-
-def _has_shared_parts(replica: FleetReplica, profile: RequestProfile) -> bool:
-    """Return whether a replica is known to have cached all shared parts of a prompt.
-
-    Returns False if the prompt has no shared parts.
-    """
-    shared = profile.shared_tokens
-    return shared > 0 and replica.parts.cached_prefix_tokens(profile.parts[:-1]) == shared
-
-
-def _rendezvous_weight(subject: bytes, name: str) -> bytes:
-    return hashlib.blake2b(subject, key=name.encode()[:64], digest_size=8).digest()
+    return max(pool, key=lambda replica: rendezvous_weight(subject, replica.name))
--- a/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
@@ -55,6 +55,7 @@
         load_age_s=replicas.loads.age_s,
         kept_tokens=replica.parts.cached_prefix_tokens(request.profile.parts),
         suspect=replica.failures,
+        rejections=replica.rejections,
         reason=placement.reason.value,
         cost_ms=placement.cost_ms,
         compared=placement.compared,
--- a/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
+++ b/packages/heronladder-router/src/heronladder_router/fleet_replicas.py
@@ -1,7 +1,7 @@
 """The registered replicas, and the state that a gateway keeps of them for placement."""
 
 import math
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from heronladder_runtime.change_signal import ChangeSignal
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -47,6 +47,9 @@
         environment: Source of time and randomness.
         log: Receives changes of replicas.
         metrics: Receives the counters; None to discard them.
+
+    Attributes:
+        has_retries: Returns whether the retry budget of a service has a number of retries left.
     """
 
     def __init__(
@@ -68,6 +71,7 @@
         self._by_service: dict[str, list[FleetReplica]] = {}
         self._sorted_until_s = math.inf
         self._services: dict[str, resources_pb2.ReplicatedService] = {}
+        self.has_retries: Callable[[str, int], bool] = lambda _service, _count: True
         self.speeds = ServiceSpeeds(
             where.link_s,
             environment,
@@ -217,15 +221,14 @@
         return self.availability.caller_retry_after_s(service, self.usable(service))
 
     def connection_share(self, service: str) -> int | None:
-        """Return how many connections may be open to each replica; None for no limit."""
+        """Return the connections that may be open to each replica; None for no limit."""
         declared = self._services.get(service)
         accepted = declared.max_connections if declared is not None else 0
         return connection_share(accepted, self.availability.gateways())
 
     def _serving(self, service: str) -> list[FleetReplica]:
         """Return the replicas of a service that are neither leaving nor in evacuated zones."""
-        usable = self.usable(service)
-        return [replica for replica in usable if replica.record.zone not in self.evacuated]
+        return [one for one in self.usable(service) if one.record.zone not in self.evacuated]
 
     def place(self, profile: RequestProfile, tried: Collection[str]) -> Placement:
         """Return the replica that is expected to start first, or the reason if there is none."""
@@ -233,7 +236,7 @@
         for permits in self.versions.candidate_filters(
             profile.service, profile.route, tried, usable
         ):
-            view = self._view(profile.service, permits)
+            view = self._view(profile.service, permits, 1 if tried else 0)
             placement = place(view, profile, tried, self._environment.random)
             if placement.replica is not None:
                 break
@@ -249,7 +252,7 @@
             if replica.record.service == service and not replica.record.gone
         )
 
-    def _view(self, service: str, permits: ReplicaFilter) -> PlacementView:
+    def _view(self, service: str, permits: ReplicaFilter, retries: int = 0) -> PlacementView:
         return PlacementView(
             replicas=self.usable(service),
             now_s=self._environment.monotonic(),
@@ -267,6 +270,7 @@
             availability=self.availability.verdict,
             is_window_full=self.availability.is_window_full,
             connection_share=self.connection_share(service),
+            has_retries=lambda count: self.has_retries(service, count + retries),
         )
 
     @property
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -294,6 +294,8 @@
                 self._context.replicas.record_spillover()
         elif placement.way is RegionChoice.LOCAL_SPILL_LIMIT:
             self._context.metrics.add("spills_held_back")
+        if placement.reason is PlacementReason.NO_RETRY_LEFT:
+            self._context.metrics.add("sends_without_retry_left", request.profile.service)
         progress.suspected = self._context.crashing.is_suspect(request.fingerprint)
         progress.sends += 1
         progress.replica = replica.name
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -167,6 +167,7 @@
             options.retry_window_s,
             self.link.membership,
         )
+        self.replicas.has_retries = self.retry_budget.has_retries
         self.server = self._make_server()
         self.link.configuration.listen(self._on_configuration_changed)
         self.metrics.gauge("configuration_revision", lambda: self.link.configuration.revision)
--- a/packages/heronladder-router/src/heronladder_router/sliding_retry_budget.py
+++ b/packages/heronladder-router/src/heronladder_router/sliding_retry_budget.py
@@ -80,8 +80,19 @@
         """Count a caller's request."""
         self._window(service).requests.add(self._environment.monotonic())
 
+    def has_retries(self, service: str, count: int) -> bool:
+        """Return whether a number of retries is left."""
+        decision = self._decide(service)
+        return decision.retries - decision.allowed + count <= decision.allowance.retries
+
     def try_spend(self, service: str) -> RetryDecision:
         """Take one retry out of the budget if one is left."""
+        decision = self._decide(service)
+        if decision.allowed:
+            self._window(service).retries.add(self._environment.monotonic())
+        return decision
+
+    def _decide(self, service: str) -> RetryDecision:
         now_s = self._environment.monotonic()
         window = self._window(service)
         requests = window.requests.at_least(now_s)
@@ -92,8 +103,6 @@
             RetryView(requests, self._ratio, self._slack, self._window_s, running_s, membership)
         )
         allowed = retries + 1 <= allowance.retries
-        if allowed:
-            window.retries.add(now_s)
         return RetryDecision(allowed, requests, retries + allowed, allowance, membership)
 
     def _window(self, service: str) -> _ServiceWindow:
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -247,6 +247,8 @@
     " known.",
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
     "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
+    "sends_without_retry_left": "Attempts that had to go to replicas that did not fail last,"
+    " since the retry budget allowed no retry, by service.",
     "retries_sent": "Attempts taken out of the retry budget, by service.",
     "retries": "Further sends of routers.",
     "rollout_phases": "Phases of roll-outs that were written, by phase.",
