--- a/packages/heronladder-router/src/heronladder_router/decisions/placement.py
+++ b/packages/heronladder-router/src/heronladder_router/decisions/placement.py
@@ -156,7 +156,7 @@
 
     Suspected replicas are chosen only after all other replicas of their region, and after healthy
     replicas of remote regions as far as the spillover limit allows. A request that would be
-    refused if its replica fails, since no retry is left, goes to one that did not fail last.
+    refused if its replica fails, since no retry is left, goes to one that is not doubtful.
 
     Args:
         view: State from which the replica is chosen.
@@ -171,13 +171,13 @@
     # the local region, requests to idle remote regions would remain subject to the spillover limit:
     # with all three local replicas crashed, that caused 12 to 25 rejections instead of 1 to 4.
     pool = [replica for replica in pool if not replica.refuses_connections] or pool
-    needs_reliable = _needs_reliable(view, pool)
+    lacks_retry = _lacks_retry(view, pool)
 
     def preferred(some: list[FleetReplica]) -> list[FleetReplica]:
         healthy = _healthy(view, some)
-        if not needs_reliable:
+        if not lacks_retry:
             return healthy
-        return [replica for replica in healthy if not _failed_last(replica)] or healthy
+        return [replica for replica in healthy if not _is_doubtful(replica)] or healthy
 
     if profile.isolation_key:
         pool = [_pinned_replica(profile.isolation_key, preferred(pool) or pool)]
@@ -197,7 +197,7 @@
     )
     suspect = best_candidate.replica.suspect_until_s > view.now_s
     reason = PlacementReason.SUSPECT if suspect else PlacementReason.HEALTHY
-    if needs_reliable and not _failed_last(best_candidate.replica):
+    if lacks_retry and not _is_doubtful(best_candidate.replica):
         reason = PlacementReason.NO_RETRY_LEFT
     cost_ms = best_candidate.cost_ms + (view.remote_cost_ms if region.is_remote else 0.0)
     return Placement(
@@ -218,18 +218,19 @@
     ]
 
 
-def _needs_reliable(view: PlacementView, pool: list[FleetReplica]) -> bool:
+def _lacks_retry(view: PlacementView, pool: list[FleetReplica]) -> bool:
     """Return whether the request would be refused, for lack of a retry, if its replica fails.
 
-    Requests in flight at replicas that failed last may need a retry as well.
+    Requests in flight at doubtful replicas may need a retry as well.
     """
-    if not any(_failed_last(replica) for replica in pool):
+    if not any(_is_doubtful(replica) for replica in pool):
         return False
-    at_risk = sum(replica.in_flight for replica in view.replicas if _failed_last(replica))
+    at_risk = sum(replica.in_flight for replica in view.replicas if _is_doubtful(replica))
     return not view.has_retries(1 + at_risk)
 
 
-def _failed_last(replica: FleetReplica) -> bool:
+def _is_doubtful(replica: FleetReplica) -> bool:
+    """Return whether the last request to a replica failed or was rejected."""
     return replica.rejections > 0 or replica.failures > 0
 
 
