Log the origin of streams that are taken up

request_sent and request_ended now carry resumes, after_event and began_at (the software version that sent the first event).

--- a/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
@@ -87,6 +87,7 @@
         handed_out: Whether any part of a successful response was forwarded.
         sends: Number of attempts.
         replica: Name of the replica of the last attempt.
+        began_at: Software version of the replica that sent the first event; empty before it.
         suspected: Whether the request may crash replicas; its outcome is then no evidence about the
             version of a replica.
         sent_s: Time of the first attempt; None before it.
@@ -101,6 +102,7 @@
     success_delivered: bool = False
     sends: int = 0
     replica: str = ""
+    began_at: str = ""
     suspected: bool = False
     sent_s: float | None = None
     first_event_s: float | None = None
--- a/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
@@ -24,6 +24,7 @@
     replica: FleetReplica,
     placement: Placement,
     tried: int,
+    progress: ResponseProgress,
     now_s: float,
 ) -> None:
     """Log an attempt and the inputs by which its replica was chosen.
@@ -35,6 +36,7 @@
         replica: Replica that the request is sent to.
         placement: Decision that chose the replica.
         tried: Number of earlier attempts.
+        progress: Progress of the response over all attempts.
         now_s: Current time, in seconds on the event loop's clock.
     """
     verdict = replicas.limits.verdict(replica)
@@ -44,6 +46,9 @@
         peer=replica.name,
         software=replica.record.software,
         request_id=request.request_id,
+        resumes=request.resumes,
+        after_event=request.last_event_id,
+        began_at=progress.began_at,
         fingerprint=request.fingerprint,
         send=tried + 1,
         candidates=len(replicas.usable(request.profile.service)),
@@ -107,6 +112,9 @@
         ran=progress.ran,
         finished=progress.finished,
         started=sink.started,
+        resumes=request.resumes,
+        after_event=request.last_event_id,
+        began_at=progress.began_at,
         events=progress.cutter.events,
         last_event=progress.cutter.last_id,
         reserved=reservation.tokens if reservation is not None else 0,
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -308,6 +308,7 @@
             replica,
             placement,
             history.count,
+            progress,
             self._context.environment.monotonic(),
         )
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_header_names.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_header_names.py
@@ -20,6 +20,8 @@
         token_bounds: Prompt tokens and most output tokens: "PROMPT,OUT".
         prompt_parts: Parts of the prompt in order: "ID:TOKENS,ID:TOKENS".
         last_event_id: Id of the last event of a stream that the reader has received.
+        resumes: Identifier of the caller's attempt that brought the first event of a stream that
+            is taken up.
         not_run: Set by a replica that did not run the request.
         signature: Set by a replica in each response that it generated itself.
         replica_limit: Requests per second that a replica accepts from all gateways together.
@@ -38,6 +40,7 @@
     token_bounds: str = "Heronladder-Token-Bounds"
     prompt_parts: str = "Heronladder-Prompt-Parts"
     last_event_id: str = "Last-Event-ID"
+    resumes: str = "Heronladder-Resumes"
     not_run: str = "Heronladder-Not-Run"
     signature: str = "Heronladder-Replica"
     replica_limit: str = "Heronladder-Replica-Limit"
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -54,6 +54,8 @@
         deadline_s: When the request is given up, on the same clock: the earlier of the caller's
             deadline and the route's time limit.
         last_event_id: Id of the last event that the caller has; empty for a new stream.
+        resumes: Identifier of the attempt that brought the first event of the stream; empty for a
+            new stream, or if the caller did not name it.
     """
 
     request_id: str
@@ -67,6 +69,7 @@
     arrived_s: float
     deadline_s: float
     last_event_id: str = ""
+    resumes: str = ""
 
     @cached_property
     def fingerprint(self) -> str:
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -248,6 +248,7 @@
             arrived_s=arrived_s,
             deadline_s=self._deadline_s(request, matched, arrived_s),
             last_event_id=headers.get(self._names.last_event_id, ""),
+            resumes=headers.get(self._names.resumes, ""),
         )
 
     @staticmethod
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -262,7 +262,7 @@
         if success and self._names.signature not in response.headers:
             raise RunLostError("response has no signature", step="send", peer=replica.name)
         if success and response.content_type == _EVENT_STREAM:
-            await self._forward_stream(request, response, sink, progress, reading, seen)
+            await self._forward_stream(request, replica, response, sink, progress, reading, seen)
             return
         if seen is not None:
             seen.record_bytes(self._environment.monotonic())
@@ -282,6 +282,7 @@
     async def _forward_stream(
         self,
         request: GatewayRequest,
+        replica: FleetReplica,
         response: aiohttp.ClientResponse,
         sink: ResponseSink,
         progress: ResponseProgress,
@@ -309,6 +310,7 @@
             complete_events = cutter.feed(chunk)
             if complete_events:
                 reading.read()
+                progress.began_at = progress.began_at or replica.record.software
                 if seen is not None:
                     seen.record_bytes(self._environment.monotonic(), cutter.events - events)
                 progress.record_forwarded(self._environment.monotonic())
