Fail tests of streams that hold events of two software versions

The tests run replicas of two and three versions, three or four gateways and callers that take streams up at another gateway, over real sockets: callers that lose their connection, replicas that reset streams, gateways that are lost, a version that comes while streams run, a version with one replica, answers without chunks.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -40,6 +40,7 @@
     "test_crowd_of_replicas",
     "test_replica_limit_changes",
     "test_replica_limits",
+    "test_stream_origin",
     "test_rollouts",
     "test_unreached_replicas",
     "test_lending",
