Log the shared parts of a request's prompt

request_sent now has parts, the ids of all parts but the last (eight at most). No logic has changed; the tests of events and of explain pass.

--- a/packages/heronladder-router/src/heronladder_router/cached_prompt_parts.py
+++ b/packages/heronladder-router/src/heronladder_router/cached_prompt_parts.py
@@ -19,6 +19,11 @@
     identity: str
     tokens: int
 
+    @property
+    def name(self) -> str:
+        """Id of the part itself, wherever it stands in a prompt."""
+        return self.identity.rpartition("/")[2]
+
 
 def parse_prompt_parts(text: str) -> list[PromptPart]:
     """Parse "ID:TOKENS,ID:TOKENS"; return an empty list if the text is malformed."""
--- a/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
@@ -11,6 +11,8 @@
 from heronladder_router.sliding_retry_budget import RetryDecision
 from heronladder_router.tokens.access import Reservation
 
+_MAX_LOGGED_PARTS = 8
+
 
 def _elapsed_ms(start_s: float, end_s: float | None) -> int | None:
     """Return the time between two instants in ms; None if the second never came."""
@@ -50,6 +52,7 @@
         after_event=request.last_event_id,
         began_at=progress.origin.software if progress.origin is not None else "",
         fingerprint=request.fingerprint,
+        parts=",".join(request.profile.shared_parts[:_MAX_LOGGED_PARTS]),
         send=tried + 1,
         candidates=len(replicas.usable(request.profile.service)),
         tried=tried,
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -85,6 +85,11 @@
     isolation_key: str = ""
     origin: Origin | None = None
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Ids of the parts that other requests may share: all but the last."""
+        return tuple(part.name for part in self.parts[:-1])
+
     @property
     def shared_tokens(self) -> int:
         """Number of tokens in the parts that other requests may share."""
