Fail tests of a part of prompts that crashes replicas

The tests run replicas that crash under a part (the first, or one in the middle, never the last) and come back after 1.2 s, 3 and 6 gateways, 2 to 8 such requests a second, two parts at once, a lost leader, and sound requests with the same caller and other parts.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -27,6 +27,7 @@
 _LONG_MODULES = (
     "test_rollout_failures",
     "test_crashing_requests",
+    "test_crashing_parts",
     "test_simulation",
     "test_acknowledgements",
     "test_acknowledgement_run",
--- a/tests/crashing_fleet.py
+++ b/tests/crashing_fleet.py
@@ -3,7 +3,7 @@
 import asyncio
 import time
 from collections import Counter
-from collections.abc import Coroutine
+from collections.abc import Coroutine, Mapping
 from dataclasses import dataclass, field
 from random import Random
 from typing import Any
@@ -106,7 +106,7 @@
         self._keeps_id = keeps_id
         self._starts = 0
         self._up = False
-        self._crashing: list[bytes] = []  # bodies in flight that will crash it
+        self._crashing: list[bytes] = []  # keys of requests in flight that will crash it
         self._runner: StandInReplica | None = None
 
     async def start(self) -> None:
@@ -157,17 +157,18 @@
         await self.start()
 
     async def _serve(self, replica: StandInReplica, received: Received) -> bytes:
-        if not received.body.startswith(CRASHING_BODY):
+        key = self._fleet.crash_key(received)
+        if key is None:
             await asyncio.sleep(SERVICE_TIME_S * self._fleet.source.uniform(0.5, 2.0))
             return answer(received, body=received.body)
-        crashes = self._fleet.crashes[received.body]
+        crashes = self._fleet.crashes[key]
         crashes.arrival_times_s.append(asyncio.get_running_loop().time())
-        self._crashing.append(received.body)
+        self._crashing.append(key)
         try:
             await asyncio.sleep(CRASH_DELAY_S)
             self.crash()
         finally:
-            self._crashing.remove(received.body)
+            self._crashing.remove(key)
         return stream_head(received) if b"head" in received.body else b""
 
 
@@ -276,6 +277,10 @@
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
 
+    def crash_key(self, received: Received) -> bytes | None:
+        """Return the key in ``crashes`` of a request that crashes replicas; None for any other."""
+        return received.body if received.body.startswith(CRASHING_BODY) else None
+
     # ---- calls ------------------------------------------------------------
 
     async def tell(self, path: str, body: object) -> int:
@@ -288,13 +293,20 @@
             while await self.tell(path, body) != 200:
                 await asyncio.sleep(_POLL_INTERVAL_S)
 
-    async def send(self, path: str, body: bytes, gateway: int | None = None) -> tuple[int, bytes]:
+    async def send(
+        self,
+        path: str,
+        body: bytes,
+        gateway: int | None = None,
+        more_headers: Mapping[str, str] | None = None,
+    ) -> tuple[int, bytes]:
         """Send a caller's request; return status and body, status 0 if the connection broke.
 
         Args:
             path: Path of the request.
             body: Body of the request.
             gateway: Number of the gateway; None: a random one.
+            more_headers: Headers beside those that every request has.
         """
         if gateway is None:
             gateway = self.source.randrange(len(self.gateways))
@@ -303,6 +315,7 @@
             "Host": HOST,
             "Request-Id": f"r-{self._request_count}",
             "Authorization": f"Token {KEY}",
+            **(more_headers or {}),
         }
         url = f"http://{self.gateways[gateway].address}{path}"
         try:
