Hold crashes of replicas against parts of prompts too

Cause: blame had one granularity. Evidence was held against the fingerprint of caller, method, path and body, all of it or nothing; what several requests share could not be blamed.

Now a crash counts against attributes: the whole request, and each part of its prompt but the last. A further kind is one more value of AttributeKind. A part is cleared by two events or a complete answer on it, which for sound parts comes many times a second and for one that crashes replicas never. The leader refuses a part after four crashes at which nothing else that is not cleared was in flight (five otherwise), if these are not one outage: over a second with two fifths of the crashes, or in one moment four fifths of them in several zones. A suspect goes to one replica meanwhile. A refused part that is served all the same is let through again. The log and its rules of application are as they were, so that earlier builds apply the same.

--- a/packages/heronladder-control/src/heronladder_control/crashes/evidence.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/evidence.py
@@ -85,6 +85,14 @@
         """Return the number of crashes that count against a request."""
         return len(self._crashes_of.get(fingerprint, ()))
 
+    def crashes_against(self, fingerprint: str) -> frozenset[CrashKey]:
+        """Return the crashes that count against a request."""
+        return frozenset(self._crashes_of.get(fingerprint, ()))
+
+    def known_crashes(self) -> Iterable[CrashKey]:
+        """Return all crashes, explained or not, the oldest first."""
+        return self._crashes.keys()
+
     def explain(self, fingerprint: str) -> list[str]:
         """Attribute the crashes that count against a request to it alone.
 
--- a/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
@@ -1,11 +1,16 @@
 """The leader's decisions to refuse a suspect request and to end the refusal."""
 
+from collections.abc import Callable
+
 from heronladder_runtime.change_signal import ChangeSignal
 from heronladder_runtime.clock import Environment
+from heronladder_runtime.crash_attributes import AttributeKind, attribute_kind
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
 from heronladder_schema.v1 import control_pb2
 
+from heronladder_control.crashes.common_cause import SeenCrash, is_separate
+from heronladder_control.crashes.evidence import CrashKey
 from heronladder_control.crashes.table import CrashTable
 
 # Time in which connected routers can report that a replica answered a suspect, which clears it. The
@@ -13,6 +18,9 @@
 _CLEARANCE_WAIT_S = 0.4
 _CHECK_INTERVAL_S = 0.1  # while there are suspects to refuse
 _IDLE_CHECK_INTERVAL_S = 1.0
+# A part of prompts is in many requests, so that a sound one may be in flight at more crashes by
+# chance than a whole request, and its refusal affects more callers.
+_MIN_CRASHES_AGAINST_SHARED = 4
 # The first refusal lasts an hour; each further one is four times as long, up to 30 days. A refusal
 # ends because the caller may have fixed the request, or a new version of the replicas may no longer
 # crash. A single further crash refuses the request again.
@@ -41,6 +49,7 @@
         log: Event log of this process.
 
     Attributes:
+        zone_of: Returns the zone of a replica by its id; empty if it is not known.
         reported: Signalled when crashes are reported.
     """
 
@@ -53,6 +62,9 @@
         self._log = log
         self._sufficient_since_s: dict[str, float] = {}
         self._refused_since_s: dict[str, float] = {}
+        self._seen: dict[CrashKey, SeenCrash] = {}
+        self._served: set[str] = set()  # refused attributes that a replica has served since
+        self.zone_of: Callable[[str], str] = lambda _replica: ""
         self.reported = ChangeSignal()
         metrics.gauge("crashing_requests_refused", lambda: len(table.refused()))
 
@@ -65,10 +77,13 @@
         """Start a term as the leader."""
         self._sufficient_since_s.clear()
         self._refused_since_s.clear()
+        self._seen.clear()
+        self._served.clear()
 
     def due(self) -> list[control_pb2.Command]:
         """Return the commands that are due now."""
         now_s = self._environment.monotonic()
+        self._note_crashes(now_s)
         suspects = self._table.to_refuse()
         refused = self._table.refused()
         self._sufficient_since_s = {
@@ -78,15 +93,38 @@
         commands = [
             self._order(name, ended=False)
             for name, since_s in self._sufficient_since_s.items()
-            if now_s - since_s >= _CLEARANCE_WAIT_S
+            if now_s - since_s >= _CLEARANCE_WAIT_S and self._is_attributable(name)
         ]
         commands += [
             self._order(name, ended=True)
             for name, since_s in self._refused_since_s.items()
-            if now_s - since_s >= refusal_duration_s(refused[name])
+            if name in self._served or now_s - since_s >= refusal_duration_s(refused[name])
         ]
+        self._served.clear()
         return commands
 
+    def _note_crashes(self, now_s: float) -> None:
+        self._seen = {
+            key: self._seen.get(key) or SeenCrash(now_s, self.zone_of(key.replica))
+            for key in self._table.known_crashes()
+        }
+
+    def _is_attributable(self, fingerprint: str) -> bool:
+        """Return whether the crashes against a suspect can be held against it.
+
+        An attribute that many requests share may be in flight at many replicas when these are lost
+        together. One that was refused before is refused again at once.
+        """
+        if attribute_kind(fingerprint) is AttributeKind.REQUEST:
+            return True
+        entry = self._table.entry(fingerprint)
+        if entry is not None and entry.refusals:
+            return True
+        keys = self._table.crashes_against(fingerprint)
+        against = [crash for key, crash in self._seen.items() if key in keys]
+        others = [crash for key, crash in self._seen.items() if key not in keys]
+        return len(against) >= _MIN_CRASHES_AGAINST_SHARED and is_separate(against, others)
+
     @staticmethod
     def _order(fingerprint: str, *, ended: bool) -> control_pb2.Command:
         command = control_pb2.Command()
@@ -102,6 +140,7 @@
         if body == "refuse_request":
             self._report_refusal(command.refuse_request)
         elif body == "report_crashes":
+            self._note_crashes(self._environment.monotonic())
             self.reported.notify_waiters()
             for crash in command.report_crashes.replicas:
                 self._metrics.add("crashes_reported")
@@ -115,6 +154,13 @@
                 )
             for fingerprint in command.report_crashes.served:
                 self._log.info("suspect_served", step="report_crashes", fingerprint=fingerprint)
+            # Requests with a part that were under way when it was refused, and were served, show
+            # that it is sound.
+            self._served.update(
+                fingerprint
+                for fingerprint in command.report_crashes.served
+                if attribute_kind(fingerprint) is not AttributeKind.REQUEST
+            )
 
     def _report_refusal(self, order: control_pb2.RefuseRequest) -> None:
         entry = self._table.entry(order.fingerprint)
--- a/packages/heronladder-control/src/heronladder_control/crashes/table.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/table.py
@@ -5,10 +5,12 @@
 replica.
 """
 
+from collections.abc import Iterable
+
 from heronladder_runtime.configuration import CRASHING_REQUEST_KIND
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_control.crashes.evidence import CrashEvidence
+from heronladder_control.crashes.evidence import CrashEvidence, CrashKey
 from heronladder_control.resources import ResourceTable
 from heronladder_control.results import success
 
@@ -49,6 +51,14 @@
             and self._evidence.is_sufficient(name, refused_before=entry.refusals > 0)
         ]
 
+    def crashes_against(self, fingerprint: str) -> frozenset[CrashKey]:
+        """Return the crashes that count against a request or another attribute."""
+        return self._evidence.crashes_against(fingerprint)
+
+    def known_crashes(self) -> Iterable[CrashKey]:
+        """Return all crashes on record, the oldest first."""
+        return self._evidence.known_crashes()
+
     # ---- commands ---------------------------------------------------------
 
     def report(self, index: int, order: control_pb2.ReportCrashes) -> control_pb2.CommandResult:
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -86,6 +86,7 @@
         self.promise_notes = PromiseRecorder(self)
         self.rollouts = RolloutController(self)
         self.refusals = Refusals(self.state.crashes, environment, self.metrics, self.log)
+        self.refusals.zone_of = self._zone_of_replica
         self.fleet_service = FleetService(self)
         self.allotments = AllotmentRequester(self)
         self.service = ControlService(
@@ -169,6 +170,10 @@
             except HeronladderError as error:
                 self.log.info("leader_chores_ended", step=error.step, reason=error.message)
 
+    def _zone_of_replica(self, identity: str) -> str:
+        record = self.state.fleet.replica(identity)
+        return record.zone if record is not None else ""
+
     async def _propose_crash_refusals(self) -> None:
         """Propose refusals of requests that crash replicas.
 
--- a/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
@@ -95,8 +95,8 @@
         sends: Number of attempts.
         replica: Name of the replica of the last attempt.
         origin: Origin of the stream; None before its first event.
-        suspected: Whether the request may crash replicas; its outcome is then no evidence about the
-            version of a replica.
+        suspect: Fingerprint of what of the request may crash replicas; empty if nothing. Its
+            outcome is then no evidence about the version of a replica.
         sent_s: Time of the first attempt; None before it.
         first_event_s: Time at which the first event was forwarded; None before it.
         last_event_s: Time at which the newest event was forwarded.
@@ -110,7 +110,7 @@
     sends: int = 0
     replica: str = ""
     origin: Origin | None = None
-    suspected: bool = False
+    suspect: str = ""
     sent_s: float | None = None
     first_event_s: float | None = None
     last_event_s: float = 0.0
--- a/packages/heronladder-router/src/heronladder_router/crash_reports.py
+++ b/packages/heronladder-router/src/heronladder_router/crash_reports.py
@@ -17,7 +17,7 @@
 from heronladder_runtime.tasks import TaskGroupOwner
 from heronladder_schema.v1 import control_pb2, resources_pb2
 
-from heronladder_router.crashing_requests import CrashingRequests
+from heronladder_router.crashing_requests import CrashingRequests, shows_parts_sound
 from heronladder_router.gateway_request import GatewayRequest
 from heronladder_router.replica_connect_probe import ConnectOutcome, probe_connect
 from heronladder_router.replica_state import FleetReplica
@@ -91,13 +91,24 @@
 
     # ---- detection --------------------------------------------------------
 
-    def record_connection_loss(self, replica: FleetReplica, request: GatewayRequest) -> None:
+    def record_connection_loss(
+        self, replica: FleetReplica, request: GatewayRequest, events: int
+    ) -> None:
         """Record that a replica's connection ended in the middle of the response to a request.
 
-        Ignored if the replica is leaving or if the request is known not to crash replicas.
+        Ignored if the replica is leaving, or if the request and its parts are known not to crash
+        replicas.
+
+        Args:
+            replica: The replica.
+            request: The request.
+            events: Events of the response that had arrived.
         """
         record = replica.record
-        if record.draining or record.gone or self._requests.was_served(request.fingerprint):
+        if record.draining or record.gone:
+            return
+        runs = self._runs(request, events)
+        if not runs:
             return
         key = (record.id, record.start_ms)
         loss = self._losses.get(key)
@@ -105,13 +116,33 @@
             loss = self._losses[key] = _Loss(record, self._environment.monotonic())
             self._drop_expired()
             self._tasks.start(f"crash-{record.id}", self._check_listening(key, loss, replica))
-        tenant = request.matched.tenant
-        loss.runs[request.fingerprint] = control_pb2.CrashedRun(
-            fingerprint=request.fingerprint,
-            tenant=tenant.name if tenant is not None else "",
-            service=request.profile.service,
-            target=request.target[:_MAX_TARGET_CHARS],
+        loss.runs.update((run.fingerprint, run) for run in runs)
+
+    def _runs(self, request: GatewayRequest, events: int) -> list[control_pb2.CrashedRun]:
+        """Return the attributes of a request that a crash counts against."""
+        runs = []
+        if not self._requests.was_served(request.fingerprint):
+            tenant = request.matched.tenant
+            runs.append(
+                control_pb2.CrashedRun(
+                    fingerprint=request.fingerprint,
+                    tenant=tenant.name if tenant is not None else "",
+                    service=request.profile.service,
+                    target=request.target[:_MAX_TARGET_CHARS],
+                )
+            )
+        if shows_parts_sound(events):
+            return runs
+        runs.extend(
+            control_pb2.CrashedRun(
+                fingerprint=fingerprint,
+                service=request.profile.service,
+                target=f"prompt part {part}"[:_MAX_TARGET_CHARS],
+            )
+            for fingerprint, part in request.part_fingerprints.items()
+            if not self._requests.was_served(fingerprint)
         )
+        return runs
 
     def _drop_expired(self) -> None:
         oldest_s = self._environment.monotonic() - _LOSS_RETENTION_S
--- a/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
+++ b/packages/heronladder-router/src/heronladder_router/dispatch_logging.py
@@ -53,6 +53,7 @@
         began_at=progress.origin.software if progress.origin is not None else "",
         fingerprint=request.fingerprint,
         parts=",".join(request.profile.shared_parts[:_MAX_LOGGED_PARTS]),
+        suspect_attribute=progress.suspect,
         send=tried + 1,
         candidates=len(replicas.usable(request.profile.service)),
         tried=tried,
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -111,9 +111,10 @@
             CallerError: If there is no response; nothing was sent to the caller.
             StreamBrokenError: If a stream that was started cannot be completed.
         """
-        if self._context.crashing.is_refused(request.fingerprint):
+        refused = self._context.crashing.refused_attribute(request)
+        if refused:
             raise CrashesReplicasError(
-                f"replicas crashed while running request {request.fingerprint}",
+                f"replicas crashed while running {refused}",
                 step="serve",
                 peer=request.profile.service,
             )
@@ -165,9 +166,10 @@
                 history.no_replica_reason = placement.reason
                 break
             self._log_attempt(request, replica, placement, history, progress)
+            events_before = progress.cutter.events
             try:
                 await self._make_attempt(request, replica, sink, progress)
-                self._context.crashing.record_served(request.fingerprint)
+                self._record_served(request, progress)
                 return
             except HeldBackError as error:
                 self._record_held_back(request, replica, error)
@@ -189,13 +191,21 @@
                 history.failure = None
                 self._record_failure(request, replica, error)
                 if isinstance(error, ConnectionEndedError):
-                    self._context.crash_reports.record_connection_loss(replica, request)
+                    self._context.crash_reports.record_connection_loss(
+                        replica, request, progress.cutter.events - events_before
+                    )
             history.tried.add(replica.name)
             history.origin = progress.origin
             if history.runs and not self._may_run_again(request, history):
                 break
         await self._give_up(request, sink, progress, history)
 
+    def _record_served(self, request: GatewayRequest, progress: ResponseProgress) -> None:
+        crashing = self._context.crashing
+        crashing.record_served(request.fingerprint)
+        if progress.success_delivered:
+            crashing.record_parts_served(request)
+
     async def _make_attempt(
         self,
         request: GatewayRequest,
@@ -219,7 +229,7 @@
 
     def _may_run_again(self, request: GatewayRequest, history: AttemptHistory) -> bool:
         crashing = self._context.crashing
-        if crashing.is_suspect(request.fingerprint) or crashing.is_refused(request.fingerprint):
+        if crashing.suspect_attribute(request) or crashing.refused_attribute(request):
             return False  # each attempt may crash another replica
         route = request.matched.route
         return request.matched.may_run_twice and history.runs < max(1, route.attempts)
@@ -262,8 +272,9 @@
         profile = request.profile
         if history.origin is not None:
             profile = replace(profile, origin=history.origin)
-        if self._context.crashing.is_suspect(request.fingerprint):
-            profile = replace(profile, isolation_key=request.fingerprint)
+        suspect = self._context.crashing.suspect_attribute(request)
+        if suspect:
+            profile = replace(profile, isolation_key=suspect)
         return self._context.replicas.place(profile, history.tried)
 
     async def _wait_for_current_configuration(self, history: AttemptHistory) -> None:
@@ -299,7 +310,7 @@
             self._context.metrics.add("spills_held_back")
         if placement.reason is PlacementReason.NO_RETRY_LEFT:
             self._context.metrics.add("sends_without_retry_left", request.profile.service)
-        progress.suspected = self._context.crashing.is_suspect(request.fingerprint)
+        progress.suspect = self._context.crashing.suspect_attribute(request)
         progress.sends += 1
         progress.replica = replica.name
         if progress.sent_s is None:
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -4,11 +4,14 @@
 from functools import cached_property
 from typing import Protocol
 
+from heronladder_runtime.crash_attributes import prompt_part_fingerprint
+
 from heronladder_router.host_routes import MatchedRoute
 from heronladder_router.replica_state import RequestProfile
 from heronladder_router.request_fingerprint import compute_fingerprint
 
 Headers = list[tuple[str, str]]
+_MAX_PARTS = 64  # of a prompt that crashes can be held against
 
 
 @dataclass(frozen=True)
@@ -78,6 +81,14 @@
         name = tenant.name if tenant is not None else ""
         return compute_fingerprint(name, self.method, self.target, self.body)
 
+    @cached_property
+    def part_fingerprints(self) -> dict[str, str]:
+        """Shared parts of the prompt by their fingerprints; the first ones if there are many."""
+        return {
+            prompt_part_fingerprint(self.profile.service, part): part
+            for part in self.profile.shared_parts[:_MAX_PARTS]
+        }
+
 
 @dataclass
 class ReplicaResponse:
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -239,6 +239,7 @@
             self.log,
         )
         attempts.on_stream_began = origins.began
+        attempts.on_parts_served = self.crashing.record_parts_served
         context = DispatchContext(
             link=self.link,
             routes=self.routes,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -16,6 +16,7 @@
     RunFailedError,
     RunLostError,
 )
+from heronladder_router.crashing_requests import shows_parts_sound
 from heronladder_router.decisions.attempt_timeout import choose_attempt_timeout
 from heronladder_router.decisions.availability import Availability
 from heronladder_router.fleet_replicas import FleetReplicas
@@ -59,6 +60,8 @@
     Attributes:
         on_stream_began: Called with a request and the origin of its stream before its first event
             is forwarded.
+        on_parts_served: Called with a request once its events show that no part of its prompt
+            crashes replicas.
     """
 
     def __init__(
@@ -74,6 +77,7 @@
         self._replicas = replicas
         self._names = names
         self._environment = environment
+        self.on_parts_served: Callable[[GatewayRequest], None] = lambda _request: None
         self.on_stream_began: Callable[[GatewayRequest, Origin], None] = lambda _request, _origin: (
             None
         )
@@ -131,7 +135,7 @@
         route = request.matched.route
         objective_s = route.objective_ms / MILLISECONDS_PER_SECOND
         seen = self._replicas.versions.sent(replica, route, objective_s, first=progress.sends == 1)
-        if seen is not None and progress.suspected:
+        if seen is not None and progress.suspect:
             seen.discarded = True
         response: aiohttp.ClientResponse | None = None
         ran_before = progress.ran
@@ -300,6 +304,8 @@
         cutter = progress.cutter
         cutter.discard_partial_event()
         content = response.content
+        events_before = cutter.events
+        parts_served = False
         while True:
             timeout_s = _EVENT_GAP_TIMEOUT_S if cutter.events else self._attempt_timeout_s(request)
             resumable = request.matched.may_run_twice
@@ -323,6 +329,9 @@
                 if seen is not None:
                     seen.record_bytes(self._environment.monotonic(), cutter.events - events)
                 progress.record_forwarded(self._environment.monotonic())
+                if not parts_served and shows_parts_sound(cutter.events - events_before):
+                    parts_served = True
+                    self.on_parts_served(request)
                 await _forward(self._write(response, sink, complete_events), seen)
         if not cutter.at_event_boundary:
             raise ConnectionEndedError("stream ended in the middle of an event", step="read_stream")
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -43,6 +43,7 @@
     "test_replica_limits",
     "test_stream_origin",
     "test_origin_runs",
+    "test_crash_runs",
     "test_rollouts",
     "test_unreached_replicas",
     "test_lending",
--- a/tests/origin_simulation.py
+++ b/tests/origin_simulation.py
@@ -8,6 +8,7 @@
 
 import argparse
 import asyncio
+import logging
 from collections import Counter
 from collections.abc import Coroutine
 from dataclasses import dataclass, field
@@ -484,6 +485,7 @@
     parser.add_argument("--seeds", type=int, default=100)
     parser.add_argument("--first", type=int, default=0)
     options = parser.parse_args()
+    logging.disable(logging.ERROR)
     begun = mixed = 0
     taken_up: Counter[str] = Counter()
     for seed in range(options.first, options.first + options.seeds):
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -56,7 +56,7 @@
             ),
             slot_queue=None,
             tokens=tokens,
-            crashing=SimpleNamespace(is_refused=lambda fingerprint: False),
+            crashing=SimpleNamespace(refused_attribute=lambda request: ""),
             origins=SimpleNamespace(resolve=_begins_a_stream),
             environment=_Clock(),
             log=EventLog("test", "gateway"),
