--- a/tests/play_soak.py
+++ b/tests/play_soak.py
@@ -1,7 +1,7 @@
 """Plays seeds of the fault soak over the real programs.
 
 Usage: ``python tests/play_soak.py --seeds 1-50 --seconds 20 [KIND] [--keep FOLDER]``, KIND being
-``--wide``, ``--signals``, ``--upgrade`` or ``--same-build``.
+``--wide``, ``--signals``, ``--versions``, ``--upgrade`` or ``--same-build``.
 """
 
 import argparse
@@ -15,6 +15,7 @@
 from same_build_soak import SameBuildSoak
 from signal_soak import SignalSoak
 from upgrade_soak import UpgradeSoak
+from version_soak import VersionSoak
 from wide_soak import WideSoak
 
 
@@ -37,6 +38,7 @@
     kinds = {
         WideSoak: options.wide,
         SignalSoak: options.signals,
+        VersionSoak: options.versions,
         UpgradeSoak: options.upgrade,
         SameBuildSoak: options.same_build,
     }
@@ -51,6 +53,7 @@
     parser.add_argument("--keep", type=Path, help="where files of failed runs go")
     parser.add_argument("--wide", action="store_true", help="streams, prepaid tokens, lost disks")
     parser.add_argument("--signals", action="store_true", help="replicas ask for back-off, leave")
+    parser.add_argument("--versions", action="store_true", help="versions, parts that crash")
     parser.add_argument("--upgrade", action="store_true", help="production's build is replaced")
     parser.add_argument("--same-build", action="store_true", help="this build replaces itself")
     options = parser.parse_args()
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -304,9 +304,15 @@
             self._late[status] += 1
 
     async def _call(
-        self, machine: Machine, path: str, request_id: str, body: bytes
+        self,
+        machine: Machine,
+        path: str,
+        request_id: str,
+        body: bytes,
+        more_headers: Mapping[str, str] | None = None,
     ) -> tuple[int, bytes]:
         headers = {"Host": HOST, "Request-Id": request_id, "Authorization": f"Token {KEY}"}
+        headers.update(more_headers or {})
         headers[GATEWAY_HEADER] = machine.name
         url = f"http://{machine.address}:{FRONT_PORT}{path}"
         self.asked(request_id)
--- a/tests/soak_replica.py
+++ b/tests/soak_replica.py
@@ -32,19 +32,25 @@
         """Start it."""
         if self._soak.source.random() < 0.5 or not self._starts:
             self._starts += 1
-        runner = StandInReplica(f"replica-{self._number}-{self._starts}", self._serve)
+        runner = self._make_runner(f"replica-{self._number}-{self._starts}")
         await runner.start()
         self._born = int(time.time() * 1000)
         self._draining = False
         self.up = runner
         self._soak.begin(self._beat(runner))
 
+    def _make_runner(self, identity: str) -> StandInReplica:
+        return StandInReplica(identity, self._serve)
+
+    def _heartbeat(self, runner: StandInReplica, sequence: int, state: str) -> dict[str, object]:
+        return runner.heartbeat(born=self._born, sequence=sequence, state=state)
+
     async def _beat(self, runner: StandInReplica) -> None:
         sequence = 0
         while self.up is runner:
             sequence += 1
             state = "draining" if self._draining else "ready"
-            told = runner.heartbeat(born=self._born, sequence=sequence, state=state)
+            told = self._heartbeat(runner, sequence, state)
             await self._soak.tell(f"/api/Replicas.Heartbeat/{runner.identity}", told)
             await asyncio.sleep(_BEAT_S * self._soak.source.uniform(0.5, 1.5))
 
--- a/tests/streaming_fleet.py
+++ b/tests/streaming_fleet.py
@@ -152,6 +152,70 @@
         return len(set(self.versions)) > 1
 
 
+async def attempt_stream(
+    record: StreamRecord, address: str, request_id: str, cut_after: int = 0
+) -> None:
+    """Make one attempt to read or take up a stream; events are added to its record.
+
+    Args:
+        record: The stream so far.
+        address: IP:port of the gateway.
+        request_id: Id of the attempt.
+        cut_after: Number of events after which the caller loses its connection; 0: it does not.
+    """
+    record.attempts += 1
+    headers = {
+        "Host": HOST,
+        "Request-Id": request_id,
+        "Authorization": f"Token {KEY}",
+        "Deadline-Ms": str(_DEADLINE_MS),
+        "Content-Length": "0",
+        "Connection": "close",
+    }
+    if record.last_id:
+        headers |= {"Last-Event-Id": str(record.last_id), "Resumes": record.request_id}
+        record.taken_up += 1
+    before = len(record.versions)
+    status = 0
+    writer: asyncio.StreamWriter | None = None
+    try:
+        async with asyncio.timeout(_READ_TIMEOUT_S):
+            host, _, port = address.partition(":")
+            reader, writer = await asyncio.open_connection(host, int(port))
+            head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
+            writer.write(f"POST /stream/{request_id} HTTP/1.1\r\n{head}\r\n".encode())
+            status = int((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
+            if status == 200:
+                await _read_events(reader, record, request_id, cut_after)
+    except (OSError, asyncio.IncompleteReadError, TimeoutError):
+        pass
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    record.statuses.append(status)
+    if record.taken_up and len(record.versions) > before and before:
+        record.continued += 1
+
+
+async def _read_events(
+    reader: asyncio.StreamReader, record: StreamRecord, request_id: str, cut_after: int
+) -> None:
+    before = len(record.versions)
+    while not record.complete:
+        line = await reader.readuntil(b"\n")
+        if line.startswith(b"id: "):
+            number = int(line[4:])
+            if number != record.last_id + 1:
+                raise AssertionError(f"event {number} follows {record.last_id}")
+        elif line.startswith(b"data: "):
+            record.versions.append(line[6:].strip().decode())
+            record.request_id = record.request_id or request_id
+            record.last_id += 1
+            record.complete = record.last_id == EVENTS
+            if cut_after and len(record.versions) - before >= cut_after:
+                return
+
+
 class StreamingFleet:
     """Control, gateways, replicas of several versions, and callers.
 
@@ -248,58 +312,7 @@
     async def attempt(self, record: StreamRecord, address: str, cut_after: int = 0) -> None:
         """Make one attempt at a gateway; events are added to the record."""
         self._count += 1
-        record.attempts += 1
-        request_id = f"q{self._count}"
-        headers = {
-            "Host": HOST,
-            "Request-Id": request_id,
-            "Authorization": f"Token {KEY}",
-            "Deadline-Ms": str(_DEADLINE_MS),
-            "Content-Length": "0",
-            "Connection": "close",
-        }
-        if record.last_id:
-            headers |= {"Last-Event-Id": str(record.last_id), "Resumes": record.request_id}
-            record.taken_up += 1
-        before = len(record.versions)
-        status = 0
-        writer: asyncio.StreamWriter | None = None
-        try:
-            async with asyncio.timeout(_READ_TIMEOUT_S):
-                host, _, port = address.partition(":")
-                reader, writer = await asyncio.open_connection(host, int(port))
-                head = "".join(f"{name}: {value}\r\n" for name, value in headers.items())
-                writer.write(f"POST /stream/x HTTP/1.1\r\n{head}\r\n".encode())
-                status = int((await reader.readuntil(b"\r\n\r\n")).split(b" ")[1])
-                if status == 200:
-                    await self._read_events(reader, record, request_id, cut_after)
-        except (OSError, asyncio.IncompleteReadError, TimeoutError):
-            pass
-        finally:
-            if writer is not None:
-                writer.transport.abort()
-        record.statuses.append(status)
-        if record.taken_up and len(record.versions) > before and before:
-            record.continued += 1
-
-    @staticmethod
-    async def _read_events(
-        reader: asyncio.StreamReader, record: StreamRecord, request_id: str, cut_after: int
-    ) -> None:
-        before = len(record.versions)
-        while not record.complete:
-            line = await reader.readuntil(b"\n")
-            if line.startswith(b"id: "):
-                number = int(line[4:])
-                if number != record.last_id + 1:
-                    raise AssertionError(f"event {number} follows {record.last_id}")
-            elif line.startswith(b"data: "):
-                record.versions.append(line[6:].strip().decode())
-                record.request_id = record.request_id or request_id
-                record.last_id += 1
-                record.complete = record.last_id == EVENTS
-                if cut_after and len(record.versions) - before >= cut_after:
-                    return
+        await attempt_stream(record, address, f"q{self._count}", cut_after)
 
     async def read_streams(self, count: int, per_s: float, cut_fraction: float = 0.0) -> None:
         """Read streams at a steady rate.
--- a/tests/test_process_soak.py
+++ b/tests/test_process_soak.py
@@ -9,12 +9,14 @@
 
 from play_soak import play
 from signal_soak import SignalSoak
+from version_soak import VersionSoak
 from wide_soak import WideSoak
 
 _SEEDS = Path(__file__).with_name("soak-seeds.txt")
 _SECONDS = 8.0
 _WIDE_SEED = 400
 _SIGNAL_SEED = 702
+_VERSION_SEED = 1
 
 
 class ProcessSoakTest(unittest.TestCase):
@@ -38,6 +40,12 @@
         self.assertIn("ask for back-off", soak.injected)
         self.assertIn("leave by an answer", soak.injected)
 
+    def test_streams_of_two_versions_and_a_part_that_crashes_replicas(self) -> None:
+        soak = play(_VERSION_SEED, _SECONDS, kind=VersionSoak)
+        self.assertEqual(soak.broken, [], soak.injected)
+        self.assertGreater(sum(record.complete for record in soak.streams), 50)
+        self.assertGreater(sum(record.continued for record in soak.streams), 10)
+
 
 if __name__ == "__main__":
     unittest.main()
