Begin no stream at a version that is not known to be in force

Cause: not_in_force let all versions begin streams if none was known to be in force, so that callers would be served; that is the case in which the single version proves nothing.

Such a stream is refused as not run until control has put the versions in force, and only requests that begin a stream are held to it: plain requests were too, for no reason.

--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -256,11 +256,13 @@
     def _build_profile(
         service: str, parts: str, bounds: TokenBounds | None, matched: MatchedRoute
     ) -> RequestProfile:
-        route = matched.route.name
-        if bounds is None:
-            return RequestProfile(service, regions=matched.regions, route=route)
         return RequestProfile(
-            service, parse_prompt_parts(parts), bounds.prompt, matched.regions, route
+            service,
+            parse_prompt_parts(parts) if bounds is not None else [],
+            bounds.prompt if bounds is not None else 0,
+            matched.regions,
+            matched.route.name,
+            begins_stream=matched.streams and matched.may_run_twice,
         )
 
     def _deadline_s(
--- a/packages/heronladder-router/src/heronladder_router/origins/known_versions.py
+++ b/packages/heronladder-router/src/heronladder_router/origins/known_versions.py
@@ -92,12 +92,13 @@
     def not_in_force(self, service: str, versions: Iterable[str]) -> frozenset[str]:
         """Return those of some versions that may not begin a stream yet.
 
-        Empty if it is the service's only version, or if all of these versions are new: no gateway
-        can take another one for the origin of a stream then.
+        None of them if the service has one version: it can't be taken for another one.
         """
         if not self.has_several(service):
             return frozenset()
         in_force = self.in_force_revision()
-        among = set(versions)
-        new = {one for one in among if self._first_revisions.get((service, one), 0) > in_force}
-        return frozenset(new) if new != among else frozenset()
+        return frozenset(
+            version
+            for version in versions
+            if self._first_revisions.get((service, version), 0) > in_force
+        )
--- a/packages/heronladder-router/src/heronladder_router/replica_filters.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_filters.py
@@ -29,6 +29,8 @@
     if profile.origin is not None:
         return (gates.continuation_filter(profile.service),)
     filters = gates.candidate_filters(profile.service, profile.route, tried, usable)
+    if not profile.begins_stream:
+        return filters
     waiting = versions.not_in_force(
         profile.service, (replica.record.software for replica in usable)
     )
--- a/packages/heronladder-router/src/heronladder_router/replica_state.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_state.py
@@ -74,6 +74,7 @@
         isolation_key: Fingerprint of a request that may crash replicas; empty for any other
             request. All gateways derive the same replica from it, so that the request puts one
             replica at risk instead of several, and two such requests mostly go to different ones.
+        begins_stream: Whether the request begins a stream that its caller may take up.
         origin: Origin of the stream that the request goes on with; None for any other request.
     """
 
@@ -83,6 +84,7 @@
     regions: frozenset[str] | None = None
     route: str = ""
     isolation_key: str = ""
+    begins_stream: bool = False
     origin: Origin | None = None
 
     @property
--- a/tests/test_origin_runs.py
+++ b/tests/test_origin_runs.py
@@ -31,6 +31,11 @@
         self.assertEqual(sum(run.mixed for run in runs), 0)
         self.assertGreater(sum(run.taken_up["went_on"] for run in runs), 50 * _SEEDS)
 
+    def test_versions_of_which_none_is_known_to_be_in_force_begin_no_stream(self) -> None:
+        for seed in (6117, 8007):
+            with self.subTest(seed=seed):
+                self.assertEqual(run_seed(seed).mixed, 0)
+
     def test_streams_go_on_where_no_gateway_is_cut_off(self) -> None:
         runs = [run_seed(seed, _CALM) for seed in range(_GOAL_SEEDS)]
         self.assertEqual(sum(run.mixed for run in runs), 0)
