--- a/packages/heronladder-router/src/heronladder_router/origins/exchange.py
+++ b/packages/heronladder-router/src/heronladder_router/origins/exchange.py
@@ -1,7 +1,7 @@
 """Exchange of origins between gateways: records sent to holders, and questions to them."""
 
 import asyncio
-from collections.abc import Callable, Mapping
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
 
@@ -93,8 +93,6 @@
         self._tasks = TaskGroupOwner(log)
         self._queues: dict[str, list[_Record]] = {}
         self._unanswered_until_s: dict[str, float] = {}
-        # Sending is off until control has named this gateway: others know no gateway either.
-        self.is_participating: Callable[[], bool] = lambda: gateways.is_participating
 
     async def stop(self) -> None:
         """Stop all background tasks."""
@@ -116,8 +114,8 @@
             origin: Its origin.
             keep_s: Time for which it may be taken up, in seconds.
         """
-        if not self.is_participating():
-            return
+        if not self._gateways.is_participating:
+            return  # control has not announced this gateway
         now_s = self._environment.monotonic()
         record = _Record(name, origin, now_s + keep_s)
         ranked = self._ranked(name)
@@ -207,7 +205,7 @@
 
     async def find(self, name: StreamName) -> Origin | None:
         """Ask other gateways for the origin of a stream; None if no answer names it in time."""
-        if not self.is_participating():
+        if not self._gateways.is_participating:
             return None
         asked = self._ranked(name)[:ASKED]
         if not asked:
