--- a/packages/heronladder-control/src/heronladder_control/crashes/common_cause.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/common_cause.py
@@ -1,7 +1,7 @@
 """Tells crashes under an attribute of requests from crashes with a common cause.
 
 When a zone or all replicas are lost, they crash at the same moment, and an attribute that is new
-may be in flight at several of them. A whole request is at one replica at a time, so that this
+may be in flight at several of them. A single request is at one replica at a time, so that this
 concerns only attributes that several requests share.
 """
 
--- a/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
+++ b/packages/heronladder-control/src/heronladder_control/crashes/refusals.py
@@ -18,8 +18,8 @@
 _CLEARANCE_WAIT_S = 0.4
 _CHECK_INTERVAL_S = 0.1  # while there are suspects to refuse
 _IDLE_CHECK_INTERVAL_S = 1.0
-# A part of prompts is in many requests, so that a sound one may be in flight at more crashes by
-# chance than a whole request, and its refusal affects more callers.
+# Many requests share a part of prompts, so that a sound one is in flight at more crashes by chance
+# than a single request, and its refusal affects more callers.
 _MIN_CRASHES_AGAINST_SHARED = 4
 # The first refusal lasts an hour; each further one is four times as long, up to 30 days. A refusal
 # ends because the caller may have fixed the request, or a new version of the replicas may no longer
@@ -154,8 +154,8 @@
                 )
             for fingerprint in command.report_crashes.served:
                 self._log.info("suspect_served", step="report_crashes", fingerprint=fingerprint)
-            # Requests with a part that were under way when it was refused, and were served, show
-            # that it is sound.
+            # A request that was in flight when its part was refused, and was served, shows that the
+            # part is sound.
             self._served.update(
                 fingerprint
                 for fingerprint in command.report_crashes.served
--- a/tests/crashing_part_fleet.py
+++ b/tests/crashing_part_fleet.py
@@ -13,7 +13,6 @@
 ENOUGH_CRASHES = 5  # from when on few requests with the part may reach replicas
 _SYSTEM, _DOCUMENT = "5c1e07a2", "91bd3f06"  # parts that sound requests have too
 _TOKENS = 40
-_REFUSED = 501
 
 
 @dataclass
