--- a/tests/streaming_fleet.py
+++ b/tests/streaming_fleet.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import json
-import struct
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from random import Random
@@ -27,7 +26,6 @@
 _MAX_ATTEMPTS = 4
 _RESUME_DELAY_S = 0.02
 _DEADLINE_MS = 8_000
-_LINGER_RESET = struct.pack("ii", 1, 0)
 
 
 class StreamingReplica:
