Log why a vote is refused, and that a listed voter starts no election

The logs of the five members cannot tell apart a member whose vote is refused by its peers, one whose log is behind, one that never stands, and calls that do not arrive: a refused vote was logged nowhere, and a member that may not vote was silent.

Added: `vote_refused` with the candidate, the term, whether it is a pre-vote, and the reason; `election_not_started` at a member that the membership lists as a voter and that may not vote; the gauges `listed_as_voter` and `may_vote`. Each line follows a vote request or an election timeout, so that their number is bounded by the elections. Nothing is decided differently: the same conditions are asked in the same order, and each now has a name.

Measured: test_consensus, test_late_members and test_membership_growth pass.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from enum import Enum
 
 from heronladder_runtime.change_signal import ChangeSignal
 from heronladder_runtime.errors import StorageError
@@ -22,6 +23,21 @@
 _VOTE_HOLD_FACTOR = 0.3
 
 
+class VoteRefusal(Enum):
+    """Why a member grants no vote."""
+
+    FAILED = "failed"  # it has stopped participating
+    NO_VOTER = "no_voter"  # the membership does not list it as a voter
+    NOT_ADMITTED = "not_admitted"  # a listed voter whose new data folder was not admitted yet
+    OLD_TERM = "old_term"
+    ACTIVE_LEADER = "active_leader"
+    OTHER_FOLDER = "other_folder"  # the candidate's data folder is not the listed one
+    VOTED = "voted"  # for another candidate
+    PRECEDENCE = "precedence"  # its own pre-vote in the same term precedes the candidate's
+    LOG_BEHIND = "log_behind"  # the candidate's log lacks entries
+    DISK = "disk"  # the vote could not be written
+
+
 class Election:
     """Starts elections when the leader is silent, and decides on vote requests.
 
@@ -56,10 +72,24 @@
                 # After a stall of the event loop, process what the leader sent meanwhile.
                 await asyncio.sleep(node.timing.heartbeat_s)
             silent_s = node.environment.monotonic() - node.election_timer_reset_s
-            if node.is_leader or not node.may_vote() or silent_s < timeout_s:
+            if node.is_leader or silent_s < timeout_s:
+                continue
+            if not node.may_vote():
+                self._report_missing_vote()
                 continue
             await self._run_election()
 
+    def _report_missing_vote(self) -> None:
+        """Log that this member starts no election although the membership lists it as a voter."""
+        node = self._node
+        if node.is_listed_voter():
+            node.event_log.warning(
+                "election_not_started",
+                step="election",
+                term=node.term,
+                reason=VoteRefusal.NOT_ADMITTED.value,
+            )
+
     async def _run_election(self) -> None:
         node = self._node
         node.leader = ""
@@ -203,38 +233,61 @@
         node = self._node
         async with self._lock:
             try:
-                granted = await self._decide_vote(request)
+                refusal = await self._decide_vote(request)
             except StorageError:
-                granted = False  # a vote that is not durable must not be granted
+                refusal = VoteRefusal.DISK  # a vote that is not durable must not be granted
+            if refusal is not None:
+                self._report_refusal(request, refusal)
             return consensus_pb2.VoteReply(
-                term=node.term, granted=granted, incarnation=node.hard_state.incarnation
+                term=node.term, granted=refusal is None, incarnation=node.hard_state.incarnation
             )
 
-    async def _decide_vote(self, request: consensus_pb2.VoteRequest) -> bool:
+    def _report_refusal(self, request: consensus_pb2.VoteRequest, refusal: VoteRefusal) -> None:
+        self._node.event_log.info(
+            "vote_refused",
+            step="election",
+            peer=request.candidate,
+            term=request.term,
+            pre_vote=request.pre_vote,
+            reason=refusal.value,
+        )
+
+    async def _decide_vote(self, request: consensus_pb2.VoteRequest) -> VoteRefusal | None:
+        """Return why a vote is refused; None if it is granted."""
         node = self._node
-        if node.failure is not None or not node.may_vote() or request.term < node.term:
-            return False
+        if node.failure is not None:
+            return VoteRefusal.FAILED
+        if not node.may_vote():
+            return VoteRefusal.NOT_ADMITTED if node.is_listed_voter() else VoteRefusal.NO_VOTER
+        if request.term < node.term:
+            return VoteRefusal.OLD_TERM
         if self._has_active_leader() and (node.is_leader or request.candidate != node.leader):
-            return False
+            return VoteRefusal.ACTIVE_LEADER
         candidate = find_member(node.membership(), request.candidate)
         if candidate is not None and candidate.incarnation not in ("", request.incarnation):
-            return False
+            return VoteRefusal.OTHER_FOLDER
         if request.pre_vote:
-            if self._voted_recently() and node.leader != request.candidate:
-                return False
-            if self._has_precedence_over(request):
-                return False
-            return request.term > node.term and self._up_to_date(request)
+            return self._decide_pre_vote(request)
         if request.term > node.term:
             await node.enter_term(request.term)
         if node.hard_state.voted_for not in ("", request.candidate):
-            return False
+            return VoteRefusal.VOTED
         if not self._up_to_date(request):
-            return False
+            return VoteRefusal.LOG_BEHIND
         node.election_timer_reset_s = node.environment.monotonic()
         self._last_vote_s = node.election_timer_reset_s
         await node.enter_term(node.term, voted_for=request.candidate)
-        return True
+        return None
+
+    def _decide_pre_vote(self, request: consensus_pb2.VoteRequest) -> VoteRefusal | None:
+        node = self._node
+        if self._voted_recently() and node.leader != request.candidate:
+            return VoteRefusal.VOTED
+        if self._has_precedence_over(request):
+            return VoteRefusal.PRECEDENCE
+        if request.term == node.term:
+            return VoteRefusal.OLD_TERM
+        return None if self._up_to_date(request) else VoteRefusal.LOG_BEHIND
 
     def _has_precedence_over(self, request: consensus_pb2.VoteRequest) -> bool:
         """Whether this member is in a pre-vote for the same term and takes precedence.
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -122,10 +122,14 @@
         """Return this member's entry in the membership, or None if it is not listed."""
         return find_member(self.membership(), self.name)
 
+    def is_listed_voter(self) -> bool:
+        """Whether the active membership lists this member as a voter."""
+        member = self.own_member()
+        return member is not None and member.voter
+
     def may_vote(self) -> bool:
         """Whether this member may vote: it is a voter, and its folder lost no earlier votes."""
-        member = self.own_member()
-        return self.hard_state.voting_allowed and member is not None and member.voter
+        return self.hard_state.voting_allowed and self.is_listed_voter()
 
     def quorum(self) -> int:
         """Return the number of voters that form a majority."""
--- a/packages/heronladder-control/src/heronladder_control/member_context.py
+++ b/packages/heronladder-control/src/heronladder_control/member_context.py
@@ -76,6 +76,8 @@
         )
         self._decisions = LeaderDecisions(state)
         self.metrics.gauge("cluster_version", lambda: state.cluster_version)
+        self.metrics.gauge("listed_as_voter", lambda: int(node.is_listed_voter()))
+        self.metrics.gauge("may_vote", lambda: int(node.may_vote()))
         self.metrics.gauge("asks_waiting", lambda: self.admission.waiting)
 
     @property
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -80,6 +80,10 @@
     "leases_dropped": "A router forgot its leases: control charged its incarnation.",
     "member_changed": "A member was added to the group or became a voter.",
     "member_counts_again": "A repaired member has caught up and counts for the quorum.",
+    "vote_refused": "A member refused a vote or a pre-vote to a candidate, and why: `not_admitted`"
+    " means that the membership lists this member as a voter, but its data folder may not vote.",
+    "election_not_started": "The leader is silent, and this member is listed as a voter but may not"
+    " stand for election.",
     "member_failed": "A member cannot go on.",
     "member_passed_over": (
         "A replica that was sent to this member came back: for half a minute none is sent there."
