Derive the right to vote from the committed membership, however it came

Each read of the configuration is answered 503, all acknowledged changes are out of reach, and no change can be made.

Cause: a member with a new data folder may vote once `voting_allowed` is set. That was done by a hook for a log entry with a membership. Three members with sound disks were left of five, and one of them was without a vote.

The hook for entries is gone.

--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -159,21 +159,25 @@
                 raise NotLeaderError("leadership ended", step="members", peer=node.leader)
             await node.changed.wait()
 
-    def on_membership_committed(self, entry: consensus_pb2.LogEntry) -> None:
-        """Act on a committed membership: allow voting again, or step down once removed."""
+    def reconcile(self) -> None:
+        """Act on the committed membership: allow voting again, or step down once removed.
+
+        It depends on the state only, so that it does not matter whether the membership came as an
+        entry, in a snapshot of the leader or in one of this member's own.
+        """
         node = self._node
-        member = find_member(entry.membership, node.name)
+        committed = node.log.membership(node.applied_index)
+        member = find_member(committed, node.name)
         if member is None:
-            # After a restart, old membership entries are committed again. They must not remove
-            # a member that a later membership lists.
-            if node.is_leader and node.own_member() is None:
+            # A later membership may list this member again.
+            if committed.members and node.is_leader and node.own_member() is None:
                 node.step_down("removed")
             return
         known = member.incarnation == node.hard_state.incarnation
         if member.voter and known and not node.hard_state.voting_allowed:
-            node.tasks.start("allow_voting", self._allow_voting())
+            node.hard_state.voting_allowed = True
+            node.tasks.start("allow_voting", self._save_voting_allowed())
 
-    async def _allow_voting(self) -> None:
-        self._node.hard_state.voting_allowed = True
+    async def _save_voting_allowed(self) -> None:
         await self._node.save_hard_state()
         self._node.event_log.info("member_counts_again", step="membership")
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -219,6 +219,7 @@
 
     async def _apply_when_committed(self) -> None:
         while True:
+            self.membership_manager.reconcile()
             if self.applied_index >= self.commit_index:
                 await self.changed.wait()
                 continue
@@ -271,8 +272,6 @@
             index = self.applied_index + 1
             entry = self.log.entry(index)
             self.applied_index = index
-            if entry.HasField("membership"):
-                self.membership_manager.on_membership_committed(entry)
             if not entry.command:
                 continue
             result = self.machine.apply(index, entry.command)
