Log what the charge of a lost gateway rests on

The log tells that the account of the killed process was closed with lived_on_s=0, 94,327 charged of 241,275 held. It cannot tell whether the end of the process was bounded by a wrong successor, the contact was taken for too recent, or the two clocks disagree.

Added to `prepaid_holder_closed`: the successor whose start bounds the end, how long ago that and the last contact were, and whether that contact was with this leader. `LossEvidence` holds them; nothing is decided differently.

--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -322,7 +322,8 @@
         table = self.state.prepaid
         command = control_pb2.Command()
         command.close_prepaid_holder.CopyFrom(self.prepaid_watch.close_command(holder, table))
-        lived_on_s = self.prepaid_watch.lived_on_s(holder)
+        evidence = self.prepaid_watch.loss_evidence(holder)
+        now_s = self.environment.monotonic()
         held, spent = table.held_and_spent(holder)
         result = await self.propose(command)
         self.prepaid_watch.forget(holder)
@@ -332,7 +333,11 @@
             peer=holder[0],
             incarnation=holder[1],
             by_promise=bool(command.close_prepaid_holder.charges),
-            lived_on_s=lived_on_s,
+            lived_on_s=evidence.lived_on_s,
+            successor=evidence.successor,
+            ended_ago_s=None if evidence.ended_s is None else now_s - evidence.ended_s,
+            heard_ago_s=now_s - evidence.heard_s,
+            heard_in_term=evidence.heard_in_term,
             held=held,
             promised=sum(command.close_prepaid_holder.charges.values()),
             charged=result.charged,
--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -51,6 +51,30 @@
     started_s: float
 
 
+@dataclass(frozen=True)
+class LossEvidence:
+    """What a leader knows of the end of a lost router's process, on the leader's clock.
+
+    Attributes:
+        successor: Incarnation whose start bounds the end; empty if none is known.
+        ended_s: Latest possible end; None without a successor.
+        heard_s: Last certain contact with a leader; -inf if none is known.
+        heard_in_term: Whether that contact was with this leader in this term.
+    """
+
+    successor: str
+    ended_s: float | None
+    heard_s: float
+    heard_in_term: bool
+
+    @property
+    def lived_on_s(self) -> float | None:
+        """Longest time that the process can have run without control, in seconds, or None."""
+        if self.ended_s is None or self.heard_s == float("-inf"):
+            return None
+        return max(0.0, self.ended_s - self.heard_s + _CLOCK_RATE_MARGIN_S)
+
+
 class PrepaidWatch:
     """Tracks when routers last heard from control and when their processes started.
 
@@ -157,7 +181,7 @@
         A tenant without a charge in the command is charged everything that was held.
         """
         order = control_pb2.ClosePrepaidHolder(holder=holder[0], incarnation=holder[1])
-        silent_s = self.lived_on_s(holder)
+        silent_s = self.loss_evidence(holder).lived_on_s
         if silent_s is None or silent_s >= WINDOW_VALIDITY_S:
             return order
         for account in table.accounts.values():
@@ -169,20 +193,24 @@
                 )
         return order
 
-    def lived_on_s(self, holder: HolderKey) -> float | None:
-        """Return how long, in seconds, a lost router can have run without control, or None."""
-        ended_s = self._successor_started_s(holder)
-        heard_s = max(self.last_contact_s(holder), self._contact_before_term_s(holder))
-        if ended_s is None or heard_s == float("-inf"):
-            return None
-        return max(0.0, ended_s - heard_s + _CLOCK_RATE_MARGIN_S)
+    def loss_evidence(self, holder: HolderKey) -> LossEvidence:
+        """Return what is known of the end of a lost router's process."""
+        successor = self._successor(holder)
+        in_term_s = self.last_contact_s(holder)
+        earlier_s = self._contact_before_term_s(holder)
+        return LossEvidence(
+            successor=successor.incarnation if successor is not None else "",
+            ended_s=successor.started_s if successor is not None else None,
+            heard_s=max(in_term_s, earlier_s),
+            heard_in_term=in_term_s > float("-inf") and in_term_s >= earlier_s,
+        )
 
-    def _successor_started_s(self, holder: HolderKey) -> float | None:
+    def _successor(self, holder: HolderKey) -> _ProcessStart | None:
         """Return the start of the next process of the same router; None if there is none."""
         starts = self._starts.get(holder[0], [])
         own = [number for number, start in enumerate(starts) if start.incarnation == holder[1]]
         later = starts[own[0] + 1 :] if own else starts
-        return later[0].started_s if later else None
+        return later[0] if later else None
 
     def _contact_before_term_s(self, holder: HolderKey) -> float:
         """Return a router's last certain contact with an earlier leader, on this leader's clock."""
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -98,7 +98,8 @@
     "promises_not_noted": "Promises of routers did not come into the log; they tell them again.",
     "prepaid_drawn": "Tokens asked of control: got, free here now, left at control.",
     "prepaid_not_drawn": "A draw of tokens got no answer in time; later requests draw again.",
-    "prepaid_holder_closed": "A gateway is gone: what its tenants were charged for it.",
+    "prepaid_holder_closed": "A gateway is gone: what its tenants were charged for it, which"
+    " successor's start bounds its end, and its last contact with a leader.",
     "replica_cold": "A gateway takes a replica for cold for `for_s`, and why; its sends are limited"
     " to `share_per_s`.",
     "replica_crashed": "A replica crashed while requests of this gateway ran there, by which sign"
