Move the debit of tokens for other regions to the allotments

Callers see no difference. The streams of daemons have one module, which had come to 400 lines; the request of another region is no stream, and what it does belongs beside the requests that this region makes.

--- a/packages/heronladder-control/src/heronladder_control/allotments.py
+++ b/packages/heronladder-control/src/heronladder_control/allotments.py
@@ -54,6 +54,20 @@
             last_refused_s = self._last_refused_s.get(command.grant_lease.budget, float("-inf"))
             result.allotment_pending = now - last_refused_s > _REFUSAL_MEMORY_S
 
+    async def give(self, request: control_pb2.AllotmentRequest) -> control_pb2.AllotmentReply:
+        """Debit the tokens that another region requests from this region's account."""
+        command = control_pb2.Command()
+        command.debit_transfer.transfer.CopyFrom(request.transfer)
+        try:
+            result = await self._member.propose(command)
+        except HeronladderError:
+            leader = self._member.leader_address()
+            return control_pb2.AllotmentReply(not_leader=True, leader_address=leader)
+        reply = control_pb2.AllotmentReply()
+        if result.code == control_pb2.RESULT_CODE_OK:
+            reply.transfer.CopyFrom(result.transfer)
+        return reply
+
     def _remote_regions(self) -> list[str]:
         return sorted(self._member.options.region_addresses)
 
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -41,7 +41,8 @@
         promise_notes: Receives the spending promises of routers.
         rollouts: Receives the rollout reports of routers, and grants requests to a target version.
         fleet_service: Executes requests that other members forward.
-        allotments: Adds to results whether tokens may come from other regions.
+        allotments: Adds to results whether tokens may come from other regions, and gives tokens
+            to them.
     """
 
     promise_notes: PromiseRecorder
@@ -384,14 +385,4 @@
     async def Allot(  # noqa: D102 - generated name
         self, request: control_pb2.AllotmentRequest, context: Any
     ) -> control_pb2.AllotmentReply:
-        command = control_pb2.Command()
-        command.debit_transfer.transfer.CopyFrom(request.transfer)
-        try:
-            result = await self._member.propose(command)
-        except HeronladderError:
-            leader = self._member.leader_address()
-            return control_pb2.AllotmentReply(not_leader=True, leader_address=leader)
-        reply = control_pb2.AllotmentReply()
-        if result.code == control_pb2.RESULT_CODE_OK:
-            reply.transfer.CopyFrom(result.transfer)
-        return reply
+        return await self._services.allotments.give(request)
