Take the order of a gateway's processes from the log

Cause: to charge a lost gateway, the leader bounds the end of its process by the start of the next one. It kept starts in the order in which it had learned of them, over its terms, and took the first one where it did not know the lost process. After another member had led in between, that was the process before the lost one. The time without control became negative and was cut to 0, so that only the promise was charged and the rest was granted again.

Why it works: the order comes from the record in the log, which all leaders share; remembered starts only date it, and any later process bounds the end. What a leader learns in a term is one object that is dropped with the term. An end before the last contact contradicts itself and proves nothing: all that was held stays charged, which can never grant a token twice.

Measured: with the earlier order of starts put back, three new tests fail: a leader of two terms charges 41 of 300, an end before the contact gives 0 s, and in a fleet whose first leader leads again 64,309 tokens are charged for 165,000 handed out.

--- a/packages/heronladder-control/src/heronladder_control/daemons.py
+++ b/packages/heronladder-control/src/heronladder_control/daemons.py
@@ -60,6 +60,15 @@
         self.daemons[wanted.name] = record
         return success()
 
+    def later_incarnations(self, name: str, incarnation: str) -> list[str]:
+        """Return the incarnations that registered after a given one, oldest first.
+
+        Nothing is known to be later than an incarnation that is no longer listed.
+        """
+        record = self.daemons.get(name)
+        listed = [*record.previous, record.incarnation] if record is not None else []
+        return listed[listed.index(incarnation) + 1 :] if incarnation in listed else []
+
     def declare_gone(self, order: control_pb2.DeclareGone) -> control_pb2.CommandResult:
         """Permanently revoke an incarnation's right to act."""
         known = self.daemons.get(order.name)
--- a/packages/heronladder-control/src/heronladder_control/member_context.py
+++ b/packages/heronladder-control/src/heronladder_control/member_context.py
@@ -65,7 +65,7 @@
         self.metrics = Metrics()
         self.log = EventLog("control", options.name)
         self.tasks = TaskGroupOwner(self.log)
-        self.prepaid_watch = PrepaidWatch(environment)
+        self.prepaid_watch = PrepaidWatch(environment, state.daemons.later_incarnations)
         self.in_force = InForceTracker(environment, options.freshness_s)
         self.progress = ChangeSignal()
         self.in_force_changed = ChangeSignal()
--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -16,7 +16,8 @@
 """
 
 import math
-from dataclasses import dataclass
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
 
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.prepaid_window import WINDOW_VALIDITY_S, rate_allowance
@@ -34,21 +35,27 @@
 
 
 @dataclass
-class _Contact:
-    """Contact of one incarnation of a router with this leader, on its newest stream."""
+class _TermMemory:
+    """What a leader learns in one term besides the log; it is dropped with the term.
 
-    # Leader's clock in the newest frame that the router received; -inf until it reports one.
-    # With 0, a leader on a machine that has just booted takes the contact for a recent one and
-    # charges too little.
-    control_s: float = float("-inf")
-
-
-@dataclass(frozen=True)
-class _ProcessStart:
-    """Latest possible start of a router's process, on the leader's clock."""
+    Attributes:
+        term: The term.
+        started_s: Start of the term, on the leader's clock.
+        earlier_notes: Newest ``NotePromises`` command of an earlier leader.
+        contacts: Leader's clock in the newest frame that a holder received on its newest stream;
+            -inf until it reports one. With 0, a leader on a machine that has just booted would take
+            the contact for a recent one and charge too little.
+        starts: Latest possible start of each known process of a router, by incarnation, on the
+            leader's clock.
+        wall_ahead_ms: Upper bound on how far a router's wall clock is ahead of the leader's clock.
+    """
 
-    incarnation: str
-    started_s: float
+    term: int
+    started_s: float = 0.0
+    earlier_notes: control_pb2.NotePromises = field(default_factory=control_pb2.NotePromises)
+    contacts: dict[HolderKey, float] = field(default_factory=dict)
+    starts: dict[str, dict[str, float]] = field(default_factory=dict)
+    wall_ahead_ms: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
@@ -69,10 +76,15 @@
 
     @property
     def lived_on_s(self) -> float | None:
-        """Longest time that the process can have run without control, in seconds, or None."""
+        """Longest time that the process can have run without control, in seconds, or None.
+
+        An end before the last contact is a contradiction: one of the two is not what it is taken
+        for, and nothing follows from them.
+        """
         if self.ended_s is None or self.heard_s == float("-inf"):
             return None
-        return max(0.0, self.ended_s - self.heard_s + _CLOCK_RATE_MARGIN_S)
+        lived_on_s = self.ended_s - self.heard_s + _CLOCK_RATE_MARGIN_S
+        return lived_on_s if lived_on_s >= 0.0 else None
 
 
 class PrepaidWatch:
@@ -80,20 +92,21 @@
 
     Args:
         environment: Source of the monotonic time.
+        later_incarnations: Returns the incarnations of a router (name, incarnation) that the log
+            lists after a given one. The order in which a leader learned of them is no evidence: it
+            misses those that registered while another member led.
 
     Attributes:
         term: Term whose leader's notes are loaded; 0 before the first one.
     """
 
-    def __init__(self, environment: Environment) -> None:
+    def __init__(
+        self, environment: Environment, later_incarnations: Callable[[str, str], Sequence[str]]
+    ) -> None:
         self._environment = environment
+        self._later_incarnations = later_incarnations
         self.term = 0
-        self._contact_term = 0
-        self._term_started_s = 0.0
-        self._earlier_notes = control_pb2.NotePromises()  # newest of an earlier leader
-        self._contacts: dict[HolderKey, _Contact] = {}
-        self._starts: dict[str, list[_ProcessStart]] = {}
-        self._wall_ahead_ms: dict[str, float] = {}  # upper bound by router
+        self._memory = _TermMemory(term=0)
 
     def start_term(self, term: int, notes: control_pb2.NotePromises) -> None:
         """Start a term as its leader.
@@ -102,24 +115,23 @@
             term: The term.
             notes: The newest ``NotePromises`` command of an earlier leader in the log.
         """
-        self._reset_for_term(term)
+        memory = self._memory_of(term)
+        memory.started_s = self._environment.monotonic()
+        memory.earlier_notes.CopyFrom(notes)
         self.term = term
-        self._term_started_s = self._environment.monotonic()
-        self._earlier_notes.CopyFrom(notes)
 
-    def note_stream_opened(self, holder: HolderKey, term: int) -> None:
-        """Record that a router opened a stream, possibly before ``start_term`` of its term."""
-        self._reset_for_term(term)
-        self._contacts[holder] = _Contact()
+    def _memory_of(self, term: int) -> _TermMemory:
+        """Return the memory of a term; that of another term is dropped.
 
-    def _reset_for_term(self, term: int) -> None:
-        """Discard contacts, clocks and notes if they belong to another term."""
-        if term == self._contact_term:
-            return
-        self._contact_term = term
-        self._contacts.clear()
-        self._wall_ahead_ms.clear()
-        self._earlier_notes.Clear()
+        Streams may open before ``start_term`` of their term.
+        """
+        if term != self._memory.term:
+            self._memory = _TermMemory(term)
+        return self._memory
+
+    def note_stream_opened(self, holder: HolderKey, term: int) -> None:
+        """Record that a router opened a stream in a term."""
+        self._memory_of(term).contacts[holder] = float("-inf")
 
     def note_wall_clock(self, router: str, heartbeat: control_pb2.Heartbeat) -> None:
         """Record a router's wall clock from a heartbeat."""
@@ -127,8 +139,8 @@
             return
         # The router read its clock after it received the frame: this is an upper bound.
         ahead_ms = float(heartbeat.wall_ms) - float(heartbeat.control_time_ms)
-        known_ms = self._wall_ahead_ms.get(router, math.inf)
-        self._wall_ahead_ms[router] = min(known_ms, ahead_ms)
+        known_ms = self._memory.wall_ahead_ms.get(router, math.inf)
+        self._memory.wall_ahead_ms[router] = min(known_ms, ahead_ms)
 
     def record_leader_contact(self, holder: HolderKey, heartbeat: control_pb2.Heartbeat) -> None:
         """Record when a router last heard from this leader.
@@ -137,39 +149,42 @@
         have spent what the silence up to this contact allowed, which earlier promises do not
         cover.
         """
-        contact = self._contacts.get(holder)
-        if contact is None or not heartbeat.control_time_ms:
+        contacts = self._memory.contacts
+        if holder not in contacts or not heartbeat.control_time_ms:
             return
         heard_s = heartbeat.control_time_ms / MILLISECONDS_PER_SECOND
-        contact.control_s = max(contact.control_s, heard_s)
+        contacts[holder] = max(contacts[holder], heard_s)
 
     def last_contact_s(self, holder: HolderKey) -> float:
         """Return the last certain contact of a router, on this leader's clock; -inf if none."""
-        contact = self._contacts.get(holder)
-        return contact.control_s if contact is not None else float("-inf")
+        return self._memory.contacts.get(holder, float("-inf"))
 
-    def note_successor(self, holder: str, incarnation: str, process_age_s: float = 0.0) -> None:
+    def note_successor(
+        self, holder: str, incarnation: str, term: int, process_age_s: float = 0.0
+    ) -> None:
         """Record a new incarnation of a router, which means that the earlier ones have ended.
 
         Args:
             holder: Name of the router.
             incarnation: The new incarnation.
+            term: Term of the leader that learned of it.
             process_age_s: Lower bound of its process's age, in seconds.
         """
-        starts = self._starts.setdefault(holder, [])
-        if any(start.incarnation == incarnation for start in starts):
+        starts = self._memory_of(term).starts.setdefault(holder, {})
+        if incarnation in starts:
             return
-        started_s = self._environment.monotonic() - process_age_s
-        starts.append(_ProcessStart(incarnation, started_s))
-        del starts[:-_MAX_STARTS_PER_ROUTER]
+        starts[incarnation] = self._environment.monotonic() - process_age_s
+        if len(starts) > _MAX_STARTS_PER_ROUTER:
+            del starts[next(iter(starts))]
 
     # ---- charges ----------------------------------------------------------
 
     def must_wait(self, holder: HolderKey) -> bool:
         """Whether to wait for more wall clocks before a lost router is charged."""
-        if self._environment.monotonic() - self._term_started_s > _WALL_CLOCK_WAIT_S:
+        memory = self._memory
+        if self._environment.monotonic() - memory.started_s > _WALL_CLOCK_WAIT_S:
             return False
-        if self.last_contact_s(holder) > float("-inf") or not self._earlier_notes.wall_ahead_ms:
+        if self.last_contact_s(holder) > float("-inf") or not memory.earlier_notes.wall_ahead_ms:
             return False
         return len(self._shared_wall_clocks()) < self._required_wall_clocks()
 
@@ -195,41 +210,48 @@
 
     def loss_evidence(self, holder: HolderKey) -> LossEvidence:
         """Return what is known of the end of a lost router's process."""
-        successor = self._successor(holder)
+        successor, ended_s = self._earliest_successor(holder)
         in_term_s = self.last_contact_s(holder)
         earlier_s = self._contact_before_term_s(holder)
         return LossEvidence(
-            successor=successor.incarnation if successor is not None else "",
-            ended_s=successor.started_s if successor is not None else None,
+            successor=successor,
+            ended_s=ended_s,
             heard_s=max(in_term_s, earlier_s),
             heard_in_term=in_term_s > float("-inf") and in_term_s >= earlier_s,
         )
 
-    def _successor(self, holder: HolderKey) -> _ProcessStart | None:
-        """Return the start of the next process of the same router; None if there is none."""
-        starts = self._starts.get(holder[0], [])
-        own = [number for number, start in enumerate(starts) if start.incarnation == holder[1]]
-        later = starts[own[0] + 1 :] if own else starts
-        return later[0] if later else None
+    def _earliest_successor(self, holder: HolderKey) -> tuple[str, float | None]:
+        """Return the later incarnation whose known start is the earliest, and that start.
+
+        Each of them started after the lost process had ended.
+        """
+        starts = self._memory.starts.get(holder[0], {})
+        later = [name for name in self._later_incarnations(*holder) if name in starts]
+        if not later:
+            return "", None
+        successor = min(later, key=lambda name: starts[name])
+        return successor, starts[successor]
 
     def _contact_before_term_s(self, holder: HolderKey) -> float:
         """Return a router's last certain contact with an earlier leader, on this leader's clock."""
-        notes = self._earlier_notes
+        notes = self._memory.earlier_notes
         names = self._shared_wall_clocks()
         if holder[1] in notes.silent or len(names) < self._required_wall_clocks():
             return float("-inf")
         written_ms = min(
-            notes.leader_time_ms + notes.wall_ahead_ms[name] - self._wall_ahead_ms[name]
+            notes.leader_time_ms + notes.wall_ahead_ms[name] - self._memory.wall_ahead_ms[name]
             for name in names
         )
         return (written_ms - notes.heard_within_ms) / MILLISECONDS_PER_SECOND
 
     def _shared_wall_clocks(self) -> list[str]:
         """Return the routers whose wall clock is known both from the notes and from this term."""
-        return [name for name in self._earlier_notes.wall_ahead_ms if name in self._wall_ahead_ms]
+        memory = self._memory
+        return [name for name in memory.earlier_notes.wall_ahead_ms if name in memory.wall_ahead_ms]
 
     def _required_wall_clocks(self) -> int:
-        return max(_MIN_SHARED_WALL_CLOCKS, math.ceil(len(self._earlier_notes.wall_ahead_ms) / 2))
+        noted = len(self._memory.earlier_notes.wall_ahead_ms)
+        return max(_MIN_SHARED_WALL_CLOCKS, math.ceil(noted / 2))
 
     @staticmethod
     def _find_entry(
@@ -242,4 +264,4 @@
 
     def forget(self, holder: HolderKey) -> None:
         """Discard the contact of a holder whose accounts are closed."""
-        self._contacts.pop(holder, None)
+        self._memory.contacts.pop(holder, None)
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -118,7 +118,9 @@
             if known is not None and record.incarnation not in known.previous:
                 # Must precede the proposal: once it is applied, the predecessor is charged.
                 age_s = hello.process_age_ms / MILLISECONDS_PER_SECOND
-                self._member.prepaid_watch.note_successor(record.name, record.incarnation, age_s)
+                self._member.prepaid_watch.note_successor(
+                    record.name, record.incarnation, self._member.node.term, age_s
+                )
             if known is None or known.gone or known.incarnation != record.incarnation:
                 command = control_pb2.Command()
                 command.register_daemon.daemon.CopyFrom(record)
@@ -325,7 +327,9 @@
         elif body == "register_daemon" and result.code == control_pb2.RESULT_CODE_OK:
             record = command.register_daemon.daemon
             self._router_counts.update()
-            self._member.prepaid_watch.note_successor(record.name, record.incarnation)
+            self._member.prepaid_watch.note_successor(
+                record.name, record.incarnation, self._member.node.term
+            )
             self._notify_other_role(record.role, record.name, record.incarnation, gone=False)
             self._update_lenders(record.name)
         elif body == "declare_gone" and result.code == control_pb2.RESULT_CODE_OK:
--- a/tests/lending_control.py
+++ b/tests/lending_control.py
@@ -42,6 +42,8 @@
         table: Accounts as of the log.
         term: Term of the leader.
         current: Current incarnation of each router; shared by all leaders.
+        registered: Incarnations of each router in the order of the log; shared by all leaders.
+        earlier_term: An earlier term of the same member, whose process goes on.
     """
 
     def __init__(
@@ -50,19 +52,29 @@
         table: DecidedPrepaidTable,
         term: int,
         current: dict[str, str],
+        registered: dict[str, list[str]],
+        earlier_term: "FakeControl | None" = None,
     ) -> None:
-        self.environment = LeaderClock(environment.random, virtual=True)
-        self.environment.epoch_offset_s = environment.random.random() * 1000
+        if earlier_term is None:
+            self.environment = LeaderClock(environment.random, virtual=True)
+            self.environment.epoch_offset_s = environment.random.random() * 1000
+        else:
+            self.environment = earlier_term.environment
         self.table = table
         self.term = term
         self.commit_s = _COMMIT_S  # longest time until an entry is in the log
         self.ended = False
-        self.prepaid_watch = PrepaidWatch(self.environment)
+        self.prepaid_watch = (
+            PrepaidWatch(self.environment, self._later_incarnations)
+            if earlier_term is None
+            else earlier_term.prepaid_watch
+        )
         self.log = EventLog("test", "control")
         self.tasks = TaskGroupOwner(self.log)
         self.node = SimpleNamespace(is_leader=True, term=term, changed=ChangeSignal())
         self.state = SimpleNamespace(prepaid=table, is_current=self.is_current)
         self._current = current
+        self._registered = registered
         self.notes = PromiseRecorder(cast(ControlMember, self))
         self.prepaid_watch.start_term(term, table.last_promises)
 
@@ -70,6 +82,15 @@
         """Return whether an incarnation is the current one of its router."""
         return self._current.get(name) == incarnation
 
+    def _later_incarnations(self, name: str, incarnation: str) -> list[str]:
+        known = self._registered.get(name, [])
+        return known[known.index(incarnation) + 1 :] if incarnation in known else []
+
+    def note_successor(self, name: str, incarnation: str) -> None:
+        """Apply the registration of a new process."""
+        self.prepaid_watch.note_successor(name, incarnation, self.term)
+        self._registered.setdefault(name, []).append(incarnation)
+
     def start(self) -> None:
         """Start the background tasks."""
         self.tasks.start("notes", self.notes.run())
--- a/tests/lending_fleet.py
+++ b/tests/lending_fleet.py
@@ -60,7 +60,8 @@
         table = DecidedPrepaidTable()
         table.set_limits([FakeConfiguration(limit).tenant])
         self.current: dict[str, str] = {}  # current incarnation of each gateway
-        self.control = FakeControl(self.environment, table, 1, self.current)
+        self.registered: dict[str, list[str]] = {}  # incarnations of each gateway, in order
+        self.control = FakeControl(self.environment, table, 1, self.current, self.registered)
         self.control.start()
         self.wall_clock_offset_s: dict[str, float] = {}  # of each gateway's host
         self.processes: dict[str, GatewayProcess] = {}
@@ -106,7 +107,7 @@
     def register(self, process: GatewayProcess) -> None:
         """Register a started process; the earlier one of that name has ended."""
         self.current[process.name] = process.incarnation
-        self.control.prepaid_watch.note_successor(process.name, process.incarnation)
+        self.control.note_successor(process.name, process.incarnation)
         for holder in list(self.account.holders):
             if holder.holder == process.name and holder.incarnation != process.incarnation:
                 self.tasks.start(
@@ -147,18 +148,24 @@
         process.access.drop_all()
         process.link.record.incarnation = self.environment.new_id(process.name)
         self.current[process.name] = process.link.record.incarnation
-        self.control.prepaid_watch.note_successor(process.name, process.link.record.incarnation)
+        self.control.note_successor(process.name, process.link.record.incarnation)
         process.link.end_stream()
 
-    def restart_control(self) -> None:
-        """Replace the leader by one that starts from a snapshot; uncommitted entries are lost."""
+    def restart_control(self, earlier_term: FakeControl | None = None) -> None:
+        """Replace the leader by one that starts from a snapshot; uncommitted entries are lost.
+
+        Args:
+            earlier_term: An earlier term of the member that leads next; None for a new member.
+        """
         snapshot = control_pb2.StateSnapshot()
         self.table.save(snapshot)
         table = DecidedPrepaidTable()
         table.load(control_pb2.StateSnapshot.FromString(snapshot.SerializeToString()))
         self.tasks.start("end_leader", self.control.end())
         self.control.ended = True
-        self.control = FakeControl(self.environment, table, self.term + 1, self.current)
+        self.control = FakeControl(
+            self.environment, table, self.term + 1, self.current, self.registered, earlier_term
+        )
         self.control.start()
 
     def set_limit(self, limit: int) -> None:
--- a/tests/prepaid_loss_scenarios.py
+++ b/tests/prepaid_loss_scenarios.py
@@ -4,6 +4,7 @@
 from random import Random
 from typing import Any
 
+from lending_control import FakeControl
 from lending_fleet import LendingFleet
 from lending_process import MessageFaults
 from lending_run import ZONES, send_bursts, traffic
@@ -23,12 +24,18 @@
     return fleet, callers
 
 
-async def crash_all(fleet: LendingFleet, *, leader_too: bool = True, down_s: float = 0.7) -> None:
+async def crash_all(
+    fleet: LendingFleet,
+    *,
+    leader_too: bool = True,
+    down_s: float = 0.7,
+    earlier_term: FakeControl | None = None,
+) -> None:
     """Crash all gateways and reconnect the network, then start them again after ``down_s``."""
     for process in list(fleet.processes.values()):
         await process.crash()
     if leader_too:
-        fleet.restart_control()
+        fleet.restart_control(earlier_term)
     fleet.partitioned_from_control.clear()
     await asyncio.sleep(down_s)
     for name in ZONES:
@@ -83,6 +90,21 @@
     return await end(fleet, callers)
 
 
+async def loss_under_returning_leader() -> LendingFleet:
+    """Lose all gateways twice: once under another leader, then as the first one leads again."""
+    fleet, callers = await warm_fleet()
+    first = fleet.control
+    await crash_all(fleet)
+    await asyncio.sleep(_WARMUP_S)
+    fleet.partitioned_from_control.update(ZONES)
+    fleet.control.ended = True
+    bursts = asyncio.create_task(send_bursts(fleet))
+    await asyncio.sleep(5.5)
+    bursts.cancel()
+    await crash_all(fleet, earlier_term=first)
+    return await end(fleet, callers)
+
+
 async def loss_of_uncommitted_promise() -> LendingFleet:
     """Lose all gateways while commits are slow and load rises."""
     fleet, callers = await warm_fleet()
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -4,6 +4,8 @@
 import unittest
 
 from decided_prepaid_table import DecidedPrepaidTable
+from heronladder_control.daemons import ROLE_ROUTER, DaemonTable
+from heronladder_control.ledger import Ledger
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_router.cached_prompt_parts import CachedPromptParts, parse_prompt_parts
 from heronladder_router.event_stream import EventStreamBuffer
@@ -11,7 +13,7 @@
 from heronladder_runtime.errors import RefusedByInvariantError
 from heronladder_runtime.invariants import INVARIANT_COUNTERS
 from heronladder_runtime.prepaid_window import WINDOW_VALIDITY_S
-from heronladder_schema.v1 import control_pb2, resources_pb2
+from heronladder_schema.v1 import control_pb2, ledger_pb2, resources_pb2
 
 _TENANT = "t"
 
@@ -24,9 +26,11 @@
     return table
 
 
-def _draw(holder: str, number: int, **fields: int) -> control_pb2.DrawTokens:
+def _draw(
+    holder: str, number: int, incarnation: str = "1", **fields: int
+) -> control_pb2.DrawTokens:
     return control_pb2.DrawTokens(
-        tenant=_TENANT, holder=holder, incarnation="1", number=number, **fields
+        tenant=_TENANT, holder=holder, incarnation=incarnation, number=number, **fields
     )
 
 
@@ -208,23 +212,38 @@
 class PrepaidWatchTest(unittest.TestCase):
     def setUp(self) -> None:
         self.clock = _Clock()
-        self.watch = PrepaidWatch(self.clock)
+        self.daemons = DaemonTable(Ledger("r"))
+        self._register("1")
+        self.watch = PrepaidWatch(self.clock, self.daemons.later_incarnations)
         self.watch.start_term(1, control_pb2.NotePromises())
         self.table = _table(1000)
         self.table.draw(_draw("a", 1, wanted=300))
         self.watch.note_stream_opened(("a", "1"), term=1)
         self._record_heartbeat(0, 40)
 
+    def _register(self, incarnation: str) -> None:
+        """Apply the registration of a new process of the router."""
+        record = ledger_pb2.DaemonRecord(name="a", incarnation=incarnation, role=ROLE_ROUTER)
+        self.daemons.register(1, record)
+
+    def _note_successor(self, incarnation: str, process_age_s: float = 0.0, term: int = 1) -> None:
+        """Have the leader learn of a new process, which then registers."""
+        self.watch.note_successor("a", incarnation, term, process_age_s)
+        self._register(incarnation)
+
     def _record_heartbeat(self, heard_ms: int, most: int = 0) -> None:
         """Apply a promise and then record the contact of the heartbeat that reported it."""
         if most:
-            order = control_pb2.NotePromises()
-            reported = order.promises.add(holder="a", incarnation="1", tenant=_TENANT)
-            reported.promise.most = most
-            self.table.note_promises(order, lambda *_: True)
+            self._promise_of("1", most)
         heartbeat = control_pb2.Heartbeat(control_time_ms=heard_ms)
         self.watch.record_leader_contact(("a", "1"), heartbeat)
 
+    def _promise_of(self, incarnation: str, most: int) -> None:
+        order = control_pb2.NotePromises()
+        reported = order.promises.add(holder="a", incarnation=incarnation, tenant=_TENANT)
+        reported.promise.most = most
+        self.table.note_promises(order, lambda *_: True)
+
     def _charge(self) -> int:
         self.table.close(self.watch.close_command(("a", "1"), self.table))
         return self.table.accounts[_TENANT].closed_charge
@@ -232,7 +251,7 @@
     def test_router_replaced_within_window_is_charged_its_promise(self) -> None:
         self._record_heartbeat(100_000, 60)
         self.clock.now_s = 100.0 + WINDOW_VALIDITY_S - 0.2
-        self.watch.note_successor("a", "2")
+        self._note_successor("2")
         self.clock.now_s = 110.0
         self.assertEqual(self._charge(), 61)
 
@@ -244,19 +263,19 @@
         """
         self._record_heartbeat(100_000, 60)
         self.clock.now_s = 100.0 + WINDOW_VALIDITY_S + 0.5
-        self.watch.note_successor("a", "2", process_age_s=1.0)
+        self._note_successor("2", process_age_s=1.0)
         self.assertEqual(self._charge(), 61)
 
     def test_successor_started_after_window_does_not_limit_charge(self) -> None:
         self._record_heartbeat(100_000, 60)
         self.clock.now_s = 100.0 + WINDOW_VALIDITY_S + 1.0
-        self.watch.note_successor("a", "2", process_age_s=1.0)
+        self._note_successor("2", process_age_s=1.0)
         self.assertEqual(self._charge(), 300)
 
     def test_router_replaced_after_window_is_charged_all_it_held(self) -> None:
         self._record_heartbeat(100_000)
         self.clock.now_s = 100.0 + WINDOW_VALIDITY_S
-        self.watch.note_successor("a", "2")
+        self._note_successor("2")
         self.assertEqual(self._charge(), 300)
 
     def test_missing_contact_is_not_time_zero_of_recently_booted_clock(self) -> None:
@@ -268,23 +287,52 @@
         """
         self.clock.now_s = 3.0
         self._record_heartbeat(0)
-        self.watch.note_successor("a", "2")
+        self._note_successor("2")
         self.assertEqual(self._charge(), 300)
 
     def test_router_without_contact_is_charged_all_it_held(self) -> None:
-        self.watch.note_successor("a", "2")
+        self._note_successor("2")
         self.assertEqual(self._charge(), 300)
 
     def test_contact_of_earlier_term_without_notes_does_not_count(self) -> None:
         self._record_heartbeat(100_000)
         self.watch.start_term(2, control_pb2.NotePromises())
-        self.watch.note_successor("a", "2")
+        self._note_successor("2", term=2)
         self.assertEqual(self._charge(), 300)
 
     def test_router_without_successor_is_charged_all_it_held(self) -> None:
         self._record_heartbeat(100_000)
         self.assertEqual(self._charge(), 300)
 
+    def test_leader_of_two_terms_takes_no_predecessor_for_the_successor(self) -> None:
+        """Guards against tokens granted twice, which a lost router spent without control.
+
+        The process before the lost one registered while this member led, the lost one while another
+        member did.
+        """
+        self._note_successor("2")
+        self._register("3")  # under another leader, which hears from it until 110 s
+        self.table.draw(_draw("a", 1, wanted=300, incarnation="3"))
+        self._promise_of("3", 40)
+        self.clock.now_s = 120.0
+        notes = control_pb2.NotePromises(leader_time_ms=7_000, heard_within_ms=1)
+        notes.wall_ahead_ms.update({"b": 0, "c": 0})
+        self.watch.start_term(3, notes)
+        for name in "bc":  # the notes were written 10 s ago, at 110 s of this leader's clock
+            heartbeat = control_pb2.Heartbeat(wall_ms=17_000, control_time_ms=120_000)
+            self.watch.note_wall_clock(name, heartbeat)
+        self._note_successor("4", term=3)
+        self.assertEqual(self.watch.loss_evidence(("a", "3")).successor, "4")
+        self.table.close(self.watch.close_command(("a", "3"), self.table))
+        self.assertEqual(self.table.accounts[_TENANT].closed_charge, 300)
+
+    def test_end_before_last_contact_proves_nothing(self) -> None:
+        """Guards against the least charge where the evidence contradicts itself."""
+        self._record_heartbeat(100_000, 60)
+        self._note_successor("2", process_age_s=5.0)  # started at 95 s
+        self.assertIsNone(self.watch.loss_evidence(("a", "1")).lived_on_s)
+        self.assertEqual(self._charge(), 300)
+
 
 class CachedPartsTest(unittest.TestCase):
     def test_part_counts_as_cached_only_after_all_preceding_parts(self) -> None:
--- a/tests/test_prepaid_promises.py
+++ b/tests/test_prepaid_promises.py
@@ -20,6 +20,7 @@
     loss_during_burst,
     loss_of_uncommitted_promise,
     loss_on_reconnect,
+    loss_under_returning_leader,
     warm_fleet,
 )
 from support import run_virtual
@@ -62,6 +63,10 @@
     def test_loss_at_end_of_silence(self) -> None:
         run_virtual(loss_on_reconnect())
 
+    def test_loss_under_leader_that_led_before(self) -> None:
+        """Guards against tokens granted twice, which gateways spent without control."""
+        run_virtual(loss_under_returning_leader())
+
     def test_loss_with_promises_not_in_log(self) -> None:
         run_virtual(loss_of_uncommitted_promise())
 
@@ -72,11 +77,11 @@
 
 
 def _contact_by_newest_clock(watch: PrepaidWatch, holder: HolderKey) -> float:
-    notes = watch._earlier_notes
+    notes = watch._memory.earlier_notes
     names = watch._shared_wall_clocks()
     if holder[1] in notes.silent or len(names) < watch._required_wall_clocks():
         return float("-inf")
-    ahead = (notes.wall_ahead_ms[name] - watch._wall_ahead_ms[name] for name in names)
+    ahead = (notes.wall_ahead_ms[name] - watch._memory.wall_ahead_ms[name] for name in names)
     written_ms = notes.leader_time_ms + max(ahead)
     return float(written_ms - notes.heard_within_ms) / MILLISECONDS_PER_SECOND
 
@@ -200,7 +205,9 @@
 
     def setUp(self) -> None:
         self.clock = _Clock()
-        self.watch = PrepaidWatch(self.clock)
+        self.watch = PrepaidWatch(
+            self.clock, lambda _name, incarnation: ["2"][int(incarnation) - 1 :]
+        )
         self.table = _table()
         _record_promise(self.table, 100, 50)
         self.notes = control_pb2.NotePromises(leader_time_ms=20_000, heard_within_ms=400)
@@ -209,7 +216,7 @@
 
     def _start_term(self) -> None:
         self.watch.start_term(2, self.notes)
-        self.watch.note_successor("a", "2", process_age_s=0.3)
+        self.watch.note_successor("a", "2", term=2, process_age_s=0.3)
 
     def _report_wall_clock(self, name: str, seconds_since_notes: float) -> None:
         """Report a gateway's wall clock at the given time after the notes were written."""
