End what a leader does in a term with that term

A member that is deposed by a newer term and elected in it, with no other leader between, within the half second in which its loop waits.

Cause: the leader's loop and the streams of daemons ask whether this member leads, not whether it still leads the same term. The loop goes on with the memory of its old term; `PromiseRecorder` waits for the memory of the new one to be started, and confirms no promise meanwhile.

Why it works: the loop, the refusals and each stream belong to a term and end with it (`MemberState.leads`). A stream of an earlier term is closed as the term starts, and its daemon registers again, as at any change of leader.

--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -103,6 +103,10 @@
         """Whether this member believes that it is the leader."""
         return self.role is Role.LEADER
 
+    def leads(self, term: int) -> bool:
+        """Whether this member is the leader of a term, and has not led a later one since."""
+        return self.is_leader and self.term == term
+
     @property
     def highest_version(self) -> int:
         """Highest cluster version that this build supports."""
--- a/packages/heronladder-control/src/heronladder_control/daemon_session.py
+++ b/packages/heronladder-control/src/heronladder_control/daemon_session.py
@@ -14,10 +14,12 @@
 
     Args:
         hello: First message of the daemon: its identity and the revision it has applied.
+        term: Term of the leader that serves the stream; the stream ends with it.
     """
 
-    def __init__(self, hello: control_pb2.Hello) -> None:
+    def __init__(self, hello: control_pb2.Hello, term: int) -> None:
         self.hello = hello
+        self.term = term
         self.record = hello.daemon
         self.started_s = -math.inf  # of its process, on the leader's clock
         self.config_sent = hello.applied_revision
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -161,10 +161,11 @@
                 continue
             try:
                 await self.node.read_barrier()
-                self._start_term()
-                refusal_task = self.tasks.start("refusals", self._propose_crash_refusals())
+                term = self.node.term
+                self._start_term(term)
+                refusal_task = self.tasks.start("refusals", self._propose_crash_refusals(term))
                 try:
-                    await self._run_leader_loop()
+                    await self._run_leader_loop(term)
                 finally:
                     refusal_task.cancel()
             except HeronladderError as error:
@@ -174,13 +175,13 @@
         record = self.state.fleet.replica(identity)
         return record.zone if record is not None else ""
 
-    async def _propose_crash_refusals(self) -> None:
+    async def _propose_crash_refusals(self, term: int) -> None:
         """Propose refusals of requests that crash replicas.
 
         This runs separately from the other tasks of the leader: each of those waits for the log,
         and the request would crash more replicas in the meantime.
         """
-        while self.node.is_leader:
+        while self.node.leads(term):
             try:
                 await asyncio.gather(*(self.propose(order) for order in self.refusals.due()))
             except HeronladderError as error:
@@ -206,7 +207,7 @@
         await self.propose(command)
         self.log.info("group_named", step="name_group", peer=self.options.group)
 
-    def _start_term(self) -> None:
+    def _start_term(self, term: int) -> None:
         """Start a term as the leader; discard what earlier terms knew besides the log."""
         self.cluster_versions.start_term()
         self.in_force.start_term(
@@ -216,15 +217,18 @@
         self.fleet_service.begin_term()
         self.rollouts.start_term()
         self.refusals.start_term()
-        self.prepaid_watch.start_term(self.node.term, self.state.prepaid.last_promises)
-        for session in self.sessions.values():
-            self.service.note_connected(session)
+        self.prepaid_watch.start_term(term, self.state.prepaid.last_promises)
+        for session in list(self.sessions.values()):
+            if session.term == term:
+                self.service.note_connected(session)
+            else:
+                session.close()  # its daemon registers again
 
-    async def _run_leader_loop(self) -> None:
+    async def _run_leader_loop(self, term: int) -> None:
         next_cleanup_s = 0.0
         next_drop_s = self.environment.monotonic() + _CLAIM_DROP_INTERVAL_S
         ended = EndedReplicas(self.environment)
-        while self.node.is_leader:
+        while self.node.leads(term):
             seen = self.progress.notification_count
             await self.cluster_versions.run_check()
             await self._name_group()
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -91,7 +91,7 @@
             f"session-{session.record.name}", self._read(session, request_iterator)
         )
         try:
-            while not session.closed and self._member.node.is_leader:
+            while not session.closed and self._member.node.leads(session.term):
                 frame = self._next_frame(session)
                 if frame is None:
                     await session.wake.wait(_IDLE_CHECK_INTERVAL_S)
@@ -136,12 +136,12 @@
         earlier = self.sessions.get(name)
         if earlier is not None:
             earlier.close()
-        session = DaemonSession(hello)
+        session = DaemonSession(hello, self._member.node.term)
         self.sessions[name] = session
         self._router_counts.opened(session)
         self.note_connected(session)
         self._member.prepaid_watch.note_stream_opened(
-            (name, hello.daemon.incarnation), self._member.node.term
+            (name, hello.daemon.incarnation), session.term
         )
         other_role = ROLE_ROUTER if hello.daemon.role == ROLE_AGENT else ROLE_AGENT
         for record in self._member.state.daemons.daemons.values():
@@ -275,7 +275,7 @@
     def _heartbeat(self, session: DaemonSession, heartbeat: control_pb2.Heartbeat) -> None:
         committed = self._member.state.resources.revision
         name = session.record.name
-        if self.sessions.get(name) is not session or not self._member.node.is_leader:
+        if self.sessions.get(name) is not session or not self._member.node.leads(session.term):
             return
         if heartbeat.rollouts:
             self._services.rollouts.observe(session, heartbeat.rollouts)
--- a/tests/lending_control.py
+++ b/tests/lending_control.py
@@ -109,7 +109,7 @@
 
     def open_session(self, record: ledger_pb2.DaemonRecord) -> DaemonSession:
         """Open a router's stream."""
-        session = DaemonSession(control_pb2.Hello(daemon=record))
+        session = DaemonSession(control_pb2.Hello(daemon=record), self.term)
         self.prepaid_watch.note_stream_opened((record.name, record.incarnation), self.term)
         return session
 
--- a/tests/limit_simulation.py
+++ b/tests/limit_simulation.py
@@ -125,7 +125,7 @@
         self.replicas[number], self.limited[number] = replicas, limits
         self.observed_s[number] = self.clock.now_s
         record = ledger_pb2.DaemonRecord(name=f"g{number}")
-        self.sessions[number] = DaemonSession(control_pb2.Hello(daemon=record))
+        self.sessions[number] = DaemonSession(control_pb2.Hello(daemon=record), 1)
 
     def _schedule(self, in_s: float, what: Callable[[], None]) -> None:
         heapq.heappush(self._events, (self.clock.now_s + in_s, next(self._order), what))
@@ -167,7 +167,7 @@
         self.term += 1
         for number in self.sessions:
             record = ledger_pb2.DaemonRecord(name=f"g{number}")
-            self.sessions[number] = DaemonSession(control_pb2.Hello(daemon=record))
+            self.sessions[number] = DaemonSession(control_pb2.Hello(daemon=record), 1)
 
     def _link_delay_s(self) -> float:
         return self.source.uniform(0.001, 0.02)
--- a/tests/retry_budget_simulation.py
+++ b/tests/retry_budget_simulation.py
@@ -155,7 +155,7 @@
         self.records[gateway.name] = record
         age_s = self._clock.monotonic() - gateway.started_s
         hello = control_pb2.Hello(daemon=record, process_age_ms=round(1000 * age_s))
-        gateway.session = self._sessions[gateway.name] = DaemonSession(hello)
+        gateway.session = self._sessions[gateway.name] = DaemonSession(hello, 1)
         self._counts.opened(gateway.session)
 
     def disconnect(self, gateway: _Gateway) -> None:
--- a/tests/test_fleet_membership.py
+++ b/tests/test_fleet_membership.py
@@ -121,7 +121,7 @@
     def _counts(self, streams: list[str], records: list[ledger_pb2.DaemonRecord]) -> RouterCounts:
         self.sessions = {
             name: DaemonSession(
-                control_pb2.Hello(daemon=ledger_pb2.DaemonRecord(name=name, role="router"))
+                control_pb2.Hello(daemon=ledger_pb2.DaemonRecord(name=name, role="router")), 1
             )
             for name in streams
         }
@@ -137,7 +137,7 @@
         """Open a stream of a registered router, and return what its first frame says."""
         record = ledger_pb2.DaemonRecord(name=name, role="router")
         hello = control_pb2.Hello(daemon=record, process_age_ms=round(1000 * age_s))
-        session = self.sessions[name] = DaemonSession(hello)
+        session = self.sessions[name] = DaemonSession(hello, 1)
         counts.opened(session)
         frame = control_pb2.ControlFrame()
         counts.fill(session, frame)
@@ -175,7 +175,7 @@
         # An agent of a group without routers was sent frames without end.
         counts = self._counts([], [ledger_pb2.DaemonRecord(name="a", role="agent")])
         session = DaemonSession(
-            control_pb2.Hello(daemon=ledger_pb2.DaemonRecord(name="a", role="agent"))
+            control_pb2.Hello(daemon=ledger_pb2.DaemonRecord(name="a", role="agent")), 1
         )
         for _ in range(2):
             frame = control_pb2.ControlFrame()
--- a/tests/test_gateway_behind.py
+++ b/tests/test_gateway_behind.py
@@ -98,7 +98,7 @@
     async def test_a_late_leave_does_not_remove_a_successor(self) -> None:
         assert self.fleet.control.control is not None
         record = ledger_pb2.DaemonRecord(name="front-1", role="router", incarnation="earlier")
-        earlier = DaemonSession(control_pb2.Hello(daemon=record))
+        earlier = DaemonSession(control_pb2.Hello(daemon=record), 1)
         await self.fleet.control.control.service._leave(earlier)
         self.assertIn("front-1", self.fleet.control.control.in_force.daemons)
 
@@ -116,7 +116,7 @@
         assert fleet.control.control is not None
         feed = ConfigFeed(fleet.control.control)
         record = ledger_pb2.DaemonRecord(name="front-2", role="router", incarnation="1")
-        session = DaemonSession(control_pb2.Hello(daemon=record))
+        session = DaemonSession(control_pb2.Hello(daemon=record), 1)
         first = feed.next_part(session)
         assert first is not None
         self.assertTrue(first.more)
--- a/tests/test_part_sizes.py
+++ b/tests/test_part_sizes.py
@@ -39,7 +39,7 @@
         member = SimpleNamespace(state=state, environment=self.clock)
         self.feed = ConfigFeed(cast(ControlMember, member))
         record = ledger_pb2.DaemonRecord(name="g", role="router", incarnation="1")
-        self.session = DaemonSession(control_pb2.Hello(daemon=record))
+        self.session = DaemonSession(control_pb2.Hello(daemon=record), 1)
 
     def _sizes(self, confirmed_after_s: float) -> list[int]:
         """Send the whole update; return the sizes of its parts in bytes."""
--- a/tests/test_replica_limit_reports.py
+++ b/tests/test_replica_limit_reports.py
@@ -94,7 +94,7 @@
 
     @staticmethod
     def new_session(name: str = "g0") -> DaemonSession:
-        return DaemonSession(control_pb2.Hello(daemon=ledger_pb2.DaemonRecord(name=name)))
+        return DaemonSession(control_pb2.Hello(daemon=ledger_pb2.DaemonRecord(name=name)), 1)
 
     def beat(self, *, late_s: float = 0.0) -> control_pb2.ControlFrame:
         """Send a heartbeat to the leader and apply its response after a delay."""
