Bound durations to the 32-bit fields that tell them

Callers would see a gateway that is cut off control for good: once its process is older than 49.7 days and its stream ends, or where the newest change is older than that, or where it starts 50 days after the first gateway. It serves until its lease ends and acts on no later change.

Cause: the age of a process, the time since a revision is in force and the time between the starts of two gateways are told in milliseconds in 32 bits. A larger value raises ValueError in the generator of the stream, at each attempt.

Why it works: `clock.duration_ms` bounds a duration to its field, and each duration of unbounded length goes through it. Its users need a lower bound of an age, or a period of grace of seconds.

--- a/packages/heronladder-control/src/heronladder_control/leader_requests.py
+++ b/packages/heronladder-control/src/heronladder_control/leader_requests.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from enum import Enum
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, SilenceWatch, wait_excluding_loop_lag
+from heronladder_runtime.clock import SilenceWatch, duration_ms, wait_excluding_loop_lag
 from heronladder_runtime.cluster_versions import is_allowed, reduce_to_version
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2, resources_pb2
@@ -92,7 +92,7 @@
             remaining_s = elapsed.remaining_s(timeout_s)
             if remaining_s <= 0:
                 return None
-            request.age_ms = int(elapsed.silent_s * MILLISECONDS_PER_SECOND)
+            request.age_ms = duration_ms(elapsed.silent_s)
             if order is not None:
                 order.record_send()
             reply = await self._send_once(request, remaining_s)
--- a/packages/heronladder-control/src/heronladder_control/router_counts.py
+++ b/packages/heronladder-control/src/heronladder_control/router_counts.py
@@ -3,7 +3,7 @@
 import math
 from collections.abc import Iterable
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.clock import MAX_DURATION_MS, MILLISECONDS_PER_SECOND, duration_ms
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
 from heronladder_control.daemon_session import DaemonSession
@@ -90,4 +90,5 @@
         if is_due and self._fleet_started_s is not None:
             session.sent_fleet_start = True
             after_s = session.started_s - self._fleet_started_s
-            frame.started_after_ms = int(after_s * MILLISECONDS_PER_SECOND) + 1
+            # One more than the difference, because 0 means that it is not known.
+            frame.started_after_ms = min(duration_ms(after_s) + 1, MAX_DURATION_MS)
--- a/packages/heronladder-control/src/heronladder_control/sessions.py
+++ b/packages/heronladder-control/src/heronladder_control/sessions.py
@@ -7,7 +7,7 @@
 from typing import Any
 
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, duration_ms
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.rpc_errors import RPC_ERRORS
 from heronladder_schema.v1 import control_pb2
@@ -245,7 +245,7 @@
             session.in_force_sent = in_force
             frame.in_force_revision = in_force
             age_s = self._member.environment.monotonic() - self._member.in_force_since_s
-            frame.in_force_age_ms = int(age_s * MILLISECONDS_PER_SECOND)
+            frame.in_force_age_ms = duration_ms(age_s)
         if session.hold_below_sent < session.hold_below:
             session.hold_below_sent = session.hold_below
             frame.hold_below = session.hold_below
--- a/packages/heronladder-runtime/src/heronladder_runtime/clock.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/clock.py
@@ -11,6 +11,7 @@
 from heronladder_runtime.process_start import boot_time_s
 
 MILLISECONDS_PER_SECOND = 1000
+MAX_DURATION_MS = 2**32 - 1  # longest duration that a 32-bit field of a message holds: 49.7 days
 _MIN_TIMER_S = 0.001  # a shorter timer may be due again at once
 _Result = TypeVar("_Result")
 
@@ -20,6 +21,18 @@
     return milliseconds / MILLISECONDS_PER_SECOND
 
 
+def duration_ms(duration_s: float) -> int:
+    """Return a duration for a 32-bit field of a message, in milliseconds.
+
+    Machines and processes run for longer than such a field holds; a longer duration counts as the
+    longest one, and a negative one as none.
+
+    Args:
+        duration_s: The duration, in seconds; may be infinite.
+    """
+    return int(min(max(0.0, duration_s) * MILLISECONDS_PER_SECOND, MAX_DURATION_MS))
+
+
 def _system_wall_ms() -> int:
     return int(time.time() * MILLISECONDS_PER_SECOND)
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -5,7 +5,7 @@
 
 from heronladder_schema.v1 import control_pb2, ledger_pb2
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, SilenceWatch
+from heronladder_runtime.clock import SilenceWatch, duration_ms
 from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_runtime.config_packing import PartJoiner
 from heronladder_runtime.errors import HeronladderError
@@ -37,7 +37,7 @@
         daemon=record,
         applied_revision=revision,
         acts_past_lease=acts_past_lease,
-        process_age_ms=int(age_s * MILLISECONDS_PER_SECOND),
+        process_age_ms=duration_ms(age_s),
         highest_version=LATEST_VERSION,
     )
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/replica_limit.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/replica_limit.py
@@ -10,7 +10,7 @@
 
 from heronladder_schema.v1 import control_pb2
 
-from heronladder_runtime.clock import MILLISECONDS_PER_SECOND
+from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, duration_ms
 
 #: Reports whose ages differ by less count as simultaneous, because they travelled over connections
 #: of different delay. The value exceeds the round trip within a region.
@@ -81,7 +81,7 @@
         now_s: Current time on the clock of ``observed_s``, in seconds.
     """
     replica, start_ms = incarnation
-    age_ms = int(max(0.0, now_s - report.observed_s) * MILLISECONDS_PER_SECOND)
+    age_ms = duration_ms(now_s - report.observed_s)
     message = control_pb2.ReplicaLimit(replica=replica, start_ms=start_ms, age_ms=age_ms)
     if report.per_s is None:
         message.ended = True
--- a/tests/test_leader_terms.py
+++ b/tests/test_leader_terms.py
@@ -19,9 +19,10 @@
 _MEMBER = "control-0"
 _ROUTER = "front-1"
 _SETTLE_S = 3.0
+_CONNECT_S = 20.0
 
 
-class _Pair:
+class Pair:
     """A control group of one member, and one router."""
 
     def __init__(self) -> None:
@@ -51,7 +52,8 @@
     async def start(self) -> None:
         await self.member.start()
         self.link.start()
-        await self.link.wait_fresh()
+        async with asyncio.timeout(_CONNECT_S):
+            await self.link.wait_fresh()
         await asyncio.sleep(_SETTLE_S)
 
     async def lead_again(self) -> None:
@@ -70,7 +72,7 @@
         """Guards against prepaid tenants that are refused until the next change of leader."""
 
         async def scenario() -> None:
-            pair = _Pair()
+            pair = Pair()
             await pair.start()
             earlier = pair.member.sessions[_ROUTER]
             await pair.lead_again()
