Derive the time since a revision is in force from the state

Callers would see 503 `configuration_behind` at a gateway that lags by one change, right after a change of leader: the gateway is told that the revision has been in force since the machine's start, and the period in which it may still act is over at once. Shown by a test, not by a caller.

Waits for the revision were not woken either.

--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -94,14 +94,15 @@
             SessionServices(self.promise_notes, self.rollouts, self.fleet_service, self.allotments),
         )
         self.consensus_service = ConsensusService(self.node)
+        self._noted_in_force = 0
         self.state.listeners.append(self._applied)
-        self.state.restored = self._check_group_name
+        self.state.restored = self._restored
         self.state.refused = self._report_refusal
 
     async def start(self) -> None:
         """Start the consensus node and the member's background tasks."""
         await self.node.start()
-        self._check_group_name()
+        self._restored()  # the snapshot in the data folder, if there is one
         self.tasks.start("leader_chores", self._run_leader_tasks())
         self.tasks.start("promise_notes", self.promise_notes.run())
 
@@ -112,6 +113,18 @@
         await self.tasks.stop()
         await self.node.stop()
 
+    def _restored(self) -> None:
+        """Act on a state that a snapshot replaced."""
+        self._check_group_name()
+        self._note_in_force()
+
+    def _note_in_force(self) -> None:
+        """Note when this member learned of the revision in force, by an entry or a snapshot."""
+        if self.state.in_force_revision > self._noted_in_force:
+            self._noted_in_force = self.state.in_force_revision
+            self.in_force_since_s = self.environment.monotonic()
+            self.in_force_changed.notify_waiters()
+
     def _applied(self, command: control_pb2.Command, result: control_pb2.CommandResult) -> None:
         body = command.WhichOneof("body")
         if body == "name_group":
@@ -124,8 +137,7 @@
                 index=self.state.applied_index,
             )
         if body == "set_in_force":
-            self.in_force_since_s = self.environment.monotonic()
-            self.in_force_changed.notify_waiters()
+            self._note_in_force()
         self.fleet_service.applied(command, result)
         self.refusals.applied(command, is_leader=self.node.is_leader)
         if not self.node.is_leader:
