Hold prepaid tokens whatever a caller states about its request

Cause: what a caller states was taken for what its request costs. Bounds that could not be read made the request a plain one, without a reservation; the stated numbers bounded the charge, and nothing bounded the stream.

Why it works: where the tenant is limited and the service has engines, one function returns the most that a request may cost, from values that cannot lower it: bounds and parts stated once, as ASCII digits, or 400 before anything runs; a prompt of at least the sum of its parts; an output in whole events. The stream buffer releases no event beyond what was reserved, and the stream is then broken off, never ended as if it were complete.

--- a/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
@@ -38,6 +38,10 @@
     """A stream that was started cannot be completed; the caller's connection must be aborted."""
 
 
+class OutputLimitError(StreamBrokenError):
+    """A stream holds more tokens than its request stated and reserved."""
+
+
 class RunFailedError(HeronladderError):
     """The replica ran the request and failed.
 
--- a/packages/heronladder-router/src/heronladder_router/cached_prompt_parts.py
+++ b/packages/heronladder-router/src/heronladder_router/cached_prompt_parts.py
@@ -3,6 +3,8 @@
 from collections import OrderedDict
 from dataclasses import dataclass
 
+from heronladder_router.token_counts import parse_token_count
+
 # Fraction of a replica's memory that holds cached parts; the rest is for running requests.
 _CACHE_FRACTION = 0.6
 
@@ -30,11 +32,12 @@
     parts = []
     prefix = ""
     for piece in filter(None, text.split(",")):
-        name, colon, tokens = piece.strip().rpartition(":")
-        if not colon or not tokens.isdigit():
+        name, colon, tokens_text = piece.strip().rpartition(":")
+        tokens = parse_token_count(tokens_text)
+        if not colon or tokens is None:
             return []
         prefix = f"{prefix}/{name}"
-        parts.append(PromptPart(prefix, int(tokens)))
+        parts.append(PromptPart(prefix, tokens))
     return parts
 
 
--- a/packages/heronladder-router/src/heronladder_router/event_stream.py
+++ b/packages/heronladder-router/src/heronladder_router/event_stream.py
@@ -1,21 +1,30 @@
 """Splits a server-sent event stream into complete events and counts them."""
 
+import re
+
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_EVENT = re.compile(rb".*?(?:\r\n\r\n|\n\n)", re.DOTALL)
 _ID_FIELD = b"id:"
 
 
 class EventStreamBuffer:
     """Buffers chunks of a stream and releases complete events; a partial event stays buffered.
 
+    Args:
+        max_events: Number of events to release at the most; None without a limit.
+
     Attributes:
         events: Number of complete events released so far.
         last_id: Value of the newest ``id`` field; empty before the first.
+        is_over: Whether an event beyond the limit was received.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, max_events: int | None = None) -> None:
         self._buffer = bytearray()
+        self._max_events = max_events
         self.events = 0
         self.last_id = ""
+        self.is_over = False
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the buffered bytes up to the end of the last complete event."""
@@ -23,8 +32,16 @@
         end = self._last_event_end()
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
-        if complete:
-            self._count_events(complete)
+        if not complete:
+            return complete
+        ids = _event_ids(complete)
+        if self._max_events is not None and self.events + len(ids) > self._max_events:
+            self.is_over = True
+            complete = _first_events(complete, self._max_events - self.events)
+            ids = _event_ids(complete)
+        if ids:
+            self.events += len(ids)
+            self.last_id = ids[-1]
         return complete
 
     def _last_event_end(self) -> int:
@@ -35,12 +52,6 @@
         ]
         return max(ends, default=0)
 
-    def _count_events(self, complete: bytes) -> None:
-        for line in complete.splitlines():
-            if line.startswith(_ID_FIELD):
-                self.events += 1
-                self.last_id = line[len(_ID_FIELD) :].strip().decode("latin-1")
-
     @property
     def at_event_boundary(self) -> bool:
         """Whether the stream so far ends with a complete event."""
@@ -49,3 +60,23 @@
     def discard_partial_event(self) -> None:
         """Discard the buffered partial event after its stream broke."""
         self._buffer.clear()
+
+
+def _event_ids(complete: bytes) -> list[str]:
+    """Return the values of all ``id`` fields of complete events."""
+    return [
+        line[len(_ID_FIELD) :].strip().decode("latin-1")
+        for line in complete.splitlines()
+        if line.startswith(_ID_FIELD)
+    ]
+
+
+def _first_events(complete: bytes, count: int) -> bytes:
+    """Return complete events up to the last one before the number of ids exceeds a count."""
+    kept = bytearray()
+    for event in _EVENT.findall(complete):
+        count -= len(_event_ids(event))
+        if count < 0:
+            break
+        kept += event
+    return bytes(kept)
--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -27,6 +27,7 @@
 from heronladder_router.decisions.region_choice import RegionChoice
 from heronladder_router.dispatch_logging import log_attempt, log_request_end, log_retry_refused
 from heronladder_router.errors import BehindError, CrashesReplicasError
+from heronladder_router.event_stream import EventStreamBuffer
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_refusals import GatewayRefusals, time_limit_error
 from heronladder_router.gateway_request import GatewayRequest, ResponseSink
@@ -126,7 +127,8 @@
         self._context.replicas.limits.requested(request.profile.service)
         self._refuse_unplaceable(request)
         reservation = await self._tokens.reserve(request)
-        progress = ResponseProgress(origin=origin)
+        cutter = EventStreamBuffer(self._tokens.max_events(request))
+        progress = ResponseProgress(cutter=cutter, origin=origin)
         try:
             async with asyncio.timeout_at(request.deadline_s):
                 await self._context.slot_queue.admit(request)
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -9,37 +9,12 @@
 from heronladder_router.host_routes import MatchedRoute
 from heronladder_router.replica_state import RequestProfile
 from heronladder_router.request_fingerprint import compute_fingerprint
+from heronladder_router.token_bounds import TokenBounds
 
 Headers = list[tuple[str, str]]
 _MAX_PARTS = 64  # of a prompt that crashes can be held against
 
 
-@dataclass(frozen=True)
-class TokenBounds:
-    """Bounds on the tokens of a request.
-
-    Attributes:
-        prompt: Tokens of the prompt.
-        max_output: Most tokens that may be generated.
-    """
-
-    prompt: int
-    max_output: int
-
-    @property
-    def total(self) -> int:
-        """Most tokens the request can cost."""
-        return self.prompt + self.max_output
-
-
-def parse_token_bounds(text: str) -> TokenBounds | None:
-    """Parse "PROMPT,OUT"; return None if the text is malformed."""
-    prompt, comma, max_output = text.partition(",")
-    if not (comma and prompt.strip().isdigit() and max_output.strip().isdigit()):
-        return None
-    return TokenBounds(int(prompt), int(max_output))
-
-
 @dataclass
 class GatewayRequest:
     """One request of a caller.
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -32,12 +32,16 @@
 from heronladder_router.gateway_request import (
     GatewayRequest,
     ReplicaResponse,
-    TokenBounds,
-    parse_token_bounds,
 )
 from heronladder_router.hop_by_hop_headers import is_hop_by_hop_header
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
 from heronladder_router.replica_state import RequestProfile
+from heronladder_router.token_bounds import (
+    TokenBounds,
+    TokenBoundsError,
+    charged_bounds,
+    parse_token_bounds,
+)
 
 _DEFAULT_BODY_BYTES = 4 * 1024 * 1024
 _LOWEST_PRIORITY = 9
@@ -161,6 +165,7 @@
         except CallerError as error:
             return self._error_response(request, error)
         except StreamBrokenError as error:
+            self._metrics.add("gateway_streams_broken", error.step)
             self._log.warning(
                 "stream_broken", step=error.step, request_id=error.peer, why=error.message
             )
@@ -233,8 +238,8 @@
         arrived_s: float,
     ) -> GatewayRequest:
         headers = request.headers
-        bounds = parse_token_bounds(headers.get(self._names.token_bounds, ""))
         service = self._routes.choose_service(matched.route, self._environment.random)
+        bounds = self._token_bounds(request, service, matched)
         return GatewayRequest(
             request_id=headers.get(self._names.request_id, ""),
             method=request.method,
@@ -252,6 +257,27 @@
             resumes=headers.get(self._names.resumes, ""),
         )
 
+    def _token_bounds(
+        self, request: web.BaseRequest, service: str, matched: MatchedRoute
+    ) -> TokenBounds | None:
+        """Return the token bounds of a request; None for a plain request.
+
+        Raises:
+            InvalidRequestError: If the tenant's tokens are limited and the request does not state
+                what it may cost.
+        """
+        stated = request.headers.getall(self._names.token_bounds, [])
+        declared = self._routes.services.get(service)
+        is_limited = matched.tenant is not None and matched.tenant.limited
+        if not is_limited or declared is None or not declared.HasField("engine"):
+            return parse_token_bounds(stated[0]) if stated else None
+        parts = request.headers.getall(self._names.prompt_parts, [])
+        try:
+            return charged_bounds(stated, parts, declared.engine.tokens_per_event)
+        except TokenBoundsError as error:
+            names = f"{self._names.token_bounds}, {self._names.prompt_parts}"
+            raise InvalidRequestError(f"{names}: {error}", step=_STEP) from None
+
     @staticmethod
     def _build_profile(
         service: str, parts: str, bounds: TokenBounds | None, matched: MatchedRoute
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -12,6 +12,7 @@
     HeldBackError,
     NotReachedError,
     NotRunError,
+    OutputLimitError,
     ResponseProgress,
     RunFailedError,
     RunLostError,
@@ -160,7 +161,7 @@
             raise ConnectionEndedError(
                 repr(error), step="read_answer", peer=replica.name
             ) from error
-        except asyncio.CancelledError:
+        except (asyncio.CancelledError, OutputLimitError):
             if seen is not None:
                 seen.given_up(self._environment.monotonic())
             raise
@@ -333,6 +334,12 @@
                     parts_served = True
                     self.on_parts_served(request)
                 await _forward(self._write(response, sink, complete_events), seen)
+            if cutter.is_over:
+                raise OutputLimitError(
+                    f"ended after {cutter.events} events, all that the request reserved",
+                    step="output_limit",
+                    peer=request.request_id,
+                )
         if not cutter.at_event_boundary:
             raise ConnectionEndedError("stream ended in the middle of an event", step="read_stream")
         if not sink.started:
--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -3,11 +3,13 @@
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.control_link import ControlLink
 from heronladder_runtime.logs import EventLog
+from heronladder_schema.v1 import resources_pb2
 
 from heronladder_router.attempt_outcomes import ResponseProgress
 from heronladder_router.errors import CallerError
 from heronladder_router.gateway_request import GatewayRequest
 from heronladder_router.host_routes import HostRouteTable
+from heronladder_router.token_bounds import TokenBounds
 from heronladder_router.tokens.access import Reservation, TokenAccess
 
 _TOKENS_AFTER_DISCONNECT = 40  # that an engine may generate before it notices a closed connection
@@ -76,24 +78,48 @@
                 tenant, request.bounds.total, wait_s, request.request_id
             )
         except CallerError as error:
-            self._log.info(
-                "tokens_refused",
-                step=error.step,
-                peer=tenant.name,
-                request_id=request.request_id,
-                wanted=request.bounds.total,
-                limit=tenant.prepaid_tokens,
-                held=self._tokens.describe_balance(tenant.name),
-                version=request.matched.version,
-                code=error.code,
-            )
+            self._log_refusal(request, tenant, request.bounds, error)
             raise
 
+    def _log_refusal(
+        self,
+        request: GatewayRequest,
+        tenant: resources_pb2.PrepaidTenant,
+        bounds: TokenBounds,
+        error: CallerError,
+    ) -> None:
+        self._log.info(
+            "tokens_refused",
+            step=error.step,
+            peer=tenant.name,
+            request_id=request.request_id,
+            wanted=bounds.total,
+            limit=tenant.prepaid_tokens,
+            held=self._tokens.describe_balance(tenant.name),
+            version=request.matched.version,
+            code=error.code,
+        )
+
     def _remote_control_allowance_s(self) -> float:
         """Return the additional wait for tokens if control is in another region, in seconds."""
         additional_s = max(0.0, self._link.min_round_trip_s - _LOCAL_ROUND_TRIP_S)
         return min(_MAX_REMOTE_CONTROL_S, _RESERVE_ROUND_TRIPS * additional_s)
 
+    def max_events(self, request: GatewayRequest) -> int | None:
+        """Return how many events of a stream the reservation of a request covers.
+
+        Returns:
+            The number; None if the request is not limited by prepaid tokens.
+        """
+        tenant = request.matched.tenant
+        if tenant is None or not tenant.limited or request.bounds is None:
+            return None
+        return request.bounds.max_output // max(1, self._tokens_per_event(request))
+
+    def _tokens_per_event(self, request: GatewayRequest) -> int:
+        service = self._routes.services.get(request.profile.service)
+        return service.engine.tokens_per_event if service is not None else 0
+
     def used(self, request: GatewayRequest, progress: ResponseProgress) -> int:
         """Return the upper bound on the tokens that the tenant received.
 
@@ -107,8 +133,7 @@
         bounds = request.bounds
         if bounds is None or not progress.success_delivered:
             return 0
-        service = self._routes.services.get(request.profile.service)
-        per_event = service.engine.tokens_per_event if service is not None else 0
+        per_event = self._tokens_per_event(request)
         if not (per_event and progress.cutter.events):
             return bounds.total  # a complete response, without a token count
         output = progress.cutter.events * per_event
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -204,6 +204,8 @@
 }
 
 METRIC_MEANINGS = {
+    "gateway_streams_broken": "Streams that a gateway broke off: `give_up` (no replica can go on"
+    " with it) or `output_limit` (more tokens than the request stated).",
     "loop_late": "How late the event loop came to a timer, of 10 a second, if by over 10 ms.",
     "crashes_reported": "Crashes of replicas that gateways told control.",
     "crash_reports_failed": "Such words that control did not take in time.",
