Refuse at once what is more than a tenant's whole prepaid tokens

Cause: a request that no balance can ever cover still went through the reservation: it counted towards the tenant's rate, asked lenders for loans, and raised ValueError where a sum left its field.

Read in the code: `note_demand` comes before the loan is asked for.

Why it works: the comparison with the limit comes first and touches nothing.

Measured: test_stated_tokens asks for 2^31, 2^63 - 1, 2^63, 2^64 - 1 and 10^40 tokens, of prompt and of output: 402 each time, nothing runs, the tenant's rate stays 0.

--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -6,7 +6,7 @@
 from heronladder_schema.v1 import resources_pb2
 
 from heronladder_router.attempt_outcomes import ResponseProgress
-from heronladder_router.errors import CallerError
+from heronladder_router.errors import CallerError, PrepaidExhaustedError
 from heronladder_router.gateway_request import GatewayRequest
 from heronladder_router.host_routes import HostRouteTable
 from heronladder_router.token_bounds import TokenBounds
@@ -64,6 +64,14 @@
         tenant = request.matched.tenant
         if tenant is None or not tenant.limited or request.bounds is None:
             return None
+        if request.bounds.total > tenant.prepaid_tokens:
+            error = PrepaidExhaustedError(
+                f"{request.bounds.total} tokens are more than the tenant's {tenant.prepaid_tokens}",
+                step="reserve_prepaid",
+                peer=tenant.name,
+            )
+            self._log_refusal(request, tenant, request.bounds, error)
+            raise error
         left_s = request.deadline_s - self._environment.monotonic()
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
         wait_s = (
--- a/tests/test_stated_tokens.py
+++ b/tests/test_stated_tokens.py
@@ -141,6 +141,17 @@
         self.assertEqual(outcome, Outcome(200, 3, False))
         self.assertEqual(self.spent, _PROMPT + 3 * _TOKENS_PER_EVENT)
 
+    async def test_request_above_the_limit_is_refused_at_once(self) -> None:
+        """Guards against rates and loans that a request without a limit on its tokens distorts."""
+        for number in (2**31, 2**63 - 1, 2**63, 2**64 - 1, 10**40):
+            for stated in (f"1500,{number}", f"{number},50"):
+                with self.subTest(stated=stated):
+                    self.assertEqual((await self._ask(stated)).status, 402)
+        self.assertEqual(self.received, [])
+        assert self.fleet.gateway.gateway is not None
+        balance = self.fleet.gateway.gateway.tokens.held._balances["tenant-a"]
+        self.assertEqual((balance.rate, balance._interval_tokens, balance.reserved), (0.0, 0, 0))
+
 
 class TokenBoundsTest(unittest.TestCase):
     def test_numbers_are_bounded(self) -> None:
