Keep the link to control when only its stream is cancelled

Cause: when the frames that a daemon sends end by an error, gRPC cancels the call, without a line in the log. The task of the link took this CancelledError for a cancellation of its own and ended.

Why it works: `Task.cancelling()` tells whether the task itself was asked to end; otherwise the stream failed, and the link connects again as after any lost stream. The error is logged as `frames_failed` with its cause.

--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -30,7 +30,7 @@
 from heronladder_runtime.order_dispatch import dispatch_orders
 from heronladder_runtime.rpc import StubFactory
 from heronladder_runtime.rpc_errors import RPC_ERRORS
-from heronladder_runtime.tasks import TaskGroupOwner
+from heronladder_runtime.tasks import TaskGroupOwner, is_cancelled
 
 _RECONNECT_PAUSE_S = 0.1
 
@@ -220,7 +220,7 @@
         self.min_round_trip_s = 0.0
         self.first_frame_s = float("inf")
         stub = self._stubs.control(address, slow_connect=connect_time_s > LONG_CONNECT_TIME_S)
-        stream = stub.Session(self._frames(session))
+        stream = stub.Session(session.log_errors(self._frames(session), self._log))
         watchdog = self._tasks.start("watchdog", self._watch_silence(session, stream))
         try:
             async for frame in stream:
@@ -237,10 +237,10 @@
                     return
                 self._handle_frame(session, frame)
         except asyncio.CancelledError:
-            # gRPC also raises this here if only the stream was cancelled, by the watchdog.
-            if not session.cancelled_for_silence:
+            # gRPC also raises this here if only the stream was cancelled.
+            if is_cancelled(asyncio.current_task()):
                 raise
-            raise TimeoutError("control sent no frame in time") from None
+            raise session.cancellation_error() from None
         finally:
             watchdog.cancel()
             self._last_loop_lag_ms = session.received.silence().late_ms
--- a/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/link_session.py
@@ -1,6 +1,7 @@
 """State of one stream to control, and commands that wait for a result."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from dataclasses import dataclass, field
 
 from heronladder_schema.v1 import control_pb2, ledger_pb2
@@ -9,6 +10,7 @@
 from heronladder_runtime.cluster_versions import LATEST_VERSION
 from heronladder_runtime.config_packing import PartJoiner
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.logs import EventLog
 
 _MAX_MISSED_HEARTBEATS = 3  # heartbeat intervals without a frame, after which a stream is closed
 # Upper bound of the factor on the timeout of a new stream, which grows with the number of streams
@@ -70,6 +72,7 @@
         heartbeat_due: Whether a heartbeat is to be sent; initially set, because a new leader does
             not know which revision the daemon holds.
         closed: Whether the stream has ended.
+        frames_error: Error that ended the frames to send, if there was one.
         cancelled_for_silence: Whether the daemon cancelled the stream because control was silent.
         connect_time_s: Connect time of the last probe in seconds; 0 if there was none.
         has_frame: Whether a frame has arrived on the stream.
@@ -84,10 +87,29 @@
     parts_acknowledged: int = 0
     heartbeat_due: bool = True
     closed: bool = False
+    frames_error: Exception | None = None
     cancelled_for_silence: bool = False
     connect_time_s: float = 0.0
     has_frame: bool = False
 
+    async def log_errors(
+        self, frames: AsyncIterator[control_pb2.DaemonFrame], log: EventLog
+    ) -> AsyncIterator[control_pb2.DaemonFrame]:
+        """Yield the frames to send; log the error that ends them, for which gRPC only cancels."""
+        try:
+            async for frame in frames:
+                yield frame
+        except Exception as error:
+            self.frames_error = error
+            log.error("frames_failed", step="frames", error=repr(error))
+            raise
+
+    def cancellation_error(self) -> Exception:
+        """Return the error for a stream that was cancelled while its task was not."""
+        if self.cancelled_for_silence:
+            return TimeoutError("control sent no frame in time")
+        return ConnectionError(f"stream cancelled: {self.frames_error!r}")
+
     def record_frame(self) -> None:
         """Record that a frame from control arrived."""
         self.received.record_activity()
--- a/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
@@ -9,6 +9,14 @@
 _CANCEL_RETRY_INTERVAL_S = 0.5
 
 
+def is_cancelled(task: asyncio.Task[Any] | None) -> bool:
+    """Return whether a task was asked to end.
+
+    ``CancelledError`` alone does not show it: a call that the task awaits may have been cancelled.
+    """
+    return task is not None and task.cancelling() > 0
+
+
 class TaskGroupOwner:
     """Owns the background tasks of one component and logs those that fail.
 
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,6 +21,7 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
+    "frames_failed": "An error ended the frames that a daemon sends to control; it connects again.",
     "replica_signals": "An answer of a replica asks for back-off (`Retry-After` of a refusal),"
     " says that the replica leaves, or says one of them in a way that cannot be read.",
     "leave_reported": "A replica said in an answer that it leaves; control takes it for draining.",
