Bound the charge of a lost gateway by what it holds

Cause: the charge adds a promise and what the promised rate allows, each a number of 64 bits; the sum did not fit into the command that closes the account.

Why it works: an account is never charged more than its holder holds, which is applied in any case; bounding the charge by it in the command keeps the sum in its field.

--- a/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
+++ b/packages/heronladder-control/src/heronladder_control/prepaid_watch.py
@@ -203,9 +203,8 @@
             entry = self._find_entry(account, holder)
             if entry is not None and entry.HasField("promise"):
                 promise = entry.promise
-                order.charges[account.tenant] = (
-                    promise.most + 1 + rate_allowance(promise.pace, silent_s)
-                )
+                spent = promise.most + 1 + rate_allowance(promise.pace, silent_s)
+                order.charges[account.tenant] = min(spent, entry.granted - entry.returned)
         return order
 
     def loss_evidence(self, holder: HolderKey) -> LossEvidence:
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -326,6 +326,12 @@
         self.table.close(self.watch.close_command(("a", "3"), self.table))
         self.assertEqual(self.table.accounts[_TENANT].closed_charge, 300)
 
+    def test_charge_never_leaves_its_field(self) -> None:
+        """Guards against a leader whose tasks end while a gateway's account is closed."""
+        self._record_heartbeat(100_000, 2**64 - 1)
+        self._note_successor("2")
+        self.assertEqual(self._charge(), 300)
+
     def test_end_before_last_contact_proves_nothing(self) -> None:
         """Guards against the least charge where the evidence contradicts itself."""
         self._record_heartbeat(100_000, 60)
