Start background tasks again that others rely on

Cause: `TaskGroupOwner` logs a task that fails. It does nothing about a task that returns, or that ends by the cancellation of a call that it awaits, and starts none again.

Why it works: `keep_running` starts a task again until its owner stops it or the work says that it may end. The cause of each other end is logged and counted by task (`required_task_ends`). A cancellation is the owner's only if the task itself was asked to end.

--- a/packages/heronladder-agent/src/heronladder_agent/engine_control.py
+++ b/packages/heronladder-agent/src/heronladder_agent/engine_control.py
@@ -225,7 +225,7 @@
 
     def start(self) -> None:
         """Start the task that sends orders and polls the load."""
-        self._tasks.start("engine_keeper", self._run())
+        self._tasks.keep_running("engine_keeper", self._run)
 
     async def stop(self) -> None:
         """Stop the task and close the connections to the engine."""
--- a/packages/heronladder-agent/src/heronladder_agent/role.py
+++ b/packages/heronladder-agent/src/heronladder_agent/role.py
@@ -110,8 +110,8 @@
     async def start(self) -> None:
         """Connect to control and start the background tasks."""
         self.link.start()
-        self._tasks.start("send_records", self.held_bills.run(self.link))
-        self._tasks.start("expire_answers", self._expire_answers())
+        self._tasks.keep_running("send_records", lambda: self.held_bills.run(self.link))
+        self._tasks.keep_running("expire_answers", self._expire_answers)
         if self.engine is not None:
             self.engine.start()
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -45,6 +45,11 @@
         self._own_member = own_member
         self.contacts = contacts
 
+    @property
+    def may_request(self) -> bool:
+        """Whether this member may request to join; otherwise only an operator adds it."""
+        return self._own_member is not None
+
     async def run(self) -> None:
         """Send join requests whenever no leader was heard from for ``_LEADER_SILENCE_S``."""
         if self._own_member is None:
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -5,7 +5,9 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from enum import Enum
+from typing import Any
 
 from heronladder_runtime.change_signal import ChangeSignal
 from heronladder_runtime.clock import Environment
@@ -107,6 +109,10 @@
         """Whether this member is the leader of a term, and has not led a later one since."""
         return self.is_leader and self.term == term
 
+    def term_ended(self, term: int) -> bool:
+        """Whether this member no longer leads in a term that it led."""
+        return not self.leads(term)
+
     @property
     def highest_version(self) -> int:
         """Highest cluster version that this build supports."""
@@ -151,6 +157,24 @@
         if not self.is_leader or self.failure is not None:
             raise NotLeaderError("this member is not the leader", step=step, peer=self.leader)
 
+    def keep_running_in_term(
+        self,
+        name: str,
+        work: Callable[[int], Coroutine[Any, Any, None]],
+        may_end: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Run a task of the leader until the current term ends.
+
+        Args:
+            name: Name of the task.
+            work: Starts the work of a term.
+            may_end: Whether the work may end before its term.
+        """
+        term = self.term
+        self.tasks.keep_running(
+            name, lambda: work(term), may_end=lambda: not self.leads(term) or may_end()
+        )
+
     # ---- log and disk -----------------------------------------------------
 
     def append_as_leader(
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -28,11 +28,11 @@
         """Start the member checks; changes wait until the first entry of the term is committed."""
         self._change_index = self._node.log.last_index
         self._leading_since_s = self._node.environment.monotonic()
-        self._node.tasks.start("membership", self._check_members(self._node.term))
+        self._node.keep_running_in_term("membership", self._check_members)
 
     async def _check_members(self, term: int) -> None:
         node = self._node
-        while node.is_leader and node.term == term:
+        while node.leads(term):
             if node.commit_index >= self._change_index:
                 self._repair_one()
             await node.changed.wait(node.timing.heartbeat_s)
@@ -155,7 +155,7 @@
         index = self._change_index
         term = node.term
         while node.commit_index < index:
-            if not node.is_leader or node.term != term:
+            if not node.leads(term):
                 raise NotLeaderError("leadership ended", step="members", peer=node.leader)
             await node.changed.wait()
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -1,8 +1,8 @@
 """One member of a replicated log: assembles its components and applies committed entries."""
 
 import asyncio
-from collections.abc import Callable
-from typing import Generic, TypeVar
+from collections.abc import Callable, Coroutine
+from typing import Any, Generic, TypeVar
 
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.errors import HeronladderError, StorageError
@@ -95,10 +95,15 @@
             self.hard_state.incarnation = self.environment.new_id("member")
             await self._save_identity()
         self.tasks.start("bootstrap", self.bootstrap.run())
-        self.tasks.start("joining", self.joiner.run())
-        self.tasks.start("election", self.election.run())
-        self.tasks.start("flush", self._flush_when_appended())
-        self.tasks.start("apply", self._apply_when_committed())
+        if self.joiner.may_request:
+            self._keep_running("joining", self.joiner.run)
+        self._keep_running("election", self.election.run)
+        self._keep_running("flush", self._flush_when_appended)
+        self.tasks.start("apply", self._apply_when_committed())  # an error ends the member
+
+    def _keep_running(self, name: str, work: Callable[[], Coroutine[Any, Any, None]]) -> None:
+        """Run a task until this member stops or fails."""
+        self.tasks.keep_running(name, work, may_end=lambda: self.failure is not None)
 
     async def _save_identity(self) -> None:
         """Write the identity of a new data folder; retry until the disk accepts it."""
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections import deque
 from dataclasses import dataclass
+from functools import partial
 
 from heronladder_runtime.errors import StorageError
 from heronladder_runtime.rpc_errors import RPC_ERRORS
@@ -69,16 +70,21 @@
         self._peers = {}
         self._leading_since_s = node.environment.monotonic()
         self.start_peer_tasks()
-        node.tasks.start("check_quorum", self._check_quorum(node.term))
+        node.keep_running_in_term("check_quorum", self._check_quorum)
 
     def start_peer_tasks(self) -> None:
         """Start a replication task for each peer that has none yet."""
         node = self._node
-        for member in node.membership().members:
-            if member.name == node.name or member.name in self._peers:
+        for name in [member.name for member in node.membership().members]:
+            if name == node.name or name in self._peers:
                 continue
-            self._peers[member.name] = PeerProgress(next_index=node.log.last_index)
-            node.tasks.start(f"replicate-{member.name}", self._replicate(member.name, node.term))
+            self._peers[name] = PeerProgress(next_index=node.log.last_index)
+            node.keep_running_in_term(
+                f"replicate-{name}", partial(self._replicate, name), partial(self._is_removed, name)
+            )
+
+    def _is_removed(self, name: str) -> bool:
+        return name not in self._peers
 
     async def _check_quorum(self, term: int) -> None:
         """Step down when no quorum has replied within the quorum timeout.
@@ -89,7 +95,7 @@
         node = self._node
         timeout_s = node.timing.quorum_timeout_s
         samples: deque[tuple[float, float]] = deque()  # time, and total loop lag until then
-        while node.is_leader and node.term == term:
+        while node.leads(term):
             await asyncio.sleep(node.timing.heartbeat_s)
             now = node.environment.monotonic()
             samples.append((now, node.environment.loop_lag.total_s()))
@@ -104,7 +110,7 @@
                 for member in voters(node.membership())
                 if member.name == node.name or self._replied_since(member.name, oldest)
             )
-            if replied < node.quorum() and node.is_leader and node.term == term:
+            if replied < node.quorum() and node.leads(term):
                 node.step_down("no contact with a quorum")
 
     def _replied_since(self, name: str, since_s: float) -> bool:
@@ -114,7 +120,7 @@
     async def _replicate(self, name: str, term: int) -> None:
         node = self._node
         progress = self._peers[name]
-        while node.is_leader and node.term == term:
+        while node.leads(term):
             member = find_member(node.membership(), name)
             if member is None:
                 self._peers.pop(name, None)
@@ -203,7 +209,7 @@
         if reply_term > node.term:
             await self._election.observe_leader(reply_term, "")
             return False
-        if not node.is_leader or node.term != term:
+        if not node.leads(term):
             return False
         if progress.incarnation not in ("", incarnation):
             # The peer has a new data folder: the entries acknowledged by the old one are lost.
--- a/packages/heronladder-control/src/heronladder_control/member.py
+++ b/packages/heronladder-control/src/heronladder_control/member.py
@@ -5,6 +5,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 from heronladder_consensus.node import ConsensusNode
@@ -106,8 +107,8 @@
         """Start the consensus node and the member's background tasks."""
         await self.node.start()
         self._restored()  # the snapshot in the data folder, if there is one
-        self.tasks.start("leader_chores", self._run_leader_tasks())
-        self.tasks.start("promise_notes", self.promise_notes.run())
+        self.tasks.keep_running("leader_chores", self._run_leader_tasks)
+        self.tasks.keep_running("promise_notes", self.promise_notes.run)
 
     async def stop(self) -> None:
         """Stop all tasks and close the data folder."""
@@ -178,7 +179,11 @@
                 await self.node.read_barrier()
                 term = self.node.term
                 self._start_term(term)
-                refusal_task = self.tasks.start("refusals", self._propose_crash_refusals(term))
+                refusal_task = self.tasks.keep_running(
+                    "refusals",
+                    partial(self._propose_crash_refusals, term),
+                    may_end=partial(self.node.term_ended, term),
+                )
                 try:
                     await self._run_leader_loop(term)
                 finally:
--- a/packages/heronladder-daemon/src/heronladder_daemon/admin.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/admin.py
@@ -5,6 +5,7 @@
 from aiohttp import web
 from heronladder_runtime.invariants import INVARIANT_COUNTERS
 from heronladder_runtime.metrics import Metrics
+from heronladder_runtime.tasks import REQUIRED_TASK_ENDS
 
 _PROMETHEUS_CONTENT_TYPE = "text/plain"
 
@@ -42,4 +43,8 @@
         pages = [metrics.page() for metrics in self._metrics]
         violations = sum(INVARIANT_COUNTERS.violations.values())
         pages.append(f"heronladder_invariant_violations {violations}\n".encode())
+        pages += [
+            f'heronladder_required_task_ends{{task="{name}"}} {ends}\n'.encode()
+            for name, ends in sorted(REQUIRED_TASK_ENDS.items())
+        ]
         return web.Response(body=b"".join(pages), content_type=_PROMETHEUS_CONTENT_TYPE)
--- a/packages/heronladder-router/src/heronladder_router/platform_watch.py
+++ b/packages/heronladder-router/src/heronladder_router/platform_watch.py
@@ -35,7 +35,7 @@
 
     def start(self) -> None:
         """Start polling."""
-        self._tasks.start("platform_watch", self._run())
+        self._tasks.keep_running("platform_watch", self._run)
 
     async def stop(self) -> None:
         """Stop polling."""
--- a/packages/heronladder-router/src/heronladder_router/settlement_sender.py
+++ b/packages/heronladder-router/src/heronladder_router/settlement_sender.py
@@ -75,7 +75,7 @@
 
     def start(self) -> None:
         """Start sending."""
-        self._tasks.start("settle", self._run())
+        self._tasks.keep_running("settle", self._run)
 
     async def stop(self) -> None:
         """Stop immediately; pending settlements are not sent."""
--- a/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/tokens/held_tokens.py
@@ -67,7 +67,7 @@
 
     def start(self) -> None:
         """Start to return tokens that exceed the target."""
-        self._tasks.start("trim_prepaid", self._trim())
+        self._tasks.keep_running("trim_prepaid", self._trim)
 
     async def stop(self) -> None:
         """Stop all background tasks."""
--- a/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/control_link.py
@@ -101,7 +101,7 @@
 
     def start(self) -> None:
         """Connect, and stay connected until ``stop``."""
-        self._tasks.start("control_link", self._run())
+        self._tasks.keep_running("control_link", self._run, may_end=lambda: bool(self.rejected))
 
     async def stop(self) -> None:
         """Announce that the daemon leaves, then close the stream."""
--- a/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/tasks.py
@@ -1,12 +1,16 @@
 """Ownership of background tasks, which are started by name and stopped together."""
 
 import asyncio
-from collections.abc import Coroutine
+from collections import Counter
+from collections.abc import Callable, Coroutine
 from typing import Any
 
 from heronladder_runtime.logs import EventLog
 
 _CANCEL_RETRY_INTERVAL_S = 0.5
+_RESTART_PAUSE_S = 0.2
+#: Ends of tasks of this process that must run until they are stopped, by name.
+REQUIRED_TASK_ENDS: Counter[str] = Counter()
 
 
 def is_cancelled(task: asyncio.Task[Any] | None) -> bool:
@@ -41,6 +45,44 @@
             task.cancel()
         return task
 
+    def keep_running(
+        self,
+        name: str,
+        work: Callable[[], Coroutine[Any, Any, None]],
+        *,
+        may_end: Callable[[], bool] = lambda: False,
+    ) -> asyncio.Task[None]:
+        """Run a task that others rely on; if it ends, log the cause and start it again.
+
+        Args:
+            name: Name of the task.
+            work: Starts the work.
+            may_end: Whether the work has ended for good when it returns.
+        """
+        return self.start(name, self._run_again(name, work, may_end))
+
+    async def _run_again(
+        self,
+        name: str,
+        work: Callable[[], Coroutine[Any, Any, None]],
+        may_end: Callable[[], bool],
+    ) -> None:
+        while True:
+            cause = "returned"
+            try:
+                await work()
+            except asyncio.CancelledError:
+                if is_cancelled(asyncio.current_task()):
+                    raise
+                cause = "cancelled by something that it waited for"
+            except Exception as error:
+                cause = repr(error)
+            if may_end():
+                return
+            REQUIRED_TASK_ENDS[name] += 1
+            self._log.error("required_task_ended", step=name, error=cause)
+            await asyncio.sleep(_RESTART_PAUSE_S)
+
     def _finished(self, task: asyncio.Task[Any]) -> None:
         self._tasks.discard(task)
         if not task.cancelled() and task.exception() is not None:
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,6 +21,8 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
+    "required_task_ended": "A background task that must run until the process stops has ended, and"
+    " why; it is started again. The metric `required_task_ends` counts this by task.",
     "leader_chore_failed": "A task of the leader ended by an error; the others go on, and it is"
     " tried again. At most one line a second; the metric counts all.",
     "frames_failed": "An error ended the frames that a daemon sends to control; it connects again.",
--- a/tests/test_leader_terms.py
+++ b/tests/test_leader_terms.py
@@ -3,8 +3,6 @@
 import asyncio
 import random
 import unittest
-from collections.abc import Coroutine
-from typing import Any
 
 from heronladder_consensus.timing import ConsensusTiming
 from heronladder_control.member import ControlMember
@@ -64,6 +62,15 @@
         await node.enter_term(node.term + 1, voted_for=node.name)
         node.become_leader()
 
+    async def put_change_in_force(self) -> bool:
+        """Make a change; return whether it comes into force."""
+        resource = resources_pb2.Resource(budget=resources_pb2.Budget(tokens=9, period=1))
+        resource.metadata.name = "b"
+        order = control_pb2.PutResource(kind="budget", resource=resource, any_version=True)
+        result = await self.link.call(control_pb2.Command(put_resource=order))
+        await asyncio.sleep(_SETTLE_S)
+        return self.member.state.in_force_revision >= result.revision
+
     async def stop(self) -> None:
         await self.link.stop()
         await self.member.stop()
@@ -92,19 +99,6 @@
 
 
 class LeaderChoresTest(unittest.TestCase):
-    def _put_change_in_force(self, pair: Pair) -> Coroutine[Any, Any, bool]:
-        """Make a change; return whether it comes into force."""
-
-        async def change() -> bool:
-            resource = resources_pb2.Resource(budget=resources_pb2.Budget(tokens=9, period=1))
-            resource.metadata.name = "b"
-            order = control_pb2.PutResource(kind="budget", resource=resource, any_version=True)
-            result = await pair.link.call(control_pb2.Command(put_resource=order))
-            await asyncio.sleep(_SETTLE_S)
-            return pair.member.state.in_force_revision >= result.revision
-
-        return change()
-
     def test_change_comes_into_force_though_another_chore_fails(self) -> None:
         """Guards against a leader that acknowledges no change after one of its tasks failed."""
 
@@ -117,7 +111,7 @@
 
             pair.member._close_prepaid_holders = fail  # type: ignore[method-assign]
             await asyncio.sleep(_SETTLE_S)
-            self.assertTrue(await self._put_change_in_force(pair))
+            self.assertTrue(await pair.put_change_in_force())
             self.assertTrue(
                 pair.member.metrics.counters["leader_chores_failed", "close_prepaid_holder"]
             )
@@ -152,7 +146,7 @@
             await asyncio.sleep(_SETTLE_S)
             self.assertEqual(given_up, ["front-2"])
             self.assertFalse(member.metrics.counters["leader_chores_failed", "declare_gone"])
-            self.assertTrue(await self._put_change_in_force(pair))
+            self.assertTrue(await pair.put_change_in_force())
             await pair.stop()
 
         run_virtual(scenario())
