Send a replica the target of a request as it came

Cause: the HTTP client builds the request line from a URL object, which drops an empty query and a fragment.

Why it works: the request line is written from the target itself; the URL is used for the address only.

Measured: test_a_target_arrives_as_it_came sends seven targets on pooled and on new connections; two of them arrived changed before, none now.

--- a/packages/heronladder-router/src/heronladder_router/replica_client.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_client.py
@@ -9,6 +9,7 @@
 from heronladder_runtime.errors import HeronladderError
 from yarl import URL
 
+from heronladder_router.exact_target import ExactTargetRequest, request_target
 from heronladder_router.replica_connector import (
     OpenConnections,
     StrictConnector,
@@ -51,6 +52,7 @@
                 connector=StrictConnector(self._open, keep=keep),
                 auto_decompress=False,
                 cookie_jar=aiohttp.DummyCookieJar(),
+                request_class=ExactTargetRequest,
                 skip_auto_headers=_AUTO_HEADERS,
                 timeout=aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S),
                 max_line_size=_MAX_HEADER_BYTES,
@@ -99,6 +101,7 @@
         """
         url = URL(f"http://{address}{target}", encoded=True)
         may_write_head.set(may_write)
+        request_target.set(target)
         if most_open is not None and not may_run_twice:
             await self._close_excess_idle(address, most_open - 1)
         try:
--- a/tests/test_replica_client.py
+++ b/tests/test_replica_client.py
@@ -52,6 +52,32 @@
             await asyncio.sleep(_SETTLE_S)
         return bodies
 
+    async def test_a_target_arrives_as_it_came(self) -> None:
+        """Guards against `GET /x?` that reaches a replica as `GET /x`."""
+        targets: list[str] = []
+
+        async def record(replica: StandInReplica, received: Received) -> bytes:
+            targets.append(received.target)
+            return answer(received)
+
+        replica = StandInReplica("i-1", record)
+        await replica.start()
+        self.addAsyncCleanup(replica.stop)
+        sent = ["/x?", "/x", "/x?a=%2f&b=+", "//x/../y", "/x#y", "/%zz?%", "/x??"]
+        for may_run_twice in (True, False):
+            for number, target in enumerate(sent):
+                response = await self.client.send(
+                    replica.address,
+                    "GET",
+                    target,
+                    [("Request-Id", f"request-{number}")],
+                    b"",
+                    may_run_twice=may_run_twice,
+                )
+                await response.read()
+                response.close()
+        self.assertEqual(targets, sent * 2)
+
     async def test_an_expiring_connection_is_not_used(self) -> None:
         """If a request crosses the close of its connection, it is unknown whether it ran."""
 
