Refuse a deadline that is no finite number

Callers saw: 500 for a deadline of `-inf`, and a request without a limit of its own for `nan`.

Cause: `float` reads both; a time that is not finite cannot be told in milliseconds, and a comparison with `nan` is false.

Measured: the test failed before for `nan`, `inf` (both run) and `-inf` (500), and passes now.

--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import math
 
 from aiohttp import web
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -298,11 +299,14 @@
         requested_ms = request.headers.get(self._names.deadline_ms)
         if requested_ms is not None:
             try:
-                limit_ms = min(limit_ms, float(requested_ms))
+                deadline_ms = float(requested_ms)
             except ValueError:
+                deadline_ms = math.nan
+            if not math.isfinite(deadline_ms):
                 raise InvalidRequestError(
                     f"{self._names.deadline_ms}: must be a number of milliseconds", step=_STEP
-                ) from None
+                )
+            limit_ms = min(limit_ms, max(0.0, deadline_ms))
         return arrived_s + limit_ms / MILLISECONDS_PER_SECOND
 
     def _forwarded_headers(
--- a/tests/test_gateway.py
+++ b/tests/test_gateway.py
@@ -66,6 +66,21 @@
         self.assertNotIn("authorization", received.headers)
         self.assertLessEqual(int(received.headers["deadline-ms"]), 900)
 
+    async def test_deadline_that_is_no_number_does_not_run(self) -> None:
+        """Guards against a 500 for a deadline that cannot be added to a time."""
+        replica = await self.fleet.add_replica("i-1", _done)
+        for text in ("nan", "inf", "-inf", "soon", ""):
+            with self.subTest(text=text):
+                got = await self.fleet.request("/safe/a", Deadline_Ms=text)
+                self.assertEqual(got.status, 400)
+        self.assertEqual(replica.received, [])
+        for text in ("-1", "0", "-1e300"):
+            with self.subTest(text=text):
+                self.assertIn(
+                    (await self.fleet.request("/safe/a", Deadline_Ms=text)).status, (503, 504)
+                )
+        self.assertEqual((await self.fleet.request("/safe/a", Deadline_Ms="1e300")).status, 200)
+
     async def test_system_headers_of_a_caller_are_dropped(self) -> None:
         """Callers must not set headers that control the engine.
 
