Give tenants of two tests a limit that holds their requests

Cause: since a request above the whole limit is refused before anything else, two tests of the wait for tokens failed: their tenants had a limit of 1 for 1,100 tokens, and none for 10. The limits are 1,100 and 10 now, the least that reach the wait; no check has changed.

--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -71,7 +71,7 @@
                 bounds=TokenBounds(1000, 100),
                 deadline_s=115.0,
                 matched=SimpleNamespace(
-                    tenant=resources_pb2.PrepaidTenant(name="t", prepaid_tokens=1, limited=True),
+                    tenant=resources_pb2.PrepaidTenant(name="t", prepaid_tokens=1100, limited=True),
                     route=resources_pb2.HostRoute(objective_ms=objective_ms),
                     version=1,
                 ),
--- a/tests/test_region_tokens.py
+++ b/tests/test_region_tokens.py
@@ -152,7 +152,7 @@
     def _reserve(self, tokens: "_RecordingTokens", objective_ms: int, round_trip_s: float) -> None:
         request = SimpleNamespace(
             matched=SimpleNamespace(
-                tenant=SimpleNamespace(limited=True, name="t"),
+                tenant=SimpleNamespace(limited=True, name="t", prepaid_tokens=10),
                 route=SimpleNamespace(objective_ms=objective_ms),
             ),
             bounds=SimpleNamespace(total=10),
