Draw leaders that lead again in the runs of lost gateways

Each leader of the seeded runs was a new member without a memory, and leaders ended after an outage, not before it.

The draws of all other runs are unchanged.

--- a/tests/lending_fleet.py
+++ b/tests/lending_fleet.py
@@ -25,6 +25,7 @@
 )
 
 _EPOCH_MS = 1_800_000_000_000
+_RETURNING_MEMBERS = 3
 
 
 class LendingFleet:
@@ -63,6 +64,9 @@
         self.registered: dict[str, list[str]] = {}  # incarnations of each gateway, in order
         self.control = FakeControl(self.environment, table, 1, self.current, self.registered)
         self.control.start()
+        # If set, draws which of a few members leads next; one may lead again.
+        self.returning_leaders: Random | None = None
+        self._led: dict[int, FakeControl] = {}  # newest term of each such member
         self.wall_clock_offset_s: dict[str, float] = {}  # of each gateway's host
         self.processes: dict[str, GatewayProcess] = {}
         self.requests: dict[str, set[asyncio.Task[str]]] = {}
@@ -157,6 +161,10 @@
         Args:
             earlier_term: An earlier term of the member that leads next; None for a new member.
         """
+        member = 0
+        if self.returning_leaders is not None:
+            member = self.returning_leaders.randrange(_RETURNING_MEMBERS)
+            earlier_term = self._led.get(member)
         snapshot = control_pb2.StateSnapshot()
         self.table.save(snapshot)
         table = DecidedPrepaidTable()
@@ -166,6 +174,7 @@
         self.control = FakeControl(
             self.environment, table, self.term + 1, self.current, self.registered, earlier_term
         )
+        self._led[member] = self.control
         self.control.start()
 
     def set_limit(self, limit: int) -> None:
--- a/tests/lending_run.py
+++ b/tests/lending_run.py
@@ -47,6 +47,9 @@
 _EXHAUSTION_RUN_S = 8.0
 _EXHAUSTION_REQUESTS_PER_BURST = 2
 _RECALL_PROBABILITY = 0.3
+_OTHER_LEADER_PROBABILITY = 0.5  # before an outage, where members lead again
+_LEADER_FIRST_PROBABILITY = 0.5  # the leader ends as the outage begins
+_DELAYS = MessageFaults(delay_s=0.05)
 _CRASH_PROBABILITY = 0.02
 _REGION_PARTITION_PROBABILITY = 0.25  # of all faults
 
@@ -176,18 +179,40 @@
     Raises:
         AssertionError: If tokens were handed out that are not charged.
     """
-    fleet = LendingFleet(Random(seed), ZONES, _LARGE_LIMIT, MessageFaults(delay_s=0.05))
+    return await _run_outages(LendingFleet(Random(seed), ZONES, _LARGE_LIMIT, _DELAYS))
+
+
+async def returning_leaders_run(seed: int) -> LendingFleet:
+    """Run one seed like ``outage_run``, in which a few members lead again and again.
+
+    Raises:
+        AssertionError: If tokens were handed out that are not charged.
+    """
+    fleet = LendingFleet(Random(seed), ZONES, _LARGE_LIMIT, _DELAYS)
+    fleet.returning_leaders = Random(seed)
+    return await _run_outages(fleet)
+
+
+async def _run_outages(fleet: LendingFleet) -> LendingFleet:
     for name in ZONES:
         fleet.start(name)
     requests = asyncio.create_task(traffic(fleet, _OUTAGE_RUN_S, _BUSY_REQUESTS_PER_SECOND, (1.0,)))
     while not requests.done():
         await asyncio.sleep(1.0 + fleet.random.random())
+        if _draws(fleet.returning_leaders, _OTHER_LEADER_PROBABILITY):
+            fleet.restart_control()
+            await asyncio.sleep(1.0)
         await _outage_and_loss(fleet)
     requests.result()
     await fleet.stop()
     return fleet
 
 
+def _draws(source: Random | None, probability: float) -> bool:
+    """Return whether a fault with this probability is drawn; never without a source."""
+    return source is not None and source.random() < probability
+
+
 async def send_bursts(fleet: LendingFleet, requests: int = _REQUESTS_PER_BURST) -> None:
     """Send bursts that exceed the spending promises of holders, until cancelled.
 
@@ -204,6 +229,8 @@
 async def _outage_and_loss(fleet: LendingFleet) -> None:
     disconnected = fleet.random.sample(sorted(ZONES), fleet.random.choice((0, 3, len(ZONES))))
     fleet.partitioned_from_control.update(disconnected)
+    leader_first = _draws(fleet.returning_leaders, _LEADER_FIRST_PROBABILITY)
+    fleet.control.ended = fleet.control.ended or leader_first
     bursts = asyncio.create_task(send_bursts(fleet))
     await asyncio.sleep(fleet.random.choice(_DISCONNECTED_S))
     if fleet.random.random() < _RECONNECT_FIRST_PROBABILITY:
@@ -214,7 +241,7 @@
     for name in lost:
         if name in fleet.processes:
             await fleet.processes[name].crash()
-    if fleet.random.random() < _LEADER_LOST_PROBABILITY:
+    if fleet.random.random() < _LEADER_LOST_PROBABILITY or leader_first:
         fleet.restart_control()
     fleet.partitioned_from_control.clear()
     fleet.wall_clock_offset_s.clear()
@@ -270,8 +297,10 @@
     parser.add_argument("--losses", action="store_true", help="losses during outages only")
     parser.add_argument("--regions", action="store_true", help="two regions and partitions")
     parser.add_argument("--scarce", action="store_true", help="competition for the last tokens")
+    parser.add_argument("--returning", action="store_true", help="members lead again and again")
     options = parser.parse_args()
     run = outage_run if options.losses else region_run if options.regions else random_run
+    run = returning_leaders_run if options.returning else run
     run = exhaustion_run if options.scarce else run
     failed = 0
     for seed in range(options.first, options.first + options.seeds):
--- a/tests/test_prepaid_promises.py
+++ b/tests/test_prepaid_promises.py
@@ -14,7 +14,7 @@
 from heronladder_runtime.prepaid_window import RATE_START_S, WINDOW_VALIDITY_S, rate_allowance
 from heronladder_schema.v1 import control_pb2, resources_pb2
 from lending_process import TENANT
-from lending_run import outage_run
+from lending_run import outage_run, returning_leaders_run
 from prepaid_loss_scenarios import (
     crash_all,
     loss_during_burst,
@@ -70,6 +70,12 @@
     def test_loss_with_promises_not_in_log(self) -> None:
         run_virtual(loss_of_uncommitted_promise())
 
+    def test_random_losses_where_members_lead_again(self) -> None:
+        """Guards against a predecessor that is taken for the successor of a lost gateway."""
+        for seed in (7, 8):
+            with self.subTest(seed=seed):
+                run_virtual(returning_leaders_run(seed))
+
     def test_random_losses_during_silences(self) -> None:
         for seed in range(2):
             with self.subTest(seed=seed):
