--- a/tests/test_required_tasks.py
+++ b/tests/test_required_tasks.py
@@ -49,7 +49,7 @@
         return run_virtual(scenario())
 
     def test_return_error_and_foreign_cancellation(self) -> None:
-        """Guards against a needed task that ends without a line in the log."""
+        """Guards against a required task that ends without a line in the log."""
         ends = REQUIRED_TASK_ENDS["work"]
         with self.assertLogs("heronladder", "ERROR") as logs:
             self.assertEqual(self._ends(None, KeyError("x"), asyncio.CancelledError()), 4)
@@ -61,7 +61,7 @@
 
 
 class ControlMemberTest(unittest.TestCase):
-    def test_member_survives_the_end_of_any_needed_task(self) -> None:
+    def test_member_survives_the_end_of_any_required_task(self) -> None:
         async def scenario(name: str) -> None:
             pair = Pair()
             await pair.start()
@@ -100,7 +100,7 @@
 
 
 class GatewayTest(unittest.IsolatedAsyncioTestCase):
-    async def test_gateway_survives_the_end_of_any_needed_task(self) -> None:
+    async def test_gateway_survives_the_end_of_any_required_task(self) -> None:
         async def serve(replica: StandInReplica, received: Received) -> bytes:
             return answer(received)
 
