--- a/packages/heronladder-router/src/heronladder_router/token_counts.py
+++ b/packages/heronladder-router/src/heronladder_router/token_counts.py
@@ -1,7 +1,6 @@
 """Numbers of tokens that callers state."""
 
-# Largest number of tokens that is told apart from larger ones. Sums over requests, gateways and
-# seconds stay below 2**63.
+# Larger numbers count as this one. Sums over requests, gateways and seconds stay below 2**63.
 MAX_TOKENS = 2**40
 
 
