Log each response that is cut, and each phase of a planned stop

Three hypotheses could not be told apart: a broken stream left two lines without bytes or time, a cancelled handler and a reset of the caller a counter, and the listener's cancellation at the end of the grace only a number of requests.

A handler whose caller left before any head no longer fails on a missing response. No logic of a stop changes.

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -167,6 +167,7 @@
             if replica is None:
                 history.no_replica_reason = placement.reason
                 break
+            sink.replica = replica.name
             self._log_attempt(request, replica, placement, history, progress)
             events_before = progress.cutter.events
             try:
--- a/packages/heronladder-router/src/heronladder_router/gateway_request.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_request.py
@@ -79,9 +79,11 @@
 
     Attributes:
         started: Whether the head of a response was sent.
+        replica: Name of the replica that the request was sent to last.
     """
 
     started: bool
+    replica: str
 
     async def send_complete(self, response: ReplicaResponse) -> None:
         """Send a complete response."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -27,6 +27,7 @@
 from heronladder_router.origins.streams import StreamOrigins
 from heronladder_router.origins.table import OriginTable
 from heronladder_router.placement_settings import PlacementSettings
+from heronladder_router.planned_stop import StopPhase
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_client import ReplicaClient
 from heronladder_router.replica_connections import ReplicaConnections
@@ -306,7 +307,7 @@
             self.server.ready
             and is_connected
             and not is_outdated
-            and not (self.server.draining or self.server.shedding_connections)
+            and not (self.server.stop.asks_to_reconnect or self.server.shedding_connections)
         )
 
     async def drain(
@@ -321,10 +322,10 @@
             stop_accepting: Closes the listener; requests on open connections are rejected.
         """
         start_s = self._environment.monotonic()
-        self.server.draining = True
+        self._enter(StopPhase.NOT_READY)
         await asyncio.sleep(notice_s)
         # New requests on open connections are rejected, so that they do not prolong the drain.
-        self.server.rejecting_requests = True
+        self._enter(StopPhase.REJECTING)
         self.tokens.stop_lending()
         await stop_accepting()
         while self.server.in_flight and self._environment.monotonic() - start_s < grace_s:
@@ -333,6 +334,10 @@
             self.log.error(
                 "planned_stop_cuts_requests", step="drain", requests=self.server.in_flight
             )
+        self._enter(StopPhase.GRACE_OVER if self.server.in_flight else StopPhase.ANSWERED)
+
+    def _enter(self, phase: StopPhase) -> None:
+        self.server.stop.enter(phase, self.server.in_flight, self.server.unsent_bytes)
 
     async def stop(self) -> None:
         """Return all tokens, close the link to control, and stop."""
@@ -341,6 +346,7 @@
                 await self.tokens.return_all(_LOAN_SETTLEMENT_WAIT_S)
         except TimeoutError:
             self.log.warning("stopped_without_control", step="stop")
+        self._enter(StopPhase.TOKENS_RETURNED)
         await self.link.stop()
         await self.abort()
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -17,6 +17,7 @@
 
 from heronladder_router.attempt_outcomes import StreamBrokenError
 from heronladder_router.cached_prompt_parts import parse_prompt_parts
+from heronladder_router.caller_sink import CallerResponseSink
 from heronladder_router.error_response import OUTCOME_HEADER, error_response_body
 from heronladder_router.errors import (
     OUTCOME_HEADER_VALUES,
@@ -30,13 +31,12 @@
 )
 from heronladder_router.gateway_dispatch import GatewayDispatcher
 from heronladder_router.gateway_header_names import GatewayHeaderNames
-from heronladder_router.gateway_request import (
-    GatewayRequest,
-    ReplicaResponse,
-)
+from heronladder_router.gateway_request import GatewayRequest
 from heronladder_router.hop_by_hop_headers import is_hop_by_hop_header
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
+from heronladder_router.planned_stop import PlannedStop
 from heronladder_router.replica_state import RequestProfile
+from heronladder_router.response_cuts import CutCause, ResponseCuts
 from heronladder_router.token_bounds import (
     TokenBounds,
     TokenBoundsError,
@@ -49,57 +49,6 @@
 _STEP = "intake"
 
 
-class _CallerResponseSink:
-    """Sends a response on a caller's connection.
-
-    Args:
-        request: Request of the caller.
-        close_connection: Whether the response asks the caller to close the connection.
-    """
-
-    def __init__(self, request: web.BaseRequest, close_connection: bool) -> None:
-        self._request = request
-        self._close_connection = close_connection
-        self._response: web.StreamResponse | None = None
-        self.started = False
-        self.status = 0
-
-    def _set_head(self, response: ReplicaResponse, web_response: web.StreamResponse) -> None:
-        self.started = True
-        self.status = response.status
-        for name, value in response.headers:
-            web_response.headers.add(name, value)
-        if self._close_connection:
-            web_response.force_close()
-        self._response = web_response
-
-    async def send_complete(self, response: ReplicaResponse) -> None:
-        web_response = web.Response(status=response.status, body=response.body)
-        web_response.headers.clear()
-        self._set_head(response, web_response)
-        await web_response.prepare(self._request)
-        await web_response.write_eof()
-
-    async def start(self, response: ReplicaResponse) -> None:
-        web_response = web.StreamResponse(status=response.status)
-        self._set_head(response, web_response)
-        await web_response.prepare(self._request)
-
-    async def write(self, data: bytes) -> None:
-        assert self._response is not None
-        await self._response.write(data)
-
-    async def finish(self) -> None:
-        assert self._response is not None
-        await self._response.write_eof()
-
-    @property
-    def response(self) -> web.StreamResponse:
-        """The response that was sent; there must be one."""
-        assert self._response is not None
-        return self._response
-
-
 class GatewayServer:
     """Handles callers' requests.
 
@@ -114,10 +63,9 @@
 
     Attributes:
         in_flight: Number of requests being handled.
-        draining: Whether responses ask callers to reconnect because the gateway will stop.
+        stop: Phase of the gateway's planned stop.
         shedding_connections: Whether responses ask callers to reconnect because the gateway is
             behind.
-        rejecting_requests: Whether requests are rejected because the gateway is about to stop.
         ready: Whether control has confirmed a configuration.
     """
 
@@ -139,9 +87,10 @@
         self._metrics = metrics
         self._log = log
         self.in_flight = 0
-        self.draining = False
+        self.stop = PlannedStop(environment, metrics, log)
         self.shedding_connections = False
-        self.rejecting_requests = False
+        self._cuts = ResponseCuts(self.stop, environment, metrics, log)
+        self._unsent: set[asyncio.Transport] = set()
         self.ready = False
         consumed = (
             names.deadline_ms,
@@ -157,11 +106,14 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request and return the response that was sent."""
-        sink = _CallerResponseSink(request, self.draining or self.shedding_connections)
+        transport = request.transport
+        request_id = request.headers.get(self._names.request_id, "")
+        sink = CallerResponseSink(request, self._asks_to_reconnect)
         arrived_s = self._environment.monotonic()
         self.in_flight += 1
         try:
             await self._serve(request, sink, arrived_s)
+            assert sink.response is not None
             return sink.response
         except CallerError as error:
             return self._error_response(request, error)
@@ -170,25 +122,55 @@
             self._log.warning(
                 "stream_broken", step=error.step, request_id=error.peer, why=error.message
             )
-            self._abort_connection(request)
-            return sink.response
-        except (ConnectionResetError, ConnectionAbortedError):
+            self._cuts.record(request_id, sink, arrived_s, CutCause.STREAM_BROKEN, error.step)
+            return self._abort_response(request, sink)
+        except (ConnectionResetError, ConnectionAbortedError) as error:
             self._metrics.add("callers_gone")
-            return sink.response
+            self._cuts.record(request_id, sink, arrived_s, CutCause.CALLER_GONE, repr(error))
+            return self._abort_response(request, sink)
         except HeronladderError as error:
             self._log.error("request_failed", step=error.step, peer=error.peer, why=error.message)
             if sink.started:
-                self._abort_connection(request)
-                return sink.response
+                self._cuts.record(request_id, sink, arrived_s, CutCause.FAILED, error.message)
+                return self._abort_response(request, sink)
             return self._error_response(request, CallerError(error.message, step=error.step))
         except asyncio.CancelledError:
             self._metrics.add("callers_gone")
+            self._cuts.handler_cancelled(request_id, sink, arrived_s)
             raise
         finally:
             self.in_flight -= 1
+            if transport is not None and transport.get_write_buffer_size():
+                self._unsent.add(transport)
             elapsed_s = self._environment.monotonic() - arrived_s
             self._metrics.observe("gateway_request", elapsed_s, str(sink.status))
 
+    @property
+    def unsent_bytes(self) -> int:
+        """Bytes of ended responses that the kernel has not accepted yet."""
+        self._unsent = {one for one in self._unsent if one.get_write_buffer_size()}
+        return sum(one.get_write_buffer_size() for one in self._unsent)
+
+    @property
+    def _asks_to_reconnect(self) -> bool:
+        return self.stop.asks_to_reconnect or self.shedding_connections
+
+    def _abort_response(
+        self, request: web.BaseRequest, sink: CallerResponseSink
+    ) -> web.StreamResponse:
+        """Abort the connection of a response that is incomplete.
+
+        Returns:
+            The response, which the HTTP server expects of its handler.
+
+        Raises:
+            ConnectionResetError: If no response was started.
+        """
+        self._abort_connection(request)
+        if sink.response is None:
+            raise ConnectionResetError("connection ended before a response was started")
+        return sink.response
+
     @staticmethod
     def _abort_connection(request: web.BaseRequest) -> None:
         """Abort the caller's connection, so that a truncated response does not look complete."""
@@ -198,9 +180,9 @@
     # ---- intake -----------------------------------------------------------
 
     async def _serve(
-        self, request: web.BaseRequest, sink: _CallerResponseSink, arrived_s: float
+        self, request: web.BaseRequest, sink: CallerResponseSink, arrived_s: float
     ) -> None:
-        if self.rejecting_requests:
+        if self.stop.rejects_requests:
             raise StoppingError("this gateway is stopping", step=_STEP)
         if not self.ready:
             raise NotReadyError("no configuration received from control yet", step=_STEP)
@@ -380,6 +362,6 @@
         not_run = error.outcome == ledger_pb2.OUTCOME_NOT_RUN
         if error.retry_after_s is not None and not_run:
             response.headers["Retry-After"] = f"{error.retry_after_s:g}"
-        if self.draining or self.shedding_connections:
+        if self._asks_to_reconnect:
             response.force_close()
         return response
--- a/packages/heronladder-tools/src/heronladder_tools/explain.py
+++ b/packages/heronladder-tools/src/heronladder_tools/explain.py
@@ -46,6 +46,7 @@
         "prepaid_holder_closed",
         "daemon_started",
         "daemon_stopping",
+        "stop_phase",
         "cluster_version_held_up",
         "cluster_version_in_force",
         "command_refused",
@@ -89,6 +90,7 @@
     "membership",
     "replica_limit",  # a request that is refused for what all replicas ask names none
     "replica_signals",
+    "stop",
     "zone",
     "version",
     "rollout",
@@ -195,6 +197,22 @@
             break
 
 
+def _cut_sentence(line: LogLine) -> str:
+    """Return in words what a line about a response that was cut says."""
+    told = line.fields
+    text = (
+        f"{told.get('daemon', '')} cut the response ({told.get('cause', '')}:"
+        f" {told.get('why', '')}) {told.get('held_ms', '?')} ms after the request,"
+        f" {told.get('sent_bytes', '?')} bytes of its body were sent"
+    )
+    if told.get("peer"):
+        text += f"; it was at {told['peer']}"
+    since_ms = told.get("since_signal_ms", "None")
+    if since_ms != "None":
+        text += f"; {since_ms} ms after the stop signal, phase {told.get('stop_phase', '?')}"
+    return f"{text}."
+
+
 def explanation_text(found: Explanation) -> str:
     """Return an explanation as text for people."""
     parts = ["What each process believed before:"]
@@ -203,6 +221,8 @@
         parts.extend(f"    {line.text.strip()}" for line in lines)
     parts.append("The request:")
     parts.extend(f"  {line.text.strip()}" for line in found.lines)
+    cuts = [line for line in found.lines if line.fields.get("event") == "response_cut"]
+    parts.extend(_cut_sentence(line) for line in cuts)
     parts.append("Missing:" if found.missing else "Nothing is known to be missing.")
     parts.extend(f"  {what}" for what in found.missing)
     return "\n".join(parts)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -178,6 +178,10 @@
     "start_failed": "A daemon could not start.",
     "stopped_without_control": "Tokens could not be given back in a planned stop.",
     "stream_broken": "An answer that had begun was cut.",
+    "response_cut": "A response ended before its end: by whom (`cause`), the bytes of its body that"
+    " were sent, and the time since the stop signal, if there was one.",
+    "stop_phase": "A gateway enters a phase of its planned stop: the time since the signal, the"
+    " requests in flight, and the bytes of responses that have not left the process.",
     "task_failed": "A background task ended with an error.",
     "tokens_refused": "A tenant's tokens could not be reserved; `held` is what was here.",
     "leave_of_earlier_start": "A deregistration was given an earlier start than the one known, by a"
@@ -244,6 +248,9 @@
     "agent_tokens": "Tokens that engines made.",
     "attached": "Retries that were attached to a first attempt.",
     "callers_gone": "Callers that left before their answer's end.",
+    "responses_cut": "Responses that ended before their end, by cause: `stream_broken`,"
+    " `caller_gone`, `stop`, `failed`.",
+    "planned_stop": "Time from the stop signal to each phase of a gateway's planned stop.",
     "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
     "commands_not_in_force": "Commands refused before they came into the log, since the cluster"
--- a/tests/test_explain.py
+++ b/tests/test_explain.py
@@ -39,6 +39,25 @@
         text = explanation_text(explain_request("r1", [self.gateway]))
         self.assertIn("limit_per_s=1.7", text)
 
+    def test_cut_response_shows_its_cause_and_the_phase_of_the_stop(self) -> None:
+        phase = (
+            "time=2026-01-01T00:00:04.900 event=stop_phase daemon=g1 step=stop phase=rejecting"
+            " since_signal_ms=2502 in_flight=3 unsent_bytes=0"
+        )
+        cut = (
+            "time=2026-01-01T00:00:06.000 event=response_cut daemon=g1 step=respond peer=i-1"
+            " request_id=r2 cause=stream_broken status=200 sent_bytes=812 held_ms=4100"
+            " stop_phase=rejecting since_signal_ms=3120 why=give_up"
+        )
+        self.gateway.write_text(f"{_GATEWAY}{phase}\n{cut}\n")
+        text = explanation_text(explain_request("r2", [self.gateway]))
+        self.assertIn("unsent_bytes=0", text)
+        self.assertIn(
+            "g1 cut the response (stream_broken: give_up) 4100 ms after the request, 812 bytes of"
+            " its body were sent; it was at i-1; 3120 ms after the stop signal, phase rejecting.",
+            text,
+        )
+
     def test_lost_connection_shows_the_loop_lag(self) -> None:
         late = "time=2026-01-01T00:00:01.900 level=warning event=loop_late daemon=g1 late_ms=889"
         call = "time=2026-01-01T00:00:00.900 level=info event=peer_call_expired daemon=c1 late_ms=0"
