Read a silent replica on until something better is there

Cause: a silent attempt was given up before a retry was asked for. Where the retry was refused, no other replica could take it, or it was silent as well, nothing was left. Class: what is in hand is thrown away before its replacement is there.

A silent attempt now goes on being read while a retry is asked for. The first attempt to send the next part claims the response; the claim cancels the others in the same call, so events come once, in order and from one attempt at a time. Retries draw on the same budget, and the silent attempt counts as one run. The time to the first event is counted once. The same for a plain request that may run twice and waits for its head.

EventStreamBuffer is split into what one attempt buffers and what is counted over all; its two tests check the same through both.

--- a/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
+++ b/packages/heronladder-router/src/heronladder_router/attempt_outcomes.py
@@ -5,7 +5,7 @@
 from heronladder_runtime.errors import HeronladderError
 
 from heronladder_router.decisions.placement import PlacementReason
-from heronladder_router.event_stream import EventStreamBuffer
+from heronladder_router.event_stream import ForwardedEvents
 from heronladder_router.gateway_request import ReplicaResponse
 from heronladder_router.origins.origin import Origin
 
@@ -92,7 +92,7 @@
     """State of the response to a request, over all attempts. Times are on the monotonic clock.
 
     Attributes:
-        cutter: Splits the stream into events and counts those forwarded.
+        forwarded: Counts the events that were forwarded.
         ran: Whether a replica may have run the request.
         finished: Whether the whole response was forwarded.
         handed_out: Whether any part of a successful response was forwarded.
@@ -107,7 +107,7 @@
         longest_pause_s: Longest time between two forwarded events, in seconds.
     """
 
-    cutter: EventStreamBuffer = field(default_factory=EventStreamBuffer)
+    forwarded: ForwardedEvents = field(default_factory=ForwardedEvents)
     ran: bool = False
     finished: bool = False
     success_delivered: bool = False
--- a/packages/heronladder-router/src/heronladder_router/event_stream.py
+++ b/packages/heronladder-router/src/heronladder_router/event_stream.py
@@ -7,24 +7,11 @@
 _ID_FIELD = b"id:"
 
 
-class EventStreamBuffer:
-    """Buffers chunks of a stream and releases complete events; a partial event stays buffered.
+class EventSplitter:
+    """Buffers the chunks of one attempt and releases complete events."""
 
-    Args:
-        max_events: Number of events to release at the most; None without a limit.
-
-    Attributes:
-        events: Number of complete events released so far.
-        last_id: Value of the newest ``id`` field; empty before the first.
-        is_over: Whether an event beyond the limit was received.
-    """
-
-    def __init__(self, max_events: int | None = None) -> None:
+    def __init__(self) -> None:
         self._buffer = bytearray()
-        self._max_events = max_events
-        self.events = 0
-        self.last_id = ""
-        self.is_over = False
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the buffered bytes up to the end of the last complete event."""
@@ -32,16 +19,6 @@
         end = self._last_event_end()
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
-        if not complete:
-            return complete
-        ids = _event_ids(complete)
-        if self._max_events is not None and self.events + len(ids) > self._max_events:
-            self.is_over = True
-            complete = _first_events(complete, self._max_events - self.events)
-            ids = _event_ids(complete)
-        if ids:
-            self.events += len(ids)
-            self.last_id = ids[-1]
         return complete
 
     def _last_event_end(self) -> int:
@@ -57,9 +34,36 @@
         """Whether the stream so far ends with a complete event."""
         return not self._buffer
 
-    def discard_partial_event(self) -> None:
-        """Discard the buffered partial event after its stream broke."""
-        self._buffer.clear()
+
+class ForwardedEvents:
+    """Counts the events of a response that are forwarded, over all attempts.
+
+    Args:
+        max_events: Number of events to forward at the most; None without a limit.
+
+    Attributes:
+        events: Number of complete events forwarded so far.
+        last_id: Value of the newest ``id`` field; empty before the first.
+        is_over: Whether an event beyond the limit was received.
+    """
+
+    def __init__(self, max_events: int | None = None) -> None:
+        self._max_events = max_events
+        self.events = 0
+        self.last_id = ""
+        self.is_over = False
+
+    def add(self, complete: bytes) -> bytes:
+        """Count complete events and return those of them that may be forwarded."""
+        ids = _event_ids(complete)
+        if self._max_events is not None and self.events + len(ids) > self._max_events:
+            self.is_over = True
+            complete = _first_events(complete, self._max_events - self.events)
+            ids = _event_ids(complete)
+        if ids:
+            self.events += len(ids)
+            self.last_id = ids[-1]
+        return complete
 
 
 def _event_ids(complete: bytes) -> list[str]:
--- a/packages/heronladder-router/src/heronladder_router/pending_prefill.py
+++ b/packages/heronladder-router/src/heronladder_router/pending_prefill.py
@@ -31,6 +31,7 @@
         self._sent_s = environment.monotonic()
         self._tokens_ahead, self._running_requests = replicas.loads.load_at(replica)
         self._first_event_recorded = False
+        self._was_late = False
 
     def read(self) -> None:
         """Record that events arrived; the first one is a sample of the replica's speed."""
@@ -39,16 +40,19 @@
         self._first_event_recorded = True
         elapsed_ms = (self._environment.monotonic() - self._sent_s) * MILLISECONDS_PER_SECOND
         self._replicas.speeds.record_first_event(
-            self._replica, FirstEvent(self._tokens_ahead, self._running_requests - 1, elapsed_ms)
+            self._replica,
+            FirstEvent(self._tokens_ahead, self._running_requests - 1, elapsed_ms),
+            counted=self._was_late,
         )
         self.release()
 
     def given_up(self, after_s: float) -> None:
-        """Record that no event arrived within the attempt timeout.
+        """Record that no event arrived within the attempt timeout; one may still arrive.
 
         Args:
             after_s: Length of the timeout, in seconds.
         """
+        self._was_late = True
         self._replicas.speeds.given_up(self._replica, after_s)
 
     def release(self) -> None:
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable, Coroutine
+from functools import partial
 from typing import Any
 
 import aiohttp
@@ -20,6 +21,7 @@
 from heronladder_router.crashing_requests import shows_parts_sound
 from heronladder_router.decisions.attempt_timeout import choose_attempt_timeout
 from heronladder_router.decisions.availability import Availability
+from heronladder_router.event_stream import EventSplitter
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_header_names import GatewayHeaderNames
 from heronladder_router.gateway_request import GatewayRequest, ReplicaResponse, ResponseSink
@@ -36,6 +38,7 @@
 from heronladder_router.replica_state import FleetReplica
 from heronladder_router.response_signals import read_signals
 from heronladder_router.rollouts.version_gates import AttemptObservation
+from heronladder_router.running_attempt import RunningAttempt
 
 _EVENT_STREAM = "text/event-stream"
 # These statuses tell a caller that the request did not run and never will.
@@ -86,15 +89,15 @@
     async def make(
         self,
         request: GatewayRequest,
-        replica: FleetReplica,
+        attempt: RunningAttempt,
         sink: ResponseSink,
         progress: ResponseProgress,
     ) -> None:
-        """Send the request to the replica and forward its response to the caller.
+        """Send the request to a replica and forward its response to the caller.
 
         Args:
             request: The request.
-            replica: The replica to send it to.
+            attempt: The attempt, which names the replica.
             sink: Receives the response.
             progress: State of the response over all attempts; updated in place.
 
@@ -104,13 +107,13 @@
             RunFailedError: If the response is a failure after which a retry is possible.
         """
         connection = self._connections.use(
-            replica.record.address,
+            attempt.replica.record.address,
             self._replicas.connection_share(request.profile.service),
             self._connection_wait_s(request),
             keeps=request.matched.may_run_twice,
         )
         async with connection:
-            await self._make(request, replica, sink, progress)
+            await self._make(request, attempt, sink, progress)
 
     def _connection_wait_s(self, request: GatewayRequest) -> float:
         """Return how long to wait for a connection so that the response is still in time.
@@ -127,10 +130,11 @@
     async def _make(
         self,
         request: GatewayRequest,
-        replica: FleetReplica,
+        attempt: RunningAttempt,
         sink: ResponseSink,
         progress: ResponseProgress,
     ) -> None:
+        replica = attempt.replica
         unread = self._replicas.sent(replica, request.profile)
         reading = PendingPrefill(self._replicas, replica, unread, self._environment)
         route = request.matched.route
@@ -142,9 +146,9 @@
         ran_before = progress.ran
         sent_s = self._environment.monotonic()
         try:
-            response = await self._receive_head(request, replica, progress)
+            response = await self._receive_head(request, attempt, progress)
             await self._process_response(
-                request, replica, response, sink, progress, reading, seen, sent_s
+                request, attempt, response, sink, progress, reading, seen, sent_s
             )
             self._replicas.succeeded(replica)
             self._record_result(seen, failed=False)
@@ -177,8 +181,9 @@
             seen.ended(self._environment.monotonic(), failed=failed)
 
     async def _receive_head(
-        self, request: GatewayRequest, replica: FleetReplica, progress: ResponseProgress
+        self, request: GatewayRequest, attempt: RunningAttempt, progress: ResponseProgress
     ) -> aiohttp.ClientResponse:
+        replica = attempt.replica
         send = self._client.send(
             replica.record.address,
             request.method,
@@ -191,22 +196,25 @@
         )
         progress.ran = True
         try:
-            if not request.matched.may_run_twice or progress.cutter.events:
-                return await send
-            async with asyncio.timeout(self._attempt_timeout_s(request)):
+            limit_s = self._head_limit_s(request, progress)
+            with attempt.silent_after(limit_s, lambda: self._note_late(replica, limit_s)):
                 return await send
-        except TimeoutError as error:
-            waited_s = self._attempt_timeout_s(request)
-            self._replicas.speeds.given_up(replica, waited_s)
-            raise RunLostError(
-                f"no response headers within {waited_s:.2f} s", step="send", peer=replica.name
-            ) from error
         except HeadHeldBackError as error:
             verdict = self._replicas.availability_of(replica).value
             raise HeldBackError(verdict, step="held_back", peer=replica.name) from error
         except ReplicaNotReachedError as error:
             raise NotReachedError(error.message, step="connect", peer=replica.name) from error
 
+    def _head_limit_s(self, request: GatewayRequest, progress: ResponseProgress) -> float | None:
+        """Return after how long without a head a replica counts as silent; None for no limit."""
+        if not request.matched.may_run_twice or progress.forwarded.events:
+            return None
+        return self._attempt_timeout_s(request)
+
+    def _note_late(self, replica: FleetReplica, limit_s: float | None) -> None:
+        if limit_s is not None:
+            self._replicas.speeds.given_up(replica, limit_s)
+
     def _attempt_timeout_s(self, request: GatewayRequest) -> float:
         objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
         return choose_attempt_timeout(
@@ -220,7 +228,7 @@
         headers = list(request.headers)
         headers.append((self._names.deadline_ms, str(int(remaining_s * MILLISECONDS_PER_SECOND))))
         headers.append((self._names.expect_replica, replica.name))
-        last_id = progress.cutter.last_id or request.last_event_id
+        last_id = progress.forwarded.last_id or request.last_event_id
         if last_id:
             headers.append((self._names.last_event_id, last_id))
         return headers
@@ -230,7 +238,7 @@
     async def _process_response(
         self,
         request: GatewayRequest,
-        replica: FleetReplica,
+        attempt: RunningAttempt,
         response: aiohttp.ClientResponse,
         sink: ResponseSink,
         progress: ResponseProgress,
@@ -238,6 +246,7 @@
         seen: AttemptObservation | None,
         sent_s: float,
     ) -> None:
+        replica = attempt.replica
         wall_s = self._environment.wall_ms() / MILLISECONDS_PER_SECOND
         signals = read_signals(response.status, response.headers, self._names, wall_s)
         identity = response.headers.get(self._names.request_id)
@@ -275,7 +284,7 @@
         if success and self._names.signature not in response.headers:
             raise RunLostError("response has no signature", step="send", peer=replica.name)
         if success and response.content_type == _EVENT_STREAM:
-            await self._forward_stream(request, replica, response, sink, progress, reading, seen)
+            await self._forward_stream(request, attempt, response, sink, progress, reading, seen)
             return
         if seen is not None:
             seen.record_bytes(self._environment.monotonic())
@@ -288,6 +297,7 @@
             )
         if answer.status >= _FIRST_SERVER_ERROR_STATUS:
             raise RunFailedError(answer, step="send", peer=replica.name)
+        attempt.claim()
         progress.finished = True
         progress.success_delivered = success
         await _forward(sink.send_complete(answer), seen)
@@ -295,53 +305,48 @@
     async def _forward_stream(
         self,
         request: GatewayRequest,
-        replica: FleetReplica,
+        attempt: RunningAttempt,
         response: aiohttp.ClientResponse,
         sink: ResponseSink,
         progress: ResponseProgress,
         reading: PendingPrefill,
         seen: AttemptObservation | None,
     ) -> None:
-        cutter = progress.cutter
-        cutter.discard_partial_event()
-        content = response.content
-        events_before = cutter.events
+        forwarded = progress.forwarded
+        splitter = EventSplitter()
+        events_before = forwarded.events
         parts_served = False
         while True:
-            timeout_s = _EVENT_GAP_TIMEOUT_S if cutter.events else self._attempt_timeout_s(request)
-            resumable = request.matched.may_run_twice
-            try:
-                async with asyncio.timeout(timeout_s if resumable else None):
-                    chunk = await content.readany()
-            except TimeoutError as error:
-                if not cutter.events:
-                    reading.given_up(timeout_s)
-                raise RunLostError(
-                    f"stream stalled: no data within {timeout_s:.2f} s", step="read_stream"
-                ) from error
+            limit_s = self._event_limit_s(request, progress)
+            on_late = partial(self._note_late_event, reading, progress, limit_s)
+            with attempt.silent_after(limit_s, on_late):
+                chunk = await response.content.readany()
             if not chunk:
                 break
-            events = cutter.events
-            complete_events = cutter.feed(chunk)
+            complete_events = splitter.feed(chunk)
             if complete_events:
+                attempt.claim()
+                events = forwarded.events
+                complete_events = forwarded.add(complete_events)
                 reading.read()
                 if progress.first_event_s is None:
-                    self._record_origin(request, replica, progress)
+                    self._record_origin(request, attempt.replica, progress)
                 if seen is not None:
-                    seen.record_bytes(self._environment.monotonic(), cutter.events - events)
+                    seen.record_bytes(self._environment.monotonic(), forwarded.events - events)
                 progress.record_forwarded(self._environment.monotonic())
-                if not parts_served and shows_parts_sound(cutter.events - events_before):
+                if not parts_served and shows_parts_sound(forwarded.events - events_before):
                     parts_served = True
                     self.on_parts_served(request)
                 await _forward(self._write(response, sink, complete_events), seen)
-            if cutter.is_over:
+            if forwarded.is_over:
                 raise OutputLimitError(
-                    f"ended after {cutter.events} events, all that the request reserved",
+                    f"ended after {forwarded.events} events, all that the request reserved",
                     step="output_limit",
                     peer=request.request_id,
                 )
-        if not cutter.at_event_boundary:
+        if not splitter.at_event_boundary:
             raise ConnectionEndedError("stream ended in the middle of an event", step="read_stream")
+        attempt.claim()
         if not sink.started:
             head = ReplicaResponse(response.status, forwarded_headers(response))
             await _forward(sink.start(head), seen)
@@ -349,6 +354,21 @@
         progress.success_delivered = True
         await _forward(sink.finish(), seen)
 
+    def _event_limit_s(self, request: GatewayRequest, progress: ResponseProgress) -> float | None:
+        """Return after how long without data a replica counts as silent; None for no limit."""
+        if not request.matched.may_run_twice:
+            return None
+        return (
+            _EVENT_GAP_TIMEOUT_S if progress.forwarded.events else self._attempt_timeout_s(request)
+        )
+
+    @staticmethod
+    def _note_late_event(
+        reading: PendingPrefill, progress: ResponseProgress, limit_s: float | None
+    ) -> None:
+        if limit_s is not None and not progress.forwarded.events:
+            reading.given_up(limit_s)
+
     def _record_origin(
         self, request: GatewayRequest, replica: FleetReplica, progress: ResponseProgress
     ) -> None:
--- a/packages/heronladder-router/src/heronladder_router/request_tokens.py
+++ b/packages/heronladder-router/src/heronladder_router/request_tokens.py
@@ -142,9 +142,9 @@
         if bounds is None or not progress.success_delivered:
             return 0
         per_event = self._tokens_per_event(request)
-        if not (per_event and progress.cutter.events):
+        if not (per_event and progress.forwarded.events):
             return bounds.total  # a complete response, without a token count
-        output = progress.cutter.events * per_event
+        output = progress.forwarded.events * per_event
         if not progress.finished:
             output += _TOKENS_AFTER_DISCONNECT
         return bounds.prompt + min(bounds.max_output, output)
--- a/packages/heronladder-router/src/heronladder_router/service_speeds.py
+++ b/packages/heronladder-router/src/heronladder_router/service_speeds.py
@@ -41,15 +41,19 @@
         """Return the measured speed of a service's replicas."""
         return self._measured.get(service, ServiceSpeedFit()).speed()
 
-    def record_first_event(self, replica: FleetReplica, seen: FirstEvent) -> None:
+    def record_first_event(
+        self, replica: FleetReplica, seen: FirstEvent, *, counted: bool = False
+    ) -> None:
         """Record the first event of a stream.
 
         Args:
             replica: The replica that sent it.
             seen: The measurement.
+            counted: Whether the attempt was recorded with ``given_up`` before.
         """
         took_s = seen.took_ms / MILLISECONDS_PER_SECOND
-        self._note_first_event(replica.record.service, took_s)
+        if not counted:
+            self._note_first_event(replica.record.service, took_s)
         # A delay on a saturated link of this gateway says nothing about the speed of the replica.
         link_full = self._link_s() > _MAX_LINK_FRACTION * took_s
         if link_full or not self._measures_speed:
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -177,6 +177,11 @@
     " is not this member's.",
     "start_failed": "A daemon could not start.",
     "stopped_without_control": "Tokens could not be given back in a planned stop.",
+    "replica_silent": "A replica sent nothing of a response for so long that a retry is asked for;"
+    " the response goes on being read.",
+    "response_resumed": "It went on after all; `cancelled` retries were cancelled.",
+    "attempt_superseded": "An attempt was cancelled because another one of the same request went on"
+    " with the response.",
     "stream_broken": "An answer that had begun was cut.",
     "response_cut": "A response ended before its end: by whom (`cause`), the bytes of its body that"
     " were sent, and the time since the stop signal, if there was one.",
@@ -250,6 +255,8 @@
     "callers_gone": "Callers that left before their answer's end.",
     "responses_cut": "Responses that ended before their end, by cause: `stream_broken`,"
     " `caller_gone`, `stop`, `failed`.",
+    "silent_responses": "Responses whose replica was silent: `silent`, then `resumed` or"
+    " `superseded` by a retry.",
     "planned_stop": "Time from the stop signal to each phase of a gateway's planned stop.",
     "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
--- a/tests/test_prepaid.py
+++ b/tests/test_prepaid.py
@@ -8,7 +8,7 @@
 from heronladder_control.ledger import Ledger
 from heronladder_control.prepaid_watch import PrepaidWatch
 from heronladder_router.cached_prompt_parts import CachedPromptParts, parse_prompt_parts
-from heronladder_router.event_stream import EventStreamBuffer
+from heronladder_router.event_stream import EventSplitter, ForwardedEvents
 from heronladder_runtime.clock import Environment
 from heronladder_runtime.errors import RefusedByInvariantError
 from heronladder_runtime.invariants import INVARIANT_COUNTERS
@@ -360,11 +360,13 @@
     def test_stream_yields_only_complete_events_for_any_chunk_size(self) -> None:
         stream = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"
         for size in range(1, len(stream)):
-            cutter = EventStreamBuffer()
+            splitter, forwarded = EventSplitter(), ForwardedEvents()
             whole = b"".join(
-                cutter.feed(stream[start : start + size]) for start in range(0, len(stream), size)
+                forwarded.add(splitter.feed(stream[start : start + size]))
+                for start in range(0, len(stream), size)
             )
             self.assertEqual(whole, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
             self.assertEqual(
-                (cutter.events, cutter.last_id, cutter.at_event_boundary), (2, "2", False)
+                (forwarded.events, forwarded.last_id, splitter.at_event_boundary),
+                (2, "2", False),
             )
--- a/tests/test_silent_replicas.py
+++ b/tests/test_silent_replicas.py
@@ -123,10 +123,16 @@
                 await asyncio.sleep(0.01)
         return replica
 
+    async def _spend_retries(self) -> None:
+        while True:
+            while self.gateway.retry_budget.try_spend("app").allowed:
+                pass
+            await asyncio.sleep(0.02)
+
     def spend_retries(self) -> None:
-        """Use up the gateway's retry budget."""
-        while self.gateway.retry_budget.try_spend("app").allowed:
-            pass
+        """Use up the gateway's retry budget, also what is added to it later."""
+        spending = asyncio.create_task(self._spend_retries())
+        self.addCleanup(spending.cancel)
 
     async def stream(self, request_id: str = "q") -> Answer:
         """Read a stream."""
--- a/tests/test_stated_tokens.py
+++ b/tests/test_stated_tokens.py
@@ -5,7 +5,7 @@
 import unittest
 from dataclasses import dataclass
 
-from heronladder_router.event_stream import EventStreamBuffer
+from heronladder_router.event_stream import EventSplitter, ForwardedEvents
 from heronladder_router.token_bounds import TokenBounds, charged_bounds, parse_token_bounds
 from heronladder_router.token_counts import MAX_TOKENS, parse_token_count
 from platform_stand_ins import (
@@ -177,9 +177,9 @@
         for size in (1, 7, 30, 200):
             with self.subTest(size=size):
                 stream = b"".join(events)
-                buffer = EventStreamBuffer(3)
+                splitter, buffer = EventSplitter(), ForwardedEvents(3)
                 chunks = [stream[at : at + size] for at in range(0, len(stream), size)]
-                released = b"".join(buffer.feed(chunk) for chunk in chunks)
+                released = b"".join(buffer.add(splitter.feed(chunk)) for chunk in chunks)
                 self.assertEqual(released, b"".join(events[:3]))
                 self.assertTrue(buffer.is_over)
                 self.assertEqual((buffer.events, buffer.last_id), (3, "2"))
