Let a planned stop wait for responses that have not left the process

A caller that reads slowly lost the end of its response when its gateway stopped: the handler ends once less than 64 KiB wait in the process, the stop counted handlers only, and the rest was gone with the process.

Cause: a stop took the end of a handler for the end of a response. It now waits, within the grace, until the kernel has accepted all bytes as well; what the kernel holds is sent after the process has ended.

test_unsent_responses failed before: the stop was over 3.2 s after SIGTERM with bytes left. It passes now.

--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -313,7 +313,7 @@
     async def drain(
         self, grace_s: float, notice_s: float, stop_accepting: Callable[[], Awaitable[None]]
     ) -> None:
-        """Serve until load balancers have noticed, then until no request is in flight.
+        """Serve until load balancers have noticed, then until all responses have left the process.
 
         Args:
             grace_s: Longest total time, in seconds.
@@ -328,13 +328,20 @@
         self._enter(StopPhase.REJECTING)
         self.tokens.stop_lending()
         await stop_accepting()
-        while self.server.in_flight and self._environment.monotonic() - start_s < grace_s:
+        while self._has_unfinished() and self._environment.monotonic() - start_s < grace_s:
             await asyncio.sleep(_DRAIN_POLL_S)
         if self.server.in_flight:
             self.log.error(
                 "planned_stop_cuts_requests", step="drain", requests=self.server.in_flight
             )
-        self._enter(StopPhase.GRACE_OVER if self.server.in_flight else StopPhase.ANSWERED)
+        self._enter(StopPhase.GRACE_OVER if self._has_unfinished() else StopPhase.ANSWERED)
+
+    def _has_unfinished(self) -> bool:
+        """Whether a request is in flight, or bytes of a response have not left the process.
+
+        What the kernel has accepted is sent after the process has ended; the rest would be lost.
+        """
+        return self.server.in_flight > 0 or self.server.unsent_bytes > 0
 
     def _enter(self, phase: StopPhase) -> None:
         self.server.stop.enter(phase, self.server.in_flight, self.server.unsent_bytes)
