Judge lost responses in all soaks of real programs, and soak planned stops

lost_rule is the rule LOST of planned work with its excuses, each with a test. CallBook notes for every soak of processes when a request was sent, when it reached a replica, when the replica was done, each SIGTERM, SIGHUP and change. There, a cut without a stop counts as well.

A short run is part of the tests.

--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -37,6 +37,7 @@
     "test_upgrade",
     "test_replica_back_off",
     "test_replica_leaving",
+    "test_stop_soak",
     "test_connections_of_all",
     "test_crowd_of_replicas",
     "test_replica_limit_changes",
--- a/tests/play_soak.py
+++ b/tests/play_soak.py
@@ -1,7 +1,7 @@
 """Plays seeds of the fault soak over the real programs.
 
 Usage: ``python tests/play_soak.py --seeds 1-50 --seconds 20 [KIND] [--keep FOLDER]``, KIND being
-``--wide``, ``--signals``, ``--versions``, ``--upgrade`` or ``--same-build``.
+``--wide``, ``--signals``, ``--versions``, ``--upgrade``, ``--same-build`` or ``--stops``.
 """
 
 import argparse
@@ -14,21 +14,37 @@
 from process_soak import ProcessSoak
 from same_build_soak import SameBuildSoak
 from signal_soak import SignalSoak
+from soak_teeth import TEETH, write_faulty_build
+from stop_soak import StopSoak
 from upgrade_soak import UpgradeSoak
 from version_soak import VersionSoak
 from wide_soak import WideSoak
 
 
 def play(
-    seed: int, seconds: float, keep: Path | None = None, kind: type[ProcessSoak] = ProcessSoak
+    seed: int,
+    seconds: float,
+    keep: Path | None = None,
+    kind: type[ProcessSoak] = ProcessSoak,
+    gateway_build: str = "",
 ) -> ProcessSoak:
-    """Play a run; keep the files of its processes if something did not hold."""
+    """Play a run; keep the files of its processes if something did not hold.
+
+    Args:
+        seed: Draws the faults and what callers do.
+        seconds: How long faults come.
+        keep: Where files of a failed run go.
+        kind: Kind of soak.
+        gateway_build: Where packages of gateways lie, as PYTHONPATH; empty: this build's.
+    """
     folder = Path(tempfile.mkdtemp(prefix=f"soak-{seed}-"))
     soak = kind(seed, seconds, folder)
+    for gateway in soak.gateways:
+        gateway.module_path = gateway_build or gateway.module_path
     try:
         asyncio.run(soak.run())
         if soak.broken and keep is not None:
-            shutil.copytree(folder, keep / f"seed-{seed}")
+            shutil.copytree(folder, keep / f"seed-{seed}", dirs_exist_ok=True)
     finally:
         shutil.rmtree(folder)
     return soak
@@ -41,6 +57,7 @@
         VersionSoak: options.versions,
         UpgradeSoak: options.upgrade,
         SameBuildSoak: options.same_build,
+        StopSoak: options.stops,
     }
     return next((kind for kind, is_asked in kinds.items() if is_asked), ProcessSoak)
 
@@ -56,12 +73,23 @@
     parser.add_argument("--versions", action="store_true", help="versions, parts that crash")
     parser.add_argument("--upgrade", action="store_true", help="production's build is replaced")
     parser.add_argument("--same-build", action="store_true", help="this build replaces itself")
+    parser.add_argument("--stops", action="store_true", help="planned stops, slow responses")
+    parser.add_argument("--tooth", choices=sorted(TEETH), help="a known fault is put back")
     options = parser.parse_args()
+    build = Path(tempfile.mkdtemp(prefix="build-")) if options.tooth else None
+    try:
+        return _play_seeds(options, write_faulty_build(options.tooth, build) if build else "")
+    finally:
+        if build is not None:
+            shutil.rmtree(build)
+
+
+def _play_seeds(options: argparse.Namespace, gateway_build: str) -> int:
     first, _, last = options.seeds.partition("-")
     failed = 0
     kind = _kind(options)
     for seed in range(int(first), int(last or first) + 1):
-        soak = play(seed, options.seconds, options.keep, kind)
+        soak = play(seed, options.seconds, options.keep, kind, gateway_build)
         failed += bool(soak.broken)
         print(
             f"seed {seed}: {'BROKEN' if soak.broken else 'held'}"
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -15,7 +15,7 @@
 CONTROL, GATEWAY = "control", "gateway"
 FRONT_PORT, READY_PORT, CONTROL_PORT = 18080, 18081, 18082
 _INTERNAL_PORTS = (17420, 17435)
-_GRACE_S = 6.0
+GRACE_S = 6.0
 _ENDS_WITHIN_S = 12.0
 _LOOK_S = 0.05
 
@@ -37,6 +37,7 @@
         module_path: Where its build's packages lie, as PYTHONPATH; empty: this build's.
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
+        unplanned_s: Those of them at which it was killed, paused or let go on.
     """
 
     def __init__(self, role: str, address: str, name: str, folder: Path, seeds: list[str]) -> None:
@@ -49,6 +50,7 @@
         self.module_path = ""
         self.faults: list[str] = []
         self.disturbed_s: list[float] = []
+        self.unplanned_s: list[float] = []
         self._seeds = seeds
         self._folder = folder / name
         self._folder.mkdir(parents=True)
@@ -83,7 +85,7 @@
                 "retryBudgetRatio": 0.2,
                 "budgetSlack": 50,
                 "budgetWindowS": 10,
-                "graceS": _GRACE_S,
+                "graceS": GRACE_S,
                 "exposeShare": 0.1,
                 "exposeSlack": 50,
             },
@@ -133,13 +135,17 @@
     def _disturb(self) -> None:
         self.disturbed_s.append(time.monotonic())
 
+    def _disturb_unplanned(self) -> None:
+        self._disturb()
+        self.unplanned_s.append(time.monotonic())
+
     def was_disturbed(self, from_s: float, until_s: float) -> bool:
         """Whether anything was done to its process in a span of time."""
         return any(from_s <= moment_s <= until_s for moment_s in self.disturbed_s)
 
     def kill(self) -> None:
         """End the process at once."""
-        self._disturb()
+        self._disturb_unplanned()
         process, self._process = self._process, None
         if process is not None and process.poll() is None:
             process.kill()
@@ -148,7 +154,7 @@
 
     def pause(self) -> None:
         """Let the process stand still."""
-        self._disturb()
+        self._disturb_unplanned()
         if self.is_running and self._process is not None:
             self._is_paused = True
             self._process.send_signal(signal.SIGSTOP)
@@ -157,6 +163,7 @@
         """Let it go on."""
         self._disturb()
         if self.is_running and self._process is not None and self._is_paused:
+            self.unplanned_s.append(time.monotonic())
             self._process.send_signal(signal.SIGCONT)
         self._is_paused = False
 
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -4,7 +4,6 @@
 """
 
 import asyncio
-import json
 from collections import Counter
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from pathlib import Path
@@ -12,6 +11,7 @@
 from typing import Any
 
 import aiohttp
+from call_book import CallBook
 from called_fleet import GATEWAY_HEADER
 from platform_stand_ins import (
     HOST,
@@ -21,7 +21,7 @@
     route,
 )
 from process_fleet import CONTROL, CONTROL_PORT, FRONT_PORT, GATEWAY, Machine
-from replica_calls import tell
+from replica_calls import held_version, tell
 from soak_replica import CRASHES, SoakReplica
 
 _PROMISES = frozenset({408, 421, 429, 503})  # they say: not run, and never will be
@@ -36,6 +36,8 @@
 _SERVED = 0.95  # of what is asked then
 _START_S = 30.0
 _CONTACT_S = 3.0
+_CALL_TIMEOUT_S = 5.0
+_ROUTE_TIME_LIMIT_S = 2.0
 _MOST_LATE = 3  # sends of a crashing request later than that after its third crash
 Fault = Callable[[], Awaitable[None]]
 
@@ -55,6 +57,7 @@
         broken: What did not hold.
         recovered_s: Time from the last fault until all was served.
         told: What else a run tells, for its line.
+        book: Calls and planned work, by which lost responses are judged.
     """
 
     def __init__(self, seed: int, seconds: float, folder: Path) -> None:
@@ -66,6 +69,7 @@
         self.statuses: Counter[int] = Counter()
         self.recovered_s = 0.0
         self.told = ""
+        self.book = CallBook()
         self._seconds = seconds
         net = f"127.{10 + seed % 200}.{1 + seed // 200 % 200}"
         seeds = [f"{net}.{1 + number}" for number in range(_CONTROLS)]
@@ -106,7 +110,7 @@
         """Play the run; return what did not hold."""
         # Callers keep their connections for as long as the process at the other end lives.
         connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=60)
-        timeout = aiohttp.ClientTimeout(total=5.0)
+        timeout = aiohttp.ClientTimeout(total=_CALL_TIMEOUT_S)
         self._session = aiohttp.ClientSession(connector=connector, timeout=timeout)
         try:
             await self._start()
@@ -215,6 +219,7 @@
 
     async def _stop_and_start(self, machine: Machine) -> None:
         if machine.is_up:
+            self.book.sigterm(machine)
             await machine.stop()
             machine.start()
 
@@ -228,7 +233,10 @@
         await self._pause(self.source.choice(self.gateways))
 
     async def _reload_gateway(self) -> None:
-        self.source.choice(self.gateways).reload()
+        machine = self.source.choice(self.gateways)
+        if machine.is_up:
+            self.book.sighup(machine)
+        machine.reload()
 
     async def _kill_control(self) -> None:
         await self._kill_and_start(self.source.choice(self.controls))
@@ -248,6 +256,7 @@
             machine.start()
 
     async def _crash_replica(self) -> None:
+        self.book.disturbed()
         await self.source.choice(self.replicas).crash(self.source.uniform(0.1, 2.0))
 
     async def _drain_replica(self) -> None:
@@ -263,9 +272,11 @@
     async def _replace(self) -> bool:
         self._version += 1
         version = self._version
+        sent_s = asyncio.get_running_loop().time()
         if await self.tell("/api/Config.Replace", self._document(version)) != 200:
             return False
         self._acked = max(self._acked, version)
+        self.book.changed(sent_s)
         return True
 
     def _document(self, version: int) -> dict[str, Any]:
@@ -316,12 +327,21 @@
         headers[GATEWAY_HEADER] = machine.name
         url = f"http://{machine.address}:{FRONT_PORT}{path}"
         self.asked(request_id)
+        record = self.book.begin(request_id, machine.name, _ROUTE_TIME_LIMIT_S)
+        record.sent_s = asyncio.get_running_loop().time()
         try:
             async with self._session.post(url, headers=headers, data=body) as got:
                 self.answered(machine, got.headers)
-                return got.status, await got.read()
-        except (aiohttp.ClientError, TimeoutError, OSError):
+                data = await got.read()
+                record.complete = True
+                return got.status, data
+        except (aiohttp.ClientError, TimeoutError, OSError) as error:
+            # Nothing was sent, or the caller left.
+            record.left = isinstance(error, aiohttp.ClientConnectorError | TimeoutError)
+            record.why = repr(error)
             return 0, b""
+        finally:
+            record.ended_s = asyncio.get_running_loop().time()
 
     def asked(self, request_id: str) -> None:
         """Note that a caller makes a request."""
@@ -354,9 +374,13 @@
         asked = self._late.total()
         if asked < 20 or self._late[200] < _SERVED * asked:
             self.broken.append(f"RECOVER: once calm, statuses {dict(self._late)}")
+        self._check_lost()
         self._check_crashing()
         await self._check_configuration()
 
+    def _check_lost(self) -> None:
+        self.broken.extend(self.book.judge(self._machines))
+
     def _check_crashing(self) -> None:
         # While faults come, gateways are out of touch with each other: judged once that is over.
         if len(self.crashed_s) > 2:
@@ -367,13 +391,6 @@
 
     async def _check_configuration(self) -> None:
         for machine in self.controls:
-            url = f"http://{machine.address}:{CONTROL_PORT}/api/Config.Describe"
-            try:
-                async with self._session.get(url) as got:
-                    if got.status != 200:
-                        continue
-                    held = json.loads(await got.read())["version"]
-            except (aiohttp.ClientError, TimeoutError, OSError):
-                continue
-            if held < self._acked:
+            held = await held_version(self._session, f"{machine.address}:{CONTROL_PORT}")
+            if held is not None and held < self._acked:
                 self.broken.append(f"CONFIG: {machine.name} reads {held}, {self._acked} was acked")
--- a/tests/replica_calls.py
+++ b/tests/replica_calls.py
@@ -16,3 +16,12 @@
             return got.status
     except (aiohttp.ClientError, TimeoutError, OSError):
         return NO_ANSWER
+
+
+async def held_version(session: aiohttp.ClientSession, address: str) -> int | None:
+    """Return the version of the configuration that a control machine reads; None if it does not."""
+    try:
+        async with session.get(f"http://{address}/api/Config.Describe") as got:
+            return int(json.loads(await got.read())["version"]) if got.status == 200 else None
+    except (aiohttp.ClientError, TimeoutError, OSError):
+        return None
--- a/tests/soak_replica.py
+++ b/tests/soak_replica.py
@@ -76,16 +76,21 @@
     async def _serve(self, replica: StandInReplica, received: Received) -> bytes:
         soak = self._soak
         if received.body == CRASHES:
+            soak.book.disturbed()
             soak.crashing_s.append(asyncio.get_running_loop().time())
             if self.up is replica:
                 soak.crashed_s.append(asyncio.get_running_loop().time())
                 soak.begin(self.crash())
             return b""
         soak.runs[received.headers["request-id"]] += 1
-        if received.target.startswith(STREAM_PATH):
-            return soak.stream(received)
-        await asyncio.sleep(0.02 * soak.source.uniform(0.5, 3.0))
-        return answer(received, body=received.body)
+        soak.book.arrived(received)
+        try:
+            if received.target.startswith(STREAM_PATH):
+                return soak.stream(received)
+            await asyncio.sleep(0.02 * soak.source.uniform(0.5, 3.0))
+            return answer(received, body=received.body)
+        finally:
+            soak.book.done(received, self.up is not replica)
 
     async def stop(self) -> None:
         """End it for good."""
--- /dev/null
+++ b/tests/test_planned_stop.py
@@ -0,0 +1,85 @@
+"""Planned stops of a gateway as a process of its own, with callers that keep their connections."""
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+import aiohttp
+from call_book import CallBook
+from kept_callers import CallPlan, KeptCaller
+from lost_rule import CallRecord
+from platform_stand_ins import configuration, route
+from process_fleet import CONTROL, CONTROL_PORT, GATEWAY, Machine
+from replica_calls import tell
+from scripted_replica import ResponseScript, ScriptedReplica
+
+_NET = "127.9.1"
+_START_S = 30.0
+_TIME_LIMIT_S = 15.0
+_LONG_BODY_BYTES = 300_000
+_SLOW_READ_PAUSE_S = 0.05  # 40 KB a second
+
+
+class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        asyncio.get_running_loop().set_debug(False)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        seeds = [f"{_NET}.1"]
+        place = Path(folder.name)
+        self.control = Machine(CONTROL, seeds[0], "core-0", place, seeds)
+        self.gateway = Machine(GATEWAY, f"{_NET}.51", "front-0", place, seeds)
+        self.book = CallBook()
+        self.replica = ScriptedReplica("r0", self.book.arrived, self.book.done)
+        self.session = aiohttp.ClientSession()
+        self.addAsyncCleanup(self.session.close)
+        for machine in (self.control, self.gateway):
+            self.addCleanup(machine.kill)
+            machine.start()
+        await self.replica.start()
+        self.addAsyncCleanup(self.replica.stop)
+        limit = {"timeoutMs": int(_TIME_LIMIT_S * 1000), "targetLatencyMs": 800}
+        document = configuration(1, route("/plain/", **limit))
+        async with asyncio.timeout(_START_S):
+            while await self._tell("/api/Config.Replace", document) != 200:
+                await asyncio.sleep(0.1)
+            while await self._tell("/api/Replicas.Heartbeat/r0", self._heartbeat()) != 200:
+                await asyncio.sleep(0.1)
+            while not await self.gateway.is_ready(self.session):
+                await asyncio.sleep(0.1)
+
+    def _heartbeat(self) -> dict[str, object]:
+        return self.replica.heartbeat()
+
+    async def _tell(self, path: str, body: object) -> int:
+        return await tell(self.session, f"{self.control.address}:{CONTROL_PORT}", path, body)
+
+    async def call(self, plan: CallPlan, *, slow: bool = False) -> CallRecord:
+        """Make one request."""
+        caller = KeptCaller(lambda: self.gateway, slow=slow)
+        self.assertTrue(await caller.connect())
+        self.addCleanup(caller.close)
+        record = self.book.begin("q", self.gateway.name, plan.deadline_s)
+        await caller.call(plan, record)
+        return record
+
+    async def test_a_response_that_its_caller_reads_slowly_is_sent_in_full(self) -> None:
+        plan = CallPlan(
+            "/plain/",
+            ResponseScript(body_bytes=_LONG_BODY_BYTES),
+            deadline_s=_TIME_LIMIT_S,
+            patience_s=_TIME_LIMIT_S,
+            read_pause_s=_SLOW_READ_PAUSE_S,
+        )
+        calling = asyncio.ensure_future(self.call(plan, slow=True))
+        await asyncio.sleep(0.3)
+        await self.gateway.stop()
+        self.assertEqual(self.gateway.faults, [])
+        record = await calling
+        phases = [line for line in self.gateway.output().splitlines() if "stop_phase" in line]
+        self.assertTrue(record.complete, [record.why, *phases])
+
+
+if __name__ == "__main__":
+    unittest.main()
