Bound the bytes of a replica's response that a gateway holds

A plain response is held up to 256 KiB, and 4 MiB for all of a gateway, so that a retry can still replace it; past that it is passed on as it arrives, read no faster than its caller reads, until the request's time is over. Up to 64 KiB of a rejection are read, for 0.2 s; then its connection is closed. An event may have 256 KiB. A chunk is searched for the end of an event only where it can be.

--- a/packages/heronladder-router/src/heronladder_router/event_stream.py
+++ b/packages/heronladder-router/src/heronladder_router/event_stream.py
@@ -3,6 +3,7 @@
 import re
 
 _EVENT_TERMINATORS = (b"\n\n", b"\r\n\r\n")
+_LONGEST_TERMINATOR_BYTES = 4
 _EVENT = re.compile(rb".*?(?:\r\n\r\n|\n\n)", re.DOTALL)
 _ID_FIELD = b"id:"
 
@@ -15,20 +16,27 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the buffered bytes up to the end of the last complete event."""
+        # What was buffered before holds no whole terminator.
+        start = max(0, len(self._buffer) - _LONGEST_TERMINATOR_BYTES + 1)
         self._buffer += chunk
-        end = self._last_event_end()
+        end = self._last_event_end(start)
         complete = bytes(self._buffer[:end])
         del self._buffer[:end]
         return complete
 
-    def _last_event_end(self) -> int:
+    def _last_event_end(self, start: int) -> int:
         ends = [
-            self._buffer.rfind(terminator) + len(terminator)
+            found + len(terminator)
             for terminator in _EVENT_TERMINATORS
-            if terminator in self._buffer
+            if (found := self._buffer.rfind(terminator, start)) >= 0
         ]
         return max(ends, default=0)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of the event that is not complete yet."""
+        return len(self._buffer)
+
     @property
     def at_event_boundary(self) -> bool:
         """Whether the stream so far ends with a complete event."""
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -32,6 +32,7 @@
 from heronladder_router.replica_client import ReplicaClient
 from heronladder_router.replica_connections import ReplicaConnections
 from heronladder_router.replica_slot_queue import ReplicaSlotQueue
+from heronladder_router.response_forwarding import ResponseForwarder
 from heronladder_router.sliding_retry_budget import SlidingRetryBudget
 from heronladder_router.tokens.access import LendingOptions, TokenAccess
 from heronladder_router.unreachable_replicas import UnreachableReplicas
@@ -228,8 +229,14 @@
 
     def _make_server(self) -> GatewayServer:
         options = self.options
+        forwarder = ResponseForwarder(self.replicas, self._environment)
         attempts = ReplicaAttempts(
-            self._client, self._connections, self.replicas, options.names, self._environment
+            self._client,
+            self._connections,
+            self.replicas,
+            options.names,
+            self._environment,
+            forwarder,
         )
         origins = StreamOrigins(
             self.origin_exchange,
@@ -239,8 +246,8 @@
             self.metrics,
             self.log,
         )
-        attempts.on_stream_began = origins.began
-        attempts.on_parts_served = self.crashing.record_parts_served
+        forwarder.on_stream_began = origins.began
+        forwarder.on_parts_served = self.crashing.record_parts_served
         context = DispatchContext(
             link=self.link,
             routes=self.routes,
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -1,9 +1,6 @@
 """Makes one attempt: sends a request to one replica and interprets the response."""
 
 import asyncio
-from collections.abc import Callable, Coroutine
-from functools import partial
-from typing import Any
 
 import aiohttp
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
@@ -13,20 +10,16 @@
     HeldBackError,
     NotReachedError,
     NotRunError,
-    OutputLimitError,
     ResponseProgress,
     RunFailedError,
     RunLostError,
+    StreamBrokenError,
 )
-from heronladder_router.crashing_requests import shows_parts_sound
-from heronladder_router.decisions.attempt_timeout import choose_attempt_timeout
 from heronladder_router.decisions.availability import Availability
-from heronladder_router.event_stream import EventSplitter
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_header_names import GatewayHeaderNames
-from heronladder_router.gateway_request import GatewayRequest, ReplicaResponse, ResponseSink
-from heronladder_router.hop_by_hop_headers import forwarded_headers
-from heronladder_router.origins.origin import Origin
+from heronladder_router.gateway_request import GatewayRequest, ResponseSink
+from heronladder_router.held_bodies import discard_body
 from heronladder_router.pending_prefill import PendingPrefill
 from heronladder_router.replica_client import (
     ReplicaClient,
@@ -36,6 +29,7 @@
 from heronladder_router.replica_connections import ReplicaConnections
 from heronladder_router.replica_connector import HeadHeldBackError
 from heronladder_router.replica_state import FleetReplica
+from heronladder_router.response_forwarding import ForwardedAttempt, ResponseForwarder
 from heronladder_router.response_signals import read_signals
 from heronladder_router.rollouts.version_gates import AttemptObservation
 from heronladder_router.running_attempt import RunningAttempt
@@ -43,10 +37,7 @@
 _EVENT_STREAM = "text/event-stream"
 # These statuses tell a caller that the request did not run and never will.
 _NOT_RUN_STATUSES = frozenset({408, 429, 503})
-_FIRST_ERROR_STATUS = 400
-_FIRST_SERVER_ERROR_STATUS = 500
 _FIRST_REDIRECT_STATUS = 300
-_EVENT_GAP_TIMEOUT_S = 2.0  # between two events of a stream
 # Fraction of the latency objective that may be spent waiting for a connection.
 _CONNECTION_WAIT_FRACTION = 0.75
 
@@ -60,12 +51,7 @@
         replicas: All registered replicas.
         names: Header names of the deployment.
         environment: Source of time.
-
-    Attributes:
-        on_stream_began: Called with a request and the origin of its stream before its first event
-            is forwarded.
-        on_parts_served: Called with a request once its events show that no part of its prompt
-            crashes replicas.
+        forwarder: Forwards responses to callers.
     """
 
     def __init__(
@@ -75,16 +61,14 @@
         replicas: FleetReplicas,
         names: GatewayHeaderNames,
         environment: Environment,
+        forwarder: ResponseForwarder,
     ) -> None:
         self._client = client
         self._connections = connections
         self._replicas = replicas
         self._names = names
         self._environment = environment
-        self.on_parts_served: Callable[[GatewayRequest], None] = lambda _request: None
-        self.on_stream_began: Callable[[GatewayRequest, Origin], None] = lambda _request, _origin: (
-            None
-        )
+        self._forwarder = forwarder
 
     async def make(
         self,
@@ -147,9 +131,8 @@
         sent_s = self._environment.monotonic()
         try:
             response = await self._receive_head(request, attempt, progress)
-            await self._process_response(
-                request, attempt, response, sink, progress, reading, seen, sent_s
-            )
+            forwarded = ForwardedAttempt(request, attempt, sink, progress, reading, seen)
+            await self._process_response(forwarded, response, sent_s)
             self._replicas.succeeded(replica)
             self._record_result(seen, failed=False)
         except NotRunError:
@@ -165,7 +148,7 @@
             raise ConnectionEndedError(
                 repr(error), step="read_answer", peer=replica.name
             ) from error
-        except (asyncio.CancelledError, OutputLimitError):
+        except (asyncio.CancelledError, StreamBrokenError):
             if seen is not None:
                 seen.given_up(self._environment.monotonic())
             raise
@@ -209,18 +192,12 @@
         """Return after how long without a head a replica counts as silent; None for no limit."""
         if not request.matched.may_run_twice or progress.forwarded.events:
             return None
-        return self._attempt_timeout_s(request)
+        return self._forwarder.attempt_timeout_s(request)
 
     def _note_late(self, replica: FleetReplica, limit_s: float | None) -> None:
         if limit_s is not None:
             self._replicas.speeds.given_up(replica, limit_s)
 
-    def _attempt_timeout_s(self, request: GatewayRequest) -> float:
-        objective_s = request.matched.route.objective_ms / MILLISECONDS_PER_SECOND
-        return choose_attempt_timeout(
-            objective_s, self._replicas.speeds.first_events(request.profile.service)
-        ).timeout_s
-
     def _headers(
         self, request: GatewayRequest, replica: FleetReplica, progress: ResponseProgress
     ) -> list[tuple[str, str]]:
@@ -237,16 +214,12 @@
 
     async def _process_response(
         self,
-        request: GatewayRequest,
-        attempt: RunningAttempt,
+        forwarded: ForwardedAttempt,
         response: aiohttp.ClientResponse,
-        sink: ResponseSink,
-        progress: ResponseProgress,
-        reading: PendingPrefill,
-        seen: AttemptObservation | None,
         sent_s: float,
     ) -> None:
-        replica = attempt.replica
+        request, seen = forwarded.request, forwarded.seen
+        replica = forwarded.running.replica
         wall_s = self._environment.wall_ms() / MILLISECONDS_PER_SECOND
         signals = read_signals(response.status, response.headers, self._names, wall_s)
         identity = response.headers.get(self._names.request_id)
@@ -265,7 +238,7 @@
         if not signals.misdirected:
             self._replicas.limits.observe(replica, signals.limit, sent_s)
         if signals.misdirected or signals.not_run:
-            await response.read()
+            await discard_body(response.content)
             raise NotRunError(
                 f"request rejected with status {response.status}",
                 step="misdirected" if signals.misdirected else "rejected",
@@ -284,110 +257,6 @@
         if success and self._names.signature not in response.headers:
             raise RunLostError("response has no signature", step="send", peer=replica.name)
         if success and response.content_type == _EVENT_STREAM:
-            await self._forward_stream(request, attempt, response, sink, progress, reading, seen)
+            await self._forwarder.forward_stream(forwarded, response)
             return
-        if seen is not None:
-            seen.record_bytes(self._environment.monotonic())
-        answer = ReplicaResponse(
-            response.status, forwarded_headers(response), await response.read()
-        )
-        if sink.started:
-            raise RunLostError(
-                "replica did not resume the stream", step="resume", peer=replica.name
-            )
-        if answer.status >= _FIRST_SERVER_ERROR_STATUS:
-            raise RunFailedError(answer, step="send", peer=replica.name)
-        attempt.claim()
-        progress.finished = True
-        progress.success_delivered = success
-        await _forward(sink.send_complete(answer), seen)
-
-    async def _forward_stream(
-        self,
-        request: GatewayRequest,
-        attempt: RunningAttempt,
-        response: aiohttp.ClientResponse,
-        sink: ResponseSink,
-        progress: ResponseProgress,
-        reading: PendingPrefill,
-        seen: AttemptObservation | None,
-    ) -> None:
-        forwarded = progress.forwarded
-        splitter = EventSplitter()
-        events_before = forwarded.events
-        parts_served = False
-        while True:
-            limit_s = self._event_limit_s(request, progress)
-            on_late = partial(self._note_late_event, reading, progress, limit_s)
-            with attempt.silent_after(limit_s, on_late):
-                chunk = await response.content.readany()
-            if not chunk:
-                break
-            complete_events = splitter.feed(chunk)
-            if complete_events:
-                attempt.claim()
-                events = forwarded.events
-                complete_events = forwarded.add(complete_events)
-                reading.read()
-                if progress.first_event_s is None:
-                    self._record_origin(request, attempt.replica, progress)
-                if seen is not None:
-                    seen.record_bytes(self._environment.monotonic(), forwarded.events - events)
-                progress.record_forwarded(self._environment.monotonic())
-                if not parts_served and shows_parts_sound(forwarded.events - events_before):
-                    parts_served = True
-                    self.on_parts_served(request)
-                await _forward(self._write(response, sink, complete_events), seen)
-            if forwarded.is_over:
-                raise OutputLimitError(
-                    f"ended after {forwarded.events} events, all that the request reserved",
-                    step="output_limit",
-                    peer=request.request_id,
-                )
-        if not splitter.at_event_boundary:
-            raise ConnectionEndedError("stream ended in the middle of an event", step="read_stream")
-        attempt.claim()
-        if not sink.started:
-            head = ReplicaResponse(response.status, forwarded_headers(response))
-            await _forward(sink.start(head), seen)
-        progress.finished = True
-        progress.success_delivered = True
-        await _forward(sink.finish(), seen)
-
-    def _event_limit_s(self, request: GatewayRequest, progress: ResponseProgress) -> float | None:
-        """Return after how long without data a replica counts as silent; None for no limit."""
-        if not request.matched.may_run_twice:
-            return None
-        return (
-            _EVENT_GAP_TIMEOUT_S if progress.forwarded.events else self._attempt_timeout_s(request)
-        )
-
-    @staticmethod
-    def _note_late_event(
-        reading: PendingPrefill, progress: ResponseProgress, limit_s: float | None
-    ) -> None:
-        if limit_s is not None and not progress.forwarded.events:
-            reading.given_up(limit_s)
-
-    def _record_origin(
-        self, request: GatewayRequest, replica: FleetReplica, progress: ResponseProgress
-    ) -> None:
-        if progress.origin is None:
-            progress.origin = Origin(request.profile.service, replica.record.software)
-        self.on_stream_began(request, progress.origin)
-
-    @staticmethod
-    async def _write(response: aiohttp.ClientResponse, sink: ResponseSink, events: bytes) -> None:
-        if not sink.started:
-            await sink.start(ReplicaResponse(response.status, forwarded_headers(response)))
-        await sink.write(events)
-
-
-async def _forward(sending: Coroutine[Any, Any, None], seen: AttemptObservation | None) -> None:
-    """Await a write to the caller; a failure there is no evidence about the replica's version."""
-    try:
-        await sending
-    except BaseException:
-        if seen is not None:
-            seen.discarded = True
-        raise
+        await self._forwarder.forward_plain(forwarded, response, success=success)
