Answer requests that are in flight when the grace of a stop is over

A caller whose request was in flight when the grace of a planned stop ended saw its connection close: it could not tell whether the request had run, and one that had waited in the gateway all the time counted as lost without an excuse. Its prepaid tokens were charged in full, since the handler was cancelled after the tokens had been returned.

When the grace is over, all requests in flight end like at their time limit: 503 if no replica had the request, 502 if one may have run it, and a stream in the middle is cut. They settle their tokens before the rest is returned. The line of the cut says phase grace_over.

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -18,7 +18,7 @@
 from heronladder_router.errors import CrashesReplicasError
 from heronladder_router.event_stream import ForwardedEvents
 from heronladder_router.fleet_replicas import FleetReplicas
-from heronladder_router.gateway_refusals import GatewayRefusals, time_limit_error
+from heronladder_router.gateway_refusals import GatewayRefusals, grace_over_error, time_limit_error
 from heronladder_router.gateway_request import GatewayRequest, ResponseSink
 from heronladder_router.host_routes import HostRouteTable
 from heronladder_router.origins.streams import StreamOrigins
@@ -81,6 +81,8 @@
             context.link, context.routes, context.tokens, context.environment, context.log
         )
         self._refusals = GatewayRefusals(context.replicas, context.slot_queue)
+        self._time_limits: set[asyncio.Timeout] = set()
+        self._grace_over = False
         self._placement = AttemptPlacement(
             context.link,
             context.replicas,
@@ -134,14 +136,17 @@
         forwarded = ForwardedEvents(self._tokens.max_events(request))
         progress = ResponseProgress(forwarded=forwarded, origin=origin)
         try:
-            async with asyncio.timeout_at(request.deadline_s):
+            async with asyncio.timeout_at(request.deadline_s) as time_limit:
+                self._time_limits.add(time_limit)
                 await self._context.slot_queue.admit(request)
                 attempts = RequestAttempts(self._attempt_parts, request, sink, progress)
                 if not await attempts.run():
                     await self._give_up(request, sink, progress, attempts.history)
         except TimeoutError as error:
-            raise time_limit_error(request, sink, progress) from error
+            describe = grace_over_error if self._grace_over else time_limit_error
+            raise describe(request, sink, progress) from error
         finally:
+            self._time_limits.discard(time_limit)
             self._context.origins.ended(request, finished=progress.finished)
             used = self._tokens.used(request, progress)
             if reservation is not None:
@@ -149,6 +154,16 @@
             now_s = self._context.environment.monotonic()
             log_request_end(self._context.log, request, sink, progress, reservation, used, now_s)
 
+    def end_all(self) -> None:
+        """End all requests in flight, because the grace period of a planned stop is over.
+
+        Each caller whose response was not started gets one that says whether the request may have
+        run; a closed connection would tell it nothing.
+        """
+        self._grace_over = True
+        for time_limit in self._time_limits:
+            time_limit.reschedule(asyncio.get_running_loop().time())
+
     def _refuse_unplaceable(self, request: GatewayRequest) -> None:
         """Refuse a request that no replica would accept, before it waits for tokens or a slot.
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_refusals.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_refusals.py
@@ -16,6 +16,7 @@
     ReplicasColdError,
     ReplicasLeavingError,
     ReplicasLimitedError,
+    StoppingError,
     TimeLimitError,
     VersionNotAdmittedError,
 )
@@ -113,3 +114,17 @@
         step="time_limit",
         peer=request.request_id,
     )
+
+
+def grace_over_error(
+    request: GatewayRequest, sink: ResponseSink, progress: ResponseProgress
+) -> HeronladderError:
+    """Return the error of a request in flight when the grace of a planned stop is over."""
+    why = "the grace period of a planned stop is over"
+    if sink.started:
+        return StreamBrokenError(why, step="planned_stop", peer=request.request_id)
+    if progress.ran:
+        return AnswerLostError(
+            f"{why}; the request may have run", step="planned_stop", peer=request.profile.service
+        )
+    return StoppingError(why, step="planned_stop", peer=request.profile.service)
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -38,6 +38,7 @@
 from heronladder_router.unreachable_replicas import UnreachableReplicas
 
 _DRAIN_POLL_S = 0.02
+_END_TIMEOUT_S = 0.1  # for the responses of requests that are ended when the grace is over
 # Longest time to return tokens when stopping, and the part of it that other gateways have to
 # settle what they borrowed.
 _TOKEN_RETURN_TIMEOUT_S = 0.8
@@ -335,13 +336,18 @@
         self._enter(StopPhase.REJECTING)
         self.tokens.stop_lending()
         await stop_accepting()
-        while self._has_unfinished() and self._environment.monotonic() - start_s < grace_s:
+        await self._wait_until_finished(start_s + grace_s)
+        if not self._has_unfinished():
+            self._enter(StopPhase.ANSWERED)
+            return
+        self.log.error("planned_stop_cuts_requests", step="drain", requests=self.server.in_flight)
+        self._enter(StopPhase.GRACE_OVER)
+        self.server.end_requests()
+        await self._wait_until_finished(self._environment.monotonic() + _END_TIMEOUT_S)
+
+    async def _wait_until_finished(self, until_s: float) -> None:
+        while self._has_unfinished() and self._environment.monotonic() < until_s:
             await asyncio.sleep(_DRAIN_POLL_S)
-        if self.server.in_flight:
-            self.log.error(
-                "planned_stop_cuts_requests", step="drain", requests=self.server.in_flight
-            )
-        self._enter(StopPhase.GRACE_OVER if self._has_unfinished() else StopPhase.ANSWERED)
 
     def _has_unfinished(self) -> bool:
         """Whether a request is in flight, or bytes of a response have not left the process.
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -122,7 +122,9 @@
             self._log.warning(
                 "stream_broken", step=error.step, request_id=error.peer, why=error.message
             )
-            self._cuts.record(request_id, sink, arrived_s, CutCause.STREAM_BROKEN, error.step)
+            ended = self.stop.closes_connections
+            cause = CutCause.STOP if ended else CutCause.STREAM_BROKEN
+            self._cuts.record(request_id, sink, arrived_s, cause, error.step)
             return self._abort_response(request, sink)
         except (ConnectionResetError, ConnectionAbortedError) as error:
             self._metrics.add("callers_gone")
@@ -145,6 +147,10 @@
             elapsed_s = self._environment.monotonic() - arrived_s
             self._metrics.observe("gateway_request", elapsed_s, str(sink.status))
 
+    def end_requests(self) -> None:
+        """End all requests in flight, because the grace period of a planned stop is over."""
+        self._dispatcher.end_all()
+
     @property
     def unsent_bytes(self) -> int:
         """Bytes of ended responses that the kernel has not accepted yet."""
--- a/tests/soak_teeth.py
+++ b/tests/soak_teeth.py
@@ -28,8 +28,8 @@
     # The listener ends as soon as balancers have noticed; requests in flight are not waited for.
     "drain": Tooth(
         f"{_ROUTER}/gateway_role.py",
-        "while self._has_unfinished() and",
-        "while False and",
+        "await self._wait_until_finished(start_s + grace_s)",
+        "await self._wait_until_finished(start_s)",
     ),
     # The grace that requests in flight have is cut to a half.
     "grace": Tooth(
--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -31,6 +31,7 @@
         self.control = Machine(CONTROL, seeds[0], "core-0", place, seeds)
         self.gateway = Machine(GATEWAY, f"{_NET}.51", "front-0", place, seeds)
         self.book = CallBook()
+        self.status = 0  # of the last response
         self.replica = ScriptedReplica("r0", self.book.arrived, self.book.done)
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
@@ -40,7 +41,8 @@
         await self.replica.start()
         self.addAsyncCleanup(self.replica.stop)
         limit = {"timeoutMs": int(_TIME_LIMIT_S * 1000), "targetLatencyMs": 800}
-        document = configuration(1, route("/plain/", **limit))
+        streams = limit | {"kind": "streaming", "resumable": True}
+        document = configuration(1, route("/plain/", **limit), route("/stream/", **streams))
         async with asyncio.timeout(_START_S):
             while await self._tell("/api/Config.Replace", document) != 200:
                 await asyncio.sleep(0.1)
@@ -61,7 +63,7 @@
         self.assertTrue(await caller.connect())
         self.addCleanup(caller.close)
         record = self.book.begin("q", self.gateway.name, plan.deadline_s)
-        await caller.call(plan, record)
+        self.status = (await caller.call(plan, record)).status
         return record
 
     async def test_a_response_that_its_caller_reads_slowly_is_sent_in_full(self) -> None:
@@ -80,6 +82,37 @@
         phases = [line for line in self.gateway.output().splitlines() if "stop_phase" in line]
         self.assertTrue(record.complete, [record.why, *phases])
 
+    async def test_a_request_in_flight_when_the_grace_is_over_gets_a_response(self) -> None:
+        plan = CallPlan(
+            "/plain/",
+            ResponseScript(lasts_s=_TIME_LIMIT_S),
+            deadline_s=_TIME_LIMIT_S,
+            patience_s=_TIME_LIMIT_S,
+        )
+        calling = asyncio.ensure_future(self.call(plan))
+        await asyncio.sleep(0.3)
+        await self.gateway.stop()
+        record = await calling
+        self.assertTrue(record.complete, record.why)
+        self.assertEqual(self.status, 502)
+        self.assertIn("phase=grace_over", self.gateway.output())
+
+    async def test_a_stream_that_is_cut_when_the_grace_is_over_is_recorded(self) -> None:
+        plan = CallPlan(
+            "/stream/",
+            ResponseScript(streams=True, events=100, lasts_s=_TIME_LIMIT_S),
+            deadline_s=_TIME_LIMIT_S,
+            patience_s=_TIME_LIMIT_S,
+        )
+        calling = asyncio.ensure_future(self.call(plan))
+        await asyncio.sleep(0.3)
+        await self.gateway.stop()
+        self.assertFalse((await calling).complete)
+        cut = [line for line in self.gateway.output().splitlines() if "event=response_cut" in line]
+        self.assertEqual(len(cut), 1)
+        self.assertIn("request_id=q cause=stop status=200", cut[0])
+        self.assertIn("stop_phase=grace_over", cut[0])
+
 
 if __name__ == "__main__":
     unittest.main()
