Take only a complete rejection for the promise that nothing ran

A rejection is read to its end, up to 64 KiB; a longer one is no rejection, and its response counts as lost.

--- a/packages/heronladder-router/src/heronladder_router/held_bodies.py
+++ b/packages/heronladder-router/src/heronladder_router/held_bodies.py
@@ -4,7 +4,6 @@
 larger than what may be held is passed on as it arrives, at the pace of its caller.
 """
 
-import asyncio
 from types import TracebackType
 
 import aiohttp
@@ -12,7 +11,6 @@
 MAX_RESPONSE_BYTES = 256 * 1024
 MAX_TOTAL_BYTES = 4 * 1024 * 1024
 MAX_DISCARDED_BYTES = 64 * 1024
-_DISCARD_TIMEOUT_S = 0.2  # a replica that takes longer loses the connection
 
 
 class HeldBodies:
@@ -92,18 +90,16 @@
         return complete
 
 
-async def discard_body(content: aiohttp.StreamReader) -> None:
+async def discard_body(content: aiohttp.StreamReader) -> bool:
     """Read a short body whose bytes are not needed, so that its connection can be used again.
 
-    A body that is longer, or that takes longer, is left unread; its connection is then closed.
+    Returns:
+        Whether the body is complete; a longer one is left unread.
     """
     discarded_bytes = 0
-    try:
-        async with asyncio.timeout(_DISCARD_TIMEOUT_S):
-            while discarded_bytes <= MAX_DISCARDED_BYTES:
-                chunk = await content.readany()
-                if not chunk:
-                    return
-                discarded_bytes += len(chunk)
-    except TimeoutError:
-        return
+    while discarded_bytes <= MAX_DISCARDED_BYTES:
+        chunk = await content.readany()
+        if not chunk:
+            return True
+        discarded_bytes += len(chunk)
+    return False
--- a/packages/heronladder-router/src/heronladder_router/replica_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_attempt.py
@@ -19,7 +19,7 @@
 from heronladder_router.fleet_replicas import FleetReplicas
 from heronladder_router.gateway_header_names import GatewayHeaderNames
 from heronladder_router.gateway_request import GatewayRequest, ResponseSink
-from heronladder_router.held_bodies import discard_body
+from heronladder_router.held_bodies import MAX_DISCARDED_BYTES, discard_body
 from heronladder_router.pending_prefill import PendingPrefill
 from heronladder_router.replica_client import (
     ReplicaClient,
@@ -238,7 +238,10 @@
         if not signals.misdirected:
             self._replicas.limits.observe(replica, signals.limit, sent_s)
         if signals.misdirected or signals.not_run:
-            await discard_body(response.content)
+            if not await discard_body(response.content):
+                raise RunLostError(
+                    f"rejection exceeds {MAX_DISCARDED_BYTES} bytes", step="send", peer=replica.name
+                )
             raise NotRunError(
                 f"request rejected with status {response.status}",
                 step="misdirected" if signals.misdirected else "rejected",
