Choose a replica and send to it in one step

Callers were sent to replicas beyond what they take: 30 of 30 requests to a cold replica that bears two a second. Since a silent attempt is read on, an attempt ran in a task of its own, one turn of the loop after its placement; requests placed meanwhile did not see it.

Attempts follow each other in the request's own task again, and only the retry of a silent attempt has one; it chooses its replica and sends to it without a step between. Another attempt that goes on with the response supersedes the one in the request's task by a cancellation scope, and a superseded attempt cannot claim the response. test_cold_replicas and test_silent_replicas pass. The tooth for silent attempts puts the fault back where it is now; test_rollout_gates uses the method in its new place.

--- a/packages/heronladder-router/src/heronladder_router/request_attempts.py
+++ b/packages/heronladder-router/src/heronladder_router/request_attempts.py
@@ -7,6 +7,8 @@
 """
 
 import asyncio
+from collections.abc import Callable
+from functools import partial
 
 from heronladder_router.attempt_outcomes import (
     AttemptHistory,
@@ -26,7 +28,7 @@
 from heronladder_router.gateway_request import GatewayRequest, ResponseSink
 from heronladder_router.replica_attempt import ReplicaAttempts
 from heronladder_router.replica_slot_queue import ReplicaSlotQueue
-from heronladder_router.running_attempt import RunningAttempt
+from heronladder_router.running_attempt import RunningAttempt, SupersededError
 
 _MAX_REJECTIONS = 3  # attempts that replicas did not run; they do not count as route attempts
 
@@ -60,9 +62,34 @@
         self.crash_reports = crash_reports
 
 
+class _Lane:
+    """Placement and making of one attempt.
+
+    Attributes:
+        attempt: The attempt; None while its replica is being chosen.
+        cancel: Cancels the lane.
+    """
+
+    def __init__(self) -> None:
+        self.attempt: RunningAttempt | None = None
+        self.cancel: Callable[[], object] = lambda: None
+
+    @property
+    def is_silent(self) -> bool:
+        return self.attempt is not None and self.attempt.silent_since_s is not None
+
+    @property
+    def is_superseded(self) -> bool:
+        return self.attempt is not None and self.attempt.superseded
+
+
 class RequestAttempts:
     """The attempts of one request.
 
+    Attempts follow each other in the task of the request. While one is silent, its retry runs in a
+    task of its own. A replica is chosen and sent the request without a step of another task between
+    the two: a request that is placed there would not see the load of this one.
+
     Args:
         parts: Shared components.
         request: The request.
@@ -85,11 +112,12 @@
         self._request = request
         self._sink = sink
         self._progress = progress
-        self._running: list[RunningAttempt] = []
-        self._placing: asyncio.Task[None] | None = None
+        self._lanes: list[_Lane] = []
+        self._retries: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
         self._attempt_due = True
         self._answered = False
+        self._failure: BaseException | None = None
 
     async def run(self) -> bool:
         """Make attempts until one has forwarded the whole response.
@@ -99,31 +127,21 @@
         """
         try:
             while not self._answered:
-                await self._start_due_attempt()
-                if not self._running and self._placing is None:
+                if self._failure is not None:
+                    raise self._failure
+                if self._lanes:
+                    await self._changed.wait()
+                    self._changed.clear()
+                elif self._attempt_due and self._may_attempt():
+                    await self._run_in_turn()
+                else:
                     return False
-                await self._changed.wait()
-                self._changed.clear()
-                self._handle_ended()
             return True
         finally:
-            await self._cancel_all()
+            await self._cancel_retries()
 
     # ---- start ------------------------------------------------------------
 
-    async def _start_due_attempt(self) -> None:
-        if not self._attempt_due or self._placing is not None:
-            return
-        self._attempt_due = False
-        if not self._may_attempt():
-            return
-        if not self._running:
-            await self._start_next()
-            return
-        # A silent attempt may go on while a replica is chosen.
-        self._placing = asyncio.create_task(self._start_next())
-        self._placing.add_done_callback(lambda _: self._changed.set())
-
     def _may_attempt(self) -> bool:
         history = self.history
         if history.rejected > _MAX_REJECTIONS:
@@ -137,7 +155,60 @@
         attempts = max(1, request.matched.route.attempts)
         return request.matched.may_run_twice and history.runs < attempts
 
-    async def _start_next(self) -> None:
+    async def _run_in_turn(self) -> None:
+        """Run a lane in the task of the request, while no other one runs."""
+        lane = _Lane()
+        self._attempt_due = False
+        self._lanes.append(lane)
+        try:
+            async with asyncio.timeout(None) as scope:
+                lane.cancel = lambda: scope.reschedule(asyncio.get_running_loop().time())
+                await self._run_lane(lane)
+        except TimeoutError:
+            if not lane.is_superseded:
+                raise
+
+    def _start_retry(self) -> None:
+        """Start a retry beside attempts that are silent, if one is due and allowed."""
+        if not self._attempt_due or not all(lane.is_silent for lane in self._lanes):
+            return
+        self._attempt_due = False
+        if not self._may_attempt():
+            return
+        lane = _Lane()
+        self._lanes.append(lane)
+        retry = asyncio.create_task(self._run_lane(lane))
+        lane.cancel = retry.cancel
+        self._retries.add(retry)
+        retry.add_done_callback(partial(self._on_retry_done, lane))
+
+    def _on_retry_done(self, lane: _Lane, retry: asyncio.Task[None]) -> None:
+        self._retries.discard(retry)
+        if lane in self._lanes:
+            self._lanes.remove(lane)  # it was cancelled before its first step
+        if not retry.cancelled():
+            self._failure = self._failure or retry.exception()
+        if self._lanes:
+            self._start_retry()
+        self._changed.set()
+
+    async def _run_lane(self, lane: _Lane) -> None:
+        try:
+            await self._place_and_make(lane)
+            if lane.attempt is not None:
+                self._record_served()
+                self._answered = True
+        except SupersededError:
+            pass
+        except (NotRunError, RunFailedError, RunLostError) as error:
+            if lane.attempt is not None and not lane.is_superseded:
+                self._handle_failure(lane.attempt, error)
+        finally:
+            self._lanes.remove(lane)
+            if lane.attempt is not None and lane.is_superseded:
+                self._parts.records.superseded(self._request, lane.attempt)
+
+    async def _place_and_make(self, lane: _Lane) -> None:
         placement = await self._parts.placement.next(self._request, self.history)
         replica = placement.replica
         if replica is None:
@@ -147,19 +218,14 @@
         self._parts.records.log_attempt(
             self._request, replica, placement, self.history, self._progress
         )
-        attempt = RunningAttempt(
+        attempt = lane.attempt = RunningAttempt(
             replica, self._progress.forwarded.events, self._on_silent, self._on_claim
         )
-        attempt.task = asyncio.create_task(self._make(attempt))
-        attempt.task.add_done_callback(lambda _: self._changed.set())
-        self._running.append(attempt)
-
-    async def _make(self, attempt: RunningAttempt) -> None:
-        """Make one attempt; when a plain request ends, its slot is offered to the queue."""
         request, attempts = self._request, self._parts.attempts
         if request.bounds is not None:
             await attempts.make(request, attempt, self._sink, self._progress)
             return
+        # When a plain request ends, its slot is offered to the queue.
         service = request.profile.service
         sent_s = asyncio.get_running_loop().time()
         try:
@@ -179,59 +245,42 @@
             self.history.tried.add(attempt.replica.name)
             self.history.origin = self._progress.origin
             self._parts.records.silent(self._request, attempt, self._progress)
-        if all(one.silent_since_s is not None for one in self._running):
-            self._attempt_due = True
-            self._changed.set()
+        self._attempt_due = True
+        self._start_retry()
 
     def _on_claim(self, attempt: RunningAttempt) -> None:
-        others = [one for one in self._running if one is not attempt and not one.superseded]
+        others = [
+            lane for lane in self._lanes if lane.attempt is not attempt and not lane.is_superseded
+        ]
         if attempt.silent_since_s is not None:
             self._parts.records.resumed(self._request, attempt, len(others))
             attempt.silent_since_s = None
-        if self._placing is not None:
-            self._placing.cancel()
-        for other in others:
-            other.superseded = True
-            assert other.task is not None
-            other.task.cancel()
-        if others:
-            self._sink.replica = self._progress.replica = attempt.replica.name
         self._attempt_due = False
+        if not others:
+            return
+        self._sink.replica = self._progress.replica = attempt.replica.name
+        for lane in others:
+            if lane.attempt is not None:
+                lane.attempt.superseded = True
+            lane.cancel()
 
     # ---- outcomes ---------------------------------------------------------
 
-    def _handle_ended(self) -> None:
-        placing = self._placing
-        if placing is not None and placing.done():
-            self._placing = None
-            if not placing.cancelled():
-                placing.result()
-        for attempt in [one for one in self._running if one.task is None or one.task.done()]:
-            self._running.remove(attempt)
-            self._handle_outcome(attempt)
-
-    def _handle_outcome(self, attempt: RunningAttempt) -> None:
-        assert attempt.task is not None
-        error = None if attempt.task.cancelled() else attempt.task.exception()
-        if attempt.superseded:
-            self._parts.records.superseded(self._request, attempt)
-            return
-        if attempt.task.cancelled():
-            error = RunLostError("attempt was cancelled", step="send", peer=attempt.replica.name)
-        if error is None:
-            self._record_served()
-            self._answered = True
-            return
+    def _handle_failure(
+        self, attempt: RunningAttempt, error: NotRunError | RunFailedError | RunLostError
+    ) -> None:
         self._attempt_due = True
         if isinstance(error, HeldBackError):
             self._parts.records.held_back(self._request, attempt.replica, error)
             return  # nothing was sent, so it does not count as an attempt
-        if not isinstance(error, NotRunError | RunFailedError | RunLostError):
-            raise error
         self._count(attempt, error)
         self._parts.records.failed(self._request, attempt.replica, error)
         if isinstance(error, ConnectionEndedError):
-            self._report_connection_loss(attempt)
+            self._parts.crash_reports.record_connection_loss(
+                attempt.replica,
+                self._request,
+                self._progress.forwarded.events - attempt.events_before,
+            )
 
     def _count(
         self, attempt: RunningAttempt, error: NotRunError | RunFailedError | RunLostError
@@ -250,24 +299,15 @@
         history.tried.add(attempt.replica.name)
         history.origin = self._progress.origin
 
-    def _report_connection_loss(self, attempt: RunningAttempt) -> None:
-        self._parts.crash_reports.record_connection_loss(
-            attempt.replica,
-            self._request,
-            self._progress.forwarded.events - attempt.events_before,
-        )
-
     def _record_served(self) -> None:
         crashing = self._parts.crashing
         crashing.record_served(self._request.fingerprint)
         if self._progress.success_delivered:
             crashing.record_parts_served(self._request)
 
-    async def _cancel_all(self) -> None:
-        tasks = [attempt.task for attempt in self._running if attempt.task is not None]
-        if self._placing is not None:
-            tasks.append(self._placing)
-        for task in tasks:
-            task.cancel()
-        if tasks:
-            await asyncio.gather(*tasks, return_exceptions=True)
+    async def _cancel_retries(self) -> None:
+        retries = list(self._retries)
+        for retry in retries:
+            retry.cancel()
+        if retries:
+            await asyncio.gather(*retries, return_exceptions=True)
--- a/packages/heronladder-router/src/heronladder_router/running_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/running_attempt.py
@@ -9,9 +9,15 @@
 from contextlib import contextmanager
 from functools import partial
 
+from heronladder_runtime.errors import HeronladderError
+
 from heronladder_router.replica_state import FleetReplica
 
 
+class SupersededError(HeronladderError):
+    """Another attempt of the same request has gone on with the response."""
+
+
 class RunningAttempt:
     """State of one attempt.
 
@@ -23,7 +29,6 @@
         on_claim: Called when a part of the response is about to be forwarded.
 
     Attributes:
-        task: Makes the attempt; set by its owner.
         silent_since_s: Since when the replica is silent, on the event loop's clock; None if it is
             not.
         counted: Whether the attempt counts as a run although it has not ended.
@@ -39,7 +44,6 @@
     ) -> None:
         self.replica = replica
         self.events_before = events_before
-        self.task: asyncio.Task[None] | None = None
         self.silent_since_s: float | None = None
         self.counted = False
         self.superseded = False
@@ -49,8 +53,15 @@
     def claim(self) -> None:
         """Take the response over before a part of it is forwarded.
 
-        Other attempts are cancelled within this call, so that no two attempts forward parts.
+        Other attempts are superseded within this call, so that no two attempts forward parts.
+
+        Raises:
+            SupersededError: If another attempt has gone on with the response.
         """
+        if self.superseded:
+            raise SupersededError(
+                "another attempt went on with the response", step="claim", peer=self.replica.name
+            )
         self._on_claim(self)
 
     @contextmanager
--- a/tests/soak_teeth.py
+++ b/tests/soak_teeth.py
@@ -39,10 +39,14 @@
     ),
     # A silent attempt is given up (docs/incidents/answers-cut-around-a-stop.md).
     "silence": Tooth(
-        f"{_ROUTER}/request_attempts.py",
-        "self._parts.records.silent(self._request, attempt, self._progress)",
-        "self._parts.records.silent(self._request, attempt, self._progress)\n"
-        "            attempt.task.cancel()",
+        f"{_ROUTER}/response_forwarding.py",
+        "            with attempt.running.silent_after(limit_s, on_late):\n"
+        "                chunk = await response.content.readany()\n",
+        "            try:\n"
+        "                async with __import__('asyncio').timeout(limit_s):\n"
+        "                    chunk = await response.content.readany()\n"
+        "            except TimeoutError:\n"
+        "                raise RunLostError('stream stalled', step='read_stream') from None\n",
     ),
 }
 
--- a/tests/test_rollout_gates.py
+++ b/tests/test_rollout_gates.py
@@ -4,8 +4,8 @@
 from unittest.mock import Mock
 
 from heronladder_router.cached_prompt_parts import CachedPromptParts
-from heronladder_router.replica_attempt import _forward
 from heronladder_router.replica_state import FleetReplica
+from heronladder_router.response_forwarding import ForwardedAttempt
 from heronladder_router.rollouts.service_gate import ServiceGate
 from heronladder_router.rollouts.version_gates import AttemptObservation, VersionGates
 from heronladder_runtime.clock import Environment
@@ -139,7 +139,8 @@
             raise ConnectionResetError
 
         with self.assertRaises(ConnectionResetError):
-            await _forward(broken(), observation)
+            attempt = ForwardedAttempt(Mock(), Mock(), Mock(), Mock(), Mock(), observation)
+            await attempt.forward(broken())
         observation.ended(0.6, failed=True)
         self.assertEqual(gate.evidence.side("r", of_target=True).answers, 0)
 
