Reject requests that arrive while a loading gateway gets SIGTERM

Callers whose request reached a gateway while it was being loaded saw a reset when it got SIGTERM then: the process ended with requests unread.

The sockets opened early are polled a last time as the process ends: complete requests get 503, which says that nothing ran. The new test of test_early_listeners failed before (no bytes came) and passes now.

--- a/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
@@ -9,6 +9,7 @@
 
 from heronladder_daemon.early_rejecter import EarlyRejecter
 
+_LAST_POLL_S = 0.2
 BACKLOG = 1024  # connections that may wait to be accepted; the kernel may lower it
 
 _listeners: dict[str, socket.socket] = {}
@@ -60,6 +61,19 @@
     return _listeners.pop(address, None)
 
 
+def close() -> None:
+    """Reject the requests that have arrived, and close all sockets that were not taken.
+
+    For a process that ends while it is being loaded: closing a socket with unread requests would
+    reset their connections, and their callers could not tell whether they ran.
+    """
+    for rejecter in _rejecters:
+        rejecter.stop(_LAST_POLL_S)
+    for listener in _listeners.values():
+        listener.close()
+    _listeners.clear()
+
+
 def take_rejected_request_ids() -> list[str]:
     """Return the identifiers of requests rejected since the last call, for the log."""
     rejected_ids = []
--- a/packages/heronladder-daemon/src/heronladder_daemon/early_rejecter.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_rejecter.py
@@ -99,12 +99,16 @@
             self._selector.register(listener, selectors.EVENT_READ)
         sys.meta_path.insert(0, self)
 
-    def stop(self) -> None:
-        """Poll a last time, then stop and close connections with incomplete requests."""
+    def stop(self, last_poll_s: float = _MAX_POLL_S) -> None:
+        """Poll a last time, then stop and close connections with incomplete requests.
+
+        Args:
+            last_poll_s: Longest time of the last poll, in seconds.
+        """
         if self not in sys.meta_path:
             return
         sys.meta_path.remove(self)
-        self._poll()
+        self._poll(last_poll_s)
         self._close_all()
 
     def find_spec(
@@ -114,11 +118,11 @@
         if not self._polling and time.monotonic() - self._polled_at >= _MIN_POLL_INTERVAL_S:
             self._poll()
 
-    def _poll(self) -> None:
+    def _poll(self, limit_s: float = _MAX_POLL_S) -> None:
         """Reject the requests that have arrived; record errors, as none may break an import."""
         self._polling = True  # the code below may itself import modules
         try:
-            self._serve_until(time.monotonic() + _MAX_POLL_S)
+            self._serve_until(time.monotonic() + limit_s)
         except Exception as error:
             self._record_failure(error)
         self._polled_at = time.monotonic()
--- a/tests/test_early_listeners.py
+++ b/tests/test_early_listeners.py
@@ -27,6 +27,18 @@
 import heronladder_platform.__main__
 print(" ".join(sorted(sys.modules)))
 """
+# Gets SIGTERM inside an import that takes long; the request arrives meanwhile.
+_SIGTERM_IN_IMPORT_SCRIPT = """
+import os, runpy, signal, sys
+class Slow:
+    def find_spec(self, name, path=None, target=None):
+        if name == "heronladder_platform.daemon":
+            print("in the import", flush=True)
+            sys.stdin.read()
+            os.kill(os.getpid(), signal.SIGTERM)
+sys.meta_path.insert(0, Slow())
+runpy.run_module("heronladder_platform", run_name="__main__")
+"""
 _SMALL_MODULE = "colorsys"
 _LONGER_THAN_POLL_INTERVAL_S = 0.02
 _COMPLETE_REQUEST = b"GET /a HTTP/1.1\r\nHost: h\r\nRequest-Id: r2\r\n\r\n"
@@ -76,17 +88,26 @@
 
 
 @asynccontextmanager
-async def _loading_gateway(front: str, ready: str) -> AsyncIterator[asyncio.subprocess.Process]:
-    """Start a gateway with only listeners in its settings; it exits once it is loaded."""
+async def _loading_gateway(
+    front: str, ready: str, *, script: str = ""
+) -> AsyncIterator[asyncio.subprocess.Process]:
+    """Start a gateway with only listeners in its settings; it exits once it is loaded.
+
+    Args:
+        front: Address for callers.
+        ready: Address for readiness checks.
+        script: Script that runs the program; empty: it is run as its users do.
+    """
     with tempfile.TemporaryDirectory() as folder:
         settings = Path(folder) / "node.json"
         settings.write_text(json.dumps({"listen": {"front": front, "readiness": ready}}))
         process = await asyncio.create_subprocess_exec(
             sys.executable,
-            "-m",
-            "heronladder_platform",
+            *(["-c", script] if script else ["-m", "heronladder_platform"]),
             "gateway",
             env=os.environ | {"HERONLADDER_CONFIG": str(settings)},
+            stdin=asyncio.subprocess.PIPE,
+            stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.PIPE,
         )
         yield process
@@ -325,6 +346,23 @@
             _, stderr_output = await process.communicate()
         self.assertEqual(process.returncode, 0, stderr_output)
 
+    async def test_requests_that_arrive_before_a_sigterm_while_loading_are_rejected(self) -> None:
+        """Guards against connections that are reset because their requests were not read."""
+        (front, ready) = free_addresses(2)
+        async with (
+            asyncio.timeout(20),
+            _loading_gateway(front, ready, script=_SIGTERM_IN_IMPORT_SCRIPT) as process,
+        ):
+            assert process.stdout is not None
+            self.assertEqual(await process.stdout.readline(), b"in the import\n")
+            reader, writer = await _connect(front)
+            writer.write(_COMPLETE_REQUEST)
+            _, stderr_output = await process.communicate(b"go on")
+            got = await _read_to_end(reader)
+            writer.close()
+        self.assertTrue(got.startswith(b"HTTP/1.1 503 "), stderr_output)
+        self.assertEqual(process.returncode, 0, stderr_output)
+
     def test_imports_no_large_package_before_listening(self) -> None:
         """Guards against listening 1.2 s after the start, once aiohttp and gRPC are loaded."""
         command = [sys.executable, "-c", _PRINT_EARLY_MODULES_SCRIPT]
