End requests at the end of the grace whose time limit is expiring as well

A gateway's planned stop ended with exit code 1 and cut all its responses: at the end of the grace the time limit of each request in flight is moved to now, and one that was just expiring cannot be moved (RuntimeError). Such a request ends by itself and is left out. The new test of test_gateway_refusals failed before and passes now.

--- a/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_dispatch.py
@@ -162,7 +162,8 @@
         """
         self._grace_over = True
         for time_limit in self._time_limits:
-            time_limit.reschedule(asyncio.get_running_loop().time())
+            if not time_limit.expired():  # one that is expiring cannot be rescheduled
+                time_limit.reschedule(asyncio.get_running_loop().time())
 
     def _refuse_unplaceable(self, request: GatewayRequest) -> None:
         """Refuse a request that no replica would accept, before it waits for tokens or a slot.
--- a/tests/test_gateway_refusals.py
+++ b/tests/test_gateway_refusals.py
@@ -1,5 +1,6 @@
 """Tests of how long a gateway waits for prepaid tokens before it refuses a request."""
 
+import asyncio
 import itertools
 import unittest
 from types import SimpleNamespace
@@ -88,6 +89,33 @@
         for objective_ms in (800, 1500):
             self.assertLess(waited[objective_ms, 0.0], waited[objective_ms, 0.024])
 
+    async def test_a_stop_ends_requests_whose_time_limit_is_just_over(self) -> None:
+        """Guards against a stop that fails because a time limit cannot be moved any more."""
+        parts = SimpleNamespace(
+            link=None,
+            routes=None,
+            retry_budget=None,
+            replicas=None,
+            slot_queue=None,
+            attempts=None,
+            crash_reports=None,
+            unreached=None,
+            metrics=None,
+            tokens=None,
+            crashing=None,
+            origins=None,
+            environment=_Clock(),
+            log=EventLog("test", "gateway"),
+        )
+        dispatcher = GatewayDispatcher(cast(DispatchContext, parts))
+        with self.assertRaises(TimeoutError):
+            async with asyncio.timeout(0) as time_limit:
+                dispatcher._time_limits.add(time_limit)
+                try:
+                    await asyncio.sleep(1.0)
+                finally:
+                    dispatcher.end_all()
+
 
 if __name__ == "__main__":
     unittest.main()
