Judge a slow reader's lost response by the end of its gateway's process

The soak of planned stops reported four responses as cut that the rule allows. The end of the connection is now the end of the process, if that came before the caller saw it. All excuses and bounds of the rule stay as they are.

--- a/tests/call_book.py
+++ b/tests/call_book.py
@@ -90,9 +90,15 @@
             all_cuts: Whether responses that were cut without planned work count as well.
         """
         offset_s = _now() - time.monotonic()
-        self.work.unplanned += [
-            moment_s + offset_s for machine in machines for moment_s in machine.unplanned_s
-        ]
+        ends: dict[str, list[float]] = {}
+        for machine in machines:
+            self.work.unplanned += [moment_s + offset_s for moment_s in machine.unplanned_s]
+            ends[machine.name] = [moment_s + offset_s for moment_s in machine.ended_s]
+        for call in self.calls.values():
+            if not call.complete:
+                # A caller that reads slowly sees the end of its connection later than it came.
+                after = [at_s for at_s in ends.get(call.gateway, ()) if at_s >= call.sent_s]
+                call.ended_s = min([call.ended_s, *after])
         calls, bounds = self.calls.values(), LostBounds(GRACE_S)
         self.lost = find_lost(calls, self.work, bounds)
         told = [f"LOST: {self._describe(call)}" for call in self.lost[:_MAX_LISTED]]
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -38,6 +38,7 @@
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
         unplanned_s: Those of them at which it was killed, paused or let go on.
+        ended_s: When its process ended after SIGTERM, on the same clock.
     """
 
     def __init__(self, role: str, address: str, name: str, folder: Path, seeds: list[str]) -> None:
@@ -51,6 +52,7 @@
         self.faults: list[str] = []
         self.disturbed_s: list[float] = []
         self.unplanned_s: list[float] = []
+        self.ended_s: list[float] = []
         self._seeds = seeds
         self._folder = folder / name
         self._folder.mkdir(parents=True)
@@ -197,6 +199,7 @@
             async with asyncio.timeout(_ENDS_WITHIN_S):
                 while process.poll() is None:
                     await asyncio.sleep(_LOOK_S)
+                self.ended_s.append(time.monotonic())
         except TimeoutError:
             self.faults.append(f"{self.name} did not stop within {_ENDS_WITHIN_S} s")
             process.kill()
