Handle what has arrived before a replica counts as silent

A gateway that stands for two seconds would ask for a retry of each of its streams as it goes on, although their data lay in its sockets: timers that are due run in the same turn of the loop as the sockets are read. The report of silence waits for one turn more, in which the data that has arrived is handled.

--- a/packages/heronladder-router/src/heronladder_router/running_attempt.py
+++ b/packages/heronladder-router/src/heronladder_router/running_attempt.py
@@ -79,18 +79,23 @@
             return
         loop = asyncio.get_running_loop()
         began_s = loop.time()
-        timer: asyncio.TimerHandle
+        timer: asyncio.Handle
+
+        def expire(*, first: bool) -> None:
+            # What has arrived while this process was late is handled before the report.
+            nonlocal timer
+            timer = loop.call_soon(partial(report, first=first))
 
         def report(*, first: bool) -> None:
             nonlocal timer
-            timer = loop.call_later(limit_s, partial(report, first=False))
+            timer = loop.call_later(limit_s, partial(expire, first=False))
             if first:
                 on_first()
             if self.silent_since_s is None:
                 self.silent_since_s = began_s
             self._on_silent(self)
 
-        timer = loop.call_later(limit_s, partial(report, first=True))
+        timer = loop.call_later(limit_s, partial(expire, first=True))
         try:
             yield
         finally:
