Close the early sockets of a process that ends while it is loaded at its exit

It belongs to the module that opens the sockets, which registers it to run as the interpreter exits.

--- a/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_listeners.py
@@ -5,6 +5,7 @@
 takes over the sockets once it runs. This module imports nothing that takes long to load.
 """
 
+import atexit
 import socket
 
 from heronladder_daemon.early_rejecter import EarlyRejecter
@@ -45,11 +46,15 @@
 
 
 def reject_early(request_id_header: str) -> None:
-    """Reject requests on all sockets opened so far, until the first of them is taken."""
+    """Reject requests on all sockets opened so far, until the first of them is taken.
+
+    If the process ends before that, ``close`` is called.
+    """
     if not _listeners:
         return
     rejecter = EarlyRejecter(list(_listeners.values()), request_id_header)
     rejecter.start()
+    atexit.register(close)
     _rejecters.append(rejecter)
 
 
