Count a caller that is stopped with its run as one that left

Trace: the caller read 2 KB a time of 300 KB, its replica was done 0.8 s after SIGTERM, the kernel held the rest, and the run ended while it was still reading. Stopping the caller's task was taken for the end of its response. Such a caller has left, as one whose patience is over; a response that ends with an error counts as before.

--- a/tests/kept_callers.py
+++ b/tests/kept_callers.py
@@ -112,6 +112,9 @@
         except TimeoutError:
             record.left = True
             record.why = "the caller left"
+        except asyncio.CancelledError:
+            record.left = True  # the run is over
+            raise
         except (OSError, asyncio.IncompleteReadError, BrokenResponseError) as error:
             record.why = repr(error)
         finally:
