--- a/packages/heronladder-router/src/heronladder_router/request_attempts.py
+++ b/packages/heronladder-router/src/heronladder_router/request_attempts.py
@@ -62,12 +62,12 @@
         self.crash_reports = crash_reports
 
 
-class _Lane:
-    """Placement and making of one attempt.
+class _PendingAttempt:
+    """An attempt from the choice of its replica to its end.
 
     Attributes:
         attempt: The attempt; None while its replica is being chosen.
-        cancel: Cancels the lane.
+        cancel: Cancels it.
     """
 
     def __init__(self) -> None:
@@ -112,7 +112,7 @@
         self._request = request
         self._sink = sink
         self._progress = progress
-        self._lanes: list[_Lane] = []
+        self._pending: list[_PendingAttempt] = []
         self._retries: set[asyncio.Task[None]] = set()
         self._changed = asyncio.Event()
         self._attempt_due = True
@@ -129,7 +129,7 @@
             while not self._answered:
                 if self._failure is not None:
                     raise self._failure
-                if self._lanes:
+                if self._pending:
                     await self._changed.wait()
                     self._changed.clear()
                 elif self._attempt_due and self._may_attempt():
@@ -156,59 +156,59 @@
         return request.matched.may_run_twice and history.runs < attempts
 
     async def _run_in_turn(self) -> None:
-        """Run a lane in the task of the request, while no other one runs."""
-        lane = _Lane()
+        """Make an attempt in the task of the request, while no other one is pending."""
+        pending = _PendingAttempt()
         self._attempt_due = False
-        self._lanes.append(lane)
+        self._pending.append(pending)
         try:
             async with asyncio.timeout(None) as scope:
-                lane.cancel = lambda: scope.reschedule(asyncio.get_running_loop().time())
-                await self._run_lane(lane)
+                pending.cancel = lambda: scope.reschedule(asyncio.get_running_loop().time())
+                await self._run_pending(pending)
         except TimeoutError:
-            if not lane.is_superseded:
+            if not pending.is_superseded:
                 raise
 
     def _start_retry(self) -> None:
         """Start a retry beside attempts that are silent, if one is due and allowed."""
-        if not self._attempt_due or not all(lane.is_silent for lane in self._lanes):
+        if not self._attempt_due or not all(pending.is_silent for pending in self._pending):
             return
         self._attempt_due = False
         if not self._may_attempt():
             return
-        lane = _Lane()
-        self._lanes.append(lane)
-        retry = asyncio.create_task(self._run_lane(lane))
-        lane.cancel = retry.cancel
+        pending = _PendingAttempt()
+        self._pending.append(pending)
+        retry = asyncio.create_task(self._run_pending(pending))
+        pending.cancel = retry.cancel
         self._retries.add(retry)
-        retry.add_done_callback(partial(self._on_retry_done, lane))
+        retry.add_done_callback(partial(self._on_retry_done, pending))
 
-    def _on_retry_done(self, lane: _Lane, retry: asyncio.Task[None]) -> None:
+    def _on_retry_done(self, pending: _PendingAttempt, retry: asyncio.Task[None]) -> None:
         self._retries.discard(retry)
-        if lane in self._lanes:
-            self._lanes.remove(lane)  # it was cancelled before its first step
+        if pending in self._pending:
+            self._pending.remove(pending)  # it was cancelled before its first step
         if not retry.cancelled():
             self._failure = self._failure or retry.exception()
-        if self._lanes:
+        if self._pending:
             self._start_retry()
         self._changed.set()
 
-    async def _run_lane(self, lane: _Lane) -> None:
+    async def _run_pending(self, pending: _PendingAttempt) -> None:
         try:
-            await self._place_and_make(lane)
-            if lane.attempt is not None:
+            await self._place_and_make(pending)
+            if pending.attempt is not None:
                 self._record_served()
                 self._answered = True
         except SupersededError:
             pass
         except (NotRunError, RunFailedError, RunLostError) as error:
-            if lane.attempt is not None and not lane.is_superseded:
-                self._handle_failure(lane.attempt, error)
+            if pending.attempt is not None and not pending.is_superseded:
+                self._handle_failure(pending.attempt, error)
         finally:
-            self._lanes.remove(lane)
-            if lane.attempt is not None and lane.is_superseded:
-                self._parts.records.superseded(self._request, lane.attempt)
+            self._pending.remove(pending)
+            if pending.attempt is not None and pending.is_superseded:
+                self._parts.records.superseded(self._request, pending.attempt)
 
-    async def _place_and_make(self, lane: _Lane) -> None:
+    async def _place_and_make(self, pending: _PendingAttempt) -> None:
         placement = await self._parts.placement.next(self._request, self.history)
         replica = placement.replica
         if replica is None:
@@ -218,7 +218,7 @@
         self._parts.records.log_attempt(
             self._request, replica, placement, self.history, self._progress
         )
-        attempt = lane.attempt = RunningAttempt(
+        attempt = pending.attempt = RunningAttempt(
             replica, self._progress.forwarded.events, self._on_silent, self._on_claim
         )
         request, attempts = self._request, self._parts.attempts
@@ -250,7 +250,9 @@
 
     def _on_claim(self, attempt: RunningAttempt) -> None:
         others = [
-            lane for lane in self._lanes if lane.attempt is not attempt and not lane.is_superseded
+            pending
+            for pending in self._pending
+            if pending.attempt is not attempt and not pending.is_superseded
         ]
         if attempt.silent_since_s is not None:
             self._parts.records.resumed(self._request, attempt, len(others))
@@ -259,10 +261,10 @@
         if not others:
             return
         self._sink.replica = self._progress.replica = attempt.replica.name
-        for lane in others:
-            if lane.attempt is not None:
-                lane.attempt.superseded = True
-            lane.cancel()
+        for pending in others:
+            if pending.attempt is not None:
+                pending.attempt.superseded = True
+            pending.cancel()
 
     # ---- outcomes ---------------------------------------------------------
 
