Time a planned stop from its signal, not from when the loop handles it

Cause: asyncio runs signal handlers as callbacks of the loop. The signal's time is now taken by a handler of the interpreter, which runs between two instructions, also while the loop stands; a stop's phases and its grace count from there. A second signal changes nothing.

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -216,8 +216,14 @@
 
     # ---- stop -------------------------------------------------------------
 
-    async def stop(self) -> None:
-        """Shut down gracefully: requests in flight may finish within the grace period."""
+    async def stop(self, signalled_s: float | None = None) -> None:
+        """Shut down gracefully: requests in flight may finish within the grace period.
+
+        Args:
+            signalled_s: When the stop was asked for, on the event loop's clock; None for now.
+        """
+        if signalled_s is None:
+            signalled_s = self._environment.monotonic()
         grace_s = seconds(self.settings.router.stop_grace_ms)
         if self.router_server is not None:
             # The load balancer keeps sending requests until it detects the shutdown;
@@ -231,7 +237,9 @@
             await self.agent.drain(grace_s)
         if self.gateway is not None:
             grace_s = seconds(self.settings.gateway.gateway_grace_ms) - _GATEWAY_TOKEN_RETURN_S
-            await self.gateway.drain(grace_s, _BALANCER_DETECTION_S, self._stop_accepting)
+            await self.gateway.drain(
+                signalled_s, grace_s, _BALANCER_DETECTION_S, self._stop_accepting
+            )
             if self._gateway_listener is not None:
                 await self._gateway_listener.stop()
         for role in (self.router, self.agent, self.gateway):
--- a/packages/heronladder-daemon/src/heronladder_daemon/runner.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/runner.py
@@ -79,8 +79,18 @@
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     reloader = SettingsReloader(daemon, load, file, log)
+    signalled_s: float | None = None
+
+    # Not the loop's own signal handlers: they run when the loop gets to them, and a process that is
+    # late, or is still starting, would count its grace period from then.
+    def request_stop(_number: int, _frame: object) -> None:
+        nonlocal signalled_s
+        if signalled_s is None and not stopping.is_set():
+            signalled_s = loop.time()
+            loop.call_soon_threadsafe(stopping.set)
+
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, stopping.set)
+        signal.signal(number, request_stop)
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     try:
         await daemon.start()
@@ -98,5 +108,5 @@
         await daemon.abort()
         return EXIT_FAILED
     log.info("daemon_stopping", step="stop")
-    await daemon.stop()
+    await daemon.stop(signalled_s)
     return 0
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -319,24 +319,29 @@
         )
 
     async def drain(
-        self, grace_s: float, notice_s: float, stop_accepting: Callable[[], Awaitable[None]]
+        self,
+        signalled_s: float,
+        grace_s: float,
+        notice_s: float,
+        stop_accepting: Callable[[], Awaitable[None]],
     ) -> None:
         """Serve until load balancers have noticed, then until all responses have left the process.
 
         Args:
-            grace_s: Longest total time, in seconds.
-            notice_s: Time that load balancers need to notice that the gateway is not ready, in
-                seconds.
+            signalled_s: When the stop was asked for, on the event loop's clock.
+            grace_s: Longest time since then, in seconds.
+            notice_s: Time since then in which load balancers notice that the gateway is not ready,
+                in seconds.
             stop_accepting: Closes the listener; requests on open connections are rejected.
         """
-        start_s = self._environment.monotonic()
+        self.server.stop.signalled(signalled_s)
         self._enter(StopPhase.NOT_READY)
-        await asyncio.sleep(notice_s)
+        await asyncio.sleep(max(0.0, signalled_s + notice_s - self._environment.monotonic()))
         # New requests on open connections are rejected, so that they do not prolong the drain.
         self._enter(StopPhase.REJECTING)
         self.tokens.stop_lending()
         await stop_accepting()
-        await self._wait_until_finished(start_s + grace_s)
+        await self._wait_until_finished(signalled_s + grace_s)
         if not self._has_unfinished():
             self._enter(StopPhase.ANSWERED)
             return
--- a/packages/heronladder-router/src/heronladder_router/planned_stop.py
+++ b/packages/heronladder-router/src/heronladder_router/planned_stop.py
@@ -47,19 +47,22 @@
         self._signalled_s: float | None = None
         self.phase = StopPhase.SERVING
 
+    def signalled(self, at_s: float) -> None:
+        """Note when the stop signal came, in seconds on the event loop's clock."""
+        self._signalled_s = at_s
+
     def enter(self, phase: StopPhase, in_flight: int, unsent_bytes: int) -> None:
         """Enter a phase.
 
         Args:
-            phase: The phase; the first one counts as the time of the signal.
+            phase: The phase.
             in_flight: Number of requests in flight.
             unsent_bytes: Bytes of responses that the kernel has not accepted yet.
         """
-        if self._signalled_s is None:
-            self._signalled_s = self._environment.monotonic()
         self.phase = phase
-        since_s = self._environment.monotonic() - self._signalled_s
-        self._metrics.observe("planned_stop", since_s, phase.value)
+        if self._signalled_s is not None:
+            since_s = self._environment.monotonic() - self._signalled_s
+            self._metrics.observe("planned_stop", since_s, phase.value)
         self._log.info(
             "stop_phase",
             step="stop",
--- a/tests/soak_teeth.py
+++ b/tests/soak_teeth.py
@@ -28,8 +28,8 @@
     # The listener ends as soon as balancers have noticed; requests in flight are not waited for.
     "drain": Tooth(
         f"{_ROUTER}/gateway_role.py",
-        "await self._wait_until_finished(start_s + grace_s)",
-        "await self._wait_until_finished(start_s)",
+        "await self._wait_until_finished(signalled_s + grace_s)",
+        "await self._wait_until_finished(signalled_s)",
     ),
     # The grace that requests in flight have is cut to a half.
     "grace": Tooth(
--- a/tests/test_promised_refusals.py
+++ b/tests/test_promised_refusals.py
@@ -175,7 +175,8 @@
         async def stop_accepting() -> None:
             pass
 
-        drain = asyncio.create_task(gateway.drain(3.0, 0.05, stop_accepting))
+        now_s = asyncio.get_running_loop().time()
+        drain = asyncio.create_task(gateway.drain(now_s, 3.0, 0.05, stop_accepting))
         await asyncio.sleep(0.2)
         self.assertFalse(drain.done())
         refused = await self.fleet.request("/once/", Request_Id="after")
