--- a/packages/heronladder-router/src/heronladder_router/event_stream.py
+++ b/packages/heronladder-router/src/heronladder_router/event_stream.py
@@ -16,7 +16,7 @@
 
     def feed(self, chunk: bytes) -> bytes:
         """Add a chunk and return the buffered bytes up to the end of the last complete event."""
-        # What was buffered before holds no whole terminator.
+        # What was buffered before holds no complete terminator.
         start = max(0, len(self._buffer) - _LONGEST_TERMINATOR_BYTES + 1)
         self._buffer += chunk
         end = self._last_event_end(start)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -47,8 +47,8 @@
     " below, is newer than what it holds.",
     "configuration_caught_up": "It holds it now.",
     "configuration_in_use": "A gateway acts on this version from now on.",
-    "control_lost": "A stream to control ended or could not be opened; `silent_s` since a heartbeat"
-    " was answered, `late_ms` of the stream's silence in which this process was late.",
+    "control_lost": "A stream to control ended or could not be opened; `silent_s` since an answer,"
+    " `late_ms` of the silence in which this process was late.",
     "loop_late": "The process ran late by `late_ms`: what it judged by a time-out then may be its"
     " own lateness. At most once each five seconds; the histogram `loop_late` has all.",
     "peer_call_expired": "Another member did not answer in `timeout_ms`, of which this process was"
@@ -169,24 +169,18 @@
     " earlier build can't be put back.",
     "cluster_version_held_up": "Who keeps the leader from raising the cluster version, with the"
     " highest version that its build supports; none once nothing does.",
-    "join_refused": "A machine whose build does not support the cluster version in force asked to"
-    " be a member.",
-    "entry_not_applied": "An entry of the log can't be applied by this build: each member of it"
-    " ends there, at each start.",
+    "join_refused": "A build that lacks the cluster version in force asked to be a member.",
+    "entry_not_applied": "This build can't apply an entry: its members end there at each start.",
     "command_refused": "An invariant refused a command while it was applied: its sender's account"
     " is not this member's.",
     "start_failed": "A daemon could not start.",
     "stopped_without_control": "Tokens could not be given back in a planned stop.",
-    "replica_silent": "A replica sent nothing of a response for so long that a retry is asked for;"
-    " the response goes on being read.",
+    "replica_silent": "A replica is silent: a retry is asked for, the response is read on.",
     "response_resumed": "It went on after all; `cancelled` retries were cancelled.",
-    "attempt_superseded": "An attempt was cancelled because another one of the same request went on"
-    " with the response.",
+    "attempt_superseded": "It was cancelled: another attempt went on with the response.",
     "stream_broken": "An answer that had begun was cut.",
-    "response_cut": "A response ended before its end: by whom (`cause`), the bytes of its body that"
-    " were sent, and the time since the stop signal, if there was one.",
-    "stop_phase": "A gateway enters a phase of its planned stop: the time since the signal, the"
-    " requests in flight, and the bytes of responses that have not left the process.",
+    "response_cut": "A response ended before its end: by whom, after how many bytes.",
+    "stop_phase": "A gateway enters a phase of its planned stop; what holds it up.",
     "task_failed": "A background task ended with an error.",
     "tokens_refused": "A tenant's tokens could not be reserved; `held` is what was here.",
     "leave_of_earlier_start": "A deregistration was given an earlier start than the one known, by a"
@@ -253,10 +247,8 @@
     "agent_tokens": "Tokens that engines made.",
     "attached": "Retries that were attached to a first attempt.",
     "callers_gone": "Callers that left before their answer's end.",
-    "responses_cut": "Responses that ended before their end, by cause: `stream_broken`,"
-    " `caller_gone`, `stop`, `failed`.",
-    "silent_responses": "Responses whose replica was silent: `silent`, then `resumed` or"
-    " `superseded` by a retry.",
+    "responses_cut": "Responses that ended before their end, by cause.",
+    "silent_responses": "Responses with a silent replica, then `resumed` or `superseded`.",
     "planned_stop": "Time from the stop signal to each phase of a gateway's planned stop.",
     "change_in_force": "Time that a change waited until it was in force.",
     "command": "Time until a command was committed.",
@@ -276,8 +268,7 @@
     "order_answered": "Time of an order from its receipt to its answer, by kind and standing.",
     "planned_stop_cuts": "Requests cut by planned stops.",
     "refused": "Refusals, by code.",
-    "leaves_of_earlier_starts": "Deregistrations that were given an earlier start than the one"
-    " known.",
+    "leaves_of_earlier_starts": "Deregistrations of an earlier start than the one known.",
     "replaced_replicas_heard": "Heartbeats of replicas whose address another has: late, or back.",
     "repeats_not_allowed": "Further sends that the retry budget forbade, by service.",
     "sends_without_retry_left": "Attempts that had to go to replicas that did not fail last,"
