--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -35,6 +35,7 @@
         zones: Region of each zone of the deployment.
         contracts: Parts of the rules in force, as settings name them.
         module_path: Where its build's packages lie, as PYTHONPATH; empty: this build's.
+        variables: Environment variables of its process besides those of the test's.
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
         unplanned_s: Those of them at which it was killed, paused or let go on.
@@ -49,6 +50,7 @@
         self.zones = {"z1": "r1", "z2": "r1"}
         self.contracts: list[str] = []
         self.module_path = ""
+        self.variables: dict[str, str] = {}
         self.faults: list[str] = []
         self.disturbed_s: list[float] = []
         self.unplanned_s: list[float] = []
@@ -115,7 +117,8 @@
         """Start the process, anew if it ran before."""
         self._disturb()
         self.look()
-        environment = os.environ | {"HERONLADDER_CONFIG": str(self._write_settings())}
+        settings = str(self._write_settings())
+        environment = os.environ | self.variables | {"HERONLADDER_CONFIG": settings}
         if self.module_path:
             environment["PYTHONPATH"] = self.module_path
         self._was_started = True
