--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -154,6 +154,13 @@
                     self.assertEqual(response.body, SOUND_BODY)
                     self.assertIn(b"\r\nServer-Stamp: " + _STAMP, response.head)
 
+    async def test_a_value_that_is_not_ascii_reaches_its_caller(self) -> None:
+        await self.add(StandInReplica("unusual", _respond_sound), "unusual")
+        kinds = ("a value that is not ASCII", "a value that is not UTF-8")
+        responses = await self.ask_all("/sound/", {kind: SOUND[kind] for kind in kinds})
+        for kind, response in responses.items():
+            self.assertIn("\r\nX-More: se\u00f1or\r\n".encode(), response.head, kind)
+
     async def test_a_request_that_may_be_repeated_is_served_elsewhere(self) -> None:
         faulty = await self.add(StandInReplica("faulty", _respond_malformed), "either")
         await self.add(StandInReplica("sound", _respond_plainly), "either")
