Check the responses to all calls of daemons, not only those of gateways

What callers could see: an agent took a malformed response of its back end for an answer (with status 000 it would wait for a head that has come), a router one of an agent, a control member forwarded status 000 or 999 of its leader, an agent took the load of an engine and a router the list of machines from such a response, the command line a result.

Health probes: gateways make none over HTTP (they only open a connection), and processes that are loading read no responses.

--- a/packages/heronladder-agent/src/heronladder_agent/engine_control.py
+++ b/packages/heronladder-agent/src/heronladder_agent/engine_control.py
@@ -10,6 +10,7 @@
 
 import aiohttp
 from heronladder_runtime.control_link import ControlLink
+from heronladder_runtime.http_client import client_session
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.tasks import TaskGroupOwner
 
@@ -141,7 +142,7 @@
     ) -> tuple[int, object]:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(timeout=timeout)
+            self._session = client_session(timeout=timeout)
         headers = {FENCE_HEADER: str(fence)} if fence else {}
         url = f"http://{self._address}{path}"
         try:
--- a/packages/heronladder-agent/src/heronladder_agent/http_adapter.py
+++ b/packages/heronladder-agent/src/heronladder_agent/http_adapter.py
@@ -3,6 +3,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from heronladder_runtime.http_client import client_session
 from heronladder_runtime.responses import BackendCall, BackendResponse
 
 from heronladder_agent.adapters import BackendAdapter
@@ -32,10 +33,7 @@
     def _client(self) -> aiohttp.ClientSession:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
-            connector = aiohttp.TCPConnector(limit=0)
-            self._session = aiohttp.ClientSession(
-                timeout=timeout, connector=connector, auto_decompress=False
-            )
+            self._session = client_session(timeout=timeout, auto_decompress=False)
         return self._session
 
     async def open(self, call: BackendCall) -> BackendResponse:
--- a/packages/heronladder-control/src/heronladder_control/api.py
+++ b/packages/heronladder-control/src/heronladder_control/api.py
@@ -20,6 +20,7 @@
 )
 from heronladder_runtime.configuration import EVACUATION_KIND, ROLLOUT_KIND
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.http_client import client_session
 from heronladder_runtime.manifests import (
     FIELD_KINDS,
     ManifestError,
@@ -152,7 +153,7 @@
         self, request: web.Request, address: str
     ) -> web.StreamResponse | None:
         if self._client is None:
-            self._client = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=None))
+            self._client = client_session(timeout=aiohttp.ClientTimeout(total=None))
         headers = {
             name: value
             for name, value in request.headers.items()
--- a/packages/heronladder-router/src/heronladder_router/agent_channel.py
+++ b/packages/heronladder-router/src/heronladder_router/agent_channel.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from heronladder_runtime import wire
+from heronladder_runtime.http_client import CheckedConnector, client_session
 from heronladder_runtime.responses import EVENT_STREAM, AgentResponse
 from heronladder_schema.v1 import agent_pb2
 
@@ -99,11 +100,8 @@
     def _client_session(self) -> aiohttp.ClientSession:
         if self._session is None:
             timeout = aiohttp.ClientTimeout(total=None, sock_connect=_CONNECT_TIMEOUT_S)
-            self._session = aiohttp.ClientSession(
-                timeout=timeout,
-                connector=aiohttp.TCPConnector(limit=0, socket_factory=_make_keepalive_socket),
-                auto_decompress=False,
-            )
+            connector = CheckedConnector(socket_factory=_make_keepalive_socket)
+            self._session = client_session(connector, timeout=timeout, auto_decompress=False)
         return self._session
 
     async def dispatch(
--- a/packages/heronladder-router/src/heronladder_router/platform_watch.py
+++ b/packages/heronladder-router/src/heronladder_router/platform_watch.py
@@ -8,6 +8,7 @@
 import asyncio
 
 import aiohttp
+from heronladder_runtime.http_client import client_session
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.tasks import TaskGroupOwner
 
@@ -43,7 +44,7 @@
 
     async def _run(self) -> None:
         timeout = aiohttp.ClientTimeout(total=_REQUEST_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
+        async with client_session(timeout=timeout) as session:
             while True:
                 try:
                     async with session.get(f"http://{self._address}/machines") as response:
--- a/packages/heronladder-tools/src/heronladder_tools/operator_client.py
+++ b/packages/heronladder-tools/src/heronladder_tools/operator_client.py
@@ -7,6 +7,7 @@
 
 import aiohttp
 from heronladder_runtime.errors import HeronladderError
+from heronladder_runtime.http_client import client_session
 from heronladder_runtime.manifests import FIELD_KINDS, field_of_kind, kind_of, to_manifest
 from heronladder_schema.v1 import resources_pb2
 
@@ -43,7 +44,7 @@
     def _session(self) -> aiohttp.ClientSession:
         headers = {"Authorization": f"Bearer {self._token}"}
         timeout = aiohttp.ClientTimeout(total=_TIMEOUT_S)
-        return aiohttp.ClientSession(headers=headers, timeout=timeout)
+        return client_session(headers=headers, timeout=timeout)
 
     async def call(
         self,
