Take a malformed message of an agent for a lost answer

What callers would see: an agent's response whose head or end message is no base64, or no message of its kind, ended in the HTTP library's 500, without an outcome, though the request may have run.

Cause: the router decoded these headers without expecting an error. They are answers that were lost, and say so (ChannelLostError), as responses without these headers do already.

The test's peer closes its connections and says so; without that a case could pass since it met a closed connection.

--- a/packages/heronladder-router/src/heronladder_router/agent_channel.py
+++ b/packages/heronladder-router/src/heronladder_router/agent_channel.py
@@ -8,6 +8,7 @@
 from collections.abc import AsyncIterator
 
 import aiohttp
+from google.protobuf.message import DecodeError
 from heronladder_runtime import wire
 from heronladder_runtime.http_client import CheckedConnector, client_session
 from heronladder_runtime.responses import EVENT_STREAM, AgentResponse
@@ -37,6 +38,20 @@
     return connection
 
 
+def _decode(kind: type[wire.AnyMessage], text: str, address: str) -> wire.AnyMessage:
+    """Return the message in a header of an agent's response.
+
+    Raises:
+        ChannelLostError: If it is malformed; whether the dispatch ran is unknown.
+    """
+    try:
+        return wire.decode(kind, text)
+    except (ValueError, DecodeError) as error:
+        raise ChannelLostError(
+            f"malformed {kind.DESCRIPTOR.name} message: {error!r}", step="read_answer", peer=address
+        ) from error
+
+
 class AgentChannel(ABC):
     """Interface for requests from a router to agents."""
 
@@ -127,7 +142,11 @@
                 step="dispatch",
                 peer=address,
             )
-        head = wire.decode(agent_pb2.AnswerHead, encoded_head)
+        try:
+            head = _decode(agent_pb2.AnswerHead, encoded_head, address)
+        except ChannelLostError:
+            response.close()
+            raise
         content_type = response.headers.get("Content-Type", "")
         answer = AgentResponse(head, response.status, content_type)
         if answer.refused:
@@ -153,7 +172,12 @@
             raise ChannelLostError(repr(error), step="read_answer", peer=address) from error
         finally:
             response.close() if not response.content.at_eof() else response.release()
-        answer.end = splitter.end(agent_pb2.AnswerEnd)
+        try:
+            answer.end = splitter.end(agent_pb2.AnswerEnd)
+        except (ValueError, DecodeError) as error:
+            raise ChannelLostError(
+                f"malformed end message: {error!r}", step="read_answer", peer=address
+            ) from error
         if answer.end is None:
             raise ChannelLostError(
                 "event stream closed without an end message", step="read_answer", peer=address
@@ -175,7 +199,7 @@
             raise ChannelLostError(
                 f"response without the header {wire.END_HEADER}", step="read_answer", peer=address
             )
-        answer.end = wire.decode(agent_pb2.AnswerEnd, encoded_end)
+        answer.end = _decode(agent_pb2.AnswerEnd, encoded_end, address)
 
     async def cancel(self, address: str, request_id: str, attempt: int) -> None:
         """Tell an agent over HTTP that the response to an attempt is no longer read."""
--- a/tests/test_checked_clients.py
+++ b/tests/test_checked_clients.py
@@ -48,7 +48,8 @@
 
     def respond(self, template: bytes, body: bytes, *fields: str) -> None:
         """Have the peer respond with a template that has a body of four bytes and more fields."""
-        lines = "\r\n".join(["Content-Type: application/json", *fields]).encode()
+        own = ["Content-Type: application/json", "Connection: close"]
+        lines = "\r\n".join([*own, *fields]).encode()
         self.response = template.replace(b"Request-Id: {id}", lines).replace(b"done", body)
 
     async def test_an_agent_takes_no_malformed_response_of_its_back_end(self) -> None:
@@ -90,6 +91,31 @@
                 with self.assertRaises(ChannelLostError):
                     await read()
 
+    async def test_a_router_takes_no_malformed_message_of_an_agent(self) -> None:
+        channel = HttpAgentChannel()
+        self.addAsyncCleanup(channel.close)
+        head = f"{wire.HEAD_HEADER}: {wire.encode(agent_pb2.AnswerHead(request_id='r'))}"
+        for fields in (
+            (f"{wire.HEAD_HEADER}: ???",),
+            (f"{wire.HEAD_HEADER}: /////w==",),
+            (head, f"{wire.END_HEADER}: ???"),
+            (head, f"{wire.END_HEADER}: /////w=="),
+            (head, "X-Kind: stream"),
+        ):
+            with self.subTest(fields=fields):
+                body = wire.END_MARK + b"???\n\n"
+                length = f"Length: {len(body)}".encode()
+                self.respond(SOUND["a length"].replace(b"Length: 4", length), body, *fields)
+                if fields[-1] == "X-Kind: stream":
+                    self.response = self.response.replace(b"application/json", b"text/event-stream")
+                with self.assertRaises(ChannelLostError):
+                    answer = await channel.dispatch(
+                        self.peer.address, agent_pb2.Dispatch(request_id="r"), b"body"
+                    )
+                    assert answer.chunks is not None
+                    async for _ in answer.chunks:
+                        pass
+
     async def test_an_agent_takes_no_malformed_response_of_an_engine(self) -> None:
         engine = HttpEngineControl(self.peer.address)
         self.addAsyncCleanup(engine.close)
