Take a failure of the platform for no list of machines

What callers would see: if the platform answered the poll for its list of machines with a failure whose body is JSON, a router took it for the list, so that agents that are about to leave counted as staying, and were sent requests.

Cause: the status of the response was not looked at. Evidence: the new test failed on the commit before with [set(), set()] for two failures. A failure now leaves the list that was read last in effect, as an unreadable response does.

Measured: 17 tests of test_checked_clients pass.

--- a/packages/heronladder-router/src/heronladder_router/platform_watch.py
+++ b/packages/heronladder-router/src/heronladder_router/platform_watch.py
@@ -48,6 +48,7 @@
             while True:
                 try:
                     async with session.get(f"http://{self._address}/machines") as response:
+                        response.raise_for_status()
                         machines = await response.json()
                     self._directory.set_platform_leaving(
                         {str(machine["name"]) for machine in machines if machine.get("leaving")}
--- a/tests/test_checked_clients.py
+++ b/tests/test_checked_clients.py
@@ -39,6 +39,7 @@
         await super().asyncSetUp()
         self.peer = StandInReplica("peer", self._respond)
         self.response = b""
+        self.read_lists: list[set[str]] = []
         await self.peer.start()
         self.addAsyncCleanup(self.peer.stop)
 
@@ -127,27 +128,32 @@
                 with self.assertRaises(BackendError):
                     await engine.load()
 
-    async def test_a_router_takes_no_malformed_list_of_machines(self) -> None:
-        read: list[set[str]] = []
-        directory: Any = SimpleNamespace(set_platform_leaving=read.append)
-
-        async def watch() -> None:
-            watched = PlatformWatch(self.peer.address, directory, EventLog("test", "router"))
-            answered = self.peer.connections
-            watched.start()
-            while self.peer.connections == answered:
-                await asyncio.sleep(0)
-            await asyncio.sleep(_POLL_S)
-            await watched.stop()
+    async def _watch_platform(self) -> None:
+        """Poll the list of machines once; it is added to ``read_lists`` if it is taken."""
+        directory: Any = SimpleNamespace(set_platform_leaving=self.read_lists.append)
+        watched = PlatformWatch(self.peer.address, directory, EventLog("test", "router"))
+        polls = self.peer.connections
+        watched.start()
+        while self.peer.connections == polls:
+            await asyncio.sleep(0)
+        await asyncio.sleep(_POLL_S)
+        await watched.stop()
 
+    async def test_a_router_takes_no_malformed_list_of_machines(self) -> None:
         self.respond(SOUND["chunks"], b"[]  ")
-        await watch()
-        self.assertEqual(read, [set()])
+        await self._watch_platform()
+        self.assertEqual(self.read_lists, [set()])
         for kind, template in (MALFORMED_HEADS | MALFORMED_BODIES).items():
             with self.subTest(kind=kind):
                 self.respond(template, b"[]  ")
-                await watch()
-                self.assertEqual(len(read), 1)
+                await self._watch_platform()
+                self.assertEqual(len(self.read_lists), 1)
+
+    async def test_a_router_takes_no_failure_for_a_list_of_machines(self) -> None:
+        for status in (b"500 Internal Server Error", b"404 Not Found"):
+            self.respond(SOUND["chunks"].replace(b"200 OK", status), b"[]  ")
+            await self._watch_platform()
+        self.assertEqual(self.read_lists, [])
 
     async def _member(self) -> OperatorClient:
         """Start a member that forwards to the peer; return a client of it."""
