Bound what agents and routers hold of a response without end

What operators of such systems saw: a faulty replica sent bytes without end, the machine that had called it kept them all and was killed, and the requests of other clients with it. Four other readers held all of it: an agent an event without its end, and all events of a stream whose response is kept; a router the response of an agent and what follows its end mark; engine control and the list of machines a body (for two seconds).

Events are bounded by 256 KiB, as at gateways, a response that is kept or read whole by 16 MiB, as an agent's plain response was already, an end message by 64 KiB. What exceeds its bound is a broken response: its connection is closed, its outcome unknown.

--- a/packages/heronladder-agent/src/heronladder_agent/engine_control.py
+++ b/packages/heronladder-agent/src/heronladder_agent/engine_control.py
@@ -10,7 +10,7 @@
 
 import aiohttp
 from heronladder_runtime.control_link import ControlLink
-from heronladder_runtime.http_client import client_session
+from heronladder_runtime.http_client import client_session, read_json
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.tasks import TaskGroupOwner
 
@@ -147,8 +147,8 @@
         url = f"http://{self._address}{path}"
         try:
             async with self._session.request(method, url, json=body, headers=headers) as response:
-                return response.status, await response.json()
-        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
+                return response.status, await read_json(response)
+        except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise BackendError(repr(error), step="engine_control", peer=self._address) from error
 
     def _unexpected_response(self, path: str) -> BackendError:
--- a/packages/heronladder-agent/src/heronladder_agent/gate.py
+++ b/packages/heronladder-agent/src/heronladder_agent/gate.py
@@ -23,6 +23,7 @@
 from heronladder_agent.slots import SlotQueue
 
 _MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+_MAX_EVENT_BYTES = 256 * 1024
 _ROUTER_NOTICE_TIMEOUT_S = 1.0
 _DRAIN_POLL_INTERVAL_S = 0.05
 
@@ -310,11 +311,15 @@
         run.changed.notify_waiters()
         meter = StreamMeter(dispatch.include_usage)
         chunks = aiter(response.chunks)
+        excess = ""
         try:
             async for chunk in chunks:
                 forwarded = meter.feed(chunk)
                 if forwarded:
                     run.add(forwarded)
+                excess = self._excess(run, meter)
+                if excess:
+                    break
                 if meter.done or meter.completion_tokens > dispatch.reserved_completion:
                     break
                 await run.wait_for_buffer_space()
@@ -326,6 +331,7 @@
             await chunks.aclose()  # type: ignore[attr-defined]
         end = meter.end(dispatch)
         end.cancelled = run.cancelled and not meter.done
+        end.error = excess or end.error
         if meter.completion_tokens > dispatch.reserved_completion:
             end.error = "the engine exceeded the token reservation and was stopped"
             self._log.error(
@@ -333,6 +339,15 @@
             )
         return end
 
+    @staticmethod
+    def _excess(run: Run, meter: StreamMeter) -> str:
+        """Return which bound a stream exceeds; empty if none."""
+        if meter.pending_bytes > _MAX_EVENT_BYTES:
+            return f"event over {_MAX_EVENT_BYTES} bytes without its end"
+        if run.dispatch.keep_answer and run.held_bytes > _MAX_RESPONSE_BYTES:
+            return f"response to be kept over {_MAX_RESPONSE_BYTES} bytes"
+        return ""
+
     async def _read_full_response(self, run: Run, response: BackendResponse) -> agent_pb2.AnswerEnd:
         parts = []
         size = 0
--- a/packages/heronladder-agent/src/heronladder_agent/metering.py
+++ b/packages/heronladder-agent/src/heronladder_agent/metering.py
@@ -57,6 +57,11 @@
         forwarded = [event for event in data[:end].split(b"\n\n") if self._count_event(event)]
         return b"".join(event + b"\n\n" for event in forwarded)
 
+    @property
+    def pending_bytes(self) -> int:
+        """Bytes of an event whose end has not arrived."""
+        return len(self._partial_event)
+
     def _count_event(self, event: bytes) -> bool:
         """Count one event and return whether to forward it to the caller."""
         if event.startswith(_DONE):
--- a/packages/heronladder-router/src/heronladder_router/agent_channel.py
+++ b/packages/heronladder-router/src/heronladder_router/agent_channel.py
@@ -10,7 +10,7 @@
 import aiohttp
 from google.protobuf.message import DecodeError
 from heronladder_runtime import wire
-from heronladder_runtime.http_client import CheckedConnector, client_session
+from heronladder_runtime.http_client import CheckedConnector, client_session, read_whole
 from heronladder_runtime.responses import EVENT_STREAM, AgentResponse
 from heronladder_schema.v1 import agent_pb2
 
@@ -168,7 +168,7 @@
                 body_part = splitter.feed(chunk)
                 if body_part:
                     yield body_part
-        except (aiohttp.ClientError, OSError, TimeoutError) as error:
+        except (aiohttp.ClientError, OSError, TimeoutError, ValueError) as error:
             raise ChannelLostError(repr(error), step="read_answer", peer=address) from error
         finally:
             response.close() if not response.content.at_eof() else response.release()
@@ -188,7 +188,7 @@
         address: str, response: aiohttp.ClientResponse, answer: AgentResponse
     ) -> AsyncIterator[bytes]:
         try:
-            body = await response.read()
+            body = await read_whole(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise ChannelLostError(repr(error), step="read_answer", peer=address) from error
         finally:
--- a/packages/heronladder-router/src/heronladder_router/platform_watch.py
+++ b/packages/heronladder-router/src/heronladder_router/platform_watch.py
@@ -8,7 +8,7 @@
 import asyncio
 
 import aiohttp
-from heronladder_runtime.http_client import client_session
+from heronladder_runtime.http_client import client_session, read_json
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.tasks import TaskGroupOwner
 
@@ -49,7 +49,7 @@
                 try:
                     async with session.get(f"http://{self._address}/machines") as response:
                         response.raise_for_status()
-                        machines = await response.json()
+                        machines = await read_json(response)
                     self._directory.set_platform_leaving(
                         {str(machine["name"]) for machine in machines if machine.get("leaving")}
                     )
--- a/packages/heronladder-runtime/src/heronladder_runtime/http_client.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/http_client.py
@@ -7,6 +7,7 @@
 """
 
 import asyncio
+import json
 from functools import partial
 from typing import Any
 
@@ -19,6 +20,8 @@
 
 #: Which of aiohttp's parsers reads the responses that pass the check.
 PARSER = "python" if HttpResponseParser is HttpResponseParserPy else "c"
+#: Of a response that is read whole.
+MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_HEAD_LINE_BYTES = 65_536
 
 
@@ -108,6 +111,42 @@
         self._factory = make_handler
 
 
+async def read_whole(response: aiohttp.ClientResponse) -> bytes:
+    """Return the whole body of a response.
+
+    Raises:
+        MalformedResponseError: If it exceeds ``MAX_BODY_BYTES``; the connection is then closed.
+        aiohttp.ClientError: If the connection ended before the body was complete.
+    """
+    body = bytearray()
+    async for chunk in response.content.iter_any():
+        body += chunk
+        if len(body) > MAX_BODY_BYTES:
+            response.close()
+            raise MalformedResponseError(
+                f"malformed response: body over {MAX_BODY_BYTES} bytes",
+                step="read_body",
+                peer=response.url.authority,
+            )
+    return bytes(body)
+
+
+async def read_json(response: aiohttp.ClientResponse) -> Any:
+    """Return the JSON document in a response.
+
+    Raises:
+        MalformedResponseError: If the body is no JSON, or exceeds ``MAX_BODY_BYTES``.
+        aiohttp.ClientError: If the connection ended before the body was complete.
+    """
+    body = await read_whole(response)
+    try:
+        return json.loads(body)
+    except ValueError as error:
+        raise MalformedResponseError(
+            f"malformed response: no JSON: {error}", step="read_body", peer=response.url.authority
+        ) from error
+
+
 def client_session(
     connector: CheckedConnector | None = None, **options: Any
 ) -> aiohttp.ClientSession:
--- a/packages/heronladder-runtime/src/heronladder_runtime/wire.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/wire.py
@@ -17,6 +17,7 @@
 HEAD_HEADER = "Heronladder-Head"
 END_HEADER = "Heronladder-End"
 END_MARK = b": heronladder-end "
+MAX_END_BYTES = 65_536
 
 AnyMessage = TypeVar("AnyMessage", bound=Message)
 
@@ -49,9 +50,15 @@
         self._end_data: bytearray | None = None
 
     def feed(self, chunk: bytes) -> bytes:
-        """Add a chunk; return the bytes that belong to the response."""
+        """Add a chunk; return the bytes that belong to the response.
+
+        Raises:
+            ValueError: If the end message exceeds ``MAX_END_BYTES``.
+        """
         if self._end_data is not None:
             self._end_data += chunk
+            if len(self._end_data) > MAX_END_BYTES:
+                raise ValueError(f"end message over {MAX_END_BYTES} bytes")
             return b""
         data = self._possible_marker + chunk if self._possible_marker else chunk
         self._possible_marker = b""
--- a/tests/test_checked_clients.py
+++ b/tests/test_checked_clients.py
@@ -32,6 +32,9 @@
 _DAEMON_PACKAGES = ("runtime", "consensus", "control", "router", "agent", "daemon")
 _TOKEN = "token-of-an-operator"
 _POLL_S = 0.05
+_ENDLESS_BYTES = 100_000_000
+_MOST_BYTES = 40_000_000  # read, or held by the two sockets
+_PIECE = b"0," * 8192
 
 
 class CheckedClientsTest(FleetCase):
@@ -192,6 +195,72 @@
                     await client.call("GET", "/v1/status")
 
 
+class EndlessBodiesTest(FleetCase):
+    """Bodies without end in the responses that a daemon reads whole."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.written_bytes = 0
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        self.address = f"{host}:{port}"
+        self.head = b"HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n"
+
+    async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(self.head + b"\r\n[")
+            while self.written_bytes < _ENDLESS_BYTES:
+                writer.write(_PIECE)
+                self.written_bytes += len(_PIECE)
+                await writer.drain()
+        except (ConnectionError, asyncio.IncompleteReadError):
+            pass
+        finally:
+            writer.close()
+
+    async def test_an_agent_reads_no_endless_response_of_an_engine(self) -> None:
+        engine = HttpEngineControl(self.address)
+        self.addAsyncCleanup(engine.close)
+        with self.assertRaisesRegex(BackendError, "over [0-9]+ bytes"):
+            await engine.load()
+        self.assertLess(self.written_bytes, _MOST_BYTES)
+
+    async def test_a_router_reads_no_endless_list_of_machines(self) -> None:
+        directory: Any = SimpleNamespace()
+        watched = PlatformWatch(self.address, directory, EventLog("test", "router"))
+        with self.assertLogs("heronladder.test", "DEBUG") as logged:
+            watched.start()
+            while not logged.records:
+                await asyncio.sleep(_POLL_S)
+        await watched.stop()
+        self.assertRegex(logged.output[0], "platform_unreadable.*over [0-9]+ bytes")
+        self.assertLess(self.written_bytes, _MOST_BYTES)
+
+    async def test_a_router_reads_no_endless_response_of_an_agent(self) -> None:
+        channel = HttpAgentChannel()
+        self.addAsyncCleanup(channel.close)
+        head = wire.encode(agent_pb2.AnswerHead(request_id="r")).encode()
+        for kind, fields in (
+            ("body", b"Content-Type: text/plain\r\n"),
+            ("end message", b"Content-Type: text/event-stream\r\n"),
+        ):
+            self.written_bytes = 0
+            self.head = b"HTTP/1.1 200 OK\r\n" + fields
+            self.head += f"{wire.HEAD_HEADER}: ".encode() + head + b"\r\n"
+            if kind == "end message":
+                self.head += b"\r\n" + wire.END_MARK
+            with self.subTest(kind=kind), self.assertRaisesRegex(ChannelLostError, "over [0-9]+ b"):
+                answer = await channel.dispatch(
+                    self.address, agent_pb2.Dispatch(request_id="r"), b""
+                )
+                assert answer.chunks is not None
+                async for _ in answer.chunks:
+                    pass
+            self.assertLess(self.written_bytes, _MOST_BYTES)
+
+
 class PythonParserTest(CheckedClientsTest):
     """With aiohttp's parser in Python."""
 
--- a/tests/test_gate.py
+++ b/tests/test_gate.py
@@ -25,6 +25,8 @@
 from support import run_virtual
 
 Refusal = agent_pb2.RefusalCode
+_ENDLESS_BYTES = 40_000_000
+_MOST_HELD_BYTES = 20_000_000
 
 
 class ScriptedBackend(BackendAdapter):
@@ -60,6 +62,23 @@
             self.closed += 1
 
 
+class EndlessBackend(ScriptedBackend):
+    """Fake backend that streams the same piece again and again."""
+
+    def __init__(self, piece: bytes) -> None:
+        super().__init__()
+        self.piece = piece
+
+    async def _stream(self) -> AsyncIterator[bytes]:
+        try:
+            while self.sent * len(self.piece) < _ENDLESS_BYTES:
+                await asyncio.sleep(0.001)
+                self.sent += 1
+                yield self.piece
+        finally:
+            self.closed += 1
+
+
 class FakeLink:
     """Fake link to control with a fresh configuration that holds one backend."""
 
@@ -106,9 +125,10 @@
         scenario: Callable[[Gate], Coroutine[Any, Any, None]],
         concurrency: int = 4,
         queue: int = 4,
+        backend: ScriptedBackend | None = None,
     ) -> None:
         async def run() -> None:
-            self.backend = ScriptedBackend()
+            self.backend = backend or ScriptedBackend()
             self.link = FakeLink()
             environment = Environment(random.Random(1), virtual=True)
             self.held_bills = PendingBills(environment, 5.0)
@@ -131,6 +151,26 @@
 
         self._run(scenario)
 
+    def test_a_stream_without_end_is_not_held(self) -> None:
+        """Guards against an agent that keeps all bytes of a faulty engine until it is killed."""
+        comment = b": " + b"x" * 65_533 + b"\n\n"
+        for kind, piece, keep in (
+            ("event", b"x" * 65_536, False),
+            ("kept event", b"x" * 65_536, True),
+            ("kept comments", comment, True),
+        ):
+
+            async def scenario(gate: Gate, keep: bool = keep, piece: bytes = piece) -> None:
+                answer = await gate.dispatch(_dispatch(keep_answer=keep), b"")
+                await _read(answer)
+                assert answer.end is not None
+                self.assertRegex(answer.end.error, "over [0-9]+ bytes")
+                self.assertLess(self.backend.sent * len(piece), _MOST_HELD_BYTES)
+                self.assertEqual(self.backend.closed, 1)
+
+            with self.subTest(kind=kind):
+                self._run(scenario, backend=EndlessBackend(piece))
+
     def test_attempt_is_accepted_once_and_refusal_leaves_tombstone(self) -> None:
         async def scenario(gate: Gate) -> None:
             await _read(await gate.dispatch(_dispatch("a"), b""))
