Abort a forwarded response of a leader that ends before its end

What operators would see: a control member that forwards a call to the leader, and loses the leader in the middle of the response, ended the part that it had forwarded as if it were the whole.

Cause: the response was returned to aiohttp, which ends it properly. The caller's connection is aborted now, as a gateway does with a stream that is cut; the command line makes its call again under the same change id.

--- a/packages/heronladder-control/src/heronladder_control/api.py
+++ b/packages/heronladder-control/src/heronladder_control/api.py
@@ -161,11 +161,10 @@
         }
         headers[_FORWARDED_HEADER] = self._member.options.name
         body = await request.read()
-        url = f"http://{address}{request.path_qs}"
         forwarded: web.StreamResponse | None = None
         try:
             async with self._client.request(
-                request.method, url, headers=headers, data=body
+                request.method, f"http://{address}{request.path_qs}", headers=headers, data=body
             ) as response:
                 forwarded = web.StreamResponse(status=response.status)
                 forwarded.content_type = response.content_type
@@ -174,6 +173,8 @@
                     await forwarded.write(chunk)
                 return forwarded
         except (aiohttp.ClientError, OSError):
+            if forwarded is not None and request.transport is not None:
+                request.transport.abort()  # so that a truncated response does not look complete
             return forwarded
 
     # ---- resources --------------------------------------------------------
--- a/tests/test_checked_clients.py
+++ b/tests/test_checked_clients.py
@@ -186,6 +186,16 @@
                 with self.assertRaisesRegex(HeronladderError, "no leader is known"):
                     await client.call("GET", "/v1/status")
 
+    async def test_a_member_forwards_no_cut_response_of_its_leader_as_complete(self) -> None:
+        client = await self._member()
+        for kind, body in (("chunks", b"{}  \r\n1"), ("a length", b"{} ")):
+            with self.subTest(kind=kind):
+                whole = SOUND[kind].partition(b"\r\n\r\n")[0] + b"\r\n\r\n"
+                size = b"4\r\n" if kind == "chunks" else b""
+                self.respond(whole + size + b"done", body)
+                with self.assertRaisesRegex(HeronladderError, "no member answered"):
+                    await client.call("GET", "/v1/status")
+
     async def test_an_operator_takes_no_malformed_response_of_a_member(self) -> None:
         client = OperatorClient([self.peer.address], _TOKEN)
         for kind in ("status 000", "status 099", "status 101", "0x01 in a value", "xchunked"):
