Show that requests late in the grace of a stop are rejected

An operator of such a system saw, in a planned stop of one front machine, that requests late in the grace were taken and passed on, and cut at its end. The new test holds a stop up to the end of its grace and sends 180 requests on kept connections, on routes of each kind, over all of it.

--- a/tests/test_planned_stop.py
+++ b/tests/test_planned_stop.py
@@ -1,6 +1,7 @@
 """Planned stops of a gateway as a process of its own, with callers that keep their connections."""
 
 import asyncio
+import math
 import tempfile
 import unittest
 from pathlib import Path
@@ -10,7 +11,7 @@
 from kept_callers import CallPlan, KeptCaller
 from lost_rule import CallRecord
 from platform_stand_ins import configuration, route
-from process_fleet import CONTROL, CONTROL_PORT, GATEWAY, Machine
+from process_fleet import CONTROL, CONTROL_PORT, GATEWAY, GRACE_S, Machine
 from replica_calls import tell
 from scripted_replica import ResponseScript, ScriptedReplica
 
@@ -19,6 +20,10 @@
 _TIME_LIMIT_S = 15.0
 _LONG_BODY_BYTES = 300_000
 _SLOW_READ_PAUSE_S = 0.05  # 40 KB a second
+_LATE_S = 3.0  # after SIGTERM
+_LATE_LASTS_S = 2.0
+_LATE_STEP_S = 0.1
+_SETTLE_S = 1.0
 
 
 class PlannedStopTest(unittest.IsolatedAsyncioTestCase):
@@ -32,6 +37,7 @@
         self.gateway = Machine(GATEWAY, f"{_NET}.51", "front-0", place, seeds)
         self.book = CallBook()
         self.status = 0  # of the last response
+        self.statuses: dict[str, int] = {}
         self.replica = ScriptedReplica("r0", self.book.arrived, self.book.done)
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
@@ -42,7 +48,12 @@
         self.addAsyncCleanup(self.replica.stop)
         limit = {"timeoutMs": int(_TIME_LIMIT_S * 1000), "targetLatencyMs": 800}
         streams = limit | {"kind": "streaming", "resumable": True}
-        document = configuration(1, route("/plain/", **limit), route("/stream/", **streams))
+        document = configuration(
+            1,
+            route("/plain/", **limit),
+            route("/order/", kind="unsafe", maxAttempts=1, **limit),
+            route("/stream/", **streams),
+        )
         async with asyncio.timeout(_START_S):
             while await self._tell("/api/Config.Replace", document) != 200:
                 await asyncio.sleep(0.1)
@@ -97,6 +108,54 @@
         self.assertEqual(self.status, 502)
         self.assertIn("phase=grace_over", self.gateway.output())
 
+    async def _call_at(self, path: str, number: int, at_s: asyncio.Future[float]) -> CallRecord:
+        """Use a connection before the stop, and once more at a time of the grace."""
+        caller = KeptCaller(lambda: self.gateway, slow=False)
+        self.assertTrue(await caller.connect())
+        self.addCleanup(caller.close)
+        streams = path == "/stream/"
+        events = 20 if streams else 0
+        for lasts_s in (0.05, _LATE_LASTS_S):
+            script = ResponseScript(streams=streams, events=events, lasts_s=lasts_s)
+            plan = CallPlan(path, script, deadline_s=_TIME_LIMIT_S, patience_s=_TIME_LIMIT_S)
+            record = self.book.begin(
+                f"{path.strip('/')}-{number}-{lasts_s}", self.gateway.name, _TIME_LIMIT_S
+            )
+            self.statuses[record.request_id] = (await caller.call(plan, record)).status
+            if lasts_s != _LATE_LASTS_S:
+                await asyncio.sleep(await at_s + number * _LATE_STEP_S - self._now())
+        return record
+
+    @staticmethod
+    def _now() -> float:
+        return asyncio.get_running_loop().time()
+
+    async def test_requests_late_in_the_grace_are_rejected_and_do_not_run(self) -> None:
+        """Guards against requests that are taken late in the grace and cut at its end."""
+        signalled_s: asyncio.Future[float] = asyncio.get_running_loop().create_future()
+        script = ResponseScript(lasts_s=_TIME_LIMIT_S)
+        holding = asyncio.ensure_future(
+            self.call(CallPlan("/plain/", script, _TIME_LIMIT_S, _TIME_LIMIT_S))
+        )
+        calling = [
+            asyncio.ensure_future(self._call_at(path, number, signalled_s))
+            for path in ("/plain/", "/order/", "/stream/")
+            for number in range(round(GRACE_S / _LATE_STEP_S))
+        ]
+        await asyncio.sleep(_SETTLE_S)
+        self.book.sigterm(self.gateway)
+        signalled_s.set_result(self._now())
+        await self.gateway.stop()
+        records = await asyncio.gather(*calling)
+        await holding
+        late = [one for one in records if one.sent_s - signalled_s.result() > _LATE_S]
+        rejected = [one for one in late if self.statuses[one.request_id] == 503]
+        self.assertGreater(len(rejected), len(records) / 3)
+        for record in late:
+            self.assertTrue(record.reached_s == math.inf, record)
+            self.assertTrue(record.complete or record not in rejected, record)
+        self.assertEqual(self.book.judge([self.gateway], all_cuts=True), [])
+
     async def test_a_stream_that_is_cut_when_the_grace_is_over_is_recorded(self) -> None:
         plan = CallPlan(
             "/stream/",
