Show that a router rejects requests late in its planned stop

The report of requests that are taken late in the grace, for the role that serves through agents: once the balancer has had its time, a request on an open connection gets 503 and outcome not-run while a stream is in flight, and no engine runs it. It passes as the code came; nothing else is changed for it.

--- a/tests/test_http.py
+++ b/tests/test_http.py
@@ -15,6 +15,7 @@
 import aiohttp
 import openai
 from heronladder_emulator.engine import EngineFaults, expected_completion
+from heronladder_runtime.clock import seconds
 from heronladder_runtime.invariants import INVARIANT_COUNTERS
 from heronladder_tools.demo_fleet import OPERATOR_TOKEN, DemoFleet
 from heronladder_tools.operator_client import ApiError, OperatorClient
@@ -203,6 +204,29 @@
         self.assertEqual(account.available + account.billed, account.allotted)
         self.assertGreater(account.billed, 0)
 
+    async def test_a_request_late_in_a_planned_stop_is_rejected_and_does_not_run(self) -> None:
+        for engine in self.fleet.engines.values():
+            engine.set_faults(EngineFaults(slow_factor=20.0))
+        body = {"model": "menu-1", "prompt": "a" * 31, "max_tokens": 64, "stream": True}
+        headers = {"Authorization": f"Bearer {tenant_key(PROFILE, 0)}"}
+        url = f"http://{self.router}/v1/completions"
+        holding = asyncio.ensure_future(self._post("/v1/completions", body))
+        await asyncio.sleep(0.05)
+        async with aiohttp.ClientSession() as session:
+            async with session.get(f"http://{self.router}/v1/models", headers=headers) as before:
+                self.assertEqual(before.status, 200)
+            daemon = self.fleet.routers.pop(next(iter(self.fleet.routers)))
+            stopping = asyncio.ensure_future(daemon.stop())
+            await asyncio.sleep(seconds(daemon.settings.router.balancer_lag_ms) + 0.2)
+            runs = len(self.fleet.books.engine_runs)
+            async with session.post(url, json=body, headers=headers) as late:
+                self.assertEqual(late.status, 503)
+                self.assertEqual(late.headers["Heronladder-Outcome"], "not-run")
+        _, received = await holding
+        await stopping
+        self.assertTrue(received.endswith(b"data: [DONE]\n\n"))
+        self.assertEqual(len(self.fleet.books.engine_runs), runs)
+
     async def test_replay_explains_a_bill_from_the_data_folder(self) -> None:
         response, _ = await self._post(
             "/services/pre-orders/orders", {"order_id": "o1"}, **{"Idempotency-Key": "k"}
