Log which HTTP parser a daemon uses

Whether aiohttp's parser in C or the one in Python reads the responses could not be seen at a process; the two differ in what they let through, which is why the bytes are checked before. daemon_started names it (http_parser). The tests with each parser check it: they failed before, as there was no such field, and pass now.

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -8,6 +8,7 @@
 import grpc.aio
 from aiohttp import web
 from heronladder_router.gateway_header_names import GatewayHeaderNames
+from heronladder_runtime import http_client
 from heronladder_runtime.clock import Environment, seconds
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.logs import EventLog
@@ -88,7 +89,12 @@
         all_roles = (self.control, self.agent, self.router, self.gateway)
         metrics = [self._metrics, *(role.metrics for role in all_roles if role is not None)]
         await self._start_admin(metrics)
-        self._log.info("daemon_started", step="start", roles=self.settings.common.roles)
+        self._log.info(
+            "daemon_started",
+            step="start",
+            roles=self.settings.common.roles,
+            http_parser=http_client.PARSER,
+        )
         self._log_early_rejections()
 
     def _log_early_rejections(self) -> None:
--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -9,6 +9,7 @@
 
 import aiohttp
 from fleet_case import FleetCase
+from heronladder_runtime.http_client import PARSER
 from malformed_responses import MALFORMED_BODIES, MALFORMED_HEADS, SOUND, SOUND_BODY
 from platform_stand_ins import (
     UNHURRIED_MS,
@@ -50,6 +51,7 @@
     """With the parser that a process takes by itself."""
 
     net: ClassVar[str] = "127.9.3"
+    parser: ClassVar[str] = PARSER
     variables: ClassVar[dict[str, str]] = {}
 
     async def asyncSetUp(self) -> None:
@@ -121,6 +123,9 @@
         self.assertNotIn(_STAMP, response.data, kind)
         self.assertIn(b'"answer_lost"', response.body, kind)
 
+    async def test_the_parser_in_use_is_logged(self) -> None:
+        self.assertIn(f"roles=gateway http_parser={self.parser}", self.gateway.output())
+
     async def test_a_malformed_head_reaches_no_caller(self) -> None:
         await self.add(StandInReplica("faulty", _respond_malformed), "faulty")
         for prefix in ("/order/", "/order/closing/", "/safe/", "/stream/", "/resumed/"):
@@ -175,6 +180,7 @@
     """With aiohttp's parser in Python, which is taken where its extension is missing."""
 
     net = "127.9.4"
+    parser = "python"
     variables: ClassVar[dict[str, str]] = {"AIOHTTP_NO_EXTENSIONS": "1"}
 
 
