Soak gateways with replicas that send malformed responses

Callers keep their connections. No answer may have another status or body than a gateway's own or a sound replica's.

--- a/tests/soak_teeth.py
+++ b/tests/soak_teeth.py
@@ -23,8 +23,13 @@
 
 
 _ROUTER = "packages/heronladder-router/src/heronladder_router"
+_RUNTIME = "packages/heronladder-runtime/src/heronladder_runtime"
 _DAEMON = "packages/heronladder-daemon/src/heronladder_daemon"
 TEETH = {
+    # Responses go to aiohttp's parser unchecked (docs/incidents/malformed-responses.md).
+    "malformed": Tooth(
+        f"{_RUNTIME}/http_client.py", "own = self._framing.feed(data)", "own = data"
+    ),
     # The listener ends as soon as balancers have noticed; requests in flight are not waited for.
     "drain": Tooth(
         f"{_ROUTER}/gateway_role.py",
