Test streams that turn malformed after their first events

A caller of a stream that may not be resumed gets no proper end, one that may be resumed gets its events in order from another replica; the log line of a request whose response is malformed says that it may have run. All three hold as the code is; a malformed chunk was refused by both parsers before as well.

--- a/tests/test_malformed_responses.py
+++ b/tests/test_malformed_responses.py
@@ -12,12 +12,15 @@
 from heronladder_runtime.http_client import PARSER
 from malformed_responses import MALFORMED_BODIES, MALFORMED_HEADS, SOUND, SOUND_BODY
 from platform_stand_ins import (
+    END_OF_CHUNKS,
     UNHURRIED_MS,
     Received,
     StandInReplica,
     answer,
     configuration,
+    event,
     route,
+    stream_head,
 )
 from process_fleet import CONTROL, CONTROL_PORT, FRONT_PORT, GATEWAY, Machine
 from raw_caller import RawResponse, ask
@@ -43,6 +46,16 @@
     return _respond(SOUND, received)
 
 
+async def _stream_garbled(replica: StandInReplica, received: Received) -> bytes:
+    replica.close_after = True
+    return stream_head(received) + event(1) + event(2) + b"zz\r\nmore\r\n" + END_OF_CHUNKS
+
+
+async def _stream_on(_replica: StandInReplica, received: Received) -> bytes:
+    first = int(received.headers.get("last-event-id", 0)) + 1
+    return stream_head(received) + b"".join(map(event, range(first, 6))) + END_OF_CHUNKS
+
+
 async def _respond_plainly(_replica: StandInReplica, received: Received) -> bytes:
     return answer(received)
 
@@ -79,6 +92,7 @@
             route("/sound/", kind="unsafe", service="unusual", maxAttempts=1, **times),
             route("/sound-safe/", service="unusual", maxAttempts=1, **times),
             route("/either/", service="either", **times),
+            route("/either-stream/", resumable=True, **streams | {"service": "either"}, **times),
             services=[
                 {"name": name, "healthPath": "/healthz", "maxConnections": 100}
                 for name in ("faulty", "unusual", "either")
@@ -142,6 +156,8 @@
         for part in ("peer=faulty", "request_id=order-0", "UnreadableResponseError", r"y\\x01z"):
             self.assertIn(part, logged[0])
         self.assertNotIn(SOUND_BODY.decode(), logged[0])
+        ended = [line for line in self.gateway.output().splitlines() if "request_ended" in line]
+        self.assertIn("ran=true finished=false started=false", ended[0])
 
     async def test_a_malformed_body_reaches_no_caller_as_whole(self) -> None:
         await self.add(StandInReplica("faulty", _respond_malformed), "faulty")
@@ -150,6 +166,24 @@
                 with self.subTest(kind=kind, prefix=prefix):
                     self.assert_unknown(kind, response)
 
+    async def test_a_stream_that_turns_malformed_does_not_end_as_complete(self) -> None:
+        faulty = await self.add(StandInReplica("faulty", _stream_garbled), "faulty")
+        for prefix in ("/stream/", "/resumed/"):
+            response = (await self.ask_all(prefix, {"x": b""}))["x"]
+            self.assertFalse(response.data.endswith(END_OF_CHUNKS), response.data)
+            self.assertNotIn(b"more", response.data)
+        self.assertEqual(len(faulty.received), 2)
+
+    async def test_a_stream_that_turns_malformed_goes_on_elsewhere(self) -> None:
+        faulty = await self.add(StandInReplica("faulty", _stream_garbled), "either")
+        await self.add(StandInReplica("sound", _stream_on), "either")
+        for number in range(6):
+            response = (await self.ask_all("/either-stream/", {f"{number}": b""}))[f"{number}"]
+            ids = [line[4:] for line in response.body.splitlines() if line.startswith(b"id: ")]
+            self.assertEqual(ids, [b"1", b"2", b"3", b"4", b"5"], response.data)
+            self.assertTrue(response.data.endswith(END_OF_CHUNKS))
+        self.assertGreater(len(faulty.received), 0)
+
     async def test_an_unusual_response_reaches_its_caller(self) -> None:
         await self.add(StandInReplica("unusual", _respond_sound), "unusual")
         for prefix in ("/sound/", "/sound-safe/"):
