--- a/packages/heronladder-agent/src/heronladder_agent/gate.py
+++ b/packages/heronladder-agent/src/heronladder_agent/gate.py
@@ -3,6 +3,7 @@
 import asyncio
 from dataclasses import dataclass
 
+from heronladder_runtime import responses
 from heronladder_runtime.change_signal import ChangeSignal
 from heronladder_runtime.clock import MILLISECONDS_PER_SECOND, Environment
 from heronladder_runtime.control_link import ControlLink
@@ -22,8 +23,6 @@
 from heronladder_agent.runs import AttemptKey, Run, RunState, RunTable, attempt_key
 from heronladder_agent.slots import SlotQueue
 
-_MAX_RESPONSE_BYTES = 16 * 1024 * 1024
-_MAX_EVENT_BYTES = 256 * 1024
 _ROUTER_NOTICE_TIMEOUT_S = 1.0
 _DRAIN_POLL_INTERVAL_S = 0.05
 
@@ -317,7 +316,7 @@
                 forwarded = meter.feed(chunk)
                 if forwarded:
                     run.add(forwarded)
-                excess = self._excess(run, meter)
+                excess = run.excess(meter.pending_bytes)
                 if excess:
                     break
                 if meter.done or meter.completion_tokens > dispatch.reserved_completion:
@@ -339,24 +338,11 @@
             )
         return end
 
-    @staticmethod
-    def _excess(run: Run, meter: StreamMeter) -> str:
-        """Return which bound a stream exceeds; empty if none."""
-        if meter.pending_bytes > _MAX_EVENT_BYTES:
-            return f"event over {_MAX_EVENT_BYTES} bytes without its end"
-        if run.dispatch.keep_answer and run.held_bytes > _MAX_RESPONSE_BYTES:
-            return f"response to be kept over {_MAX_RESPONSE_BYTES} bytes"
-        return ""
-
     async def _read_full_response(self, run: Run, response: BackendResponse) -> agent_pb2.AnswerEnd:
-        parts = []
-        size = 0
-        async for chunk in response.chunks:
-            parts.append(chunk)
-            size += len(chunk)
-            if size > _MAX_RESPONSE_BYTES:
-                raise BackendError(f"response over {_MAX_RESPONSE_BYTES} bytes", step="read_answer")
-        body = b"".join(parts)
+        body = await responses.read_bounded(response.chunks)
+        if body is None:
+            problem = f"response over {responses.MAX_RESPONSE_BYTES} bytes"
+            raise BackendError(problem, step="read_answer", peer=run.dispatch.request_id)
         run.content_type = response.content_type
         run.add(body)
         end = end_of_complete_response(run.dispatch, response.status, body)
--- a/packages/heronladder-agent/src/heronladder_agent/runs.py
+++ b/packages/heronladder-agent/src/heronladder_agent/runs.py
@@ -11,11 +11,12 @@
 
 from heronladder_runtime.change_signal import ChangeSignal
 from heronladder_runtime.clock import Environment
-from heronladder_runtime.responses import AgentResponse
+from heronladder_runtime.responses import MAX_RESPONSE_BYTES, AgentResponse
 from heronladder_schema.v1 import agent_pb2
 
 _TOMBSTONE_AGE_S = 3600.0
 _UNREAD_LIMIT_BYTES = 262_144
+_MAX_EVENT_BYTES = 256 * 1024
 
 AttemptKey = tuple[str, int]  # (request ID, attempt number)
 
@@ -89,6 +90,18 @@
         ):
             await self.changed.wait()
 
+    def excess(self, pending_bytes: int) -> str:
+        """Return which bound a stream exceeds; empty if none.
+
+        Args:
+            pending_bytes: Bytes of an event whose end has not arrived.
+        """
+        if pending_bytes > _MAX_EVENT_BYTES:
+            return f"event over {_MAX_EVENT_BYTES} bytes without its end"
+        if self.dispatch.keep_answer and self.held_bytes > MAX_RESPONSE_BYTES:
+            return f"response to be kept over {MAX_RESPONSE_BYTES} bytes"
+        return ""
+
     async def wait_for_head(self) -> None:
         """Wait until the status of the backend is known or the run has ended."""
         while self.state is RunState.WAITING or (
--- a/packages/heronladder-router/src/heronladder_router/agent_channel.py
+++ b/packages/heronladder-router/src/heronladder_router/agent_channel.py
@@ -10,7 +10,7 @@
 import aiohttp
 from google.protobuf.message import DecodeError
 from heronladder_runtime import wire
-from heronladder_runtime.http_client import CheckedConnector, client_session, read_whole
+from heronladder_runtime.http_client import CheckedConnector, client_session, read_body
 from heronladder_runtime.responses import EVENT_STREAM, AgentResponse
 from heronladder_schema.v1 import agent_pb2
 
@@ -188,7 +188,7 @@
         address: str, response: aiohttp.ClientResponse, answer: AgentResponse
     ) -> AsyncIterator[bytes]:
         try:
-            body = await read_whole(response)
+            body = await read_body(response)
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
             raise ChannelLostError(repr(error), step="read_answer", peer=address) from error
         finally:
--- a/packages/heronladder-router/src/heronladder_router/replica_connector.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_connector.py
@@ -45,13 +45,13 @@
     @property
     def is_idle(self) -> bool:
         """Whether it is idle after a response; false for a connection that is not used yet."""
-        return not self._awaiting_response and self._idle_since_s > -math.inf
+        return not self.awaiting_response and self._idle_since_s > -math.inf
 
     @property
     def is_expiring(self) -> bool:
         """Whether the replica may close it before a request that is sent now arrives."""
         idle_s = self._loop.time() - self._idle_since_s
-        return not self._awaiting_response and idle_s > self.keep_alive_s - _KEEP_ALIVE_MARGIN_S
+        return not self.awaiting_response and idle_s > self.keep_alive_s - _KEEP_ALIVE_MARGIN_S
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection as open."""
--- a/packages/heronladder-runtime/src/heronladder_runtime/http_client.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/http_client.py
@@ -17,22 +17,25 @@
 from aiohttp.http_parser import HttpResponseParser, HttpResponseParserPy
 
 from heronladder_runtime.response_framing import MalformedResponseError, ResponseFraming
+from heronladder_runtime.responses import MAX_RESPONSE_BYTES, read_bounded
 
 #: Which of aiohttp's parsers reads the responses that pass the check.
 PARSER = "python" if HttpResponseParser is HttpResponseParserPy else "c"
-#: Of a response that is read whole.
-MAX_BODY_BYTES = 16 * 1024 * 1024
 _MAX_HEAD_LINE_BYTES = 65_536
 
 
 class CheckedResponseHandler(ResponseHandler):
-    """Connection that passes only well-formed responses to aiohttp's parser."""
+    """Connection that passes only well-formed responses to aiohttp's parser.
+
+    Attributes:
+        awaiting_response: Whether a request was sent whose response is not complete.
+    """
 
     def __init__(self, loop: asyncio.AbstractEventLoop) -> None:
         super().__init__(loop)
         self._address = ""
         self._framing: ResponseFraming | None = None
-        self._awaiting_response = False
+        self.awaiting_response = False
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the peer's address."""
@@ -43,7 +46,7 @@
 
     def set_response_params(self, **parameters: Any) -> None:
         """Accept the bytes of one response from now on."""
-        self._awaiting_response = True
+        self.awaiting_response = True
         has_body = not parameters.get("skip_payload", False)
         self._framing = ResponseFraming(self._address, has_body=has_body)
         super().set_response_params(**parameters)
@@ -69,13 +72,13 @@
             if own:
                 super().data_received(own)
         payload = self._payload
-        if payload is not None and payload.is_eof():
-            self._awaiting_response = False
+        if self.awaiting_response and payload is not None and payload.is_eof():
+            self.awaiting_response = False
             self.response_ended()
 
     def _close_after_excess(self) -> None:
         self.force_close()
-        if not self._awaiting_response:
+        if not self.awaiting_response:
             self.abort()
 
     def _fail(self, error: MalformedResponseError) -> None:
@@ -111,34 +114,32 @@
         self._factory = make_handler
 
 
-async def read_whole(response: aiohttp.ClientResponse) -> bytes:
-    """Return the whole body of a response.
+async def read_body(response: aiohttp.ClientResponse) -> bytes:
+    """Return the complete body of a response.
 
     Raises:
-        MalformedResponseError: If it exceeds ``MAX_BODY_BYTES``; the connection is then closed.
+        MalformedResponseError: If it exceeds ``MAX_RESPONSE_BYTES``; the connection is then closed.
         aiohttp.ClientError: If the connection ended before the body was complete.
     """
-    body = bytearray()
-    async for chunk in response.content.iter_any():
-        body += chunk
-        if len(body) > MAX_BODY_BYTES:
-            response.close()
-            raise MalformedResponseError(
-                f"malformed response: body over {MAX_BODY_BYTES} bytes",
-                step="read_body",
-                peer=response.url.authority,
-            )
-    return bytes(body)
+    body = await read_bounded(response.content.iter_any())
+    if body is None:
+        response.close()
+        raise MalformedResponseError(
+            f"malformed response: body over {MAX_RESPONSE_BYTES} bytes",
+            step="read_body",
+            peer=response.url.authority,
+        )
+    return body
 
 
 async def read_json(response: aiohttp.ClientResponse) -> Any:
     """Return the JSON document in a response.
 
     Raises:
-        MalformedResponseError: If the body is no JSON, or exceeds ``MAX_BODY_BYTES``.
+        MalformedResponseError: If the body is no JSON, or exceeds ``MAX_RESPONSE_BYTES``.
         aiohttp.ClientError: If the connection ended before the body was complete.
     """
-    body = await read_whole(response)
+    body = await read_body(response)
     try:
         return json.loads(body)
     except ValueError as error:
--- a/packages/heronladder-runtime/src/heronladder_runtime/responses.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/responses.py
@@ -6,6 +6,18 @@
 from heronladder_schema.v1 import agent_pb2
 
 EVENT_STREAM = "text/event-stream"
+#: Size of a response that is held in full: read at once, or kept for a retry.
+MAX_RESPONSE_BYTES = 16 * 1024 * 1024
+
+
+async def read_bounded(chunks: AsyncIterator[bytes]) -> bytes | None:
+    """Return all chunks of a body; None if they exceed ``MAX_RESPONSE_BYTES``."""
+    body = bytearray()
+    async for chunk in chunks:
+        body += chunk
+        if len(body) > MAX_RESPONSE_BYTES:
+            return None
+    return bytes(body)
 
 
 @dataclass
