--- a/tests/test_replica_client.py
+++ b/tests/test_replica_client.py
@@ -29,6 +29,10 @@
     return answer(received) + answer(received, body=b"late")
 
 
+async def _respond_with_garbage(replica: StandInReplica, received: Received) -> bytes:
+    return answer(received) + b"\0 garbage"
+
+
 class ReplicaClientTest(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.client = ReplicaClient()
@@ -106,10 +110,12 @@
         self.assertEqual(replica.connections, 2)
 
     async def test_a_connection_with_stray_bytes_is_closed(self) -> None:
-        replica = StandInReplica("i-1", _respond_twice)
-        bodies = await self._send_twice(replica, may_run_twice=True)
-        self.assertEqual(bodies, [b"done", b"done"])
-        self.assertEqual(replica.connections, 2)
+        for script in (_respond_twice, _respond_with_garbage):
+            with self.subTest(script=script.__name__):
+                replica = StandInReplica("i-1", script)
+                bodies = await self._send_twice(replica, may_run_twice=True)
+                self.assertEqual(bodies, [b"done", b"done"])
+                self.assertEqual(replica.connections, 2)
 
 
 if __name__ == "__main__":
