Test a response whose parts arrive one by one

Cause: aiohttp hands an informational head over with an empty body, which counted as the end of the response; what followed closed the connection.

--- a/tests/test_replica_client.py
+++ b/tests/test_replica_client.py
@@ -104,6 +104,28 @@
             await self._send_twice(replica, may_run_twice=True)
             self.assertEqual(replica.connections, 1)
 
+    async def test_a_response_whose_parts_arrive_one_by_one_is_read(self) -> None:
+        """An informational head that arrives alone is no complete response."""
+        early = b"HTTP/1.1 103 Early Hints\r\nLink: </x>\r\n\r\n"
+
+        async def respond(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            await reader.readuntil(b"\r\n\r\nbody")
+            for part in (early, early[:20], early[20:], b"HTTP/1.1 200 OK\r\nContent-", b"Length"):
+                writer.write(part)
+                await asyncio.sleep(_SETTLE_S)
+            writer.write(b": 4\r\n\r\ndone")
+            writer.close()
+
+        server = await asyncio.start_server(respond, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        host, port = server.sockets[0].getsockname()
+        for may_run_twice in (True, False):
+            response = await self.client.send(
+                f"{host}:{port}", "POST", "/", [], b"body", may_run_twice=may_run_twice
+            )
+            self.assertEqual((response.status, await response.read()), (200, b"done"))
+            response.close()
+
     async def test_a_request_that_must_not_run_twice_gets_a_new_connection(self) -> None:
         replica = StandInReplica("i-1", _respond)
         await self._send_twice(replica, may_run_twice=False)
