Name the bound that a stream exceeds for what it is

Run.excess returned a text that names the bound; it is exceeded_bound now. No behaviour changes; test_gate passes.

--- a/packages/heronladder-agent/src/heronladder_agent/gate.py
+++ b/packages/heronladder-agent/src/heronladder_agent/gate.py
@@ -310,14 +310,14 @@
         run.changed.notify_waiters()
         meter = StreamMeter(dispatch.include_usage)
         chunks = aiter(response.chunks)
-        excess = ""
+        exceeded = ""
         try:
             async for chunk in chunks:
                 forwarded = meter.feed(chunk)
                 if forwarded:
                     run.add(forwarded)
-                excess = run.excess(meter.pending_bytes)
-                if excess:
+                exceeded = run.exceeded_bound(meter.pending_bytes)
+                if exceeded:
                     break
                 if meter.done or meter.completion_tokens > dispatch.reserved_completion:
                     break
@@ -330,7 +330,7 @@
             await chunks.aclose()  # type: ignore[attr-defined]
         end = meter.end(dispatch)
         end.cancelled = run.cancelled and not meter.done
-        end.error = excess or end.error
+        end.error = exceeded or end.error
         if meter.completion_tokens > dispatch.reserved_completion:
             end.error = "the engine exceeded the token reservation and was stopped"
             self._log.error(
--- a/packages/heronladder-agent/src/heronladder_agent/runs.py
+++ b/packages/heronladder-agent/src/heronladder_agent/runs.py
@@ -90,7 +90,7 @@
         ):
             await self.changed.wait()
 
-    def excess(self, pending_bytes: int) -> str:
+    def exceeded_bound(self, pending_bytes: int) -> str:
         """Return which bound a stream exceeds; empty if none.
 
         Args:
