--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,7 +1,8 @@
 """Runs all tests; only failures of the tests listed in KNOWN-RED.txt are accepted.
 
-Usage: ``python scripts/run_tests.py [PART/PARTS]``, for example ``1/2`` for one of two parts of
-similar duration; without an argument, all tests are run. Each line of the list, at the root of the
+Usage: ``python scripts/run_tests.py [PART/PARTS [FILE]]``, for example ``1/2`` for one of two parts
+of similar duration; without an argument, all tests are run. The file gets the ids of the tests that
+failed and are not listed. Each line of the list, at the root of the
 repository, is ``test id | command | seed | what was seen | open issue``; empty lines and lines that
 begin with ``#`` are ignored. The command reproduces the failure in a fresh clone, so it names the
 test or its module; the seed is a number, or ``none`` if nothing is random. If the file does not
@@ -193,10 +194,10 @@
     return f"known red, neither failed nor passed this time: {entry}"
 
 
-def is_accepted(result: RecordingResult, entries: Iterable[KnownRed]) -> bool:
-    """Return whether any test ran and only listed tests failed."""
-    unlisted = result.failed - {entry.test for entry in entries}
-    return result.testsRun > 0 and not unlisted and not result.unexpectedSuccesses
+def unlisted_failures(result: RecordingResult, entries: Iterable[KnownRed]) -> list[str]:
+    """Return the ids of the tests that failed and are not listed, sorted."""
+    unexpected = {test.id() for test in result.unexpectedSuccesses}
+    return sorted(result.failed - {entry.test for entry in entries} | unexpected)
 
 
 def read_part(text: str) -> tuple[int, int]:
@@ -234,8 +235,22 @@
     return first.partition(".")[0]
 
 
-def run_tests(folder: Path, known_red: Path, stream: TextIO, part: tuple[int, int] = (1, 1)) -> int:
-    """Run the tests of a folder, or a part of its modules, and return the exit code."""
+def run_tests(
+    folder: Path,
+    known_red: Path,
+    stream: TextIO,
+    part: tuple[int, int] = (1, 1),
+    unlisted: Path | None = None,
+) -> int:
+    """Run the tests of a folder, or a part of its modules, and return the exit code.
+
+    Args:
+        folder: Folder of the tests.
+        known_red: The list.
+        stream: Receives the output.
+        part: Number of the part, and of all parts.
+        unlisted: File that gets the ids of the tests that failed and are not listed.
+    """
     loader = unittest.TestLoader()
     suite = loader.discover(str(folder), top_level_dir=str(folder))
     try:
@@ -245,12 +260,19 @@
         print(*loader.errors, f"{known_red.name}: {error}", sep="\n", file=stream)
         return 1
     modules = [module for module in suite if isinstance(module, unittest.TestSuite)]
-    result = run_suite(unittest.TestSuite(select_modules(modules, part)), stream)
+    selected = unittest.TestSuite(select_modules(modules, part))
+    own = set(discovered_tests(selected))
+    result = run_suite(selected, stream)
     for entry in entries:
-        print(describe(entry, result), file=stream)
-    return 0 if is_accepted(result, entries) else 1
+        if entry.test in own:
+            print(describe(entry, result), file=stream)
+    failures = unlisted_failures(result, entries)
+    if unlisted is not None:
+        unlisted.write_text("".join(f"{test}\n" for test in failures), encoding="utf-8")
+    return 0 if result.testsRun > 0 and not failures else 1
 
 
 if __name__ == "__main__":
     asked = read_part(sys.argv[1]) if len(sys.argv) > 1 else (1, 1)
-    sys.exit(run_tests(TESTS, KNOWN_RED, sys.stderr, asked))
+    file = Path(sys.argv[2]) if len(sys.argv) > 2 else None
+    sys.exit(run_tests(TESTS, KNOWN_RED, sys.stderr, asked, file))
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -87,6 +87,20 @@
             ran.append(re.findall("Ran ([0-9]+) test", stream.getvalue()))
         self.assertEqual(ran, [["2"], ["1"], ["3"]])
 
+    def test_a_listed_test_of_another_part_is_not_printed(self) -> None:
+        self.addCleanup(sys.modules.pop, "test_another", None)
+        (self.tests / "test_another.py").write_text(_HEAD + _PASSES)
+        (self.tests / f"{_MODULE}.py").write_text(_HEAD + _FAILS)
+        self.known_red.write_text(_line("test_fails"))
+        outputs = []
+        for part in ((1, 2), (2, 2)):
+            sys.modules.pop(_MODULE, None)
+            stream = io.StringIO()
+            code = run_tests.run_tests(self.tests, self.known_red, stream, part)
+            self.assertEqual(code, 0)
+            outputs.append(stream.getvalue())
+        self.assertEqual(sorted(output.count("known red") for output in outputs), [0, 1])
+
     def test_a_part_that_is_none_is_refused(self) -> None:
         self.assertEqual(run_tests.read_part("2/3"), (2, 3))
         for text in ("0/2", "3/2", "1", "a/b", ""):
@@ -121,6 +135,25 @@
                 self.assertEqual(code, 1)
                 self.assertTrue(output.endswith(f"known red: {_line('test_fails')}\n"))
 
+    def test_a_file_names_the_failures_that_are_not_listed(self) -> None:
+        unlisted = self.known_red.with_name("unlisted")
+        source = _HEAD + _PASSES + _FAILS + _ERRS + _SUBTESTS + _UNEXPECTED.replace("passes", "not")
+        cases = (
+            (source, f"{_id('test_errs')}\n{_id('test_not')}\n{_id('test_subtests')}\n", 1),
+            (_HEAD + _CLASS_SETUP_FAILS, f"setUpClass ({_MODULE}.MadeUpTest)\n", 1),
+            (_HEAD + _FAILS, "", 0),
+        )
+        for source, names, code in cases:
+            with self.subTest(source=source):
+                sys.modules.pop(_MODULE, None)
+                (self.tests / f"{_MODULE}.py").write_text(source)
+                listed = "test_fails" if "test_fails" in source else "test_passes"
+                self.known_red.write_text(_line(listed))
+                got = run_tests.run_tests(
+                    self.tests, self.known_red, io.StringIO(), unlisted=unlisted
+                )
+                self.assertEqual((got, unlisted.read_text()), (code, names))
+
     def test_says_which_listed_test_passed(self) -> None:
         line = _line("test_passes")
         code, output = self.run_made_up(_HEAD + _PASSES, line)
