--- a/Makefile
+++ b/Makefile
@@ -32,13 +32,18 @@
 	$(BIN)/mypy --strict $(addsuffix /src,$(filter packages/%,$(PACKAGE_FOLDERS))) platform/heronladder_platform
 	$(BIN)/lint-imports
 
-# Five processes, each with a part of the modules: most of their time is waiting.
+# Five processes, each with a part of the modules: most of their time is waiting. Then the modules
+# that run alone.
 unit: setup
 	rm -f $(VENV)/unlisted-*
-	$(MAKE) --no-print-directory -j5 --output-sync=target unit-1 unit-2 unit-3 unit-4 unit-5 || \
+	{ $(MAKE) --no-print-directory -j5 --output-sync=target $(addprefix unit-,1 2 3 4 5); \
+	  parts=$$?; $(MAKE) --no-print-directory unit-alone && [ $$parts = 0 ]; } || \
 	  { echo "failed and not in KNOWN-RED.txt, by part (a part without a file crashed):"; \
 	    tail -v -n +1 $(VENV)/unlisted-*; exit 1; }
 
+unit-alone:
+	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning scripts/run_tests.py alone $(VENV)/unlisted-alone
+
 unit-%:
 	PYTHONHASHSEED=0 $(BIN)/python -W error::ResourceWarning scripts/run_tests.py $*/5 $(VENV)/unlisted-$*
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -1,12 +1,13 @@
 """Runs all tests; only failures of the tests listed in KNOWN-RED.txt are accepted.
 
-Usage: ``python scripts/run_tests.py [PART/PARTS [FILE]]``, for example ``1/2`` for one of two parts
-of similar duration; without an argument, all tests are run. The file gets the ids of the tests that
-failed and are not listed. Each line of the list, at the root of the
-repository, is ``test id | command | seed | what was seen | open issue``; empty lines and lines that
-begin with ``#`` are ignored. The command reproduces the failure in a fresh clone, so it names the
-test or its module; the seed is a number, or ``none`` if nothing is random. If the file does not
-exist, no test may fail.
+Usage: ``python scripts/run_tests.py [PART/PARTS | alone [FILE]]``, for example ``1/2`` for one of
+two parts of similar duration, or ``alone`` for the modules that are in no part because nothing else
+may run beside them; without an argument, all tests are run. The file gets the ids of the tests that
+failed and are not listed. Each line of the list, at the root of the repository, is ``test id |
+command | seed | what was seen | open issue``; empty lines and lines that begin with ``#`` are
+ignored. The command reproduces the failure in a fresh clone, so it names the test or its module;
+the seed is a number, or ``none`` if nothing is random. If the file does not exist, no test may
+fail.
 """
 
 import sys
@@ -56,6 +57,10 @@
     "test_promised_refusals",
     "test_restarted_replicas",
 )
+# Their checks of memory and descriptors need the processor time that other tests would take.
+_ALONE_MODULES = frozenset({"test_client_crowds", "test_client_crowds_of_roles"})
+_ALONE = "alone"
+_ALL_PARTS, _ALONE_PART = (1, 1), (0, 0)
 _LOAD_ERRORS = "unittest.loader."  # prefix of placeholders for modules that failed to load
 
 
@@ -201,11 +206,13 @@
 
 
 def read_part(text: str) -> tuple[int, int]:
-    """Parse ``PART/PARTS``; return the part and the number of parts.
+    """Parse ``PART/PARTS`` or ``alone``; return the part and the number of parts.
 
     Raises:
         ValueError: The text names no part.
     """
+    if text == _ALONE:
+        return _ALONE_PART
     part, _, parts = text.partition("/")
     if not 1 <= int(part) <= int(parts):
         raise ValueError(f"there is no part {text}")
@@ -220,6 +227,11 @@
     Modules are assigned to the parts in alternating order, the long ones first. All tests of a
     module are in the same part.
     """
+    if part == _ALL_PARTS:
+        return modules
+    if part == _ALONE_PART:
+        return [module for module in modules if _name(module) in _ALONE_MODULES]
+    modules = [module for module in modules if _name(module) not in _ALONE_MODULES]
     number, parts = part
     ranks = {name: rank for rank, name in enumerate(_LONG_MODULES)}
     ordered = sorted(modules, key=lambda module: ranks.get(_name(module), len(ranks)))
@@ -239,7 +251,7 @@
     folder: Path,
     known_red: Path,
     stream: TextIO,
-    part: tuple[int, int] = (1, 1),
+    part: tuple[int, int] = _ALL_PARTS,
     unlisted: Path | None = None,
 ) -> int:
     """Run the tests of a folder, or a part of its modules, and return the exit code.
@@ -273,6 +285,6 @@
 
 
 if __name__ == "__main__":
-    asked = read_part(sys.argv[1]) if len(sys.argv) > 1 else (1, 1)
+    asked = read_part(sys.argv[1]) if len(sys.argv) > 1 else _ALL_PARTS
     file = Path(sys.argv[2]) if len(sys.argv) > 2 else None
     sys.exit(run_tests(TESTS, KNOWN_RED, sys.stderr, asked, file))
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import resource
 import signal
 import subprocess
 import sys
@@ -15,6 +16,7 @@
 CONTROL, GATEWAY = "control", "gateway"
 FRONT_PORT, READY_PORT, CONTROL_PORT = 18080, 18081, 18082
 _INTERNAL_PORTS = (17420, 17435)
+GRPC_PORT, ADMIN_PORT = _INTERNAL_PORTS[0], 9464
 GRACE_S = 6.0
 _ENDS_WITHIN_S = 12.0
 _LOOK_S = 0.05
@@ -36,6 +38,7 @@
         contracts: Parts of the rules in force, as settings name them.
         module_path: Where its build's packages lie, as PYTHONPATH; empty: this build's.
         variables: Environment variables of its process besides those of the test's.
+        limits: Limits of the machine, as settings name them; the process gets no more descriptors.
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
         unplanned_s: Those of them at which it was killed, paused or let go on.
@@ -51,6 +54,7 @@
         self.contracts: list[str] = []
         self.module_path = ""
         self.variables: dict[str, str] = {}
+        self.limits: dict[str, Any] = {}
         self.faults: list[str] = []
         self.disturbed_s: list[float] = []
         self.unplanned_s: list[float] = []
@@ -85,6 +89,7 @@
             "bootstrap": not self._was_started,
             "dataDir": str(self.data) if self.role == CONTROL else None,
             "faultTolerance": {"machines": 1},
+            "limits": self.limits,
             "bounds": {
                 "retryBudgetRatio": 0.2,
                 "budgetSlack": 50,
@@ -108,6 +113,11 @@
         """Whether its process runs and is not paused."""
         return self.is_running and not self._is_paused
 
+    @property
+    def pid(self) -> int:
+        """Its process; 0 if there is none."""
+        return 0 if self._process is None else self._process.pid
+
     @property
     def is_running(self) -> bool:
         """Whether there is a process."""
@@ -129,8 +139,13 @@
                 stdin=subprocess.DEVNULL,
                 stdout=output,
                 stderr=subprocess.STDOUT,
+                preexec_fn=self._limit_descriptors if "maxFds" in self.limits else None,
             )
 
+    def _limit_descriptors(self) -> None:
+        descriptors = self.limits["maxFds"]
+        resource.setrlimit(resource.RLIMIT_NOFILE, (descriptors, descriptors))
+
     def look(self) -> None:
         """Note it if the process has ended by itself."""
         if self._process is not None and self._process.poll() is not None:
--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -87,6 +87,20 @@
             ran.append(re.findall("Ran ([0-9]+) test", stream.getvalue()))
         self.assertEqual(ran, [["2"], ["1"], ["3"]])
 
+    def test_modules_that_run_alone_are_in_no_part(self) -> None:
+        alone = "test_client_crowds"
+        for name in (alone, "test_another"):
+            self.addCleanup(sys.modules.pop, name, None)
+            (self.tests / f"{name}.py").write_text(_HEAD + _PASSES)
+        ran = []
+        for text in ("1/2", "2/2", "alone"):
+            stream = io.StringIO()
+            part = run_tests.read_part(text)
+            run_tests.run_tests(self.tests, self.known_red, stream, part)
+            ran.append(re.findall("Ran ([0-9]+) test", stream.getvalue()))
+        self.assertEqual(sorted(ran), [["0"], ["1"], ["1"]])
+        self.assertEqual(ran[2], ["1"])
+
     def test_a_listed_test_of_another_part_is_not_printed(self) -> None:
         self.addCleanup(sys.modules.pop, "test_another", None)
         (self.tests / "test_another.py").write_text(_HEAD + _PASSES)
