Receive bodies within their limit and the request's deadline, and hold them once

Cause: the gateway read every body before it looked at anything but the route; the deadline of a request counted from the end of its body. Agents collected bodies in a buffer that grows by copying, and a large body was copied whole into the connection to the replica.

A stated length over the limit is a 413 on the head alone. A body that has not arrived by the request's deadline is a 408, which promises 'not run'; nothing has been sent on.

--- a/packages/heronladder-agent/src/heronladder_agent/server.py
+++ b/packages/heronladder-agent/src/heronladder_agent/server.py
@@ -8,6 +8,7 @@
 from aiohttp import web
 from google.protobuf.message import DecodeError
 from heronladder_runtime import wire
+from heronladder_runtime.request_body import collect_body
 from heronladder_runtime.responses import EVENT_STREAM, AgentResponse
 from heronladder_schema.v1 import agent_pb2
 
@@ -35,9 +36,16 @@
         application.router.add_post(wire.HOLD_PATH, self._hold)
         return application
 
+    @staticmethod
+    async def _read_body(request: web.Request) -> bytes:
+        body = await collect_body(request.content, _MAXIMUM_BODY_BYTES)
+        if body is None:
+            raise web.HTTPRequestEntityTooLarge(_MAXIMUM_BODY_BYTES, _MAXIMUM_BODY_BYTES + 1)
+        return body
+
     async def _hold(self, request: web.Request) -> web.Response:
         try:
-            bill = agent_pb2.HeldBill.FromString(await request.read())
+            bill = agent_pb2.HeldBill.FromString(await self._read_body(request))
         except DecodeError:
             raise web.HTTPBadRequest(
                 text="the request body is not a valid HeldBill message"
@@ -62,7 +70,7 @@
             raise web.HTTPBadRequest(
                 text=f"header {wire.DISPATCH_HEADER} is missing or malformed"
             ) from None
-        answer = await self._gate.dispatch(dispatch, await request.read())
+        answer = await self._gate.dispatch(dispatch, await self._read_body(request))
         headers = {wire.HEAD_HEADER: wire.encode(answer.head)}
         if answer.refused or answer.chunks is None:
             return web.Response(status=_REFUSED_STATUS, headers=headers)
--- a/packages/heronladder-router/src/heronladder_router/agent_channel.py
+++ b/packages/heronladder-router/src/heronladder_router/agent_channel.py
@@ -11,6 +11,7 @@
 from google.protobuf.message import DecodeError
 from heronladder_runtime import wire
 from heronladder_runtime.http_client import CheckedConnector, client_session, read_body
+from heronladder_runtime.request_body import sent_body
 from heronladder_runtime.responses import EVENT_STREAM, AgentResponse
 from heronladder_schema.v1 import agent_pb2
 
@@ -126,7 +127,7 @@
         headers = {wire.DISPATCH_HEADER: wire.encode(dispatch)}
         url = f"http://{address}{wire.DISPATCH_PATH}"
         try:
-            response = await self._client_session().post(url, data=body, headers=headers)
+            response = await self._client_session().post(url, data=sent_body(body), headers=headers)
         except aiohttp.ClientConnectorError as error:
             raise ChannelNotSentError(str(error), step="connect", peer=address) from error
         except (aiohttp.ClientError, OSError, TimeoutError) as error:
--- a/packages/heronladder-router/src/heronladder_router/errors.py
+++ b/packages/heronladder-router/src/heronladder_router/errors.py
@@ -218,6 +218,21 @@
     retry_after_s = 1
 
 
+class BuffersFullError(CallerError):
+    """The gateway may hold no more bytes of requests that have not arrived in full."""
+
+    status = 503
+    code = "buffers_full"
+    retry_after_s = 1
+
+
+class RequestTimeoutError(CallerError):
+    """The request did not arrive in full in time."""
+
+    status = 408
+    code = "request_timeout"
+
+
 class NoBackendError(CallerError):
     """No backend of the service can be reached."""
 
--- a/packages/heronladder-router/src/heronladder_router/gateway_server.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_server.py
@@ -22,7 +22,6 @@
 from heronladder_router.errors import (
     OUTCOME_HEADER_VALUES,
     BehindError,
-    BodyTooLargeError,
     CallerError,
     InvalidRequestError,
     NotReadyError,
@@ -35,6 +34,7 @@
 from heronladder_router.hop_by_hop_headers import is_hop_by_hop_header
 from heronladder_router.host_routes import HostRouteTable, MatchedRoute
 from heronladder_router.planned_stop import PlannedStop
+from heronladder_router.receive_body import receive_body
 from heronladder_router.replica_state import RequestProfile
 from heronladder_router.response_cuts import CutCause, ResponseCuts
 from heronladder_router.token_bounds import (
@@ -200,24 +200,17 @@
         matched = self._routes.find(
             request.headers.get("Host", ""), target, request.headers.get("Authorization", "")
         )
-        body = await self._read_body(request)
+        deadline_s = self._deadline_s(request, matched, arrived_s)
+        body = await receive_body(
+            request.content,
+            request.content_length,
+            self._routes.limits.body_bytes or _DEFAULT_BODY_BYTES,
+            deadline_s - self._environment.monotonic(),
+        )
         await self._dispatcher.serve(
-            self._build_request(request, target, matched, body, arrived_s), sink
+            self._build_request(request, target, matched, body, arrived_s, deadline_s), sink
         )
 
-    async def _read_body(self, request: web.BaseRequest) -> bytes:
-        limit_bytes = self._routes.limits.body_bytes or _DEFAULT_BODY_BYTES
-        chunks: list[bytes] = []
-        size_bytes = 0
-        async for chunk in request.content.iter_any():
-            size_bytes += len(chunk)
-            if size_bytes > limit_bytes:
-                raise BodyTooLargeError(
-                    f"request body exceeds the limit of {limit_bytes} bytes", step=_STEP
-                )
-            chunks.append(chunk)
-        return b"".join(chunks)
-
     def _build_request(
         self,
         request: web.BaseRequest,
@@ -225,6 +218,7 @@
         matched: MatchedRoute,
         body: bytes,
         arrived_s: float,
+        deadline_s: float,
     ) -> GatewayRequest:
         headers = request.headers
         service = self._routes.choose_service(matched.route, self._environment.random)
@@ -241,7 +235,7 @@
             ),
             bounds=bounds,
             arrived_s=arrived_s,
-            deadline_s=self._deadline_s(request, matched, arrived_s),
+            deadline_s=deadline_s,
             last_event_id=headers.get(self._names.last_event_id, ""),
             resumes=headers.get(self._names.resumes, ""),
         )
--- a/packages/heronladder-router/src/heronladder_router/replica_client.py
+++ b/packages/heronladder-router/src/heronladder_router/replica_client.py
@@ -8,6 +8,7 @@
 import aiohttp
 from heronladder_runtime.errors import HeronladderError
 from heronladder_runtime.http_client import client_session
+from heronladder_runtime.request_body import sent_body
 from heronladder_runtime.response_framing import MalformedResponseError
 from yarl import URL
 
@@ -106,7 +107,7 @@
             await self._close_excess_idle(address, most_open - 1)
         try:
             response = await self._session(keep=may_run_twice).request(
-                method, url, headers=headers, data=body or None, allow_redirects=False
+                method, url, headers=headers, data=sent_body(body), allow_redirects=False
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise ReplicaNotReachedError(repr(error), step="connect", peer=address) from error
