Keep the bytes of all clients' requests within one budget of the process

What callers saw: a crowd whose bodies are legal in size ended a process by its memory. Each body was under the limit, and nothing bounded their sum; requests sent ahead were parsed and held while the one before was served; what came after a rejection was parsed and dropped for 10 s. And in calm, a request with over 128 short fields got the library's 400 though the configuration allows it.

Cause: each connection held what its own limits allow, in the library's buffers and in ours, at every listener alike.

ClientProtocol is the connection of all HTTP listeners of a daemon. It counts each byte of a request before it is parsed, and gives the parser one request at a time; what follows waits in the kernel. When the sum is over the budget (an eighth of the machine's memory), the unfinished request that holds most is refused with 503, which promises 'not run', as its handler has not got it. Large requests may use three quarters, a lone one all. What comes after a response is not parsed; the client has until its own end to read it. The head as a whole is bound by maxHeaderBytes (431), not its number of fields. Bytes that clients do not take of their responses have a budget of the same size. New settings, each with a default that no client inside the limits meets, metrics, and client_refused.

--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -12,9 +12,10 @@
 from heronladder_schema.v1.lending_pb2_grpc import add_LendingServicer_to_server
 from heronladder_schema.v1.origins_pb2_grpc import add_StreamOriginsServicer_to_server
 
+from heronladder_daemon.client_limits import RequestLimits, RequestLimitsSource
+
 _PERCENT = 100
 _CALLER_KEEPALIVE_S = 75.0
-_MAX_HEADER_LINE_BYTES = 65_536
 
 
 def compose_gateway(
@@ -88,7 +89,24 @@
         handler_cancellation=True,
         access_log=None,
         keepalive_timeout=_CALLER_KEEPALIVE_S,
-        max_line_size=_MAX_HEADER_LINE_BYTES,
-        max_field_size=_MAX_HEADER_LINE_BYTES,
         auto_decompress=False,
     )
+
+
+def gateway_request_limits(gateway: GatewayRole, defaults: RequestLimits) -> RequestLimitsSource:
+    """Return the source of the limits of callers' requests, which the configuration may set.
+
+    Args:
+        gateway: The gateway.
+        defaults: Limits of the process, for what the configuration does not set.
+    """
+
+    def limits() -> RequestLimits:
+        configured = gateway.routes.limits
+        return RequestLimits(
+            header_bytes=configured.header_bytes or defaults.header_bytes,
+            header_timeout_s=seconds(configured.header_timeout_ms) or defaults.header_timeout_s,
+            idle_timeout_s=seconds(configured.idle_timeout_ms) or _CALLER_KEEPALIVE_S,
+        )
+
+    return limits
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -19,6 +19,8 @@
 
 from heronladder_daemon import early_listeners
 from heronladder_daemon.admin import AdminServer
+from heronladder_daemon.client_connections import ClientConnections
+from heronladder_daemon.client_limits import client_limits
 from heronladder_daemon.http_listener import HttpListener
 
 if TYPE_CHECKING:
@@ -53,6 +55,11 @@
         self._environment = environment or Environment()
         self._log = EventLog("daemon", settings.common.name)
         self._metrics = Metrics()  # of the process itself; each role has its own
+        self._clients = ClientConnections(
+            client_limits(settings.common),
+            self._metrics,
+            EventLog("clients", settings.common.name),
+        )
         self._stubs = GrpcStubs()
         self._grpc_server: grpc.aio.Server | None = None
         self._lending_server: grpc.aio.Server | None = None
@@ -114,7 +121,7 @@
 
     async def listen(self, application: web.Application, address: str) -> None:
         """Serve an additional application at IP:port until the daemon stops."""
-        await self._listen(HttpListener(application, address))
+        await self._listen(HttpListener(application, address, clients=self._clients))
 
     async def _listen(self, listener: HttpListener) -> None:
         await listener.start()
@@ -136,7 +143,7 @@
         await self._grpc_server.start()
         await self.control.start()
         api = ResourceApi(self.control, parse_operators(settings.operator_tokens))
-        await self._listen(HttpListener(api.application(), settings.api_listen))
+        await self.listen(api.application(), settings.api_listen)
 
     def _control_failed(self, error: HeronladderError) -> None:
         if self.failed is not None and not self.failed.done():
@@ -149,7 +156,7 @@
 
         self.agent = compose_agent(self.settings, self._stubs, self._environment)
         server = AgentServer(self.agent.gate)
-        await self._listen(HttpListener(server.application(), self.settings.agent.agent_listen))
+        await self.listen(server.application(), self.settings.agent.agent_listen)
         await self.agent.start()
 
     async def _start_router(self) -> None:
@@ -161,6 +168,7 @@
         listener = HttpListener(
             self.router_server.application(),
             self.settings.router.router_listen,
+            clients=self._clients,
             cancel_handlers=True,
         )
         await self._listen(listener)
@@ -169,6 +177,7 @@
     async def _start_gateway(self) -> None:
         from heronladder_daemon.compose_gateway import (
             compose_gateway,
+            gateway_request_limits,
             make_gateway_server,
             make_lending_server,
         )
@@ -179,6 +188,8 @@
         self._gateway_listener = HttpListener(
             make_gateway_server(self.gateway),
             self.settings.gateway.gateway_listen,
+            clients=self._clients,
+            limits=gateway_request_limits(self.gateway, self._clients.limits.requests),
             shutdown_timeout_s=_GATEWAY_SHUTDOWN_TIMEOUT_S,
         )
         await self._listen(self._gateway_listener)
@@ -196,7 +207,9 @@
 
     async def _start_admin(self, metrics: list[Metrics]) -> None:
         server = AdminServer(metrics, self.ready)
-        listener = HttpListener(server.application(), self.settings.common.admin_listen)
+        listener = HttpListener(
+            server.application(), self.settings.common.admin_listen, clients=self._clients
+        )
         await self._listen(listener)
         self.admin_address = listener.address
 
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,6 +21,10 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
+    "client_refused": "A connection of a client was closed, or its unfinished request refused, to"
+    " keep all clients within their limits: `buffers`, `connections`, `header_bytes`,"
+    " `header_timeout`, `body_rate`, `idle`, `unsent` or `send_timeout`. Nothing of a refused"
+    " request has run. A gateway's `request_refused` names the request.",
     "required_task_ended": "A background task that must run until the process stops has ended, and"
     " why; it is started again. The metric `required_task_ends` counts this by task.",
     "leader_chore_failed": "A task of the leader ended by an error; the others go on, and it is"
@@ -212,6 +216,10 @@
 }
 
 METRIC_MEANINGS = {
+    "clients_refused": "Connections of clients closed and unfinished requests refused, by reason.",
+    "client_connections": "Connections of clients, at all HTTP listeners of the process.",
+    "client_buffered_bytes": "Bytes of clients' requests that the process holds.",
+    "client_unsent_bytes": "Bytes of responses that clients have not taken and the kernel neither.",
     "leader_chores_failed": "Tasks of the leader that ended by an error, by task.",
     "gateway_streams_broken": "Streams that a gateway broke off: `give_up` (no replica can go on"
     " with it) or `output_limit` (more tokens than the request stated).",
