Keep descriptors for replicas and peers, and close clients that say or read nothing

What callers saw: idle connections, or heads of 8 bytes at a time, took every descriptor of a process and kept them; ordinary callers got nothing until the crowd left. The configuration's headerTimeoutMs and idleTimeoutMs were read and reached nobody. A client that read nothing of its response kept a place at a replica.

Cause: nothing bounded connections below the descriptors, and only a request's end was timed.

At the limit a new connection closes an older one: one that has said nothing, then one in the middle of a head, at rest, in the middle of a body; never one that is being served. Heads, bodies, rests and readers have time-outs, checked once a second on a clock that stands while the process does, since what was sent meanwhile was not read.

--- a/packages/heronladder-daemon/src/heronladder_daemon/client_connections.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/client_connections.py
@@ -1,11 +1,13 @@
 """All connections of a process's clients, at all of its listeners, and what they hold together."""
 
+import asyncio
 from typing import Protocol
 
 from heronladder_runtime.client_refusals import (
     BuffersFullError,
     LargeHeadError,
     RequestRefusedError,
+    SlowRequestError,
 )
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.metrics import Metrics
@@ -13,10 +15,14 @@
 from heronladder_daemon.client_decisions import (
     Phase,
     buffer_limit_bytes,
+    connection_to_close,
+    is_too_slow,
     request_to_refuse,
 )
 from heronladder_daemon.client_limits import ClientLimits, RequestLimits
 
+_CHECK_INTERVAL_S = 1.0
+_DISCARD_S = 2.0  # time in which a client that still sends can read its response
 _UNFINISHED = (Phase.HEAD, Phase.BODY)
 
 
@@ -79,14 +85,37 @@
         self._held_bytes = 0
         self._unsent: dict[ClientConnection, None] = {}
         self._unsent_bytes = 0
+        self._timer: asyncio.TimerHandle | None = None
         metrics.gauge("client_connections", lambda: self._count)
         metrics.gauge("client_buffered_bytes", lambda: self._held_bytes)
         metrics.gauge("client_unsent_bytes", lambda: self._unsent_bytes)
 
+    def start(self) -> None:
+        """Start to check the connections from time to time."""
+        if self._timer is None:
+            self._schedule_check()
+
+    def stop(self) -> None:
+        """Stop the checks."""
+        if self._timer is not None:
+            self._timer.cancel()
+            self._timer = None
+
     # ---- connections ------------------------------------------------------
 
     def add(self, connection: ClientConnection) -> bool:
-        """Count a new connection; return whether it may stay."""
+        """Count a new connection; an older one may give way to it.
+
+        Returns:
+            Whether it may stay.
+        """
+        if self._count >= self.limits.connections:
+            closed = connection_to_close(self._phases)
+            self._record(closed or connection, "connections")
+            if closed is None:
+                return False
+            self.remove(closed)
+            closed.abort()
         self._count += 1
         connection.phase_since_s = self.now_s
         self._phases[connection.phase][connection] = None
@@ -148,9 +177,55 @@
         while self._unsent_bytes > self.limits.buffer_bytes:
             self._abort(max(self._unsent, key=lambda other: other.unsent_bytes), "unsent")
 
+    # ---- checks -----------------------------------------------------------
+
+    def _schedule_check(self) -> None:
+        loop = asyncio.get_running_loop()
+        self._timer = loop.call_later(_CHECK_INTERVAL_S, self._check)
+
+    def _check(self) -> None:
+        self._schedule_check()
+        self.now_s += _CHECK_INTERVAL_S
+        for phase in (Phase.SILENT, Phase.IDLE):
+            for connection in list(self._phases[phase]):
+                if self._phase_s(connection) > connection.limits.idle_timeout_s:
+                    self._abort(connection, "idle")
+        for connection in list(self._phases[Phase.DISCARDING]):
+            if self._phase_s(connection) > _DISCARD_S:
+                self.remove(connection)
+                connection.abort()
+        for phase in _UNFINISHED:
+            for connection in list(self._phases[phase]):
+                self._check_pace(connection)
+        for connection in list(self._unsent):
+            self._check_reader(connection)
+
     def _phase_s(self, connection: ClientConnection) -> float:
         return self.now_s - connection.phase_since_s
 
+    def _check_pace(self, connection: ClientConnection) -> None:
+        phase_s = self._phase_s(connection)
+        timeout_s = connection.limits.header_timeout_s
+        if connection.phase is Phase.HEAD:
+            if phase_s > timeout_s:
+                message = f"the head did not arrive within {timeout_s:g} s"
+                self._refuse(connection, "header_timeout", SlowRequestError(message))
+        elif is_too_slow(
+            connection.received_bytes, phase_s, timeout_s, self.limits.body_bytes_per_s
+        ):
+            message = (
+                f"{connection.received_bytes} bytes of the request arrived in {phase_s:g} s, "
+                f"at least {self.limits.body_bytes_per_s} a second are expected"
+            )
+            self._refuse(connection, "body_rate", SlowRequestError(message))
+
+    def _check_reader(self, connection: ClientConnection) -> None:
+        unsent_bytes = connection.measure_unsent()
+        if unsent_bytes != connection.unsent_bytes:
+            self.set_unsent(connection, unsent_bytes)
+        elif self.now_s - connection.unsent_since_s > self.limits.send_timeout_s:
+            self._abort(connection, "send_timeout")
+
     # ---- refusals ---------------------------------------------------------
 
     def _abort(self, connection: ClientConnection, reason: str) -> None:
--- a/packages/heronladder-daemon/src/heronladder_daemon/client_decisions.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/client_decisions.py
@@ -1,7 +1,7 @@
 """Decisions about the clients of a process, as functions of what is known of their connections."""
 
 import enum
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from typing import Protocol, TypeVar
 
 LARGE_BODY_BYTES = 64 * 1024  # larger requests leave a part of the buffers to others
@@ -19,6 +19,10 @@
     DISCARDING = "discarding"  # a response was sent; what still arrives is not used
 
 
+# Ordinary clients send their request at once, so that silent connections lose least.
+_CLOSING_ORDER = (Phase.DISCARDING, Phase.SILENT, Phase.HEAD, Phase.IDLE, Phase.BODY)
+
+
 class Holder(Protocol):
     """A connection with bytes of an unfinished request."""
 
@@ -28,6 +32,20 @@
 
 
 HolderT = TypeVar("HolderT", bound=Holder)
+ConnectionT = TypeVar("ConnectionT")
+
+
+def connection_to_close(phases: Mapping[Phase, Iterable[ConnectionT]]) -> ConnectionT | None:
+    """Return the connection that gives way to a new one; None if all are being served.
+
+    Args:
+        phases: Connections by phase, each in the order in which they came into it.
+    """
+    for phase in _CLOSING_ORDER:
+        first = next(iter(phases[phase]), None)
+        if first is not None:
+            return first
+    return None
 
 
 def buffer_limit_bytes(held_bytes: int, all_held_bytes: int, limit_bytes: int) -> int:
@@ -48,3 +66,17 @@
 def request_to_refuse(unfinished: Iterable[HolderT]) -> HolderT | None:
     """Return the unfinished request that holds most bytes; None if there is none."""
     return max(unfinished, key=lambda holder: holder.held_bytes, default=None)
+
+
+def is_too_slow(
+    received_bytes: int, elapsed_s: float, grace_s: float, least_bytes_per_s: int
+) -> bool:
+    """Return whether a body arrives more slowly than the least rate.
+
+    Args:
+        received_bytes: Bytes received so far.
+        elapsed_s: Time since its head was complete, in seconds.
+        grace_s: Time in which nothing is expected, in seconds.
+        least_bytes_per_s: Least rate; 0 if any is accepted.
+    """
+    return received_bytes < (elapsed_s - grace_s) * least_bytes_per_s
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -84,6 +84,7 @@
         """
         self.failed = asyncio.get_running_loop().create_future()
         self._environment.loop_lag.start(self._log, self._metrics)
+        self._clients.start()
         roles = self.settings.roles
         if "control" in roles:
             await self._start_control()
@@ -286,5 +287,6 @@
             if server is not None:
                 await server.stop(_GRPC_STOP_GRACE_S)
         await self._stubs.close()
+        self._clients.stop()
         self._environment.loop_lag.stop()
         self._log.info("daemon_stopped", step="stop")
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -217,9 +217,6 @@
 
 METRIC_MEANINGS = {
     "clients_refused": "Connections of clients closed and unfinished requests refused, by reason.",
-    "client_connections": "Connections of clients, at all HTTP listeners of the process.",
-    "client_buffered_bytes": "Bytes of clients' requests that the process holds.",
-    "client_unsent_bytes": "Bytes of responses that clients have not taken and the kernel neither.",
     "leader_chores_failed": "Tasks of the leader that ended by an error, by task.",
     "gateway_streams_broken": "Streams that a gateway broke off: `give_up` (no replica can go on"
     " with it) or `output_limit` (more tokens than the request stated).",
