Parse chunks and fields of many clients in turn, a bounded number in each iteration

Cause: each chunk, and each field of a head, costs about as much as a thousand bytes of a body with a length, and all of a segment of 256 KiB was parsed at once, for each connection in turn.

Input with more than 128 lines waits, and the pacer gives the parser parts of 1 KiB of one connection after the other, up to 1,000 lines in one iteration. Ordinary requests have fewer lines and are parsed at once, as are bodies with a length. Meanwhile nothing more is read of that connection.

--- a/packages/heronladder-daemon/src/heronladder_daemon/client_connections.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/client_connections.py
@@ -20,6 +20,7 @@
     request_to_refuse,
 )
 from heronladder_daemon.client_limits import ClientLimits, RequestLimits
+from heronladder_daemon.input_pacer import InputPacer
 
 _CHECK_INTERVAL_S = 1.0
 _DISCARD_S = 2.0  # time in which a client that still sends can read its response
@@ -73,11 +74,13 @@
         limits: The limits.
         now_s: Seconds in which this process ran. The clock stands while the process does, since
             what clients sent meanwhile was not read.
+        pacer: Parses input that takes long.
     """
 
     def __init__(self, limits: ClientLimits, metrics: Metrics, log: EventLog) -> None:
         self.limits = limits
         self.now_s = 0.0
+        self.pacer = InputPacer()
         self._metrics = metrics
         self._log = log
         self._phases: dict[Phase, dict[ClientConnection, None]] = {phase: {} for phase in Phase}
--- a/packages/heronladder-daemon/src/heronladder_daemon/client_protocol.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/client_protocol.py
@@ -18,10 +18,12 @@
 from heronladder_daemon.client_connections import ClientConnections
 from heronladder_daemon.client_decisions import Phase
 from heronladder_daemon.client_limits import RequestLimits
+from heronladder_daemon.input_pacer import DIRECT_LINES
 
 _RECEIVE_BYTES = 64 * 1024  # in one iteration of the event loop
 _READ_BUFFER_BYTES = 64 * 1024  # of a body, before reading pauses
 _EMPTY_LINES = (b"\r\n", b"\n", b"\r\n\r\n")  # some clients send them after a body
+_PART_BYTES = 1024  # of input that is parsed in turn
 _SHORTEST_FIELD_BYTES = 4  # a:CRLF
 _FIELD_OVERHEAD_BYTES = 4  # colon, blank and CRLF
 _UNSENT_IN_KERNEL_BYTES = 128 * 1024
@@ -44,9 +46,11 @@
         "_discard_ended",
         "_discarded_bytes",
         "_is_answered",
+        "_is_chunked",
         "_is_malformed",
         "_last_segment_bytes",
         "_payload",
+        "_unparsed",
         "held_bytes",
         "limits",
         "listener",
@@ -95,6 +99,8 @@
         self._payload: StreamReader = EMPTY_PAYLOAD
         self._ahead = b""  # received while a request is being served
         self._last_segment_bytes = 0
+        self._unparsed = b""  # waits for its turn
+        self._is_chunked = False
         self._is_malformed = False  # the end of the request is not known
         self._is_answered = False  # while the rest of its body is still being read
         self._discard_ended: asyncio.Future[None] | None = None
@@ -163,11 +169,41 @@
             self._last_segment_bytes = len(data)
             self._connections.hold(self, len(data))
             if not self._is_discarding():  # it may have been refused
-                self._parse(data)
+                self._parse_or_pace(data)
 
     def _is_discarding(self) -> bool:
         return self.phase is Phase.DISCARDING
 
+    def _parse_or_pace(self, data: bytes) -> None:
+        is_cheap = self.phase is Phase.BODY and not self._is_chunked
+        if is_cheap or data.count(b"\n") <= DIRECT_LINES:
+            self._parse(data)
+            return
+        self._unparsed = data
+        self._pause_transport_reading()
+        self._connections.pacer.add(self)
+
+    def has_parts(self) -> bool:
+        """Return whether there is input that may be parsed now."""
+        return bool(self._unparsed) and not self._reading_paused
+
+    def parse_part(self) -> int:
+        """Parse a part of the input that waits; return its number of lines."""
+        part, self._unparsed = self._unparsed[:_PART_BYTES], self._unparsed[_PART_BYTES:]
+        self._parse(part)
+        if self.phase is Phase.DISCARDING or self._close or self._force_close:
+            self._unparsed = b""
+        elif self.phase is Phase.SERVING:
+            self._ahead, self._unparsed = self._unparsed, b""
+        self._resume_transport_reading()
+        return part.count(b"\n") + 1
+
+    def resume_reading(self, resume_parser: bool = True) -> None:
+        """Go on with a body that its handler has read so far."""
+        super().resume_reading(resume_parser)
+        if self._unparsed:
+            self._connections.pacer.add(self)
+
     def _parse(self, data: bytes) -> None:
         requests = self._request_count
         super().data_received(data)
@@ -188,6 +224,7 @@
         if isinstance(message, _ErrInfo):
             self._is_malformed = True
             return
+        self._is_chunked = message.chunked
         if self.received_bytes > self.limits.header_bytes:
             head = head_bytes(message)
             if head > self.limits.header_bytes:
@@ -206,7 +243,7 @@
             self.close()  # after the response
 
     def _resume_transport_reading(self) -> None:
-        if not self._ahead:
+        if not self._ahead and not self._unparsed:
             super()._resume_transport_reading()
 
     def _end_request(self) -> None:
@@ -275,7 +312,7 @@
     def _start_discarding(self) -> None:
         self._connections.release(self)
         self._connections.move(self, Phase.DISCARDING)
-        self._ahead = b""
+        self._ahead = self._unparsed = b""
         if self.transport is not None and self.transport.can_write_eof():
             self.transport.write_eof()
         self._resume_transport_reading()
@@ -295,7 +332,7 @@
         """Refuse a request that has not arrived in full; what follows is not used."""
         phase = self.phase
         self._connections.move(self, Phase.DISCARDING)
-        self._ahead = b""
+        self._ahead = self._unparsed = b""
         if phase is Phase.BODY and self._is_answered:
             self.abort()
         elif phase is Phase.BODY:
