Hold only the head of a request while the program is being loaded

What callers saw: a crowd that came to a gateway while it was being loaded ended it by its memory (8 MiB for each of 1,000 connections, all of it copied at each read to ask whether it is complete), or by its descriptors, which imports need as well.

Cause: the rejecter kept whole requests to find their end, and 1,000 connections whatever the process's own limit of descriptors is.

It keeps the head, 64 KiB at most, and of the body its length or its last five bytes. Connections may take a quarter of the descriptors; at the limit the oldest that has sent nothing gives way.

--- a/packages/heronladder-daemon/src/heronladder_daemon/early_rejecter.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_rejecter.py
@@ -16,6 +16,7 @@
 
 from __future__ import annotations
 
+import resource
 import selectors
 import socket
 import sys
@@ -31,9 +32,11 @@
 
 _MIN_POLL_INTERVAL_S = 0.005  # most imports take less time than this
 _MAX_POLL_S = 0.02  # callers that are not served within it wait for the next poll
-_MAX_CONNECTIONS = 1_000  # a quarter of the file descriptors; others are closed unread
+_MAX_CONNECTIONS = 1_000
+_CONNECTION_SHARE_OF_DESCRIPTORS = 4  # the import system needs some, too
+_MAX_HEAD_BYTES = 64 * 1024
 _MAX_REQUEST_BYTES = 8 * 1024 * 1024  # twice the usual limit; larger requests are closed
-_CHUNK_BYTES = 65_536
+_RECEIVE_BYTES = 65_536
 _MAX_LOGGED_IDS = 1_000  # request identifiers kept for the log
 _MAX_FAILURE_CHARACTERS = 200  # longer error texts are truncated for the log
 _HEAD_END = b"\r\n\r\n"
@@ -41,14 +44,6 @@
 _BODY = b'{"error":{"message":"this gateway is starting","type":"not_ready","code":"not_ready"}}'
 
 
-@dataclass
-class _PartialRequest:
-    """A connection and the bytes received from it so far."""
-
-    connection: socket.socket
-    data: bytearray = field(default_factory=bytearray)
-
-
 def header(head: bytes, name: str) -> str:
     """Return the value of a header in the head of a request, or "" if it is absent."""
     wanted = name.lower().encode()
@@ -59,17 +54,60 @@
     return ""
 
 
-def is_complete_request(data: bytes) -> bool:
-    """Return whether the head and body of a request have arrived in full."""
-    end = data.find(_HEAD_END)
-    if end < 0:
-        return False
-    head = data[:end]
+@dataclass(eq=False)
+class _PartialRequest:
+    """A connection and the head received from it so far; of its body, only the end is kept.
+
+    Attributes:
+        connection: The connection.
+        head: The bytes of the head, without its end once that has arrived.
+        body_bytes: Bytes received of the body; None before the end of the head.
+        body_end: The last bytes received of the body.
+        expected_bytes: Bytes that the body has; None if it is chunked.
+    """
+
+    connection: socket.socket
+    head: bytearray = field(default_factory=bytearray)
+    body_bytes: int | None = None
+    body_end: bytes = b""
+    expected_bytes: int | None = 0
+
+    def add(self, data: bytes) -> None:
+        """Add received bytes."""
+        if self.body_bytes is None:
+            searched_bytes = max(0, len(self.head) - len(_HEAD_END))
+            self.head += data
+            end = self.head.find(_HEAD_END, searched_bytes)
+            if end < 0:
+                return
+            data = bytes(self.head[end + len(_HEAD_END) :])
+            del self.head[end:]
+            self.body_bytes = 0
+            self.expected_bytes = _body_length(bytes(self.head))
+        self.body_bytes += len(data)
+        self.body_end = (self.body_end + data)[-len(_LAST_CHUNK) :]
+
+    @property
+    def is_too_large(self) -> bool:
+        """Whether more has arrived than any request may have."""
+        return len(self.head) > _MAX_HEAD_BYTES or (self.body_bytes or 0) > _MAX_REQUEST_BYTES
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether the head and the body have arrived in full."""
+        if self.body_bytes is None:
+            return False
+        if self.expected_bytes is None:
+            return self.body_end == _LAST_CHUNK
+        return self.body_bytes >= self.expected_bytes
+
+
+def _body_length(head: bytes) -> int | None:
+    """Return the bytes of a request's body; None if it is chunked."""
     if header(head, "Transfer-Encoding"):
-        return data.endswith(_LAST_CHUNK)
+        return None
     length = header(head, "Content-Length")
-    body_bytes = int(length) if length.isdigit() else 0
-    return len(data) >= end + len(_HEAD_END) + body_bytes
+    return int(length) if length.isdigit() else 0
 
 
 class EarlyRejecter:
@@ -89,6 +127,8 @@
         self._listeners = listeners
         self._request_id_header = request_id_header
         self._selector = selectors.DefaultSelector()
+        self._partials: dict[_PartialRequest, None] = {}  # the oldest first
+        self._max_connections = _max_connections()
         self._polling = False
         self._polled_at = 0.0
 
@@ -135,7 +175,8 @@
                 return
             for key, _ in ready:
                 if isinstance(key.data, _PartialRequest):
-                    self._read_or_close(key.data)
+                    if key.data in self._partials:  # else it has given way to a new connection
+                        self._read_or_close(key.data)
                 elif isinstance(key.fileobj, socket.socket):
                     self._accept(key.fileobj)
 
@@ -148,14 +189,19 @@
             connection, _ = listener.accept()
         except OSError:
             return  # the caller has disconnected
-        if len(self._selector.get_map()) >= _MAX_CONNECTIONS:
-            connection.close()
-            return
+        if len(self._partials) >= self._max_connections:
+            self._close(self._connection_to_close())
         connection.setblocking(False)
         partial = _PartialRequest(connection)
+        self._partials[partial] = None
         self._selector.register(connection, selectors.EVENT_READ, partial)
         self._read_or_close(partial)  # most callers have sent their request by now
 
+    def _connection_to_close(self) -> _PartialRequest:
+        """Return the connection that gives way to a new one: the oldest that has sent nothing."""
+        oldest = next(iter(self._partials))
+        return next((partial for partial in self._partials if not partial.head), oldest)
+
     def _read_or_close(self, partial: _PartialRequest) -> None:
         """Read from a connection; on an error, close it so that it cannot block others."""
         try:
@@ -166,20 +212,20 @@
 
     def _read(self, partial: _PartialRequest) -> None:
         try:
-            data = partial.connection.recv(_CHUNK_BYTES)
+            data = partial.connection.recv(_RECEIVE_BYTES)
         except BlockingIOError:
             return
         except OSError:
             data = b""
-        partial.data += data
-        if not data or len(partial.data) > _MAX_REQUEST_BYTES:
+        partial.add(data)
+        if not data or partial.is_too_large:
             self._close(partial)
-        elif is_complete_request(bytes(partial.data)):
+        elif partial.is_complete:
             self._reject(partial)
             self._close(partial)
 
     def _reject(self, partial: _PartialRequest) -> None:
-        head = bytes(partial.data).partition(_HEAD_END)[0]
+        head = bytes(partial.head)
         request_id = header(head, self._request_id_header)
         lines = [
             "HTTP/1.1 503 Service Unavailable",
@@ -200,11 +246,18 @@
             self.rejected_ids.append(request_id)
 
     def _close(self, partial: _PartialRequest) -> None:
+        del self._partials[partial]
         self._selector.unregister(partial.connection)
         partial.connection.close()
 
     def _close_all(self) -> None:
-        for key in list(self._selector.get_map().values()):
-            if isinstance(key.data, _PartialRequest):
-                key.data.connection.close()
+        for partial in list(self._partials):
+            self._close(partial)
         self._selector.close()
+
+
+def _max_connections() -> int:
+    descriptors, _ = resource.getrlimit(resource.RLIMIT_NOFILE)
+    if descriptors < 0:
+        return _MAX_CONNECTIONS
+    return min(_MAX_CONNECTIONS, max(1, descriptors // _CONNECTION_SHARE_OF_DESCRIPTORS))
