Bound connections and messages at the gRPC ports

What callers saw: idle connections to the port for other daemons took 256 of 256 descriptors of a gateway or a control member, and messages of 4 MiB to a gateway 249 MB of 160 allowed.

Connections of daemons may take a quarter of the descriptors, a handshake 5 s, and a message to a gateway 1 MiB, which loans and origins of streams are far below.

--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_control.py
@@ -78,17 +78,20 @@
     )
 
 
-def make_control_server(member: ControlMember, address: str) -> grpc.aio.Server:
+def make_control_server(
+    member: ControlMember, address: str, max_connections: int
+) -> grpc.aio.Server:
     """Return a gRPC server for the services of a control member, not started yet.
 
     Args:
         member: The control member.
         address: IP:port to listen on.
+        max_connections: Most connections that are accepted.
 
     Raises:
         HeronladderError: If the server cannot listen on the address.
     """
-    server = make_server()
+    server = make_server(max_connections)
     add_ConsensusServicer_to_server(member.consensus_service, server)
     add_ControlServicer_to_server(member.service, server)
     if server.add_insecure_port(address) == 0:
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -16,6 +16,7 @@
 
 _PERCENT = 100
 _CALLER_KEEPALIVE_S = 75.0
+_MAX_PEER_MESSAGE_BYTES = 1024 * 1024
 
 
 def compose_gateway(
@@ -62,7 +63,9 @@
     return GatewayRole(options, stubs, environment)
 
 
-def make_lending_server(gateway: GatewayRole, address: str) -> grpc.aio.Server:
+def make_lending_server(
+    gateway: GatewayRole, address: str, max_connections: int
+) -> grpc.aio.Server:
     """Return the gRPC server for other gateways, not started yet.
 
     They borrow tokens through it, and exchange the origins of streams.
@@ -70,11 +73,12 @@
     Args:
         gateway: The gateway that lends.
         address: IP:port to listen on.
+        max_connections: Most connections that are accepted.
 
     Raises:
         HeronladderError: If the server cannot listen on the address.
     """
-    server = make_server()
+    server = make_server(max_connections, _MAX_PEER_MESSAGE_BYTES)
     add_LendingServicer_to_server(gateway.tokens.loan_book, server)
     add_StreamOriginsServicer_to_server(gateway.origin_exchange, server)
     if server.add_insecure_port(address) == 0:
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -20,7 +20,7 @@
 from heronladder_daemon import early_listeners
 from heronladder_daemon.admin import AdminServer
 from heronladder_daemon.client_connections import ClientConnections
-from heronladder_daemon.client_limits import client_limits
+from heronladder_daemon.client_limits import client_limits, peer_connections
 from heronladder_daemon.http_listener import HttpListener
 
 if TYPE_CHECKING:
@@ -140,7 +140,9 @@
         self.control = compose_control(
             self.settings, self._stubs, self._environment, self._control_failed
         )
-        self._grpc_server = make_control_server(self.control, settings.control_listen)
+        self._grpc_server = make_control_server(
+            self.control, settings.control_listen, peer_connections(self.settings.common)
+        )
         await self._grpc_server.start()
         await self.control.start()
         api = ResourceApi(self.control, parse_operators(settings.operator_tokens))
@@ -196,7 +198,9 @@
         await self._listen(self._gateway_listener)
         lending_listen = self.settings.gateway.lending_listen
         if lending_listen:
-            self._lending_server = make_lending_server(self.gateway, lending_listen)
+            self._lending_server = make_lending_server(
+                self.gateway, lending_listen, peer_connections(self.settings.common)
+            )
             await self._lending_server.start()
         await self.gateway.start()
         self._log.info(
--- a/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/rpc.py
@@ -16,6 +16,7 @@
 from heronladder_runtime.grpc_poller import bind_poller
 
 _MAX_MESSAGE_BYTES = 64 * 1024 * 1024
+_HANDSHAKE_TIMEOUT_MS = 5_000
 _CHANNEL_OPTIONS = (
     ("grpc.max_receive_message_length", _MAX_MESSAGE_BYTES),
     ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
@@ -139,15 +140,26 @@
             await channel.close()
 
 
-def make_server() -> grpc.aio.Server:
-    """Return a gRPC server that accepts messages up to the size of a snapshot chunk."""
-    options = (
-        *_CHANNEL_OPTIONS[:2],
+def make_server(
+    max_connections: int | None = None, max_message_bytes: int = _MAX_MESSAGE_BYTES
+) -> grpc.aio.Server:
+    """Return a gRPC server.
+
+    Args:
+        max_connections: Most connections, further ones are closed; None if any are accepted.
+        max_message_bytes: Largest message that is accepted, in bytes.
+    """
+    options: _Options = (
+        ("grpc.max_receive_message_length", max_message_bytes),
+        ("grpc.max_send_message_length", _MAX_MESSAGE_BYTES),
+        ("grpc.server_handshake_timeout_ms", _HANDSHAKE_TIMEOUT_MS),
         ("grpc.so_reuseport", 0),
         ("grpc.http2.min_ping_interval_without_data_ms", 500),
         ("grpc.http2.min_recv_ping_interval_without_data_ms", 500),
         ("grpc.http2.max_ping_strikes", 0),
         ("grpc.keepalive_permit_without_calls", 1),
     )
+    if max_connections is not None:
+        options += (("grpc.max_allowed_incoming_connections", max_connections),)
     bind_poller()
     return grpc.aio.server(options=options)
