Give the module of the runner's test a name of its own

The test of modules that run alone made a module with the name of a real one, which is loaded already when all tests run: discovery raised an ImportError. Its own name is set as the one that runs alone.

--- a/tests/test_known_red.py
+++ b/tests/test_known_red.py
@@ -88,7 +88,10 @@
         self.assertEqual(ran, [["2"], ["1"], ["3"]])
 
     def test_modules_that_run_alone_are_in_no_part(self) -> None:
-        alone = "test_client_crowds"
+        alone = "test_made_up_alone"
+        patcher = mock.patch.object(run_tests, "_ALONE_MODULES", frozenset({alone}))
+        patcher.start()
+        self.addCleanup(patcher.stop)
         for name in (alone, "test_another"):
             self.addCleanup(sys.modules.pop, name, None)
             (self.tests / f"{name}.py").write_text(_HEAD + _PASSES)
