--- a/packages/heronladder-daemon/src/heronladder_daemon/early_rejecter.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/early_rejecter.py
@@ -175,7 +175,7 @@
                 return
             for key, _ in ready:
                 if isinstance(key.data, _PartialRequest):
-                    if key.data in self._partials:  # else it has given way to a new connection
+                    if key.data in self._partials:  # else it was closed for a new connection
                         self._read_or_close(key.data)
                 elif isinstance(key.fileobj, socket.socket):
                     self._accept(key.fileobj)
--- a/scripts/event_reference.py
+++ b/scripts/event_reference.py
@@ -21,10 +21,7 @@
 _COMMON_FIELDS = frozenset({"step", "peer"})
 
 EVENT_MEANINGS = {
-    "client_refused": "A connection of a client was closed, or its unfinished request refused, to"
-    " keep all clients within their limits: `buffers`, `connections`, `header_bytes`,"
-    " `header_timeout`, `body_rate`, `idle`, `unsent` or `send_timeout`. Nothing of a refused"
-    " request has run. A gateway's `request_refused` names the request.",
+    "client_refused": "A client's connection was closed or its unfinished request refused.",
     "required_task_ended": "A background task that must run until the process stops has ended, and"
     " why; it is started again. The metric `required_task_ends` counts this by task.",
     "leader_chore_failed": "A task of the leader ended by an error; the others go on, and it is"
@@ -216,10 +213,9 @@
 }
 
 METRIC_MEANINGS = {
-    "clients_refused": "Connections of clients closed and unfinished requests refused, by reason.",
+    "clients_refused": "Clients' connections closed and unfinished requests refused, by reason.",
     "leader_chores_failed": "Tasks of the leader that ended by an error, by task.",
-    "gateway_streams_broken": "Streams that a gateway broke off: `give_up` (no replica can go on"
-    " with it) or `output_limit` (more tokens than the request stated).",
+    "gateway_streams_broken": "Streams broken off: `give_up` (no replica) or `output_limit`.",
     "loop_late": "How late the event loop came to a timer, of 10 a second, if by over 10 ms.",
     "crashes_reported": "Crashes of replicas that gateways told control.",
     "crash_reports_failed": "Such words that control did not take in time.",
