--- a/packages/heronladder-runtime/src/heronladder_runtime/http_client.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/http_client.py
@@ -41,6 +41,7 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Note the peer's address."""
         super().connection_made(transport)
+        transport.max_size = _READ_BUFFER_BYTES  # type: ignore[attr-defined]
         peer = transport.get_extra_info("peername")
         if peer is not None:
             self._address = f"{peer[0]}:{peer[1]}"
