Leave the bytes of a response to the kernel, which sends them after the process has ended

Before, the kernel held it all.

The option is taken out; what the process itself holds of unread responses keeps its budget.

--- a/packages/heronladder-daemon/src/heronladder_daemon/client_protocol.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/client_protocol.py
@@ -6,7 +6,6 @@
 """
 
 import asyncio
-import socket
 from typing import Any
 
 from aiohttp import web
@@ -26,7 +25,6 @@
 _PART_BYTES = 1024  # of input that is parsed in turn
 _SHORTEST_FIELD_BYTES = 4  # a:CRLF
 _FIELD_OVERHEAD_BYTES = 4  # colon, blank and CRLF
-_UNSENT_IN_KERNEL_BYTES = 128 * 1024
 _DISCARD_BYTES = 16 * 1024 * 1024  # a client that sends more gets no response
 
 
@@ -114,8 +112,6 @@
         self.peer = _address(transport, "peername")
         self.listener = _address(transport, "sockname")
         transport.max_size = _RECEIVE_BYTES  # type: ignore[attr-defined]
-        client = transport.get_extra_info("socket")
-        client.setsockopt(socket.IPPROTO_TCP, socket.TCP_NOTSENT_LOWAT, _UNSENT_IN_KERNEL_BYTES)
         if not self._connections.add(self):
             self.abort()
 
