--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -457,6 +457,7 @@
         self._sequence = 0
         self._turn = random.randrange(len(self.fleet.controls))
         self._writers: set[asyncio.StreamWriter] = set()
+        self._readers: dict[asyncio.StreamWriter, asyncio.StreamReader] = {}
         self._address = ""
         self._server = await asyncio.start_server(self._serve, self.ip, port, limit=1 << 20)
         self.port = self._server.sockets[0].getsockname()[1]
@@ -519,6 +520,7 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
+        self._readers[writer] = reader
         try:
             while True:
                 message = await read_head(reader)
@@ -527,12 +529,17 @@
                     break
                 if not await self._answer(message, writer):
                     break
-        except (OSError, EOFError, asyncio.IncompleteReadError):
-            pass
+        except (OSError, EOFError, asyncio.IncompleteReadError, asyncio.CancelledError):
+            pass  # the caller or this replica has gone, or the case is over
         finally:
             self._writers.discard(writer)
+            del self._readers[writer]
             writer.close()
 
+    def is_left(self, writer: asyncio.StreamWriter) -> bool:
+        """Whether the caller has closed a connection on which a request is being answered."""
+        return self._readers[writer].at_eof() or writer.transport.is_closing()
+
     async def _answer(self, message: Message, writer: asyncio.StreamWriter) -> bool:
         request_id = message.headers.get("request-id", "")
         expected = message.headers.get("expect-instance", self.identity)
