--- a/review/fleet_2.py
+++ b/review/fleet_2.py
@@ -8,6 +8,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -263,6 +264,12 @@
         if self.process is not None:
             self.process.wait()
 
+    async def lose_disk(self) -> None:
+        """End its process at once; its disk is lost."""
+        await self.kill()
+        shutil.rmtree(self.data, ignore_errors=True)
+        self.fleet.record.write(f"{self.name} has lost its disk")
+
     async def is_ready(self) -> bool:
         """Whether the platform's readiness question gets a 200."""
         got = await call(self.listen["readiness"], "GET", "/api/readyz", {"Host": "x"}, b"", 0.5)
@@ -391,6 +398,48 @@
             pause_s = min(1.0, pause_s * 1.5)
         raise CouldNotRunError("configuration not acknowledged")
 
+    async def offer(self, document: dict[str, Any], limit_s: float) -> Machine | None:
+        """Send a configuration to one daemon after the other.
+
+        Returns:
+            The machine that acknowledged it; None if none did in time.
+        """
+        body = json.dumps(document).encode()
+        until_s = time.monotonic() + limit_s
+        turn = 0
+        while time.monotonic() < until_s:
+            machine = self.controls[turn % len(self.controls)]
+            address = machine.listen["control"]
+            headers = {"Host": address, "Content-Type": "application/json"}
+            got = await call(address, "POST", "/api/Config.Replace", headers, body, 1.0)
+            status = got.status if got is not None else "no answer"
+            self.record.write(f"operator: version {document['version']} to {machine.name}: {status}")
+            if got is not None and got.status == 200:
+                return machine
+            turn += 1
+            await asyncio.sleep(0.1)
+        return None
+
+    async def read_back(self, limit_s: float) -> int | None:
+        """Read the configuration back from one daemon after the other.
+
+        Returns:
+            The version that was read first; None if none was in time.
+        """
+        until_s = time.monotonic() + limit_s
+        while time.monotonic() < until_s:
+            for machine in self.controls:
+                address = machine.listen["control"]
+                got = await call(address, "GET", "/api/Config.Describe", {"Host": address}, b"", 1.0)
+                status = got.status if got is not None else "no answer"
+                self.record.write(f"operator: reads back at {machine.name}: {status}")
+                if got is not None and got.status == 200:
+                    version = int(json.loads(got.body)["version"])
+                    self.record.write(f"operator: read version {version}")
+                    return version
+            await asyncio.sleep(0.5)
+        return None
+
     async def stop(self) -> list[str]:
         """End everything; return which processes of the project had ended by themselves."""
         ended = [
