Log the votes that a lost election got

The log named each refusal, but not how many votes a candidate had and how many it needed, so that a quorum too large for the members that are left could not be told from a candidate that others refuse for its log. election_lost has both, and how many of the other voters replied; at most one line per election.

--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 BIN := $(VENV)/bin
 PACKAGES := schema runtime consensus control router agent daemon emulator tools
 PACKAGE_FOLDERS := $(addprefix packages/heronladder-,$(PACKAGES)) platform
-CHECKED := packages platform tests scripts/runtime-requirements scripts/event_reference.py scripts/run_tests.py scripts/provoke.py scripts/retry_budget_cost.py
+CHECKED := packages platform tests scripts/runtime-requirements scripts/event_reference.py scripts/event_meanings.py scripts/run_tests.py scripts/provoke.py scripts/retry_budget_cost.py
 SCHEMA := $(wildcard schema/heronladder_schema/v1/*.proto)
 GENERATED := packages/heronladder-schema/src
 ifeq ($(shell command -v $(PYTHON) 2>/dev/null),)
--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -188,7 +188,7 @@
         }
         started_s = node.environment.monotonic()
         wait_s = node.timing.max_call_timeout_s
-        granted = 1
+        granted, replied = 1, 0
         while granted < node.quorum() and pending:
             remaining_s = started_s + wait_s - node.environment.monotonic()
             completed, pending = await asyncio.wait(
@@ -200,6 +200,7 @@
                 member, reply = task.result()
                 if reply is None:
                     continue
+                replied += 1
                 if reply.term > node.term and not reply.granted:
                     await self._enter_newer_term(reply.term)
                     return False
@@ -207,8 +208,24 @@
                     granted += 1
                 else:
                     wait_s = node.timing.call_timeout_s
+        if granted < node.quorum():
+            self._report_loss(request, granted, replied)
         return granted >= node.quorum()
 
+    def _report_loss(self, request: consensus_pb2.VoteRequest, granted: int, replied: int) -> None:
+        """Log how many votes a candidate got, and how many of the other voters replied."""
+        node = self._node
+        node.event_log.info(
+            "election_lost",
+            step="election",
+            term=request.term,
+            pre_vote=request.pre_vote,
+            granted=granted,
+            quorum=node.quorum(),
+            voters=len(voters(node.membership())),
+            replied=replied,
+        )
+
     async def _enter_newer_term(self, term: int) -> None:
         async with self._lock:
             if term > self._node.term:
--- a/tests/test_event_reference.py
+++ b/tests/test_event_reference.py
@@ -6,6 +6,7 @@
 from pathlib import Path
 
 _SCRIPT = Path(__file__).resolve().parent.parent / "scripts" / "event_reference.py"
+sys.path.insert(0, str(_SCRIPT.parent))  # the script imports the meanings from its own folder
 _SPEC = importlib.util.spec_from_file_location("event_reference", _SCRIPT)
 assert _SPEC is not None and _SPEC.loader is not None
 event_reference = importlib.util.module_from_spec(_SPEC)
