Remove a control member that stops before it ends, if it has been replaced

Callers saw: a control machine is replaced as planned, two disks are lost right after the next acknowledgement, and no configuration can be changed or read any more, for good.

Cause: the replacement is the sixth voter, quorum four. The old one ended without a word and was removed after 2 s of silence. Two lost disks meanwhile leave three that may vote.

On SIGTERM a member now asks the leader to remove it and ends once that is committed. The leader does so only if the group has its full number of voters without it, and waits for a replacement that is still a learner; a restart in a group of its size stays listed. The wait is at most half of the grace.

--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -61,7 +61,7 @@
 
     def _should_request_join(self) -> bool:
         node = self._node
-        if node.is_leader or self._bootstrap.forming:
+        if node.is_leader or node.leaving or self._bootstrap.forming:
             return False
         return node.environment.monotonic() - node.election_timer_reset_s > _LEADER_SILENCE_S
 
@@ -72,6 +72,8 @@
         for address in addresses:
             if address == own_member.address or self._node.failure is not None:
                 continue
+            if self._node.leaving:
+                return
             reply = await self._send_join(address, own_member)
             if reply is None:
                 continue
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -50,6 +50,7 @@
         failure: Error that made the member stop participating; None while it participates.
         commit_index: Index of the newest entry known to be committed.
         applied_index: Index of the newest entry applied.
+        leaving: Whether this member is about to stop and must not join the group again.
         leader: Name of the leader; empty while none is known.
         election_timer_reset_s: Monotonic time of the newest message from a leader or granted
             vote, in seconds; elections are timed from it.
@@ -87,6 +88,7 @@
 
         self.role = Role.FOLLOWER
         self.leader: str = ""
+        self.leaving = False
         self.election_timer_reset_s = float("-inf")
         self.changed = ChangeSignal()
         self.appended = ChangeSignal()
--- a/packages/heronladder-consensus/src/heronladder_consensus/members.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/members.py
@@ -1,4 +1,6 @@
-"""Lookups in a membership, which lists the members of a group."""
+"""Lookups in a membership, which lists the members of a group, and decisions from it alone."""
+
+from enum import Enum
 
 from heronladder_schema.v1 import consensus_pb2
 
@@ -21,3 +23,32 @@
     return consensus_pb2.Membership(
         members=[member for member in membership.members if member.name != name]
     )
+
+
+class LeaveDecision(Enum):
+    """What a leader does about a member that is about to stop."""
+
+    KEEP = "keep"  # the group is not larger than its size without it
+    WAIT = "wait"  # its replacement is a learner still
+    REMOVE = "remove"
+
+
+def decide_leave(membership: consensus_pb2.Membership, name: str, size: int) -> LeaveDecision:
+    """Decide whether a member that is about to stop is removed from the membership.
+
+    Without a replacement the member may be about to restart. It stays listed then: its data folder
+    counts again once it is back, and a smaller group would tolerate fewer losses.
+
+    Args:
+        membership: The active membership.
+        name: Name of the member.
+        size: Number of voters that the group is kept at; 0 if only operators change members.
+    """
+    others = without_member(membership, name)
+    if not size or len(others.members) < size:
+        return LeaveDecision.KEEP
+    member = find_member(membership, name)
+    is_voter = member is not None and member.voter
+    if is_voter and len(voters(others)) < size:
+        return LeaveDecision.WAIT
+    return LeaveDecision.REMOVE
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -4,7 +4,13 @@
 
 from heronladder_consensus.errors import MembershipChangeError, NotLeaderError
 from heronladder_consensus.member_state import MemberState
-from heronladder_consensus.members import find_member, voters, without_member
+from heronladder_consensus.members import (
+    LeaveDecision,
+    decide_leave,
+    find_member,
+    voters,
+    without_member,
+)
 from heronladder_consensus.replication import Replication
 
 _REPLACEMENT_SILENCE_S = 2.0  # silence after which a surplus voter is removed
@@ -69,10 +75,7 @@
             if member.name == node.name:
                 continue
             if now - self._replication.last_reply_s(member.name) > _REPLACEMENT_SILENCE_S:
-                self._append(without_member(node.membership(), member.name))
-                node.event_log.warning(
-                    "member_removed", step="membership", peer=member.name, reason="replaced"
-                )
+                self._remove(member.name, "replaced")
                 return
 
     def _change_member(
@@ -142,6 +145,42 @@
             )
         await self._commit(changed)
 
+    async def leave(self, name: str) -> consensus_pb2.LeaveOutcome.ValueType:
+        """Remove a member that is about to stop, once a replacement votes in its place.
+
+        Waits while another membership change is in progress. The leader may remove itself: it
+        leads until the removal is committed by the others, and steps down then.
+
+        Returns:
+            Whether a committed membership omits the member, or the group keeps it.
+
+        Raises:
+            NotLeaderError: If this member is not the leader, or loses leadership before the removal
+                is committed.
+        """
+        node = self._node
+        node.require_leader("members_leave")
+        term = node.term
+        while node.leads(term):
+            if node.commit_index >= self._change_index:
+                membership = node.membership()
+                if find_member(membership, name) is None:
+                    return consensus_pb2.LEAVE_OUTCOME_REMOVED
+                decision = decide_leave(membership, name, node.timing.group_size)
+                if decision is LeaveDecision.KEEP:
+                    return consensus_pb2.LEAVE_OUTCOME_KEPT
+                if decision is LeaveDecision.REMOVE:
+                    self._remove(name, "leaves")
+            await node.changed.wait(node.timing.heartbeat_s)
+        committed = node.log.membership(node.commit_index)
+        if committed.members and find_member(committed, name) is None:
+            return consensus_pb2.LEAVE_OUTCOME_REMOVED
+        raise NotLeaderError("leadership ended", step="members_leave", peer=node.leader)
+
+    def _remove(self, name: str, reason: str) -> None:
+        self._append(without_member(self._node.membership(), name))
+        self._node.event_log.warning("member_removed", step="membership", peer=name, reason=reason)
+
     def _require_no_change(self, step: str) -> None:
         self._node.require_leader(step)
         if self._node.commit_index < self._change_index:
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -13,6 +13,7 @@
 from heronladder_consensus.election import Election
 from heronladder_consensus.errors import LeadershipLostError, NotLeaderError
 from heronladder_consensus.joining import Joiner
+from heronladder_consensus.leaving import Leaver
 from heronladder_consensus.member_state import MemberState, Role
 from heronladder_consensus.membership import MembershipManager
 from heronladder_consensus.replication import Replication
@@ -76,6 +77,7 @@
         self.joiner = Joiner(
             self, self.bootstrap, self.membership_manager, own_member, contacts or []
         )
+        self.leaver = Leaver(self, self.membership_manager)
 
     @property
     def highest_version(self) -> int:
--- a/packages/heronladder-consensus/src/heronladder_consensus/service.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/service.py
@@ -40,6 +40,11 @@
     ) -> consensus_pb2.JoinReply:
         return await self._node.joiner.handle(request)
 
+    async def Leave(  # noqa: D102
+        self, request: consensus_pb2.LeaveRequest, context: Any
+    ) -> consensus_pb2.LeaveReply:
+        return await self._run_to_completion("answer_leave", self._node.leaver.handle(request))
+
     async def RequestVote(  # noqa: D102
         self, request: consensus_pb2.VoteRequest, context: Any
     ) -> consensus_pb2.VoteReply:
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -31,6 +31,7 @@
     from heronladder_router.server import RouterServer
 
 _GRPC_STOP_GRACE_S = 0.5
+_LEAVE_GRACE_FRACTION = 0.5  # part of the grace period in which a member may leave its group
 _GATEWAY_TOKEN_RETURN_S = 0.8  # part of the grace period reserved for returning tokens
 _GATEWAY_SHUTDOWN_TIMEOUT_S = 0.1
 _BALANCER_DETECTION_S = 2.5
@@ -248,6 +249,7 @@
         """
         if signalled_s is None:
             signalled_s = self._environment.monotonic()
+        leave_task = asyncio.create_task(self._leave_group(signalled_s))
         grace_s = seconds(self.settings.router.stop_grace_ms)
         if self.router_server is not None:
             # The load balancer keeps sending requests until it detects the shutdown;
@@ -266,11 +268,22 @@
             )
             if self._gateway_listener is not None:
                 await self._gateway_listener.stop()
+        await leave_task
         for role in (self.router, self.agent, self.gateway):
             if role is not None:
                 await role.stop()
         await self._close()
 
+    async def _leave_group(self, signalled_s: float) -> None:
+        """Leave the control group while its listeners still serve; a restart stays in it."""
+        if self.control is None:
+            return
+        grace_s = seconds(self.settings.control.control_grace_ms)
+        elapsed_s = self._environment.monotonic() - signalled_s
+        timeout_s = max(0.0, grace_s * _LEAVE_GRACE_FRACTION - elapsed_s)
+        outcome = await self.control.node.leaver.run(timeout_s)
+        self._metrics.add("group_leaves", outcome.value)
+
     async def _stop_accepting(self) -> None:
         if self._gateway_listener is not None:
             await self._gateway_listener.stop_accepting()
--- a/scripts/event_meanings.py
+++ b/scripts/event_meanings.py
@@ -76,7 +76,11 @@
     "member_passed_over": (
         "A replica that was sent to this member came back: for half a minute none is sent there."
     ),
-    "member_removed": "A member is out of the group.",
+    "member_removed": "A member is out of the group: it was about to stop (`reason=leaves`), or"
+    " it was silent while the group has more voters than its size (`reason=replaced`).",
+    "group_leave": "A control member is about to stop: whether it was removed from the group"
+    " (`removed`), stays listed because it has no replacement (`kept`), or no leader answered in"
+    " time (`unknown`).",
     "outcome_unknown": "It is not known whether a request ran; the agent will be asked.",
     "order_answered": "What became of a configuration, an evacuation or a leave, and the ms from"
     " its receipt until a leader was given it, it was committed, in force, and answered.",
@@ -195,6 +199,7 @@
 }
 
 METRIC_MEANINGS = {
+    "group_leaves": "Planned stops of a control member, by what came of leaving its group.",
     "clients_refused": "Clients' connections closed and unfinished requests refused, by reason.",
     "leader_chores_failed": "Tasks of the leader that ended by an error, by task.",
     "gateway_streams_broken": "Streams broken off: `give_up` (no replica) or `output_limit`.",
--- a/tests/support.py
+++ b/tests/support.py
@@ -66,6 +66,7 @@
         self.machines: dict[str, AppendingMachine] = {}
         self.failures: dict[str, HeronladderError] = {}
         self.timing = ConsensusTiming(1.0, snapshot_entries)
+        self.contacts: list[str] = []  # members that joining ones ask; empty: the initial members
 
     async def start(self, name: str, *, joining: bool = False) -> ConsensusNode[int]:
         disk = self.disks.setdefault(name, MemoryDisk(self.random))
@@ -84,7 +85,7 @@
             self.environment,
             lambda error: self.failures.__setitem__(name, error),
             consensus_pb2.Member(name=name, address=f"{name}:1") if self.timing.losses else None,
-            [f"{member}:1" for member in self.names],
+            [f"{member}:1" for member in (self.contacts or self.names)],
         )
         self.network.start(name, Location("z", "r"), {"consensus": ConsensusService(node)})
         self.nodes[name] = node
