Count a member's silence across changes of leader

No leader is elected again.

Cause: each leader counted the silence of the lost voter from its own election, so that the surplus voter stayed listed.

The new leader must find the member silent for an election timeout too, and removes the one that has been silent the longest.

In the same place: a learner that is gone is removed after 60 s, is not waited for by a member that leaves, and is not promoted.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -206,6 +206,7 @@
                     return False
                 if self._is_valid_vote(member, reply):
                     granted += 1
+                    node.silence.merge(reply.silent_members)
                 else:
                     wait_s = node.timing.call_timeout_s
         if granted < node.quorum():
@@ -256,7 +257,10 @@
             if refusal is not None:
                 self._report_refusal(request, refusal)
             return consensus_pb2.VoteReply(
-                term=node.term, granted=refusal is None, incarnation=node.hard_state.incarnation
+                term=node.term,
+                granted=refusal is None,
+                incarnation=node.hard_state.incarnation,
+                silent_members=node.silence.messages() if refusal is None else [],
             )
 
     def _report_refusal(self, request: consensus_pb2.VoteRequest, refusal: VoteRefusal) -> None:
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -23,6 +23,7 @@
 from heronladder_consensus.log import MemoryLog
 from heronladder_consensus.members import find_member, voters
 from heronladder_consensus.peer_calls import PeerCalls
+from heronladder_consensus.silence import SilenceReports
 from heronladder_consensus.storage import LoadedState, LogStorage
 from heronladder_consensus.timing import ConsensusTiming
 
@@ -54,6 +55,7 @@
         leader: Name of the leader; empty while none is known.
         election_timer_reset_s: Monotonic time of the newest message from a leader or granted
             vote, in seconds; elections are timed from it.
+        silence: Silences of members, as reported by the leader that this member follows.
         peer_calls: Calls to other members, with adaptive timeouts.
         changed: Signalled when the commit index, the role or acknowledgements have changed.
         appended: Signalled when the log has grown.
@@ -89,6 +91,7 @@
         self.role = Role.FOLLOWER
         self.leader: str = ""
         self.leaving = False
+        self.silence = SilenceReports(environment)
         self.election_timer_reset_s = float("-inf")
         self.changed = ChangeSignal()
         self.appended = ChangeSignal()
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -14,6 +14,7 @@
 from heronladder_consensus.replication import Replication
 
 _REPLACEMENT_SILENCE_S = 2.0  # silence after which a surplus voter is removed
+_LEARNER_SILENCE_S = 60.0  # of a learner, which does not count for the quorum
 
 
 class MembershipManager:
@@ -53,30 +54,40 @@
             if incarnation != member.incarnation:
                 self._change_member(member, incarnation=incarnation, voter=False)
                 return
-            if not member.voter and self._replication.caught_up(member.name):
+            # A learner that is gone would only raise the quorum as a voter.
+            is_ready = self._replication.caught_up(member.name) and self._replication.reachable(
+                member.name
+            )
+            if not member.voter and is_ready:
                 self._change_member(member, incarnation=incarnation, voter=True)
                 return
         self._remove_replaced()
 
     def _remove_replaced(self) -> None:
-        """Remove a silent voter while the group has more voters than its target size.
+        """Remove the member that has been silent the longest, if the group does not need it.
 
         Otherwise members that never return would accumulate until the remaining ones are no
         quorum. A removed member that was only partitioned sends join requests and is added again.
+        The silence that an earlier leader reported counts, but this leader has to find the member
+        silent as well.
         """
         node = self._node
         size = node.timing.group_size
         now = node.environment.monotonic()
-        if not size or now - self._leading_since_s < _REPLACEMENT_SILENCE_S:
-            return
-        if len(voters(node.membership())) <= size:
+        if not size or now - self._leading_since_s < node.timing.election_timeout_s:
             return
-        for member in voters(node.membership()):
-            if member.name == node.name:
-                continue
-            if now - self._replication.last_reply_s(member.name) > _REPLACEMENT_SILENCE_S:
-                self._remove(member.name, "replaced")
-                return
+        surplus = len(voters(node.membership())) - size
+        removable = [
+            (self._replication.last_heard_s(member.name), member.name)
+            for member in node.membership().members
+            if member.name != node.name
+            and surplus >= (1 if member.voter else 0)
+            and not self._replication.reachable(member.name)
+            and now - self._replication.last_heard_s(member.name)
+            > (_REPLACEMENT_SILENCE_S if member.voter else _LEARNER_SILENCE_S)
+        ]
+        if removable:
+            self._remove(min(removable)[1], "replaced")
 
     def _change_member(
         self, member: consensus_pb2.Member, *, incarnation: str, voter: bool
@@ -163,10 +174,9 @@
         term = node.term
         while node.leads(term):
             if node.commit_index >= self._change_index:
-                membership = node.membership()
-                if find_member(membership, name) is None:
+                if find_member(node.membership(), name) is None:
                     return consensus_pb2.LEAVE_OUTCOME_REMOVED
-                decision = decide_leave(membership, name, node.timing.group_size)
+                decision = decide_leave(self._without_lost_learners(), name, node.timing.group_size)
                 if decision is LeaveDecision.KEEP:
                     return consensus_pb2.LEAVE_OUTCOME_KEPT
                 if decision is LeaveDecision.REMOVE:
@@ -177,6 +187,16 @@
             return consensus_pb2.LEAVE_OUTCOME_REMOVED
         raise NotLeaderError("leadership ended", step="members_leave", peer=node.leader)
 
+    def _without_lost_learners(self) -> consensus_pb2.Membership:
+        """Return the membership without learners that do not reply: none of them will vote soon."""
+        return consensus_pb2.Membership(
+            members=[
+                member
+                for member in self._node.membership().members
+                if member.voter or self._replication.reachable(member.name)
+            ]
+        )
+
     def _remove(self, name: str, reason: str) -> None:
         self._append(without_member(self._node.membership(), name))
         self._node.event_log.warning("member_removed", step="membership", peer=name, reason=reason)
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from collections import deque
-from dataclasses import dataclass
 from functools import partial
 
 from heronladder_runtime.errors import StorageError
@@ -12,6 +11,8 @@
 from heronladder_consensus.election import Election
 from heronladder_consensus.member_state import MemberState
 from heronladder_consensus.members import find_member, voters
+from heronladder_consensus.peer_progress import PeerProgress
+from heronladder_consensus.silence import to_messages
 from heronladder_consensus.snapshots import SnapshotManager
 
 _BATCH_BYTES = 512 * 1024
@@ -20,31 +21,6 @@
 _CAUGHT_UP_ENTRIES = 64
 
 
-@dataclass
-class PeerProgress:
-    """Replication progress of one peer in the leader's term.
-
-    Attributes:
-        next_index: Index of the next entry to send.
-        match_index: Index of the last entry known to be synced by the peer.
-        confirmed_read_round: Newest read round in which the peer acknowledged a message.
-        last_reply_s: Monotonic time of the newest reply, in seconds.
-        incarnation: Identity of the peer's data folder, from its newest reply.
-        highest_version: Highest cluster version that the peer's build supports, from its newest
-            reply to entries.
-        next_snapshot_s: Monotonic time before which no snapshot is sent, after the peer's disk
-            refused one, in seconds.
-    """
-
-    next_index: int
-    match_index: int = 0
-    confirmed_read_round: int = 0
-    last_reply_s: float = float("-inf")
-    incarnation: str = ""
-    highest_version: int = 0
-    next_snapshot_s: float = float("-inf")
-
-
 class Replication:
     """Sends the log to the peers while this member leads, and appends a leader's entries.
 
@@ -61,6 +37,7 @@
         self._peers: dict[str, PeerProgress] = {}
         self._read_round = 0
         self._leading_since_s = 0.0
+        self._silent_since_s: dict[str, float] = {}  # as reported before this term
 
     # ---- leading ----------------------------------------------------------
 
@@ -69,6 +46,7 @@
         node = self._node
         self._peers = {}
         self._leading_since_s = node.environment.monotonic()
+        self._silent_since_s = node.silence.take()
         self.start_peer_tasks()
         node.keep_running_in_term("check_quorum", self._check_quorum)
 
@@ -153,6 +131,7 @@
             previous_term=node.log.term_at(previous_index) or 0,
             commit_index=node.commit_index,
             entries=node.log.slice(progress.next_index, _BATCH_BYTES),
+            silent_members=self._silent_members(),
         )
         sent_round = self._read_round
         reply = await node.peer_calls.append_entries(member, request)
@@ -184,6 +163,7 @@
             previous_index=node.log.last_index,
             previous_term=node.log.last_term,
             commit_index=node.commit_index,
+            silent_members=self._silent_members(),
         )
         reply = await node.peer_calls.append_entries(member, request)
         if reply.term > node.term:
@@ -325,11 +305,22 @@
             self.match_index(name) > 0
         )
 
-    def last_reply_s(self, name: str) -> float:
-        """Return the time of a peer's last reply in seconds, at least the start of leadership."""
+    def last_heard_s(self, name: str) -> float:
+        """Return when a peer last replied to this leader or, if it has not, to an earlier one.
+
+        Without a report of an earlier leader, it is the start of this member's leadership.
+        """
         progress = self._peers.get(name)
-        replied_s = progress.last_reply_s if progress is not None else float("-inf")
-        return max(replied_s, self._leading_since_s)
+        if progress is not None and progress.last_reply_s >= self._leading_since_s:
+            return progress.last_reply_s
+        return self._silent_since_s.get(name, self._leading_since_s)
+
+    def _silent_members(self) -> list[consensus_pb2.SilentMember]:
+        node = self._node
+        heard_s = {name: self.last_heard_s(name) for name in self._peers}
+        return to_messages(
+            heard_s, node.environment.monotonic(), least_s=node.timing.election_timeout_s
+        )
 
     def highest_version(self, name: str) -> int | None:
         """Return the highest cluster version of a peer's build, or None if it is unreachable."""
@@ -356,6 +347,7 @@
         )
         try:
             if await self._election.observe_leader(request.term, request.leader):
+                node.silence.record(request.leader, request.silent_members)
                 async with node.write_lock:
                     if request.term == node.term and not node.is_leader:
                         await self._append_entries(request, reply)
--- a/tests/replaced_group.py
+++ b/tests/replaced_group.py
@@ -29,6 +29,8 @@
 CATCH_UP_S = 4.2  # from the start of a replacement until the replaced member is no loss any more
 _LEAVE_WITHIN_S = 4.0
 _BACK_AFTER_S = 1.0
+# After the start of a replacement; an election and a change of the membership fit into the rest.
+_LEADER_LOST_WITHIN_S = 2.0
 _CALM_S = 3.0
 _LEADER_WITHIN_S = 12.0
 
@@ -149,8 +151,17 @@
         self.kinds["killed"] += 1
         await self.group.crash(old)
         await asyncio.sleep(self._random.choice((0.1, 1.0)))
+        caught_up_s = asyncio.get_running_loop().time() + CATCH_UP_S
         await self._join(new)
-        await asyncio.sleep(CATCH_UP_S)
+        if self._random.random() < 0.5:
+            self.kinds["leader restarts after a kill"] += 1
+            await asyncio.sleep(_LEADER_LOST_WITHIN_S * self._random.random())
+            leaders = [node.name for node in self.group.nodes.values() if node.is_leader]
+            if leaders:
+                await self.group.crash(leaders[0])
+                await asyncio.sleep(0.2)
+                await self._join(leaders[0])
+        await asyncio.sleep(caught_up_s - asyncio.get_running_loop().time())
 
     async def _accept_some(self) -> None:
         for _ in range(self._random.choice((1, 1, 30))):
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -15,12 +15,14 @@
 from heronladder_consensus.node import ConsensusNode
 from heronladder_consensus.service import ConsensusService
 from heronladder_consensus.timing import ConsensusTiming
+from heronladder_emulator.network import Partition
 from heronladder_schema.v1 import consensus_pb2
 from process_fleet import ADMIN_PORT, CONTROL, CONTROL_PORT, Machine
 from replaced_group import play
 from support import Group, run_virtual
 
 _BROKEN_SEEDS = (8, 12, 27, 30, 31)  # without a leave: no leader for good
+_RESTARTED_LEADER_SEEDS = (77, 173, 231, 233, 263)  # silence counted anew by each leader: the same
 _LEAVE_WITHIN_S = 4.0
 _READ_WITHIN_S = 12.0
 
@@ -114,6 +116,82 @@
                 self.assertEqual(run.broken, [])
                 self.assertGreater(run.kinds["planned"] + run.kinds["killed"], 0)
 
+    def test_killed_members_and_restarted_leaders_in_series(self) -> None:
+        """Guards against a silence that each new leader counts from its own election."""
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        for seed in _RESTARTED_LEADER_SEEDS:
+            with self.subTest(seed=seed):
+                run = play(seed)
+                self.assertEqual(run.broken, [])
+                self.assertGreater(run.kinds["leader restarts after a kill"], 0)
+
+
+class SilenceTest(unittest.TestCase):
+    _SILENT_S = 1.6  # under the silence after which a surplus voter is removed
+    _FOUND_SILENT_S = 1.2  # an election timeout, and some heartbeats
+
+    def test_a_new_leader_goes_on_counting_the_silence_of_a_lost_member(self) -> None:
+        async def scenario(*, restarts: bool) -> None:
+            group = await _start_group(losses=2)
+            await group.start("new", joining=True)
+            leader = await _wait_for_voters(group, 6)
+            lost = next(name for name in ("x0", "x1") if name != leader.name)
+            await group.crash(lost)
+            await asyncio.sleep(self._SILENT_S)
+            await group.crash(leader.name)
+            if restarts:
+                await group.start(leader.name, joining=leader.name not in group.names)
+            new_leader = await group.leader()
+            await asyncio.sleep(self._FOUND_SILENT_S)
+            self.assertIsNone(find_member(new_leader.membership(), lost))
+            await group.stop()
+
+        for restarts in (False, True):
+            with self.subTest(restarts=restarts):
+                run_virtual(scenario(restarts=restarts))
+
+    def test_a_member_that_only_the_leader_before_did_not_hear_stays(self) -> None:
+        async def scenario() -> None:
+            group = await _start_group(losses=2)
+            await group.start("new", joining=True)
+            leader = await _wait_for_voters(group, 6)
+            cut_off = next(name for name in ("x0", "x1") if name != leader.name)
+            inside, outside = frozenset({cut_off}), frozenset({leader.name})
+            cuts = [Partition(inside, outside), Partition(outside, inside)]
+            for cut in cuts:
+                group.network.cut(cut)
+            await asyncio.sleep(self._SILENT_S)
+            await group.crash(leader.name)
+            new_leader = await group.leader()
+            await asyncio.sleep(self._FOUND_SILENT_S)
+            self.assertIsNotNone(find_member(new_leader.membership(), cut_off))
+            await group.stop()
+
+        run_virtual(scenario())
+
+    def test_a_learner_that_is_gone_delays_no_stop_and_is_removed(self) -> None:
+        async def scenario() -> None:
+            group = await _start_group(losses=1)
+            leader = await group.leader()
+            with mock.patch.object(leader.replication, "caught_up", return_value=False):
+                await group.start("new", joining=True)
+                await asyncio.sleep(1.0)
+                await group.crash("new")
+                await asyncio.sleep(2.0)
+            await asyncio.sleep(1.0)
+            old = next(name for name in group.names if name != leader.name)
+            started_s = asyncio.get_running_loop().time()
+            outcome = await group.nodes[old].leaver.run(_LEAVE_WITHIN_S)
+            self.assertIs(outcome, LeaveOutcome.KEPT)
+            self.assertLess(asyncio.get_running_loop().time() - started_s, 0.1)
+            self.assertIsNotNone(find_member(leader.membership(), "new"))
+            await asyncio.sleep(62.0)
+            self.assertIsNone(find_member(leader.membership(), "new"))
+            await group.stop()
+
+        run_virtual(scenario())
+
 
 class LeaveTest(unittest.TestCase):
     def test_a_restart_in_a_group_of_its_size_stays_listed(self) -> None:
