Let a member vote by the entry that lists it, committed or not

Cause: the quorum goes by the newest membership in the log, the right to vote of a new folder went by the committed one, which only a leader can tell. Evidence: election_lost granted=2 quorum=3 voters=4 replied=2 at both older members, vote_refused reason=not_admitted at the replacement.

may_vote now goes by the active membership too. It is safe, because a leader appends the promotion only after the change that took the member's earlier folder out is committed; in the term of the entry, in which that folder may have voted, the member grants no vote yet.

--- a/packages/heronladder-consensus/src/heronladder_consensus/election.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/election.py
@@ -282,6 +282,8 @@
             return VoteRefusal.NOT_ADMITTED if node.is_listed_voter() else VoteRefusal.NO_VOTER
         if request.term < node.term:
             return VoteRefusal.OLD_TERM
+        if request.term == node.term and not node.hard_state.voting_allowed:
+            return VoteRefusal.NOT_ADMITTED  # the earlier folder may have voted in this term
         if self._has_active_leader() and (node.is_leader or request.candidate != node.leader):
             return VoteRefusal.ACTIVE_LEADER
         candidate = find_member(node.membership(), request.candidate)
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -143,8 +143,19 @@
         return member is not None and member.voter
 
     def may_vote(self) -> bool:
-        """Whether this member may vote: it is a voter, and its folder lost no earlier votes."""
-        return self.hard_state.voting_allowed and self.is_listed_voter()
+        """Whether this member may vote: it is a voter, and its folder lost no earlier votes.
+
+        An entry that lists this very folder as a voter is enough, committed or not: the leader
+        appends it only after the group has committed that the earlier folder no longer counts. If
+        the leader is lost before the entry is committed, the group may need this vote to elect one.
+        """
+        member = self.own_member()
+        if member is None or not member.voter:
+            return False
+        return self.hard_state.voting_allowed or self._is_own_folder(member)
+
+    def _is_own_folder(self, member: consensus_pb2.Member) -> bool:
+        return bool(member.incarnation) and member.incarnation == self.hard_state.incarnation
 
     def quorum(self) -> int:
         """Return the number of voters that form a majority."""
