Ask for keys whenever a configuration has tenants, even without any key

Callers saw: once the last key of all tenants is taken away, requests with any key, never held or taken away, run and get 200, charged to nobody.

Cause: HostRouteTable asked for a key if its index of keys was not empty. It is empty when no tenant holds a key and when no tenant is listed as well as when there are no tenants. Evidence: the same key is refused before the change and served after it, at the gateway that has the last version.

Whether keys are asked for is a field of its own now (key_check, from cluster version 2 on), set where the document is read. A configuration stored without it asks for keys if it lists tenants, and else does what its document says. Below version 2 the log gets an entry that no key has, so that a gateway of an earlier build, which never asks the field, lets nobody in either.

The same cause elsewhere: allowedRegions: [] of a route or tenant was taken for all regions. It names none now (region_bound); such requests get 503 at once.

--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -1,5 +1,7 @@
 """Builds a gateway from the daemon's settings."""
 
+from collections.abc import Callable
+
 import grpc.aio
 from aiohttp import web
 from heronladder_router.gateway_header_names import GatewayHeaderNames
@@ -24,6 +26,7 @@
     stubs: StubFactory,
     environment: Environment,
     names: GatewayHeaderNames,
+    document_requires_key: Callable[[bytes], bool],
 ) -> GatewayRole:
     """Return a gateway that is not started yet.
 
@@ -32,6 +35,7 @@
         stubs: Creates gRPC stubs for the control members.
         environment: Source of time and randomness.
         names: HTTP header names that its callers and replicas use.
+        document_requires_key: Reads from an operator's document whether requests need a key.
     """
     common, gateway = settings.common, settings.gateway
     options = GatewayOptions(
@@ -59,6 +63,7 @@
         measured_speed=bool(gateway.measured_speed),
         measured_patience=bool(gateway.measured_patience),
         wait_for_places=bool(gateway.wait_for_places),
+        document_requires_key=document_requires_key,
     )
     return GatewayRole(options, stubs, environment)
 
--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Callable
 from typing import TYPE_CHECKING
 
 import grpc.aio
 from aiohttp import web
 from heronladder_router.gateway_header_names import GatewayHeaderNames
+from heronladder_router.gateway_options import requires_no_key
 from heronladder_runtime import http_client
 from heronladder_runtime.clock import Environment, seconds
 from heronladder_runtime.errors import HeronladderError
@@ -44,6 +46,7 @@
         settings: Settings of the daemon.
         environment: Source of time and randomness.
         gateway_names: HTTP header names that callers and replicas of a gateway use.
+        document_requires_key: Reads from an operator's document whether requests need a key.
     """
 
     def __init__(
@@ -51,6 +54,7 @@
         settings: DaemonSettings,
         environment: Environment | None = None,
         gateway_names: GatewayHeaderNames | None = None,
+        document_requires_key: Callable[[bytes], bool] = requires_no_key,
     ) -> None:
         self.settings = settings
         self._environment = environment or Environment()
@@ -72,6 +76,7 @@
         self.gateway: GatewayRole | None = None
         self._gateway_listener: HttpListener | None = None
         self._gateway_names = gateway_names or GatewayHeaderNames()
+        self._document_requires_key = document_requires_key
         self.admin_address = ""
         self.failed: asyncio.Future[HeronladderError] | None = None
 
@@ -187,7 +192,11 @@
         )
 
         self.gateway = compose_gateway(
-            self.settings, self._stubs, self._environment, self._gateway_names
+            self.settings,
+            self._stubs,
+            self._environment,
+            self._gateway_names,
+            self._document_requires_key,
         )
         self._gateway_listener = HttpListener(
             make_gateway_server(self.gateway),
--- a/packages/heronladder-router/src/heronladder_router/gateway_options.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_options.py
@@ -1,10 +1,16 @@
 """Settings of a gateway."""
 
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from heronladder_router.gateway_header_names import GatewayHeaderNames
 
 
+def requires_no_key(document: bytes) -> bool:
+    """Return False: without an adapter, configurations have no document."""
+    return False
+
+
 @dataclass(frozen=True)
 class GatewayOptions:
     """Settings of a gateway.
@@ -38,6 +44,7 @@
         measured_speed: Whether replicas are compared by measured speed instead of constants.
         measured_patience: Whether the attempt timeout of a stream follows from measured times to
             the first event.
+        document_requires_key: Reads from an operator's document whether requests need a key.
     """
 
     name: str
@@ -62,3 +69,4 @@
     behind_after_ms: float = 0.0
     measured_speed: bool = False
     measured_patience: bool = False
+    document_requires_key: Callable[[bytes], bool] = requires_no_key
--- a/packages/heronladder-router/src/heronladder_router/gateway_role.py
+++ b/packages/heronladder-router/src/heronladder_router/gateway_role.py
@@ -72,7 +72,11 @@
             environment,
             acts_past_lease=True,
         )
-        self.routes = HostRouteTable(self.link.configuration, options.names.key_scheme)
+        self.routes = HostRouteTable(
+            self.link.configuration, options.names.key_scheme, options.document_requires_key
+        )
+        self.metrics.gauge("keys_required", lambda: int(self.routes.requires_key))
+        self.metrics.gauge("keys_known", lambda: self.routes.key_count)
         self.tokens = self._make_tokens(stubs)
         self.replicas = self._make_replicas()
         self.replicas.known_versions.in_force_revision = lambda: (
@@ -294,6 +298,8 @@
             step="configuration",
             version=self.routes.version,
             revision=self.link.configuration.revision,
+            keys_required=self.routes.requires_key,
+            keys=self.routes.key_count,
         )
 
     # ---- lifecycle --------------------------------------------------------
--- a/packages/heronladder-router/src/heronladder_router/host_routes.py
+++ b/packages/heronladder-router/src/heronladder_router/host_routes.py
@@ -1,9 +1,11 @@
 """Matches requests to routes by host and path prefix, and to tenants by API key."""
 
 import hashlib
+from collections.abc import Callable
 from dataclasses import dataclass
 from random import Random
 
+from heronladder_runtime.access_rules import allowed_regions, requires_key
 from heronladder_runtime.configuration import ConfigurationStore
 from heronladder_schema.v1 import resources_pb2
 
@@ -43,10 +45,11 @@
     @property
     def regions(self) -> frozenset[str] | None:
         """Regions that both route and tenant allow for the request; None if any may serve it."""
-        allowed = [frozenset(self.route.home_regions)] if self.route.home_regions else []
-        if self.tenant is not None and self.tenant.home_regions:
-            allowed.append(frozenset(self.tenant.home_regions))
-        return frozenset.intersection(*allowed) if allowed else None
+        by_route = allowed_regions(self.route)
+        by_tenant = allowed_regions(self.tenant) if self.tenant is not None else None
+        if by_route is None or by_tenant is None:
+            return by_tenant if by_route is None else by_route
+        return by_route & by_tenant
 
     @property
     def streams(self) -> bool:
@@ -60,16 +63,25 @@
     Args:
         configuration: Configuration of the gateway.
         key_scheme: Scheme in front of the key in Authorization, with its trailing space.
+        document_requires_key: Reads from an operator's document whether requests need a key.
 
     Attributes:
+        requires_key: Whether requests need a key, unless their route is anonymous.
         version: Version of the indexed configuration; 0 before the first.
         services: Services by name.
         limits: Limits that apply to all requests.
     """
 
-    def __init__(self, configuration: ConfigurationStore, key_scheme: str) -> None:
+    def __init__(
+        self,
+        configuration: ConfigurationStore,
+        key_scheme: str,
+        document_requires_key: Callable[[bytes], bool],
+    ) -> None:
         self._configuration = configuration
         self._key_scheme = key_scheme
+        self._document_requires_key = document_requires_key
+        self.requires_key = True
         self.version = 0
         self._routes: dict[str, dict[str, resources_pb2.HostRoute]] = {}
         self._tenants: dict[str, resources_pb2.PrepaidTenant] = {}
@@ -85,10 +97,16 @@
         self._routes = {}
         for route in fleet.routes:
             self._routes.setdefault(route.host.lower(), {})[route.path_prefix] = route
+        self.requires_key = requires_key(fleet, self._document_requires_key)
         self._tenants = {key: tenant for tenant in fleet.tenants for key in tenant.key_sha256}
         self.services = {service.name: service for service in fleet.services}
         self.limits = fleet.limits
 
+    @property
+    def key_count(self) -> int:
+        """Number of keys that tenants hold."""
+        return len(self._tenants)
+
     def find(self, host: str, path: str, authorization: str) -> MatchedRoute:
         """Return the route and the tenant of a request.
 
@@ -105,7 +123,7 @@
         if route is None:
             raise UnknownRouteError("no route matches the host and path", step=_STEP, peer=host)
         tenant = self._find_tenant(authorization)
-        if tenant is None and self._tenants and not route.anonymous:
+        if tenant is None and self.requires_key and not route.anonymous:
             raise InvalidKeyError("missing or unknown API key", step=_STEP, peer=route.name)
         return MatchedRoute(route, tenant, self.version)
 
--- a/packages/heronladder-runtime/src/heronladder_runtime/cluster_versions.py
+++ b/packages/heronladder-runtime/src/heronladder_runtime/cluster_versions.py
@@ -11,10 +11,12 @@
 from google.protobuf.message import Message
 from heronladder_schema.v1 import control_pb2, versions_pb2
 
+from heronladder_runtime.access_rules import close_for_earlier_builds
 from heronladder_runtime.errors import HeronladderError
 
 INITIAL_VERSION = 0  # of builds that report none
-LATEST_VERSION = 1  # newest one that this build supports
+LATEST_VERSION = 2  # newest one that this build supports
+_ACCESS_RULES_VERSION = 2  # first one with the fields of ``access_rules``
 _COMMAND = control_pb2.Command.DESCRIPTOR
 
 
@@ -73,6 +75,8 @@
         return command
     reduced = control_pb2.Command()
     reduced.CopyFrom(command)
+    if version < _ACCESS_RULES_VERSION and reduced.HasField("apply_configuration"):
+        close_for_earlier_builds(reduced.apply_configuration.configuration)
     _clear_newer_fields(reduced, version)
     return reduced
 
--- a/scripts/event_meanings.py
+++ b/scripts/event_meanings.py
@@ -27,7 +27,8 @@
     "configuration_behind": "A daemon learns that what is in force, or what it was told to hold"
     " below, is newer than what it holds.",
     "configuration_caught_up": "It holds it now.",
-    "configuration_in_use": "A gateway acts on this version from now on.",
+    "configuration_in_use": "A gateway acts on this version from now on: whether requests need a"
+    " key in it (`keys_required`), and how many keys tenants hold (`keys`).",
     "control_lost": "A stream to control ended or could not be opened; `silent_s` since an answer,"
     " `late_ms` of the silence in which this process was late.",
     "loop_late": "The process ran late by `late_ms`: what it judged by a time-out then may be its"
