Find the leader before a member that has just started ends

Cause: a member that has just started has heard from no leader, and its own membership may be older than its replacement, or empty. It took that for nothing to do.

compose_gateway gets back the call that test_group_across_regions makes: the new argument has a default.

--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -65,13 +65,21 @@
             return False
         return node.environment.monotonic() - node.election_timer_reset_s > _LEADER_SILENCE_S
 
+    def other_addresses(self) -> list[str]:
+        """Return the gRPC addresses of the contacts and the listed members, without its own."""
+        listed = {member.address: member.name for member in self._node.membership().members}
+        own = {address for address, name in listed.items() if name == self._node.name}
+        if self._own_member is not None:
+            own.add(self._own_member.address)
+        return [
+            address for address in dict.fromkeys([*self.contacts, *listed]) if address not in own
+        ]
+
     async def _request_join_from_all(self, own_member: consensus_pb2.Member) -> None:
-        listed = [member.address for member in self._node.membership().members]
-        addresses = list(dict.fromkeys([*self.contacts, *listed]))
         leader_address = ""
-        for address in addresses:
-            if address == own_member.address or self._node.failure is not None:
-                continue
+        for address in self.other_addresses():
+            if self._node.failure is not None:
+                return
             if self._node.leaving:
                 return
             reply = await self._send_join(address, own_member)
@@ -116,9 +124,5 @@
         try:
             await self._membership.add(request.member)
         except (MembershipChangeError, NotLeaderError):
-            return consensus_pb2.JoinReply(leader_address=self._leader_address())
+            return consensus_pb2.JoinReply(leader_address=node.leader_address())
         return consensus_pb2.JoinReply(accepted=True)
-
-    def _leader_address(self) -> str:
-        leader = find_member(self._node.membership(), self._node.leader)
-        return leader.address if leader is not None else ""
--- a/packages/heronladder-consensus/src/heronladder_consensus/leaving.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/leaving.py
@@ -13,8 +13,8 @@
 from heronladder_schema.v1 import consensus_pb2
 
 from heronladder_consensus.errors import NotLeaderError
+from heronladder_consensus.joining import Joiner
 from heronladder_consensus.member_state import MemberState
-from heronladder_consensus.members import LeaveDecision, decide_leave, find_member
 from heronladder_consensus.membership import MembershipManager
 
 _MIN_REQUEST_S = 0.001  # no response can arrive in less
@@ -40,11 +40,13 @@
     Args:
         node: State of this member.
         membership: Removes members.
+        joiner: Knows the addresses of other members.
     """
 
-    def __init__(self, node: MemberState, membership: MembershipManager) -> None:
+    def __init__(self, node: MemberState, membership: MembershipManager, joiner: Joiner) -> None:
         self._node = node
         self._membership = membership
+        self._joiner = joiner
 
     async def run(self, timeout_s: float) -> LeaveOutcome:
         """Leave the group if it lists a replacement for this member.
@@ -78,39 +80,49 @@
             outcome = await self._request(remaining_s)
             if outcome is not LeaveOutcome.UNKNOWN:
                 return outcome
-            if not self._lists_replacement():
-                break  # no leader to ask, and nothing known that it would change
             await node.changed.wait(node.timing.heartbeat_s)
         return LeaveOutcome.UNKNOWN
 
-    def _lists_replacement(self) -> bool:
-        node = self._node
-        decision = decide_leave(node.membership(), node.name, node.timing.group_size)
-        return decision is not LeaveDecision.KEEP
-
     async def _request(self, remaining_s: float) -> LeaveOutcome:
         """Ask the leader once, which may be this member itself."""
         node = self._node
         if node.is_leader:
             return _OUTCOMES.get(await self._remove(node.name, remaining_s), LeaveOutcome.UNKNOWN)
-        leader = find_member(node.membership(), node.leader)
-        if leader is None:
-            return LeaveOutcome.UNKNOWN
         # A leader that is lost meanwhile does not respond: another one may be asked in time.
         timeout_s = min(remaining_s, node.timing.max_call_timeout_s)
+        address = node.leader_address()
+        if address:
+            return (await self._send(address, timeout_s))[0]
+        return await self._request_from_any(timeout_s)
+
+    async def _request_from_any(self, timeout_s: float) -> LeaveOutcome:
+        """Ask the other members who leads: this process may have just started."""
+        call_timeout_s = min(timeout_s, self._node.timing.call_timeout_s)
+        for address in self._joiner.other_addresses():
+            outcome, leader_address = await self._send(address, call_timeout_s)
+            if leader_address:
+                outcome, _ = await self._send(leader_address, timeout_s)
+            if outcome is not LeaveOutcome.UNKNOWN:
+                return outcome
+        return LeaveOutcome.UNKNOWN
+
+    async def _send(self, address: str, timeout_s: float) -> tuple[LeaveOutcome, str]:
+        """Return the outcome of a request, and the leader's address if another member leads."""
         request = consensus_pb2.LeaveRequest(
-            name=node.name, wait_ms=int(timeout_s * MILLISECONDS_PER_SECOND)
+            name=self._node.name, wait_ms=int(timeout_s * MILLISECONDS_PER_SECOND)
         )
         try:
-            stub = node.stubs.consensus(leader.address)
+            stub = self._node.stubs.consensus(address)
             reply: consensus_pb2.LeaveReply = await stub.Leave(request, timeout=timeout_s)
         except RPC_ERRORS as error:
             # A leader of a build without this call removes only silent members.
-            return LeaveOutcome.KEPT if is_unimplemented(error) else LeaveOutcome.UNKNOWN
-        return _OUTCOMES.get(reply.outcome, LeaveOutcome.UNKNOWN)
+            return (LeaveOutcome.KEPT if is_unimplemented(error) else LeaveOutcome.UNKNOWN), ""
+        return _OUTCOMES.get(reply.outcome, LeaveOutcome.UNKNOWN), reply.leader_address
 
     async def handle(self, request: consensus_pb2.LeaveRequest) -> consensus_pb2.LeaveReply:
         """Handle the request of a member that is about to stop, if this member is the leader."""
+        if not self._node.is_leader:
+            return consensus_pb2.LeaveReply(leader_address=self._node.leader_address())
         outcome = await self._remove(request.name, seconds(request.wait_ms))
         return consensus_pb2.LeaveReply(outcome=outcome)
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/member_state.py
@@ -137,6 +137,11 @@
         """Return this member's entry in the membership, or None if it is not listed."""
         return find_member(self.membership(), self.name)
 
+    def leader_address(self) -> str:
+        """Return the address of the leader, or "" while none is known."""
+        leader = find_member(self.membership(), self.leader)
+        return leader.address if leader is not None else ""
+
     def is_listed_voter(self) -> bool:
         """Whether the active membership lists this member as a voter."""
         member = self.own_member()
--- a/packages/heronladder-consensus/src/heronladder_consensus/node.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/node.py
@@ -77,7 +77,7 @@
         self.joiner = Joiner(
             self, self.bootstrap, self.membership_manager, own_member, contacts or []
         )
-        self.leaver = Leaver(self, self.membership_manager)
+        self.leaver = Leaver(self, self.membership_manager, self.joiner)
 
     @property
     def highest_version(self) -> int:
--- a/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/compose_gateway.py
@@ -5,7 +5,7 @@
 import grpc.aio
 from aiohttp import web
 from heronladder_router.gateway_header_names import GatewayHeaderNames
-from heronladder_router.gateway_options import GatewayOptions
+from heronladder_router.gateway_options import GatewayOptions, requires_no_key
 from heronladder_router.gateway_role import GatewayRole
 from heronladder_runtime.clock import Environment, seconds
 from heronladder_runtime.errors import HeronladderError
@@ -26,7 +26,7 @@
     stubs: StubFactory,
     environment: Environment,
     names: GatewayHeaderNames,
-    document_requires_key: Callable[[bytes], bool],
+    document_requires_key: Callable[[bytes], bool] = requires_no_key,
 ) -> GatewayRole:
     """Return a gateway that is not started yet.
 
--- a/tests/replaced_group.py
+++ b/tests/replaced_group.py
@@ -6,7 +6,7 @@
 address, a second member is restarted meanwhile, or the leader is lost between the request and the
 commit, is drawn from the seed too.
 
-Usage: ``python tests/replaced_group.py --seeds 1-300``.
+Usage: ``python tests/replaced_group.py --seeds 1-300 [--restarts-first]``.
 """
 
 import argparse
@@ -40,14 +40,17 @@
 
     Args:
         seed: Seed of all random values.
+        restarts_first: Whether members are restarted, some on an empty disk, just before they are
+            stopped for good.
 
     Attributes:
         broken: What did not hold.
         kinds: How often each kind of trouble was played.
     """
 
-    def __init__(self, seed: int) -> None:
+    def __init__(self, seed: int, *, restarts_first: bool = False) -> None:
         self._random = Random(seed)
+        self._restarts_first = restarts_first
         self._losses = self._random.choice((1, 2, 2))
         entries = self._random.choice(_SNAPSHOT_ENTRIES)
         self.group = Group(size=_INITIAL, seed=seed, snapshot_entries=entries)
@@ -120,6 +123,10 @@
     async def _stop_as_planned(self, old: str) -> None:
         """Stop a member as SIGTERM does, with commands and other troubles meanwhile."""
         self.kinds["planned"] += 1
+        if self._restarts_first:
+            await self.group.crash(old, wipe=self._random.random() < 0.3)
+            await self._join(old)
+            await asyncio.sleep(self._random.choice((0.0, 0.3)) * self._random.random())
         stopping = asyncio.ensure_future(self._leave_and_end(old))
         trouble = self._random.choice(("none", "none", "restart", "leader restarts"))
         if trouble != "none":
@@ -228,9 +235,9 @@
         return f"{node.name} lists {listed}, its folder {'is' if known else 'is not'} known"
 
 
-def play(seed: int) -> ReplacementRun:
+def play(seed: int, *, restarts_first: bool = False) -> ReplacementRun:
     """Play one run in virtual time."""
-    run = ReplacementRun(seed)
+    run = ReplacementRun(seed, restarts_first=restarts_first)
     run_virtual(run.run())
     return run
 
@@ -239,11 +246,13 @@
     """Play a range of seeds and print those that broke; return 1 if any did."""
     parser = argparse.ArgumentParser()
     parser.add_argument("--seeds", default="1-100")
-    first, _, last = parser.parse_args().seeds.partition("-")
+    parser.add_argument("--restarts-first", action="store_true")
+    options = parser.parse_args()
+    first, _, last = options.seeds.partition("-")
     logging.disable(logging.CRITICAL)
     broken, kinds = 0, Counter[str]()
     for seed in range(int(first), int(last or first) + 1):
-        run = play(seed)
+        run = play(seed, restarts_first=options.restarts_first)
         kinds += run.kinds
         if run.broken:
             broken += 1
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -23,6 +23,7 @@
 
 _BROKEN_SEEDS = (8, 12, 27, 30, 31)  # without a leave: no leader for good
 _RESTARTED_LEADER_SEEDS = (77, 173, 231, 233, 263)  # silence counted anew by each leader: the same
+_RESTARTED_FIRST_SEEDS = (11, 16, 26, 31, 59)  # leaves of known leaders only: the same
 _LEAVE_WITHIN_S = 4.0
 _READ_WITHIN_S = 12.0
 
@@ -126,6 +127,14 @@
                 self.assertEqual(run.broken, [])
                 self.assertGreater(run.kinds["leader restarts after a kill"], 0)
 
+    def test_members_stopped_for_good_just_after_a_restart(self) -> None:
+        """Guards against a stop of a process that does not know the leader yet."""
+        logging.disable(logging.CRITICAL)
+        self.addCleanup(logging.disable, logging.NOTSET)
+        for seed in _RESTARTED_FIRST_SEEDS:
+            with self.subTest(seed=seed):
+                self.assertEqual(play(seed, restarts_first=True).broken, [])
+
 
 class SilenceTest(unittest.TestCase):
     _SILENT_S = 1.6  # under the silence after which a surplus voter is removed
