Of two members that stop at once, remove the one that stays away

The restart asks first and leaves, the other one is kept and ends for good. Version 15 is acknowledged 0.1 s later, the machine that did so loses its disk, and no leader is elected any more: of three voters one is gone and one has a new folder.

Cause: a leader cannot tell a restart from a stop for good, and the group has one voter too many only once. For 3 s after a leave another member that asks waits now, within its own grace. The restarted one joins again meanwhile, and the other is removed then.

--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -14,6 +14,7 @@
 from heronladder_consensus.replication import Replication
 
 _REPLACEMENT_SILENCE_S = 2.0  # silence after which a surplus voter is removed
+_RETURN_S = 3.0  # a member that left may have been restarted, and joins again within this time
 _LEARNER_SILENCE_S = 60.0  # of a learner, which does not count for the quorum
 
 
@@ -30,11 +31,13 @@
         self._replication = replication
         self._change_index = 0
         self._leading_since_s = 0.0
+        self._left_s: dict[str, float] = {}  # when members left in this term, monotonic
 
     def start_leading(self) -> None:
         """Start the member checks; changes wait until the first entry of the term is committed."""
         self._change_index = self._node.log.last_index
         self._leading_since_s = self._node.environment.monotonic()
+        self._left_s = {}
         self._node.keep_running_in_term("membership", self._check_members)
 
     async def _check_members(self, term: int) -> None:
@@ -159,8 +162,9 @@
     async def leave(self, name: str) -> consensus_pb2.LeaveOutcome.ValueType:
         """Remove a member that is about to stop, once a replacement votes in its place.
 
-        Waits while another membership change is in progress. The leader may remove itself: it
-        leads until the removal is committed by the others, and steps down then.
+        Waits while another membership change is in progress, and while another member that left may
+        return: of two that stop, the one that is only restarted may have left first. The leader may
+        remove itself: it leads until the others have committed the removal, and steps down then.
 
         Returns:
             Whether a committed membership omits the member, or the group keeps it.
@@ -177,9 +181,10 @@
                 if find_member(node.membership(), name) is None:
                     return consensus_pb2.LEAVE_OUTCOME_REMOVED
                 decision = decide_leave(self._without_lost_learners(), name, node.timing.group_size)
-                if decision is LeaveDecision.KEEP:
+                if decision is LeaveDecision.KEEP and not self._may_another_return(name):
                     return consensus_pb2.LEAVE_OUTCOME_KEPT
                 if decision is LeaveDecision.REMOVE:
+                    self._left_s[name] = node.environment.monotonic()
                     self._remove(name, "leaves")
             await node.changed.wait(node.timing.heartbeat_s)
         committed = node.log.membership(node.commit_index)
@@ -187,6 +192,15 @@
             return consensus_pb2.LEAVE_OUTCOME_REMOVED
         raise NotLeaderError("leadership ended", step="members_leave", peer=node.leader)
 
+    def _may_another_return(self, name: str) -> bool:
+        node = self._node
+        oldest_s = node.environment.monotonic() - _RETURN_S
+        return any(
+            left_s > oldest_s and find_member(node.membership(), left) is None
+            for left, left_s in self._left_s.items()
+            if left != name
+        )
+
     def _without_lost_learners(self) -> consensus_pb2.Membership:
         """Return the membership without learners that do not reply: none of them will vote soon."""
         return consensus_pb2.Membership(
--- a/tests/play_soak.py
+++ b/tests/play_soak.py
@@ -1,8 +1,8 @@
 """Plays seeds of the fault soak over the real programs.
 
 Usage: ``python tests/play_soak.py --seeds 1-50 --seconds 20 [KIND] [--keep FOLDER]``, KIND being
-``--wide``, ``--signals``, ``--versions``, ``--upgrade``, ``--same-build``, ``--stops`` or
-``--malformed``.
+``--wide``, ``--signals``, ``--versions``, ``--upgrade``, ``--same-build``, ``--stops``,
+``--malformed`` or ``--replacements``.
 """
 
 import argparse
@@ -14,6 +14,7 @@
 
 from malformed_soak import MalformedSoak
 from process_soak import ProcessSoak
+from replacement_soak import ReplacementSoak
 from same_build_soak import SameBuildSoak
 from signal_soak import SignalSoak
 from soak_teeth import TEETH, write_faulty_build
@@ -61,6 +62,7 @@
         SameBuildSoak: options.same_build,
         StopSoak: options.stops,
         MalformedSoak: options.malformed,
+        ReplacementSoak: options.replacements,
     }
     return next((kind for kind, is_asked in kinds.items() if is_asked), ProcessSoak)
 
@@ -78,6 +80,7 @@
     parser.add_argument("--same-build", action="store_true", help="this build replaces itself")
     parser.add_argument("--stops", action="store_true", help="planned stops, slow responses")
     parser.add_argument("--malformed", action="store_true", help="malformed responses")
+    parser.add_argument("--replacements", action="store_true", help="control machines, keys")
     parser.add_argument("--tooth", choices=sorted(TEETH), help="a known fault is put back")
     options = parser.parse_args()
     build = Path(tempfile.mkdtemp(prefix="build-")) if options.tooth else None
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -39,6 +39,9 @@
         module_path: Where its build's packages lie, as PYTHONPATH; empty: this build's.
         variables: Environment variables of its process besides those of the test's.
         limits: Limits of the machine, as settings name them; the process gets no more descriptors.
+        seeds: Addresses of the control machines that its settings name.
+        bootstraps: Whether its first start is one of the first of the whole system.
+        is_removed: Whether the machine is gone for good.
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
         unplanned_s: Those of them at which it was killed, paused or let go on.
@@ -59,10 +62,12 @@
         self.disturbed_s: list[float] = []
         self.unplanned_s: list[float] = []
         self.ended_s: list[float] = []
-        self._seeds = seeds
+        self.seeds = seeds
         self._folder = folder / name
         self._folder.mkdir(parents=True)
         self._process: subprocess.Popen[bytes] | None = None
+        self.bootstraps = True
+        self.is_removed = False
         self._is_paused = False
         self._was_started = False
 
@@ -74,7 +79,8 @@
             "readiness": f"{self.address}:{READY_PORT}",
         }
 
-    def _write_settings(self) -> Path:
+    def write_settings(self) -> Path:
+        """Write the settings for its next start or reload."""
         self.data.mkdir(exist_ok=True)
         document: dict[str, Any] = {
             "nodeName": self.name,
@@ -85,8 +91,8 @@
             "contracts": self.contracts,
             "listen": self._listen(),
             "internalPorts": list(_INTERNAL_PORTS),
-            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self._seeds],
-            "bootstrap": not self._was_started,
+            "seeds": [f"{seed}:{CONTROL_PORT}" for seed in self.seeds],
+            "bootstrap": self.bootstraps and not self._was_started,
             "dataDir": str(self.data) if self.role == CONTROL else None,
             "faultTolerance": {"machines": 1},
             "limits": self.limits,
@@ -124,10 +130,12 @@
         return self._process is not None and self._process.poll() is None
 
     def start(self) -> None:
-        """Start the process, anew if it ran before."""
+        """Start the process, anew if it ran before; a removed machine starts nothing."""
+        if self.is_removed:
+            return
         self._disturb()
         self.look()
-        settings = str(self._write_settings())
+        settings = str(self.write_settings())
         environment = os.environ | self.variables | {"HERONLADDER_CONFIG": settings}
         if self.module_path:
             environment["PYTHONPATH"] = self.module_path
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -231,6 +231,28 @@
 
         run_virtual(scenario())
 
+    def test_of_two_that_stop_at_once_the_one_that_stays_away_is_removed(self) -> None:
+        """Guards against a restart that leaves in place of the member that is replaced."""
+
+        async def scenario() -> None:
+            group = await _start_group(losses=1)
+            await group.start("new", joining=True)
+            leader = await _wait_for_voters(group, 4)
+            restarted, replaced = (name for name in group.names if name != leader.name)
+            outcome = await group.nodes[restarted].leaver.run(_LEAVE_WITHIN_S)
+            self.assertIs(outcome, LeaveOutcome.REMOVED)
+            await group.crash(restarted)
+            leaving = asyncio.ensure_future(group.nodes[replaced].leaver.run(_LEAVE_WITHIN_S))
+            await asyncio.sleep(0.4)
+            await group.start(restarted)
+            self.assertIs(await leaving, LeaveOutcome.REMOVED)
+            await group.crash(replaced)
+            await group.crash("new", wipe=True)
+            await (await group.leader([leader.name, restarted])).propose(b"afterwards")
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_leave_waits_until_the_replacement_votes(self) -> None:
         async def scenario() -> None:
             group = await _start_group(losses=1)
