Count a new member's silence from when the leader began to send to it

Cause: the silence of a peer that has not replied was counted from the start of the leader's term, also if the peer was added later. Each peer has its own start now (listed_since_s), and a learner counts as lost only if it is silent for an election timeout from then.

Both tests failed before (kept instead of removed; no fourth voter within 10 s).

--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -207,7 +207,7 @@
             members=[
                 member
                 for member in self._node.membership().members
-                if member.voter or self._replication.reachable(member.name)
+                if member.voter or not self._replication.is_silent(member.name)
             ]
         )
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -56,7 +56,7 @@
         for name in [member.name for member in node.membership().members]:
             if name == node.name or name in self._peers:
                 continue
-            self._peers[name] = PeerProgress(next_index=node.log.last_index)
+            self._peers[name] = PeerProgress(node.log.last_index, node.environment.monotonic())
             node.keep_running_in_term(
                 f"replicate-{name}", partial(self._replicate, name), partial(self._is_removed, name)
             )
@@ -308,12 +308,24 @@
     def last_heard_s(self, name: str) -> float:
         """Return when a peer last replied to this leader or, if it has not, to an earlier one.
 
-        Without a report of an earlier leader, it is the start of this member's leadership.
+        Without a report of an earlier leader, it is when this leader began to send to the peer.
         """
         progress = self._peers.get(name)
-        if progress is not None and progress.last_reply_s >= self._leading_since_s:
+        if progress is None:
+            return self._leading_since_s
+        if progress.last_reply_s >= progress.listed_since_s:
             return progress.last_reply_s
-        return self._silent_since_s.get(name, self._leading_since_s)
+        return self._silent_since_s.get(name, progress.listed_since_s)
+
+    def is_silent(self, name: str) -> bool:
+        """Whether a peer has not replied for an election timeout although this leader sent to it.
+
+        A peer that was added just now is not silent, and not reachable yet.
+        """
+        node = self._node
+        return (
+            node.environment.monotonic() - self.last_heard_s(name) > node.timing.election_timeout_s
+        )
 
     def _silent_members(self) -> list[consensus_pb2.SilentMember]:
         node = self._node
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -38,6 +38,7 @@
     "test_simulation",
     "test_upgrade",
     "test_planned_stop",
+    "test_replacement_soak",
     "test_acknowledgements",
     "test_connections_of_all",
     "test_acknowledgement_run",
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -57,6 +57,25 @@
     raise AssertionError(f"not {count} voters within 10 s: {leader.membership()}")
 
 
+async def _join_with_late_replies(group: Group, leader: ConsensusNode[int], late_s: float) -> None:
+    """Have a member join whose first replies to the leader are late; return once it is listed."""
+    await group.start("new", joining=True)
+    service = group.network.endpoints["new"].servers["consensus"]
+    answer = service.AppendEntries
+    due_s = float("inf")
+
+    async def answer_late(request: consensus_pb2.AppendRequest, context: object) -> object:
+        if asyncio.get_running_loop().time() < due_s:
+            raise OSError("not yet")
+        return await answer(request, context)
+
+    service.AppendEntries = answer_late
+    async with asyncio.timeout(1.0):
+        while find_member(leader.membership(), "new") is None:
+            await asyncio.sleep(0.01)
+    due_s = asyncio.get_running_loop().time() + late_s
+
+
 class DecisionTest(unittest.TestCase):
     def test_a_member_leaves_only_a_group_that_has_its_replacement(self) -> None:
         cases = [
@@ -179,6 +198,21 @@
 
         run_virtual(scenario())
 
+    def test_a_member_that_joins_a_group_led_for_long_is_not_taken_for_silent(self) -> None:
+        """Guards against a silence that is counted from before the member was added."""
+
+        async def scenario() -> None:
+            group = await _start_group(losses=1)
+            leader = await group.leader()
+            await asyncio.sleep(100.0)
+            with mock.patch.object(leader.event_log, "warning") as warning:
+                await _join_with_late_replies(group, leader, 0.5)
+                await _wait_for_voters(group, 4)
+            self.assertNotIn("member_removed", [call.args[0] for call in warning.call_args_list])
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_learner_that_is_gone_delays_no_stop_and_is_removed(self) -> None:
         async def scenario() -> None:
             group = await _start_group(losses=1)
@@ -253,6 +287,21 @@
 
         run_virtual(scenario())
 
+    def test_a_leave_waits_for_a_learner_that_was_added_just_now(self) -> None:
+        """Guards against a learner that is taken for lost before it could reply."""
+
+        async def scenario() -> None:
+            group = await _start_group(losses=1)
+            leader = await group.leader()
+            old = next(name for name in group.names if name != leader.name)
+            await asyncio.sleep(10.0)
+            await _join_with_late_replies(group, leader, 0.5)
+            outcome = await group.nodes[old].leaver.run(_LEAVE_WITHIN_S)
+            self.assertIs(outcome, LeaveOutcome.REMOVED)
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_leave_waits_until_the_replacement_votes(self) -> None:
         async def scenario() -> None:
             group = await _start_group(losses=1)
