Let a new leader wait for members that left before its term

As a new leader it knows of no leave, keeps itself and ends, so that one lost disk ends the group of three.

The members of earlier memberships in the log count as having left at the start of the term. A stop in the first 3 s of a term may wait for that long, within its own grace.

The test failed before (kept instead of removed).

--- a/packages/heronladder-consensus/src/heronladder_consensus/log.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/log.py
@@ -133,3 +133,8 @@
             if entry.index <= last:
                 return entry.membership
         return self._base.membership
+
+    def earlier_members(self) -> set[str]:
+        """Return the names in all memberships since the snapshot but the newest."""
+        earlier = [self._base.membership, *(entry.membership for entry in self._changes)][:-1]
+        return {member.name for membership in earlier for member in membership.members}
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -31,13 +31,14 @@
         self._replication = replication
         self._change_index = 0
         self._leading_since_s = 0.0
-        self._left_s: dict[str, float] = {}  # when members left in this term, monotonic
+        self._left_s: dict[str, float] = {}  # when members left, or this term began, monotonic
 
     def start_leading(self) -> None:
         """Start the member checks; changes wait until the first entry of the term is committed."""
         self._change_index = self._node.log.last_index
         self._leading_since_s = self._node.environment.monotonic()
-        self._left_s = {}
+        # An earlier leader may have removed a member that is being restarted.
+        self._left_s = dict.fromkeys(self._node.log.earlier_members(), self._leading_since_s)
         self._node.keep_running_in_term("membership", self._check_members)
 
     async def _check_members(self, term: int) -> None:
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -287,6 +287,25 @@
 
         run_virtual(scenario())
 
+    def test_the_same_if_the_leader_is_lost_between_the_two(self) -> None:
+        """Guards against a new leader that does not know of the leave before its term."""
+
+        async def scenario() -> None:
+            group = await _start_group(losses=1)
+            await group.start("new", joining=True)
+            leader = await _wait_for_voters(group, 4)
+            restarted, replaced = (name for name in group.names if name != leader.name)
+            await group.nodes[restarted].leaver.run(_LEAVE_WITHIN_S)
+            await group.crash(restarted)
+            await group.crash(leader.name)
+            leaving = asyncio.ensure_future(group.nodes[replaced].leaver.run(_LEAVE_WITHIN_S))
+            await asyncio.sleep(1.8)
+            await group.start(restarted)
+            self.assertIs(await leaving, LeaveOutcome.REMOVED)
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_leave_waits_for_a_learner_that_was_added_just_now(self) -> None:
         """Guards against a learner that is taken for lost before it could reply."""
 
