Bound a leave by its time also while it looks for the leader

A member that stops asks others who leads, one after the other. A round that began just before half of the grace was over could take two more seconds; it ends with the time now.

--- a/packages/heronladder-consensus/src/heronladder_consensus/joining.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/joining.py
@@ -78,9 +78,7 @@
     async def _request_join_from_all(self, own_member: consensus_pb2.Member) -> None:
         leader_address = ""
         for address in self.other_addresses():
-            if self._node.failure is not None:
-                return
-            if self._node.leaving:
+            if self._node.failure is not None or self._node.leaving:
                 return
             reply = await self._send_join(address, own_member)
             if reply is None:
--- a/packages/heronladder-consensus/src/heronladder_consensus/leaving.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/leaving.py
@@ -77,7 +77,11 @@
             remaining_s = due_s - node.environment.monotonic()
             if remaining_s < _MIN_REQUEST_S:
                 break
-            outcome = await self._request(remaining_s)
+            try:
+                async with asyncio.timeout(remaining_s):
+                    outcome = await self._request(remaining_s)
+            except TimeoutError:
+                break
             if outcome is not LeaveOutcome.UNKNOWN:
                 return outcome
             await node.changed.wait(node.timing.heartbeat_s)
