Let a control process that is being loaded leave its group before it ends

The process exits at once, stays listed beside its replacement, and one lost disk ends the group of three.

Cause: until the daemon handles SIGTERM, a handler exits with code 0. That is right for a gateway, which serves nothing yet. A control member finishes its start now, leaves and ends; the time of the signal counts for its grace.

--- a/packages/heronladder-daemon/src/heronladder_daemon/runner.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/runner.py
@@ -9,6 +9,7 @@
 from heronladder_runtime.logs import EventLog
 from heronladder_runtime.settings import DaemonSettings
 
+from heronladder_daemon import early_stop
 from heronladder_daemon.daemon import Daemon
 
 EXIT_FAILED = 1
@@ -91,6 +92,10 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, request_stop)
+    early_s = early_stop.elapsed_s()
+    if early_s is not None:
+        signalled_s = loop.time() - early_s
+        stopping.set()
     loop.add_signal_handler(signal.SIGHUP, reloader.reload)
     try:
         await daemon.start()
--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -106,7 +106,9 @@
             },
         }
         file = self._folder / "settings.json"
-        file.write_text(json.dumps(document))
+        written = file.with_suffix(".new")
+        written.write_text(json.dumps(document))
+        written.replace(file)  # a process that reads it meanwhile gets it whole
         return file
 
     @property
@@ -195,7 +197,7 @@
             self._process.send_signal(signal.SIGCONT)
         self._is_paused = False
 
-    def _has_begun(self) -> bool:
+    def handles_sigterm(self) -> bool:
         """Whether its program handles SIGTERM yet; until then the interpreter is being loaded."""
         if self._process is None:
             return False
@@ -214,7 +216,7 @@
     async def stop(self) -> None:
         """Stop it as planned; a stop that takes too long, or ends badly, is a fault."""
         self._disturb()
-        has_begun = self._has_begun()
+        has_begun = self.handles_sigterm()
         process, self._process = self._process, None
         if process is None:
             return
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -443,6 +443,23 @@
             await asyncio.sleep(0.1)
         self.fail(f"{machine.name} does not show {line}")
 
+    async def test_a_machine_stopped_for_good_while_its_program_is_being_loaded(self) -> None:
+        """Guards against a process that ends in its start without leaving the group."""
+        for machine in self.machines:
+            machine.start()
+        await self._apply(1)
+        new = self._machine(f"{self._NET}.4")
+        new.start()
+        await self._wait_for_metric(new, "heronladder_may_vote 1.0")
+        old = self.machines[-1]
+        old.kill()
+        old.start()
+        while not old.handles_sigterm():
+            await asyncio.sleep(0.001)
+        await old.stop()
+        self.assertIn("outcome=removed", old.output())
+        self.assertEqual(old.faults, [])
+
     async def test_a_disk_lost_right_after_a_planned_replacement(self) -> None:
         """Guards against SIGTERM that leaves a group with one voter too many."""
         for machine in self.machines:
