Give a leave the grace of the process but for closing

The one that is replaced ends after 3 s, half of its grace, before the restarted one has joined again. A disk lost 1.7 s later leaves two of four voters.

A control member has nothing else to do before it ends, so the leave may take all of the grace but 1.5 s.

--- a/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
+++ b/packages/heronladder-daemon/src/heronladder_daemon/daemon.py
@@ -33,7 +33,7 @@
     from heronladder_router.server import RouterServer
 
 _GRPC_STOP_GRACE_S = 0.5
-_LEAVE_GRACE_FRACTION = 0.5  # part of the grace period in which a member may leave its group
+_CONTROL_CLOSE_S = 1.5  # part of the grace period reserved for closing a control member
 _GATEWAY_TOKEN_RETURN_S = 0.8  # part of the grace period reserved for returning tokens
 _GATEWAY_SHUTDOWN_TIMEOUT_S = 0.1
 _BALANCER_DETECTION_S = 2.5
@@ -287,9 +287,9 @@
         """Leave the control group while its listeners still serve; a restart stays in it."""
         if self.control is None:
             return
-        grace_s = seconds(self.settings.control.control_grace_ms)
+        grace_s = seconds(self.settings.control.control_grace_ms) - _CONTROL_CLOSE_S
         elapsed_s = self._environment.monotonic() - signalled_s
-        timeout_s = max(0.0, grace_s * _LEAVE_GRACE_FRACTION - elapsed_s)
+        timeout_s = max(0.0, grace_s - elapsed_s)
         outcome = await self.control.node.leaver.run(timeout_s)
         self._metrics.add("group_leaves", outcome.value)
 
