Of two that stop, wait also for one that was removed for its silence

The one that is replaced stops next, is kept, since the group has its size, and ends before the other one has joined again.

Each removal counts now, not only a leave. Beside it: a member that joins again while the task from before its removal still runs had that task's silence, so that it was taken for lost; its silence counts from when it is listed again.

The test failed before (kept instead of removed), and with the first change alone.

--- a/packages/heronladder-consensus/src/heronladder_consensus/log.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/log.py
@@ -122,6 +122,13 @@
         self._changes = []
         self.synced_index = meta.index
 
+    def first_of_term(self, index: int) -> int:
+        """Return the index of the first entry in memory of the term of an entry."""
+        term = self.term_at(index)
+        while index - 1 > self.base_index and self.term_at(index - 1) == term:
+            index -= 1
+        return index
+
     def membership(self, up_to: int | None = None) -> consensus_pb2.Membership:
         """Return the newest membership in the log, or else the one in the snapshot.
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -14,7 +14,7 @@
 from heronladder_consensus.replication import Replication
 
 _REPLACEMENT_SILENCE_S = 2.0  # silence after which a surplus voter is removed
-_RETURN_S = 3.0  # a member that left may have been restarted, and joins again within this time
+_RETURN_S = 3.0  # a removed member that was only restarted or paused joins again within it
 _LEARNER_SILENCE_S = 60.0  # of a learner, which does not count for the quorum
 
 
@@ -31,14 +31,14 @@
         self._replication = replication
         self._change_index = 0
         self._leading_since_s = 0.0
-        self._left_s: dict[str, float] = {}  # when members left, or this term began, monotonic
+        self._removed_s: dict[str, float] = {}  # monotonic; before this term: when it began
 
     def start_leading(self) -> None:
         """Start the member checks; changes wait until the first entry of the term is committed."""
         self._change_index = self._node.log.last_index
         self._leading_since_s = self._node.environment.monotonic()
         # An earlier leader may have removed a member that is being restarted.
-        self._left_s = dict.fromkeys(self._node.log.earlier_members(), self._leading_since_s)
+        self._removed_s = dict.fromkeys(self._node.log.earlier_members(), self._leading_since_s)
         self._node.keep_running_in_term("membership", self._check_members)
 
     async def _check_members(self, term: int) -> None:
@@ -163,7 +163,7 @@
     async def leave(self, name: str) -> consensus_pb2.LeaveOutcome.ValueType:
         """Remove a member that is about to stop, once a replacement votes in its place.
 
-        Waits while another membership change is in progress, and while another member that left may
+        Waits while another membership change is in progress, and while another removed member may
         return: of two that stop, the one that is only restarted may have left first. The leader may
         remove itself: it leads until the others have committed the removal, and steps down then.
 
@@ -185,7 +185,6 @@
                 if decision is LeaveDecision.KEEP and not self._may_another_return(name):
                     return consensus_pb2.LEAVE_OUTCOME_KEPT
                 if decision is LeaveDecision.REMOVE:
-                    self._left_s[name] = node.environment.monotonic()
                     self._remove(name, "leaves")
             await node.changed.wait(node.timing.heartbeat_s)
         committed = node.log.membership(node.commit_index)
@@ -197,9 +196,9 @@
         node = self._node
         oldest_s = node.environment.monotonic() - _RETURN_S
         return any(
-            left_s > oldest_s and find_member(node.membership(), left) is None
-            for left, left_s in self._left_s.items()
-            if left != name
+            removed_s > oldest_s and find_member(node.membership(), removed) is None
+            for removed, removed_s in self._removed_s.items()
+            if removed != name
         )
 
     def _without_lost_learners(self) -> consensus_pb2.Membership:
@@ -213,6 +212,7 @@
         )
 
     def _remove(self, name: str, reason: str) -> None:
+        self._removed_s[name] = self._node.environment.monotonic()
         self._append(without_member(self._node.membership(), name))
         self._node.event_log.warning("member_removed", step="membership", peer=name, reason=reason)
 
--- a/packages/heronladder-consensus/src/heronladder_consensus/peer_progress.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/peer_progress.py
@@ -10,6 +10,7 @@
     Attributes:
         next_index: Index of the next entry to send.
         listed_since_s: Monotonic time from which this leader has sent to the peer, in seconds.
+        listed: Whether the membership lists the peer; its task may end later.
         match_index: Index of the last entry known to be synced by the peer.
         confirmed_read_round: Newest read round in which the peer acknowledged a message.
         last_reply_s: Monotonic time of the newest reply, in seconds.
@@ -22,6 +23,7 @@
 
     next_index: int
     listed_since_s: float
+    listed: bool = True
     match_index: int = 0
     confirmed_read_round: int = 0
     last_reply_s: float = float("-inf")
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -53,9 +53,14 @@
     def start_peer_tasks(self) -> None:
         """Start a replication task for each peer that has none yet."""
         node = self._node
-        for name in [member.name for member in node.membership().members]:
-            if name == node.name or name in self._peers:
-                continue
+        listed = {member.name for member in node.membership().members} - {node.name}
+        for name, progress in self._peers.items():
+            if name in listed and not progress.listed:
+                # The task from before its removal goes on, but its silence counts anew.
+                progress.listed_since_s = node.environment.monotonic()
+                self._silent_since_s.pop(name, None)
+            progress.listed = name in listed
+        for name in sorted(listed - self._peers.keys()):
             self._peers[name] = PeerProgress(node.log.last_index, node.environment.monotonic())
             node.keep_running_in_term(
                 f"replicate-{name}", partial(self._replicate, name), partial(self._is_removed, name)
@@ -322,17 +327,13 @@
 
         A peer that was added just now is not silent, and not reachable yet.
         """
-        node = self._node
-        return (
-            node.environment.monotonic() - self.last_heard_s(name) > node.timing.election_timeout_s
-        )
+        silent_s = self._node.environment.monotonic() - self.last_heard_s(name)
+        return silent_s > self._node.timing.election_timeout_s
 
     def _silent_members(self) -> list[consensus_pb2.SilentMember]:
-        node = self._node
         heard_s = {name: self.last_heard_s(name) for name in self._peers}
-        return to_messages(
-            heard_s, node.environment.monotonic(), least_s=node.timing.election_timeout_s
-        )
+        now_s, least_s = self._node.environment.monotonic(), self._node.timing.election_timeout_s
+        return to_messages(heard_s, now_s, least_s)
 
     def highest_version(self, name: str) -> int | None:
         """Return the highest cluster version of a peer's build, or None if it is unreachable."""
@@ -379,7 +380,8 @@
             return
         term = log.term_at(previous)
         if previous >= log.base_index and term != request.previous_term:
-            reply.conflict_index = self._first_of_term(previous)
+            first = log.first_of_term(previous)
+            reply.conflict_index = max(first, log.base_index + 1, node.commit_index)
             return
         for entry in request.entries:
             if entry.index <= log.base_index:
@@ -395,10 +397,3 @@
         reply.match_index = previous + len(request.entries)
         node.election_timer_reset_s = node.environment.monotonic()
         node.set_commit_index(min(request.commit_index, reply.match_index))
-
-    def _first_of_term(self, index: int) -> int:
-        log = self._node.log
-        term = log.term_at(index)
-        while index - 1 > log.base_index and log.term_at(index - 1) == term:
-            index -= 1
-        return max(index, log.base_index + 1, self._node.commit_index)
--- a/tests/test_planned_replacement.py
+++ b/tests/test_planned_replacement.py
@@ -306,6 +306,25 @@
 
         run_virtual(scenario())
 
+    def test_the_same_if_the_other_was_removed_for_its_silence(self) -> None:
+        """Guards against a paused member that is taken for the one that was replaced."""
+
+        async def scenario() -> None:
+            group = await _start_group(losses=1)
+            await group.start("new", joining=True)
+            leader = await _wait_for_voters(group, 4)
+            paused, replaced = (name for name in group.names if name != leader.name)
+            cuts = group.isolate([paused])
+            await _wait_for_voters(group, 3)
+            self.assertIsNone(find_member(leader.membership(), paused))
+            leaving = asyncio.ensure_future(group.nodes[replaced].leaver.run(_LEAVE_WITHIN_S))
+            await asyncio.sleep(0.4)
+            group.heal(cuts)
+            self.assertIs(await leaving, LeaveOutcome.REMOVED)
+            await group.stop()
+
+        run_virtual(scenario())
+
     def test_a_leave_waits_for_a_learner_that_was_added_just_now(self) -> None:
         """Guards against a learner that is taken for lost before it could reply."""
 
