--- a/tests/process_fleet.py
+++ b/tests/process_fleet.py
@@ -42,6 +42,7 @@
         seeds: Addresses of the control machines that its settings name.
         bootstraps: Whether its first start is one of the first of the whole system.
         is_removed: Whether the machine is gone for good.
+        is_stopping: Whether its process has got SIGTERM and has not ended yet.
         faults: How its process ended though nothing ended it.
         disturbed_s: When its process was started, ended, paused or let go on, on the steady clock.
         unplanned_s: Those of them at which it was killed, paused or let go on.
@@ -68,6 +69,7 @@
         self._process: subprocess.Popen[bytes] | None = None
         self.bootstraps = True
         self.is_removed = False
+        self.is_stopping = False
         self._is_paused = False
         self._was_started = False
 
@@ -223,6 +225,7 @@
         process.send_signal(signal.SIGTERM)
         process.send_signal(signal.SIGCONT)
         self._is_paused = False
+        self.is_stopping = True
         try:
             async with asyncio.timeout(_ENDS_WITHIN_S):
                 while process.poll() is None:
@@ -233,6 +236,8 @@
             process.kill()
             process.wait()
             return
+        finally:
+            self.is_stopping = False
         if process.returncode == -signal.SIGTERM and not has_begun:
             return  # nothing of the program ran yet
         if process.returncode != 0:
--- a/tests/process_soak.py
+++ b/tests/process_soak.py
@@ -179,7 +179,9 @@
         await fault()
 
     async def _be_calm(self) -> None:
-        await asyncio.sleep(4.0)  # the longest fault is over
+        await asyncio.sleep(4.0)  # the longest fault is over, but for stops
+        while any(machine.is_stopping for machine in self._machines):
+            await asyncio.sleep(_LOOKS_EACH_S)
         for machine in self._machines:
             machine.go_on()
             if not machine.is_running:
