Name the time of a peer's last reply as elsewhere: last_contact_s

Callers see nothing of it. Measured: lint, types and the tests of replacement, promotion, consensus and growth pass.

--- a/packages/heronladder-consensus/src/heronladder_consensus/membership.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/membership.py
@@ -82,12 +82,12 @@
             return
         surplus = len(voters(node.membership())) - size
         removable = [
-            (self._replication.last_heard_s(member.name), member.name)
+            (self._replication.last_contact_s(member.name), member.name)
             for member in node.membership().members
             if member.name != node.name
             and surplus >= (1 if member.voter else 0)
             and not self._replication.reachable(member.name)
-            and now - self._replication.last_heard_s(member.name)
+            and now - self._replication.last_contact_s(member.name)
             > (_REPLACEMENT_SILENCE_S if member.voter else _LEARNER_SILENCE_S)
         ]
         if removable:
--- a/packages/heronladder-consensus/src/heronladder_consensus/replication.py
+++ b/packages/heronladder-consensus/src/heronladder_consensus/replication.py
@@ -310,7 +310,7 @@
             self.match_index(name) > 0
         )
 
-    def last_heard_s(self, name: str) -> float:
+    def last_contact_s(self, name: str) -> float:
         """Return when a peer last replied to this leader or, if it has not, to an earlier one.
 
         Without a report of an earlier leader, it is when this leader began to send to the peer.
@@ -327,11 +327,11 @@
 
         A peer that was added just now is not silent, and not reachable yet.
         """
-        silent_s = self._node.environment.monotonic() - self.last_heard_s(name)
+        silent_s = self._node.environment.monotonic() - self.last_contact_s(name)
         return silent_s > self._node.timing.election_timeout_s
 
     def _silent_members(self) -> list[consensus_pb2.SilentMember]:
-        heard_s = {name: self.last_heard_s(name) for name in self._peers}
+        heard_s = {name: self.last_contact_s(name) for name in self._peers}
         now_s, least_s = self._node.environment.monotonic(), self._node.timing.election_timeout_s
         return to_messages(heard_s, now_s, least_s)
 
