--- a/tests/test_key_check.py
+++ b/tests/test_key_check.py
@@ -1,5 +1,6 @@
 """Requests without a valid key are not run, whatever the configuration lists or leaves out."""
 
+import asyncio
 import json
 import unittest
 from collections.abc import Callable
@@ -7,9 +8,12 @@
 from typing import Any
 
 from fleet_case import FleetCase
+from heronladder_control.command_packing import encode_command
+from heronladder_control.state import ControlState
 from heronladder_platform.configuration import document_requires_key, read_configuration
 from heronladder_router.errors import InvalidKeyError
 from heronladder_router.host_routes import HostRouteTable
+from heronladder_runtime.access_rules import requires_key
 from heronladder_runtime.cluster_versions import LATEST_VERSION, reduce_to_version
 from heronladder_runtime.configuration import FLEET_KIND, FLEET_NAME, ConfigurationStore
 from heronladder_schema.v1 import control_pb2, resources_pb2
@@ -137,6 +141,25 @@
         self.assertTrue(self._is_let_in(""))
 
 
+class RestartedControlTest(unittest.TestCase):
+    def test_a_control_member_that_starts_from_its_snapshot_still_asks_for_keys(self) -> None:
+        for name, tenants, needs_key in _STATEMENTS:
+            for version in range(LATEST_VERSION + 1):
+                state = ControlState("r")
+                raised, applied = control_pb2.Command(), control_pb2.Command()
+                raised.set_cluster_version.version = version
+                fleet = _reduced(read_configuration(_document(tenants)), version)
+                applied.apply_configuration.configuration.CopyFrom(fleet)
+                state.apply(1, raised.SerializeToString())
+                state.apply(2, encode_command(applied))
+                restarted = ControlState("r")
+                restarted.restore(state.snapshot())
+                held = restarted.fleet.configuration()
+                assert held is not None
+                with self.subTest(tenants=name, version=version):
+                    self.assertEqual(requires_key(held, document_requires_key), needs_key)
+
+
 class EarlierGatewayTest(unittest.TestCase):
     def test_an_earlier_gateway_beside_this_control_lets_nobody_in(self) -> None:
         """It never asks the field, so what the log holds below the version must not be empty."""
@@ -214,6 +237,14 @@
                 self.assertEqual(await self._status("/safe/x", sent), 401, (tenants, sent))
         self.assertEqual(self.runs, ["/safe/before"])
         self.assertEqual(self._gauge("keys_required"), 1.0)
+        started = await self.fleet.add_gateway("g2")
+        async with asyncio.timeout(10):
+            while not started.knows("r1"):
+                await asyncio.sleep(0.01)
+        for sent in (f"Token {KEY}", f"Token {_NEVER_HELD}", ""):
+            got = await self.fleet.request_at(started.address, "/safe/x", Authorization=sent)
+            self.assertEqual(got.status, 401, ("a gateway that was started now", sent))
+        self.assertEqual(self.runs, ["/safe/before"])
         await self.fleet.replace(configuration(4))
         self.assertEqual(await self._status("/safe/after", f"Token {KEY}"), 200)
 
